Lay the ground: build, checks, core values and the agreed headers

Cause: nothing exists yet, and several parts are to be written side by side. Ruled out: a build generator; one plain makefile is shorter than its input. Before: nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,95 @@
+# anvilgate: `make` builds, `make demo` shows, `make check` tests.
+
+BUILD ?= build/release
+# `make V=1` shows the commands.
+Q = $(if $(V),,@)
+CC = gcc
+PACKAGES = glib-2.0 libevent msgpack popt libcyaml jansson libxxhash
+
+# The packages are installed by a target, so pkg-config is only asked when a rule runs.
+CFLAGS_BASE = -std=gnu11 -g -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+  -Wno-unused-parameter -Wno-missing-field-initializers -Werror -Iinclude -Isource -MMD -MP
+CFLAGS_MODE ?= -O2
+CFLAGS = $(CFLAGS_BASE) $(CFLAGS_MODE) $(CFLAGS_EXTRA) $(shell pkg-config --cflags $(PACKAGES))
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lyaml -lm
+LDFLAGS_MODE ?=
+
+LAYERS = core config steer net
+LIBRARY_SOURCES = $(foreach layer,$(LAYERS),$(wildcard source/$(layer)/*.c))
+LIBRARY_OBJECTS = $(LIBRARY_SOURCES:%.c=$(BUILD)/%.o)
+LIBRARY = $(BUILD)/libanvil.a
+
+ENTRY_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard source/entry/*.c))
+TOOL_NAMES = anvil-config anvil-status anvil-load
+STANDIN_NAMES = anvil-platform anvil-upstream
+TEST_NAMES = $(basename $(notdir $(wildcard tests/test-*.c)))
+BENCH_NAMES = $(basename $(notdir $(wildcard bench/bench-*.c)))
+
+tool_objects = $(patsubst %.c,$(BUILD)/%.o,$(wildcard source/tools/$(1).c source/tools/$(1)-*.c))
+standin_objects = $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/$(1).c standins/$(1)-*.c))
+
+PROGRAMS = $(BUILD)/bin/anvil-entry \
+  $(foreach name,$(TOOL_NAMES),$(if $(wildcard source/tools/$(name).c),$(BUILD)/bin/$(name))) \
+  $(foreach name,$(STANDIN_NAMES),$(if $(wildcard standins/$(name).c),$(BUILD)/bin/$(name)))
+TESTS = $(TEST_NAMES:%=$(BUILD)/tests/%)
+BENCHES = $(BENCH_NAMES:%=$(BUILD)/bench/%)
+
+# Shared by the fuzzer and the benchmark.
+FAKE_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/fuzz/fake-*.c))
+
+all: $(PROGRAMS)
+
+packages:
+	@scripts/install-packages
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(CFLAGS) -c -o $@ $<
+
+$(LIBRARY): $(LIBRARY_OBJECTS)
+	@rm -f $@
+	$(Q)ar rcs $@ $^
+
+define link_rule
+$(BUILD)/bin/$(1): $(2) $(LIBRARY)
+	@mkdir -p $$(@D)
+	$(Q)$$(CC) $$(LDFLAGS_MODE) -o $$@ $$^ $$(LDLIBS)
+endef
+
+$(eval $(call link_rule,anvil-entry,$(ENTRY_OBJECTS)))
+$(foreach name,$(TOOL_NAMES),$(eval $(call link_rule,$(name),$(call tool_objects,$(name)))))
+$(foreach name,$(STANDIN_NAMES),$(eval $(call link_rule,$(name),$(call standin_objects,$(name)))))
+
+# A test may reach the daemon's tasks, but not its main.
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(FAKE_OBJECTS) $(LIBRARY)
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
+
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/common-*.c)) $(FAKE_OBJECTS) $(LIBRARY)
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS)
+
+tests: $(TESTS)
+benches: $(BENCHES)
+
+check: packages
+	@$(MAKE) --no-print-directory -j$$(nproc) all tests
+	@scripts/run-tests $(BUILD)
+
+demo: packages
+	@$(MAKE) --no-print-directory -j$$(nproc) all
+	@BUILD=$(BUILD) scripts/demo $(or $(DEPLOYMENT),labka)
+
+format:
+	scripts/format-sources
+
+lint: packages
+	scripts/lint-sources $(BUILD)
+
+clean:
+	rm -rf build
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+.PHONY: all packages tests benches check demo format lint clean
+.SECONDARY:
--- /dev/null
+++ b/include/anvil/config.h
@@ -0,0 +1,213 @@
+#pragma once
+
+#include "anvil/clock.h"
+#include "anvil/str.h"
+
+/* Largest file that is read at all, bytes. */
+#define ANVIL_CONFIG_MAX_BYTES (4u << 20)
+/* Most slots of one upstream; a slot set fits in 64 bits. */
+#define ANVIL_MAX_SLOTS 64
+
+/* Index of a thing in its array, when there is none. */
+#define ANVIL_NONE G_MAXUINT
+
+/** anvil_prefer_t - what the operators weigh most when an upstream is chosen */
+typedef enum
+{
+  ANVIL_PREFER_LATENCY,
+  ANVIL_PREFER_HEADROOM,
+} anvil_prefer_t;
+
+/** anvil_half_t - one half of the company */
+typedef struct
+{
+  anvil_str_t name;
+} anvil_half_t;
+
+/** anvil_region_t - a region; @half owns it, or ANVIL_NONE when both halves use it */
+typedef struct
+{
+  anvil_str_t name;
+  guint half;
+} anvil_region_t;
+
+/** anvil_zone_t - an availability zone and the region it is in */
+typedef struct
+{
+  anvil_str_t name;
+  guint region;
+} anvil_zone_t;
+
+/** anvil_block_t - client addresses and the region they are nearest to; IPv4 in host order */
+typedef struct
+{
+  guint32 address;
+  guint8 prefix;
+  guint region;
+} anvil_block_t;
+
+/** anvil_link_t - a directed link between two regions; @bits_per_s is its hard limit */
+typedef struct
+{
+  guint from;
+  guint to;
+  gint64 bits_per_s;
+} anvil_link_t;
+
+/**
+ * anvil_service_t - a service and how its requests are treated
+ * @name: its name, also the host name that always works
+ * @hosts: further host names
+ * @n_hosts: how many
+ * @owner: half that owns the service; it gets the share that no other half has
+ * @shares: per cent of client blocks by half, sums to 100
+ * @idempotent: whether requests other than GET, HEAD and OPTIONS may be repeated
+ * @deadline: default and longest time for one request, microseconds
+ * @queue: most requests that wait at one entry
+ * @request_bits: expected size of a request
+ * @response_bits: expected size of a response, charged to the link before it starts
+ * @max_request_bytes: largest body accepted
+ * @prefer: operators' weight for this service
+ */
+typedef struct
+{
+  anvil_str_t name;
+  anvil_str_t *hosts;
+  guint n_hosts;
+  guint owner;
+  guint *shares;
+  gboolean idempotent;
+  anvil_time_t deadline;
+  guint queue;
+  gint64 request_bits;
+  gint64 response_bits;
+  gint64 max_request_bytes;
+  anvil_prefer_t prefer;
+} anvil_service_t;
+
+/**
+ * anvil_upstream_t - one upstream VM
+ * @name: unique and stable between files, "galeria-zapad-a-1"
+ * @service: index of the service
+ * @half: index of the half that owns it
+ * @zone: index of its zone
+ * @address: IPv4 in host order
+ * @port: TCP port
+ * @slots: requests it runs at a time
+ * @connections: most connections it accepts
+ * @draining: the file takes it out; no new work
+ * @key: anvil_str_hash() of the name
+ */
+typedef struct
+{
+  anvil_str_t name;
+  guint service;
+  guint half;
+  guint zone;
+  guint32 address;
+  guint16 port;
+  guint slots;
+  guint connections;
+  gboolean draining;
+  guint64 key;
+} anvil_upstream_t;
+
+/**
+ * anvil_shift_t - a planned move of a service's traffic between halves
+ * @name: unique name
+ * @service: index of the service
+ * @from: half that gives
+ * @to: half that receives
+ * @share: per cent of the service's client blocks that move in the end
+ * @cap_bits_per_s: most traffic of the shift, 0 if the cap is in requests
+ * @cap_requests_per_s: most requests of the shift, 0 if the cap is in bits
+ * @ramp: time from nothing to the whole share, microseconds
+ */
+typedef struct
+{
+  anvil_str_t name;
+  guint service;
+  guint from;
+  guint to;
+  guint share;
+  gint64 cap_bits_per_s;
+  gint64 cap_requests_per_s;
+  anvil_time_t ramp;
+} anvil_shift_t;
+
+/** anvil_seat_t - one seat; seats are numbered from 0 in the order of the file */
+typedef struct
+{
+  guint zone;
+} anvil_seat_t;
+
+/**
+ * anvil_config_t - one operators' file, checked and indexed; never changes
+ *
+ * Indexes refer to the arrays of the same configuration. Names are the only
+ * thing that two generations have in common.
+ */
+typedef struct
+{
+  gint references;
+  GStringChunk *text;
+  anvil_str_t deployment;
+  anvil_half_t *halves;
+  guint n_halves;
+  anvil_region_t *regions;
+  guint n_regions;
+  anvil_zone_t *zones;
+  guint n_zones;
+  anvil_block_t *blocks;
+  guint n_blocks;
+  anvil_link_t *links;
+  guint n_links;
+  anvil_service_t *services;
+  guint n_services;
+  anvil_upstream_t *upstreams;
+  guint n_upstreams;
+  anvil_shift_t *shifts;
+  guint n_shifts;
+  anvil_seat_t *seats;
+  guint n_seats;
+} anvil_config_t;
+
+/**
+ * anvil_config_load - parses and checks an operators' file
+ * @file: name for messages
+ * @text: the YAML text
+ * @error: "FILE:LINE: FIELD: what is wrong and what was expected", one line
+ *
+ * Return: a new configuration, or NULL.
+ */
+anvil_config_t *anvil_config_load (const char *file, anvil_str_t text, GError **error);
+
+anvil_config_t *anvil_config_keep (anvil_config_t *config);
+void anvil_config_drop (anvil_config_t *config);
+
+/** anvil_config_lookup_zone - index of a zone by name, or ANVIL_NONE; alike below */
+guint anvil_config_lookup_zone (const anvil_config_t *config, anvil_str_t name);
+guint anvil_config_lookup_service (const anvil_config_t *config, anvil_str_t name);
+guint anvil_config_lookup_upstream (const anvil_config_t *config, anvil_str_t name);
+
+/** anvil_config_lookup_host - service that answers for a Host header's name (port cut off), or
+ * ANVIL_NONE */
+guint anvil_config_lookup_host (const anvil_config_t *config, anvil_str_t host);
+
+/** anvil_config_lookup_link - directed link between two regions, or ANVIL_NONE within one region */
+guint anvil_config_lookup_link (const anvil_config_t *config, guint from, guint to);
+
+/** anvil_config_lookup_client - region nearest to a client address by longest prefix, or ANVIL_NONE
+ */
+guint anvil_config_lookup_client (const anvil_config_t *config, guint32 address);
+
+/** anvil_config_region_of - region of an upstream */
+guint anvil_config_region_of (const anvil_config_t *config, guint upstream);
+
+/**
+ * anvil_config_diff - what a new file changes, a line each, "galeria: deadline 2000 ms -> 1500 ms"
+ * @out: lines are appended
+ *
+ * Return: how many lines.
+ */
+guint anvil_config_diff (const anvil_config_t *before, const anvil_config_t *after, GString *out);
--- /dev/null
+++ b/include/anvil/log.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <glib.h>
+
+typedef enum
+{
+  ANVIL_LOG_ERROR = 3,
+  ANVIL_LOG_WARNING = 4,
+  ANVIL_LOG_NOTICE = 5,
+  ANVIL_LOG_INFO = 6,
+  ANVIL_LOG_DEBUG = 7,
+} anvil_log_level_t;
+
+/** anvil_log_set_level - drops lines less urgent than @level; the default is ANVIL_LOG_NOTICE */
+void anvil_log_set_level (anvil_log_level_t level);
+
+/** anvil_log_level_parse - level of a name such as "info"; FALSE if there is no such level */
+gboolean anvil_log_level_parse (const char *name, anvil_log_level_t *level);
+
+/**
+ * anvil_log - writes one event to standard error
+ * @level: how urgent
+ * @part: fixed prefix of the part that speaks, such as "seat"
+ * @format: a short sentence followed by key=value pairs
+ *
+ * The line is "<N>part: sentence key=value", where N is the syslog priority.
+ * Control characters in the text are printed as '?', so that an event stays one line.
+ */
+void anvil_log (anvil_log_level_t level, const char *part, const char *format, ...)
+    G_GNUC_PRINTF (3, 4);
--- /dev/null
+++ b/source/core/error.c
@@ -0,0 +1,3 @@
+#include "anvil/error.h"
+
+G_DEFINE_QUARK (anvil - error - quark, anvil_error)
