--- a/include/anvil/config.h
+++ b/include/anvil/config.h
@@ -46,12 +46,19 @@
   guint region;
 } anvil_block_t;
 
-/** anvil_link_t - a directed link between two regions; @bits_per_s is its hard limit */
+/**
+ * anvil_link_t - a directed link between two regions
+ * @from: region it leaves
+ * @to: region it enters
+ * @bits_per_s: its hard limit
+ * @delay: one way, microseconds
+ */
 typedef struct
 {
   guint from;
   guint to;
   gint64 bits_per_s;
+  anvil_time_t delay;
 } anvil_link_t;
 
 /**
