Let a witness say whether a seat's use went on unbroken

Cause: a user that lost its grants for a moment can't tell whether another used the seat meanwhile, and a late release could void a newer grant. Ruled out: waiting out the longest deadline after every gap; it would idle slots after each lost message. Change: grant answers say whether the use continued; a release carries the time of the sender; anvil_steer_left() tells the daemon when a shutdown may end. Before: fields absent.

--- a/include/anvil/message.h
+++ b/include/anvil/message.h
@@ -140,6 +140,7 @@
  * @witness: number of the seat whose holder answers
  * @incarnation: echo of the asker's incarnation
  * @granted: whether the asker may count on this witness until asked_at plus the term
+ * @continued: this witness has granted the seat to nobody else since its last grant to the asker
  * @asked_at: echo
  * @generation: configuration in force at the witness
  */
@@ -149,15 +150,22 @@
   guint16 witness;
   guint64 incarnation;
   gboolean granted;
+  gboolean continued;
   anvil_time_t asked_at;
   guint64 generation;
 } anvil_grant_answer_t;
 
-/** anvil_grant_release_t - the sender stops using a seat before its term ends */
+/**
+ * anvil_grant_release_t - the sender stops using a seat before its term ends
+ * @seat: the seat
+ * @incarnation: incarnation of the sender
+ * @released_at: sender's clock; grants asked for up to then are void
+ */
 typedef struct
 {
   guint16 seat;
   guint64 incarnation;
+  anvil_time_t released_at;
 } anvil_grant_release_t;
 
 /**
--- a/include/anvil/steer.h
+++ b/include/anvil/steer.h
@@ -269,6 +269,10 @@
 /** anvil_steer_leave - begins a graceful shutdown: out of look-ups, seats released, work ends */
 void anvil_steer_leave (anvil_steer_t *steer, anvil_time_t now);
 
+/** anvil_steer_left - whether a shutdown that has begun may end: no work is left and the seats are
+ * released */
+gboolean anvil_steer_left (const anvil_steer_t *steer, anvil_time_t now);
+
 /** anvil_steer_busy - requests waiting or under way */
 guint anvil_steer_busy (const anvil_steer_t *steer);
 
