Add the platform's stand-in

Change: anvil-platform serves docs/PLATFORM.md from memory: versioned rows, conditional multi-row transactions, objects, the VM list behind a lag, rate limits, and faults by PUT /v1/standin/faults. A delayed call takes effect when the delay ends even if its caller left, so a lost write can land late.

Run by hand with curl: read, commit, conflict, object, VM list before and after its lag, a delayed write with a lost answer.

--- /dev/null
+++ b/standins/anvil-platform-faults.c
@@ -0,0 +1,72 @@
+#include "anvil-platform-faults.h"
+
+#include <string.h>
+
+#define MAX_TIME_MS 600000
+
+static gboolean
+load_flag (const json_t *value, gboolean *flag)
+{
+  if (!json_is_boolean (value))
+    return FALSE;
+  *flag = json_is_true (value);
+  return TRUE;
+}
+
+static gboolean
+load_time (const json_t *value, anvil_time_t *time)
+{
+  json_int_t ms = json_integer_value (value);
+
+  if (!json_is_integer (value) || ms < 0 || ms > MAX_TIME_MS)
+    return FALSE;
+  *time = ms * ANVIL_MS;
+  return TRUE;
+}
+
+static gboolean
+load_percent (const json_t *value, guint *percent)
+{
+  json_int_t number = json_integer_value (value);
+
+  if (!json_is_integer (value) || number < 0 || number > 100)
+    return FALSE;
+  *percent = (guint) number;
+  return TRUE;
+}
+
+static gboolean
+load_one (platform_faults_t *faults, const char *name, const json_t *value)
+{
+  if (strcmp (name, "down") == 0)
+    return load_flag (value, &faults->down);
+  if (strcmp (name, "freeze_vms") == 0)
+    return load_flag (value, &faults->freeze_vms);
+  if (strcmp (name, "delay_ms") == 0)
+    return load_time (value, &faults->delay);
+  if (strcmp (name, "vm_lag_ms") == 0)
+    return load_time (value, &faults->vm_lag);
+  if (strcmp (name, "lose_answers_percent") == 0)
+    return load_percent (value, &faults->lose_answers_percent);
+  if (strcmp (name, "lose_requests_percent") == 0)
+    return load_percent (value, &faults->lose_requests_percent);
+  return FALSE;
+}
+
+gboolean
+platform_faults_load (platform_faults_t *faults, const json_t *json)
+{
+  platform_faults_t next = *faults;
+  const char *name;
+  json_t *value;
+
+  if (!json_is_object (json))
+    return FALSE;
+  json_object_foreach ((json_t *) json, name, value)
+  {
+    if (!load_one (&next, name, value))
+      return FALSE;
+  }
+  *faults = next;
+  return TRUE;
+}
--- /dev/null
+++ b/standins/anvil-platform-service.c
@@ -0,0 +1,425 @@
+#include "anvil-platform-service.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <string.h>
+
+#include "anvil-platform-faults.h"
+#include "anvil-platform-rate.h"
+#include "anvil-platform-table.h"
+#include "anvil-platform-vms.h"
+#include "anvil/error.h"
+#include "net/http-json.h"
+
+#define MAX_BODY_BYTES (8u << 20)
+#define MAX_HEADERS_BYTES (16u << 10)
+#define MAX_NAME_BYTES 128
+#define OBJECTS_PATH "/v1/objects/"
+
+typedef struct
+{
+  guint64 reads;
+  guint64 writes;
+  guint64 rows_written;
+  guint64 shed;
+} counts_t;
+
+struct platform_service
+{
+  struct event_base *base;
+  struct evhttp *http;
+  guint16 port;
+  GRand *random;
+  platform_table_t *table;
+  GHashTable *objects;
+  platform_vms_t *vms;
+  platform_faults_t faults;
+  platform_rate_t writes;
+  platform_rate_t reads;
+  counts_t counts;
+  GHashTable *delayed;
+};
+
+/* A call that waits for the delay of the faults. */
+typedef struct
+{
+  platform_service_t *service;
+  struct evhttp_request *request;
+  struct event *timer;
+} delayed_t;
+
+static void
+drop_connection (struct evhttp_request *request)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+
+  if (connection != NULL)
+    evhttp_connection_free (connection);
+  else
+    evhttp_request_free (request);
+}
+
+static gboolean
+roll (platform_service_t *service, guint percent)
+{
+  return percent > 0 && (guint) g_rand_int_range (service->random, 0, 100) < percent;
+}
+
+/* Takes the reference of @json. */
+static void
+answer (platform_service_t *service, struct evhttp_request *request, int status, json_t *json)
+{
+  if (!roll (service, service->faults.lose_answers_percent))
+    {
+      anvil_http_json_reply (request, status, json);
+      return;
+    }
+  json_decref (json);
+  drop_connection (request);
+}
+
+static void
+read_rows (platform_service_t *service, struct evhttp_request *request)
+{
+  const char *query = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
+  struct evkeyvalq parameters = { 0 };
+  const char *prefix = NULL;
+
+  if (query != NULL && evhttp_parse_query_str (query, &parameters) == 0)
+    prefix = evhttp_find_header (&parameters, "prefix");
+  answer (service, request, HTTP_OK,
+          platform_table_read (service->table, prefix != NULL ? prefix : ""));
+  evhttp_clear_headers (&parameters);
+}
+
+static void
+commit (platform_service_t *service, struct evhttp_request *request)
+{
+  GError *error = NULL;
+  json_t *json
+      = anvil_http_json_load (evhttp_request_get_input_buffer (request), MAX_BODY_BYTES, &error);
+  guint n_rows;
+
+  if (json == NULL)
+    {
+      anvil_http_json_fail (request, HTTP_BADREQUEST, error->message);
+      g_error_free (error);
+      return;
+    }
+  switch (platform_table_commit (service->table, json, &n_rows))
+    {
+    case PLATFORM_TABLE_COMMITTED:
+      service->counts.rows_written += n_rows;
+      answer (service, request, HTTP_OK, json_pack ("{s:b}", "committed", 1));
+      break;
+    case PLATFORM_TABLE_CONFLICT:
+      answer (service, request, 409, json_pack ("{s:b}", "committed", 0));
+      break;
+    case PLATFORM_TABLE_MALFORMED:
+      anvil_http_json_fail (request, HTTP_BADREQUEST, "transaction is malformed");
+      break;
+    }
+  json_decref (json);
+}
+
+static gboolean
+object_name_valid (const char *name)
+{
+  gsize length = strlen (name);
+
+  return length > 0 && length <= MAX_NAME_BYTES
+         && strspn (name, G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "._-") == length;
+}
+
+static void
+put_object (platform_service_t *service, struct evhttp_request *request, const char *name)
+{
+  struct evbuffer *body = evhttp_request_get_input_buffer (request);
+  gsize length = evbuffer_get_length (body);
+  GBytes *bytes = g_bytes_new (evbuffer_pullup (body, -1), length);
+
+  g_hash_table_replace (service->objects, g_strdup (name), bytes);
+  answer (service, request, HTTP_OK, json_pack ("{s:b}", "stored", 1));
+}
+
+static void
+get_object (platform_service_t *service, struct evhttp_request *request, const char *name)
+{
+  GBytes *bytes = g_hash_table_lookup (service->objects, name);
+  struct evbuffer *body;
+
+  if (bytes == NULL)
+    {
+      answer (service, request, HTTP_NOTFOUND, json_pack ("{s:s}", "error", "no such object"));
+      return;
+    }
+  if (roll (service, service->faults.lose_answers_percent))
+    {
+      drop_connection (request);
+      return;
+    }
+  body = evbuffer_new ();
+  evbuffer_add (body, g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes));
+  evhttp_send_reply (request, HTTP_OK, NULL, body);
+  evbuffer_free (body);
+}
+
+static void
+list_vms (platform_service_t *service, struct evhttp_request *request)
+{
+  if (!service->faults.freeze_vms)
+    platform_vms_advance (service->vms, anvil_clock_now (), service->faults.vm_lag);
+  answer (service, request, HTTP_OK, platform_vms_shown (service->vms));
+}
+
+static const char *
+request_path (struct evhttp_request *request)
+{
+  const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
+
+  return path != NULL ? path : "";
+}
+
+/* Takes effect and answers. */
+static void
+run_call (platform_service_t *service, struct evhttp_request *request)
+{
+  enum evhttp_cmd_type command = evhttp_request_get_command (request);
+  const char *path = request_path (request);
+
+  if (service->faults.down)
+    drop_connection (request);
+  else if (strcmp (path, "/v1/rows") == 0 && command == EVHTTP_REQ_GET)
+    read_rows (service, request);
+  else if (strcmp (path, "/v1/commit") == 0 && command == EVHTTP_REQ_POST)
+    commit (service, request);
+  else if (strcmp (path, "/v1/vms") == 0 && command == EVHTTP_REQ_GET)
+    list_vms (service, request);
+  else if (g_str_has_prefix (path, OBJECTS_PATH) && object_name_valid (path + strlen (OBJECTS_PATH))
+           && command == EVHTTP_REQ_PUT)
+    put_object (service, request, path + strlen (OBJECTS_PATH));
+  else if (g_str_has_prefix (path, OBJECTS_PATH) && command == EVHTTP_REQ_GET)
+    get_object (service, request, path + strlen (OBJECTS_PATH));
+  else
+    anvil_http_json_fail (request, HTTP_NOTFOUND, "no such call");
+}
+
+static gboolean
+admit (platform_service_t *service, struct evhttp_request *request)
+{
+  gboolean write = evhttp_request_get_command (request) != EVHTTP_REQ_GET;
+
+  if (!platform_rate_take (write ? &service->writes : &service->reads, anvil_clock_now ()))
+    {
+      service->counts.shed++;
+      return FALSE;
+    }
+  if (write)
+    service->counts.writes++;
+  else
+    service->counts.reads++;
+  return TRUE;
+}
+
+static void
+delayed_free (gpointer data)
+{
+  delayed_t *delayed = data;
+
+  event_free (delayed->timer);
+  g_free (delayed);
+}
+
+static void
+on_delay_over (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  delayed_t *delayed = data;
+
+  run_call (delayed->service, delayed->request);
+  g_hash_table_remove (delayed->service->delayed, delayed);
+}
+
+static void
+delay_call (platform_service_t *service, struct evhttp_request *request)
+{
+  delayed_t *delayed = g_new0 (delayed_t, 1);
+  struct timeval delay = { .tv_sec = service->faults.delay / ANVIL_SECOND,
+                           .tv_usec = service->faults.delay % ANVIL_SECOND };
+
+  delayed->service = service;
+  delayed->request = request;
+  delayed->timer = evtimer_new (service->base, on_delay_over, delayed);
+  evtimer_add (delayed->timer, &delay);
+  g_hash_table_add (service->delayed, delayed);
+}
+
+static void
+on_call (struct evhttp_request *request, void *data)
+{
+  platform_service_t *service = data;
+
+  if (service->faults.down || roll (service, service->faults.lose_requests_percent))
+    drop_connection (request);
+  else if (!admit (service, request))
+    anvil_http_json_fail (request, 429, "over the limit of calls a second");
+  else if (service->faults.delay > 0)
+    delay_call (service, request);
+  else
+    run_call (service, request);
+}
+
+/* Returns the body of a PUT, or NULL after it answered itself. */
+static json_t *
+load_put (struct evhttp_request *request)
+{
+  GError *error = NULL;
+  json_t *json;
+
+  if (evhttp_request_get_command (request) != EVHTTP_REQ_PUT)
+    {
+      anvil_http_json_fail (request, HTTP_BADMETHOD, "expected PUT");
+      return NULL;
+    }
+  json = anvil_http_json_load (evhttp_request_get_input_buffer (request), MAX_BODY_BYTES, &error);
+  if (json == NULL)
+    {
+      anvil_http_json_fail (request, HTTP_BADREQUEST, error->message);
+      g_error_free (error);
+    }
+  return json;
+}
+
+static void
+on_set_vms (struct evhttp_request *request, void *data)
+{
+  platform_service_t *service = data;
+  json_t *json = load_put (request);
+  json_t *list;
+
+  if (json == NULL)
+    return;
+  list = json_object_get (json, "vms");
+  if (json_is_array (list))
+    {
+      platform_vms_set (service->vms, anvil_clock_now (), list);
+      anvil_http_json_reply (request, HTTP_OK, json_pack ("{s:b}", "set", 1));
+    }
+  else
+    anvil_http_json_fail (request, HTTP_BADREQUEST, "vms must be an array");
+  json_decref (json);
+}
+
+static void
+on_set_faults (struct evhttp_request *request, void *data)
+{
+  platform_service_t *service = data;
+  json_t *json = load_put (request);
+
+  if (json == NULL)
+    return;
+  /* The list is frozen as it would have been shown now. */
+  if (!service->faults.freeze_vms)
+    platform_vms_advance (service->vms, anvil_clock_now (), service->faults.vm_lag);
+  if (platform_faults_load (&service->faults, json))
+    anvil_http_json_reply (request, HTTP_OK, json_pack ("{s:b}", "set", 1));
+  else
+    anvil_http_json_fail (request, HTTP_BADREQUEST, "a fault is unknown or out of its bounds");
+  json_decref (json);
+}
+
+static void
+on_get_counts (struct evhttp_request *request, void *data)
+{
+  const platform_service_t *service = data;
+  const counts_t *counts = &service->counts;
+
+  anvil_http_json_reply (request, HTTP_OK,
+                         json_pack ("{s:I,s:I,s:I,s:I,s:I}", "reads", (json_int_t) counts->reads,
+                                    "writes", (json_int_t) counts->writes, "rows_written",
+                                    (json_int_t) counts->rows_written, "objects",
+                                    (json_int_t) g_hash_table_size (service->objects), "shed",
+                                    (json_int_t) counts->shed));
+}
+
+static guint16
+bound_port (struct evhttp_bound_socket *socket)
+{
+  struct sockaddr_in address = { 0 };
+  socklen_t length = sizeof address;
+
+  getsockname (evhttp_bound_socket_get_fd (socket), (struct sockaddr *) &address, &length);
+  return ntohs (address.sin_port);
+}
+
+static gboolean
+listen_on (platform_service_t *service, guint32 address, guint16 port, GError **error)
+{
+  struct in_addr network = { .s_addr = htonl (address) };
+  struct evhttp_bound_socket *socket;
+  char host[INET_ADDRSTRLEN];
+
+  inet_ntop (AF_INET, &network, host, sizeof host);
+  socket = evhttp_bind_socket_with_handle (service->http, host, port);
+  if (socket == NULL)
+    {
+      g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_IO, "can't listen on %s:%u: %s", host, port,
+                   g_strerror (errno));
+      return FALSE;
+    }
+  service->port = bound_port (socket);
+  return TRUE;
+}
+
+platform_service_t *
+platform_service_open (struct event_base *base,
+                       const platform_service_options_t *options,
+                       GError **error)
+{
+  platform_service_t *service = g_new0 (platform_service_t, 1);
+
+  service->base = base;
+  service->random = g_rand_new_with_seed (options->seed);
+  service->table = platform_table_new ();
+  service->objects
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
+  service->vms = platform_vms_new ();
+  service->delayed = g_hash_table_new_full (NULL, NULL, delayed_free, NULL);
+  service->faults.vm_lag = options->vm_lag;
+  service->writes.per_s = options->writes_per_s;
+  service->reads.per_s = options->reads_per_s;
+  service->http = evhttp_new (base);
+  evhttp_set_max_body_size (service->http, MAX_BODY_BYTES);
+  evhttp_set_max_headers_size (service->http, MAX_HEADERS_BYTES);
+  evhttp_set_allowed_methods (service->http, EVHTTP_REQ_GET | EVHTTP_REQ_PUT | EVHTTP_REQ_POST);
+  evhttp_set_cb (service->http, "/v1/standin/vms", on_set_vms, service);
+  evhttp_set_cb (service->http, "/v1/standin/faults", on_set_faults, service);
+  evhttp_set_cb (service->http, "/v1/standin/counts", on_get_counts, service);
+  evhttp_set_gencb (service->http, on_call, service);
+  if (!listen_on (service, options->address, options->port, error))
+    g_clear_pointer (&service, platform_service_close);
+  return service;
+}
+
+void
+platform_service_close (platform_service_t *service)
+{
+  if (service == NULL)
+    return;
+  g_hash_table_unref (service->delayed);
+  evhttp_free (service->http);
+  platform_vms_drop (service->vms);
+  g_hash_table_unref (service->objects);
+  platform_table_drop (service->table);
+  g_rand_free (service->random);
+  g_free (service);
+}
+
+guint16
+platform_service_port (const platform_service_t *service)
+{
+  return service->port;
+}
--- /dev/null
+++ b/standins/anvil-platform.c
@@ -0,0 +1,111 @@
+/* anvil-platform: stands in for the platform's table, object store and list of VMs. */
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "anvil-platform-service.h"
+#include "anvil/log.h"
+#include "anvil/settings.h"
+
+enum
+{
+  LISTEN,
+  VM_LAG,
+  SEED,
+  WRITES,
+  READS,
+  N_SETTINGS,
+};
+
+static void
+on_signal (evutil_socket_t unused_number, short unused_what, void *data)
+{
+  event_base_loopbreak (data);
+}
+
+static int
+run (struct event_base *base, const anvil_setting_t *items)
+{
+  const platform_service_options_t options = {
+    .address = items[LISTEN].address,
+    .port = items[LISTEN].port,
+    .vm_lag = items[VM_LAG].count * ANVIL_MS,
+    .seed = (guint32) items[SEED].count,
+    .writes_per_s = (guint) items[WRITES].count,
+    .reads_per_s = (guint) items[READS].count,
+  };
+  struct event *terminate = evsignal_new (base, SIGTERM, on_signal, base);
+  struct event *interrupt = evsignal_new (base, SIGINT, on_signal, base);
+  GError *error = NULL;
+  platform_service_t *service = platform_service_open (base, &options, &error);
+  int status = service != NULL ? EXIT_SUCCESS : EXIT_FAILURE;
+
+  evsignal_add (terminate, NULL);
+  evsignal_add (interrupt, NULL);
+  if (service != NULL)
+    {
+      char *endpoint = anvil_endpoint_format (options.address, platform_service_port (service));
+
+      anvil_log (ANVIL_LOG_NOTICE, "platform", "ready, listening on %s", endpoint);
+      g_free (endpoint);
+      event_base_dispatch (base);
+    }
+  else
+    {
+      fprintf (stderr, "anvil-platform: %s\n", error->message);
+      g_error_free (error);
+    }
+  event_free (interrupt);
+  event_free (terminate);
+  platform_service_close (service);
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  anvil_setting_t items[N_SETTINGS] = {
+    [LISTEN] = { .name = "listen",
+                 .kind = ANVIL_SETTING_ENDPOINT,
+                 .help = "Address and port, port 0 for any",
+                 .fallback = "127.0.0.1:0" },
+    [VM_LAG] = { .name = "vm-lag-ms",
+                 .kind = ANVIL_SETTING_COUNT,
+                 .help = "Age of the list of VMs",
+                 .fallback = "2000",
+                 .maximum = 600000 },
+    [SEED] = { .name = "seed",
+               .kind = ANVIL_SETTING_COUNT,
+               .help = "Seed of the faults drawn at random",
+               .fallback = "1",
+               .maximum = G_MAXUINT32 },
+    [WRITES] = { .name = "writes-per-s",
+                 .kind = ANVIL_SETTING_COUNT,
+                 .help = "Commits and objects a second",
+                 .fallback = "500",
+                 .minimum = 1,
+                 .maximum = 1000000 },
+    [READS] = { .name = "reads-per-s",
+                .kind = ANVIL_SETTING_COUNT,
+                .help = "Other calls a second",
+                .fallback = "2000",
+                .minimum = 1,
+                .maximum = 1000000 },
+  };
+  anvil_settings_t settings
+      = { .program = "anvil-platform", .items = items, .n_items = G_N_ELEMENTS (items) };
+  anvil_settings_outcome_t outcome = anvil_settings_load (&settings, argc, (const char **) argv);
+  int status = outcome == ANVIL_SETTINGS_BAD ? 2 : EXIT_SUCCESS;
+
+  if (outcome == ANVIL_SETTINGS_RUN)
+    {
+      struct event_base *base = event_base_new ();
+
+      signal (SIGPIPE, SIG_IGN);
+      status = run (base, items);
+      event_base_free (base);
+    }
+  anvil_settings_clear (&settings);
+  return status;
+}
