Add the platform client

Cause: configuration, seats and claims decide by whether a write is known to be done, known not to be done, or unknown; evhttp alone doesn't tell.

Change: a pool of four connections to one address, one call in flight on each, never sent twice; "sent" is set when evhttp fills the output buffer, which it does only once connected.

Ruled out: trusting evhttp's error codes (a refused connection and a lost answer come as the same NULL request); one connection for all (a slow read would hold up a commit). evhttp_connection_set_retries is 0, but a trial with 5 changed nothing on the wire: it covers connecting only, so the proof that a reused connection that dies isn't resent on is the test's count of requests.

--- /dev/null
+++ b/source/net/http-pool.c
@@ -0,0 +1,245 @@
+#include "net/http-pool.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#define MAX_CONNECTIONS 4
+#define MAX_WAITING 1024
+#define MAX_HEADERS_BYTES (16u << 10)
+#define MAX_BODY_BYTES (8u << 20)
+
+typedef struct call call_t;
+
+/**
+ * connection_t - one connection and its call
+ * @call: under way, or NULL
+ * @broken: to be freed; not from inside a callback of evhttp
+ */
+typedef struct
+{
+  anvil_http_pool_t *pool;
+  struct evhttp_connection *evhttp;
+  call_t *call;
+  gboolean broken;
+} connection_t;
+
+/**
+ * call_t - a call that waits or is under way
+ * @connection: that it was given to, or NULL
+ * @request: evhttp's, while under way
+ */
+struct call
+{
+  anvil_http_pool_t *pool;
+  enum evhttp_cmd_type command;
+  char *uri;
+  struct evbuffer *body;
+  anvil_http_reply_cb_t done;
+  void *context;
+  struct event *timer;
+  connection_t *connection;
+  struct evhttp_request *request;
+  gboolean sent;
+};
+
+struct anvil_http_pool
+{
+  struct event_base *base;
+  char host[INET_ADDRSTRLEN];
+  guint16 port;
+  anvil_time_t timeout;
+  connection_t connections[MAX_CONNECTIONS];
+  GQueue waiting;
+  struct event *pump;
+};
+
+static void
+call_free (call_t *call)
+{
+  event_free (call->timer);
+  evbuffer_free (call->body);
+  g_free (call->uri);
+  g_free (call);
+}
+
+/* Ends a call that is in no queue any more. */
+static void
+finish (call_t *call, int status, struct evbuffer *body)
+{
+  const anvil_http_reply_t reply = { .sent = call->sent, .status = status, .body = body };
+  anvil_http_pool_t *pool = call->pool;
+
+  if (call->connection != NULL)
+    call->connection->call = NULL;
+  event_active (pool->pump, EV_TIMEOUT, 0);
+  call->done (call->context, &reply);
+  call_free (call);
+}
+
+static void
+on_reply (struct evhttp_request *request, void *data)
+{
+  call_t *call = data;
+  int status = request != NULL ? evhttp_request_get_response_code (request) : 0;
+
+  call->request = NULL;
+  if (status == 0)
+    call->connection->broken = TRUE;
+  finish (call, status, status != 0 ? evhttp_request_get_input_buffer (request) : NULL);
+}
+
+static void
+on_timeout (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  call_t *call = data;
+
+  if (call->request != NULL)
+    {
+      call->connection->broken = TRUE;
+      evhttp_cancel_request (call->request);
+    }
+  else
+    g_queue_remove (&call->pool->waiting, call);
+  finish (call, 0, NULL);
+}
+
+/* evhttp fills the output buffer only once it is connected. */
+static void
+on_output (struct evbuffer *unused_buffer, const struct evbuffer_cb_info *info, void *data)
+{
+  connection_t *connection = data;
+
+  if (info->n_added > 0 && connection->call != NULL)
+    connection->call->sent = TRUE;
+}
+
+static struct timeval
+to_timeval (anvil_time_t time)
+{
+  return (struct timeval){ .tv_sec = time / ANVIL_SECOND, .tv_usec = time % ANVIL_SECOND };
+}
+
+static void
+connection_open (connection_t *connection)
+{
+  anvil_http_pool_t *pool = connection->pool;
+  struct timeval timeout = to_timeval (pool->timeout);
+  struct bufferevent *stream;
+
+  connection->evhttp = evhttp_connection_base_new (pool->base, NULL, pool->host, pool->port);
+  evhttp_connection_set_retries (connection->evhttp, 0);
+  evhttp_connection_set_timeout_tv (connection->evhttp, &timeout);
+  evhttp_connection_set_max_headers_size (connection->evhttp, MAX_HEADERS_BYTES);
+  evhttp_connection_set_max_body_size (connection->evhttp, MAX_BODY_BYTES);
+  stream = evhttp_connection_get_bufferevent (connection->evhttp);
+  evbuffer_add_cb (bufferevent_get_output (stream), on_output, connection);
+}
+
+static void
+connection_close (connection_t *connection)
+{
+  connection->broken = FALSE;
+  g_clear_pointer (&connection->evhttp, evhttp_connection_free);
+}
+
+static void
+start (connection_t *connection, call_t *call)
+{
+  struct evhttp_request *request = evhttp_request_new (on_reply, call);
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+
+  if (connection->evhttp == NULL)
+    connection_open (connection);
+  g_assert (connection->call == NULL);
+  connection->call = call;
+  call->connection = connection;
+  call->request = request;
+  evhttp_add_header (headers, "Host", call->pool->host);
+  evhttp_add_header (headers, "Content-Type", "application/json");
+  evbuffer_add_buffer (evhttp_request_get_output_buffer (request), call->body);
+  /* A refusal inside of this call has run on_reply already. */
+  (void) evhttp_make_request (connection->evhttp, request, call->command, call->uri);
+}
+
+/* Gives waiting calls to free connections. */
+static void
+on_pump (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  anvil_http_pool_t *pool = data;
+
+  for (guint i = 0; i < MAX_CONNECTIONS; i++)
+    {
+      connection_t *connection = &pool->connections[i];
+
+      if (connection->call != NULL)
+        continue;
+      if (connection->broken)
+        connection_close (connection);
+      if (!g_queue_is_empty (&pool->waiting))
+        start (connection, g_queue_pop_head (&pool->waiting));
+    }
+}
+
+anvil_http_pool_t *
+anvil_http_pool_open (struct event_base *base, guint32 address, guint16 port, anvil_time_t timeout)
+{
+  anvil_http_pool_t *pool = g_new0 (anvil_http_pool_t, 1);
+  struct in_addr network = { .s_addr = htonl (address) };
+
+  pool->base = base;
+  inet_ntop (AF_INET, &network, pool->host, sizeof pool->host);
+  pool->port = port;
+  pool->timeout = timeout;
+  pool->pump = event_new (base, -1, 0, on_pump, pool);
+  for (guint i = 0; i < MAX_CONNECTIONS; i++)
+    pool->connections[i].pool = pool;
+  return pool;
+}
+
+void
+anvil_http_pool_close (anvil_http_pool_t *pool)
+{
+  if (pool == NULL)
+    return;
+  for (guint i = 0; i < MAX_CONNECTIONS; i++)
+    {
+      connection_t *connection = &pool->connections[i];
+
+      if (connection->call != NULL)
+        on_timeout (-1, 0, connection->call);
+      connection_close (connection);
+    }
+  while (!g_queue_is_empty (&pool->waiting))
+    finish (g_queue_pop_head (&pool->waiting), 0, NULL);
+  event_free (pool->pump);
+  g_free (pool);
+}
+
+void
+anvil_http_pool_call (anvil_http_pool_t *pool,
+                      enum evhttp_cmd_type command,
+                      const char *uri,
+                      struct evbuffer *body,
+                      anvil_http_reply_cb_t done,
+                      void *context)
+{
+  gboolean full = g_queue_get_length (&pool->waiting) >= MAX_WAITING;
+  struct timeval timeout = to_timeval (full ? 0 : pool->timeout);
+  call_t *call = g_new0 (call_t, 1);
+
+  call->pool = pool;
+  call->command = command;
+  call->uri = g_strdup (uri);
+  call->body = evbuffer_new ();
+  if (body != NULL)
+    evbuffer_add_buffer (call->body, body);
+  call->done = done;
+  call->context = context;
+  call->timer = evtimer_new (pool->base, on_timeout, call);
+  evtimer_add (call->timer, &timeout);
+  if (!full)
+    g_queue_push_tail (&pool->waiting, call);
+  event_active (pool->pump, EV_TIMEOUT, 0);
+}
--- /dev/null
+++ b/tests/standin.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <check.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/* A stand-in as a process of its own, for the tests. */
+
+/** standin_t - a process and the endpoint that its ready line names, "127.0.0.1:41234" */
+typedef struct
+{
+  GPid pid;
+  int errors;
+  char endpoint[32];
+} standin_t;
+
+/* Reads standard error up to the ready line. */
+static void
+standin_wait (standin_t *standin)
+{
+  GIOChannel *channel = g_io_channel_unix_new (standin->errors);
+  const char *mark = "listening on ";
+  char *line = NULL;
+
+  while (g_io_channel_read_line (channel, &line, NULL, NULL, NULL) == G_IO_STATUS_NORMAL)
+    {
+      const char *found = strstr (line, mark);
+
+      if (found != NULL)
+        {
+          g_strlcpy (standin->endpoint, g_strchomp (strstr (line, mark) + strlen (mark)),
+                     sizeof standin->endpoint);
+          break;
+        }
+      g_clear_pointer (&line, g_free);
+    }
+  g_free (line);
+  g_io_channel_unref (channel);
+  ck_assert_msg (standin->endpoint[0] != '\0', "the stand-in never listened");
+}
+
+/** standin_open - starts a program of the build; @arguments are its flags, NULL-terminated */
+static void
+standin_open (standin_t *standin, const char *program, const char *const *arguments)
+{
+  const char *folder = g_getenv ("ANVIL_BIN");
+  GStrvBuilder *builder = g_strv_builder_new ();
+  char *path = g_build_filename (folder != NULL ? folder : "build/release/bin", program, NULL);
+  GError *error = NULL;
+  char **argv;
+
+  g_strv_builder_add (builder, path);
+  g_strv_builder_addv (builder, (const char **) arguments);
+  argv = g_strv_builder_end (builder);
+  memset (standin, 0, sizeof *standin);
+  if (!g_spawn_async_with_pipes (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
+                                 &standin->pid, NULL, NULL, &standin->errors, &error))
+    ck_abort_msg ("%s", error->message);
+  g_strv_builder_unref (builder);
+  g_strfreev (argv);
+  g_free (path);
+  standin_wait (standin);
+}
+
+/** standin_close - asks the process to end; its exit status */
+static int
+standin_close (standin_t *standin)
+{
+  int status = -1;
+
+  kill (standin->pid, SIGTERM);
+  waitpid (standin->pid, &status, 0);
+  g_spawn_close_pid (standin->pid);
+  close (standin->errors);
+  return status;
+}
--- /dev/null
+++ b/tests/test-standin-platform.c
@@ -0,0 +1,306 @@
+/* The platform's stand-in, as a process, met through the platform client. */
+
+#include <check.h>
+#include <event2/buffer.h>
+#include <stdlib.h>
+
+#include "anvil/error.h"
+#include "anvil/platform.h"
+#include "anvil/settings.h"
+#include "net/http-pool.h"
+#include "standin.h"
+
+#define TIMEOUT (5 * ANVIL_SECOND)
+
+static struct event_base *base;
+static standin_t standin;
+static anvil_platform_t *platform;
+static anvil_http_pool_t *raw;
+
+static void
+set_up (void)
+{
+  static const char *const arguments[]
+      = { "--listen", "127.0.0.1:0", "--vm-lag-ms", "0", "--writes-per-s", "100", NULL };
+  guint32 address;
+  guint16 port;
+
+  signal (SIGPIPE, SIG_IGN);
+  base = event_base_new ();
+  standin_open (&standin, "anvil-platform", arguments);
+  ck_assert (anvil_endpoint_parse (standin.endpoint, &address, &port));
+  platform = anvil_platform_open (base, address, port, TIMEOUT);
+  raw = anvil_http_pool_open (base, address, port, TIMEOUT);
+}
+
+static void
+tear_down (void)
+{
+  anvil_http_pool_close (raw);
+  anvil_platform_close (platform);
+  event_base_free (base);
+  ck_assert_int_eq (standin_close (&standin), 0);
+}
+
+/* The last answer of the client. */
+typedef struct
+{
+  guint calls;
+  anvil_commit_result_t result;
+  guint by_result[ANVIL_COMMIT_UNKNOWN + 1];
+  gint code;
+  guint n_rows;
+  guint64 version;
+  char value[64];
+  guint n_vms;
+  int status;
+} answer_t;
+
+static void
+wait_for (const answer_t *answer, guint calls)
+{
+  while (answer->calls < calls)
+    event_base_loop (base, EVLOOP_ONCE);
+}
+
+static void
+on_raw (void *context, const anvil_http_reply_t *reply)
+{
+  answer_t *answer = context;
+
+  answer->calls++;
+  answer->status = reply->status;
+}
+
+static int
+put (const char *path, const char *text)
+{
+  struct evbuffer *body = evbuffer_new ();
+  answer_t answer = { 0 };
+
+  evbuffer_add (body, text, strlen (text));
+  anvil_http_pool_call (raw, EVHTTP_REQ_PUT, path, body, on_raw, &answer);
+  wait_for (&answer, 1);
+  evbuffer_free (body);
+  return answer.status;
+}
+
+static void
+set_faults (const char *text)
+{
+  ck_assert_int_eq (put ("/v1/standin/faults", text), 200);
+}
+
+static void
+on_commit (void *context, anvil_commit_result_t result, const GError *error)
+{
+  answer_t *answer = context;
+
+  answer->calls++;
+  answer->result = result;
+  answer->by_result[result]++;
+}
+
+static void
+on_rows (void *context, const anvil_row_t *rows, guint n_rows, const GError *error)
+{
+  answer_t *answer = context;
+
+  answer->calls++;
+  answer->n_rows = n_rows;
+  answer->code = error != NULL ? error->code : -1;
+  if (n_rows > 0)
+    {
+      answer->version = rows[0].version;
+      g_snprintf (answer->value, sizeof answer->value, "%.*s", ANVIL_STR_ARGS (rows[0].value));
+    }
+}
+
+static anvil_commit_result_t
+commit (const char *key, guint64 version, const char *value)
+{
+  const anvil_row_t condition = { .key = anvil_str (key), .version = version };
+  const anvil_row_t write = { .key = anvil_str (key), .value = anvil_str (value) };
+  answer_t answer = { 0 };
+
+  anvil_platform_commit (platform, &condition, 1, &write, 1, on_commit, &answer);
+  wait_for (&answer, 1);
+  return answer.result;
+}
+
+static answer_t
+read_rows (const char *prefix)
+{
+  answer_t answer = { 0 };
+
+  anvil_platform_read (platform, prefix, on_rows, &answer);
+  wait_for (&answer, 1);
+  return answer;
+}
+
+START_TEST (test_versions_fence_and_go_on_after_a_delete)
+{
+  answer_t answer;
+
+  ck_assert_int_eq (commit ("seat/0", 0, "a"), ANVIL_COMMIT_DONE);
+  ck_assert_int_eq (commit ("seat/0", 0, "b"), ANVIL_COMMIT_CONFLICT);
+  ck_assert_int_eq (commit ("seat/0", 1, "b"), ANVIL_COMMIT_DONE);
+  ck_assert_int_eq (commit ("seat/0", 2, NULL), ANVIL_COMMIT_DONE);
+  ck_assert_uint_eq (read_rows ("seat/").n_rows, 0);
+  ck_assert_int_eq (commit ("seat/0", 2, "c"), ANVIL_COMMIT_CONFLICT);
+  ck_assert_int_eq (commit ("seat/0", 0, "c"), ANVIL_COMMIT_DONE);
+  answer = read_rows ("seat/");
+  ck_assert_uint_eq (answer.version, 4);
+  ck_assert_str_eq (answer.value, "c");
+}
+END_TEST
+
+START_TEST (test_transaction_is_all_or_nothing)
+{
+  const anvil_row_t conditions[]
+      = { { .key = anvil_str ("a") }, { .key = anvil_str ("b"), .version = 1 } };
+  const anvil_row_t writes[] = { { .key = anvil_str ("a"), .value = anvil_str ("1") },
+                                 { .key = anvil_str ("b"), .value = anvil_str ("1") } };
+  answer_t answer = { 0 };
+
+  anvil_platform_commit (platform, conditions, 2, writes, 2, on_commit, &answer);
+  wait_for (&answer, 1);
+  ck_assert_int_eq (answer.result, ANVIL_COMMIT_CONFLICT);
+  ck_assert_uint_eq (read_rows ("").n_rows, 0);
+  anvil_platform_commit (platform, conditions, 1, writes, 2, on_commit, &answer);
+  wait_for (&answer, 2);
+  ck_assert_int_eq (answer.result, ANVIL_COMMIT_DONE);
+  ck_assert_uint_eq (read_rows ("").n_rows, 2);
+  ck_assert_uint_eq (read_rows ("b").n_rows, 1);
+  ck_assert_uint_eq (read_rows ("a").n_rows, 1);
+}
+END_TEST
+
+START_TEST (test_lost_answer_takes_effect_and_lost_request_does_not)
+{
+  set_faults ("{\"lose_answers_percent\":100}");
+  ck_assert_int_eq (commit ("a", 0, "1"), ANVIL_COMMIT_UNKNOWN);
+  set_faults ("{\"lose_answers_percent\":0,\"lose_requests_percent\":100}");
+  ck_assert_int_eq (commit ("b", 0, "1"), ANVIL_COMMIT_UNKNOWN);
+  ck_assert_int_eq (read_rows ("").code, ANVIL_ERROR_UNAVAILABLE);
+  set_faults ("{\"lose_requests_percent\":0,\"down\":true}");
+  ck_assert_int_eq (commit ("c", 0, "1"), ANVIL_COMMIT_UNKNOWN);
+  set_faults ("{\"down\":false}");
+  ck_assert_uint_eq (read_rows ("").n_rows, 1);
+  ck_assert_uint_eq (read_rows ("a").n_rows, 1);
+}
+END_TEST
+
+START_TEST (test_bad_faults_change_nothing)
+{
+  ck_assert_int_eq (put ("/v1/standin/faults", "{\"down\":true,\"nonsense\":1}"), 400);
+  ck_assert_int_eq (put ("/v1/standin/faults", "{\"down\":true,\"delay_ms\":-1}"), 400);
+  ck_assert_int_eq (put ("/v1/standin/faults", "[]"), 400);
+  ck_assert_int_eq (commit ("a", 0, "1"), ANVIL_COMMIT_DONE);
+}
+END_TEST
+
+static void
+on_vms (void *context, const anvil_vm_list_t *list, const GError *error)
+{
+  answer_t *answer = context;
+
+  answer->calls++;
+  ck_assert_msg (list != NULL, "%s", error != NULL ? error->message : "");
+  answer->n_vms = list->n_vms;
+  answer->version = list->version;
+}
+
+static answer_t
+list_vms (void)
+{
+  answer_t answer = { 0 };
+
+  anvil_platform_list_vms (platform, on_vms, &answer);
+  wait_for (&answer, 1);
+  return answer;
+}
+
+START_TEST (test_vm_list_lags_and_freezes)
+{
+  static const char one[] = "{\"vms\":[{\"name\":\"e\",\"kind\":\"entry\",\"state\":\"live\","
+                            "\"zone\":\"z\",\"address\":\"127.0.0.1\"}]}";
+  answer_t first = list_vms ();
+
+  set_faults ("{\"vm_lag_ms\":600000}");
+  ck_assert_int_eq (put ("/v1/standin/vms", one), 200);
+  ck_assert_uint_eq (list_vms ().n_vms, 0);
+  set_faults ("{\"freeze_vms\":true,\"vm_lag_ms\":0}");
+  ck_assert_uint_eq (list_vms ().n_vms, 0);
+  set_faults ("{\"freeze_vms\":false}");
+  ck_assert_uint_eq (list_vms ().n_vms, 1);
+  ck_assert_uint_gt (list_vms ().version, first.version);
+}
+END_TEST
+
+START_TEST (test_writes_over_the_rate_are_shed)
+{
+  const anvil_row_t write = { .key = anvil_str ("a"), .value = anvil_str ("1") };
+  answer_t answer = { 0 };
+  guint done;
+
+  for (guint i = 0; i < 400; i++)
+    anvil_platform_commit (platform, NULL, 0, &write, 1, on_commit, &answer);
+  wait_for (&answer, 400);
+  done = answer.by_result[ANVIL_COMMIT_DONE];
+  ck_assert_uint_gt (answer.by_result[ANVIL_COMMIT_NOT_DONE], 0);
+  ck_assert_uint_eq (answer.by_result[ANVIL_COMMIT_NOT_DONE] + done, 400);
+  ck_assert_uint_eq (read_rows ("a").version, done);
+}
+END_TEST
+
+static void
+on_object (void *context, anvil_str_t body, const GError *error)
+{
+  answer_t *answer = context;
+
+  answer->calls++;
+  answer->code = error != NULL ? error->code : -1;
+  g_snprintf (answer->value, sizeof answer->value, "%.*s", ANVIL_STR_ARGS (body));
+}
+
+START_TEST (test_objects)
+{
+  answer_t answer = { 0 };
+
+  anvil_platform_get_object (platform, "config-1", on_object, &answer);
+  wait_for (&answer, 1);
+  ck_assert_int_eq (answer.code, ANVIL_ERROR_NOT_FOUND);
+  anvil_platform_put_object (platform, "config-1", anvil_str ("text"), on_commit, &answer);
+  wait_for (&answer, 2);
+  ck_assert_int_eq (answer.result, ANVIL_COMMIT_DONE);
+  anvil_platform_get_object (platform, "config-1", on_object, &answer);
+  wait_for (&answer, 3);
+  ck_assert_int_eq (answer.code, -1);
+  ck_assert_str_eq (answer.value, "text");
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("standin-platform");
+  TCase *tcase = tcase_create ("standin-platform");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_test (tcase, test_versions_fence_and_go_on_after_a_delete);
+  tcase_add_test (tcase, test_transaction_is_all_or_nothing);
+  tcase_add_test (tcase, test_lost_answer_takes_effect_and_lost_request_does_not);
+  tcase_add_test (tcase, test_bad_faults_change_nothing);
+  tcase_add_test (tcase, test_vm_list_lags_and_freezes);
+  tcase_add_test (tcase, test_writes_over_the_rate_are_shed);
+  tcase_add_test (tcase, test_objects);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
