--- /dev/null
+++ b/source/steer/drain-table.c
@@ -0,0 +1,126 @@
+#include "steer/drain-table.h"
+
+/* Heartbeats that carry a change. */
+#define DRAIN_CREDIT 16
+
+typedef struct
+{
+  anvil_drain_t drain;
+  anvil_time_t learnt_at;
+  guint credit;
+} drain_entry_t;
+
+anvil_drain_table_t *
+anvil_drain_table_new (void)
+{
+  anvil_drain_table_t *table = g_new0 (anvil_drain_table_t, 1);
+
+  table->by_upstream = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  return table;
+}
+
+void
+anvil_drain_table_drop (anvil_drain_table_t *table)
+{
+  if (table == NULL)
+    return;
+  g_hash_table_unref (table->by_upstream);
+  g_free (table);
+}
+
+static void
+store (anvil_drain_table_t *table, anvil_time_t now, const anvil_drain_t *drain)
+{
+  drain_entry_t *entry = g_new0 (drain_entry_t, 1);
+
+  entry->drain = *drain;
+  entry->learnt_at = now;
+  entry->credit = DRAIN_CREDIT;
+  g_hash_table_replace (table->by_upstream, &entry->drain.upstream, entry);
+  table->latest_stamp = MAX (table->latest_stamp, drain->stamp);
+}
+
+gboolean
+anvil_drain_table_learn (anvil_drain_table_t *table,
+                         anvil_time_t now,
+                         guint64 upstream,
+                         gboolean draining)
+{
+  anvil_drain_t drain
+      = { .upstream = upstream, .stamp = table->latest_stamp + 1, .draining = draining };
+
+  if (anvil_drain_table_draining (table, upstream) == draining)
+    return FALSE;
+  store (table, now, &drain);
+  return TRUE;
+}
+
+gboolean
+anvil_drain_table_merge (anvil_drain_table_t *table, anvil_time_t now, const anvil_drain_t *drain)
+{
+  const drain_entry_t *known = g_hash_table_lookup (table->by_upstream, &drain->upstream);
+
+  /* At equal stamps two entries spoke at once; the drain wins. */
+  if (known != NULL && known->drain.stamp > drain->stamp)
+    return FALSE;
+  if (known != NULL && known->drain.stamp == drain->stamp
+      && (known->drain.draining || !drain->draining))
+    return FALSE;
+  store (table, now, drain);
+  return TRUE;
+}
+
+gboolean
+anvil_drain_table_draining (const anvil_drain_table_t *table, guint64 upstream)
+{
+  const drain_entry_t *entry = g_hash_table_lookup (table->by_upstream, &upstream);
+
+  return entry != NULL && entry->drain.draining;
+}
+
+anvil_time_t
+anvil_drain_table_age (const anvil_drain_table_t *table, anvil_time_t now, guint64 upstream)
+{
+  const drain_entry_t *entry = g_hash_table_lookup (table->by_upstream, &upstream);
+
+  return entry != NULL ? now - entry->learnt_at : 0;
+}
+
+static void
+add_entry (anvil_gossip_t *gossip, drain_entry_t *entry)
+{
+  if (gossip->n_drains == ANVIL_MAX_GOSSIP_DRAINS)
+    return;
+  gossip->drains[gossip->n_drains++] = entry->drain;
+  if (entry->credit > 0)
+    entry->credit--;
+}
+
+void
+anvil_drain_table_gossip (anvil_drain_table_t *table, anvil_gossip_t *gossip)
+{
+  guint n = g_hash_table_size (table->by_upstream);
+  guint start = n > 0 ? table->rotation++ % n : 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  gossip->n_drains = 0;
+  g_hash_table_iter_init (&iter, table->by_upstream);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      drain_entry_t *entry = value;
+
+      if (entry->credit > 0)
+        add_entry (gossip, entry);
+    }
+
+  /* Old news goes round too, for those that were cut off when it was fresh. */
+  g_hash_table_iter_init (&iter, table->by_upstream);
+  for (guint i = 0; g_hash_table_iter_next (&iter, NULL, &value); i++)
+    {
+      drain_entry_t *entry = value;
+
+      if (i >= start && entry->credit == 0)
+        add_entry (gossip, entry);
+    }
+}
--- /dev/null
+++ b/source/steer/drain-table.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "anvil/clock.h"
+#include "anvil/message.h"
+
+/* A report of no drain counts against a drain that was learnt longer ago than this. */
+#define ANVIL_DRAIN_DOUBT (10 * ANVIL_SECOND)
+
+/**
+ * anvil_drain_table_t - upstreams that take no new work, as anyone has learnt it
+ *
+ * Entries are ordered by their stamp, a Lamport clock over all entries, so that
+ * the latest change wins everywhere whatever the order of arrival.
+ */
+typedef struct
+{
+  GHashTable *by_upstream;
+  guint64 latest_stamp;
+  guint rotation;
+} anvil_drain_table_t;
+
+anvil_drain_table_t *anvil_drain_table_new (void);
+void anvil_drain_table_drop (anvil_drain_table_t *table);
+
+/** anvil_drain_table_learn - this entry has seen that an upstream drains or not; TRUE if that is
+ * news */
+gboolean anvil_drain_table_learn (anvil_drain_table_t *table,
+                                  anvil_time_t now,
+                                  guint64 upstream,
+                                  gboolean draining);
+
+/** anvil_drain_table_merge - a peer's news; TRUE if it is newer than what is known */
+gboolean
+anvil_drain_table_merge (anvil_drain_table_t *table, anvil_time_t now, const anvil_drain_t *drain);
+
+gboolean anvil_drain_table_draining (const anvil_drain_table_t *table, guint64 upstream);
+
+/** anvil_drain_table_age - how long ago the present state was learnt */
+anvil_time_t
+anvil_drain_table_age (const anvil_drain_table_t *table, anvil_time_t now, guint64 upstream);
+
+/** anvil_drain_table_gossip - fills the drains of a heartbeat, the freshest first */
+void anvil_drain_table_gossip (anvil_drain_table_t *table, anvil_gossip_t *gossip);
--- /dev/null
+++ b/source/steer/member-table.c
@@ -0,0 +1,213 @@
+#include "steer/member-table.h"
+
+#include <math.h>
+
+/* One heartbeat in this many goes to a member that is taken for dead, so that cuts heal. */
+#define DEAD_PICK_ONE_IN 8
+/* Tries to find a random member of the wanted kind. */
+#define PICK_TRIES 8
+
+anvil_member_table_t *
+anvil_member_table_new (anvil_node_t self)
+{
+  anvil_member_table_t *table = g_new0 (anvil_member_table_t, 1);
+
+  table->self = self;
+  table->entries = g_array_new (FALSE, TRUE, sizeof (anvil_member_entry_t));
+  table->by_node = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  return table;
+}
+
+void
+anvil_member_table_drop (anvil_member_table_t *table)
+{
+  if (table == NULL)
+    return;
+  g_hash_table_unref (table->by_node);
+  g_array_unref (table->entries);
+  g_free (table);
+}
+
+guint
+anvil_member_table_count (const anvil_member_table_t *table)
+{
+  return table->entries->len;
+}
+
+anvil_member_entry_t *
+anvil_member_table_at (const anvil_member_table_t *table, guint index)
+{
+  return &g_array_index (table->entries, anvil_member_entry_t, index);
+}
+
+anvil_member_entry_t *
+anvil_member_table_lookup (const anvil_member_table_t *table, anvil_node_t node)
+{
+  gpointer index;
+
+  if (!g_hash_table_lookup_extended (table->by_node, &node, NULL, &index))
+    return NULL;
+  return anvil_member_table_at (table, GPOINTER_TO_UINT (index));
+}
+
+static void
+index_node (anvil_member_table_t *table, guint index)
+{
+  anvil_node_t *key = g_new (anvil_node_t, 1);
+
+  *key = anvil_member_table_at (table, index)->member.node;
+  g_hash_table_replace (table->by_node, key, GUINT_TO_POINTER (index));
+}
+
+anvil_member_entry_t *
+anvil_member_table_add (anvil_member_table_t *table, anvil_time_t now, anvil_node_t node)
+{
+  anvil_member_entry_t *entry = anvil_member_table_lookup (table, node);
+  anvil_member_entry_t fresh = { .member = { .node = node }, .updated_at = now };
+
+  if (entry != NULL)
+    return entry;
+  g_array_append_val (table->entries, fresh);
+  index_node (table, table->entries->len - 1);
+  return anvil_member_table_at (table, table->entries->len - 1);
+}
+
+static gboolean
+newer (const anvil_member_t *a, const anvil_member_t *b)
+{
+  if (a->incarnation != b->incarnation)
+    return a->incarnation > b->incarnation;
+  if (a->version != b->version)
+    return a->version > b->version;
+  return a->state > b->state;
+}
+
+void
+anvil_member_table_changed (anvil_member_table_t *table,
+                            anvil_time_t now,
+                            anvil_member_entry_t *entry)
+{
+  entry->updated_at = now;
+  entry->credit = (guint) ceil (log2 (table->entries->len + 1)) + 2;
+}
+
+gboolean
+anvil_member_table_merge (anvil_member_table_t *table,
+                          anvil_time_t now,
+                          const anvil_member_t *member)
+{
+  anvil_member_entry_t *entry = anvil_member_table_add (table, now, member->node);
+
+  if (!newer (member, &entry->member))
+    return FALSE;
+  entry->member = *member;
+  anvil_member_table_changed (table, now, entry);
+  return TRUE;
+}
+
+anvil_time_t
+anvil_member_table_heartbeat (const anvil_member_table_t *table)
+{
+  guint groups = (table->entries->len + ANVIL_SMALL_GROUP - 1) / ANVIL_SMALL_GROUP;
+
+  return ANVIL_GOSSIP_INTERVAL * MAX (groups, 1u) * MAX (groups, 1u);
+}
+
+static void
+remove_at (anvil_member_table_t *table, guint index)
+{
+  g_hash_table_remove (table->by_node, &anvil_member_table_at (table, index)->member.node);
+  g_array_remove_index_fast (table->entries, index);
+  if (index < table->entries->len)
+    index_node (table, index);
+}
+
+void
+anvil_member_table_expire (anvil_member_table_t *table, anvil_time_t now)
+{
+  anvil_time_t timeout
+      = ANVIL_MEMBER_TIMEOUT / ANVIL_GOSSIP_INTERVAL * anvil_member_table_heartbeat (table);
+
+  for (guint i = table->entries->len; i-- > 0;)
+    {
+      anvil_member_entry_t *entry = anvil_member_table_at (table, i);
+
+      if (entry->member.node == table->self)
+        continue;
+      if (entry->member.state == ANVIL_MEMBER_DEAD)
+        {
+          if (!entry->listed && now - entry->updated_at >= ANVIL_MEMBER_FORGET)
+            remove_at (table, i);
+          continue;
+        }
+      if (now - entry->updated_at >= timeout)
+        {
+          entry->member.state = ANVIL_MEMBER_DEAD;
+          anvil_member_table_changed (table, now, entry);
+        }
+    }
+}
+
+anvil_node_t
+anvil_member_table_pick (const anvil_member_table_t *table, GRand *random)
+{
+  gboolean any = g_rand_int_range (random, 0, DEAD_PICK_ONE_IN) == 0;
+
+  if (table->entries->len == 0)
+    return ANVIL_NO_NODE;
+  for (guint try = 0; try < PICK_TRIES; try++)
+    {
+      guint index = (guint) g_rand_int_range (random, 0, (gint32) table->entries->len);
+      const anvil_member_entry_t *entry = anvil_member_table_at (table, index);
+
+      if (entry->member.node == table->self)
+        continue;
+      if (any || entry->member.state != ANVIL_MEMBER_DEAD)
+        return entry->member.node;
+    }
+  return ANVIL_NO_NODE;
+}
+
+static gboolean
+already_there (const anvil_gossip_t *gossip, anvil_node_t node)
+{
+  for (guint i = 0; i < gossip->n_members; i++)
+    {
+      if (gossip->members[i].node == node)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+add_record (anvil_gossip_t *gossip, anvil_member_entry_t *entry)
+{
+  if (gossip->n_members == ANVIL_MAX_GOSSIP_MEMBERS || entry->member.incarnation == 0)
+    return;
+  if (already_there (gossip, entry->member.node))
+    return;
+  gossip->members[gossip->n_members++] = entry->member;
+  if (entry->credit > 0)
+    entry->credit--;
+}
+
+void
+anvil_member_table_gossip (anvil_member_table_t *table, GRand *random, anvil_gossip_t *gossip)
+{
+  anvil_member_entry_t *self = anvil_member_table_lookup (table, table->self);
+  guint n = table->entries->len;
+  guint start = n > 0 ? (guint) g_rand_int_range (random, 0, (gint32) n) : 0;
+
+  gossip->n_members = 0;
+  if (self != NULL)
+    add_record (gossip, self);
+  for (guint i = 0; i < n; i++)
+    {
+      anvil_member_entry_t *entry = anvil_member_table_at (table, (start + i) % n);
+
+      if (entry->credit > 0)
+        add_record (gossip, entry);
+    }
+  for (guint i = 0; i < n && gossip->n_members < ANVIL_MAX_GOSSIP_MEMBERS; i++)
+    add_record (gossip, anvil_member_table_at (table, (start + i) % n));
+}
--- /dev/null
+++ b/source/steer/retry-budget.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <glib.h>
+
+/* Retries allowed for each request, and how many may be saved up. */
+#define ANVIL_RETRY_RATIO 0.1
+#define ANVIL_RETRY_SAVED 10.0
+/* Most attempts of one request. */
+#define ANVIL_MAX_ATTEMPTS 4
+
+/** anvil_retry_budget_t - keeps retries a small part of all requests, so that a failing region sees
+ * no storm */
+typedef struct
+{
+  gdouble saved;
+} anvil_retry_budget_t;
+
+static inline void
+anvil_retry_budget_earn (anvil_retry_budget_t *budget)
+{
+  budget->saved = MIN (ANVIL_RETRY_SAVED, budget->saved + ANVIL_RETRY_RATIO);
+}
+
+static inline gboolean
+anvil_retry_budget_spend (anvil_retry_budget_t *budget)
+{
+  if (budget->saved < 1)
+    return FALSE;
+  budget->saved -= 1;
+  return TRUE;
+}
--- /dev/null
+++ b/source/steer/seat-right.c
@@ -0,0 +1,76 @@
+#include "steer/seat-right.h"
+
+#include <string.h>
+
+gboolean
+anvil_right_usable (const anvil_right_t *right, anvil_time_t now)
+{
+  return now < right->end;
+}
+
+/* Latest time up to which a majority of the witnesses has granted. */
+static anvil_time_t
+majority_end (const anvil_right_t *right, const anvil_seat_layout_t *layout)
+{
+  anvil_time_t end = 0;
+
+  for (guint i = 0; i < layout->n_witnesses; i++)
+    {
+      guint at_least_as_long = 0;
+
+      for (guint j = 0; j < layout->n_witnesses; j++)
+        at_least_as_long += right->until[j] >= right->until[i];
+      if (at_least_as_long >= layout->majority)
+        end = MAX (end, right->until[i]);
+    }
+  return end;
+}
+
+/* Another user would have needed a majority, which shares a witness with ours. */
+static gboolean
+nobody_else_used (const anvil_right_t *right, const anvil_seat_layout_t *layout, anvil_time_t now)
+{
+  for (guint i = 0; i < layout->n_witnesses; i++)
+    {
+      if (right->until[i] > now && !right->continued[i])
+        return FALSE;
+    }
+  return TRUE;
+}
+
+anvil_right_change_t
+anvil_right_granted (anvil_right_t *right,
+                     const anvil_seat_layout_t *layout,
+                     anvil_time_t now,
+                     guint witness_index,
+                     anvil_time_t asked_at,
+                     gboolean continued)
+{
+  gboolean was_usable = anvil_right_usable (right, now);
+  anvil_time_t until = asked_at + ANVIL_GRANT_TERM;
+  gboolean unbroken;
+
+  if (asked_at <= right->released_at || until <= right->until[witness_index])
+    return ANVIL_RIGHT_SAME;
+
+  /* While an earlier grant of the same witness lasts, nothing can have come between. */
+  if (right->until[witness_index] <= now)
+    right->continued[witness_index] = continued;
+  right->until[witness_index] = until;
+  right->end = majority_end (right, layout);
+  if (was_usable || !anvil_right_usable (right, now))
+    return ANVIL_RIGHT_SAME;
+
+  right->since = now;
+  unbroken = nobody_else_used (right, layout, now);
+  for (guint i = 0; i < layout->n_witnesses; i++)
+    right->continued[i] = TRUE;
+  return unbroken ? ANVIL_RIGHT_RESUMED : ANVIL_RIGHT_TAKEN_OVER;
+}
+
+void
+anvil_right_release (anvil_right_t *right, anvil_time_t now)
+{
+  memset (right, 0, sizeof *right);
+  right->released_at = now;
+}
--- /dev/null
+++ b/source/steer/steer-choice.c
@@ -0,0 +1,133 @@
+/* Which slot of which upstream a request gets. */
+
+#include "steer/steer-internal.h"
+
+/* What another zone of the same region costs, there and back. */
+#define OTHER_ZONE_COST (2 * ANVIL_MS)
+/* Where headroom is weighed most, a link is crossed only if it saves more than this. */
+#define HEADROOM_COST (100 * ANVIL_MS)
+/* What a report of bad health counts; reports mislead, so it never rules an upstream out. */
+#define UNHEALTHY_COST (500 * ANVIL_MS)
+/* What a second try at the same upstream counts. */
+#define AVOID_COST (1 * ANVIL_SECOND)
+/* Spread of equal choices. */
+#define JITTER (1 * ANVIL_MS)
+
+static anvil_traffic_t
+traffic_of (const anvil_request_t *request)
+{
+  return request->request_bits >= ANVIL_BULK_BITS ? ANVIL_TRAFFIC_BULK : ANVIL_TRAFFIC_INTERACTIVE;
+}
+
+/* Free slot of an upstream: borrowed ones first, since their time runs out. */
+static guint
+free_slot (const anvil_steer_t *steer, anvil_time_t now, const anvil_upstream_state_t *upstream)
+{
+  guint own = ANVIL_NONE;
+
+  for (guint i = 0; i < upstream->n_slots; i++)
+    {
+      const anvil_slot_t *slot = &upstream->slots[i];
+
+      if (!anvil_steer_slot_free (steer, now, slot))
+        continue;
+      if (slot->loan_nonce != 0)
+        return i;
+      own = i;
+    }
+  return own;
+}
+
+static anvil_time_t
+distance (const anvil_steer_t *steer,
+          const anvil_work_t *work,
+          const anvil_upstream_state_t *upstream)
+{
+  const anvil_upstream_t *target = &steer->config->upstreams[upstream->index];
+  guint region = steer->config->zones[target->zone].region;
+  guint link;
+
+  if (target->zone == steer->zone)
+    return 0;
+  if (region == steer->region || steer->region == ANVIL_NONE)
+    return OTHER_ZONE_COST;
+  link = anvil_config_lookup_link (steer->config, steer->region, region);
+  if (link == ANVIL_NONE)
+    return OTHER_ZONE_COST;
+  return 2 * steer->config->links[link].delay
+         + (steer->config->services[work->request.service].prefer == ANVIL_PREFER_HEADROOM
+                ? HEADROOM_COST
+                : 0);
+}
+
+/* Checks the links to an upstream and notes them in @choice; FALSE if there is no room. */
+static gboolean
+links_fit (anvil_steer_t *steer,
+           anvil_time_t now,
+           const anvil_work_t *work,
+           const anvil_upstream_state_t *upstream,
+           anvil_choice_t *choice)
+{
+  guint region = anvil_config_region_of (steer->config, upstream->index);
+  anvil_traffic_t traffic = traffic_of (&work->request);
+
+  choice->out = NULL;
+  choice->back = NULL;
+  choice->back_bits = steer->config->services[work->request.service].response_bits;
+  if (steer->region == ANVIL_NONE || region == steer->region)
+    return TRUE;
+  choice->out = anvil_steer_link_rate (steer, now, steer->region, region, traffic);
+  choice->back = anvil_steer_link_rate (steer, now, region, steer->region, traffic);
+  if (steer->options.faults.ignore_link_budget)
+    return TRUE;
+  if (choice->out != NULL && !anvil_rate_fits (choice->out, work->request.request_bits))
+    {
+      choice->short_of = choice->out;
+      choice->short_units = work->request.request_bits;
+      return FALSE;
+    }
+  if (choice->back != NULL && !anvil_rate_fits (choice->back, choice->back_bits))
+    {
+      choice->short_of = choice->back;
+      choice->short_units = choice->back_bits;
+      return FALSE;
+    }
+  return TRUE;
+}
+
+gboolean
+anvil_steer_choose (anvil_steer_t *steer,
+                    anvil_time_t now,
+                    const anvil_work_t *work,
+                    anvil_choice_t *choice)
+{
+  const GArray *upstreams = work->queue->upstreams;
+  anvil_time_t best_cost = G_MAXINT64;
+  anvil_choice_t candidate = { 0 };
+
+  *choice = (anvil_choice_t){ 0 };
+  for (guint i = 0; i < upstreams->len; i++)
+    {
+      anvil_upstream_state_t *upstream = g_array_index (upstreams, anvil_upstream_state_t *, i);
+      anvil_time_t cost;
+
+      if (!anvil_steer_accepting (steer, now, upstream))
+        continue;
+      candidate.slot = free_slot (steer, now, upstream);
+      if (candidate.slot == ANVIL_NONE)
+        continue;
+      cost = distance (steer, work, upstream)
+             + anvil_upstream_expected (upstream, now, work->queue->typical_latency)
+             + g_rand_int_range (steer->random, 0, (gint32) JITTER);
+      cost += upstream->unhealthy ? UNHEALTHY_COST : 0;
+      cost += upstream->key == work->avoid ? AVOID_COST : 0;
+      if (cost >= best_cost || !links_fit (steer, now, work, upstream, &candidate))
+        continue;
+      candidate.upstream = upstream;
+      best_cost = cost;
+      *choice = candidate;
+    }
+  choice->short_of = candidate.short_of;
+  choice->short_units = candidate.short_units;
+  return choice->upstream != NULL;
+}
--- /dev/null
+++ b/source/steer/steer-config.c
@@ -0,0 +1,155 @@
+/* Generations of the operators' file: putting one in force, and knowing when the older ones are
+ * gone. */
+
+#include "steer/steer-internal.h"
+
+#define FETCH_INTERVAL (200 * ANVIL_MS)
+#define SETTLE_INTERVAL (250 * ANVIL_MS)
+
+guint
+anvil_steer_region_of_zone_hash (const anvil_steer_t *steer, guint64 zone)
+{
+  for (guint i = 0; i < steer->config->n_zones; i++)
+    {
+      if (anvil_str_hash (steer->config->zones[i].name) == zone)
+        return steer->config->zones[i].region;
+    }
+  return ANVIL_NONE;
+}
+
+guint
+anvil_steer_region_of_member (const anvil_steer_t *steer, anvil_node_t node)
+{
+  const anvil_member_entry_t *entry = anvil_member_table_lookup (steer->members, node);
+
+  return entry != NULL ? anvil_steer_region_of_zone_hash (steer, entry->member.zone) : ANVIL_NONE;
+}
+
+void
+anvil_steer_learn_generation (anvil_steer_t *steer,
+                              anvil_time_t now,
+                              guint64 generation,
+                              anvil_node_t peer)
+{
+  if (generation <= steer->generation || now < steer->fetch_next)
+    return;
+  steer->fetch_next = now + FETCH_INTERVAL;
+  steer->fetching = generation;
+  steer->actions.fetch_config (steer->context, generation, peer);
+}
+
+static void
+remember_old_generation (anvil_steer_t *steer)
+{
+  anvil_old_generation_t old = { .generation = steer->generation, .config = steer->config };
+
+  if (steer->config != NULL)
+    g_array_append_val (steer->old_generations, old);
+}
+
+static void
+replace_layout (anvil_steer_t *steer, anvil_time_t now)
+{
+  anvil_seat_layout_t *layout = anvil_seat_layout_new (steer->config);
+
+  if (steer->layout != NULL && anvil_seat_layout_equal (steer->layout, layout))
+    {
+      anvil_seat_layout_drop (layout);
+      return;
+    }
+  anvil_seat_layout_drop (steer->layout);
+  steer->layout = layout;
+  anvil_steer_seats_reset (steer, now);
+}
+
+void
+anvil_steer_configure (anvil_steer_t *steer,
+                       anvil_time_t now,
+                       anvil_config_t *config,
+                       guint64 generation)
+{
+  anvil_config_t *before = steer->config;
+
+  if (generation <= steer->generation)
+    return;
+  remember_old_generation (steer);
+  steer->config = anvil_config_keep (config);
+  steer->generation = generation;
+  steer->zone = anvil_config_lookup_zone (config, steer->options.zone);
+  steer->region = steer->zone != ANVIL_NONE ? config->zones[steer->zone].region : ANVIL_NONE;
+  if (before == NULL)
+    {
+      steer->configured_at = now;
+      steer->unseated_since = now;
+    }
+  replace_layout (steer, now);
+  anvil_steer_slots_configure (steer, now);
+  anvil_steer_rates_configure (steer, now);
+  anvil_steer_requests_configure (steer, now, before);
+  anvil_steer_update_self (steer, now);
+  steer->grants_next = MIN (steer->grants_next, now);
+  anvil_steer_pump_all (steer, now);
+}
+
+/* A witness that acts on a generation has refused older users long enough for their rights to have
+ * ended. */
+static gboolean
+refuses_older (const anvil_steer_t *steer, guint witness, guint64 generation)
+{
+  const anvil_seat_row_t *row = &steer->seats[witness].row;
+  const anvil_member_entry_t *entry = anvil_member_table_lookup (steer->members, row->holder);
+
+  if (steer->seats[witness].holding)
+    return TRUE;
+  if (row->holder == ANVIL_NO_NODE || entry == NULL)
+    return FALSE;
+  return entry->member.generation >= generation && entry->member.incarnation >= row->incarnation;
+}
+
+/* Whether nobody can use a seat under a generation older than @generation. */
+static gboolean
+seat_settled (const anvil_steer_t *steer, guint seat, guint64 generation)
+{
+  guint refusing = 0;
+
+  if (steer->seats[seat].row.epoch == 0)
+    return FALSE;
+  for (guint i = 0; i < steer->layout->n_witnesses; i++)
+    refusing += refuses_older (steer, steer->layout->witnesses[seat][i], generation);
+  return refusing >= steer->layout->majority;
+}
+
+/* Whether no entry can act on a generation older than the one in force. */
+static gboolean
+all_settled (const anvil_steer_t *steer)
+{
+  for (guint seat = 0; seat < steer->layout->n_seats; seat++)
+    {
+      if (!seat_settled (steer, seat, steer->generation))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+void
+anvil_steer_settle (anvil_steer_t *steer, anvil_time_t now)
+{
+  if (steer->config == NULL || steer->old_generations->len == 0 || now < steer->settle_next)
+    return;
+  steer->settle_next = now + SETTLE_INTERVAL;
+  if (!all_settled (steer))
+    {
+      steer->settled_since = 0;
+      return;
+    }
+  /* Rights granted just before the witnesses moved on still have to run out. */
+  if (steer->settled_since == 0)
+    steer->settled_since = now;
+  if (now < steer->settled_since + ANVIL_GRANT_TERM + ANVIL_CLOCK_GUARD)
+    return;
+
+  g_array_set_size (steer->old_generations, 0);
+  steer->settled_since = 0;
+  anvil_steer_slots_assign (steer, now);
+  anvil_steer_rates_configure (steer, now);
+}
--- /dev/null
+++ b/source/steer/steer-gossip.c
@@ -0,0 +1,217 @@
+/* Heartbeats between entries and what they carry: members, rows, drains. */
+
+#include <math.h>
+
+#include "steer/steer-internal.h"
+
+/* Other entries that a leaving entry tells at once. */
+#define LEAVE_FANOUT 8
+
+void
+anvil_steer_send (anvil_steer_t *steer, anvil_node_t to, const anvil_message_t *message)
+{
+  steer->counters.messages_sent++;
+  steer->actions.send (steer->context, to, message);
+}
+
+static void
+fill_spares (const anvil_steer_t *steer, anvil_time_t now, anvil_member_t *self)
+{
+  self->n_spares = 0;
+  for (guint i = 0; steer->queues != NULL && i < steer->queues->len; i++)
+    {
+      const anvil_queue_t *queue = g_array_index (steer->queues, anvil_queue_t *, i);
+      guint count;
+
+      if (self->n_spares == ANVIL_MAX_SPARES)
+        return;
+      count = g_sequence_is_empty (queue->waiting) ? anvil_steer_count_free (steer, now, queue) : 0;
+      if (count == 0)
+        continue;
+      self->spares[self->n_spares++] = (anvil_spare_t){
+        .service = (guint16) queue->service,
+        .half = (guint16) queue->half,
+        .count = (guint16) MIN (count, G_MAXUINT16),
+      };
+    }
+}
+
+static guint16
+own_load (const anvil_steer_t *steer, anvil_time_t now)
+{
+  guint busy = g_hash_table_size (steer->works);
+  guint free_slots = 0;
+
+  for (guint i = 0; steer->queues != NULL && i < steer->queues->len; i++)
+    free_slots
+        += anvil_steer_count_free (steer, now, g_array_index (steer->queues, anvil_queue_t *, i));
+  if (busy + free_slots == 0)
+    return 1000;
+  return (guint16) (1000 * (guint64) busy / (busy + free_slots));
+}
+
+void
+anvil_steer_update_self (anvil_steer_t *steer, anvil_time_t now)
+{
+  anvil_member_entry_t *self = anvil_member_table_add (steer->members, now, steer->options.node);
+
+  self->member.incarnation = steer->options.incarnation;
+  self->member.version++;
+  self->member.state = steer->leaving ? ANVIL_MEMBER_LEAVING : ANVIL_MEMBER_ALIVE;
+  self->member.zone = anvil_str_hash (steer->options.zone);
+  self->member.generation = steer->generation;
+  self->member.caller_port = steer->options.caller_port;
+  self->member.admin_port = steer->options.admin_port;
+  self->member.load = own_load (steer, now);
+  fill_spares (steer, now, &self->member);
+  anvil_member_table_changed (steer->members, now, self);
+}
+
+static void
+send_gossip (anvil_steer_t *steer, anvil_node_t to)
+{
+  anvil_message_t message = { .kind = ANVIL_MESSAGE_GOSSIP };
+
+  anvil_member_table_gossip (steer->members, steer->random, &message.gossip);
+  anvil_steer_gossip_rows (steer, &message.gossip);
+  anvil_drain_table_gossip (steer->drains, &message.gossip);
+  anvil_steer_send (steer, to, &message);
+}
+
+static void
+spread (anvil_steer_t *steer, guint fanout)
+{
+  for (guint i = 0; i < fanout; i++)
+    {
+      anvil_node_t to = anvil_member_table_pick (steer->members, steer->random);
+
+      if (to != ANVIL_NO_NODE)
+        send_gossip (steer, to);
+    }
+}
+
+void
+anvil_steer_gossip_tick (anvil_steer_t *steer, anvil_time_t now)
+{
+  anvil_member_table_expire (steer->members, now);
+  if (now >= steer->heartbeat_next)
+    {
+      steer->heartbeat_next = now + anvil_member_table_heartbeat (steer->members);
+      anvil_steer_update_self (steer, now);
+    }
+  if (now < steer->gossip_next)
+    return;
+  steer->gossip_next = now + ANVIL_GOSSIP_INTERVAL;
+  spread (steer, ANVIL_GOSSIP_FANOUT);
+}
+
+static void
+merge_member (anvil_steer_t *steer, anvil_time_t now, const anvil_member_t *member)
+{
+  anvil_member_entry_t *self = anvil_member_table_lookup (steer->members, steer->options.node);
+
+  if (member->node != steer->options.node)
+    {
+      anvil_member_table_merge (steer->members, now, member);
+      return;
+    }
+  /* A peer takes this entry for dead: a newer version says otherwise. */
+  if (self != NULL && member->incarnation == self->member.incarnation
+      && member->version >= self->member.version && member->state != self->member.state)
+    {
+      self->member.version = member->version;
+      anvil_steer_update_self (steer, now);
+    }
+}
+
+static void
+merge_drain (anvil_steer_t *steer, anvil_time_t now, const anvil_drain_t *drain)
+{
+  anvil_upstream_state_t *upstream;
+
+  if (!anvil_drain_table_merge (steer->drains, now, drain) || drain->draining)
+    return;
+  upstream = anvil_steer_upstream_state (steer, drain->upstream);
+  if (upstream != NULL)
+    upstream->warm_since = now;
+}
+
+void
+anvil_steer_receive_gossip (anvil_steer_t *steer,
+                            anvil_time_t now,
+                            anvil_node_t from,
+                            const anvil_gossip_t *gossip)
+{
+  for (guint i = 0; i < gossip->n_members; i++)
+    merge_member (steer, now, &gossip->members[i]);
+  if (gossip->n_members > 0)
+    anvil_steer_learn_generation (steer, now, gossip->members[0].generation, from);
+  for (guint i = 0; steer->layout != NULL && i < gossip->n_rows; i++)
+    anvil_steer_merge_row (steer, now, &gossip->rows[i]);
+  for (guint i = 0; i < gossip->n_drains; i++)
+    merge_drain (steer, now, &gossip->drains[i]);
+}
+
+static void
+list_entry (anvil_steer_t *steer, anvil_time_t now, const anvil_vm_t *vm)
+{
+  anvil_node_t node = anvil_node (vm->address, vm->peer_port);
+  anvil_node_t *key = g_new (anvil_node_t, 1);
+  anvil_member_entry_t *entry = anvil_member_table_add (steer->members, now, node);
+
+  *key = node;
+  g_hash_table_add (steer->listed_nodes, key);
+  entry->listed = TRUE;
+  entry->list_leaving = vm->leaving;
+  steer->listed = steer->listed || node == steer->options.node;
+}
+
+static void
+list_upstream (anvil_steer_t *steer, anvil_time_t now, const anvil_vm_t *vm)
+{
+  guint64 *key = g_new (guint64, 1);
+  gboolean was_leaving;
+
+  *key = anvil_str_hash (vm->name);
+  was_leaving = g_hash_table_contains (steer->leaving_upstreams, key);
+  if (vm->leaving != was_leaving)
+    anvil_drain_table_learn (steer->drains, now, *key, vm->leaving);
+  if (vm->leaving)
+    {
+      g_hash_table_add (steer->leaving_upstreams, key);
+      return;
+    }
+  g_hash_table_remove (steer->leaving_upstreams, key);
+  g_free (key);
+}
+
+void
+anvil_steer_vm_list (anvil_steer_t *steer, anvil_time_t now, const anvil_vm_list_t *list)
+{
+  if (list->version < steer->list_version)
+    return;
+  steer->list_version = list->version;
+  steer->listed = FALSE;
+  g_hash_table_remove_all (steer->listed_nodes);
+  for (guint i = 0; i < anvil_member_table_count (steer->members); i++)
+    anvil_member_table_at (steer->members, i)->listed = FALSE;
+
+  for (guint i = 0; i < list->n_vms; i++)
+    {
+      if (list->vms[i].kind == ANVIL_VM_ENTRY)
+        list_entry (steer, now, &list->vms[i]);
+      else
+        list_upstream (steer, now, &list->vms[i]);
+    }
+}
+
+void
+anvil_steer_leave (anvil_steer_t *steer, anvil_time_t now)
+{
+  if (steer->leaving)
+    return;
+  steer->leaving = TRUE;
+  steer->left_at = now;
+  anvil_steer_update_self (steer, now);
+  spread (steer, LEAVE_FANOUT);
+}
--- /dev/null
+++ b/source/steer/steer-slot.c
@@ -0,0 +1,312 @@
+/* Slots of upstreams at this entry: whose they are, and whether work may start in them. */
+
+#include "steer/steer-internal.h"
+
+anvil_upstream_state_t *
+anvil_steer_upstream_state (const anvil_steer_t *steer, guint64 key)
+{
+  return g_hash_table_lookup (steer->upstreams, &key);
+}
+
+anvil_time_t
+anvil_steer_longest_work (const anvil_steer_t *steer, const anvil_upstream_state_t *upstream)
+{
+  if (upstream->index == ANVIL_NONE)
+    return 0;
+  return steer->config->services[steer->config->upstreams[upstream->index].service].deadline;
+}
+
+static gboolean
+lent_out (const anvil_steer_t *steer, anvil_time_t now, const anvil_slot_t *slot)
+{
+  return slot->lent_nonce != 0 && now < slot->lent_until
+         && !steer->options.faults.ignore_lent_slots;
+}
+
+gboolean
+anvil_steer_slot_own_free (const anvil_steer_t *steer, anvil_time_t now, const anvil_slot_t *slot)
+{
+  if (slot->seat == ANVIL_NONE || slot->request != 0 || slot->loan_nonce != 0)
+    return FALSE;
+  if (now < slot->busy_until || lent_out (steer, now, slot))
+    return FALSE;
+  return anvil_steer_seat_usable (steer, now, slot->seat);
+}
+
+static gboolean
+borrowed_free (const anvil_steer_t *steer, anvil_time_t now, const anvil_slot_t *slot)
+{
+  if (slot->loan_nonce == 0 || slot->request != 0 || now < slot->busy_until)
+    return FALSE;
+  return now < slot->loan_until || steer->options.faults.ignore_loan_term;
+}
+
+gboolean
+anvil_steer_slot_free (const anvil_steer_t *steer, anvil_time_t now, const anvil_slot_t *slot)
+{
+  return anvil_steer_slot_own_free (steer, now, slot) || borrowed_free (steer, now, slot);
+}
+
+gboolean
+anvil_steer_accepting (const anvil_steer_t *steer,
+                       anvil_time_t now,
+                       const anvil_upstream_state_t *upstream)
+{
+  if (upstream->index == ANVIL_NONE)
+    return FALSE;
+  if (!steer->options.faults.ignore_drain)
+    {
+      if (steer->config->upstreams[upstream->index].draining)
+        return FALSE;
+      if (anvil_drain_table_draining (steer->drains, upstream->key))
+        return FALSE;
+    }
+  if (now < upstream->ejected_until || now < upstream->paused_until)
+    return FALSE;
+  return upstream->in_flight < anvil_upstream_warm_slots (upstream, now);
+}
+
+guint
+anvil_steer_count_free (const anvil_steer_t *steer, anvil_time_t now, const anvil_queue_t *queue)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < queue->upstreams->len; i++)
+    {
+      const anvil_upstream_state_t *upstream
+          = g_array_index (queue->upstreams, anvil_upstream_state_t *, i);
+
+      if (!anvil_steer_accepting (steer, now, upstream))
+        continue;
+      for (guint slot = 0; slot < upstream->n_slots; slot++)
+        count += anvil_steer_slot_own_free (steer, now, &upstream->slots[slot]);
+    }
+  return count;
+}
+
+gboolean
+anvil_steer_seat_lent (const anvil_steer_t *steer, anvil_time_t now, guint seat)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, steer->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const anvil_upstream_state_t *upstream = value;
+
+      for (guint i = 0; i < upstream->n_slots; i++)
+        {
+          const anvil_slot_t *slot = &upstream->slots[i];
+
+          if (slot->seat == seat && slot->lent_nonce != 0 && now < slot->lent_until)
+            return TRUE;
+        }
+    }
+  return FALSE;
+}
+
+void
+anvil_steer_slots_taken_over (anvil_steer_t *steer, anvil_time_t now, guint seat)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (steer->options.faults.ignore_busy_after_takeover)
+    return;
+  g_hash_table_iter_init (&iter, steer->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      anvil_upstream_state_t *upstream = value;
+      anvil_time_t until = now + anvil_steer_longest_work (steer, upstream) + ANVIL_WORK_GUARD;
+
+      for (guint i = 0; i < upstream->n_slots; i++)
+        {
+          if (upstream->slots[i].seat == seat)
+            upstream->slots[i].busy_until = MAX (upstream->slots[i].busy_until, until);
+        }
+    }
+}
+
+/* Owner of a slot under one file; ANVIL_NONE if the file hasn't the slot. */
+static guint
+owner_in (const anvil_steer_t *steer,
+          const anvil_config_t *config,
+          const anvil_upstream_state_t *upstream,
+          anvil_str_t name,
+          guint slot)
+{
+  guint index = anvil_config_lookup_upstream (config, name);
+
+  if (index == ANVIL_NONE || slot >= config->upstreams[index].slots)
+    return ANVIL_NONE;
+  return anvil_seat_layout_owner (steer->layout, anvil_config_region_of (config, index),
+                                  upstream->key, slot);
+}
+
+/* Owner of a slot under every file that may be in force somewhere, or ANVIL_NONE. */
+static guint
+undisputed_owner (const anvil_steer_t *steer, const anvil_upstream_state_t *upstream, guint slot)
+{
+  anvil_str_t name = steer->config->upstreams[upstream->index].name;
+  guint owner = owner_in (steer, steer->config, upstream, name, slot);
+
+  for (guint i = 0; i < steer->old_generations->len && !steer->options.faults.ignore_old_generation;
+       i++)
+    {
+      const anvil_config_t *old
+          = g_array_index (steer->old_generations, anvil_old_generation_t, i).config;
+      guint old_owner = owner_in (steer, old, upstream, name, slot);
+
+      if (old_owner != ANVIL_NONE && old_owner != owner)
+        return ANVIL_NONE;
+    }
+  return owner;
+}
+
+static void
+assign_upstream (anvil_steer_t *steer,
+                 anvil_time_t now,
+                 anvil_upstream_state_t *upstream,
+                 gboolean first)
+{
+  anvil_time_t until
+      = now + ANVIL_LOAN_TERM + anvil_steer_longest_work (steer, upstream) + ANVIL_WORK_GUARD;
+
+  for (guint i = 0; i < upstream->n_slots; i++)
+    {
+      anvil_slot_t *slot = &upstream->slots[i];
+      guint owner
+          = upstream->index != ANVIL_NONE ? undisputed_owner (steer, upstream, i) : ANVIL_NONE;
+
+      /* The former owner's work, or work under its loans, may still run. */
+      if (owner != slot->seat && owner != ANVIL_NONE && !first)
+        slot->busy_until = MAX (slot->busy_until, until);
+      slot->seat = owner;
+    }
+}
+
+void
+anvil_steer_slots_assign (anvil_steer_t *steer, anvil_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, steer->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    assign_upstream (steer, now, value, FALSE);
+}
+
+static anvil_upstream_state_t *
+new_upstream (anvil_steer_t *steer, anvil_time_t now, const anvil_upstream_t *upstream)
+{
+  anvil_upstream_state_t *state = g_new0 (anvil_upstream_state_t, 1);
+
+  state->key = upstream->key;
+  state->index = ANVIL_NONE;
+  for (guint i = 0; i < ANVIL_MAX_SLOTS; i++)
+    state->slots[i].seat = ANVIL_NONE;
+  /* All are new under the first file, and somebody has to serve. */
+  if (steer->configured_at != now)
+    state->warm_since = now;
+  g_hash_table_insert (steer->upstreams, &state->key, state);
+  return state;
+}
+
+static void
+forget_indexes (anvil_steer_t *steer)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, steer->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((anvil_upstream_state_t *) value)->index = ANVIL_NONE;
+  g_array_set_size (steer->by_index, 0);
+}
+
+void
+anvil_steer_slots_configure (anvil_steer_t *steer, anvil_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  forget_indexes (steer);
+  for (guint i = 0; i < steer->config->n_upstreams; i++)
+    {
+      const anvil_upstream_t *upstream = &steer->config->upstreams[i];
+      anvil_upstream_state_t *state = anvil_steer_upstream_state (steer, upstream->key);
+
+      if (state == NULL)
+        state = new_upstream (steer, now, upstream);
+      state->index = i;
+      state->n_slots = MAX (state->n_slots, upstream->slots);
+      g_array_append_val (steer->by_index, state);
+    }
+  g_hash_table_iter_init (&iter, steer->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    assign_upstream (steer, now, value, steer->configured_at == now);
+}
+
+/* Part of an upstream's service, half and region that is ejected, with this one included. */
+static gboolean
+may_eject (const anvil_steer_t *steer, anvil_time_t now, const anvil_upstream_state_t *upstream)
+{
+  const anvil_upstream_t *self = &steer->config->upstreams[upstream->index];
+  guint alike = 0;
+  guint ejected = 0;
+
+  for (guint i = 0; i < steer->by_index->len; i++)
+    {
+      const anvil_upstream_t *other = &steer->config->upstreams[i];
+
+      if (other->service != self->service || other->half != self->half)
+        continue;
+      if (anvil_config_region_of (steer->config, i)
+          != anvil_config_region_of (steer->config, upstream->index))
+        continue;
+      alike++;
+      ejected += now < g_array_index (steer->by_index, anvil_upstream_state_t *, i)->ejected_until;
+    }
+  return 2 * (ejected + 1) <= alike;
+}
+
+void
+anvil_steer_upstream_failed (anvil_steer_t *steer,
+                             anvil_time_t now,
+                             anvil_upstream_state_t *upstream)
+{
+  if (!anvil_upstream_failed (upstream) || upstream->index == ANVIL_NONE
+      || !may_eject (steer, now, upstream))
+    return;
+  anvil_upstream_eject (upstream, now);
+  steer->counters.ejections++;
+}
+
+void
+anvil_steer_report (anvil_steer_t *steer,
+                    anvil_time_t now,
+                    guint64 upstream,
+                    anvil_time_t asked_at,
+                    guint running,
+                    gboolean healthy,
+                    gboolean draining)
+{
+  anvil_upstream_state_t *state = anvil_steer_upstream_state (steer, upstream);
+
+  if (state == NULL)
+    return;
+  state->unhealthy = !healthy;
+  state->reported_running = running;
+  state->reported_at = asked_at;
+  /* A report may lag, so it ends only a drain that was learnt long before. */
+  if (!draining && anvil_drain_table_draining (steer->drains, upstream))
+    {
+      if (anvil_drain_table_age (steer->drains, asked_at, upstream) < ANVIL_DRAIN_DOUBT)
+        return;
+      if (g_hash_table_contains (steer->leaving_upstreams, &upstream))
+        return;
+      state->warm_since = now;
+    }
+  anvil_drain_table_learn (steer->drains, now, upstream, draining);
+}
--- /dev/null
+++ b/source/steer/steer-status.c
@@ -0,0 +1,119 @@
+/* What the decision core shows of itself. */
+
+#include "steer/steer-internal.h"
+
+const char *
+anvil_refusal_name (anvil_refusal_t why)
+{
+  static const char *const names[] = {
+    [ANVIL_REFUSAL_NOT_READY] = "not-ready",
+    [ANVIL_REFUSAL_QUEUE_FULL] = "queue-full",
+    [ANVIL_REFUSAL_DEADLINE] = "deadline",
+    [ANVIL_REFUSAL_NO_UPSTREAM] = "no-upstream",
+    [ANVIL_REFUSAL_RETRIES] = "retries",
+    [ANVIL_REFUSAL_LEAVING] = "leaving",
+    [ANVIL_REFUSAL_OTHER_GENERATION] = "other-generation",
+  };
+
+  return names[why];
+}
+
+guint64
+anvil_steer_generation (const anvil_steer_t *steer)
+{
+  return steer->generation;
+}
+
+const anvil_config_t *
+anvil_steer_config (const anvil_steer_t *steer)
+{
+  return steer->config;
+}
+
+const anvil_steer_counters_t *
+anvil_steer_counters (const anvil_steer_t *steer)
+{
+  return &steer->counters;
+}
+
+guint
+anvil_steer_busy (const anvil_steer_t *steer)
+{
+  return g_hash_table_size (steer->works);
+}
+
+guint
+anvil_steer_members (const anvil_steer_t *steer, anvil_member_t *members, guint max_members)
+{
+  guint n = MIN (max_members, anvil_member_table_count (steer->members));
+
+  for (guint i = 0; i < n; i++)
+    members[i] = anvil_member_table_at (steer->members, i)->member;
+  return n;
+}
+
+gboolean
+anvil_steer_seat (const anvil_steer_t *steer,
+                  anvil_time_t now,
+                  guint seat,
+                  anvil_seat_status_t *status)
+{
+  if (steer->layout == NULL || seat >= steer->layout->n_seats)
+    return FALSE;
+  *status = (anvil_seat_status_t){
+    .row = steer->seats[seat].row,
+    .usable = anvil_steer_seat_usable (steer, now, seat),
+    .adopted = steer->seats[seat].adopting,
+  };
+  return TRUE;
+}
+
+gboolean
+anvil_steer_upstream (const anvil_steer_t *steer,
+                      anvil_time_t now,
+                      guint upstream,
+                      anvil_upstream_status_t *status)
+{
+  const anvil_upstream_state_t *state;
+
+  if (steer->config == NULL || upstream >= steer->config->n_upstreams)
+    return FALSE;
+  state = g_array_index (steer->by_index, anvil_upstream_state_t *, upstream);
+  *status = (anvil_upstream_status_t){
+    .in_flight = state->in_flight,
+    .accepting = anvil_steer_accepting (steer, now, state),
+    .draining = steer->config->upstreams[upstream].draining
+                || anvil_drain_table_draining (steer->drains, state->key),
+    .ejected = now < state->ejected_until,
+  };
+  for (guint i = 0; i < state->n_slots; i++)
+    {
+      const anvil_slot_t *slot = &state->slots[i];
+
+      status->owned += slot->seat != ANVIL_NONE && anvil_steer_seat_usable (steer, now, slot->seat);
+      status->borrowed += slot->loan_nonce != 0;
+      status->lent += slot->lent_nonce != 0 && now < slot->lent_until;
+    }
+  return TRUE;
+}
+
+gboolean
+anvil_steer_link (const anvil_steer_t *steer,
+                  anvil_time_t now,
+                  guint link,
+                  anvil_link_status_t *status)
+{
+  *status = (anvil_link_status_t){ 0 };
+  if (steer->config == NULL || link >= steer->config->n_links)
+    return FALSE;
+  for (guint traffic = 0; traffic < ANVIL_N_TRAFFIC; traffic++)
+    {
+      const anvil_rate_t *rate
+          = g_array_index (steer->link_rates, anvil_rate_t *, link * ANVIL_N_TRAFFIC + traffic);
+
+      status->share_bits_per_s += anvil_steer_rate_share (steer, now, rate);
+      status->available_bits += (gint64) rate->tokens;
+      status->used_bits += rate->used;
+    }
+  return TRUE;
+}
--- /dev/null
+++ b/source/steer/steer.c
@@ -0,0 +1,147 @@
+/* The decision core as a whole: its life, its clock tick, and the messages it receives. */
+
+#include "steer/steer-internal.h"
+
+/* A shutdown doesn't wait longer than this for its seats' rows. */
+#define RELEASE_PATIENCE (2 * ANVIL_SECOND)
+
+static void
+drop_old_generation (gpointer data)
+{
+  anvil_config_drop (((anvil_old_generation_t *) data)->config);
+}
+
+anvil_steer_t *
+anvil_steer_new (const anvil_steer_options_t *options,
+                 const anvil_steer_actions_t *actions,
+                 void *context)
+{
+  anvil_steer_t *steer = g_new0 (anvil_steer_t, 1);
+  const guint64 origin[] = { options->node, options->incarnation };
+
+  steer->options = *options;
+  steer->zone_name = anvil_str_dup (options->zone);
+  steer->options.zone = anvil_str (steer->zone_name);
+  steer->actions = *actions;
+  steer->context = context;
+  steer->random = g_rand_new_with_seed (options->seed);
+  steer->zone = ANVIL_NONE;
+  steer->region = ANVIL_NONE;
+  steer->retry_budget.saved = ANVIL_RETRY_SAVED;
+  /* Nonces of two incarnations must not meet. */
+  steer->next_nonce
+      = anvil_str_hash ((anvil_str_t){ .data = (const char *) origin, .length = sizeof origin });
+  steer->members = anvil_member_table_new (options->node);
+  steer->drains = anvil_drain_table_new ();
+  steer->old_generations = g_array_new (FALSE, FALSE, sizeof (anvil_old_generation_t));
+  g_array_set_clear_func (steer->old_generations, drop_old_generation);
+  steer->listed_nodes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  steer->leaving_upstreams = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  steer->upstreams = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  steer->by_index = g_array_new (FALSE, FALSE, sizeof (anvil_upstream_state_t *));
+  steer->rates = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  steer->link_rates = g_array_new (FALSE, FALSE, sizeof (gpointer));
+  steer->shift_rates = g_array_new (FALSE, FALSE, sizeof (gpointer));
+  steer->works = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  steer->wishes = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  steer->loan_pauses = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  return steer;
+}
+
+void
+anvil_steer_drop (anvil_steer_t *steer)
+{
+  if (steer == NULL)
+    return;
+  for (guint i = 0; steer->queues != NULL && i < steer->queues->len; i++)
+    anvil_queue_free (g_array_index (steer->queues, anvil_queue_t *, i));
+  g_clear_pointer (&steer->queues, g_array_unref);
+  g_hash_table_unref (steer->loan_pauses);
+  g_hash_table_unref (steer->wishes);
+  g_hash_table_unref (steer->works);
+  g_array_unref (steer->shift_rates);
+  g_array_unref (steer->link_rates);
+  g_hash_table_unref (steer->rates);
+  g_array_unref (steer->by_index);
+  g_hash_table_unref (steer->upstreams);
+  g_hash_table_unref (steer->leaving_upstreams);
+  g_hash_table_unref (steer->listed_nodes);
+  g_array_unref (steer->old_generations);
+  anvil_drain_table_drop (steer->drains);
+  anvil_member_table_drop (steer->members);
+  anvil_seat_layout_drop (steer->layout);
+  anvil_config_drop (steer->config);
+  g_free (steer->seats);
+  g_rand_free (steer->random);
+  g_free (steer->zone_name);
+  g_free (steer);
+}
+
+/* Gives seats up once nothing runs on them, so that others get them without waiting. */
+static void
+leave_tick (anvil_steer_t *steer, anvil_time_t now)
+{
+  if (steer->leaving && steer->config != NULL && anvil_steer_busy (steer) == 0
+      && now >= steer->left_at + ANVIL_LOOKUP_TTL)
+    anvil_steer_release_seats (steer, now);
+}
+
+void
+anvil_steer_tick (anvil_steer_t *steer, anvil_time_t now)
+{
+  anvil_steer_rows_tick (steer, now);
+  anvil_steer_grants_tick (steer, now);
+  anvil_steer_gossip_tick (steer, now);
+  anvil_steer_settle (steer, now);
+  anvil_steer_loans_tick (steer, now);
+  anvil_steer_requests_tick (steer, now);
+  leave_tick (steer, now);
+}
+
+gboolean
+anvil_steer_left (const anvil_steer_t *steer, anvil_time_t now)
+{
+  if (!steer->leaving || anvil_steer_busy (steer) > 0 || now < steer->left_at + ANVIL_LOOKUP_TTL)
+    return FALSE;
+  if (steer->config == NULL || now >= steer->left_at + ANVIL_LOOKUP_TTL + RELEASE_PATIENCE)
+    return TRUE;
+  for (guint seat = 0; seat < steer->layout->n_seats; seat++)
+    {
+      if (steer->seats[seat].holding)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+void
+anvil_steer_receive (anvil_steer_t *steer,
+                     anvil_time_t now,
+                     anvil_node_t from,
+                     const anvil_message_t *message)
+{
+  switch (message->kind)
+    {
+    case ANVIL_MESSAGE_GOSSIP:
+      anvil_steer_receive_gossip (steer, now, from, &message->gossip);
+      return;
+    case ANVIL_MESSAGE_GRANT_ASK:
+      anvil_steer_receive_grant_ask (steer, now, from, &message->grant_ask);
+      return;
+    case ANVIL_MESSAGE_GRANT_ANSWER:
+      anvil_steer_learn_generation (steer, now, message->grant_answer.generation, from);
+      anvil_steer_receive_grant_answer (steer, now, &message->grant_answer);
+      return;
+    case ANVIL_MESSAGE_GRANT_RELEASE:
+      anvil_steer_receive_grant_release (steer, now, from, &message->grant_release);
+      return;
+    case ANVIL_MESSAGE_LOAN_ASK:
+      anvil_steer_receive_loan_ask (steer, now, from, &message->loan_ask);
+      return;
+    case ANVIL_MESSAGE_LOAN_ANSWER:
+      anvil_steer_receive_loan_answer (steer, now, from, &message->loan_answer);
+      return;
+    case ANVIL_MESSAGE_LOAN_RETURN:
+      anvil_steer_receive_loan_return (steer, now, from, &message->loan_return);
+      return;
+    }
+}
