--- a/include/anvil/platform.h
+++ b/include/anvil/platform.h
@@ -80,17 +80,17 @@
 typedef struct anvil_platform anvil_platform_t;
 
 /* Each callback runs once for its call. @error is NULL on success; arguments are borrowed. */
-typedef void (*anvil_platform_rows_cb) (void *context,
-                                        const anvil_row_t *rows,
-                                        guint n_rows,
-                                        const GError *error);
-typedef void (*anvil_platform_commit_cb) (void *context,
-                                          anvil_commit_result_t result,
+typedef void (*anvil_platform_rows_cb_t) (void *context,
+                                          const anvil_row_t *rows,
+                                          guint n_rows,
                                           const GError *error);
-typedef void (*anvil_platform_object_cb) (void *context, anvil_str_t body, const GError *error);
-typedef void (*anvil_platform_vms_cb) (void *context,
-                                       const anvil_vm_list_t *list,
-                                       const GError *error);
+typedef void (*anvil_platform_commit_cb_t) (void *context,
+                                            anvil_commit_result_t result,
+                                            const GError *error);
+typedef void (*anvil_platform_object_cb_t) (void *context, anvil_str_t body, const GError *error);
+typedef void (*anvil_platform_vms_cb_t) (void *context,
+                                         const anvil_vm_list_t *list,
+                                         const GError *error);
 
 /**
  * anvil_platform_open - a client; connects when it is used
@@ -106,7 +106,7 @@
 /** anvil_platform_read - rows whose key starts with @prefix, sorted by key */
 void anvil_platform_read (anvil_platform_t *platform,
                           const char *prefix,
-                          anvil_platform_rows_cb done,
+                          anvil_platform_rows_cb_t done,
                           void *context);
 
 /**
@@ -119,22 +119,22 @@
                             guint n_conditions,
                             const anvil_row_t *writes,
                             guint n_writes,
-                            anvil_platform_commit_cb done,
+                            anvil_platform_commit_cb_t done,
                             void *context);
 
 /** anvil_platform_put_object - stores @body under @name; storing the same again is harmless */
 void anvil_platform_put_object (anvil_platform_t *platform,
                                 const char *name,
                                 anvil_str_t body,
-                                anvil_platform_commit_cb done,
+                                anvil_platform_commit_cb_t done,
                                 void *context);
 
 /** anvil_platform_get_object - fetches an object */
 void anvil_platform_get_object (anvil_platform_t *platform,
                                 const char *name,
-                                anvil_platform_object_cb done,
+                                anvil_platform_object_cb_t done,
                                 void *context);
 
 /** anvil_platform_list_vms - the lagging list */
 void
-anvil_platform_list_vms (anvil_platform_t *platform, anvil_platform_vms_cb done, void *context);
+anvil_platform_list_vms (anvil_platform_t *platform, anvil_platform_vms_cb_t done, void *context);
