Test seats' witnesses, grants and rights

Ruled out: testing them only through whole entries, where a fault shows late. Change: tests/test-seat.c, 11 checks.

--- /dev/null
+++ b/tests/test-seat.c
@@ -0,0 +1,215 @@
+/* Seats: their witnesses, grants and rights. */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include "steer/seat-grant.h"
+#include "steer/seat-layout.h"
+#include "steer/seat-right.h"
+
+#define NODE_A 1
+#define NODE_B 2
+
+/* Three regions with two zones each; seats 0-2 in the first, 3-4 and 5-6 in the others. */
+static anvil_region_t regions[] = { { .half = 0 }, { .half = 0 }, { .half = 0 } };
+static anvil_zone_t zones[] = { { .region = 0 }, { .region = 0 }, { .region = 1 },
+                                { .region = 1 }, { .region = 2 }, { .region = 2 } };
+static anvil_seat_t seats[] = { { 0 }, { 0 }, { 1 }, { 2 }, { 3 }, { 4 }, { 5 } };
+static const anvil_config_t config = {
+  .regions = regions,
+  .n_regions = G_N_ELEMENTS (regions),
+  .zones = zones,
+  .n_zones = G_N_ELEMENTS (zones),
+  .seats = seats,
+  .n_seats = G_N_ELEMENTS (seats),
+};
+
+START_TEST (test_witnesses_are_distinct_and_spread)
+{
+  anvil_seat_layout_t *layout = anvil_seat_layout_new (&config);
+
+  ck_assert_uint_eq (layout->majority, 2);
+  for (guint seat = 0; seat < layout->n_seats; seat++)
+    {
+      const guint *witnesses = layout->witnesses[seat];
+
+      ck_assert_uint_eq (witnesses[0], seat);
+      ck_assert_uint_ne (witnesses[1], witnesses[2]);
+      ck_assert_uint_eq (layout->region[witnesses[1]], layout->region[seat]);
+      ck_assert_uint_ne (layout->zone[witnesses[1]], layout->zone[seat]);
+      ck_assert_uint_ne (layout->region[witnesses[2]], layout->region[seat]);
+    }
+  anvil_seat_layout_drop (layout);
+}
+END_TEST
+
+START_TEST (test_few_seats_still_have_a_majority)
+{
+  for (guint n = 1; n <= 3; n++)
+    {
+      anvil_config_t few = config;
+      anvil_seat_layout_t *layout;
+
+      few.n_seats = n;
+      layout = anvil_seat_layout_new (&few);
+      ck_assert_uint_eq (layout->n_witnesses, n);
+      ck_assert_uint_gt (2 * layout->majority, n);
+      anvil_seat_layout_drop (layout);
+    }
+}
+END_TEST
+
+START_TEST (test_slots_are_dealt_within_a_region)
+{
+  anvil_seat_layout_t *layout = anvil_seat_layout_new (&config);
+
+  for (guint64 key = 0; key < 100; key++)
+    {
+      guint owners = 0;
+
+      for (guint slot = 0; slot < 3; slot++)
+        {
+          guint owner = anvil_seat_layout_owner (layout, 0, key, slot);
+
+          ck_assert_uint_eq (layout->region[owner], 0);
+          owners |= 1u << owner;
+        }
+      ck_assert_uint_eq (owners, 7);
+    }
+  anvil_seat_layout_drop (layout);
+}
+END_TEST
+
+START_TEST (test_grant_is_exclusive_until_its_term_and_guard)
+{
+  anvil_grant_t grant = { 0 };
+  gboolean continued;
+
+  ck_assert (anvil_grant_give (&grant, 0, NODE_A, 1, 0, &continued));
+  ck_assert (!continued);
+  ck_assert (!anvil_grant_give (&grant, ANVIL_GRANT_TERM, NODE_B, 1, 0, &continued));
+  ck_assert (
+      anvil_grant_give (&grant, ANVIL_GRANT_TERM + ANVIL_CLOCK_GUARD, NODE_B, 1, 0, &continued));
+  ck_assert (!continued);
+  ck_assert (!anvil_grant_give (&grant, ANVIL_GRANT_TERM + 2 * ANVIL_CLOCK_GUARD, NODE_A, 1, 0,
+                                &continued));
+}
+END_TEST
+
+START_TEST (test_grant_to_a_newer_process_of_the_same_vm)
+{
+  anvil_grant_t grant = { 0 };
+  gboolean continued;
+
+  ck_assert (anvil_grant_give (&grant, 0, NODE_A, 1, 0, &continued));
+  ck_assert (anvil_grant_give (&grant, 10, NODE_A, 2, 0, &continued));
+  ck_assert (!continued);
+  ck_assert (!anvil_grant_give (&grant, 20, NODE_A, 1, 0, &continued));
+}
+END_TEST
+
+START_TEST (test_late_release_does_not_void_a_newer_grant)
+{
+  anvil_grant_t grant = { 0 };
+  gboolean continued;
+
+  ck_assert (anvil_grant_give (&grant, 0, NODE_A, 1, 100, &continued));
+  anvil_grant_release (&grant, 10, NODE_A, 1, 50);
+  ck_assert (!anvil_grant_give (&grant, 20, NODE_B, 1, 0, &continued));
+  anvil_grant_release (&grant, 30, NODE_A, 1, 150);
+  ck_assert (anvil_grant_give (&grant, 40, NODE_B, 1, 0, &continued));
+}
+END_TEST
+
+START_TEST (test_question_from_before_a_release_is_refused)
+{
+  anvil_grant_t grant = { 0 };
+  gboolean continued;
+
+  ck_assert (anvil_grant_give (&grant, 0, NODE_A, 1, 100, &continued));
+  anvil_grant_release (&grant, 10, NODE_A, 1, 150);
+  ck_assert (!anvil_grant_give (&grant, 20, NODE_A, 1, 120, &continued));
+}
+END_TEST
+
+START_TEST (test_right_counts_from_the_question)
+{
+  anvil_seat_layout_t *layout = anvil_seat_layout_new (&config);
+  anvil_right_t right = { 0 };
+
+  /* Answers that arrive after the term are worth nothing. */
+  anvil_right_granted (&right, layout, 2 * ANVIL_GRANT_TERM, 0, ANVIL_SECOND, TRUE);
+  anvil_right_granted (&right, layout, 2 * ANVIL_GRANT_TERM, 1, ANVIL_SECOND, TRUE);
+  ck_assert (!anvil_right_usable (&right, 2 * ANVIL_GRANT_TERM));
+  anvil_seat_layout_drop (layout);
+}
+END_TEST
+
+START_TEST (test_right_needs_a_majority_at_the_moment_of_use)
+{
+  anvil_seat_layout_t *layout = anvil_seat_layout_new (&config);
+  anvil_right_t right = { 0 };
+
+  ck_assert_int_eq (anvil_right_granted (&right, layout, 10, 0, 1, TRUE), ANVIL_RIGHT_SAME);
+  ck_assert (!anvil_right_usable (&right, 10));
+  ck_assert_int_eq (anvil_right_granted (&right, layout, 20, 2, 5, TRUE), ANVIL_RIGHT_RESUMED);
+  ck_assert (anvil_right_usable (&right, 20));
+  ck_assert (anvil_right_usable (&right, ANVIL_GRANT_TERM));
+  ck_assert (!anvil_right_usable (&right, 1 + ANVIL_GRANT_TERM));
+  anvil_seat_layout_drop (layout);
+}
+END_TEST
+
+START_TEST (test_right_after_a_gap_tells_whether_another_used_the_seat)
+{
+  anvil_seat_layout_t *layout = anvil_seat_layout_new (&config);
+  anvil_right_t right = { 0 };
+  anvil_time_t later = 10 * ANVIL_SECOND;
+
+  anvil_right_granted (&right, layout, 10, 0, 1, TRUE);
+  anvil_right_granted (&right, layout, 10, 1, 1, TRUE);
+  ck_assert_int_eq (anvil_right_granted (&right, layout, later, 0, later, TRUE), ANVIL_RIGHT_SAME);
+  ck_assert_int_eq (anvil_right_granted (&right, layout, later, 1, later, FALSE),
+                    ANVIL_RIGHT_TAKEN_OVER);
+  anvil_seat_layout_drop (layout);
+}
+END_TEST
+
+START_TEST (test_answers_to_questions_before_a_release_are_void)
+{
+  anvil_seat_layout_t *layout = anvil_seat_layout_new (&config);
+  anvil_right_t right = { 0 };
+
+  anvil_right_release (&right, 100);
+  anvil_right_granted (&right, layout, 110, 0, 90, TRUE);
+  anvil_right_granted (&right, layout, 110, 1, 90, TRUE);
+  ck_assert (!anvil_right_usable (&right, 110));
+  anvil_seat_layout_drop (layout);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("seat");
+  TCase *tcase = tcase_create ("seat");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_test (tcase, test_witnesses_are_distinct_and_spread);
+  tcase_add_test (tcase, test_few_seats_still_have_a_majority);
+  tcase_add_test (tcase, test_slots_are_dealt_within_a_region);
+  tcase_add_test (tcase, test_grant_is_exclusive_until_its_term_and_guard);
+  tcase_add_test (tcase, test_grant_to_a_newer_process_of_the_same_vm);
+  tcase_add_test (tcase, test_late_release_does_not_void_a_newer_grant);
+  tcase_add_test (tcase, test_question_from_before_a_release_is_refused);
+  tcase_add_test (tcase, test_right_counts_from_the_question);
+  tcase_add_test (tcase, test_right_needs_a_majority_at_the_moment_of_use);
+  tcase_add_test (tcase, test_right_after_a_gap_tells_whether_another_used_the_seat);
+  tcase_add_test (tcase, test_answers_to_questions_before_a_release_are_void);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
