--- /dev/null
+++ b/tests/test-member.c
@@ -0,0 +1,143 @@
+/* Members: which record wins, and how news spreads. */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include "steer/member-table.h"
+
+#define SELF 1
+
+static anvil_member_t
+record_of (anvil_node_t node, guint64 incarnation, guint64 version, anvil_member_state_t state)
+{
+  return (anvil_member_t){
+    .node = node, .incarnation = incarnation, .version = version, .state = state
+  };
+}
+
+START_TEST (test_newer_record_wins_in_any_order)
+{
+  const anvil_member_t records[] = {
+    record_of (2, 1, 5, ANVIL_MEMBER_ALIVE),
+    record_of (2, 1, 5, ANVIL_MEMBER_DEAD),
+    record_of (2, 1, 6, ANVIL_MEMBER_LEAVING),
+    record_of (2, 2, 1, ANVIL_MEMBER_ALIVE),
+  };
+
+  /* Each record beats every one before it, whichever comes first. */
+  for (guint later = 1; later < G_N_ELEMENTS (records); later++)
+    {
+      for (guint earlier = 0; earlier < later; earlier++)
+        {
+          anvil_member_table_t *table = anvil_member_table_new (SELF);
+
+          ck_assert (anvil_member_table_merge (table, 0, &records[later]));
+          ck_assert (!anvil_member_table_merge (table, 0, &records[earlier]));
+          ck_assert (!anvil_member_table_merge (table, 0, &records[later]));
+          anvil_member_table_drop (table);
+        }
+    }
+}
+END_TEST
+
+START_TEST (test_silent_member_dies_and_is_forgotten)
+{
+  anvil_member_table_t *table = anvil_member_table_new (SELF);
+  anvil_member_t other = record_of (2, 1, 1, ANVIL_MEMBER_ALIVE);
+
+  anvil_member_table_merge (table, 0, &other);
+  anvil_member_table_expire (table, ANVIL_MEMBER_TIMEOUT - 1);
+  ck_assert_int_eq (anvil_member_table_lookup (table, 2)->member.state, ANVIL_MEMBER_ALIVE);
+  anvil_member_table_expire (table, ANVIL_MEMBER_TIMEOUT);
+  ck_assert_int_eq (anvil_member_table_lookup (table, 2)->member.state, ANVIL_MEMBER_DEAD);
+
+  anvil_member_table_lookup (table, 2)->listed = TRUE;
+  anvil_member_table_expire (table, ANVIL_MEMBER_TIMEOUT + ANVIL_MEMBER_FORGET);
+  ck_assert_ptr_nonnull (anvil_member_table_lookup (table, 2));
+  anvil_member_table_lookup (table, 2)->listed = FALSE;
+  anvil_member_table_expire (table, ANVIL_MEMBER_TIMEOUT + ANVIL_MEMBER_FORGET);
+  ck_assert_ptr_null (anvil_member_table_lookup (table, 2));
+  anvil_member_table_drop (table);
+}
+END_TEST
+
+START_TEST (test_removal_keeps_the_index)
+{
+  anvil_member_table_t *table = anvil_member_table_new (SELF);
+
+  for (anvil_node_t node = 1; node <= 20; node++)
+    {
+      anvil_member_t member
+          = record_of (node, 1, 1, node % 3 == 0 ? ANVIL_MEMBER_DEAD : ANVIL_MEMBER_ALIVE);
+
+      anvil_member_table_merge (table, ANVIL_MEMBER_FORGET, &member);
+    }
+  for (guint i = 0; i < anvil_member_table_count (table); i++)
+    {
+      anvil_member_entry_t *entry = anvil_member_table_at (table, i);
+
+      if (entry->member.state == ANVIL_MEMBER_DEAD)
+        entry->updated_at = 0;
+    }
+  anvil_member_table_expire (table, ANVIL_MEMBER_FORGET);
+  ck_assert_uint_eq (anvil_member_table_count (table), 14);
+  for (anvil_node_t node = 1; node <= 20; node++)
+    {
+      anvil_member_entry_t *entry = anvil_member_table_lookup (table, node);
+
+      ck_assert ((entry == NULL) == (node % 3 == 0));
+      if (entry != NULL)
+        ck_assert_uint_eq (entry->member.node, node);
+    }
+  anvil_member_table_drop (table);
+}
+END_TEST
+
+START_TEST (test_gossip_begins_with_self_and_carries_the_news)
+{
+  anvil_member_table_t *table = anvil_member_table_new (SELF);
+  GRand *random = g_rand_new_with_seed (1);
+  anvil_gossip_t gossip = { 0 };
+  gboolean found = FALSE;
+
+  for (anvil_node_t node = 1; node <= 100; node++)
+    {
+      anvil_member_t member = record_of (node, 1, 1, ANVIL_MEMBER_ALIVE);
+
+      anvil_member_table_merge (table, 0, &member);
+      anvil_member_table_lookup (table, node)->credit = 0;
+    }
+  anvil_member_table_changed (table, 0, anvil_member_table_lookup (table, 77));
+  anvil_member_table_gossip (table, random, &gossip);
+  ck_assert_uint_eq (gossip.n_members, ANVIL_MAX_GOSSIP_MEMBERS);
+  ck_assert_uint_eq (gossip.members[0].node, SELF);
+  for (guint i = 0; i < gossip.n_members; i++)
+    {
+      found = found || gossip.members[i].node == 77;
+      for (guint j = 0; j < i; j++)
+        ck_assert_uint_ne (gossip.members[i].node, gossip.members[j].node);
+    }
+  ck_assert (found);
+  g_rand_free (random);
+  anvil_member_table_drop (table);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("member");
+  TCase *tcase = tcase_create ("member");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_test (tcase, test_newer_record_wins_in_any_order);
+  tcase_add_test (tcase, test_silent_member_dies_and_is_forgotten);
+  tcase_add_test (tcase, test_removal_keeps_the_index);
+  tcase_add_test (tcase, test_gossip_begins_with_self_and_carries_the_news);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
