Close two holes in the tests of members and rates

Cause: two mutations (newer versions never win; no cap on saved-up tokens) passed. Ruled out: that they were harmless. Change: records are merged in both orders; an idle hour saves up one burst. Before: both mutations pass. After: both fail, the code passes. Conclusion: holes closed.

--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -35,6 +35,11 @@
           ck_assert (!anvil_member_table_merge (table, 0, &records[earlier]));
           ck_assert (!anvil_member_table_merge (table, 0, &records[later]));
           anvil_member_table_drop (table);
+
+          table = anvil_member_table_new (SELF);
+          ck_assert (anvil_member_table_merge (table, 0, &records[earlier]));
+          ck_assert (anvil_member_table_merge (table, 0, &records[later]));
+          anvil_member_table_drop (table);
         }
     }
 }
--- a/tests/test-rate.c
+++ b/tests/test-rate.c
@@ -44,6 +44,16 @@
 }
 END_TEST
 
+START_TEST (test_idle_time_saves_up_no_more_than_the_burst)
+{
+  anvil_rate_t rate = { .per_seat = 1e6 };
+
+  for (guint i = 0; i < 3600; i++)
+    anvil_rate_accrue (&rate, ANVIL_SECOND);
+  ck_assert_double_eq (rate.tokens, anvil_rate_capacity (&rate));
+}
+END_TEST
+
 START_TEST (test_lending_takes_tokens_away)
 {
   anvil_rate_t rate = { .per_seat = 1e6, .tokens = 1000 };
@@ -74,6 +84,7 @@
 
   tcase_add_test (tcase, test_use_stays_within_rate_and_burst);
   tcase_add_test (tcase, test_large_use_waits_for_a_full_bucket_and_is_worked_off);
+  tcase_add_test (tcase, test_idle_time_saves_up_no_more_than_the_burst);
   tcase_add_test (tcase, test_lending_takes_tokens_away);
   tcase_add_test (tcase, test_no_share_means_no_use);
   suite_add_tcase (suite, tcase);
