Add the codec of frames between entries

Cause: entries have to exchange messages, and whatever arrives on a peer port may be anything.

Ruled out: unpacking straight with msgpack_unpack(). It allocates an array by the length that the header claims, so 5 bytes can ask for gigabytes; the library's C interface has no bound for that. A parser of our own was not wanted either.

Change: the library's parser template runs first with callbacks that allocate nothing and check depth, array length and number of objects. Only then the frame is unpacked into a zone, and kind, type, range and count of every object are checked.

Conclusion: no claim of a peer is allocated for before it is checked.

--- /dev/null
+++ b/include/anvil/codec.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "anvil/message.h"
+
+/* Bounds of what is parsed from a peer, beside the length of the frame. */
+#define ANVIL_MAX_FRAME_DEPTH 8
+#define ANVIL_MAX_FRAME_ARRAY 64
+#define ANVIL_MAX_FRAME_OBJECTS 4096
+/* Largest head record of a configuration, bytes. */
+#define ANVIL_MAX_HEAD_BYTES 4096
+
+/**
+ * anvil_frame_kind_t - what a frame between two entries carries
+ * @ANVIL_FRAME_HELLO: first frame of a link, says who sends
+ * @ANVIL_FRAME_MESSAGE: a message between the decision cores
+ * @ANVIL_FRAME_CONFIG_ASK: asks for the file of a generation or a newer one
+ * @ANVIL_FRAME_CONFIG: a configuration file with its head record
+ */
+typedef enum
+{
+  ANVIL_FRAME_HELLO = 0,
+  ANVIL_FRAME_MESSAGE = 1,
+  ANVIL_FRAME_CONFIG_ASK = 2,
+  ANVIL_FRAME_CONFIG = 3,
+} anvil_frame_kind_t;
+
+/** anvil_hello_t - who sends on a link, and in which version of the protocol */
+typedef struct
+{
+  guint64 version;
+  anvil_node_t node;
+} anvil_hello_t;
+
+/** anvil_config_frame_t - a file and its head record; views into the frame that was unpacked */
+typedef struct
+{
+  guint64 generation;
+  anvil_str_t head;
+  anvil_str_t file;
+} anvil_config_frame_t;
+
+/** anvil_frame_t - one frame between two entries, without its length prefix */
+typedef struct
+{
+  anvil_frame_kind_t kind;
+  union
+  {
+    anvil_hello_t hello;
+    anvil_message_t message;
+    guint64 config_ask;
+    anvil_config_frame_t config;
+  };
+} anvil_frame_t;
+
+/** anvil_frame_pack - appends a frame as msgpack */
+void anvil_frame_pack (const anvil_frame_t *frame, GByteArray *out);
+
+/**
+ * anvil_frame_unpack - parses one whole frame
+ * @bytes: the frame, nothing before or after it
+ * @frame: result; its views point into @bytes
+ * @error: what is wrong and in which field
+ *
+ * Depth, array lengths and the number of objects are checked before anything
+ * is allocated for them. Kind, type, range and count of every object follow.
+ *
+ * Return: FALSE if the frame is not a valid one.
+ */
+gboolean anvil_frame_unpack (anvil_str_t bytes, anvil_frame_t *frame, GError **error);
--- /dev/null
+++ b/source/net/message-pack.c
@@ -0,0 +1,236 @@
+#include "anvil/codec.h"
+
+#include <msgpack/pack.h>
+
+static int
+append (void *data, const char *bytes, size_t length)
+{
+  g_byte_array_append (data, (const guint8 *) bytes, (guint) length);
+  return 0;
+}
+
+static void
+pack_member (msgpack_packer *packer, const anvil_member_t *member)
+{
+  msgpack_pack_array (packer, 10);
+  msgpack_pack_uint64 (packer, member->node);
+  msgpack_pack_uint64 (packer, member->incarnation);
+  msgpack_pack_uint64 (packer, member->version);
+  msgpack_pack_uint64 (packer, member->state);
+  msgpack_pack_uint64 (packer, member->zone);
+  msgpack_pack_uint64 (packer, member->generation);
+  msgpack_pack_uint64 (packer, member->caller_port);
+  msgpack_pack_uint64 (packer, member->admin_port);
+  msgpack_pack_uint64 (packer, member->load);
+  msgpack_pack_array (packer, member->n_spares);
+  for (guint i = 0; i < member->n_spares; i++)
+    {
+      msgpack_pack_array (packer, 3);
+      msgpack_pack_uint64 (packer, member->spares[i].service);
+      msgpack_pack_uint64 (packer, member->spares[i].half);
+      msgpack_pack_uint64 (packer, member->spares[i].count);
+    }
+}
+
+static void
+pack_row (msgpack_packer *packer, const anvil_seat_row_t *row)
+{
+  msgpack_pack_array (packer, 5);
+  msgpack_pack_uint64 (packer, row->seat);
+  msgpack_pack_uint64 (packer, row->epoch);
+  msgpack_pack_uint64 (packer, row->holder);
+  msgpack_pack_uint64 (packer, row->incarnation);
+  msgpack_pack_uint64 (packer, row->list_version);
+}
+
+static void
+pack_bool (msgpack_packer *packer, gboolean value)
+{
+  if (value)
+    msgpack_pack_true (packer);
+  else
+    msgpack_pack_false (packer);
+}
+
+static void
+pack_drain (msgpack_packer *packer, const anvil_drain_t *drain)
+{
+  msgpack_pack_array (packer, 3);
+  msgpack_pack_uint64 (packer, drain->upstream);
+  msgpack_pack_uint64 (packer, drain->stamp);
+  pack_bool (packer, drain->draining);
+}
+
+static void
+pack_gossip (msgpack_packer *packer, const anvil_gossip_t *gossip)
+{
+  msgpack_pack_array (packer, 3);
+  msgpack_pack_array (packer, gossip->n_members);
+  for (guint i = 0; i < gossip->n_members; i++)
+    pack_member (packer, &gossip->members[i]);
+  msgpack_pack_array (packer, gossip->n_rows);
+  for (guint i = 0; i < gossip->n_rows; i++)
+    pack_row (packer, &gossip->rows[i]);
+  msgpack_pack_array (packer, gossip->n_drains);
+  for (guint i = 0; i < gossip->n_drains; i++)
+    pack_drain (packer, &gossip->drains[i]);
+}
+
+static void
+pack_grant_ask (msgpack_packer *packer, const anvil_grant_ask_t *ask)
+{
+  msgpack_pack_array (packer, 5);
+  msgpack_pack_uint64 (packer, ask->seat);
+  msgpack_pack_uint64 (packer, ask->epoch);
+  msgpack_pack_uint64 (packer, ask->incarnation);
+  msgpack_pack_uint64 (packer, ask->generation);
+  msgpack_pack_int64 (packer, ask->asked_at);
+}
+
+static void
+pack_grant_answer (msgpack_packer *packer, const anvil_grant_answer_t *answer)
+{
+  msgpack_pack_array (packer, 6);
+  msgpack_pack_uint64 (packer, answer->seat);
+  msgpack_pack_uint64 (packer, answer->witness);
+  msgpack_pack_uint64 (packer, answer->incarnation);
+  pack_bool (packer, answer->granted);
+  msgpack_pack_int64 (packer, answer->asked_at);
+  msgpack_pack_uint64 (packer, answer->generation);
+}
+
+static void
+pack_grant_release (msgpack_packer *packer, const anvil_grant_release_t *release)
+{
+  msgpack_pack_array (packer, 2);
+  msgpack_pack_uint64 (packer, release->seat);
+  msgpack_pack_uint64 (packer, release->incarnation);
+}
+
+static void
+pack_loan_ask (msgpack_packer *packer, const anvil_loan_ask_t *ask)
+{
+  msgpack_pack_array (packer, 10);
+  msgpack_pack_uint64 (packer, ask->kind);
+  msgpack_pack_uint64 (packer, ask->nonce);
+  msgpack_pack_uint64 (packer, ask->incarnation);
+  msgpack_pack_uint64 (packer, ask->generation);
+  msgpack_pack_int64 (packer, ask->asked_at);
+  msgpack_pack_uint64 (packer, ask->service);
+  msgpack_pack_uint64 (packer, ask->half);
+  msgpack_pack_uint64 (packer, ask->count);
+  msgpack_pack_uint64 (packer, ask->budget);
+  msgpack_pack_int64 (packer, ask->amount);
+}
+
+static void
+pack_slots (msgpack_packer *packer, const anvil_loan_slot_t *slots, guint n_slots)
+{
+  msgpack_pack_array (packer, n_slots);
+  for (guint i = 0; i < n_slots; i++)
+    {
+      msgpack_pack_array (packer, 2);
+      msgpack_pack_uint64 (packer, slots[i].upstream);
+      msgpack_pack_uint64 (packer, slots[i].slot);
+    }
+}
+
+static void
+pack_loan_answer (msgpack_packer *packer, const anvil_loan_answer_t *answer)
+{
+  msgpack_pack_array (packer, 8);
+  msgpack_pack_uint64 (packer, answer->kind);
+  msgpack_pack_uint64 (packer, answer->nonce);
+  msgpack_pack_uint64 (packer, answer->incarnation);
+  msgpack_pack_int64 (packer, answer->asked_at);
+  msgpack_pack_int64 (packer, answer->term);
+  msgpack_pack_uint64 (packer, answer->budget);
+  msgpack_pack_int64 (packer, answer->amount);
+  pack_slots (packer, answer->slots, answer->n_slots);
+}
+
+static void
+pack_loan_return (msgpack_packer *packer, const anvil_loan_return_t *loan)
+{
+  msgpack_pack_array (packer, 3);
+  msgpack_pack_uint64 (packer, loan->nonce);
+  msgpack_pack_uint64 (packer, loan->incarnation);
+  pack_slots (packer, loan->slots, loan->n_slots);
+}
+
+static void
+pack_message (msgpack_packer *packer, const anvil_message_t *message)
+{
+  msgpack_pack_array (packer, 2);
+  msgpack_pack_uint64 (packer, message->kind);
+  switch (message->kind)
+    {
+    case ANVIL_MESSAGE_GOSSIP:
+      pack_gossip (packer, &message->gossip);
+      return;
+    case ANVIL_MESSAGE_GRANT_ASK:
+      pack_grant_ask (packer, &message->grant_ask);
+      return;
+    case ANVIL_MESSAGE_GRANT_ANSWER:
+      pack_grant_answer (packer, &message->grant_answer);
+      return;
+    case ANVIL_MESSAGE_GRANT_RELEASE:
+      pack_grant_release (packer, &message->grant_release);
+      return;
+    case ANVIL_MESSAGE_LOAN_ASK:
+      pack_loan_ask (packer, &message->loan_ask);
+      return;
+    case ANVIL_MESSAGE_LOAN_ANSWER:
+      pack_loan_answer (packer, &message->loan_answer);
+      return;
+    case ANVIL_MESSAGE_LOAN_RETURN:
+      pack_loan_return (packer, &message->loan_return);
+      return;
+    }
+  g_assert_not_reached ();
+}
+
+static void
+pack_bytes (msgpack_packer *packer, anvil_str_t bytes)
+{
+  msgpack_pack_bin (packer, bytes.length);
+  msgpack_pack_bin_body (packer, bytes.data, bytes.length);
+}
+
+static void
+pack_config (msgpack_packer *packer, const anvil_config_frame_t *config)
+{
+  msgpack_pack_array (packer, 3);
+  msgpack_pack_uint64 (packer, config->generation);
+  pack_bytes (packer, config->head);
+  pack_bytes (packer, config->file);
+}
+
+void
+anvil_frame_pack (const anvil_frame_t *frame, GByteArray *out)
+{
+  msgpack_packer packer;
+
+  msgpack_packer_init (&packer, out, append);
+  msgpack_pack_array (&packer, 2);
+  msgpack_pack_uint64 (&packer, frame->kind);
+  switch (frame->kind)
+    {
+    case ANVIL_FRAME_HELLO:
+      msgpack_pack_array (&packer, 2);
+      msgpack_pack_uint64 (&packer, frame->hello.version);
+      msgpack_pack_uint64 (&packer, frame->hello.node);
+      return;
+    case ANVIL_FRAME_MESSAGE:
+      pack_message (&packer, &frame->message);
+      return;
+    case ANVIL_FRAME_CONFIG_ASK:
+      msgpack_pack_array (&packer, 1);
+      msgpack_pack_uint64 (&packer, frame->config_ask);
+      return;
+    case ANVIL_FRAME_CONFIG:
+      pack_config (&packer, &frame->config);
+      return;
+    }
+  g_assert_not_reached ();
+}
--- /dev/null
+++ b/tests/test-codec.c
@@ -0,0 +1,410 @@
+/* Frames between entries: round trips, and frames that must be refused. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "anvil/codec.h"
+#include "net/message-check.h"
+
+#define ROUNDS_PER_KIND 200
+
+static guint64
+random_u64 (GRand *rand)
+{
+  /* Small, middling and full-width numbers take different encodings. */
+  guint64 wide = ((guint64) g_rand_int (rand) << 32) | g_rand_int (rand);
+
+  return wide >> g_rand_int_range (rand, 0, 64);
+}
+
+static gint64
+random_i64 (GRand *rand)
+{
+  gint64 value = (gint64) (random_u64 (rand) >> 1);
+
+  return g_rand_boolean (rand) ? -value : value;
+}
+
+static guint16
+random_u16 (GRand *rand)
+{
+  return (guint16) g_rand_int (rand);
+}
+
+static anvil_node_t
+random_node (GRand *rand)
+{
+  return anvil_node (g_rand_int (rand), random_u16 (rand));
+}
+
+static void
+fill_member (GRand *rand, anvil_member_t *member)
+{
+  member->node = random_node (rand);
+  member->incarnation = random_u64 (rand);
+  member->version = random_u64 (rand);
+  member->state = g_rand_int_range (rand, 0, 3);
+  member->zone = random_u64 (rand);
+  member->generation = random_u64 (rand);
+  member->caller_port = random_u16 (rand);
+  member->admin_port = random_u16 (rand);
+  member->load = random_u16 (rand);
+  member->n_spares = (guint8) g_rand_int_range (rand, 0, ANVIL_MAX_SPARES + 1);
+  for (guint i = 0; i < member->n_spares; i++)
+    member->spares[i] = (anvil_spare_t){ random_u16 (rand), random_u16 (rand), random_u16 (rand) };
+}
+
+static void
+fill_gossip (GRand *rand, anvil_gossip_t *gossip)
+{
+  gossip->n_members = g_rand_int_range (rand, 0, ANVIL_MAX_GOSSIP_MEMBERS + 1);
+  for (guint i = 0; i < gossip->n_members; i++)
+    fill_member (rand, &gossip->members[i]);
+  gossip->n_rows = g_rand_int_range (rand, 0, ANVIL_MAX_GOSSIP_ROWS + 1);
+  for (guint i = 0; i < gossip->n_rows; i++)
+    {
+      gossip->rows[i].seat = random_u16 (rand);
+      gossip->rows[i].epoch = random_u64 (rand);
+      gossip->rows[i].holder = random_node (rand);
+      gossip->rows[i].incarnation = random_u64 (rand);
+      gossip->rows[i].list_version = random_u64 (rand);
+    }
+  gossip->n_drains = g_rand_int_range (rand, 0, ANVIL_MAX_GOSSIP_DRAINS + 1);
+  for (guint i = 0; i < gossip->n_drains; i++)
+    {
+      gossip->drains[i].upstream = random_u64 (rand);
+      gossip->drains[i].stamp = random_u64 (rand);
+      gossip->drains[i].draining = g_rand_boolean (rand);
+    }
+}
+
+static guint8
+fill_slots (GRand *rand, anvil_loan_slot_t *slots)
+{
+  guint8 n_slots = (guint8) g_rand_int_range (rand, 0, ANVIL_MAX_LOAN_SLOTS + 1);
+
+  for (guint i = 0; i < n_slots; i++)
+    {
+      slots[i].upstream = random_u64 (rand);
+      slots[i].slot = (guint8) g_rand_int (rand);
+    }
+  return n_slots;
+}
+
+static void
+fill_grants (GRand *rand, anvil_message_t *message)
+{
+  switch (message->kind)
+    {
+    case ANVIL_MESSAGE_GRANT_ASK:
+      message->grant_ask.seat = random_u16 (rand);
+      message->grant_ask.epoch = random_u64 (rand);
+      message->grant_ask.incarnation = random_u64 (rand);
+      message->grant_ask.generation = random_u64 (rand);
+      message->grant_ask.asked_at = random_i64 (rand);
+      return;
+    case ANVIL_MESSAGE_GRANT_ANSWER:
+      message->grant_answer.seat = random_u16 (rand);
+      message->grant_answer.witness = random_u16 (rand);
+      message->grant_answer.incarnation = random_u64 (rand);
+      message->grant_answer.granted = g_rand_boolean (rand);
+      message->grant_answer.asked_at = random_i64 (rand);
+      message->grant_answer.generation = random_u64 (rand);
+      return;
+    default:
+      message->grant_release.seat = random_u16 (rand);
+      message->grant_release.incarnation = random_u64 (rand);
+    }
+}
+
+static void
+fill_loans (GRand *rand, anvil_message_t *message)
+{
+  switch (message->kind)
+    {
+    case ANVIL_MESSAGE_LOAN_ASK:
+      message->loan_ask.kind = g_rand_int_range (rand, 0, 2);
+      message->loan_ask.nonce = random_u64 (rand);
+      message->loan_ask.incarnation = random_u64 (rand);
+      message->loan_ask.generation = random_u64 (rand);
+      message->loan_ask.asked_at = random_i64 (rand);
+      message->loan_ask.service = random_u16 (rand);
+      message->loan_ask.half = random_u16 (rand);
+      message->loan_ask.count = random_u16 (rand);
+      message->loan_ask.budget = random_u64 (rand);
+      message->loan_ask.amount = random_i64 (rand);
+      return;
+    case ANVIL_MESSAGE_LOAN_ANSWER:
+      message->loan_answer.kind = g_rand_int_range (rand, 0, 2);
+      message->loan_answer.nonce = random_u64 (rand);
+      message->loan_answer.incarnation = random_u64 (rand);
+      message->loan_answer.asked_at = random_i64 (rand);
+      message->loan_answer.term = random_i64 (rand);
+      message->loan_answer.budget = random_u64 (rand);
+      message->loan_answer.amount = random_i64 (rand);
+      message->loan_answer.n_slots = fill_slots (rand, message->loan_answer.slots);
+      return;
+    default:
+      message->loan_return.nonce = random_u64 (rand);
+      message->loan_return.incarnation = random_u64 (rand);
+      message->loan_return.n_slots = fill_slots (rand, message->loan_return.slots);
+    }
+}
+
+static void
+fill_frame (GRand *rand, anvil_message_kind_t kind, anvil_frame_t *frame)
+{
+  memset (frame, 0, sizeof *frame);
+  frame->kind = ANVIL_FRAME_MESSAGE;
+  frame->message.kind = kind;
+  if (kind == ANVIL_MESSAGE_GOSSIP)
+    fill_gossip (rand, &frame->message.gossip);
+  else if (kind <= ANVIL_MESSAGE_GRANT_RELEASE)
+    fill_grants (rand, &frame->message);
+  else
+    fill_loans (rand, &frame->message);
+}
+
+static anvil_str_t
+view (const GByteArray *bytes)
+{
+  return (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len };
+}
+
+START_TEST (test_messages_round_trip)
+{
+  anvil_message_kind_t kind = (anvil_message_kind_t) _i;
+  GRand *rand = g_rand_new_with_seed (1000 + _i);
+  anvil_frame_t *sent = g_new (anvil_frame_t, 1);
+  anvil_frame_t *received = g_new (anvil_frame_t, 1);
+
+  for (guint round = 0; round < ROUNDS_PER_KIND; round++)
+    {
+      GByteArray *bytes = g_byte_array_new ();
+      GByteArray *again = g_byte_array_new ();
+      GError *error = NULL;
+
+      fill_frame (rand, kind, sent);
+      anvil_frame_pack (sent, bytes);
+      ck_assert_msg (anvil_frame_unpack (view (bytes), received, &error), "round %u: %s", round,
+                     error != NULL ? error->message : "");
+      /* Both were zeroed as a whole, padding included. */
+      /* NOLINTNEXTLINE(bugprone-suspicious-memory-comparison) */
+      ck_assert_int_eq (memcmp (sent, received, sizeof *sent), 0);
+      anvil_frame_pack (received, again);
+      ck_assert (anvil_str_equal (view (bytes), view (again)));
+      g_byte_array_unref (bytes);
+      g_byte_array_unref (again);
+    }
+  g_free (sent);
+  g_free (received);
+  g_rand_free (rand);
+}
+END_TEST
+
+START_TEST (test_truncated_frames_are_refused_at_every_byte)
+{
+  anvil_message_kind_t kind = (anvil_message_kind_t) _i;
+  GRand *rand = g_rand_new_with_seed (2000 + _i);
+  anvil_frame_t *frame = g_new (anvil_frame_t, 1);
+  GByteArray *bytes = g_byte_array_new ();
+
+  fill_frame (rand, kind, frame);
+  anvil_frame_pack (frame, bytes);
+  for (guint length = 0; length < bytes->len; length++)
+    {
+      /* A copy of its own lets the sanitizer see a read past the end. */
+      char *copy = g_memdup2 (bytes->data, length);
+      anvil_str_t cut = { .data = copy, .length = length };
+
+      ck_assert_msg (!anvil_frame_unpack (cut, frame, NULL), "accepted %u of %u bytes", length,
+                     bytes->len);
+      g_free (copy);
+    }
+  g_byte_array_append (bytes, (const guint8 *) "\0", 1);
+  ck_assert (!anvil_frame_unpack (view (bytes), frame, NULL));
+  g_byte_array_unref (bytes);
+  g_free (frame);
+  g_rand_free (rand);
+}
+END_TEST
+
+START_TEST (test_flipped_bytes_never_break_bounds)
+{
+  GRand *rand = g_rand_new_with_seed (3000 + _i);
+  anvil_frame_t *frame = g_new (anvil_frame_t, 1);
+  GByteArray *bytes = g_byte_array_new ();
+
+  fill_frame (rand, (anvil_message_kind_t) _i, frame);
+  anvil_frame_pack (frame, bytes);
+  for (guint i = 0; i < bytes->len; i++)
+    {
+      guint8 before = bytes->data[i];
+
+      bytes->data[i] = (guint8) g_rand_int (rand);
+      if (anvil_frame_unpack (view (bytes), frame, NULL) && frame->kind == ANVIL_FRAME_MESSAGE
+          && frame->message.kind == ANVIL_MESSAGE_GOSSIP)
+        ck_assert_uint_le (frame->message.gossip.n_members, ANVIL_MAX_GOSSIP_MEMBERS);
+      bytes->data[i] = before;
+    }
+  g_byte_array_unref (bytes);
+  g_free (frame);
+  g_rand_free (rand);
+}
+END_TEST
+
+#define SLOT "\x92\x01\x01"
+#define SLOTS_17                                                                                   \
+  SLOT SLOT SLOT SLOT SLOT SLOT SLOT SLOT SLOT SLOT SLOT SLOT SLOT SLOT SLOT SLOT SLOT
+
+/* Frames that are whole msgpack, or claim to be, and are not valid. */
+static const struct
+{
+  const char *what;
+  const char *bytes;
+  gsize length;
+} bad_frames[] = {
+#define FRAME(what, bytes)                                                                         \
+  {                                                                                                \
+    what, bytes, sizeof (bytes) - 1                                                                \
+  }
+  FRAME ("empty", ""),
+  FRAME ("nil", "\xc0"),
+  FRAME ("map", "\x80"),
+  FRAME ("map of frames", "\x92\x01\x80"),
+  FRAME ("array that claims 4 G items", "\xdd\xff\xff\xff\xff"),
+  FRAME ("array that claims 65535 items", "\x92\x01\xdc\xff\xff"),
+  FRAME ("unknown kind of frame", "\x92\x09\x90"),
+  FRAME ("unknown kind of message", "\x92\x01\x92\x08\x90"),
+  FRAME ("message kind 0", "\x92\x01\x92\x00\x90"),
+  FRAME ("huge message kind", "\x92\x01\x92\xcf\x01\x00\x00\x00\x00\x00\x00\x01\x90"),
+  FRAME ("record too long", "\x92\x01\x92\x04\x93\x01\x02\x03"),
+  FRAME ("record too short", "\x92\x01\x92\x04\x91\x01"),
+  FRAME ("seat above 16 bits", "\x92\x01\x92\x04\x92\xce\x00\x01\x00\x00\x02"),
+  FRAME ("negative seat", "\x92\x01\x92\x04\x92\xff\x02"),
+  FRAME ("text for a number", "\x92\x01\x92\x04\x92\xa1x\x02"),
+  FRAME ("float for a number", "\x92\x01\x92\x04\x92\xca\x00\x00\x00\x00\x02"),
+  FRAME ("text for a file", "\x92\x03\x93\x01\xa1x\xa1y"),
+  FRAME ("file longer than the frame", "\x92\x03\x93\x01\xc4\x01x\xc6\xff\xff\xff\xff"),
+  FRAME ("node above 48 bits", "\x92\x00\x92\x01\xcf\x00\x01\x00\x00\x00\x00\x00\x00"),
+  FRAME ("reserved byte", "\xc1"),
+  FRAME ("17 slots of 16", "\x92\x01\x92\x07\x93\x01\x01\xdc\x00\x11" SLOTS_17),
+#undef FRAME
+};
+
+START_TEST (test_bad_frames_are_refused_with_a_reason)
+{
+  anvil_frame_t *frame = g_new (anvil_frame_t, 1);
+
+  for (gsize i = 0; i < G_N_ELEMENTS (bad_frames); i++)
+    {
+      anvil_str_t bytes = { .data = bad_frames[i].bytes, .length = bad_frames[i].length };
+      GError *error = NULL;
+
+      ck_assert_msg (!anvil_frame_unpack (bytes, frame, &error), "accepted: %s",
+                     bad_frames[i].what);
+      ck_assert_msg (error != NULL && strchr (error->message, '\n') == NULL, "no reason: %s",
+                     bad_frames[i].what);
+      g_error_free (error);
+    }
+  g_free (frame);
+}
+END_TEST
+
+START_TEST (test_deep_and_wide_frames_are_refused)
+{
+  anvil_frame_t *frame = g_new (anvil_frame_t, 1);
+  GByteArray *deep = g_byte_array_new ();
+  GByteArray *wide = g_byte_array_new ();
+
+  for (guint i = 0; i < 100000; i++)
+    g_byte_array_append (deep, (const guint8 *) "\x91", 1);
+  g_byte_array_append (deep, (const guint8 *) "\x01", 1);
+  ck_assert (!anvil_frame_unpack (view (deep), frame, NULL));
+
+  /* 64 lists of 64 lists of 2 items: above the bound on objects, within the others. */
+  g_byte_array_append (wide, (const guint8 *) "\xdc\x00\x40", 3);
+  for (guint i = 0; i < 64; i++)
+    {
+      g_byte_array_append (wide, (const guint8 *) "\xdc\x00\x40", 3);
+      for (guint j = 0; j < 64; j++)
+        g_byte_array_append (wide, (const guint8 *) "\x92\x01\x01", 3);
+    }
+  ck_assert (!anvil_frame_unpack (view (wide), frame, NULL));
+  ck_assert (!anvil_frame_check_bounds (view (wide)));
+  ck_assert (!anvil_frame_check_bounds (view (deep)));
+  g_byte_array_unref (deep);
+  g_byte_array_unref (wide);
+  g_free (frame);
+}
+END_TEST
+
+/* Refused before the unpacker would allocate for them. */
+START_TEST (test_claimed_lengths_are_refused_before_allocation)
+{
+  GByteArray *claim = g_byte_array_new ();
+
+  g_byte_array_append (claim, (const guint8 *) "\xdc\x00\x41", 3);
+  for (guint i = 0; i < 65; i++)
+    g_byte_array_append (claim, (const guint8 *) "\x01", 1);
+  ck_assert (!anvil_frame_check_bounds (view (claim)));
+  g_byte_array_set_size (claim, 0);
+  g_byte_array_append (claim, (const guint8 *) "\x01\x01", 2);
+  ck_assert (!anvil_frame_check_bounds (view (claim)));
+  g_byte_array_set_size (claim, 1);
+  ck_assert (anvil_frame_check_bounds (view (claim)));
+  g_byte_array_unref (claim);
+}
+END_TEST
+
+START_TEST (test_hello_and_configuration_round_trip)
+{
+  anvil_frame_t hello
+      = { .kind = ANVIL_FRAME_HELLO, .hello = { .version = 77, .node = anvil_node (1, 2) } };
+  anvil_frame_t config = {
+    .kind = ANVIL_FRAME_CONFIG,
+    .config = { .generation = 9, .head = anvil_str ("{}"), .file = { .data = "a\0b", .length = 3 } }
+  };
+  anvil_frame_t *got = g_new (anvil_frame_t, 1);
+  GByteArray *bytes = g_byte_array_new ();
+
+  anvil_frame_pack (&hello, bytes);
+  ck_assert (anvil_frame_unpack (view (bytes), got, NULL));
+  ck_assert_uint_eq (got->hello.version, 77);
+  ck_assert_uint_eq (got->hello.node, anvil_node (1, 2));
+  g_byte_array_set_size (bytes, 0);
+  anvil_frame_pack (&config, bytes);
+  ck_assert (anvil_frame_unpack (view (bytes), got, NULL));
+  ck_assert_uint_eq (got->config.generation, 9);
+  ck_assert (anvil_str_equal (got->config.head, config.config.head));
+  ck_assert (anvil_str_equal (got->config.file, config.config.file));
+  g_byte_array_unref (bytes);
+  g_free (got);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("codec");
+  TCase *tcase = tcase_create ("codec");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_loop_test (tcase, test_messages_round_trip, ANVIL_MESSAGE_GOSSIP,
+                       ANVIL_MESSAGE_LOAN_RETURN + 1);
+  tcase_add_loop_test (tcase, test_truncated_frames_are_refused_at_every_byte, ANVIL_MESSAGE_GOSSIP,
+                       ANVIL_MESSAGE_LOAN_RETURN + 1);
+  tcase_add_loop_test (tcase, test_flipped_bytes_never_break_bounds, ANVIL_MESSAGE_GOSSIP,
+                       ANVIL_MESSAGE_LOAN_RETURN + 1);
+  tcase_add_test (tcase, test_bad_frames_are_refused_with_a_reason);
+  tcase_add_test (tcase, test_deep_and_wide_frames_are_refused);
+  tcase_add_test (tcase, test_claimed_lengths_are_refused_before_allocation);
+  tcase_add_test (tcase, test_hello_and_configuration_round_trip);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
