Add the links between entries

Cause: the decision cores of entries exchange messages, and files of the operators travel between entries while the platform is away.

Ruled out: one connection for both directions. Two entries that open at once would have to agree which one stays; a link used in one direction needs no such rule. A time-out on reading at the sender was ruled out as well: nothing is ever read there, so it would cut links in use.

Change: an entry opens a link when it has something to send and closes it when idle. The first frame says version and node. Input that can't be parsed closes its own link and is counted. What waits for a peer that doesn't read is bounded; more is dropped. The codec carries the two new fields of grants.

Conclusion: a bad or slow peer costs its own link only.

--- a/source/net/message-pack.c
+++ b/source/net/message-pack.c
@@ -90,11 +90,12 @@
 static void
 pack_grant_answer (msgpack_packer *packer, const anvil_grant_answer_t *answer)
 {
-  msgpack_pack_array (packer, 6);
+  msgpack_pack_array (packer, 7);
   msgpack_pack_uint64 (packer, answer->seat);
   msgpack_pack_uint64 (packer, answer->witness);
   msgpack_pack_uint64 (packer, answer->incarnation);
   pack_bool (packer, answer->granted);
+  pack_bool (packer, answer->continued);
   msgpack_pack_int64 (packer, answer->asked_at);
   msgpack_pack_uint64 (packer, answer->generation);
 }
@@ -102,9 +103,10 @@
 static void
 pack_grant_release (msgpack_packer *packer, const anvil_grant_release_t *release)
 {
-  msgpack_pack_array (packer, 2);
+  msgpack_pack_array (packer, 3);
   msgpack_pack_uint64 (packer, release->seat);
   msgpack_pack_uint64 (packer, release->incarnation);
+  msgpack_pack_int64 (packer, release->released_at);
 }
 
 static void
--- a/source/net/message-unpack.c
+++ b/source/net/message-unpack.c
@@ -238,12 +238,13 @@
 static void
 unpack_grant_answer (reader_t *outer, const msgpack_object *object, anvil_grant_answer_t *answer)
 {
-  reader_t reader = open_record (outer, object, "grant answer", 6);
+  reader_t reader = open_record (outer, object, "grant answer", 7);
 
   answer->seat = read_u16 (&reader);
   answer->witness = read_u16 (&reader);
   answer->incarnation = read_u64 (&reader);
   answer->granted = read_bool (&reader);
+  answer->continued = read_bool (&reader);
   answer->asked_at = read_i64 (&reader);
   answer->generation = read_u64 (&reader);
   close_record (outer, &reader);
@@ -252,10 +253,11 @@
 static void
 unpack_grant_release (reader_t *outer, const msgpack_object *object, anvil_grant_release_t *release)
 {
-  reader_t reader = open_record (outer, object, "grant release", 2);
+  reader_t reader = open_record (outer, object, "grant release", 3);
 
   release->seat = read_u16 (&reader);
   release->incarnation = read_u64 (&reader);
+  release->released_at = read_i64 (&reader);
   close_record (outer, &reader);
 }
 
--- /dev/null
+++ b/source/net/peers-link.c
@@ -0,0 +1,242 @@
+#include "peers-link.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "anvil/log.h"
+
+#define LENGTH_PREFIX_BYTES 4
+/* Largest frame before the other end has said hello. */
+#define MAX_HELLO_BYTES 64u
+/* The sender closes an idle link well before its receiver gives it up. */
+#define IDLE_RECEIVE_SECONDS 120
+/* Longest time to connect, or for a peer to take what is queued. */
+#define WRITE_TIMEOUT_SECONDS 5
+
+struct link
+{
+  struct bufferevent *bev;
+  anvil_node_t node;
+  anvil_time_t sent_at;
+  link_events_t events;
+  void *context;
+  anvil_peers_counters_t *counters;
+};
+
+anvil_node_t
+link_node (const link_t *link)
+{
+  return link->node;
+}
+
+void
+link_set_node (link_t *link, anvil_node_t node)
+{
+  link->node = node;
+}
+
+anvil_time_t
+link_sent_at (const link_t *link)
+{
+  return link->sent_at;
+}
+
+void
+link_close (link_t *link)
+{
+  bufferevent_free (link->bev);
+  g_free (link);
+}
+
+static void
+end_link (link_t *link, gboolean bad)
+{
+  link->events.closed (link->context, link, bad);
+  link_close (link);
+}
+
+static gboolean
+deliver (link_t *link, anvil_str_t bytes)
+{
+  anvil_frame_t *frame = g_new (anvil_frame_t, 1);
+  GError *error = NULL;
+  gboolean go_on = anvil_frame_unpack (bytes, frame, &error);
+
+  if (go_on)
+    {
+      link->counters->frames_in++;
+      go_on = link->events.frame (link->context, link, frame);
+    }
+  else
+    {
+      link->counters->bad_frames++;
+      anvil_log (ANVIL_LOG_WARNING, "peers", "bad frame, link closed reason=\"%s\"",
+                 error->message);
+      g_error_free (error);
+    }
+  g_free (frame);
+  return go_on;
+}
+
+/* Largest frame that is accepted from the other end now. */
+static guint32
+frame_limit (const link_t *link)
+{
+  return link->node != ANVIL_NO_NODE ? ANVIL_MAX_FRAME_BYTES : MAX_HELLO_BYTES;
+}
+
+static void
+on_read (struct bufferevent *bev, void *data)
+{
+  link_t *link = data;
+  struct evbuffer *input = bufferevent_get_input (bev);
+
+  for (;;)
+    {
+      guint32 prefix;
+      anvil_str_t bytes;
+      gboolean go_on;
+
+      if (evbuffer_copyout (input, &prefix, sizeof prefix) < (ev_ssize_t) sizeof prefix)
+        return;
+      bytes.length = ntohl (prefix);
+      if (bytes.length > frame_limit (link))
+        {
+          link->counters->bad_frames++;
+          anvil_log (ANVIL_LOG_WARNING, "peers", "frame too long, link closed length=%zu",
+                     bytes.length);
+          end_link (link, TRUE);
+          return;
+        }
+      if (evbuffer_get_length (input) < LENGTH_PREFIX_BYTES + bytes.length)
+        return;
+      evbuffer_drain (input, LENGTH_PREFIX_BYTES);
+      bytes.data = (const char *) evbuffer_pullup (input, (ev_ssize_t) bytes.length);
+      link->counters->bytes_in += LENGTH_PREFIX_BYTES + bytes.length;
+      go_on = deliver (link, bytes);
+      evbuffer_drain (input, bytes.length);
+      if (!go_on)
+        {
+          end_link (link, TRUE);
+          return;
+        }
+    }
+}
+
+/* The receiver of an outgoing link has nothing to say. */
+static void
+on_unexpected_read (struct bufferevent *bev, void *data)
+{
+  link_t *link = data;
+
+  link->counters->bad_frames++;
+  end_link (link, TRUE);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *data)
+{
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
+    end_link (data, FALSE);
+}
+
+static link_t *
+new_link (struct event_base *base,
+          evutil_socket_t fd,
+          const link_events_t *events,
+          void *context,
+          anvil_peers_counters_t *counters)
+{
+  link_t *link = g_new0 (link_t, 1);
+
+  link->bev = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  link->events = *events;
+  link->context = context;
+  link->counters = counters;
+  return link;
+}
+
+static void
+set_no_delay (evutil_socket_t fd)
+{
+  int on = 1;
+
+  if (fd >= 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+link_t *
+link_accept (struct event_base *base,
+             evutil_socket_t fd,
+             const link_events_t *events,
+             void *context,
+             anvil_peers_counters_t *counters)
+{
+  link_t *link = new_link (base, fd, events, context, counters);
+  const struct timeval idle = { .tv_sec = IDLE_RECEIVE_SECONDS };
+
+  bufferevent_setcb (link->bev, on_read, NULL, on_event, link);
+  bufferevent_setwatermark (link->bev, EV_READ, 0, LENGTH_PREFIX_BYTES + ANVIL_MAX_FRAME_BYTES);
+  bufferevent_set_timeouts (link->bev, &idle, NULL);
+  bufferevent_enable (link->bev, EV_READ);
+  return link;
+}
+
+static void
+queue_hello (link_t *link, anvil_node_t self)
+{
+  anvil_frame_t hello
+      = { .kind = ANVIL_FRAME_HELLO, .hello = { .version = ANVIL_PROTOCOL_VERSION, .node = self } };
+  GByteArray *bytes = g_byte_array_new ();
+
+  anvil_frame_pack (&hello, bytes);
+  link_send (link, bytes);
+  g_byte_array_unref (bytes);
+}
+
+link_t *
+link_open (struct event_base *base,
+           anvil_node_t self,
+           anvil_node_t node,
+           const link_events_t *events,
+           void *context,
+           anvil_peers_counters_t *counters)
+{
+  link_t *link = new_link (base, -1, events, context, counters);
+  const struct timeval write = { .tv_sec = WRITE_TIMEOUT_SECONDS };
+  struct sockaddr_in to = { .sin_family = AF_INET,
+                            .sin_port = htons (anvil_node_port (node)),
+                            .sin_addr.s_addr = htonl (anvil_node_address (node)) };
+
+  link->node = node;
+  bufferevent_setcb (link->bev, on_unexpected_read, NULL, on_event, link);
+  bufferevent_set_timeouts (link->bev, NULL, &write);
+  queue_hello (link, self);
+  bufferevent_enable (link->bev, EV_READ | EV_WRITE);
+  /* A failure is reported by the deferred event callback. */
+  bufferevent_socket_connect (link->bev, (struct sockaddr *) &to, sizeof to);
+  set_no_delay (bufferevent_getfd (link->bev));
+  return link;
+}
+
+gboolean
+link_send (link_t *link, const GByteArray *frame)
+{
+  struct evbuffer *output = bufferevent_get_output (link->bev);
+  guint32 prefix = htonl (frame->len);
+
+  if (evbuffer_get_length (output) > LINK_MAX_QUEUED_BYTES)
+    return FALSE;
+  evbuffer_add (output, &prefix, sizeof prefix);
+  evbuffer_add (output, frame->data, frame->len);
+  link->sent_at = anvil_clock_now ();
+  link->counters->frames_out++;
+  link->counters->bytes_out += sizeof prefix + frame->len;
+  return TRUE;
+}
--- /dev/null
+++ b/source/net/peers.c
@@ -0,0 +1,302 @@
+#include "anvil/peers.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <event2/listener.h>
+
+#include "anvil/error.h"
+#include "anvil/log.h"
+#include "peers-link.h"
+
+/* Most connections of other entries; also bounds the memory for half-read frames. */
+#define MAX_ACCEPTED_LINKS 1024
+/* Pause before a peer that refused is tried again. */
+#define RECONNECT_PAUSE (100 * ANVIL_MS)
+/* A link on which nothing was sent for this long is closed. */
+#define MAX_IDLE (30 * ANVIL_SECOND)
+#define SWEEP_SECONDS 10
+/* Most refusing peers that are remembered. */
+#define MAX_REMEMBERED_FAILURES 1024
+
+struct anvil_peers
+{
+  struct event_base *base;
+  anvil_node_t node;
+  anvil_peers_events_t events;
+  void *context;
+  struct evconnlistener *listener;
+  struct event *sweep;
+  /* Links by node, and the times at which nodes refused. */
+  GHashTable *outgoing;
+  GHashTable *failures;
+  GHashTable *accepted;
+  anvil_peers_counters_t counters;
+};
+
+static gboolean
+take_hello (anvil_peers_t *peers, link_t *link, const anvil_hello_t *hello)
+{
+  if (hello->version != ANVIL_PROTOCOL_VERSION)
+    {
+      peers->counters.other_versions++;
+      anvil_log (ANVIL_LOG_WARNING, "peers",
+                 "peer of another version refused version=%" G_GUINT64_FORMAT, hello->version);
+      return FALSE;
+    }
+  if (hello->node == ANVIL_NO_NODE || link_node (link) != ANVIL_NO_NODE)
+    {
+      peers->counters.bad_frames++;
+      return FALSE;
+    }
+  link_set_node (link, hello->node);
+  return TRUE;
+}
+
+static gboolean
+on_frame (void *context, link_t *link, const anvil_frame_t *frame)
+{
+  anvil_peers_t *peers = context;
+  anvil_node_t from = link_node (link);
+
+  if (frame->kind == ANVIL_FRAME_HELLO)
+    return take_hello (peers, link, &frame->hello);
+  if (from == ANVIL_NO_NODE)
+    {
+      peers->counters.bad_frames++;
+      return FALSE;
+    }
+  switch (frame->kind)
+    {
+    case ANVIL_FRAME_MESSAGE:
+      peers->events.message (peers->context, from, &frame->message);
+      break;
+    case ANVIL_FRAME_CONFIG_ASK:
+      peers->events.config_asked (peers->context, from, frame->config_ask);
+      break;
+    case ANVIL_FRAME_CONFIG:
+      peers->events.config_arrived (peers->context, from, frame->config.generation,
+                                    frame->config.head, frame->config.file);
+      break;
+    case ANVIL_FRAME_HELLO:
+      break;
+    }
+  return TRUE;
+}
+
+static void
+on_accepted_closed (void *context, link_t *link, gboolean bad)
+{
+  anvil_peers_t *peers = context;
+
+  g_hash_table_remove (peers->accepted, link);
+}
+
+static void
+remember_failure (anvil_peers_t *peers, anvil_node_t node)
+{
+  gint64 now = anvil_clock_now ();
+
+  if (g_hash_table_size (peers->failures) >= MAX_REMEMBERED_FAILURES)
+    g_hash_table_remove_all (peers->failures);
+  g_hash_table_insert (peers->failures, g_memdup2 (&node, sizeof node),
+                       g_memdup2 (&now, sizeof now));
+}
+
+static void
+on_outgoing_closed (void *context, link_t *link, gboolean bad)
+{
+  anvil_peers_t *peers = context;
+  gint64 node = (gint64) link_node (link);
+
+  g_hash_table_remove (peers->outgoing, &node);
+  remember_failure (peers, link_node (link));
+}
+
+static const link_events_t accepted_events = { .frame = on_frame, .closed = on_accepted_closed };
+static const link_events_t outgoing_events = { .frame = NULL, .closed = on_outgoing_closed };
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *address,
+           int length,
+           void *data)
+{
+  anvil_peers_t *peers = data;
+
+  if (g_hash_table_size (peers->accepted) >= MAX_ACCEPTED_LINKS)
+    {
+      evutil_closesocket (fd);
+      peers->counters.dropped++;
+      return;
+    }
+  g_hash_table_add (peers->accepted,
+                    link_accept (peers->base, fd, &accepted_events, peers, &peers->counters));
+}
+
+/* Out of descriptors or alike: the listener goes on. */
+static void
+on_accept_error (struct evconnlistener *listener, void *data)
+{
+  anvil_log (ANVIL_LOG_ERROR, "peers", "can't accept error=\"%s\"", g_strerror (errno));
+}
+
+static void
+close_idle_links (evutil_socket_t fd, short what, void *data)
+{
+  anvil_peers_t *peers = data;
+  anvil_time_t now = anvil_clock_now ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->outgoing);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (now - link_sent_at (value) < MAX_IDLE)
+        continue;
+      g_hash_table_iter_remove (&iter);
+      link_close (value);
+    }
+}
+
+static void
+start_sweep (anvil_peers_t *peers)
+{
+  const struct timeval period = { .tv_sec = SWEEP_SECONDS };
+
+  peers->sweep = event_new (peers->base, -1, EV_PERSIST, close_idle_links, peers);
+  event_add (peers->sweep, &period);
+}
+
+anvil_peers_t *
+anvil_peers_open (struct event_base *base,
+                  anvil_node_t node,
+                  const anvil_peers_events_t *events,
+                  void *context,
+                  GError **error)
+{
+  struct sockaddr_in local = { .sin_family = AF_INET,
+                               .sin_port = htons (anvil_node_port (node)),
+                               .sin_addr.s_addr = htonl (anvil_node_address (node)) };
+  anvil_peers_t *peers = g_new0 (anvil_peers_t, 1);
+
+  peers->base = base;
+  peers->node = node;
+  peers->events = *events;
+  peers->context = context;
+  peers->listener = evconnlistener_new_bind (
+      base, on_accept, peers, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      SOMAXCONN, (struct sockaddr *) &local, sizeof local);
+  if (peers->listener == NULL)
+    {
+      g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_IO, "can't listen for peers: %s",
+                   g_strerror (errno));
+      g_free (peers);
+      return NULL;
+    }
+  evconnlistener_set_error_cb (peers->listener, on_accept_error);
+  peers->outgoing = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  peers->failures = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  peers->accepted = g_hash_table_new (NULL, NULL);
+  start_sweep (peers);
+  return peers;
+}
+
+static void
+close_links (GHashTable *table, gboolean by_value)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    link_close (by_value ? value : key);
+  g_hash_table_unref (table);
+}
+
+void
+anvil_peers_close (anvil_peers_t *peers)
+{
+  if (peers == NULL)
+    return;
+  evconnlistener_free (peers->listener);
+  event_free (peers->sweep);
+  close_links (peers->outgoing, TRUE);
+  close_links (peers->accepted, FALSE);
+  g_hash_table_unref (peers->failures);
+  g_free (peers);
+}
+
+static link_t *
+lookup_link (anvil_peers_t *peers, anvil_node_t to)
+{
+  link_t *link = g_hash_table_lookup (peers->outgoing, &to);
+  const gint64 *failed_at = g_hash_table_lookup (peers->failures, &to);
+
+  if (link != NULL)
+    return link;
+  if (failed_at != NULL && anvil_clock_now () - *failed_at < RECONNECT_PAUSE)
+    return NULL;
+  if (failed_at != NULL)
+    g_hash_table_remove (peers->failures, &to);
+  link = link_open (peers->base, peers->node, to, &outgoing_events, peers, &peers->counters);
+  g_hash_table_insert (peers->outgoing, g_memdup2 (&to, sizeof to), link);
+  return link;
+}
+
+static void
+send_frame (anvil_peers_t *peers, anvil_node_t to, const anvil_frame_t *frame)
+{
+  link_t *link = to != ANVIL_NO_NODE ? lookup_link (peers, to) : NULL;
+  GByteArray *bytes;
+
+  if (link == NULL)
+    {
+      peers->counters.dropped++;
+      return;
+    }
+  bytes = g_byte_array_new ();
+  anvil_frame_pack (frame, bytes);
+  if (bytes->len > ANVIL_MAX_FRAME_BYTES || !link_send (link, bytes))
+    peers->counters.dropped++;
+  g_byte_array_unref (bytes);
+}
+
+void
+anvil_peers_send (anvil_peers_t *peers, anvil_node_t to, const anvil_message_t *message)
+{
+  anvil_frame_t *frame = g_new (anvil_frame_t, 1);
+
+  frame->kind = ANVIL_FRAME_MESSAGE;
+  frame->message = *message;
+  send_frame (peers, to, frame);
+  g_free (frame);
+}
+
+void
+anvil_peers_ask_config (anvil_peers_t *peers, anvil_node_t to, guint64 generation)
+{
+  anvil_frame_t frame = { .kind = ANVIL_FRAME_CONFIG_ASK, .config_ask = generation };
+
+  send_frame (peers, to, &frame);
+}
+
+void
+anvil_peers_send_config (
+    anvil_peers_t *peers, anvil_node_t to, guint64 generation, anvil_str_t head, anvil_str_t file)
+{
+  anvil_frame_t frame = { .kind = ANVIL_FRAME_CONFIG,
+                          .config = { .generation = generation, .head = head, .file = file } };
+
+  send_frame (peers, to, &frame);
+}
+
+const anvil_peers_counters_t *
+anvil_peers_counters (const anvil_peers_t *peers)
+{
+  return &peers->counters;
+}
--- a/tests/test-codec.c
+++ b/tests/test-codec.c
@@ -109,12 +109,14 @@
       message->grant_answer.witness = random_u16 (rand);
       message->grant_answer.incarnation = random_u64 (rand);
       message->grant_answer.granted = g_rand_boolean (rand);
+      message->grant_answer.continued = g_rand_boolean (rand);
       message->grant_answer.asked_at = random_i64 (rand);
       message->grant_answer.generation = random_u64 (rand);
       return;
     default:
       message->grant_release.seat = random_u16 (rand);
       message->grant_release.incarnation = random_u64 (rand);
+      message->grant_release.released_at = random_i64 (rand);
     }
 }
 
@@ -279,12 +281,12 @@
   FRAME ("unknown kind of message", "\x92\x01\x92\x08\x90"),
   FRAME ("message kind 0", "\x92\x01\x92\x00\x90"),
   FRAME ("huge message kind", "\x92\x01\x92\xcf\x01\x00\x00\x00\x00\x00\x00\x01\x90"),
-  FRAME ("record too long", "\x92\x01\x92\x04\x93\x01\x02\x03"),
-  FRAME ("record too short", "\x92\x01\x92\x04\x91\x01"),
-  FRAME ("seat above 16 bits", "\x92\x01\x92\x04\x92\xce\x00\x01\x00\x00\x02"),
-  FRAME ("negative seat", "\x92\x01\x92\x04\x92\xff\x02"),
-  FRAME ("text for a number", "\x92\x01\x92\x04\x92\xa1x\x02"),
-  FRAME ("float for a number", "\x92\x01\x92\x04\x92\xca\x00\x00\x00\x00\x02"),
+  FRAME ("record too long", "\x92\x01\x92\x04\x94\x01\x02\x03\x04"),
+  FRAME ("record too short", "\x92\x01\x92\x04\x92\x01\x02"),
+  FRAME ("seat above 16 bits", "\x92\x01\x92\x04\x93\xce\x00\x01\x00\x00\x02\x03"),
+  FRAME ("negative seat", "\x92\x01\x92\x04\x93\xff\x02\x03"),
+  FRAME ("text for a number", "\x92\x01\x92\x04\x93\xa1x\x02\x03"),
+  FRAME ("float for a number", "\x92\x01\x92\x04\x93\xca\x00\x00\x00\x00\x02\x03"),
   FRAME ("text for a file", "\x92\x03\x93\x01\xa1x\xa1y"),
   FRAME ("file longer than the frame", "\x92\x03\x93\x01\xc4\x01x\xc6\xff\xff\xff\xff"),
   FRAME ("node above 48 bits", "\x92\x00\x92\x01\xcf\x00\x01\x00\x00\x00\x00\x00\x00"),
