Add anvil-load, open-loop callers of a deployment

Cause: nothing sends requests as the users' clients do, so neither latency, headroom nor the promises about runs can be seen.

Ruled out: a closed loop, whose callers wait for a slow answer and so hide it; a connection pool in the callers, because a kept connection that dies leaves open whether the request was sent (every request has its own connection, and one that fails before a byte was sent goes to the next entry); evhttp's EVHTTP_CON_READ_ON_WRITE_ERROR, with which libevent 2.1 waits for ever after an end of file in the first line (seen in test-load-call, then taken out).

Change: Poisson arrivals by seed, one stream for each service and region, latency from the time that a request was due; look-ups kept by each caller for their time to live; a closed set of outcomes; keys held against the upstreams' runs; a verdict whose figures must all be 0. The tools' parts form an archive, so a program and a test link only what they use.

The report of the upstream stand-in is parsed as proposed here; the stand-in itself is not there yet, so that part is not run.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,6 @@
 TEST_NAMES = $(basename $(notdir $(wildcard tests/test-*.c)))
 BENCH_NAMES = $(basename $(notdir $(wildcard bench/bench-*.c)))
 
-tool_objects = $(patsubst %.c,$(BUILD)/%.o,$(wildcard source/tools/$(1).c source/tools/$(1)-*.c))
 standin_objects = $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/$(1).c standins/$(1)-*.c))
 
 PROGRAMS = $(BUILD)/bin/anvil-entry \
@@ -36,6 +35,9 @@
 
 # Shared by the fuzzer and the benchmark.
 FAKE_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/fuzz/fake-*.c))
+# The parts of the tools, without their mains; an archive, so that a program links only what it uses.
+TOOL_PARTS = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(TOOL_NAMES:%=source/tools/%.c),$(wildcard source/tools/*.c)))
+TOOL_LIBRARY = $(BUILD)/libanvil-tools.a
 
 all: $(PROGRAMS)
 
@@ -50,6 +52,10 @@
 	@rm -f $@
 	$(Q)ar rcs $@ $^
 
+$(TOOL_LIBRARY): $(TOOL_PARTS)
+	@rm -f $@
+	$(Q)ar rcs $@ $^
+
 define link_rule
 $(BUILD)/bin/$(1): $(2) $(LIBRARY)
 	@mkdir -p $$(@D)
@@ -57,11 +63,11 @@
 endef
 
 $(eval $(call link_rule,anvil-entry,$(ENTRY_OBJECTS)))
-$(foreach name,$(TOOL_NAMES),$(eval $(call link_rule,$(name),$(call tool_objects,$(name)))))
+$(foreach name,$(TOOL_NAMES),$(eval $(call link_rule,$(name),$(BUILD)/source/tools/$(name).o $(TOOL_LIBRARY))))
 $(foreach name,$(STANDIN_NAMES),$(eval $(call link_rule,$(name),$(call standin_objects,$(name)))))
 
 # A test may reach the daemon's tasks, but not its main.
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(FAKE_OBJECTS) $(LIBRARY)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(FAKE_OBJECTS) $(TOOL_LIBRARY) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
--- /dev/null
+++ b/source/tools/anvil-load-call.c
@@ -0,0 +1,272 @@
+#include "anvil-load-call.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <string.h>
+
+#include "anvil/log.h"
+#include "tool-http.h"
+
+#define LOOKUP_TIMEOUT (2 * ANVIL_SECOND)
+/* How long a caller waits past its own deadline before it gives up. */
+#define CALL_GRACE (2 * ANVIL_SECOND)
+/* A look-up whose entries all failed is asked for again so many times. */
+#define MAX_FRESH_LOOKUPS 1
+
+typedef struct
+{
+  load_client_t *client;
+  load_caller_t *caller;
+  load_request_t request;
+  load_call_cb_t done;
+  void *context;
+  load_lookup_t lookup;
+  anvil_time_t lookup_asked_at;
+  guint lookup_first;
+  guint lookup_tries;
+  guint fresh_lookups;
+  guint64 tried;
+  load_entry_t entry;
+} call_t;
+
+static void call_ask_lookup (call_t *call);
+static void call_send (call_t *call);
+
+static void
+call_end (call_t *call, load_outcome_t outcome, load_fault_t fault)
+{
+  load_result_t result = {
+    .outcome = outcome,
+    .fault = fault,
+    .ended = anvil_clock_now (),
+    .entry = call->entry,
+  };
+
+  call->done (call->context, &call->request, &result);
+  g_free (call->request.id);
+  g_free (call->request.key);
+  g_free (call);
+}
+
+static void
+call_answered (call_t *call, const tool_http_answer_t *answer)
+{
+  load_response_t response = {
+    .id = call->request.id,
+    .echoed = evhttp_find_header (answer->headers, "Anvil-Request-Id"),
+    .outcome = evhttp_find_header (answer->headers, "Anvil-Outcome"),
+    .delimited = evhttp_find_header (answer->headers, "Content-Length") != NULL
+                 || evhttp_find_header (answer->headers, "Transfer-Encoding") != NULL,
+  };
+  load_fault_t fault;
+  load_outcome_t outcome = load_response_judge (&response, &fault);
+
+  if (fault != LOAD_FAULT_NONE)
+    anvil_log (ANVIL_LOG_WARNING, "load", "wrong answer id=%s fault=%s status=%d", call->request.id,
+               load_fault_name (fault), answer->status);
+  call_end (call, outcome, fault);
+}
+
+static void
+call_finished (void *context, const tool_http_answer_t *answer)
+{
+  call_t *call = context;
+
+  switch (answer->result)
+    {
+    case TOOL_HTTP_WHOLE:
+      call_answered (call, answer);
+      return;
+    case TOOL_HTTP_NOT_SENT:
+      call->client->failovers++;
+      call_send (call);
+      return;
+    case TOOL_HTTP_LOST:
+      call_end (call, LOAD_UNKNOWN, LOAD_FAULT_NONE);
+      return;
+    case TOOL_HTTP_TRUNCATED:
+      call_end (call, LOAD_UNKNOWN, LOAD_FAULT_TRUNCATED);
+      return;
+    }
+}
+
+static char *
+request_path (const load_plan_t *plan)
+{
+  switch (plan->kind)
+    {
+    case LOAD_BROWSE:
+      return g_strdup_printf ("/objects/%u", plan->object);
+    case LOAD_TRANSACT:
+      return g_strdup ("/orders");
+    case LOAD_UPLOAD:
+      return g_strdup ("/uploads");
+    }
+  g_assert_not_reached ();
+}
+
+static void
+call_dispatch (call_t *call)
+{
+  const anvil_service_t *service = &call->client->config->services[call->request.service];
+  char *timeout_ms = g_strdup_printf ("%" G_GINT64_FORMAT, service->deadline / ANVIL_MS);
+  char *path = request_path (&call->request.plan);
+  const tool_http_header_t headers[] = {
+    { "Host", service->name.data },
+    { "Anvil-Request-Id", call->request.id },
+    { "Anvil-Timeout-Ms", timeout_ms },
+    { "Idempotency-Key", call->request.key },
+  };
+  tool_http_request_t request = {
+    .method = call->request.plan.kind == LOAD_BROWSE ? EVHTTP_REQ_GET : EVHTTP_REQ_POST,
+    .path = path,
+    .source = call->caller->address,
+    .address = call->entry.address,
+    .port = call->entry.port,
+    .headers = headers,
+    .n_headers = G_N_ELEMENTS (headers),
+    .body_bytes = call->request.plan.body_bytes,
+    .timeout = service->deadline + CALL_GRACE,
+  };
+
+  tool_http_send (call->client->base, &request, call_finished, call);
+  g_free (path);
+  g_free (timeout_ms);
+}
+
+/* The entry that a repeated key was sent to before comes last. */
+static void
+call_set_aside (call_t *call)
+{
+  const load_entry_t *avoid = &call->request.avoid;
+
+  for (guint i = 0; i < call->lookup.n_entries; i++)
+    {
+      load_entry_t *entry = &call->lookup.entries[i];
+
+      if (entry->address == avoid->address && entry->port == avoid->port)
+        entry->weight = 0;
+    }
+}
+
+static void
+call_send (call_t *call)
+{
+  guint chosen = load_lookup_choose (&call->lookup, call->tried, call->client->rand);
+
+  if (chosen == LOAD_MAX_ENTRIES)
+    {
+      if (call->fresh_lookups++ < MAX_FRESH_LOOKUPS)
+        call_ask_lookup (call);
+      else
+        call_end (call, LOAD_NOT_SENT, LOAD_FAULT_NONE);
+      return;
+    }
+  call->tried |= G_GUINT64_CONSTANT (1) << chosen;
+  call->entry = call->lookup.entries[chosen];
+  call_dispatch (call);
+}
+
+static gboolean
+call_take_lookup (call_t *call, const tool_http_answer_t *answer)
+{
+  GError *error = NULL;
+
+  if (answer->result != TOOL_HTTP_WHOLE || answer->status != HTTP_OK)
+    return FALSE;
+  if (!load_lookup_parse (&call->lookup, answer->body, call->lookup_asked_at, &error))
+    {
+      anvil_log (ANVIL_LOG_WARNING, "load", "bad look-up: %s", error->message);
+      g_error_free (error);
+      return FALSE;
+    }
+  return call->lookup.n_entries > 0;
+}
+
+static void call_try_lookup (call_t *call);
+
+static void
+lookup_finished (void *context, const tool_http_answer_t *answer)
+{
+  call_t *call = context;
+
+  if (!call_take_lookup (call, answer))
+    {
+      call_try_lookup (call);
+      return;
+    }
+  load_cache_put (call->caller->cache, call->request.service, &call->lookup);
+  call_set_aside (call);
+  call->tried = 0;
+  call_send (call);
+}
+
+/* Asks the next entry of the bootstrap list. */
+static void
+call_try_lookup (call_t *call)
+{
+  load_client_t *client = call->client;
+  const anvil_service_t *service = &client->config->services[call->request.service];
+  tool_http_request_t request = {
+    .method = EVHTTP_REQ_GET,
+    .source = call->caller->address,
+    .timeout = LOOKUP_TIMEOUT,
+  };
+  const load_entry_t *entry;
+  char *client_address;
+  char *path;
+
+  if (call->lookup_tries == client->n_bootstrap)
+    {
+      client->failed_lookups++;
+      call_end (call, LOAD_NOT_SENT, LOAD_FAULT_NONE);
+      return;
+    }
+  entry = &client->bootstrap[(call->lookup_first + call->lookup_tries++) % client->n_bootstrap];
+  client_address = tool_http_address (call->caller->address);
+  path = g_strdup_printf ("/v1/entries?service=%s&client=%s", service->name.data, client_address);
+  request.path = path;
+  request.address = entry->address;
+  request.port = entry->port;
+  call->lookup_asked_at = anvil_clock_now ();
+  tool_http_send (client->base, &request, lookup_finished, call);
+  g_free (path);
+  g_free (client_address);
+}
+
+static void
+call_ask_lookup (call_t *call)
+{
+  load_client_t *client = call->client;
+
+  client->lookups++;
+  call->lookup_tries = 0;
+  call->lookup_first = (guint) g_rand_int_range (client->rand, 0, (gint) client->n_bootstrap);
+  call_try_lookup (call);
+}
+
+void
+load_call_start (load_client_t *client,
+                 load_caller_t *caller,
+                 load_request_t request,
+                 load_call_cb_t done,
+                 void *context)
+{
+  const load_lookup_t *kept = load_cache_get (caller->cache, request.service, anvil_clock_now ());
+  call_t *call = g_new0 (call_t, 1);
+
+  call->client = client;
+  call->caller = caller;
+  call->request = request;
+  call->done = done;
+  call->context = context;
+  if (kept == NULL)
+    {
+      call_ask_lookup (call);
+      return;
+    }
+  call->lookup = *kept;
+  call_set_aside (call);
+  call_send (call);
+}
--- /dev/null
+++ b/source/tools/anvil-load-keys.c
@@ -0,0 +1,81 @@
+#include "anvil-load-keys.h"
+
+struct load_keys
+{
+  GHashTable *table;
+};
+
+load_keys_t *
+load_keys_new (void)
+{
+  load_keys_t *keys = g_new0 (load_keys_t, 1);
+
+  keys->table = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return keys;
+}
+
+void
+load_keys_drop (load_keys_t *keys)
+{
+  if (keys == NULL)
+    return;
+  g_hash_table_unref (keys->table);
+  g_free (keys);
+}
+
+void
+load_keys_add (load_keys_t *keys,
+               const char *key,
+               guint service,
+               gboolean once,
+               load_outcome_t outcome,
+               load_entry_t entry)
+{
+  load_key_t *record = g_hash_table_lookup (keys->table, key);
+
+  if (record == NULL)
+    {
+      record = g_new0 (load_key_t, 1);
+      record->service = service;
+      record->once = once;
+      g_hash_table_insert (keys->table, g_strdup (key), record);
+    }
+  record->counts[outcome]++;
+  record->entry = entry;
+}
+
+const load_key_t *
+load_keys_get (const load_keys_t *keys, const char *key)
+{
+  return g_hash_table_lookup (keys->table, key);
+}
+
+static void
+compare_key (load_runs_t *result, const load_key_t *key, guint64 runs)
+{
+  gboolean may_have_run = key->counts[LOAD_ANSWERED] > 0 || key->counts[LOAD_UNKNOWN] > 0;
+
+  result->runs += runs;
+  if (runs > 1 && key->once)
+    result->ran_twice++;
+  if (runs > 1 && !key->once)
+    result->repeated++;
+  if (runs > 0 && !may_have_run)
+    result->refused_but_ran++;
+  if (runs == 0 && key->counts[LOAD_ANSWERED] > 0)
+    result->answered_without_run++;
+}
+
+load_runs_t
+load_keys_compare (const load_keys_t *keys, load_key_count_cb_t count, void *context)
+{
+  load_runs_t result = { .known = TRUE };
+  GHashTableIter iter;
+  gpointer key;
+  gpointer record;
+
+  g_hash_table_iter_init (&iter, keys->table);
+  while (g_hash_table_iter_next (&iter, &key, &record))
+    compare_key (&result, record, count (context, key));
+  return result;
+}
--- /dev/null
+++ b/source/tools/anvil-load-outcome.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <glib.h>
+
+/**
+ * load_outcome_t - how a request ended, as its caller was told
+ * @LOAD_ANSWERED: a whole answer of an upstream came
+ * @LOAD_REFUSED: an entry said that it was not run
+ * @LOAD_UNKNOWN: it was sent, and it may have run
+ * @LOAD_NOT_SENT: no entry took a byte of it
+ */
+typedef enum
+{
+  LOAD_ANSWERED,
+  LOAD_REFUSED,
+  LOAD_UNKNOWN,
+  LOAD_NOT_SENT,
+} load_outcome_t;
+
+#define LOAD_N_OUTCOMES 4
+
+/**
+ * load_fault_t - what is wrong with an answer
+ * @LOAD_FAULT_NONE: nothing
+ * @LOAD_FAULT_OTHER_REQUEST: it answers another request
+ * @LOAD_FAULT_TRUNCATED: it ended early, or nothing tells where it ends
+ * @LOAD_FAULT_NO_OUTCOME: it doesn't say how the request ended
+ */
+typedef enum
+{
+  LOAD_FAULT_NONE,
+  LOAD_FAULT_OTHER_REQUEST,
+  LOAD_FAULT_TRUNCATED,
+  LOAD_FAULT_NO_OUTCOME,
+} load_fault_t;
+
+#define LOAD_N_FAULTS 4
+
+/** load_outcome_name - the outcome as a word for reports */
+const char *load_outcome_name (load_outcome_t outcome);
+
+/** load_fault_name - the fault as a word for reports */
+const char *load_fault_name (load_fault_t fault);
+
+/**
+ * load_response_t - what an answer's status line and headers say
+ * @id: Anvil-Request-Id of the request
+ * @echoed: the same header of the answer, or NULL
+ * @outcome: Anvil-Outcome of the answer, or NULL
+ * @delimited: whether it says where its body ends
+ */
+typedef struct
+{
+  const char *id;
+  const char *echoed;
+  const char *outcome;
+  gboolean delimited;
+} load_response_t;
+
+/**
+ * load_response_judge - outcome of a request whose answer came to its end
+ * @fault: result
+ */
+load_outcome_t load_response_judge (const load_response_t *response, load_fault_t *fault);
--- /dev/null
+++ b/source/tools/anvil-load-tally.c
@@ -0,0 +1,34 @@
+#include "anvil-load-tally.h"
+
+void
+load_tally_end (load_tally_t *tally,
+                load_outcome_t outcome,
+                load_fault_t fault,
+                gboolean repeat,
+                anvil_time_t latency)
+{
+  tally->outcomes[outcome]++;
+  tally->faults[fault]++;
+  if (outcome == LOAD_ANSWERED && !repeat)
+    load_histogram_add (tally->latency, latency);
+}
+
+guint64
+load_tally_open (const load_tally_t *tally)
+{
+  guint64 ended = 0;
+
+  for (guint i = 0; i < LOAD_N_OUTCOMES; i++)
+    ended += tally->outcomes[i];
+  return tally->started - ended;
+}
+
+guint64
+load_tally_wrong (const load_tally_t *tally)
+{
+  guint64 wrong = 0;
+
+  for (guint i = LOAD_FAULT_NONE + 1; i < LOAD_N_FAULTS; i++)
+    wrong += tally->faults[i];
+  return wrong;
+}
--- /dev/null
+++ b/source/tools/anvil-load.c
@@ -0,0 +1,298 @@
+/* anvil-load: open-loop callers of a deployment, and what they got. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "anvil-load-report.h"
+#include "anvil-load-run.h"
+#include "anvil/error.h"
+#include "anvil/log.h"
+#include "anvil/settings.h"
+#include "tool-http.h"
+
+#define EXIT_BROKEN 1
+#define EXIT_USAGE 2
+#define REPORT_TIMEOUT (10 * ANVIL_SECOND)
+
+enum
+{
+  ITEM_ENTRIES,
+  ITEM_UPSTREAM_ADMIN,
+  ITEM_RATE,
+  ITEM_SECONDS,
+  ITEM_SEED,
+  ITEM_CALLERS,
+  ITEM_REPEAT_PERCENT,
+  ITEM_BURST_FACTOR,
+  ITEM_JSON,
+  ITEM_LOG_LEVEL,
+  N_ITEMS,
+};
+
+static anvil_setting_t items[N_ITEMS] = {
+  [ITEM_ENTRIES] = { .name = "entries",
+                     .kind = ANVIL_SETTING_TEXT,
+                     .help = "Entries to ask for look-ups, IP:PORT,IP:PORT",
+                     .required = TRUE },
+  [ITEM_UPSTREAM_ADMIN] = { .name = "upstream-admin",
+                            .kind = ANVIL_SETTING_ENDPOINT,
+                            .help = "Administration address of the upstream stand-in" },
+  [ITEM_RATE] = { .name = "rate",
+                  .kind = ANVIL_SETTING_COUNT,
+                  .help = "Requests a second of all services together",
+                  .fallback = "60",
+                  .minimum = 1,
+                  .maximum = 100000 },
+  [ITEM_SECONDS] = { .name = "seconds",
+                     .kind = ANVIL_SETTING_COUNT,
+                     .help = "Length of the run",
+                     .fallback = "20",
+                     .minimum = 1,
+                     .maximum = 86400 },
+  [ITEM_SEED] = { .name = "seed",
+                  .kind = ANVIL_SETTING_COUNT,
+                  .help = "Seed of everything that is drawn",
+                  .fallback = "1",
+                  .minimum = 0,
+                  .maximum = G_MAXUINT32 },
+  [ITEM_CALLERS] = { .name = "callers",
+                     .kind = ANVIL_SETTING_COUNT,
+                     .help = "Clients of each region",
+                     .fallback = "20",
+                     .minimum = 1,
+                     .maximum = 10000 },
+  [ITEM_REPEAT_PERCENT] = { .name = "repeat-percent",
+                            .kind = ANVIL_SETTING_COUNT,
+                            .help = "Keyed requests that are sent again to another entry",
+                            .fallback = "10",
+                            .minimum = 0,
+                            .maximum = 100 },
+  [ITEM_BURST_FACTOR] = { .name = "burst-factor",
+                          .kind = ANVIL_SETTING_COUNT,
+                          .help = "How many times more uploads come during the burst",
+                          .fallback = "4",
+                          .minimum = 1,
+                          .maximum = 1000 },
+  [ITEM_JSON] = { .name = "json", .kind = ANVIL_SETTING_FLAG, .help = "Print the report as JSON" },
+  [ITEM_LOG_LEVEL] = { .name = "log-level",
+                       .kind = ANVIL_SETTING_TEXT,
+                       .help = "error, warning, notice, info or debug",
+                       .fallback = "notice" },
+};
+
+static anvil_settings_t settings = {
+  .program = "anvil-load",
+  .summary = "FILE\n\n"
+             "Runs callers of the deployment that the operators' FILE describes.\n"
+             "Exit: 0 every request has one outcome and none was run wrongly,\n"
+             "1 a promise was broken, 2 usage.",
+  .items = items,
+  .n_items = N_ITEMS,
+};
+
+/* Prints a fault; the exit code of a usage error. */
+static int
+fail (const char *what)
+{
+  fprintf (stderr, "anvil-load: %s\n", what);
+  return EXIT_USAGE;
+}
+
+static GArray *
+parse_entries (const char *text)
+{
+  GArray *entries = g_array_new (FALSE, TRUE, sizeof (load_entry_t));
+  char **parts = g_strsplit (text, ",", 0);
+
+  for (char **part = parts; *part != NULL; part++)
+    {
+      load_entry_t entry = { .weight = 1 };
+
+      if (!anvil_endpoint_parse (*part, &entry.address, &entry.port))
+        {
+          g_clear_pointer (&entries, g_array_unref);
+          break;
+        }
+      g_array_append_val (entries, entry);
+    }
+  g_strfreev (parts);
+  return entries;
+}
+
+static anvil_config_t *
+load_file (const char *path)
+{
+  GError *error = NULL;
+  char *text = NULL;
+  gsize length = 0;
+  anvil_config_t *config = NULL;
+
+  if (g_file_get_contents (path, &text, &length, &error))
+    config = anvil_config_load (path, (anvil_str_t){ .data = text, .length = length }, &error);
+  if (config == NULL)
+    fail (error->message);
+  g_clear_error (&error);
+  g_free (text);
+  return config;
+}
+
+typedef struct
+{
+  struct event_base *base;
+  load_upstreams_t *upstreams;
+} fetch_t;
+
+static void
+report_fetched (void *context, const tool_http_answer_t *answer)
+{
+  fetch_t *fetch = context;
+  GError *error = NULL;
+
+  event_base_loopexit (fetch->base, NULL);
+  if (answer->result != TOOL_HTTP_WHOLE || answer->status != HTTP_OK)
+    {
+      anvil_log (ANVIL_LOG_ERROR, "load", "upstream stand-in gave no report status=%d",
+                 answer->status);
+      return;
+    }
+  fetch->upstreams = load_upstreams_load (answer->body, &error);
+  if (fetch->upstreams == NULL)
+    anvil_log (ANVIL_LOG_ERROR, "load", "%s", error->message);
+  g_clear_error (&error);
+}
+
+static load_upstreams_t *
+fetch_upstreams (struct event_base *base)
+{
+  fetch_t fetch = { .base = base };
+  tool_http_request_t request = {
+    .method = EVHTTP_REQ_GET,
+    .path = "/standin/report",
+    .address = items[ITEM_UPSTREAM_ADMIN].address,
+    .port = items[ITEM_UPSTREAM_ADMIN].port,
+    .timeout = REPORT_TIMEOUT,
+  };
+
+  tool_http_send (base, &request, report_fetched, &fetch);
+  event_base_dispatch (base);
+  return fetch.upstreams;
+}
+
+static guint64
+count_runs (void *context, const char *key)
+{
+  return load_upstreams_runs (context, key);
+}
+
+static gboolean
+print_report (const load_report_t *report)
+{
+  load_verdict_t verdict = load_report_judge (report, items[ITEM_UPSTREAM_ADMIN].text != NULL);
+
+  if (items[ITEM_JSON].count != 0)
+    {
+      json_t *json = load_report_json (report, &verdict);
+
+      json_dumpf (json, stdout, JSON_INDENT (2) | JSON_REAL_PRECISION (6));
+      putchar ('\n');
+      json_decref (json);
+    }
+  else
+    {
+      GString *text = g_string_new (NULL);
+
+      load_report_text (report, &verdict, text);
+      fputs (text->str, stdout);
+      g_string_free (text, TRUE);
+    }
+  return load_verdict_kept (&verdict);
+}
+
+static gboolean
+run_callers (anvil_config_t *config, const GArray *entries)
+{
+  struct event_base *base = event_base_new ();
+  load_run_options_t options = {
+    .config = config,
+    .bootstrap = (const load_entry_t *) (const void *) entries->data,
+    .n_bootstrap = entries->len,
+    .rate_per_s = (gdouble) items[ITEM_RATE].count,
+    .duration = items[ITEM_SECONDS].count * ANVIL_SECOND,
+    .seed = (guint32) items[ITEM_SEED].count,
+    .callers = (guint) items[ITEM_CALLERS].count,
+    .repeat_percent = (guint) items[ITEM_REPEAT_PERCENT].count,
+    .burst_factor = (gdouble) items[ITEM_BURST_FACTOR].count,
+  };
+  load_run_t *run = load_run_new (base, &options);
+  load_upstreams_t *upstreams = NULL;
+  load_report_t report = {
+    .config = config,
+    .seed = options.seed,
+    .duration = options.duration,
+    .tallies = load_run_tallies (run),
+  };
+  gboolean kept;
+
+  load_run_wait (run);
+  if (items[ITEM_UPSTREAM_ADMIN].text != NULL)
+    upstreams = fetch_upstreams (base);
+  report.upstreams = upstreams;
+  if (upstreams != NULL)
+    report.runs = load_keys_compare (load_run_keys (run), count_runs, upstreams);
+  load_run_lookups (run, &report.lookups, &report.failed_lookups, &report.failovers);
+  kept = print_report (&report);
+
+  load_upstreams_drop (upstreams);
+  load_run_drop (run);
+  event_base_free (base);
+  return kept;
+}
+
+static int
+run_program (void)
+{
+  anvil_log_level_t level;
+  anvil_config_t *config;
+  GArray *entries;
+  gboolean kept;
+
+  if (settings.arguments == NULL || g_strv_length (settings.arguments) != 1)
+    return fail ("expected one FILE, the operators' file of the deployment");
+  if (!anvil_log_level_parse (items[ITEM_LOG_LEVEL].text, &level))
+    return fail ("--log-level must be error, warning, notice, info or debug");
+  anvil_log_set_level (level);
+  entries = parse_entries (items[ITEM_ENTRIES].text);
+  if (entries == NULL)
+    return fail ("--entries must be addresses and ports, such as 127.0.10.1:8000,127.0.10.2:8000");
+  config = load_file (settings.arguments[0]);
+  if (config == NULL)
+    {
+      g_array_unref (entries);
+      return EXIT_USAGE;
+    }
+  kept = run_callers (config, entries);
+  g_array_unref (entries);
+  anvil_config_drop (config);
+  return kept ? EXIT_SUCCESS : EXIT_BROKEN;
+}
+
+int
+main (int argc, char **argv)
+{
+  int status;
+
+  switch (anvil_settings_load (&settings, argc, (const char **) argv))
+    {
+    case ANVIL_SETTINGS_DONE:
+      status = EXIT_SUCCESS;
+      break;
+    case ANVIL_SETTINGS_BAD:
+      status = EXIT_USAGE;
+      break;
+    default:
+      status = run_program ();
+    }
+  anvil_settings_clear (&settings);
+  return status;
+}
