Add the request path of an entry

Cause: a caller has to reach a healthy upstream through an entry, and every answer has to say whether the request ran.

Ruled out: a filter over the caller's socket, to learn when the library frees a connection. A filter doesn't write what was added while writing was disabled, and evhttp adds its answer just then: every answer stayed in the buffer. Keeping a reference to the bufferevent and asking whether it still has callbacks works with the library as it is.

Change: caller listener, look-up, requests, upstream connections with one request each and no retry by the library, attempts that end as answered, not run, draining or unknown, traces, metrics, health, VM list and seat rows, and the settings. An attempt counts as not run only while nothing was put into the connection's output. An answer whose length is not given can't be told from one that was cut and is unknown.

--- /dev/null
+++ b/source/entry/admin-metrics.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "anvil/counters.h"
+#include "anvil/peers.h"
+#include "anvil/steer.h"
+#include "caller-connection.h"
+
+/** anvil_metric_sources_t - parts whose state is read when metrics are asked for, borrowed */
+typedef struct
+{
+  const anvil_steer_t *steer;
+  const anvil_peers_t *peers;
+  const anvil_caller_connections_t *callers;
+  gboolean ready;
+} anvil_metric_sources_t;
+
+/** anvil_admin_metrics_render - sets the gauges and appends all metrics as Prometheus text */
+void anvil_admin_metrics_render (const anvil_metric_sources_t *sources,
+                                 anvil_counters_t *counters,
+                                 anvil_time_t now,
+                                 GString *out);
--- /dev/null
+++ b/source/entry/caller-answer.c
@@ -0,0 +1,41 @@
+#include "caller-answer.h"
+
+#include "net/http-json.h"
+
+static void
+set_outcome (struct evhttp_request *request, const char *outcome)
+{
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Anvil-Outcome", outcome);
+}
+
+void
+anvil_answer_bad (struct evhttp_request *request, int status, const char *what)
+{
+  set_outcome (request, "refused");
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Connection", "close");
+  anvil_http_json_fail (request, status, what);
+}
+
+void
+anvil_answer_refused (struct evhttp_request *request,
+                      const char *reason,
+                      const char *what,
+                      anvil_time_t retry_after)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  gint64 seconds = (retry_after + ANVIL_SECOND - 1) / ANVIL_SECOND;
+  char text[32];
+
+  g_snprintf (text, sizeof text, "%" G_GINT64_FORMAT, MAX (seconds, 1));
+  evhttp_add_header (headers, "Retry-After", text);
+  evhttp_add_header (headers, "Anvil-Reason", reason);
+  set_outcome (request, "refused");
+  anvil_http_json_fail (request, HTTP_SERVUNAVAIL, what);
+}
+
+void
+anvil_answer_unknown (struct evhttp_request *request, int status, const char *what)
+{
+  set_outcome (request, "unknown");
+  anvil_http_json_fail (request, status, what);
+}
--- /dev/null
+++ b/source/entry/entry-settings.c
@@ -0,0 +1,189 @@
+#include "entry-settings.h"
+
+#include <stdio.h>
+
+#include "anvil/clock.h"
+
+#define BYTES_PER_KB G_GINT64_CONSTANT (1024)
+#define BYTES_PER_MB (1024 * BYTES_PER_KB)
+
+/* Order of the settings below. */
+enum
+{
+  LISTEN,
+  ADMIN,
+  PEER,
+  PLATFORM,
+  ZONE,
+  LOG_LEVEL,
+  LOAD_PATH,
+  MAX_HEADER_KB,
+  MAX_BODY_KB,
+  MAX_RESPONSE_KB,
+  MAX_BUFFERED_MB,
+  READ_SECONDS,
+  IDLE_SECONDS,
+  DRAIN_SECONDS,
+  INCARNATION,
+  PRINT_TRACES,
+};
+
+static const anvil_setting_t definitions[] = {
+  [LISTEN] = { .name = "listen",
+               .kind = ANVIL_SETTING_ENDPOINT,
+               .help = "Address and port for callers",
+               .required = TRUE },
+  [ADMIN] = { .name = "admin",
+              .kind = ANVIL_SETTING_ENDPOINT,
+              .help = "Address and port for administration",
+              .fallback = "127.0.0.1:9000" },
+  [PEER] = { .name = "peer",
+             .kind = ANVIL_SETTING_ENDPOINT,
+             .help = "Address and port for other entries, as the platform lists them",
+             .required = TRUE },
+  [PLATFORM] = { .name = "platform",
+                 .kind = ANVIL_SETTING_ENDPOINT,
+                 .help = "Address and port of the platform's service",
+                 .required = TRUE },
+  [ZONE] = { .name = "zone",
+             .kind = ANVIL_SETTING_TEXT,
+             .help = "Availability zone of this VM",
+             .required = TRUE },
+  [LOG_LEVEL] = { .name = "log-level",
+                  .kind = ANVIL_SETTING_TEXT,
+                  .help = "error, warning, notice, info or debug",
+                  .fallback = "notice" },
+  [LOAD_PATH] = { .name = "load-path",
+                  .kind = ANVIL_SETTING_TEXT,
+                  .help = "Path at which upstreams report load and health",
+                  .fallback = "/load" },
+  [MAX_HEADER_KB] = { .name = "max-header-kb",
+                      .kind = ANVIL_SETTING_COUNT,
+                      .help = "Longest header block of a request or an answer",
+                      .fallback = "16",
+                      .minimum = 1,
+                      .maximum = 1024 },
+  [MAX_BODY_KB] = { .name = "max-body-kb",
+                    .kind = ANVIL_SETTING_COUNT,
+                    .help = "Longest body of a request of any service",
+                    .fallback = "65536",
+                    .minimum = 1,
+                    .maximum = 1048576 },
+  [MAX_RESPONSE_KB] = { .name = "max-response-kb",
+                        .kind = ANVIL_SETTING_COUNT,
+                        .help = "Longest body of an answer",
+                        .fallback = "65536",
+                        .minimum = 1,
+                        .maximum = 1048576 },
+  [MAX_BUFFERED_MB] = { .name = "max-buffered-mb",
+                        .kind = ANVIL_SETTING_COUNT,
+                        .help = "Most bytes of requests that the process holds",
+                        .fallback = "512",
+                        .minimum = 1,
+                        .maximum = 1048576 },
+  [READ_SECONDS] = { .name = "read-seconds",
+                     .kind = ANVIL_SETTING_COUNT,
+                     .help = "Longest time for a request to arrive",
+                     .fallback = "60",
+                     .minimum = 1,
+                     .maximum = 3600 },
+  [IDLE_SECONDS] = { .name = "idle-seconds",
+                     .kind = ANVIL_SETTING_COUNT,
+                     .help = "Longest silence on a caller's connection",
+                     .fallback = "60",
+                     .minimum = 1,
+                     .maximum = 3600 },
+  [DRAIN_SECONDS] = { .name = "drain-seconds",
+                      .kind = ANVIL_SETTING_COUNT,
+                      .help = "Longest graceful shutdown",
+                      .fallback = "30",
+                      .minimum = 1,
+                      .maximum = 3600 },
+  [INCARNATION] = { .name = "incarnation",
+                    .kind = ANVIL_SETTING_COUNT,
+                    .help = "Number of this start, above all earlier ones of this address; by "
+                            "default the wall clock in microseconds",
+                    .minimum = 1,
+                    .maximum = G_MAXINT64 },
+  [PRINT_TRACES] = { .name = "print-traces",
+                     .kind = ANVIL_SETTING_FLAG,
+                     .help = "Write each span to standard output, one JSON object a line" },
+};
+
+/* Prints a line about one setting that passed its own check but can't be used. */
+static gboolean
+reject (const anvil_setting_t *item, const char *expected)
+{
+  fprintf (stderr, "anvil-entry: --%s \"%s\" must be %s\n", item->name, item->text, expected);
+  return FALSE;
+}
+
+/* Checks what the kinds of the settings leave open. */
+static gboolean
+check_further (const anvil_setting_t *items, anvil_entry_settings_t *settings)
+{
+  gboolean valid = TRUE;
+
+  if (items[LOG_LEVEL].text != NULL
+      && !anvil_log_level_parse (items[LOG_LEVEL].text, &settings->log_level))
+    valid = reject (&items[LOG_LEVEL], "error, warning, notice, info or debug");
+  if (items[LOAD_PATH].text != NULL && items[LOAD_PATH].text[0] != '/')
+    valid = reject (&items[LOAD_PATH], "a path that begins with /");
+  if (items[PEER].text != NULL && (items[PEER].address == 0 || items[PEER].port == 0))
+    valid = reject (&items[PEER], "an address and a port that other entries reach");
+  if (items[ADMIN].text != NULL && items[LISTEN].text != NULL
+      && items[ADMIN].address == items[LISTEN].address && items[ADMIN].port == items[LISTEN].port)
+    valid = reject (&items[ADMIN], "another address or port than --listen");
+  return valid;
+}
+
+static void
+take_values (const anvil_setting_t *items, anvil_entry_settings_t *settings)
+{
+  settings->listen_address = items[LISTEN].address;
+  settings->listen_port = items[LISTEN].port;
+  settings->admin_address = items[ADMIN].address;
+  settings->admin_port = items[ADMIN].port;
+  settings->peer = anvil_node (items[PEER].address, items[PEER].port);
+  settings->platform_address = items[PLATFORM].address;
+  settings->platform_port = items[PLATFORM].port;
+  settings->zone = g_strdup (items[ZONE].text);
+  settings->load_path = g_strdup (items[LOAD_PATH].text);
+  settings->max_header_bytes = items[MAX_HEADER_KB].count * BYTES_PER_KB;
+  settings->max_body_bytes = items[MAX_BODY_KB].count * BYTES_PER_KB;
+  settings->max_response_bytes = items[MAX_RESPONSE_KB].count * BYTES_PER_KB;
+  settings->max_buffered_bytes = (guint64) (items[MAX_BUFFERED_MB].count * BYTES_PER_MB);
+  settings->read_seconds = (int) items[READ_SECONDS].count;
+  settings->idle_seconds = (int) items[IDLE_SECONDS].count;
+  settings->drain_seconds = (int) items[DRAIN_SECONDS].count;
+  settings->incarnation = items[INCARNATION].text != NULL ? (guint64) items[INCARNATION].count
+                                                          : (guint64) anvil_clock_wall ();
+  settings->print_traces = items[PRINT_TRACES].count != 0;
+}
+
+anvil_settings_outcome_t
+anvil_entry_settings_load (anvil_entry_settings_t *settings, int argc, const char **argv)
+{
+  anvil_setting_t items[G_N_ELEMENTS (definitions)];
+  anvil_settings_t all
+      = { .program = "anvil-entry", .items = items, .n_items = G_N_ELEMENTS (items) };
+  anvil_settings_outcome_t outcome;
+
+  *settings = (anvil_entry_settings_t){ 0 };
+  for (gsize i = 0; i < G_N_ELEMENTS (items); i++)
+    items[i] = definitions[i];
+  outcome = anvil_settings_load (&all, argc, argv);
+  if (!check_further (items, settings))
+    outcome = ANVIL_SETTINGS_BAD;
+  if (outcome == ANVIL_SETTINGS_RUN)
+    take_values (items, settings);
+  anvil_settings_clear (&all);
+  return outcome;
+}
+
+void
+anvil_entry_settings_clear (anvil_entry_settings_t *settings)
+{
+  g_clear_pointer (&settings->zone, g_free);
+  g_clear_pointer (&settings->load_path, g_free);
+}
--- /dev/null
+++ b/source/entry/health-report.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "anvil/str.h"
+
+/**
+ * anvil_health_report_t - what an upstream says of itself
+ * @running: requests it runs
+ */
+typedef struct
+{
+  guint running;
+  gboolean healthy;
+  gboolean draining;
+} anvil_health_report_t;
+
+/** anvil_health_report_load - parses {"running":N,"healthy":bool,"draining":bool} */
+gboolean anvil_health_report_load (anvil_str_t text, anvil_health_report_t *report);
--- /dev/null
+++ b/source/entry/http-listen.h
@@ -0,0 +1,7 @@
+#pragma once
+
+#include <event2/http.h>
+#include <glib.h>
+
+/** anvil_http_listen - binds an HTTP server to an IPv4 address in host order */
+gboolean anvil_http_listen (struct evhttp *http, guint32 address, guint16 port, GError **error);
--- /dev/null
+++ b/source/entry/lookup-answer.c
@@ -0,0 +1,128 @@
+#include "lookup-answer.h"
+
+#include <arpa/inet.h>
+
+#include <event2/keyvalq_struct.h>
+
+#include "caller-answer.h"
+#include "caller-request.h"
+#include "net/http-json.h"
+
+/* Most entries in one answer. */
+#define MAX_ENTRIES 16
+
+/* The zone of an entry is known by the hash of its name. */
+static const char *
+zone_name (const anvil_config_t *config, guint64 hash)
+{
+  for (guint i = 0; i < config->n_zones; i++)
+    {
+      if (anvil_str_hash (config->zones[i].name) == hash)
+        return config->zones[i].name.data;
+    }
+  return "";
+}
+
+static json_t *
+entry_json (const anvil_config_t *config, const anvil_entry_choice_t *choice)
+{
+  struct in_addr network = { .s_addr = htonl (anvil_node_address (choice->node)) };
+  char address[INET_ADDRSTRLEN];
+
+  inet_ntop (AF_INET, &network, address, sizeof address);
+  return json_pack ("{s:s, s:i, s:s, s:i}", "address", address, "port", (int) choice->caller_port,
+                    "zone", zone_name (config, choice->zone), "weight", (int) choice->weight);
+}
+
+/* The parameter "client", or the address that asks. */
+static gboolean
+read_client (struct evhttp_request *http, const struct evkeyvalq *query, guint32 *client)
+{
+  const char *text = evhttp_find_header (query, "client");
+  struct in_addr address;
+
+  if (text == NULL)
+    {
+      *client = anvil_caller_request_client (http);
+      return TRUE;
+    }
+  if (inet_pton (AF_INET, text, &address) != 1)
+    return FALSE;
+  *client = ntohl (address.s_addr);
+  return TRUE;
+}
+
+static void
+answer (struct evhttp_request *http, anvil_steer_t *steer, guint service, guint32 client)
+{
+  const anvil_config_t *config = anvil_steer_config (steer);
+  anvil_entry_choice_t choices[MAX_ENTRIES];
+  guint n_choices = anvil_steer_lookup (steer, anvil_clock_now (), service, client, choices,
+                                        G_N_ELEMENTS (choices));
+  json_t *entries = json_array ();
+  char cache[48];
+
+  if (n_choices == 0)
+    {
+      json_decref (entries);
+      anvil_answer_refused (http, "no-entry", "no entry takes requests now", ANVIL_SECOND);
+      return;
+    }
+  for (guint i = 0; i < n_choices; i++)
+    json_array_append_new (entries, entry_json (config, &choices[i]));
+  g_snprintf (cache, sizeof cache, "max-age=%" G_GINT64_FORMAT,
+              (gint64) (ANVIL_LOOKUP_TTL / ANVIL_SECOND));
+  evhttp_add_header (evhttp_request_get_output_headers (http), "Cache-Control", cache);
+  anvil_http_json_reply (http, HTTP_OK,
+                         json_pack ("{s:I, s:I, s:o}", "generation",
+                                    (json_int_t) anvil_steer_generation (steer), "ttl_seconds",
+                                    (json_int_t) (ANVIL_LOOKUP_TTL / ANVIL_SECOND), "entries",
+                                    entries));
+}
+
+static void
+check_and_answer (struct evhttp_request *http, anvil_steer_t *steer, const struct evkeyvalq *query)
+{
+  const anvil_config_t *config = anvil_steer_config (steer);
+  const char *name = evhttp_find_header (query, "service");
+  guint32 client;
+  guint service;
+
+  if (name == NULL || !read_client (http, query, &client))
+    {
+      anvil_answer_bad (http, HTTP_BADREQUEST,
+                        "expected /v1/entries?service=NAME&client=IP with an IPv4 address");
+      return;
+    }
+  if (config == NULL)
+    {
+      anvil_answer_refused (http, anvil_refusal_name (ANVIL_REFUSAL_NOT_READY),
+                            "this entry has no configuration yet", ANVIL_SECOND);
+      return;
+    }
+  service = anvil_config_lookup_service (config, anvil_str (name));
+  if (service == ANVIL_NONE)
+    service = anvil_config_lookup_host (config, anvil_str (name));
+  if (service == ANVIL_NONE)
+    {
+      anvil_answer_bad (http, HTTP_NOTFOUND, "the operators' file has no such service");
+      return;
+    }
+  answer (http, steer, service, client);
+}
+
+void
+anvil_lookup_answer (struct evhttp_request *http, anvil_steer_t *steer, anvil_counters_t *counters)
+{
+  const char *text = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (http));
+  struct evkeyvalq query;
+
+  anvil_counters_add (counters, "anvil_lookups_total", NULL, 1);
+  if (text == NULL || evhttp_parse_query_str (text, &query) != 0)
+    {
+      anvil_answer_bad (http, HTTP_BADREQUEST, "expected /v1/entries?service=NAME&client=IP");
+      return;
+    }
+  check_and_answer (http, steer, &query);
+  evhttp_clear_headers (&query);
+}
--- /dev/null
+++ b/source/entry/request-trace.c
@@ -0,0 +1,77 @@
+#include "request-trace.h"
+
+static anvil_span_t
+span_of (const anvil_caller_request_t *request, const char *name, anvil_time_t started)
+{
+  anvil_span_t span = { .context = request->trace,
+                        .parent = request->trace.span,
+                        .name = name,
+                        .started = started,
+                        .ended = anvil_clock_wall () };
+
+  g_strlcpy (span.service, request->service, sizeof span.service);
+  return span;
+}
+
+static void
+add_wait (anvil_trace_ring_t *ring, const anvil_caller_request_t *request)
+{
+  anvil_time_t since = request->dispatched != 0 ? request->dispatched : request->arrived;
+  anvil_span_t span = span_of (request, "wait", since);
+
+  span.context = anvil_trace_context_child (&request->trace);
+  anvil_trace_ring_add (ring, &span);
+}
+
+void
+anvil_request_trace_dispatch (anvil_trace_ring_t *ring, anvil_caller_request_t *request)
+{
+  add_wait (ring, request);
+  request->dispatched = anvil_clock_wall ();
+  request->attempt_span = anvil_trace_context_child (&request->trace);
+}
+
+void
+anvil_request_trace_attempt (anvil_trace_ring_t *ring,
+                             anvil_counters_t *counters,
+                             anvil_caller_request_t *request,
+                             anvil_attempt_result_t result)
+{
+  static const char *const names[] = {
+    [ANVIL_ATTEMPT_ANSWERED] = "answered",
+    [ANVIL_ATTEMPT_NOT_RUN] = "not-run",
+    [ANVIL_ATTEMPT_DRAINING] = "draining",
+    [ANVIL_ATTEMPT_UNKNOWN] = "unknown",
+  };
+  anvil_span_t span = span_of (request, "attempt", request->dispatched);
+  char labels[64];
+
+  span.context = request->attempt_span;
+  span.outcome = names[result];
+  g_strlcpy (span.upstream, request->upstream, sizeof span.upstream);
+  if (request->response != NULL)
+    span.status = (guint) evhttp_request_get_response_code (request->response);
+  anvil_trace_ring_add (ring, &span);
+
+  g_snprintf (labels, sizeof labels, "result=\"%s\"", names[result]);
+  anvil_counters_add (counters, "anvil_attempts_total", labels, 1);
+  anvil_counters_observe (counters, "anvil_attempt_seconds", labels,
+                          (gdouble) (span.ended - span.started) / (gdouble) ANVIL_SECOND);
+  request->dispatched = span.ended;
+}
+
+void
+anvil_request_trace_end (anvil_trace_ring_t *ring,
+                         const anvil_caller_request_t *request,
+                         const char *outcome,
+                         guint status)
+{
+  anvil_span_t span = span_of (request, "request", request->arrived);
+
+  span.parent = request->parent_span;
+  span.outcome = outcome;
+  span.status = status;
+  if (request->upstream != NULL)
+    g_strlcpy (span.upstream, request->upstream, sizeof span.upstream);
+  anvil_trace_ring_add (ring, &span);
+}
--- /dev/null
+++ b/source/entry/request-trace.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "anvil/counters.h"
+#include "caller-request.h"
+#include "trace-ring.h"
+
+/* Spans of the hops of one request: the request, each wait, each attempt. */
+
+/** anvil_request_trace_dispatch - a wait has ended, an attempt begins */
+void anvil_request_trace_dispatch (anvil_trace_ring_t *ring, anvil_caller_request_t *request);
+
+/** anvil_request_trace_attempt - an attempt has ended */
+void anvil_request_trace_attempt (anvil_trace_ring_t *ring,
+                                  anvil_counters_t *counters,
+                                  anvil_caller_request_t *request,
+                                  anvil_attempt_result_t result);
+
+/** anvil_request_trace_end - the request has ended */
+void anvil_request_trace_end (anvil_trace_ring_t *ring,
+                              const anvil_caller_request_t *request,
+                              const char *outcome,
+                              guint status);
--- /dev/null
+++ b/source/entry/trace-context.c
@@ -0,0 +1,75 @@
+#include "trace-context.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static guint64
+random_id (void)
+{
+  guint64 id;
+
+  do
+    id = ((guint64) g_random_int () << 32) | g_random_int ();
+  while (id == 0);
+  return id;
+}
+
+/* Reads @n_digits lower-case hexadecimal digits, as the header wants them. */
+static gboolean
+read_hex (const char *text, guint n_digits, guint64 *value)
+{
+  *value = 0;
+  for (guint i = 0; i < n_digits; i++)
+    {
+      if (!g_ascii_isxdigit (text[i]) || g_ascii_isupper (text[i]))
+        return FALSE;
+      *value = *value << 4 | (guint64) g_ascii_xdigit_value (text[i]);
+    }
+  return TRUE;
+}
+
+gboolean
+anvil_trace_context_parse (const char *text, anvil_trace_context_t *context)
+{
+  guint64 version;
+  guint64 flags;
+
+  if (text == NULL || strlen (text) != ANVIL_TRACEPARENT_LENGTH)
+    return FALSE;
+  if (text[2] != '-' || text[35] != '-' || text[52] != '-')
+    return FALSE;
+  if (!read_hex (text, 2, &version) || version != 0 || !read_hex (text + 53, 2, &flags))
+    return FALSE;
+  if (!read_hex (text + 3, 16, &context->trace[0]) || !read_hex (text + 19, 16, &context->trace[1])
+      || !read_hex (text + 36, 16, &context->span))
+    return FALSE;
+  context->sampled = (flags & 1) != 0;
+  return (context->trace[0] | context->trace[1]) != 0 && context->span != 0;
+}
+
+void
+anvil_trace_context_format (const anvil_trace_context_t *context,
+                            char out[ANVIL_TRACEPARENT_LENGTH + 1])
+{
+  snprintf (out, ANVIL_TRACEPARENT_LENGTH + 1,
+            "00-%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x-%016" G_GINT64_MODIFIER
+            "x-%02x",
+            context->trace[0], context->trace[1], context->span, context->sampled ? 1u : 0u);
+}
+
+anvil_trace_context_t
+anvil_trace_context_new_trace (void)
+{
+  return (anvil_trace_context_t){ .trace = { random_id (), random_id () },
+                                  .span = random_id (),
+                                  .sampled = TRUE };
+}
+
+anvil_trace_context_t
+anvil_trace_context_child (const anvil_trace_context_t *parent)
+{
+  anvil_trace_context_t child = *parent;
+
+  child.span = random_id ();
+  return child;
+}
--- /dev/null
+++ b/source/entry/upstream-connection.c
@@ -0,0 +1,151 @@
+#include "upstream-connection.h"
+
+#include <arpa/inet.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "anvil/node.h"
+
+/* The pace is kept over ticks of this length. */
+#define PACE_TICK_US 50000
+#define PACE_TICKS_PER_S (1000000 / PACE_TICK_US)
+/* A smaller allowance a tick would split requests into tiny packets. */
+#define PACE_LEAST_BYTES 1500
+
+struct anvil_upstream_connection
+{
+  struct event_base *base;
+  struct evhttp_connection *http;
+  struct ev_token_bucket_cfg *pace;
+  guint64 key;
+  gboolean sent;
+  anvil_time_t idle_since;
+};
+
+/* Bytes in the output buffer may be on the wire at any time from now on. */
+static void
+on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *data)
+{
+  anvil_upstream_connection_t *connection = data;
+
+  if (info->n_added > 0)
+    connection->sent = TRUE;
+}
+
+anvil_upstream_connection_t *
+anvil_upstream_connection_open (struct event_base *base,
+                                guint32 address,
+                                guint16 port,
+                                gssize max_header_bytes,
+                                gssize max_body_bytes)
+{
+  anvil_upstream_connection_t *connection = g_new0 (anvil_upstream_connection_t, 1);
+  struct in_addr network = { .s_addr = htonl (address) };
+  char host[INET_ADDRSTRLEN];
+
+  inet_ntop (AF_INET, &network, host, sizeof host);
+  connection->base = base;
+  connection->key = anvil_node (address, port);
+  connection->http = evhttp_connection_base_new (base, NULL, host, port);
+  evhttp_connection_set_retries (connection->http, 0);
+  evhttp_connection_set_max_headers_size (connection->http, max_header_bytes);
+  evhttp_connection_set_max_body_size (connection->http, max_body_bytes);
+  evbuffer_add_cb (bufferevent_get_output (evhttp_connection_get_bufferevent (connection->http)),
+                   on_output, connection);
+  return connection;
+}
+
+static void
+free_connection (evutil_socket_t fd, short what, void *data)
+{
+  anvil_upstream_connection_t *connection = data;
+
+  evhttp_connection_free (connection->http);
+  if (connection->pace != NULL)
+    ev_token_bucket_cfg_free (connection->pace);
+  g_free (connection);
+}
+
+void
+anvil_upstream_connection_close (anvil_upstream_connection_t *connection)
+{
+  const struct timeval at_once = { 0 };
+
+  if (connection == NULL)
+    return;
+  if (event_base_once (connection->base, -1, EV_TIMEOUT, free_connection, connection, &at_once)
+      != 0)
+    g_error ("can't schedule an event");
+}
+
+static void
+set_pace (anvil_upstream_connection_t *connection, gint64 bytes_per_s)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection->http);
+  const struct timeval tick = { .tv_usec = PACE_TICK_US };
+  struct ev_token_bucket_cfg *before = connection->pace;
+
+  connection->pace = NULL;
+  if (bytes_per_s > 0)
+    {
+      gsize allowance = (gsize) MAX (bytes_per_s / PACE_TICKS_PER_S, PACE_LEAST_BYTES);
+
+      connection->pace = ev_token_bucket_cfg_new (EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, allowance,
+                                                  allowance, &tick);
+    }
+  bufferevent_set_rate_limit (bev, connection->pace);
+  if (before != NULL)
+    ev_token_bucket_cfg_free (before);
+}
+
+void
+anvil_upstream_connection_prepare (anvil_upstream_connection_t *connection,
+                                   anvil_time_t timeout,
+                                   gint64 pace_bytes_per_s)
+{
+  struct timeval limit = { .tv_sec = timeout / ANVIL_SECOND, .tv_usec = timeout % ANVIL_SECOND };
+
+  evhttp_connection_set_timeout_tv (connection->http, &limit);
+  if (pace_bytes_per_s > 0 || connection->pace != NULL)
+    set_pace (connection, pace_bytes_per_s);
+  connection->sent = FALSE;
+}
+
+struct evhttp_connection *
+anvil_upstream_connection_http (const anvil_upstream_connection_t *connection)
+{
+  return connection->http;
+}
+
+gboolean
+anvil_upstream_connection_sent (const anvil_upstream_connection_t *connection)
+{
+  return connection->sent;
+}
+
+gboolean
+anvil_upstream_connection_clean (const anvil_upstream_connection_t *connection)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection->http);
+
+  return evbuffer_get_length (bufferevent_get_input (bev)) == 0;
+}
+
+guint64
+anvil_upstream_connection_key (const anvil_upstream_connection_t *connection)
+{
+  return connection->key;
+}
+
+anvil_time_t
+anvil_upstream_connection_idle_since (const anvil_upstream_connection_t *connection)
+{
+  return connection->idle_since;
+}
+
+void
+anvil_upstream_connection_set_idle_since (anvil_upstream_connection_t *connection, anvil_time_t now)
+{
+  connection->idle_since = now;
+}
--- /dev/null
+++ b/source/entry/upstream-pool.c
@@ -0,0 +1,108 @@
+#include "upstream-pool.h"
+
+#include "anvil/node.h"
+
+/* Most idle connections that are kept to one upstream. */
+#define MAX_IDLE_PER_UPSTREAM 16
+/* Longest time that a connection stays idle. */
+#define MAX_IDLE (4 * ANVIL_SECOND)
+#define SWEEP_SECONDS 1
+
+struct anvil_upstream_pool
+{
+  struct event_base *base;
+  struct event *sweep;
+  gssize max_header_bytes;
+  gssize max_body_bytes;
+  /* Queues of idle connections by address and port; the head was used last. */
+  GHashTable *idle;
+};
+
+static void
+drop_queue (gpointer data)
+{
+  g_queue_free_full (data, (GDestroyNotify) anvil_upstream_connection_close);
+}
+
+static gboolean
+trim_queue (gpointer key, gpointer value, gpointer data)
+{
+  GQueue *queue = value;
+  anvil_time_t oldest = anvil_clock_now () - MAX_IDLE;
+
+  while (!g_queue_is_empty (queue)
+         && anvil_upstream_connection_idle_since (g_queue_peek_tail (queue)) < oldest)
+    anvil_upstream_connection_close (g_queue_pop_tail (queue));
+  return g_queue_is_empty (queue);
+}
+
+static void
+on_sweep (evutil_socket_t fd, short what, void *data)
+{
+  anvil_upstream_pool_t *pool = data;
+
+  g_hash_table_foreach_remove (pool->idle, trim_queue, NULL);
+}
+
+anvil_upstream_pool_t *
+anvil_upstream_pool_open (struct event_base *base, gssize max_header_bytes, gssize max_body_bytes)
+{
+  anvil_upstream_pool_t *pool = g_new0 (anvil_upstream_pool_t, 1);
+  const struct timeval period = { .tv_sec = SWEEP_SECONDS };
+
+  pool->base = base;
+  pool->max_header_bytes = max_header_bytes;
+  pool->max_body_bytes = max_body_bytes;
+  pool->idle = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, drop_queue);
+  pool->sweep = event_new (base, -1, EV_PERSIST, on_sweep, pool);
+  event_add (pool->sweep, &period);
+  return pool;
+}
+
+void
+anvil_upstream_pool_close (anvil_upstream_pool_t *pool)
+{
+  if (pool == NULL)
+    return;
+  event_free (pool->sweep);
+  g_hash_table_unref (pool->idle);
+  g_free (pool);
+}
+
+struct event_base *
+anvil_upstream_pool_base (const anvil_upstream_pool_t *pool)
+{
+  return pool->base;
+}
+
+anvil_upstream_connection_t *
+anvil_upstream_pool_take (anvil_upstream_pool_t *pool, guint32 address, guint16 port)
+{
+  guint64 key = anvil_node (address, port);
+  GQueue *queue = g_hash_table_lookup (pool->idle, &key);
+
+  if (queue != NULL && !g_queue_is_empty (queue))
+    return g_queue_pop_head (queue);
+  return anvil_upstream_connection_open (pool->base, address, port, pool->max_header_bytes,
+                                         pool->max_body_bytes);
+}
+
+void
+anvil_upstream_pool_give (anvil_upstream_pool_t *pool, anvil_upstream_connection_t *connection)
+{
+  guint64 key = anvil_upstream_connection_key (connection);
+  GQueue *queue = g_hash_table_lookup (pool->idle, &key);
+
+  if (queue == NULL)
+    {
+      queue = g_queue_new ();
+      g_hash_table_insert (pool->idle, g_memdup2 (&key, sizeof key), queue);
+    }
+  if (g_queue_get_length (queue) >= MAX_IDLE_PER_UPSTREAM)
+    {
+      anvil_upstream_connection_close (connection);
+      return;
+    }
+  anvil_upstream_connection_set_idle_since (connection, anvil_clock_now ());
+  g_queue_push_head (queue, connection);
+}
--- /dev/null
+++ b/source/entry/upstream-pool.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "upstream-connection.h"
+
+/**
+ * anvil_upstream_pool_t - idle connections to upstreams, by address
+ *
+ * A connection that waits longer than a few seconds is closed, so that an
+ * upstream rarely closes one just when it is used again.
+ */
+typedef struct anvil_upstream_pool anvil_upstream_pool_t;
+
+anvil_upstream_pool_t *
+anvil_upstream_pool_open (struct event_base *base, gssize max_header_bytes, gssize max_body_bytes);
+
+/** anvil_upstream_pool_close - closes the idle connections; none may be in use */
+void anvil_upstream_pool_close (anvil_upstream_pool_t *pool);
+
+struct event_base *anvil_upstream_pool_base (const anvil_upstream_pool_t *pool);
+
+/** anvil_upstream_pool_take - an idle connection or a new one */
+anvil_upstream_connection_t *
+anvil_upstream_pool_take (anvil_upstream_pool_t *pool, guint32 address, guint16 port);
+
+/** anvil_upstream_pool_give - a connection whose request has ended well */
+void anvil_upstream_pool_give (anvil_upstream_pool_t *pool,
+                               anvil_upstream_connection_t *connection);
--- a/source/net/peers-link.c
+++ b/source/net/peers-link.c
@@ -19,50 +19,50 @@
 /* Longest time to connect, or for a peer to take what is queued. */
 #define WRITE_TIMEOUT_SECONDS 5
 
-struct link
+struct anvil_peer_link
 {
   struct bufferevent *bev;
   anvil_node_t node;
   anvil_time_t sent_at;
-  link_events_t events;
+  anvil_peer_link_events_t events;
   void *context;
   anvil_peers_counters_t *counters;
 };
 
 anvil_node_t
-link_node (const link_t *link)
+anvil_peer_link_node (const anvil_peer_link_t *link)
 {
   return link->node;
 }
 
 void
-link_set_node (link_t *link, anvil_node_t node)
+anvil_peer_link_set_node (anvil_peer_link_t *link, anvil_node_t node)
 {
   link->node = node;
 }
 
 anvil_time_t
-link_sent_at (const link_t *link)
+anvil_peer_link_sent_at (const anvil_peer_link_t *link)
 {
   return link->sent_at;
 }
 
 void
-link_close (link_t *link)
+anvil_peer_link_close (anvil_peer_link_t *link)
 {
   bufferevent_free (link->bev);
   g_free (link);
 }
 
 static void
-end_link (link_t *link, gboolean bad)
+end_link (anvil_peer_link_t *link, gboolean bad)
 {
   link->events.closed (link->context, link, bad);
-  link_close (link);
+  anvil_peer_link_close (link);
 }
 
 static gboolean
-deliver (link_t *link, anvil_str_t bytes)
+deliver (anvil_peer_link_t *link, anvil_str_t bytes)
 {
   anvil_frame_t *frame = g_new (anvil_frame_t, 1);
   GError *error = NULL;
@@ -86,7 +86,7 @@
 
 /* Largest frame that is accepted from the other end now. */
 static guint32
-frame_limit (const link_t *link)
+frame_limit (const anvil_peer_link_t *link)
 {
   return link->node != ANVIL_NO_NODE ? ANVIL_MAX_FRAME_BYTES : MAX_HELLO_BYTES;
 }
@@ -94,7 +94,7 @@
 static void
 on_read (struct bufferevent *bev, void *data)
 {
-  link_t *link = data;
+  anvil_peer_link_t *link = data;
   struct evbuffer *input = bufferevent_get_input (bev);
 
   for (;;)
@@ -133,7 +133,7 @@
 static void
 on_unexpected_read (struct bufferevent *bev, void *data)
 {
-  link_t *link = data;
+  anvil_peer_link_t *link = data;
 
   link->counters->bad_frames++;
   end_link (link, TRUE);
@@ -146,14 +146,14 @@
     end_link (data, FALSE);
 }
 
-static link_t *
+static anvil_peer_link_t *
 new_link (struct event_base *base,
           evutil_socket_t fd,
-          const link_events_t *events,
+          const anvil_peer_link_events_t *events,
           void *context,
           anvil_peers_counters_t *counters)
 {
-  link_t *link = g_new0 (link_t, 1);
+  anvil_peer_link_t *link = g_new0 (anvil_peer_link_t, 1);
 
   link->bev = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   link->events = *events;
@@ -171,14 +171,14 @@
     setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
-link_t *
-link_accept (struct event_base *base,
-             evutil_socket_t fd,
-             const link_events_t *events,
-             void *context,
-             anvil_peers_counters_t *counters)
+anvil_peer_link_t *
+anvil_peer_link_accept (struct event_base *base,
+                        evutil_socket_t fd,
+                        const anvil_peer_link_events_t *events,
+                        void *context,
+                        anvil_peers_counters_t *counters)
 {
-  link_t *link = new_link (base, fd, events, context, counters);
+  anvil_peer_link_t *link = new_link (base, fd, events, context, counters);
   const struct timeval idle = { .tv_sec = IDLE_RECEIVE_SECONDS };
 
   bufferevent_setcb (link->bev, on_read, NULL, on_event, link);
@@ -189,26 +189,26 @@
 }
 
 static void
-queue_hello (link_t *link, anvil_node_t self)
+queue_hello (anvil_peer_link_t *link, anvil_node_t self)
 {
   anvil_frame_t hello
       = { .kind = ANVIL_FRAME_HELLO, .hello = { .version = ANVIL_PROTOCOL_VERSION, .node = self } };
   GByteArray *bytes = g_byte_array_new ();
 
   anvil_frame_pack (&hello, bytes);
-  link_send (link, bytes);
+  anvil_peer_link_send (link, bytes);
   g_byte_array_unref (bytes);
 }
 
-link_t *
-link_open (struct event_base *base,
-           anvil_node_t self,
-           anvil_node_t node,
-           const link_events_t *events,
-           void *context,
-           anvil_peers_counters_t *counters)
+anvil_peer_link_t *
+anvil_peer_link_open (struct event_base *base,
+                      anvil_node_t self,
+                      anvil_node_t node,
+                      const anvil_peer_link_events_t *events,
+                      void *context,
+                      anvil_peers_counters_t *counters)
 {
-  link_t *link = new_link (base, -1, events, context, counters);
+  anvil_peer_link_t *link = new_link (base, -1, events, context, counters);
   const struct timeval write = { .tv_sec = WRITE_TIMEOUT_SECONDS };
   struct sockaddr_in to = { .sin_family = AF_INET,
                             .sin_port = htons (anvil_node_port (node)),
@@ -226,12 +226,12 @@
 }
 
 gboolean
-link_send (link_t *link, const GByteArray *frame)
+anvil_peer_link_send (anvil_peer_link_t *link, const GByteArray *frame)
 {
   struct evbuffer *output = bufferevent_get_output (link->bev);
   guint32 prefix = htonl (frame->len);
 
-  if (evbuffer_get_length (output) > LINK_MAX_QUEUED_BYTES)
+  if (evbuffer_get_length (output) > ANVIL_PEER_LINK_MAX_QUEUED_BYTES)
     return FALSE;
   evbuffer_add (output, &prefix, sizeof prefix);
   evbuffer_add (output, frame->data, frame->len);
--- a/source/net/peers.c
+++ b/source/net/peers.c
@@ -37,7 +37,7 @@
 };
 
 static gboolean
-take_hello (anvil_peers_t *peers, link_t *link, const anvil_hello_t *hello)
+take_hello (anvil_peers_t *peers, anvil_peer_link_t *link, const anvil_hello_t *hello)
 {
   if (hello->version != ANVIL_PROTOCOL_VERSION)
     {
@@ -46,20 +46,20 @@
                  "peer of another version refused version=%" G_GUINT64_FORMAT, hello->version);
       return FALSE;
     }
-  if (hello->node == ANVIL_NO_NODE || link_node (link) != ANVIL_NO_NODE)
+  if (hello->node == ANVIL_NO_NODE || anvil_peer_link_node (link) != ANVIL_NO_NODE)
     {
       peers->counters.bad_frames++;
       return FALSE;
     }
-  link_set_node (link, hello->node);
+  anvil_peer_link_set_node (link, hello->node);
   return TRUE;
 }
 
 static gboolean
-on_frame (void *context, link_t *link, const anvil_frame_t *frame)
+on_frame (void *context, anvil_peer_link_t *link, const anvil_frame_t *frame)
 {
   anvil_peers_t *peers = context;
-  anvil_node_t from = link_node (link);
+  anvil_node_t from = anvil_peer_link_node (link);
 
   if (frame->kind == ANVIL_FRAME_HELLO)
     return take_hello (peers, link, &frame->hello);
@@ -87,7 +87,7 @@
 }
 
 static void
-on_accepted_closed (void *context, link_t *link, gboolean bad)
+on_accepted_closed (void *context, anvil_peer_link_t *link, gboolean bad)
 {
   anvil_peers_t *peers = context;
 
@@ -106,17 +106,19 @@
 }
 
 static void
-on_outgoing_closed (void *context, link_t *link, gboolean bad)
+on_outgoing_closed (void *context, anvil_peer_link_t *link, gboolean bad)
 {
   anvil_peers_t *peers = context;
-  gint64 node = (gint64) link_node (link);
+  gint64 node = (gint64) anvil_peer_link_node (link);
 
   g_hash_table_remove (peers->outgoing, &node);
-  remember_failure (peers, link_node (link));
+  remember_failure (peers, anvil_peer_link_node (link));
 }
 
-static const link_events_t accepted_events = { .frame = on_frame, .closed = on_accepted_closed };
-static const link_events_t outgoing_events = { .frame = NULL, .closed = on_outgoing_closed };
+static const anvil_peer_link_events_t accepted_events
+    = { .frame = on_frame, .closed = on_accepted_closed };
+static const anvil_peer_link_events_t outgoing_events
+    = { .frame = NULL, .closed = on_outgoing_closed };
 
 static void
 on_accept (struct evconnlistener *listener,
@@ -133,8 +135,8 @@
       peers->counters.dropped++;
       return;
     }
-  g_hash_table_add (peers->accepted,
-                    link_accept (peers->base, fd, &accepted_events, peers, &peers->counters));
+  g_hash_table_add (peers->accepted, anvil_peer_link_accept (peers->base, fd, &accepted_events,
+                                                             peers, &peers->counters));
 }
 
 /* Out of descriptors or alike: the listener goes on. */
@@ -155,10 +157,10 @@
   g_hash_table_iter_init (&iter, peers->outgoing);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (now - link_sent_at (value) < MAX_IDLE)
+      if (now - anvil_peer_link_sent_at (value) < MAX_IDLE)
         continue;
       g_hash_table_iter_remove (&iter);
-      link_close (value);
+      anvil_peer_link_close (value);
     }
 }
 
@@ -214,7 +216,7 @@
 
   g_hash_table_iter_init (&iter, table);
   while (g_hash_table_iter_next (&iter, &key, &value))
-    link_close (by_value ? value : key);
+    anvil_peer_link_close (by_value ? value : key);
   g_hash_table_unref (table);
 }
 
@@ -231,10 +233,10 @@
   g_free (peers);
 }
 
-static link_t *
+static anvil_peer_link_t *
 lookup_link (anvil_peers_t *peers, anvil_node_t to)
 {
-  link_t *link = g_hash_table_lookup (peers->outgoing, &to);
+  anvil_peer_link_t *link = g_hash_table_lookup (peers->outgoing, &to);
   const gint64 *failed_at = g_hash_table_lookup (peers->failures, &to);
 
   if (link != NULL)
@@ -243,7 +245,8 @@
     return NULL;
   if (failed_at != NULL)
     g_hash_table_remove (peers->failures, &to);
-  link = link_open (peers->base, peers->node, to, &outgoing_events, peers, &peers->counters);
+  link = anvil_peer_link_open (peers->base, peers->node, to, &outgoing_events, peers,
+                               &peers->counters);
   g_hash_table_insert (peers->outgoing, g_memdup2 (&to, sizeof to), link);
   return link;
 }
@@ -251,7 +254,7 @@
 static void
 send_frame (anvil_peers_t *peers, anvil_node_t to, const anvil_frame_t *frame)
 {
-  link_t *link = to != ANVIL_NO_NODE ? lookup_link (peers, to) : NULL;
+  anvil_peer_link_t *link = to != ANVIL_NO_NODE ? lookup_link (peers, to) : NULL;
   GByteArray *bytes;
 
   if (link == NULL)
@@ -261,7 +264,7 @@
     }
   bytes = g_byte_array_new ();
   anvil_frame_pack (frame, bytes);
-  if (bytes->len > ANVIL_MAX_FRAME_BYTES || !link_send (link, bytes))
+  if (bytes->len > ANVIL_MAX_FRAME_BYTES || !anvil_peer_link_send (link, bytes))
     peers->counters.dropped++;
   g_byte_array_unref (bytes);
 }
