Add a fake network in virtual time for the proof and the benchmark

Cause: the decision core has to be driven through faults and load without processes or real time, by one set of fakes that the fuzzer and the benchmark share. Ruled out: a cluster simulator; the fakes hold only what the core's interface touches: clocks, messages, the platform's rows, files and list, upstreams, links. Everything is drawn from one seeded generator. Entries differ in clock offset and rate; a frozen entry gets its events late, a dead one loses them. Conclusion: the same seed gives the same history.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 # The packages are installed by a target, so pkg-config is only asked when a rule runs.
 CFLAGS_BASE = -std=gnu11 -g -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
-  -Wno-unused-parameter -Wno-missing-field-initializers -Werror -Iinclude -Isource -MMD -MP
+  -Wno-unused-parameter -Wno-missing-field-initializers -Werror -Iinclude -Isource -Itests/fuzz -MMD -MP
 CFLAGS_MODE ?= -O2
 CFLAGS = $(CFLAGS_BASE) $(CFLAGS_MODE) $(CFLAGS_EXTRA) $(shell pkg-config --cflags $(PACKAGES))
 LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lyaml -lm
@@ -38,6 +38,8 @@
 # The parts of the tools, without their mains; an archive, so that a program links only what it uses.
 TOOL_PARTS = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(TOOL_NAMES:%=source/tools/%.c),$(wildcard source/tools/*.c)))
 TOOL_LIBRARY = $(BUILD)/libanvil-tools.a
+# Oracles and the operations that a history is made of.
+WORLD_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/fuzz/oracle*.c tests/fuzz/world*.c))
 
 all: $(PROGRAMS)
 
@@ -67,7 +69,7 @@
 $(foreach name,$(STANDIN_NAMES),$(eval $(call link_rule,$(name),$(call standin_objects,$(name)))))
 
 # A test may reach the daemon's tasks, but not its main.
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(FAKE_OBJECTS) $(TOOL_LIBRARY) $(LIBRARY)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(FAKE_OBJECTS) $(WORLD_OBJECTS) $(TOOL_LIBRARY) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
@@ -75,6 +77,17 @@
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/fuzz/fuzz-steer: $(BUILD)/tests/fuzz/fuzz-steer.o $(FAKE_OBJECTS) $(WORLD_OBJECTS) $(LIBRARY)
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS)
+
+# libFuzzer comes with clang and instruments every part, so it has a build of its own.
+FUZZ_BUILD = build/fuzz
+FUZZ_FLAGS = -fsanitize=fuzzer-no-link,address,undefined
+$(FUZZ_BUILD)/fuzz/fuzz-coverage: $(BUILD)/tests/fuzz/fuzz-coverage.o $(FAKE_OBJECTS) $(WORLD_OBJECTS) $(LIBRARY)
+	@mkdir -p $(@D)
+	$(Q)$(CC) -fsanitize=fuzzer,address,undefined -o $@ $^ $(LDLIBS)
+
 tests: $(TESTS)
 benches: $(BENCHES)
 
@@ -82,6 +95,23 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) all tests
 	@scripts/run-tests $(BUILD)
 
+# make fuzz SEED=1 STEPS=100000, or with HISTORY= to replay what a failure printed.
+fuzz: packages
+	@$(MAKE) --no-print-directory -j$$(nproc) $(BUILD)/fuzz/fuzz-steer
+	@$(BUILD)/fuzz/fuzz-steer --seed $(or $(SEED),1) --steps $(or $(STEPS),10000) --history "$(HISTORY)"
+
+# make fuzz-coverage SECONDS=60; inputs that reach new code are kept in build/fuzz/corpus.
+fuzz-coverage: packages
+	@$(MAKE) --no-print-directory -j$$(nproc) BUILD=$(FUZZ_BUILD) CC=clang \
+	  CFLAGS_MODE="-O1 $(FUZZ_FLAGS)" $(FUZZ_BUILD)/fuzz/fuzz-coverage
+	@mkdir -p $(FUZZ_BUILD)/corpus
+	@$(FUZZ_BUILD)/fuzz/fuzz-coverage -max_len=1600 -max_total_time=$(or $(SECONDS),60) $(FUZZ_BUILD)/corpus
+
+# make bench BENCH_ARGS="--json"
+bench: packages
+	@$(MAKE) --no-print-directory -j$$(nproc) benches
+	@$(BUILD)/bench/bench-steer $(BENCH_ARGS)
+
 demo: packages
 	@$(MAKE) --no-print-directory -j$$(nproc) all
 	@BUILD=$(BUILD) scripts/demo $(or $(DEPLOYMENT),labka)
@@ -97,5 +127,5 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all packages tests benches check demo format lint clean
+.PHONY: all packages tests benches check fuzz fuzz-coverage bench demo format lint clean
 .SECONDARY:
--- /dev/null
+++ b/tests/fuzz/fake-call.c
@@ -0,0 +1,197 @@
+#include "fake-call.h"
+
+#include "fake-work.h"
+
+fake_call_t *
+fake_call_new (fake_net_t *net, guint entry, fake_call_kind_t kind)
+{
+  fake_call_t *call = g_new0 (fake_call_t, 1);
+
+  call->net = net;
+  call->entry = entry;
+  call->life = net->entries[entry].life;
+  call->kind = kind;
+  return call;
+}
+
+static void
+call_due (void *context, void *data)
+{
+  fake_call_deliver (data);
+}
+
+void
+fake_call_at (fake_call_t *call, anvil_time_t when)
+{
+  fake_clock_at (call->net->clock, when, call_due, NULL, call, g_free);
+}
+
+static void
+deliver_tick (fake_net_t *net, guint index, anvil_time_t local)
+{
+  fake_entry_t *entry = &net->entries[index];
+
+  if (entry->steer != NULL)
+    anvil_steer_tick (entry->steer, local);
+  if (entry->leaving && entry->steer != NULL && anvil_steer_left (entry->steer, local))
+    {
+      fake_net_record (net, (fake_record_t){ .kind = FAKE_EXITED, .entry = index });
+      fake_net_kill (net, index);
+      return;
+    }
+  fake_entry_poll (net, index);
+  fake_call_at (fake_call_new (net, index, FAKE_CALL_TICK), fake_net_now (net) + ANVIL_TICK);
+}
+
+static void
+note_drain (fake_net_t *net, guint entry, guint upstream)
+{
+  fake_net_record (
+      net, (fake_record_t){ .kind = FAKE_DRAIN_LEARNT, .entry = entry, .upstream = upstream });
+}
+
+static void
+note_met (fake_net_t *net, const anvil_vm_t *vm)
+{
+  for (guint i = 0; i < net->n_entries; i++)
+    if (net->entries[i].node == anvil_node (vm->address, vm->peer_port))
+      net->entries[i].met = TRUE;
+}
+
+static void
+deliver_list (fake_net_t *net, guint index, anvil_time_t local, const anvil_vm_list_t *list)
+{
+  for (guint i = 0; i < list->n_vms; i++)
+    if (list->vms[i].kind == ANVIL_VM_ENTRY)
+      note_met (net, &list->vms[i]);
+    else if (list->vms[i].leaving)
+      note_drain (net, index,
+                  anvil_config_lookup_upstream (net->options.config, list->vms[i].name));
+  anvil_steer_vm_list (net->entries[index].steer, local, list);
+}
+
+static void
+deliver_file (fake_net_t *net, guint index, anvil_time_t local, guint64 generation)
+{
+  fake_entry_t *entry = &net->entries[index];
+
+  /* Noted first, since the core may dispatch by the new file at once. */
+  if (generation > entry->generation)
+    fake_net_record (
+        net, (fake_record_t){ .kind = FAKE_IN_FORCE, .entry = index, .generation = generation });
+  entry->generation = MAX (entry->generation, generation);
+  anvil_steer_configure (entry->steer, local,
+                         fake_platform_file (net->platform, generation)->config, generation);
+}
+
+static void
+deliver_result (fake_net_t *net, guint index, anvil_time_t local, const fake_call_t *call)
+{
+  fake_entry_t *entry = &net->entries[index];
+
+  if (!fake_work_take_result (net, call->attempt))
+    return;
+  fake_net_record (net, (fake_record_t){ .kind = FAKE_RESULT,
+                                         .entry = index,
+                                         .request = call->finished,
+                                         .attempt = call->attempt,
+                                         .result = call->result });
+  if (call->result == ANVIL_ATTEMPT_DRAINING)
+    note_drain (net, index, call->finished_upstream);
+  if (entry->steer != NULL)
+    anvil_steer_finished (entry->steer, local, call->finished, call->result, call->bits);
+  else
+    net->options.policy->finished (net->options.policy_context, index, local, call->finished,
+                                   call->result);
+}
+
+static void
+deliver_report (fake_net_t *net, guint index, anvil_time_t local, const fake_call_t *call)
+{
+  fake_entry_t *entry = &net->entries[index];
+
+  if (call->draining)
+    note_drain (net, index, call->upstream);
+  else
+    fake_net_record (
+        net,
+        (fake_record_t){ .kind = FAKE_DRAIN_DENIED, .entry = index, .upstream = call->upstream });
+  if (entry->steer != NULL)
+    anvil_steer_report (entry->steer, local, net->upstreams[call->upstream].key, call->asked_at,
+                        call->running, call->healthy, call->draining);
+  else
+    net->options.policy->report (net->options.policy_context, index, call->upstream, call->running,
+                                 call->draining);
+}
+
+static void
+deliver_submit (fake_net_t *net, guint index, anvil_time_t local, fake_call_t *call)
+{
+  fake_entry_t *entry = &net->entries[index];
+
+  fake_net_record (net, (fake_record_t){ .kind = FAKE_SUBMITTED,
+                                         .entry = index,
+                                         .request = call->request.id,
+                                         .service = call->request.service,
+                                         .client = call->request.client,
+                                         .idempotent = call->request.idempotent,
+                                         .until = fake_net_now (net) + call->request.deadline });
+  call->request.deadline += local;
+  if (entry->steer != NULL)
+    anvil_steer_submit (entry->steer, local, &call->request);
+  else
+    net->options.policy->submit (net->options.policy_context, index, local, &call->request);
+}
+
+static void
+deliver (fake_net_t *net, fake_call_t *call)
+{
+  fake_entry_t *entry = &net->entries[call->entry];
+  anvil_time_t local = fake_net_local (entry, fake_net_now (net));
+
+  switch (call->kind)
+    {
+    case FAKE_CALL_TICK:
+      deliver_tick (net, call->entry, local);
+      break;
+    case FAKE_CALL_MESSAGE:
+      if (!net->entries[call->sender].cut[call->entry])
+        anvil_steer_receive (entry->steer, local, call->from, &call->message);
+      break;
+    case FAKE_CALL_ROWS:
+      anvil_steer_rows (entry->steer, local, call->rows, FAKE_MAX_SEATS);
+      break;
+    case FAKE_CALL_ROW_WRITTEN:
+      anvil_steer_row_written (entry->steer, local, &call->row, call->written);
+      break;
+    case FAKE_CALL_LIST:
+      deliver_list (net, call->entry, local, call->list);
+      break;
+    case FAKE_CALL_FILE:
+      deliver_file (net, call->entry, local, call->generation);
+      break;
+    case FAKE_CALL_SUBMIT:
+      deliver_submit (net, call->entry, local, call);
+      break;
+    case FAKE_CALL_RESULT:
+      deliver_result (net, call->entry, local, call);
+      break;
+    case FAKE_CALL_REPORT:
+      deliver_report (net, call->entry, local, call);
+      break;
+    }
+}
+
+void
+fake_call_deliver (fake_call_t *call)
+{
+  fake_net_t *net = call->net;
+  fake_entry_t *entry = &net->entries[call->entry];
+
+  if (!entry->alive || entry->life != call->life)
+    return;
+  if (entry->frozen)
+    g_queue_push_tail (&entry->held, g_memdup2 (call, sizeof *call));
+  else
+    deliver (net, call);
+}
--- /dev/null
+++ b/tests/fuzz/fake-entry.c
@@ -0,0 +1,228 @@
+/* What an entry's daemon does around its core: carries its actions out and polls for news. */
+
+#include "fake-call.h"
+
+/* Ticks between two polls of the platform, or of one upstream. */
+#define POLL_TICKS 20
+
+static fake_net_t *
+net_of (void *context)
+{
+  return ((fake_entry_context_t *) context)->net;
+}
+
+static guint
+entry_of (void *context)
+{
+  return ((fake_entry_context_t *) context)->entry;
+}
+
+static gboolean
+drawn (fake_net_t *net, guint per_mille)
+{
+  return g_rand_int_range (net->random, 0, 1000) < (gint) per_mille;
+}
+
+static void
+post (fake_net_t *net, guint from, guint to, const anvil_message_t *message)
+{
+  fake_call_t *call = fake_call_new (net, to, FAKE_CALL_MESSAGE);
+  anvil_time_t delay = fake_net_delay (net, net->entries[from].zone, net->entries[to].zone);
+
+  if (net->reorder > 0)
+    delay += g_rand_int_range (net->random, 0, (gint32) net->reorder);
+  call->from = net->entries[from].node;
+  call->sender = from;
+  call->message = *message;
+  fake_call_at (call, fake_net_now (net) + delay);
+}
+
+static void
+entry_send (void *context, anvil_node_t to, const anvil_message_t *message)
+{
+  fake_net_t *net = net_of (context);
+  guint from = entry_of (context);
+
+  for (guint i = 0; i < net->n_entries; i++)
+    {
+      if (net->entries[i].node != to || !net->entries[i].alive || net->entries[from].cut[i])
+        continue;
+      if (drawn (net, net->loss_per_mille))
+        return;
+      post (net, from, i, message);
+      if (drawn (net, net->double_per_mille))
+        post (net, from, i, message);
+    }
+}
+
+static anvil_time_t
+store_delay (const fake_net_t *net, guint entry)
+{
+  anvil_time_t delay = fake_net_delay (net, net->entries[entry].zone, 0) + FAKE_PLATFORM_DELAY;
+
+  return net->platform->slow ? delay + FAKE_PLATFORM_SLOW : delay;
+}
+
+static gboolean
+store_away (const fake_net_t *net, guint entry)
+{
+  return net->platform->down || net->entries[entry].store_cut;
+}
+
+static void
+entry_rows_read (void *context)
+{
+  fake_net_t *net = net_of (context);
+  guint entry = entry_of (context);
+  fake_call_t *call;
+
+  if (store_away (net, entry) || net->platform->slow)
+    return;
+  call = fake_call_new (net, entry, FAKE_CALL_ROWS);
+  for (guint i = 0; i < FAKE_MAX_SEATS; i++)
+    call->rows[i] = net->platform->rows[i];
+  fake_call_at (call, fake_net_now (net) + 2 * store_delay (net, entry));
+}
+
+static void
+answer_row_write (const fake_call_t *write, anvil_row_result_t written, anvil_time_t when)
+{
+  fake_call_t *answer = g_memdup2 (write, sizeof *write);
+
+  answer->written = written;
+  fake_call_at (answer, when);
+}
+
+/* A write on its way to the platform; it takes effect even if its sender has died. */
+static void
+row_arrives (void *context, void *data)
+{
+  const fake_call_t *write = data;
+  fake_net_t *net = write->net;
+  anvil_row_result_t written = ANVIL_ROW_UNKNOWN;
+  anvil_time_t wait = FAKE_PLATFORM_TIMEOUT;
+
+  if (!store_away (net, write->entry))
+    {
+      written = fake_platform_write_row (net->platform, &write->row);
+      if (written != ANVIL_ROW_UNKNOWN)
+        wait = store_delay (net, write->entry);
+    }
+  if (!write->given_up)
+    answer_row_write (write, written, fake_net_now (net) + wait);
+}
+
+static void
+entry_row_write (void *context, const anvil_seat_row_t *next)
+{
+  fake_net_t *net = net_of (context);
+  guint entry = entry_of (context);
+  anvil_time_t now = fake_net_now (net);
+  fake_call_t *write = fake_call_new (net, entry, FAKE_CALL_ROW_WRITTEN);
+
+  write->row = *next;
+  write->given_up = net->platform->slow;
+  if (write->given_up)
+    answer_row_write (write, ANVIL_ROW_UNKNOWN, now + FAKE_PLATFORM_TIMEOUT);
+  fake_clock_at (net->clock, now + store_delay (net, entry), row_arrives, NULL, write, g_free);
+}
+
+static void
+entry_dispatch (void *context, const anvil_request_t *request, const anvil_dispatch_t *dispatch)
+{
+  fake_net_dispatch (net_of (context), entry_of (context), request, dispatch);
+}
+
+static void
+entry_finish (void *context, guint64 request, anvil_attempt_result_t result)
+{
+  fake_net_finish (net_of (context), entry_of (context), request, result);
+}
+
+static void
+entry_refuse (void *context, guint64 request, anvil_refusal_t why, anvil_time_t retry_after)
+{
+  fake_net_refuse (net_of (context), entry_of (context), request, why);
+}
+
+static void
+fetch_later (fake_net_t *net, guint entry, guint64 generation, anvil_time_t when)
+{
+  fake_call_t *call = fake_call_new (net, entry, FAKE_CALL_FILE);
+
+  call->generation = generation;
+  fake_call_at (call, when);
+}
+
+static void
+entry_fetch_config (void *context, guint64 generation, anvil_node_t peer)
+{
+  fake_net_t *net = net_of (context);
+  guint entry = entry_of (context);
+
+  for (guint i = 0; i < net->n_entries; i++)
+    if (net->entries[i].node == peer && fake_net_linked (net, entry, i)
+        && net->entries[i].generation >= generation)
+      fetch_later (net, entry, net->entries[i].generation,
+                   fake_net_now (net)
+                       + 2 * fake_net_delay (net, net->entries[entry].zone, net->entries[i].zone));
+}
+
+const anvil_steer_actions_t fake_entry_actions = {
+  .send = entry_send,
+  .rows_read = entry_rows_read,
+  .row_write = entry_row_write,
+  .dispatch = entry_dispatch,
+  .finish = entry_finish,
+  .refuse = entry_refuse,
+  .fetch_config = entry_fetch_config,
+};
+
+static void
+poll_platform (fake_net_t *net, guint entry)
+{
+  anvil_time_t when = fake_net_now (net) + 2 * store_delay (net, entry);
+  fake_call_t *call;
+
+  if (store_away (net, entry) || net->platform->slow)
+    return;
+  call = fake_call_new (net, entry, FAKE_CALL_LIST);
+  call->list = fake_platform_list (net->platform, fake_net_now (net));
+  fake_call_at (call, when);
+  if (fake_platform_generation (net->platform) > net->entries[entry].generation)
+    fetch_later (net, entry, fake_platform_generation (net->platform), when);
+}
+
+/* The load endpoint answers from its last measurement; a frozen one keeps the same answer. */
+static void
+poll_upstream (fake_net_t *net, guint entry, fake_upstream_t *upstream)
+{
+  fake_call_t *call;
+
+  if (upstream->down || net->entries[entry].reports_cut)
+    return;
+  if (!net->reports_frozen)
+    {
+      upstream->reported = upstream->running + upstream->waiting.length;
+      upstream->reported_draining = upstream->draining;
+    }
+  call = fake_call_new (net, entry, FAKE_CALL_REPORT);
+  call->upstream = upstream->index;
+  call->asked_at = fake_net_local (&net->entries[entry], fake_net_now (net));
+  call->running = net->reports_lie ? 0 : upstream->reported;
+  call->healthy = TRUE;
+  call->draining = upstream->reported_draining;
+  fake_call_at (call, fake_net_now (net)
+                          + 2 * fake_net_delay (net, net->entries[entry].zone, upstream->zone));
+}
+
+void
+fake_entry_poll (fake_net_t *net, guint entry)
+{
+  guint tick = net->entries[entry].ticks++;
+
+  if (net->entries[entry].steer != NULL && tick % POLL_TICKS == 0)
+    poll_platform (net, entry);
+  for (guint i = tick % POLL_TICKS; i < net->n_upstreams; i += POLL_TICKS)
+    poll_upstream (net, entry, &net->upstreams[i]);
+}
--- /dev/null
+++ b/tests/fuzz/fake-work.c
@@ -0,0 +1,318 @@
+/* What becomes of a dispatched attempt: links, the upstream, the way back. */
+
+#include "fake-work.h"
+
+#include "fake-call.h"
+
+#define FORGET_AFTER (60 * ANVIL_SECOND)
+/* A paced body is charged to its link in parts of this length. */
+#define PACE_SPAN (50 * ANVIL_MS)
+
+typedef struct
+{
+  guint64 number;
+  guint entry;
+  guint life;
+  guint entry_region;
+  guint64 request;
+  guint service;
+  fake_upstream_t *upstream;
+  anvil_time_t delay;
+  anvil_time_t until;
+  gboolean complete;
+  gboolean reported;
+} attempt_t;
+
+static attempt_t *
+find_attempt (fake_net_t *net, guint64 number)
+{
+  return g_hash_table_lookup (net->attempts, GSIZE_TO_POINTER (number));
+}
+
+static void
+work_at (fake_net_t *net, anvil_time_t when, fake_event_cb_t run, const attempt_t *attempt)
+{
+  fake_clock_at (net->clock, when, run, net, GSIZE_TO_POINTER (attempt->number), NULL);
+}
+
+/* Puts bits on a link, one message after the other; a paced body leaves room between its parts. */
+static anvil_time_t
+link_transit (fake_net_t *net, guint from, guint to, gint64 bits, gint64 pace_bits_per_s)
+{
+  guint link = anvil_config_lookup_link (net->options.config, from, to);
+  gint64 rate;
+  anvil_time_t start;
+
+  if (link == ANVIL_NONE)
+    return 0;
+  rate = net->options.config->links[link].bits_per_s;
+  if (pace_bits_per_s > 0 && pace_bits_per_s < rate)
+    return bits * ANVIL_SECOND / pace_bits_per_s;
+  start = MAX (fake_net_now (net), net->link_free_at[link]);
+  net->link_free_at[link] = start + bits * ANVIL_SECOND / rate;
+  return net->link_free_at[link] - fake_net_now (net);
+}
+
+static void
+record_charge (fake_net_t *net, const attempt_t *attempt, guint from, guint to, gint64 bits)
+{
+  guint link = anvil_config_lookup_link (net->options.config, from, to);
+
+  if (link != ANVIL_NONE)
+    fake_net_record (net, (fake_record_t){ .kind = FAKE_CHARGED,
+                                           .entry = attempt->entry,
+                                           .request = attempt->request,
+                                           .attempt = attempt->number,
+                                           .service = attempt->service,
+                                           .link = link,
+                                           .bits = bits });
+}
+
+typedef struct
+{
+  fake_net_t *net;
+  guint life;
+  fake_record_t record;
+} part_t;
+
+static void
+charge_part (void *context, void *data)
+{
+  const part_t *part = data;
+  const fake_entry_t *entry = &part->net->entries[part->record.entry];
+
+  /* An entry that is dead or frozen sends nothing more. */
+  if (entry->life == part->life && !entry->frozen)
+    fake_net_record (part->net, part->record);
+}
+
+static void
+record_paced_charge (
+    fake_net_t *net, const attempt_t *attempt, guint from, guint to, gint64 bits, gint64 pace)
+{
+  guint link = anvil_config_lookup_link (net->options.config, from, to);
+  gint64 part_bits = MAX (1, pace * PACE_SPAN / ANVIL_SECOND);
+  anvil_time_t when = fake_net_now (net);
+
+  if (link == ANVIL_NONE)
+    return;
+  for (gint64 left = bits; left > 0; left -= part_bits, when += PACE_SPAN)
+    {
+      part_t *part = g_new0 (part_t, 1);
+
+      part->net = net;
+      part->life = attempt->life;
+      part->record = (fake_record_t){ .kind = FAKE_CHARGED,
+                                      .entry = attempt->entry,
+                                      .request = attempt->request,
+                                      .attempt = attempt->number,
+                                      .service = attempt->service,
+                                      .link = link,
+                                      .bits = MIN (left, part_bits) };
+      fake_clock_at (net->clock, when, charge_part, NULL, part, g_free);
+    }
+}
+
+static void
+send_result (fake_net_t *net,
+             const attempt_t *attempt,
+             anvil_time_t when,
+             anvil_attempt_result_t result)
+{
+  fake_call_t *call;
+
+  if (net->entries[attempt->entry].life != attempt->life)
+    return;
+  call = fake_call_new (net, attempt->entry, FAKE_CALL_RESULT);
+  call->finished = attempt->request;
+  call->attempt = attempt->number;
+  call->finished_upstream = attempt->upstream->index;
+  call->result = result;
+  call->bits = result == ANVIL_ATTEMPT_ANSWERED
+                   ? net->options.config->services[attempt->service].response_bits
+                   : 0;
+  fake_call_at (call, when);
+}
+
+static void
+record_end (fake_net_t *net, const attempt_t *attempt, gboolean ran)
+{
+  fake_net_record (net, (fake_record_t){ .kind = FAKE_WORK_ENDED,
+                                         .entry = attempt->entry,
+                                         .request = attempt->request,
+                                         .attempt = attempt->number,
+                                         .service = attempt->service,
+                                         .upstream = attempt->upstream->index,
+                                         .ran = ran });
+}
+
+static void
+turn_away (fake_net_t *net, const attempt_t *attempt, anvil_attempt_result_t result)
+{
+  record_end (net, attempt, FALSE);
+  send_result (net, attempt, fake_net_now (net) + attempt->delay, result);
+}
+
+static void work_start (fake_net_t *net, attempt_t *attempt);
+
+static void
+start_waiting (fake_net_t *net, fake_upstream_t *upstream)
+{
+  while (upstream->running < upstream->slots && !g_queue_is_empty (&upstream->waiting))
+    {
+      guint64 number = GPOINTER_TO_SIZE (g_queue_pop_head (&upstream->waiting));
+      attempt_t *attempt = find_attempt (net, number);
+
+      if (attempt != NULL && attempt->until > fake_net_now (net))
+        work_start (net, attempt);
+    }
+}
+
+static void
+work_end (void *context, void *data)
+{
+  fake_net_t *net = context;
+  attempt_t *attempt = find_attempt (net, GPOINTER_TO_SIZE (data));
+  fake_upstream_t *upstream = attempt->upstream;
+
+  upstream->running--;
+  record_end (net, attempt, TRUE);
+  if (attempt->complete)
+    {
+      gint64 bits = net->options.config->services[attempt->service].response_bits;
+      anvil_time_t transit = link_transit (net, upstream->region, attempt->entry_region, bits, 0);
+
+      send_result (net, attempt, fake_net_now (net) + attempt->delay + transit,
+                   ANVIL_ATTEMPT_ANSWERED);
+    }
+  start_waiting (net, upstream);
+}
+
+static void
+work_start (fake_net_t *net, attempt_t *attempt)
+{
+  anvil_time_t now = fake_net_now (net);
+  anvil_time_t length = fake_upstream_service_time (
+      attempt->upstream, net->options.service_time[attempt->service], net->random);
+  anvil_time_t end = MIN (now + length, attempt->until);
+
+  attempt->upstream->running++;
+  attempt->complete = now + length <= attempt->until;
+  if (g_rand_int_range (net->random, 0, 1000) < (gint) net->reset_per_mille)
+    send_result (net, attempt,
+                 now + (anvil_time_t) (g_rand_double (net->random) * (gdouble) (end - now)),
+                 ANVIL_ATTEMPT_UNKNOWN);
+  work_at (net, end, work_end, attempt);
+}
+
+static gboolean
+sheds (const fake_net_t *net, const fake_upstream_t *upstream)
+{
+  return g_rand_int_range (net->random, 0, 1000) < (gint) upstream->shed_per_mille;
+}
+
+static void
+work_arrive (void *context, void *data)
+{
+  fake_net_t *net = context;
+  attempt_t *attempt = find_attempt (net, GPOINTER_TO_SIZE (data));
+  fake_upstream_t *upstream = attempt->upstream;
+
+  if (attempt->until <= fake_net_now (net))
+    record_end (net, attempt, FALSE);
+  else if (upstream->down || sheds (net, upstream))
+    turn_away (net, attempt, ANVIL_ATTEMPT_NOT_RUN);
+  else if (upstream->draining)
+    turn_away (net, attempt, ANVIL_ATTEMPT_DRAINING);
+  else if (upstream->running >= upstream->slots)
+    g_queue_push_tail (&upstream->waiting, GSIZE_TO_POINTER (attempt->number));
+  else
+    work_start (net, attempt);
+}
+
+/* The entry gives up at the deadline that it set. */
+static void
+work_expire (void *context, void *data)
+{
+  fake_net_t *net = context;
+  const attempt_t *attempt = find_attempt (net, GPOINTER_TO_SIZE (data));
+
+  if (!attempt->reported)
+    send_result (net, attempt, fake_net_now (net), ANVIL_ATTEMPT_UNKNOWN);
+}
+
+static void
+work_forget (void *context, void *data)
+{
+  fake_net_t *net = context;
+  const attempt_t *attempt = find_attempt (net, GPOINTER_TO_SIZE (data));
+
+  if (!attempt->reported && net->entries[attempt->entry].life == attempt->life)
+    work_at (net, fake_net_now (net) + FORGET_AFTER, work_forget, attempt);
+  else
+    g_hash_table_remove (net->attempts, data);
+}
+
+gboolean
+fake_work_take_result (fake_net_t *net, guint64 number)
+{
+  attempt_t *attempt = find_attempt (net, number);
+
+  if (attempt == NULL || attempt->reported)
+    return FALSE;
+  attempt->reported = TRUE;
+  return TRUE;
+}
+
+void
+fake_net_dispatch (fake_net_t *net,
+                   guint entry_index,
+                   const anvil_request_t *request,
+                   const anvil_dispatch_t *dispatch)
+{
+  const fake_entry_t *entry = &net->entries[entry_index];
+  guint place = anvil_config_lookup_upstream (
+      net->options.config, fake_platform_file (net->platform, dispatch->generation)
+                               ->config->upstreams[dispatch->upstream]
+                               .name);
+  fake_upstream_t *upstream = &net->upstreams[place];
+  gdouble left = (gdouble) (dispatch->deadline - fake_net_local (entry, fake_net_now (net)));
+  attempt_t *attempt = g_new0 (attempt_t, 1);
+  anvil_time_t transit;
+
+  g_assert (dispatch->key == upstream->key);
+  attempt->number = ++net->last_attempt;
+  attempt->entry = entry_index;
+  attempt->life = entry->life;
+  attempt->entry_region = entry->region;
+  attempt->request = request->id;
+  attempt->service = request->service;
+  attempt->upstream = upstream;
+  attempt->delay = fake_net_delay (net, entry->zone, upstream->zone);
+  attempt->until = fake_net_now (net) + (anvil_time_t) (left / entry->rate);
+  g_hash_table_insert (net->attempts, GSIZE_TO_POINTER (attempt->number), attempt);
+
+  fake_net_record (net, (fake_record_t){ .kind = FAKE_DISPATCHED,
+                                         .entry = entry_index,
+                                         .request = request->id,
+                                         .attempt = attempt->number,
+                                         .service = request->service,
+                                         .client = request->client,
+                                         .idempotent = request->idempotent,
+                                         .upstream = place,
+                                         .slot = dispatch->slot,
+                                         .until = attempt->until,
+                                         .generation = dispatch->generation });
+  if (dispatch->pace_bits_per_s > 0)
+    record_paced_charge (net, attempt, entry->region, upstream->region, request->request_bits,
+                         dispatch->pace_bits_per_s);
+  else
+    record_charge (net, attempt, entry->region, upstream->region, request->request_bits);
+  record_charge (net, attempt, upstream->region, entry->region,
+                 net->options.config->services[request->service].response_bits);
+  transit = link_transit (net, entry->region, upstream->region, request->request_bits,
+                          dispatch->pace_bits_per_s);
+  work_at (net, fake_net_now (net) + attempt->delay + transit, work_arrive, attempt);
+  work_at (net, attempt->until, work_expire, attempt);
+  work_at (net, attempt->until + FORGET_AFTER, work_forget, attempt);
+}
