Fuzz the decision core against oracles that read only the history

Cause: every promise needs a check that doesn't share code with what it checks, and histories of faults that nobody would write by hand. Ruled out: checks inside the core; random tests without a step that shrinks. Change: oracles for slots, links, shift caps, requests, drains, generations, seats, shutdown and recovery; 33 operations and faults in four bytes each, so that a seeded generator and libFuzzer drive the same steps; a failing history is shortened and printed with the command that replays it. make fuzz, make fuzz-coverage.

--- /dev/null
+++ b/tests/fuzz/fuzz-coverage.c
@@ -0,0 +1,30 @@
+/* The same histories under libFuzzer, which looks for new paths through the core. */
+
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+
+#include "world-run.h"
+
+#define COVERAGE_SEED 1
+
+/* NOLINTBEGIN(readability-identifier-naming): libFuzzer gives the name. */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+/* NOLINTEND(readability-identifier-naming) */
+{
+  GArray *history = g_array_new (FALSE, FALSE, sizeof (world_op_t));
+  world_result_t result;
+
+  g_array_append_vals (history, data, (guint) MIN (size / sizeof (world_op_t), WORLD_STEPS));
+  result = world_run (COVERAGE_SEED, history, NULL);
+  if (result.failed != NULL)
+    {
+      world_print (COVERAGE_SEED, history, &result);
+      abort ();
+    }
+  g_array_unref (history);
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/oracle-rates.c
@@ -0,0 +1,125 @@
+#include "oracle-parts.h"
+
+/**
+ * meter_t - use of one limit above what its rate has carried off
+ * @rate: units a second
+ * @burst: most units that may stand above it
+ */
+typedef struct
+{
+  gdouble rate;
+  gdouble burst;
+  gdouble level;
+  anvil_time_t last;
+} meter_t;
+
+struct oracle_rates
+{
+  const anvil_config_t *config;
+  meter_t *links;
+  meter_t *shifts;
+};
+
+/* A seat may save up a part of a second, or start one use that is larger than that. */
+static gdouble
+allowed_burst (guint n_seats, gdouble rate, gdouble largest)
+{
+  gdouble saved = rate / n_seats * ORACLE_RATE_BURST / ANVIL_SECOND;
+
+  return n_seats * MAX (saved, largest);
+}
+
+static gdouble
+largest_response (const anvil_config_t *config)
+{
+  gint64 largest = 0;
+
+  for (guint i = 0; i < config->n_services; i++)
+    largest = MAX (largest, config->services[i].response_bits);
+  return (gdouble) largest;
+}
+
+static gdouble
+shift_unit (const anvil_config_t *config, const anvil_shift_t *shift)
+{
+  const anvil_service_t *service = &config->services[shift->service];
+
+  if (shift->cap_bits_per_s == 0)
+    return 1;
+  return (gdouble) (service->request_bits + service->response_bits);
+}
+
+oracle_rates_t *
+oracle_rates_new (const anvil_config_t *config)
+{
+  oracle_rates_t *rates = g_new0 (oracle_rates_t, 1);
+
+  rates->config = config;
+  rates->links = g_new0 (meter_t, config->n_links);
+  rates->shifts = g_new0 (meter_t, config->n_shifts);
+  for (guint i = 0; i < config->n_links; i++)
+    {
+      rates->links[i].rate = (gdouble) config->links[i].bits_per_s;
+      rates->links[i].burst
+          = allowed_burst (config->n_seats, rates->links[i].rate, largest_response (config));
+    }
+  for (guint i = 0; i < config->n_shifts; i++)
+    {
+      const anvil_shift_t *shift = &config->shifts[i];
+
+      rates->shifts[i].rate = (gdouble) MAX (shift->cap_bits_per_s, shift->cap_requests_per_s);
+      rates->shifts[i].burst
+          = allowed_burst (config->n_seats, rates->shifts[i].rate, shift_unit (config, shift));
+    }
+  return rates;
+}
+
+void
+oracle_rates_drop (oracle_rates_t *rates)
+{
+  g_free (rates->links);
+  g_free (rates->shifts);
+  g_free (rates);
+}
+
+static gboolean
+meter_use (meter_t *meter, anvil_time_t now, gdouble units)
+{
+  meter->level -= meter->rate * (gdouble) (now - meter->last) / ANVIL_SECOND;
+  meter->level = MAX (meter->level, 0) + units;
+  meter->last = now;
+  /* Half a unit for what rounding adds up to. */
+  return meter->level <= meter->burst + 0.5;
+}
+
+/* Only a half without a share of its own tells which requests a shift has moved. */
+static gboolean
+moved_by (const anvil_config_t *config, const anvil_shift_t *shift, const fake_record_t *record)
+{
+  return shift->service == record->service
+         && config->services[shift->service].shares[shift->to] == 0
+         && config->upstreams[record->upstream].half == shift->to;
+}
+
+static void
+check_shifts (oracle_rates_t *rates, oracle_verdict_t *verdict, const fake_record_t *record)
+{
+  const anvil_config_t *config = rates->config;
+
+  for (guint i = 0; i < config->n_shifts; i++)
+    if (moved_by (config, &config->shifts[i], record)
+        && !meter_use (&rates->shifts[i], record->at, shift_unit (config, &config->shifts[i])))
+      oracle_fail (verdict, "shift", "shift %u is %.0f above its cap, allowed %.0f", i,
+                   rates->shifts[i].level, rates->shifts[i].burst);
+}
+
+void
+oracle_rates_record (oracle_rates_t *rates, oracle_verdict_t *verdict, const fake_record_t *record)
+{
+  if (record->kind == FAKE_DISPATCHED)
+    check_shifts (rates, verdict, record);
+  if (record->kind == FAKE_CHARGED
+      && !meter_use (&rates->links[record->link], record->at, (gdouble) record->bits))
+    oracle_fail (verdict, "link", "link %u is %.0f bits above its rate, allowed %.0f", record->link,
+                 rates->links[record->link].level, rates->links[record->link].burst);
+}
--- /dev/null
+++ b/tests/fuzz/oracle.c
@@ -0,0 +1,146 @@
+#include "oracle-parts.h"
+
+#include <stdarg.h>
+
+struct oracle
+{
+  oracle_verdict_t verdict;
+  oracle_slots_t *slots;
+  oracle_rates_t *rates;
+  oracle_requests_t *requests;
+  oracle_drains_t *drains;
+  oracle_generations_t *generations;
+};
+
+void
+oracle_fail (oracle_verdict_t *verdict, const char *name, const char *format, ...)
+{
+  va_list arguments;
+
+  if (verdict->name != NULL)
+    return;
+  verdict->name = name;
+  va_start (arguments, format);
+  g_vsnprintf (verdict->reason, sizeof verdict->reason, format, arguments);
+  va_end (arguments);
+}
+
+void
+oracle_reach_load (oracle_reach_t *reach, const fake_net_t *net)
+{
+  gboolean changed = TRUE;
+
+  for (guint i = 0; i < net->n_entries; i++)
+    reach->group[i] = i;
+  while (changed)
+    {
+      changed = FALSE;
+      for (guint a = 0; a < net->n_entries; a++)
+        for (guint b = 0; b < net->n_entries; b++)
+          if (reach->group[a] < reach->group[b] && fake_net_linked (net, a, b))
+            {
+              reach->group[b] = reach->group[a];
+              changed = TRUE;
+            }
+    }
+}
+
+oracle_t *
+oracle_new (const anvil_config_t *config)
+{
+  oracle_t *oracle = g_new0 (oracle_t, 1);
+
+  oracle->slots = oracle_slots_new (config);
+  oracle->rates = oracle_rates_new (config);
+  oracle->requests = oracle_requests_new ();
+  oracle->drains = oracle_drains_new (config);
+  oracle->generations = oracle_generations_new (config);
+  return oracle;
+}
+
+void
+oracle_drop (oracle_t *oracle)
+{
+  if (oracle == NULL)
+    return;
+  oracle_slots_drop (oracle->slots);
+  oracle_rates_drop (oracle->rates);
+  oracle_requests_drop (oracle->requests);
+  oracle_drains_drop (oracle->drains);
+  oracle_generations_drop (oracle->generations);
+  g_free (oracle);
+}
+
+void
+oracle_record (void *context, const fake_record_t *record)
+{
+  oracle_t *oracle = context;
+
+  oracle_slots_record (oracle->slots, &oracle->verdict, record);
+  oracle_rates_record (oracle->rates, &oracle->verdict, record);
+  oracle_requests_record (oracle->requests, &oracle->verdict, record);
+  oracle_drains_record (oracle->drains, &oracle->verdict, record);
+  oracle_generations_record (oracle->generations, &oracle->verdict, record);
+}
+
+static guint
+count_seat_users (const fake_net_t *net, guint seat)
+{
+  guint users = 0;
+
+  for (guint i = 0; i < net->n_entries; i++)
+    {
+      const fake_entry_t *entry = &net->entries[i];
+      anvil_seat_status_t status;
+
+      if (entry->steer == NULL || entry->frozen)
+        continue;
+      if (anvil_steer_seat (entry->steer, fake_net_local (entry, fake_net_now (net)), seat, &status)
+          && status.usable)
+        users++;
+    }
+  return users;
+}
+
+void
+oracle_sample (oracle_t *oracle, const fake_net_t *net)
+{
+  oracle_reach_t reach;
+
+  oracle_reach_load (&reach, net);
+  oracle_requests_sample (oracle->requests, &oracle->verdict, net);
+  oracle_drains_sample (oracle->drains, net, &reach);
+  oracle_generations_sample (oracle->generations, &oracle->verdict, net, &reach);
+  for (guint seat = 0; seat < net->options.config->n_seats; seat++)
+    if (count_seat_users (net, seat) > 1)
+      oracle_fail (&oracle->verdict, "seat", "seat %u has %u users", seat,
+                   count_seat_users (net, seat));
+}
+
+void
+oracle_recovered (oracle_t *oracle, const fake_net_t *net)
+{
+  guint64 newest = fake_platform_generation (net->platform);
+  const anvil_config_t *config = fake_platform_file (net->platform, newest)->config;
+
+  oracle_sample (oracle, net);
+  for (guint seat = 0; seat < config->n_seats; seat++)
+    if (count_seat_users (net, seat) == 0)
+      oracle_fail (&oracle->verdict, "recovery", "seat %u is used by nobody", seat);
+  for (guint i = 0; i < net->n_entries; i++)
+    if (net->entries[i].alive && net->entries[i].generation != newest)
+      oracle_fail (&oracle->verdict, "recovery", "entry %u is on generation %" G_GUINT64_FORMAT, i,
+                   net->entries[i].generation);
+}
+
+const char *
+oracle_failed (const oracle_t *oracle)
+{
+  return oracle->verdict.name;
+}
+
+const char *
+oracle_reason (const oracle_t *oracle)
+{
+  return oracle->verdict.reason;
+}
--- /dev/null
+++ b/tests/fuzz/world-run.c
@@ -0,0 +1,148 @@
+#include "world-run.h"
+
+#include <stdio.h>
+
+/* Most histories that are tried to shorten one. */
+#define MAX_TRIES 600
+
+GArray *
+world_draw (guint32 seed, guint n_steps)
+{
+  GArray *history = g_array_sized_new (FALSE, FALSE, sizeof (world_op_t), n_steps);
+  GRand *random = g_rand_new_with_seed (seed);
+
+  for (guint i = 0; i < n_steps; i++)
+    {
+      guint32 drawn = g_rand_int (random);
+      world_op_t op = {
+        .code = drawn & 0xff, .a = (drawn >> 8) & 0xff, .b = (drawn >> 16) & 0xff, .c = drawn >> 24
+      };
+
+      g_array_append_val (history, op);
+    }
+  g_rand_free (random);
+  return history;
+}
+
+world_result_t
+world_run (guint32 seed, const GArray *history, const anvil_steer_faults_t *faults)
+{
+  world_t *world = world_new (seed, faults);
+  world_result_t result = { .step = 0 };
+
+  while (result.step < history->len
+         && world_step (world, &g_array_index (history, world_op_t, result.step)))
+    result.step++;
+  if (result.step == history->len)
+    world_recover (world);
+  result.failed = oracle_failed (world->oracle);
+  g_strlcpy (result.reason, oracle_reason (world->oracle), sizeof result.reason);
+  world_drop (world);
+  return result;
+}
+
+static GArray *
+without (const GArray *history, guint first, guint count)
+{
+  GArray *rest = g_array_sized_new (FALSE, FALSE, sizeof (world_op_t), history->len);
+
+  g_array_append_vals (rest, history->data, first);
+  if (first + count < history->len)
+    g_array_append_vals (rest, &g_array_index (history, world_op_t, first + count),
+                         history->len - first - count);
+  return rest;
+}
+
+static gboolean
+still_fails (guint32 seed,
+             const GArray *history,
+             const char *failed,
+             const anvil_steer_faults_t *faults)
+{
+  world_result_t result = world_run (seed, history, faults);
+
+  return result.failed != NULL && g_str_equal (result.failed, failed);
+}
+
+static void
+replace_by (GArray *history, const GArray *shorter)
+{
+  g_array_set_size (history, 0);
+  g_array_append_vals (history, shorter->data, shorter->len);
+}
+
+void
+world_shorten (guint32 seed,
+               GArray *history,
+               const char *failed,
+               const anvil_steer_faults_t *faults)
+{
+  guint tries = 0;
+
+  for (guint part = MAX (history->len / 2, 1); part > 0; part /= 2)
+    for (guint first = 0; first < history->len && tries < MAX_TRIES; tries++)
+      {
+        GArray *shorter = without (history, first, MIN (part, history->len - first));
+
+        if (still_fails (seed, shorter, failed, faults))
+          replace_by (history, shorter);
+        else
+          first += part;
+        g_array_unref (shorter);
+      }
+}
+
+void
+world_print (guint32 seed, const GArray *history, const world_result_t *result)
+{
+  const guint8 *bytes = (const guint8 *) history->data;
+
+  printf ("oracle \"%s\" failed: %s\n", result->failed, result->reason);
+  for (guint i = 0; i < history->len; i++)
+    {
+      char *line = world_op_format (&g_array_index (history, world_op_t, i));
+
+      printf ("  %3u %s\n", i, line);
+      g_free (line);
+    }
+  printf ("replay the shortened history: make fuzz SEED=%u HISTORY=", seed);
+  for (gsize i = 0; i < history->len * sizeof (world_op_t); i++)
+    printf ("%02x", bytes[i]);
+  printf ("\n");
+}
+
+static void
+report_failure (guint32 seed, GArray *history, world_result_t result)
+{
+  printf ("seed %u, step %u: oracle \"%s\" failed: %s\n", seed, result.step, result.failed,
+          result.reason);
+  printf ("replay: make fuzz SEED=%u STEPS=%u\n", seed, history->len);
+  (void) fflush (stdout);
+  if (result.step < history->len)
+    g_array_set_size (history, result.step + 1);
+  world_shorten (seed, history, result.failed, NULL);
+  result = world_run (seed, history, NULL);
+  world_print (seed, history, &result);
+}
+
+gboolean
+world_fuzz (guint32 seed, guint n_steps)
+{
+  guint done = 0;
+
+  for (guint32 this_seed = seed; done < n_steps; this_seed++)
+    {
+      guint steps = MIN (WORLD_STEPS, n_steps - done);
+      GArray *history = world_draw (this_seed, steps);
+      world_result_t result = world_run (this_seed, history, NULL);
+
+      if (result.failed != NULL)
+        report_failure (this_seed, history, result);
+      g_array_unref (history);
+      if (result.failed != NULL)
+        return FALSE;
+      done += steps;
+    }
+  printf ("%u steps from seed %u passed\n", done, seed);
+  return TRUE;
+}
