Answer look-ups from one list a region, made anew every 100 ms

Cause: each look-up walked all members and hashed every zone's name for each of them; at 490 members and 39 zones that is 19,110 hashes a look-up. Ruled out: a list kept up to date by every heartbeat, which costs where nothing asks. Change: zone hashes are made once a file; the answer for a region is kept for 100 ms. Conclusion: the cost of a look-up no longer grows with members.

--- a/source/steer/steer-config.c
+++ b/source/steer/steer-config.c
@@ -9,9 +9,9 @@
 guint
 anvil_steer_region_of_zone_hash (const anvil_steer_t *steer, guint64 zone)
 {
-  for (guint i = 0; i < steer->config->n_zones; i++)
+  for (guint i = 0; i < steer->zone_hashes->len; i++)
     {
-      if (anvil_str_hash (steer->config->zones[i].name) == zone)
+      if (g_array_index (steer->zone_hashes, guint64, i) == zone)
         return steer->config->zones[i].region;
     }
   return ANVIL_NONE;
@@ -47,6 +47,18 @@
     g_array_append_val (steer->old_generations, old);
 }
 
+static void
+hash_zones (anvil_steer_t *steer)
+{
+  g_array_set_size (steer->zone_hashes, 0);
+  for (guint i = 0; i < steer->config->n_zones; i++)
+    {
+      guint64 hash = anvil_str_hash (steer->config->zones[i].name);
+
+      g_array_append_val (steer->zone_hashes, hash);
+    }
+}
+
 static void
 replace_layout (anvil_steer_t *steer, anvil_time_t now)
 {
@@ -82,7 +94,9 @@
       steer->configured_at = now;
       steer->unseated_since = now;
     }
+  hash_zones (steer);
   replace_layout (steer, now);
+  anvil_steer_lookups_configure (steer);
   anvil_steer_slots_configure (steer, now);
   anvil_steer_rates_configure (steer, now);
   anvil_steer_requests_configure (steer, now, before);
--- a/source/steer/steer-gossip.c
+++ b/source/steer/steer-gossip.c
@@ -212,6 +212,8 @@
     return;
   steer->leaving = TRUE;
   steer->left_at = now;
+  if (steer->config != NULL)
+    anvil_steer_lookups_configure (steer);
   anvil_steer_update_self (steer, now);
   spread (steer, LEAVE_FANOUT);
 }
--- a/source/steer/steer-internal.h
+++ b/source/steer/steer-internal.h
@@ -94,6 +94,18 @@
   anvil_config_t *config;
 } anvil_old_generation_t;
 
+/* Entries that a look-up names at most. */
+#define ANVIL_MAX_LOOKUP 16
+
+/** anvil_lookup_t - the answer for callers of one region, made anew when it has aged */
+typedef struct
+{
+  gboolean made;
+  anvil_time_t made_at;
+  guint n_choices;
+  anvil_entry_choice_t choices[ANVIL_MAX_LOOKUP];
+} anvil_lookup_t;
+
 struct anvil_steer
 {
   anvil_steer_options_t options;
@@ -111,6 +123,10 @@
   anvil_time_t fetch_next;
   guint zone;
   guint region;
+  GArray *zone_hashes;
+
+  /* Look-ups: steer-lookup.c */
+  GArray *lookups;
 
   /* Members: steer-gossip.c */
   anvil_member_table_t *members;
@@ -170,6 +186,9 @@
 guint anvil_steer_region_of_zone_hash (const anvil_steer_t *steer, guint64 zone);
 guint anvil_steer_region_of_member (const anvil_steer_t *steer, anvil_node_t node);
 
+/* steer-lookup.c */
+void anvil_steer_lookups_configure (anvil_steer_t *steer);
+
 /* steer-gossip.c */
 void anvil_steer_gossip_tick (anvil_steer_t *steer, anvil_time_t now);
 void anvil_steer_receive_gossip (anvil_steer_t *steer,
--- a/source/steer/steer-lookup.c
+++ b/source/steer/steer-lookup.c
@@ -1,9 +1,13 @@
 /* Look-up: which entries a caller should use. */
 
+#include <string.h>
+
 #include "steer/steer-internal.h"
 
 /* Entries of other regions that are named last, for a caller whose region has just been lost. */
 #define FALLBACK_CHOICES 2
+/* How old an answer may be; heartbeats come more rarely. */
+#define LOOKUP_AGE (100 * ANVIL_MS)
 /* Least weight of an entry that serves, so that a loaded one isn't starved of all. */
 #define LEAST_WEIGHT 50
 
@@ -103,6 +107,37 @@
     }
 }
 
+/* Makes the answer for callers of a region. */
+static void
+make_lookup (anvil_steer_t *steer, guint region, anvil_lookup_t *lookup)
+{
+  guint other = ANVIL_NONE;
+  anvil_time_t delay = 0;
+
+  lookup->n_choices = 0;
+  add_region (steer, region, TRUE, ANVIL_MAX_LOOKUP, lookup->choices, &lookup->n_choices);
+  while (lookup->n_choices < ANVIL_MAX_LOOKUP
+         && (other = next_region (steer->config, region, delay, other)) != ANVIL_NONE)
+    {
+      gboolean first = lookup->n_choices == 0;
+      guint most
+          = first ? ANVIL_MAX_LOOKUP : MIN (ANVIL_MAX_LOOKUP, lookup->n_choices + FALLBACK_CHOICES);
+
+      delay = delay_between (steer->config, region, other);
+      add_region (steer, other, first, most, lookup->choices, &lookup->n_choices);
+      if (!first)
+        break;
+    }
+  sort_by_weight (lookup->choices, lookup->n_choices);
+}
+
+void
+anvil_steer_lookups_configure (anvil_steer_t *steer)
+{
+  g_array_set_size (steer->lookups, 0);
+  g_array_set_size (steer->lookups, steer->config->n_regions);
+}
+
 guint
 anvil_steer_lookup (anvil_steer_t *steer,
                     anvil_time_t now,
@@ -111,10 +146,9 @@
                     anvil_entry_choice_t *choices,
                     guint max_choices)
 {
-  guint n_choices = 0;
+  anvil_lookup_t *lookup;
   guint region;
-  guint other = ANVIL_NONE;
-  anvil_time_t delay = 0;
+  guint n_choices;
 
   if (steer->config == NULL || service >= steer->config->n_services)
     return 0;
@@ -122,18 +156,14 @@
   if (region == ANVIL_NONE)
     region = steer->region != ANVIL_NONE ? steer->region : 0;
 
-  add_region (steer, region, TRUE, max_choices, choices, &n_choices);
-  while (n_choices < max_choices
-         && (other = next_region (steer->config, region, delay, other)) != ANVIL_NONE)
+  lookup = &g_array_index (steer->lookups, anvil_lookup_t, region);
+  if (!lookup->made || now >= lookup->made_at + LOOKUP_AGE)
     {
-      gboolean first = n_choices == 0;
-      guint most = first ? max_choices : MIN (max_choices, n_choices + FALLBACK_CHOICES);
-
-      delay = delay_between (steer->config, region, other);
-      add_region (steer, other, first, most, choices, &n_choices);
-      if (!first)
-        break;
+      make_lookup (steer, region, lookup);
+      lookup->made = TRUE;
+      lookup->made_at = now;
     }
-  sort_by_weight (choices, n_choices);
+  n_choices = MIN (max_choices, lookup->n_choices);
+  memcpy (choices, lookup->choices, n_choices * sizeof *choices);
   return n_choices;
 }
--- a/source/steer/steer.c
+++ b/source/steer/steer.c
@@ -31,6 +31,8 @@
   /* Nonces of two incarnations must not meet. */
   steer->next_nonce
       = anvil_str_hash ((anvil_str_t){ .data = (const char *) origin, .length = sizeof origin });
+  steer->zone_hashes = g_array_new (FALSE, FALSE, sizeof (guint64));
+  steer->lookups = g_array_new (FALSE, TRUE, sizeof (anvil_lookup_t));
   steer->members = anvil_member_table_new (options->node);
   steer->drains = anvil_drain_table_new ();
   steer->old_generations = g_array_new (FALSE, FALSE, sizeof (anvil_old_generation_t));
@@ -67,6 +69,8 @@
   g_hash_table_unref (steer->leaving_upstreams);
   g_hash_table_unref (steer->listed_nodes);
   g_array_unref (steer->old_generations);
+  g_array_unref (steer->lookups);
+  g_array_unref (steer->zone_hashes);
   anvil_drain_table_drop (steer->drains);
   anvil_member_table_drop (steer->members);
   anvil_seat_layout_drop (steer->layout);
