Add the upstreams' stand-in

Cause: decisions under load and faults can only be measured against upstreams that have slots, queues, cold caches, drains and links with hard limits.

Links are a queue at their rate with a meter of what was offered: request bytes are metered by a callback on the stream's input buffer as they come, so that a paced upload shows as paced.

Ruled out: libevent's rate-limit groups for the links. A group has one read and one write rate, so a directed link that carries requests one way and answers of the other way would need the two to share a bucket. Also ruled out: shaping the stream itself, which would slow the sender down and hide what it offered.

--- /dev/null
+++ b/standins/anvil-upstream-connection.c
@@ -0,0 +1,163 @@
+#include "anvil-upstream-connection.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#define CONNECT_TIME ANVIL_MS
+/* No readable callback comes below this many bytes, but the end of the stream is told. */
+#define ONLY_END_BYTES (1u << 30)
+
+/**
+ * connection_t - a caller's connection
+ * @job: its request, or NULL while it is idle
+ */
+typedef struct
+{
+  upstream_server_t *server;
+  struct evhttp_connection *evhttp;
+  upstream_path_t path;
+  upstream_job_t *job;
+} connection_t;
+
+static upstream_path_t
+path_of (const upstream_server_t *server, evutil_socket_t fd)
+{
+  struct sockaddr_in address = { 0 };
+  socklen_t length = sizeof address;
+
+  getpeername (fd, (struct sockaddr *) &address, &length);
+  return upstream_places_path (server->context->places, ntohl (address.sin_addr.s_addr),
+                               server->upstream->zone);
+}
+
+/* A full upstream leaves further connections in the kernel's queue. */
+static void
+limit_connections (upstream_server_t *server)
+{
+  struct evconnlistener *listener;
+
+  if (server->socket == NULL)
+    return;
+  listener = evhttp_bound_socket_get_listener (server->socket);
+  if (g_hash_table_size (server->connections) < server->upstream->connections)
+    evconnlistener_enable (listener);
+  else
+    evconnlistener_disable (listener);
+}
+
+static void
+on_close (struct evhttp_connection *evhttp, void *data)
+{
+  connection_t *connection = data;
+  upstream_server_t *server = connection->server;
+
+  if (connection->job != NULL)
+    upstream_job_leave (connection->job);
+  g_hash_table_remove (server->streams,
+                       bufferevent_get_input (evhttp_connection_get_bufferevent (evhttp)));
+  g_hash_table_remove (server->connections, evhttp);
+  limit_connections (server);
+}
+
+static connection_t *
+connection_new (upstream_server_t *server, struct evhttp_connection *evhttp)
+{
+  connection_t *connection = g_new0 (connection_t, 1);
+  evutil_socket_t fd = bufferevent_getfd (evhttp_connection_get_bufferevent (evhttp));
+  upstream_counts_t *counts = &server->counts;
+
+  connection->server = server;
+  connection->evhttp = evhttp;
+  connection->path = path_of (server, fd);
+  g_hash_table_insert (server->connections, evhttp, connection);
+  evhttp_connection_set_closecb (evhttp, on_close, connection);
+  counts->peak_connections
+      = MAX (counts->peak_connections, g_hash_table_size (server->connections));
+  limit_connections (server);
+  return connection;
+}
+
+void
+upstream_connection_request (upstream_server_t *server, struct evhttp_request *request)
+{
+  struct evhttp_connection *evhttp = evhttp_request_get_connection (request);
+  struct bufferevent *stream = evhttp_connection_get_bufferevent (evhttp);
+  connection_t *connection = g_hash_table_lookup (server->connections, evhttp);
+  anvil_time_t connecting = 0;
+
+  if (connection == NULL)
+    {
+      connection = connection_new (server, evhttp);
+      connecting = CONNECT_TIME + 2 * connection->path.delay;
+    }
+  connection->job = upstream_job_open (server, request, connection->path, connecting);
+  /* evhttp stops reading while a request is handled and would miss that its caller leaves. */
+  bufferevent_setwatermark (stream, EV_READ, ONLY_END_BYTES, 0);
+  bufferevent_enable (stream, EV_READ);
+}
+
+void
+upstream_connection_idle (upstream_server_t *server, struct evhttp_connection *evhttp)
+{
+  connection_t *connection = g_hash_table_lookup (server->connections, evhttp);
+
+  connection->job = NULL;
+  bufferevent_setwatermark (evhttp_connection_get_bufferevent (evhttp), EV_READ, 0, 0);
+}
+
+/* Ends the jobs whose caller has left. */
+static void
+kill_orphans (upstream_server_t *server)
+{
+  GList *jobs = g_hash_table_get_keys (server->jobs);
+
+  for (GList *item = jobs; item != NULL; item = item->next)
+    upstream_job_kill (item->data);
+  g_list_free (jobs);
+}
+
+void
+upstream_connection_close_all (upstream_server_t *server)
+{
+  GList *connections = g_hash_table_get_values (server->connections);
+
+  for (GList *item = connections; item != NULL; item = item->next)
+    {
+      connection_t *connection = item->data;
+
+      if (connection->job != NULL)
+        upstream_job_kill (g_steal_pointer (&connection->job));
+      evhttp_connection_free (connection->evhttp);
+    }
+  g_list_free (connections);
+  kill_orphans (server);
+}
+
+/* Bytes count on the link as they come, not when their request is whole. */
+static void
+on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *data)
+{
+  upstream_server_t *server = data;
+  struct bufferevent *stream = g_hash_table_lookup (server->streams, buffer);
+  upstream_path_t path;
+
+  if (info->n_added == 0)
+    return;
+  path = path_of (server, bufferevent_getfd (stream));
+  if (path.there != NULL)
+    upstream_link_offer (path.there, anvil_clock_now (), (gint64) info->n_added * 8);
+}
+
+struct bufferevent *
+upstream_connection_stream (struct event_base *base, void *data)
+{
+  upstream_server_t *server = data;
+  struct bufferevent *stream = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
+  struct evbuffer *input = bufferevent_get_input (stream);
+
+  g_hash_table_insert (server->streams, input, stream);
+  evbuffer_add_cb (input, on_input, server);
+  return stream;
+}
--- /dev/null
+++ b/standins/anvil-upstream-job.c
@@ -0,0 +1,446 @@
+#include "anvil-upstream-job.h"
+
+#include <event2/buffer.h>
+#include <math.h>
+#include <string.h>
+
+#include "anvil-upstream-connection.h"
+#include "net/http-json.h"
+
+#define LOAD_PATH "/standin/load"
+#define HEADER_BITS ((gint64) 200 * 8)
+#define LONGEST_SERVICE_FACTOR 10
+#define MAX_TIMEOUT_MS 600000
+
+/* Where a job is; each but the last ends by the job's timer. */
+typedef enum
+{
+  JOB_TRAVELLING,
+  JOB_WAITING,
+  JOB_RUNNING,
+  JOB_RETURNING,
+} job_state_t;
+
+/**
+ * upstream_job - one request from its receipt to its answer
+ * @deadline: when the work must have stopped, 0 without one
+ * @expires: the timer of the run is the deadline
+ * @status: of the answer
+ * @outcome: the Anvil-Upstream header, or NULL for a request that ran
+ * @left: whether the caller closed its connection
+ * @is_load: asks for the load report; takes no slot
+ */
+struct upstream_job
+{
+  upstream_server_t *server;
+  struct evhttp_request *request;
+  upstream_path_t path;
+  job_state_t state;
+  struct event *timer;
+  struct event *stop;
+  anvil_time_t deadline;
+  gboolean expires;
+  int status;
+  const char *outcome;
+  gboolean left;
+  gboolean is_load;
+};
+
+static void
+arm (struct event *timer, anvil_time_t delay)
+{
+  struct timeval time
+      = { .tv_sec = MAX (delay, 0) / ANVIL_SECOND, .tv_usec = MAX (delay, 0) % ANVIL_SECOND };
+
+  evtimer_add (timer, &time);
+}
+
+static const char *
+header (const upstream_job_t *job, const char *name)
+{
+  return evhttp_find_header (evhttp_request_get_input_headers (job->request), name);
+}
+
+static const char *
+path_of (const upstream_job_t *job)
+{
+  const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (job->request));
+
+  return path != NULL ? path : "";
+}
+
+static gboolean
+roll (const upstream_job_t *job, guint percent)
+{
+  return percent > 0 && (guint) g_rand_int_range (job->server->context->random, 0, 100) < percent;
+}
+
+/* Frees a job that occupies nothing; its request is answered, freed or left to its connection. */
+static void
+job_close (upstream_job_t *job)
+{
+  g_hash_table_remove (job->server->jobs, job);
+  event_free (job->timer);
+  event_free (job->stop);
+  g_free (job);
+}
+
+static upstream_region_t *
+region_of (const upstream_server_t *server)
+{
+  return &server->context->regions[anvil_config_region_of (server->context->config, server->index)];
+}
+
+static void
+drop_connection (struct evhttp_request *request)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+
+  if (connection != NULL)
+    evhttp_connection_free (connection);
+  else
+    evhttp_request_free (request);
+}
+
+static void
+send_load (upstream_job_t *job)
+{
+  const upstream_server_t *server = job->server;
+  const upstream_load_t *load = &server->load;
+  gint running = server->faults.lie_running;
+
+  if (running == UPSTREAM_NO_LIE)
+    running = (gint) load->running;
+  anvil_http_json_reply (job->request, HTTP_OK,
+                         json_pack ("{s:i,s:i,s:b,s:b,s:I}", "running", running, "slots",
+                                    (int) server->upstream->slots, "healthy", load->healthy,
+                                    "draining", load->draining, "age_ms",
+                                    (json_int_t) ((anvil_clock_now () - load->at) / ANVIL_MS)));
+}
+
+static gsize
+response_bytes (const upstream_job_t *job)
+{
+  return job->outcome == NULL && !job->is_load ? (gsize) (job->server->service->response_bits / 8)
+                                               : 0;
+}
+
+/* The body: a line that names the request, then filler up to the service's size. */
+static void
+fill_body (const upstream_job_t *job, struct evbuffer *body)
+{
+  static const char filler[] = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcde\n";
+  const char *id = header (job, "Anvil-Request-Id");
+  gsize wanted = response_bytes (job);
+
+  evbuffer_add_printf (body, "%s\n", id != NULL ? id : "");
+  while (evbuffer_get_length (body) < wanted)
+    evbuffer_add (body, filler, MIN (sizeof filler - 1, wanted - evbuffer_get_length (body)));
+}
+
+static void
+send_answer (upstream_job_t *job)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (job->request);
+  struct evbuffer *body = evbuffer_new ();
+
+  evhttp_add_header (headers, "Anvil-Server", job->server->upstream->name.data);
+  if (job->outcome != NULL)
+    evhttp_add_header (headers, "Anvil-Upstream", job->outcome);
+  fill_body (job, body);
+  if (job->outcome == NULL && roll (job, job->server->faults.truncate_percent))
+    {
+      gsize length = evbuffer_get_length (body);
+      char *text = g_strdup_printf ("%" G_GSIZE_FORMAT, length);
+      struct evbuffer *half = evbuffer_new ();
+
+      evhttp_add_header (headers, "Content-Length", text);
+      evhttp_add_header (headers, "Connection", "close");
+      evbuffer_remove_buffer (body, half, length / 2);
+      evhttp_send_reply (job->request, job->status, NULL, half);
+      evbuffer_free (half);
+      g_free (text);
+    }
+  else
+    evhttp_send_reply (job->request, job->status, NULL, body);
+  evbuffer_free (body);
+}
+
+/* The answer has reached the caller. */
+static void
+deliver (upstream_job_t *job)
+{
+  struct evhttp_request *request = job->request;
+  gboolean ran = job->outcome == NULL && !job->is_load;
+
+  if (job->left || evhttp_request_get_connection (request) == NULL)
+    {
+      evhttp_request_free (request);
+      job_close (job);
+      return;
+    }
+  upstream_connection_idle (job->server, evhttp_request_get_connection (request));
+  if (ran && roll (job, job->server->faults.close_percent))
+    drop_connection (request);
+  else if (job->is_load)
+    send_load (job);
+  else
+    send_answer (job);
+  job_close (job);
+}
+
+/* Sends the answer on its way back. */
+static void
+give_back (upstream_job_t *job, int status, const char *outcome)
+{
+  anvil_time_t now = anvil_clock_now ();
+  anvil_time_t sent = now;
+
+  job->status = status;
+  job->outcome = outcome;
+  job->state = JOB_RETURNING;
+  if (job->path.back != NULL)
+    sent = upstream_link_offer (job->path.back, now,
+                                (gint64) response_bytes (job) * 8 + HEADER_BITS);
+  arm (job->timer, sent + job->path.delay - now);
+}
+
+static gdouble
+cold_factor (upstream_job_t *job)
+{
+  upstream_server_t *server = job->server;
+  gboolean cold = server->counts.runs <= server->warm_after;
+
+  if (evhttp_request_get_command (job->request) == EVHTTP_REQ_GET
+      && !upstream_cache_touch (server->cache, path_of (job)))
+    cold = TRUE;
+  return cold ? server->context->cold_factor : 1;
+}
+
+static anvil_time_t
+draw_service_time (upstream_job_t *job)
+{
+  const upstream_server_t *server = job->server;
+  gdouble mean = (gdouble) server->context->service_times[server->upstream->service];
+  gdouble draw = -log (1 - g_rand_double (server->context->random));
+
+  mean *= cold_factor (job) * server->faults.slow_factor;
+  return (anvil_time_t) (mean * MIN (draw, LONGEST_SERVICE_FACTOR));
+}
+
+static void
+count_keys (const upstream_job_t *job)
+{
+  upstream_keys_t *keys = job->server->context->keys;
+  const char *service = job->server->service->name.data;
+  const char *key = header (job, "Idempotency-Key");
+  const char *id = header (job, "Anvil-Request-Id");
+
+  if (key != NULL)
+    upstream_keys_count (keys, key, service);
+  if (id != NULL && (key == NULL || strcmp (id, key) != 0))
+    upstream_keys_count (keys, id, service);
+}
+
+static void
+run (upstream_job_t *job)
+{
+  upstream_server_t *server = job->server;
+  upstream_region_t *region = region_of (server);
+  anvil_time_t now = anvil_clock_now ();
+  anvil_time_t time;
+
+  server->running++;
+  server->counts.runs++;
+  server->mark.last_run = now;
+  region->running++;
+  region->peak = MAX (region->peak, region->running);
+  count_keys (job);
+
+  time = draw_service_time (job);
+  job->state = JOB_RUNNING;
+  job->expires = job->deadline != 0 && now + time > job->deadline;
+  arm (job->timer, job->expires ? job->deadline - now : time);
+}
+
+/* Frees the job's slot and starts the next that waits. */
+static void
+leave_slot (upstream_job_t *job)
+{
+  upstream_server_t *server = job->server;
+
+  server->running--;
+  region_of (server)->running--;
+  if (!g_queue_is_empty (&server->waiting))
+    run (g_queue_pop_head (&server->waiting));
+  if (server->running == 0)
+    server->mark.empty = anvil_clock_now ();
+}
+
+static void
+finish_run (upstream_job_t *job)
+{
+  upstream_counts_t *counts = &job->server->counts;
+
+  if (job->expires)
+    counts->expired++;
+  else
+    counts->finished++;
+  leave_slot (job);
+  if (job->expires)
+    give_back (job, 504, "expired");
+  else
+    give_back (job, HTTP_OK, NULL);
+}
+
+static void
+turn_away (upstream_job_t *job)
+{
+  job->server->counts.shed++;
+  give_back (job, HTTP_SERVUNAVAIL, "shed");
+}
+
+static void
+set_deadline (upstream_job_t *job, anvil_time_t now)
+{
+  const char *text = header (job, "Anvil-Timeout-Ms");
+  guint64 ms;
+
+  if (text != NULL && g_ascii_string_to_unsigned (text, 10, 0, MAX_TIMEOUT_MS, &ms, NULL))
+    job->deadline = now + (anvil_time_t) ms * ANVIL_MS;
+}
+
+static void
+wait_for_slot (upstream_job_t *job, anvil_time_t now)
+{
+  upstream_server_t *server = job->server;
+  guint waiting = g_queue_get_length (&server->waiting);
+
+  server->counts.over_slots++;
+  if (waiting >= server->context->backlog)
+    {
+      turn_away (job);
+      return;
+    }
+  job->state = JOB_WAITING;
+  g_queue_push_tail (&server->waiting, job);
+  server->counts.peak_wanted = MAX (server->counts.peak_wanted, server->running + waiting + 1);
+  if (job->deadline != 0)
+    arm (job->timer, job->deadline - now);
+}
+
+/* The request has reached the upstream. */
+static void
+arrive (upstream_job_t *job)
+{
+  upstream_server_t *server = job->server;
+  anvil_time_t now = anvil_clock_now ();
+
+  if (job->is_load)
+    {
+      give_back (job, HTTP_OK, NULL);
+      return;
+    }
+  server->mark.last_offer = now;
+  set_deadline (job, now);
+  if (server->faults.drain)
+    {
+      server->counts.drained++;
+      give_back (job, HTTP_SERVUNAVAIL, "draining");
+    }
+  else if (server->faults.shed)
+    turn_away (job);
+  else if (server->running >= server->upstream->slots)
+    wait_for_slot (job, now);
+  else
+    {
+      run (job);
+      server->counts.peak_wanted = MAX (server->counts.peak_wanted, server->running);
+    }
+}
+
+static void
+on_timer (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  upstream_job_t *job = data;
+
+  switch (job->state)
+    {
+    case JOB_TRAVELLING:
+      arrive (job);
+      break;
+    case JOB_WAITING:
+      g_queue_remove (&job->server->waiting, job);
+      turn_away (job);
+      break;
+    case JOB_RUNNING:
+      finish_run (job);
+      break;
+    case JOB_RETURNING:
+      deliver (job);
+      break;
+    }
+}
+
+/* The upstream learns that its caller left. */
+static void
+on_stop (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  upstream_job_t *job = data;
+
+  if (job->state == JOB_RETURNING)
+    return;
+  job->server->counts.cancelled++;
+  if (job->state == JOB_WAITING)
+    g_queue_remove (&job->server->waiting, job);
+  if (job->state == JOB_RUNNING)
+    leave_slot (job);
+  evhttp_request_free (job->request);
+  job_close (job);
+}
+
+upstream_job_t *
+upstream_job_open (upstream_server_t *server,
+                   struct evhttp_request *request,
+                   upstream_path_t path,
+                   anvil_time_t connecting)
+{
+  upstream_job_t *job = g_new0 (upstream_job_t, 1);
+  struct evbuffer *body = evhttp_request_get_input_buffer (request);
+  anvil_time_t now = anvil_clock_now ();
+  anvil_time_t sent = path.there != NULL ? MAX (now, path.there->free_at) : now;
+
+  job->server = server;
+  job->request = request;
+  job->path = path;
+  job->is_load = strcmp (path_of (job), LOAD_PATH) == 0;
+  job->timer = evtimer_new (server->context->base, on_timer, job);
+  job->stop = evtimer_new (server->context->base, on_stop, job);
+  g_hash_table_add (server->jobs, job);
+  evbuffer_drain (body, evbuffer_get_length (body));
+  arm (job->timer, sent + path.delay + connecting - now);
+  return job;
+}
+
+void
+upstream_job_leave (upstream_job_t *job)
+{
+  job->left = TRUE;
+  arm (job->stop, job->path.delay);
+}
+
+void
+upstream_job_kill (upstream_job_t *job)
+{
+  if (job->state == JOB_WAITING)
+    g_queue_remove (&job->server->waiting, job);
+  if (job->state == JOB_RUNNING)
+    {
+      job->server->running--;
+      region_of (job->server)->running--;
+    }
+  job->server->counts.killed++;
+  if (job->left)
+    evhttp_request_free (job->request);
+  job_close (job);
+}
