Add anvil-status, every entry's view in one table

Cause: an operator has to see at one glance whether all entries are ready, on one generation, and whether every seat is used by exactly one of them.

Ruled out: asking one entry for what it knows of the others, since an entry that is cut off would be believed; a third exit code for a seat used twice, since a script treats every degraded state alike and the table names it.

Not run yet against real entries.

--- /dev/null
+++ b/source/tools/anvil-status-view.c
@@ -0,0 +1,199 @@
+#include "anvil-status-view.h"
+
+#include "anvil-status-sum.h"
+
+#define BITS_PER_MBIT 1e6
+
+void
+status_entry_clear (gpointer data)
+{
+  status_entry_t *entry = data;
+
+  g_free (entry->address);
+  json_decref (entry->answer);
+}
+
+gboolean
+status_entry_load (status_entry_t *entry, anvil_str_t body)
+{
+  const char *node;
+  json_int_t generation;
+  int ready;
+  int leaving;
+
+  entry->answer = json_loadb (body.data != NULL ? body.data : "", body.length, 0, NULL);
+  if (entry->answer != NULL
+      && json_unpack (entry->answer, "{s:s, s:I, s:b, s:b}", "node", &node, "generation",
+                      &generation, "ready", &ready, "leaving", &leaving)
+             == 0)
+    return TRUE;
+  json_decref (entry->answer);
+  entry->answer = NULL;
+  return FALSE;
+}
+
+static gboolean
+entry_ready (const status_entry_t *entry)
+{
+  return json_is_true (json_object_get (entry->answer, "ready"))
+         && !json_is_true (json_object_get (entry->answer, "leaving"));
+}
+
+static gint64
+entry_number (const status_entry_t *entry, const char *key)
+{
+  return json_integer_value (json_object_get (entry->answer, key));
+}
+
+static gboolean
+seats_right (const GArray *entries)
+{
+  status_sum_t *sum = status_sum_new (entries);
+  gboolean right = TRUE;
+
+  for (guint i = 0; i < sum->seats->len; i++)
+    right = right && g_array_index (sum->seats, status_seat_t, i).users == 1;
+  status_sum_drop (sum);
+  return right;
+}
+
+status_verdict_t
+status_view_judge (const GArray *entries)
+{
+  gint64 generation = -1;
+  guint answered = 0;
+  gboolean degraded = FALSE;
+
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const status_entry_t *entry = &g_array_index (entries, status_entry_t, i);
+
+      if (entry->answer == NULL)
+        {
+          degraded = TRUE;
+          continue;
+        }
+      if (answered++ == 0)
+        generation = entry_number (entry, "generation");
+      if (!entry_ready (entry) || entry_number (entry, "generation") != generation)
+        degraded = TRUE;
+    }
+  if (answered == 0)
+    return STATUS_NOBODY;
+  return degraded || !seats_right (entries) ? STATUS_DEGRADED : STATUS_READY;
+}
+
+static void
+text_entry (const status_entry_t *entry, GString *out)
+{
+  const char *state = entry_ready (entry) ? "ready" : "not ready";
+
+  if (entry->answer == NULL)
+    {
+      g_string_append_printf (out, "%-20s no answer\n", entry->address);
+      return;
+    }
+  if (json_is_true (json_object_get (entry->answer, "leaving")))
+    state = "leaving";
+  g_string_append_printf (
+      out, "%-20s %-9s %-20s %-12s %10" G_GINT64_FORMAT " %6" G_GINT64_FORMAT " %8zu\n",
+      entry->address, state, json_string_value (json_object_get (entry->answer, "node")),
+      json_string_value (json_object_get (entry->answer, "zone")),
+      entry_number (entry, "generation"), entry_number (entry, "busy"),
+      json_array_size (json_object_get (entry->answer, "members")));
+}
+
+static void
+text_seats (const GArray *seats, GString *out)
+{
+  g_string_append_printf (out, "\n%-6s %-20s %8s %6s %s\n", "seat", "holder", "epoch", "users",
+                          "note");
+  for (guint i = 0; i < seats->len; i++)
+    {
+      const status_seat_t *seat = &g_array_index (seats, status_seat_t, i);
+      const char *note = seat->adopted ? "adopted" : "";
+
+      if (seat->users == 0)
+        note = "stranded";
+      if (seat->users > 1)
+        note = "USED TWICE";
+      g_string_append_printf (out, "%-6" G_GINT64_FORMAT " %-20s %8" G_GINT64_FORMAT " %6u %s\n",
+                              seat->seat, seat->holder, seat->epoch, seat->users, note);
+    }
+}
+
+static void
+text_upstreams (const GArray *upstreams, GString *out)
+{
+  g_string_append_printf (out, "\n%-28s %-14s %-8s %6s %9s %10s %s\n", "upstream", "service",
+                          "half", "slots", "in flight", "headroom", "work");
+  for (guint i = 0; i < upstreams->len; i++)
+    {
+      const status_upstream_t *upstream = &g_array_index (upstreams, status_upstream_t, i);
+      gint64 spare = upstream->owned - upstream->in_flight;
+      gdouble percent
+          = upstream->owned > 0 ? 100.0 * (gdouble) spare / (gdouble) upstream->owned : 0;
+      const char *work = upstream->refusing == 0 ? "taken" : "taken by some";
+
+      g_string_append_printf (
+          out, "%-28s %-14s %-8s %6" G_GINT64_FORMAT " %9" G_GINT64_FORMAT " %8.0f %% %s\n",
+          upstream->name, upstream->service, upstream->half, upstream->owned, upstream->in_flight,
+          percent, upstream->accepting == 0 ? "none" : work);
+    }
+}
+
+/* A share may save up for a burst, so its headroom is the smaller of what may be used at once and
+ * a second's worth. */
+static gdouble
+link_headroom (const status_link_t *link)
+{
+  if (link->share_bits_per_s <= 0)
+    return 0;
+  return MIN (100.0 * (gdouble) link->available_bits / (gdouble) link->share_bits_per_s, 100.0);
+}
+
+static void
+text_links (const GArray *links, GString *out)
+{
+  g_string_append_printf (out, "\n%-24s %14s %14s %10s\n", "link", "Mbit/s", "used Mbit",
+                          "headroom");
+  for (guint i = 0; i < links->len; i++)
+    {
+      const status_link_t *link = &g_array_index (links, status_link_t, i);
+
+      g_string_append_printf (out, "%-24s %14.1f %14.1f %8.0f %%\n", link->name,
+                              (gdouble) link->share_bits_per_s / BITS_PER_MBIT,
+                              (gdouble) link->used_bits / BITS_PER_MBIT, link_headroom (link));
+    }
+}
+
+void
+status_view_text (const GArray *entries, GString *out)
+{
+  status_sum_t *sum = status_sum_new (entries);
+
+  g_string_append_printf (out, "%-20s %-9s %-20s %-12s %10s %6s %8s\n", "entry", "state", "node",
+                          "zone", "generation", "busy", "members");
+  for (guint i = 0; i < entries->len; i++)
+    text_entry (&g_array_index (entries, status_entry_t, i), out);
+  text_seats (sum->seats, out);
+  text_upstreams (sum->upstreams, out);
+  text_links (sum->links, out);
+  status_sum_drop (sum);
+}
+
+json_t *
+status_view_json (const GArray *entries)
+{
+  json_t *array = json_array ();
+
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const status_entry_t *entry = &g_array_index (entries, status_entry_t, i);
+      json_t *answer = entry->answer != NULL ? json_incref (entry->answer) : json_null ();
+
+      json_array_append_new (array,
+                             json_pack ("{s:s, s:o}", "admin", entry->address, "status", answer));
+    }
+  return json_pack ("{s:i, s:o}", "verdict", (int) status_view_judge (entries), "entries", array);
+}
