Judge answers as entries and the upstream stand-in give them

Cause: the look-up tells its time to live in seconds, and an answer names its request in the first line of the body, not in a header.

Ruled out: asking for the header in every answer: a refusal comes from an entry, which has nothing to echo.

Change: an answered request must name its own id (header, or first line of an upstream's body) and be as long as the service's answers are; a refusal that names another request is wrong as well.

--- a/source/tools/anvil-load-cache.c
+++ b/source/tools/anvil-load-cache.c
@@ -42,20 +42,20 @@
   json_t *items;
   json_t *item;
   json_int_t generation;
-  json_int_t ttl_ms;
+  json_int_t ttl_seconds;
   size_t index;
   gboolean valid;
 
   *lookup = (load_lookup_t){ 0 };
   valid = root != NULL
-          && json_unpack (root, "{s:I, s:I, s:o}", "generation", &generation, "ttl_ms", &ttl_ms,
-                          "entries", &items)
+          && json_unpack (root, "{s:I, s:I, s:o}", "generation", &generation, "ttl_seconds",
+                          &ttl_seconds, "entries", &items)
                  == 0
-          && json_is_array (items) && ttl_ms >= 0;
+          && json_is_array (items) && ttl_seconds >= 0;
   if (valid)
     {
       lookup->generation = (guint64) generation;
-      lookup->expires = asked_at + ttl_ms * ANVIL_MS;
+      lookup->expires = asked_at + ttl_seconds * ANVIL_SECOND;
       json_array_foreach (items, index, item)
       {
         if (lookup->n_entries == LOAD_MAX_ENTRIES)
@@ -65,9 +65,10 @@
     }
   json_decref (root);
   if (!valid)
-    g_set_error_literal (error, ANVIL_ERROR, ANVIL_ERROR_INVALID,
-                         "look-up: expected generation, ttl_ms and entries with address, port and "
-                         "weight");
+    g_set_error_literal (
+        error, ANVIL_ERROR, ANVIL_ERROR_INVALID,
+        "look-up: expected generation, ttl_seconds and entries with address, port and "
+        "weight");
   return valid;
 }
 
--- a/source/tools/anvil-load-call.c
+++ b/source/tools/anvil-load-call.c
@@ -49,15 +49,37 @@
   g_free (call);
 }
 
+/* The id that an answer names: in a header, or as the first line of the body of an upstream. */
+static anvil_str_t
+echoed_id (const tool_http_answer_t *answer)
+{
+  const char *header = evhttp_find_header (answer->headers, "Anvil-Request-Id");
+  const char *end;
+
+  if (header != NULL)
+    return anvil_str (header);
+  if (answer->body.length == 0 || evhttp_find_header (answer->headers, "Anvil-Server") == NULL)
+    return (anvil_str_t){ 0 };
+  end = memchr (answer->body.data, '\n', answer->body.length);
+  return (anvil_str_t){
+    .data = answer->body.data,
+    .length = end != NULL ? (gsize) (end - answer->body.data) : answer->body.length,
+  };
+}
+
 static void
 call_answered (call_t *call, const tool_http_answer_t *answer)
 {
+  const anvil_service_t *service = &call->client->config->services[call->request.service];
   load_response_t response = {
     .id = call->request.id,
-    .echoed = evhttp_find_header (answer->headers, "Anvil-Request-Id"),
+    .echoed = echoed_id (answer),
     .outcome = evhttp_find_header (answer->headers, "Anvil-Outcome"),
+    .status = answer->status,
     .delimited = evhttp_find_header (answer->headers, "Content-Length") != NULL
                  || evhttp_find_header (answer->headers, "Transfer-Encoding") != NULL,
+    .body_bytes = answer->body.length,
+    .expected_bytes = (gsize) (service->response_bits / 8),
   };
   load_fault_t fault;
   load_outcome_t outcome = load_response_judge (&response, &fault);
--- a/source/tools/anvil-load-outcome.c
+++ b/source/tools/anvil-load-outcome.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define STATUS_OK 200
+
 static const char *const outcome_names[LOAD_N_OUTCOMES] = {
   [LOAD_ANSWERED] = "answered",
   [LOAD_REFUSED] = "refused",
@@ -28,29 +30,45 @@
   return fault_names[fault];
 }
 
+static gboolean
+parse_outcome (const char *name, load_outcome_t *outcome)
+{
+  for (guint i = LOAD_ANSWERED; name != NULL && i <= LOAD_UNKNOWN; i++)
+    {
+      if (strcmp (name, outcome_names[i]) == 0)
+        {
+          *outcome = (load_outcome_t) i;
+          return TRUE;
+        }
+    }
+  return FALSE;
+}
+
 static load_fault_t
-find_fault (const load_response_t *response)
+find_fault (const load_response_t *response, load_outcome_t outcome)
 {
-  if (response->echoed == NULL || strcmp (response->echoed, response->id) != 0)
+  gboolean named = response->echoed.length > 0;
+
+  if (named && !anvil_str_equal (response->echoed, anvil_str (response->id)))
+    return LOAD_FAULT_OTHER_REQUEST;
+  if (outcome == LOAD_ANSWERED && !named)
     return LOAD_FAULT_OTHER_REQUEST;
-  if (response->outcome == NULL)
-    return LOAD_FAULT_NO_OUTCOME;
   if (!response->delimited)
     return LOAD_FAULT_TRUNCATED;
+  if (outcome == LOAD_ANSWERED && response->status == STATUS_OK
+      && response->body_bytes < response->expected_bytes)
+    return LOAD_FAULT_TRUNCATED;
   return LOAD_FAULT_NONE;
 }
 
 load_outcome_t
 load_response_judge (const load_response_t *response, load_fault_t *fault)
 {
-  *fault = find_fault (response);
-  if (*fault != LOAD_FAULT_NONE)
-    return LOAD_UNKNOWN;
-  for (load_outcome_t outcome = LOAD_ANSWERED; outcome <= LOAD_UNKNOWN; outcome++)
-    {
-      if (strcmp (response->outcome, outcome_names[outcome]) == 0)
-        return outcome;
-    }
+  load_outcome_t outcome;
+
   *fault = LOAD_FAULT_NO_OUTCOME;
-  return LOAD_UNKNOWN;
+  if (!parse_outcome (response->outcome, &outcome))
+    return LOAD_UNKNOWN;
+  *fault = find_fault (response, outcome);
+  return *fault == LOAD_FAULT_NONE ? outcome : LOAD_UNKNOWN;
 }
--- a/tests/test-load-call.c
+++ b/tests/test-load-call.c
@@ -36,7 +36,7 @@
   struct evbuffer *body = evbuffer_new ();
 
   evbuffer_add_printf (body,
-                       "{\"generation\":1,\"ttl_ms\":5000,\"entries\":["
+                       "{\"generation\":1,\"ttl_seconds\":5,\"entries\":["
                        "{\"address\":\"127.0.0.1\",\"port\":%u,\"weight\":%u},"
                        "{\"address\":\"127.0.0.1\",\"port\":%u,\"weight\":0},"
                        "{\"address\":\"127.0.0.1\",\"port\":%u,\"weight\":%u}]}",
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -113,7 +113,7 @@
 END_TEST
 
 static const char *const lookup_text
-    = "{\"generation\":3,\"ttl_ms\":5000,\"entries\":["
+    = "{\"generation\":3,\"ttl_seconds\":5,\"entries\":["
       "{\"address\":\"127.0.10.1\",\"port\":8000,\"zone\":\"a\",\"weight\":90},"
       "{\"address\":\"127.0.10.2\",\"port\":8000,\"zone\":\"b\",\"weight\":10},"
       "{\"address\":\"127.0.10.3\",\"port\":8000,\"zone\":\"b\",\"weight\":0}]}";
@@ -124,11 +124,14 @@
     "",
     "{}",
     "[]",
-    "{\"generation\":1,\"ttl_ms\":-1,\"entries\":[]}",
-    "{\"generation\":1,\"ttl_ms\":1,\"entries\":[{\"address\":\"x\",\"port\":1,\"weight\":1}]}",
-    "{\"generation\":1,\"ttl_ms\":1,\"entries\":[{\"address\":\"1.2.3.4\",\"port\":0,\"weight\":1}]"
+    "{\"generation\":1,\"ttl_seconds\":-1,\"entries\":[]}",
+    "{\"generation\":1,\"ttl_seconds\":1,\"entries\":[{\"address\":\"x\",\"port\":1,\"weight\":1}]"
     "}",
-    "{\"generation\":1,\"ttl_ms\":1,\"entries\":[{\"address\":\"1.2.3.4\",\"port\":1,\"weight\":-1}"
+    "{\"generation\":1,\"ttl_seconds\":1,\"entries\":[{\"address\":\"1.2.3.4\",\"port\":0,"
+    "\"weight\":1}]"
+    "}",
+    "{\"generation\":1,\"ttl_seconds\":1,\"entries\":[{\"address\":\"1.2.3.4\",\"port\":1,"
+    "\"weight\":-1}"
     "]}",
   };
   load_lookup_t lookup;
@@ -229,14 +232,17 @@
     load_outcome_t outcome;
     load_fault_t fault;
   } cases[] = {
-    { { "a", "a", "answered", TRUE }, LOAD_ANSWERED, LOAD_FAULT_NONE },
-    { { "a", "a", "refused", TRUE }, LOAD_REFUSED, LOAD_FAULT_NONE },
-    { { "a", "a", "unknown", TRUE }, LOAD_UNKNOWN, LOAD_FAULT_NONE },
-    { { "a", "b", "answered", TRUE }, LOAD_UNKNOWN, LOAD_FAULT_OTHER_REQUEST },
-    { { "a", NULL, "answered", TRUE }, LOAD_UNKNOWN, LOAD_FAULT_OTHER_REQUEST },
-    { { "a", "a", "answered", FALSE }, LOAD_UNKNOWN, LOAD_FAULT_TRUNCATED },
-    { { "a", "a", NULL, TRUE }, LOAD_UNKNOWN, LOAD_FAULT_NO_OUTCOME },
-    { { "a", "a", "not_sent", TRUE }, LOAD_UNKNOWN, LOAD_FAULT_NO_OUTCOME },
+    { { "a", { "a", 1 }, "answered", 200, TRUE, 9, 9 }, LOAD_ANSWERED, LOAD_FAULT_NONE },
+    { { "a", { "a", 1 }, "answered", 404, TRUE, 1, 9 }, LOAD_ANSWERED, LOAD_FAULT_NONE },
+    { { "a", { NULL, 0 }, "refused", 503, TRUE, 0, 9 }, LOAD_REFUSED, LOAD_FAULT_NONE },
+    { { "a", { "a", 1 }, "unknown", 504, TRUE, 0, 9 }, LOAD_UNKNOWN, LOAD_FAULT_NONE },
+    { { "a", { "b", 1 }, "answered", 200, TRUE, 9, 9 }, LOAD_UNKNOWN, LOAD_FAULT_OTHER_REQUEST },
+    { { "a", { "b", 1 }, "refused", 503, TRUE, 0, 9 }, LOAD_UNKNOWN, LOAD_FAULT_OTHER_REQUEST },
+    { { "a", { NULL, 0 }, "answered", 200, TRUE, 9, 9 }, LOAD_UNKNOWN, LOAD_FAULT_OTHER_REQUEST },
+    { { "a", { "a", 1 }, "answered", 200, FALSE, 9, 9 }, LOAD_UNKNOWN, LOAD_FAULT_TRUNCATED },
+    { { "a", { "a", 1 }, "answered", 200, TRUE, 8, 9 }, LOAD_UNKNOWN, LOAD_FAULT_TRUNCATED },
+    { { "a", { "a", 1 }, NULL, 200, TRUE, 9, 9 }, LOAD_UNKNOWN, LOAD_FAULT_NO_OUTCOME },
+    { { "a", { "a", 1 }, "not_sent", 200, TRUE, 9, 9 }, LOAD_UNKNOWN, LOAD_FAULT_NO_OUTCOME },
   };
 
   for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
