Oblige only entries that are acquainted to tell each other

Cause: the in-force and drain oracles held an entry to what peers knew that had never heard of it: a VM that started while the platform was away, with nobody to ask, is to stay not ready. Change: two entries can tell each other when both run, reach each other both ways, and one of them has seen the other's VM in the platform's list.

--- a/tests/fuzz/fake-call.c
+++ b/tests/fuzz/fake-call.c
@@ -51,11 +51,11 @@
 }
 
 static void
-note_met (fake_net_t *net, const anvil_vm_t *vm)
+note_known (fake_net_t *net, guint entry, const anvil_vm_t *vm)
 {
   for (guint i = 0; i < net->n_entries; i++)
     if (net->entries[i].node == anvil_node (vm->address, vm->peer_port))
-      net->entries[i].met = TRUE;
+      net->entries[entry].knows[i] = TRUE;
 }
 
 static void
@@ -63,7 +63,7 @@
 {
   for (guint i = 0; i < list->n_vms; i++)
     if (list->vms[i].kind == ANVIL_VM_ENTRY)
-      note_met (net, &list->vms[i]);
+      note_known (net, index, &list->vms[i]);
     else if (list->vms[i].leaving)
       note_drain (net, index,
                   anvil_config_lookup_upstream (net->options.config, list->vms[i].name));
--- a/tests/fuzz/fake-net.c
+++ b/tests/fuzz/fake-net.c
@@ -84,7 +84,8 @@
   entry->name = anvil_str (g_intern_string (name));
   entry->node = anvil_node (ENTRY_ADDRESS + net->last_vm, PEER_PORT);
   entry->leaving = FALSE;
-  entry->met = FALSE;
+  for (guint i = 0; i < FAKE_MAX_ENTRIES; i++)
+    net->entries[i].knows[index] = FALSE;
   list_entry (net, entry);
 }
 
@@ -114,6 +115,8 @@
   entry->frozen = FALSE;
   entry->leaving = FALSE;
   entry->generation = 0;
+  for (guint i = 0; i < FAKE_MAX_ENTRIES; i++)
+    entry->knows[i] = FALSE;
   entry->incarnation = (guint64) fake_net_now (net) + entry->life;
   options.incarnation = entry->incarnation;
   if (net->options.policy == NULL)
@@ -307,6 +310,12 @@
          && !second->cut[a];
 }
 
+gboolean
+fake_net_acquainted (const fake_net_t *net, guint a, guint b)
+{
+  return net->entries[a].knows[b] || net->entries[b].knows[a];
+}
+
 gboolean
 fake_net_store_reachable (const fake_net_t *net, guint index)
 {
--- a/tests/fuzz/fake-net.h
+++ b/tests/fuzz/fake-net.h
@@ -57,7 +57,7 @@
  * @life: counts the processes here; what was meant for an earlier one is lost
  * @frozen: it does nothing; what comes is held back
  * @store_cut: it can't reach the platform
- * @met: it or another entry has seen this VM in the platform's list
+ * @knows: entries whose present VM this process has seen in the platform's list
  * @cut: directed cuts, by the entry that can't be reached
  * @upstreams_cut: its load reports don't arrive
  */
@@ -77,7 +77,7 @@
   gboolean frozen;
   gboolean leaving;
   gboolean store_cut;
-  gboolean met;
+  gboolean knows[FAKE_MAX_ENTRIES];
   gboolean cut[FAKE_MAX_ENTRIES];
   gboolean reports_cut;
   guint ticks;
@@ -148,6 +148,9 @@
 /** fake_net_linked - whether both entries run and reach each other both ways */
 gboolean fake_net_linked (const fake_net_t *net, guint a, guint b);
 
+/** fake_net_acquainted - whether one of them knows of the other from the platform's list */
+gboolean fake_net_acquainted (const fake_net_t *net, guint a, guint b);
+
 /** fake_net_store_reachable - whether a running entry gets prompt answers from the platform */
 gboolean fake_net_store_reachable (const fake_net_t *net, guint entry);
 
--- a/tests/fuzz/oracle-generations.c
+++ b/tests/fuzz/oracle-generations.c
@@ -137,7 +137,7 @@
                            const oracle_reach_t *reach)
 {
   for (guint i = 0; i < net->n_entries; i++)
-    if (!net->entries[i].alive || net->entries[i].frozen || !net->entries[i].met)
+    if (!net->entries[i].alive || net->entries[i].frozen)
       generations->entries[i].behind_since = NEVER;
     else
       check_behind (&generations->entries[i], verdict, i,
--- a/tests/fuzz/oracle.c
+++ b/tests/fuzz/oracle.c
@@ -37,7 +37,8 @@
       changed = FALSE;
       for (guint a = 0; a < net->n_entries; a++)
         for (guint b = 0; b < net->n_entries; b++)
-          if (reach->group[a] < reach->group[b] && fake_net_linked (net, a, b))
+          if (reach->group[a] < reach->group[b] && fake_net_linked (net, a, b)
+              && fake_net_acquainted (net, a, b))
             {
               reach->group[b] = reach->group[a];
               changed = TRUE;
