Send heartbeats to every member in turn

While the platform was away an entry that had started or had been cut off stayed without a file for longer than 6 s. Change: the next heartbeat goes to the next member in turn, from a random one on, dead or not. Dead ones get as many heartbeats as their part of the group. Conclusion: a restarted entry and a healed cut are found in one round.

--- a/source/steer/member-table.c
+++ b/source/steer/member-table.c
@@ -2,11 +2,6 @@
 
 #include <math.h>
 
-/* One heartbeat in this many goes to a member that is taken for dead, so that cuts heal. */
-#define DEAD_PICK_ONE_IN 8
-/* Tries to find a random member of the wanted kind. */
-#define PICK_TRIES 8
-
 anvil_member_table_t *
 anvil_member_table_new (anvil_node_t self)
 {
@@ -149,21 +144,20 @@
 }
 
 anvil_node_t
-anvil_member_table_pick (const anvil_member_table_t *table, GRand *random)
+anvil_member_table_pick (anvil_member_table_t *table, GRand *random)
 {
-  gboolean any = g_rand_int_range (random, 0, DEAD_PICK_ONE_IN) == 0;
+  guint n = table->entries->len;
 
-  if (table->entries->len == 0)
+  if (n == 0)
     return ANVIL_NO_NODE;
-  for (guint try = 0; try < PICK_TRIES; try++)
+  if (table->next == 0)
+    table->next = (guint) g_rand_int_range (random, 0, (gint32) n);
+  for (guint i = 0; i < n; i++)
     {
-      guint index = (guint) g_rand_int_range (random, 0, (gint32) table->entries->len);
-      const anvil_member_entry_t *entry = anvil_member_table_at (table, index);
+      anvil_node_t node = anvil_member_table_at (table, table->next++ % n)->member.node;
 
-      if (entry->member.node == table->self)
-        continue;
-      if (any || entry->member.state != ANVIL_MEMBER_DEAD)
-        return entry->member.node;
+      if (node != table->self)
+        return node;
     }
   return ANVIL_NO_NODE;
 }
--- a/source/steer/member-table.h
+++ b/source/steer/member-table.h
@@ -29,10 +29,14 @@
   gboolean list_leaving;
 } anvil_member_entry_t;
 
-/** anvil_member_table_t - the entries that are known, by node; the own record is among them */
+/**
+ * anvil_member_table_t - the entries that are known, by node; the own record is among them
+ * @next: place of the member that gets the next heartbeat; it only grows
+ */
 typedef struct
 {
   anvil_node_t self;
+  guint next;
   GArray *entries;
   GHashTable *by_node;
 } anvil_member_table_t;
@@ -66,8 +70,13 @@
  * size */
 anvil_time_t anvil_member_table_heartbeat (const anvil_member_table_t *table);
 
-/** anvil_member_table_pick - a random other member to send a heartbeat to, or ANVIL_NO_NODE */
-anvil_node_t anvil_member_table_pick (const anvil_member_table_t *table, GRand *random);
+/**
+ * anvil_member_table_pick - the other member that gets the next heartbeat, or ANVIL_NO_NODE
+ *
+ * Each in turn from a random one on, also those taken for dead, so that a
+ * healed cut and a restarted entry are found within one round.
+ */
+anvil_node_t anvil_member_table_pick (anvil_member_table_t *table, GRand *random);
 
 /** anvil_member_table_gossip - fills the members of a heartbeat: the own record, the freshest
  * changes, then any */
