Let an entry without a share of a link start only what it has borrowed whole

Ruled out: letting such an entry go into debt at the rate of one seat; nobody gives up that rate. Change: a bucket that no seat fills has to hold the whole use; the pace is never below that of one seat.

--- a/source/steer/rate-budget.c
+++ b/source/steer/rate-budget.c
@@ -19,7 +19,11 @@
 gboolean
 anvil_rate_fits (const anvil_rate_t *rate, gint64 units)
 {
-  return rate->tokens >= MIN ((gdouble) units, anvil_rate_capacity (rate)) && rate->per_seat > 0;
+  gdouble least = (gdouble) units;
+
+  if (!rate->stranded)
+    least = MIN (least, anvil_rate_capacity (rate));
+  return rate->tokens >= least && rate->per_seat > 0;
 }
 
 void
--- a/source/steer/rate-budget.h
+++ b/source/steer/rate-budget.h
@@ -11,6 +11,7 @@
  * @per_seat: units a second that one seat may use
  * @max_seats: seats that share the limit
  * @tokens: units that may be used at once; below 0 while a large use is worked off
+ * @stranded: no seat of this entry fills it now
  * @last: when tokens were last added
  * @used: units used since the start
  */
@@ -20,6 +21,7 @@
   gdouble per_seat;
   guint max_seats;
   gdouble tokens;
+  gboolean stranded;
   anvil_time_t last;
   gint64 used;
 } anvil_rate_t;
@@ -34,7 +36,8 @@
  * anvil_rate_fits - whether a use of @units may start
  *
  * A use above the capacity may start on a full bucket; what it takes beyond is
- * worked off before the next one.
+ * worked off before the next one. Where no seat fills the bucket nothing would
+ * be worked off, so the whole use has to be there.
  */
 gboolean anvil_rate_fits (const anvil_rate_t *rate, gint64 units);
 
--- a/source/steer/steer-rate.c
+++ b/source/steer/steer-rate.c
@@ -196,13 +196,18 @@
 {
   anvil_time_t last = budget->rate.last;
 
+  budget->rate.stranded = TRUE;
   for (guint seat = 0; seat < steer->layout->n_seats; seat++)
     {
       const anvil_right_t *right = &steer->seats[seat].right;
       anvil_time_t from = MAX (last, right->since);
       anvil_time_t to = MIN (now, right->end);
 
-      if (to > from && shares_budget (steer, budget, seat))
+      if (!shares_budget (steer, budget, seat))
+        continue;
+      if (right->end > now)
+        budget->rate.stranded = FALSE;
+      if (to > from)
         anvil_rate_accrue (&budget->rate, to - from);
     }
   budget->rate.last = now;
--- a/source/steer/steer-request.c
+++ b/source/steer/steer-request.c
@@ -135,7 +135,8 @@
   order.attempt = work->attempt;
   order.deadline = work->until;
   if (choice->out != NULL)
-    order.pace_bits_per_s = anvil_steer_rate_share (steer, now, choice->out);
+    order.pace_bits_per_s
+        = MAX (anvil_steer_rate_share (steer, now, choice->out), (gint64) choice->out->per_seat);
   steer->actions.dispatch (steer->context, &work->request, &order);
 }
 
