Tell in the drain oracle who told an entry, and let reports mislead

Cause: the oracle held entries to a drain that the upstream's own, later report denied, or that only an old list still named.

--- a/tests/fuzz/fake-record.h
+++ b/tests/fuzz/fake-record.h
@@ -46,6 +46,7 @@
  * @upstream: its place in the base file
  * @until: when the upstream stops the work at the latest, virtual time
  * @link: directed link, an index of the base file
+ * @listed: the platform's list told, not the upstream
  */
 typedef struct
 {
@@ -65,6 +66,7 @@
   anvil_refusal_t refusal;
   guint64 generation;
   guint link;
+  gboolean listed;
   gint64 bits;
 } fake_record_t;
 
