Keep a drain that the platform's list began until the list ends it

The upstream's report, which doesn't know that the platform takes it away, denied the drain after 10 s, and the entry spread that as news to those who had the list. New work went to a leaving upstream for up to 82 s. Ruled out: a source field in the gossip; the source is only needed where it was learnt. Change: an entry notes whether the list, the upstream or a peer told it. A report ends only what the upstream told; what a peer told ends after 60 s if a report and a fresh list both deny it. Who has the list's word repeats it when a peer denies it.

--- a/source/steer/drain-table.c
+++ b/source/steer/drain-table.c
@@ -6,6 +6,7 @@
 typedef struct
 {
   anvil_drain_t drain;
+  anvil_drain_source_t source;
   anvil_time_t learnt_at;
   guint credit;
 } drain_entry_t;
@@ -29,11 +30,15 @@
 }
 
 static void
-store (anvil_drain_table_t *table, anvil_time_t now, const anvil_drain_t *drain)
+store (anvil_drain_table_t *table,
+       anvil_time_t now,
+       const anvil_drain_t *drain,
+       anvil_drain_source_t source)
 {
   drain_entry_t *entry = g_new0 (drain_entry_t, 1);
 
   entry->drain = *drain;
+  entry->source = drain->draining ? source : ANVIL_DRAIN_PEER;
   entry->learnt_at = now;
   entry->credit = DRAIN_CREDIT;
   g_hash_table_replace (table->by_upstream, &entry->drain.upstream, entry);
@@ -44,15 +49,21 @@
 anvil_drain_table_learn (anvil_drain_table_t *table,
                          anvil_time_t now,
                          guint64 upstream,
+                         anvil_drain_source_t source,
                          gboolean draining)
 {
+  drain_entry_t *known = g_hash_table_lookup (table->by_upstream, &upstream);
   anvil_drain_t drain
       = { .upstream = upstream, .stamp = table->latest_stamp + 1, .draining = draining };
 
-  if (anvil_drain_table_draining (table, upstream) == draining)
-    return FALSE;
-  store (table, now, &drain);
-  return TRUE;
+  if (anvil_drain_table_draining (table, upstream) != draining)
+    {
+      store (table, now, &drain, source);
+      return TRUE;
+    }
+  if (known != NULL && draining)
+    known->source = MAX (known->source, source);
+  return FALSE;
 }
 
 gboolean
@@ -66,7 +77,7 @@
   if (known != NULL && known->drain.stamp == drain->stamp
       && (known->drain.draining || !drain->draining))
     return FALSE;
-  store (table, now, drain);
+  store (table, now, drain, known != NULL ? known->source : ANVIL_DRAIN_PEER);
   return TRUE;
 }
 
@@ -78,6 +89,14 @@
   return entry != NULL && entry->drain.draining;
 }
 
+anvil_drain_source_t
+anvil_drain_table_source (const anvil_drain_table_t *table, guint64 upstream)
+{
+  const drain_entry_t *entry = g_hash_table_lookup (table->by_upstream, &upstream);
+
+  return entry != NULL ? entry->source : ANVIL_DRAIN_PEER;
+}
+
 anvil_time_t
 anvil_drain_table_age (const anvil_drain_table_t *table, anvil_time_t now, guint64 upstream)
 {
--- a/source/steer/drain-table.h
+++ b/source/steer/drain-table.h
@@ -5,6 +5,21 @@
 
 /* A report of no drain counts against a drain that was learnt longer ago than this. */
 #define ANVIL_DRAIN_DOUBT (10 * ANVIL_SECOND)
+/* A drain that only peers have told of ends after this when both the list and a report deny it. */
+#define ANVIL_DRAIN_HEARSAY (60 * ANVIL_SECOND)
+
+/**
+ * anvil_drain_source_t - who told this entry of a drain
+ * @ANVIL_DRAIN_PEER: another entry
+ * @ANVIL_DRAIN_LIST: the platform's list
+ * @ANVIL_DRAIN_UPSTREAM: the upstream, by an answer or a report; only then may a report end it
+ */
+typedef enum
+{
+  ANVIL_DRAIN_PEER,
+  ANVIL_DRAIN_LIST,
+  ANVIL_DRAIN_UPSTREAM,
+} anvil_drain_source_t;
 
 /**
  * anvil_drain_table_t - upstreams that take no new work, as anyone has learnt it
@@ -27,6 +42,7 @@
 gboolean anvil_drain_table_learn (anvil_drain_table_t *table,
                                   anvil_time_t now,
                                   guint64 upstream,
+                                  anvil_drain_source_t source,
                                   gboolean draining);
 
 /** anvil_drain_table_merge - a peer's news; TRUE if it is newer than what is known */
@@ -35,6 +51,9 @@
 
 gboolean anvil_drain_table_draining (const anvil_drain_table_t *table, guint64 upstream);
 
+/** anvil_drain_table_source - who told this entry of a drain, the upstream before all others */
+anvil_drain_source_t anvil_drain_table_source (const anvil_drain_table_t *table, guint64 upstream);
+
 /** anvil_drain_table_age - how long ago the present state was learnt */
 anvil_time_t
 anvil_drain_table_age (const anvil_drain_table_t *table, anvil_time_t now, guint64 upstream);
--- a/source/steer/member-table.c
+++ b/source/steer/member-table.c
@@ -2,6 +2,9 @@
 
 #include <math.h>
 
+/* A member that is dead and in no list gets a heartbeat in one round of this many. */
+#define UNLISTED_ROUNDS 4
+
 anvil_member_table_t *
 anvil_member_table_new (anvil_node_t self)
 {
@@ -143,6 +146,17 @@
     }
 }
 
+/* A member that is dead and in no list is most likely gone. */
+static gboolean
+skipped (const anvil_member_table_t *table, const anvil_member_entry_t *entry)
+{
+  guint round = table->next / table->entries->len;
+
+  if (entry->member.node == table->self)
+    return TRUE;
+  return entry->member.state == ANVIL_MEMBER_DEAD && !entry->listed && round % UNLISTED_ROUNDS != 0;
+}
+
 anvil_node_t
 anvil_member_table_pick (anvil_member_table_t *table, GRand *random)
 {
@@ -154,10 +168,12 @@
     table->next = (guint) g_rand_int_range (random, 0, (gint32) n);
   for (guint i = 0; i < n; i++)
     {
-      anvil_node_t node = anvil_member_table_at (table, table->next++ % n)->member.node;
+      const anvil_member_entry_t *entry = anvil_member_table_at (table, table->next % n);
+      gboolean skip = skipped (table, entry);
 
-      if (node != table->self)
-        return node;
+      table->next++;
+      if (!skip)
+        return entry->member.node;
     }
   return ANVIL_NO_NODE;
 }
--- a/source/steer/steer-gossip.c
+++ b/source/steer/steer-gossip.c
@@ -131,6 +131,12 @@
 
   if (!anvil_drain_table_merge (steer->drains, now, drain) || drain->draining)
     return;
+  /* A peer took the word of the upstream, and doesn't know what the list says. */
+  if (g_hash_table_contains (steer->leaving_upstreams, &drain->upstream))
+    {
+      anvil_drain_table_learn (steer->drains, now, drain->upstream, ANVIL_DRAIN_LIST, TRUE);
+      return;
+    }
   upstream = anvil_steer_upstream_state (steer, drain->upstream);
   if (upstream != NULL)
     upstream->warm_since = now;
@@ -170,17 +176,16 @@
 list_upstream (anvil_steer_t *steer, anvil_time_t now, const anvil_vm_t *vm)
 {
   guint64 *key = g_new (guint64, 1);
-  gboolean was_leaving;
 
   *key = anvil_str_hash (vm->name);
-  was_leaving = g_hash_table_contains (steer->leaving_upstreams, key);
-  if (vm->leaving != was_leaving)
-    anvil_drain_table_learn (steer->drains, now, *key, vm->leaving);
   if (vm->leaving)
     {
+      anvil_drain_table_learn (steer->drains, now, *key, ANVIL_DRAIN_LIST, TRUE);
       g_hash_table_add (steer->leaving_upstreams, key);
       return;
     }
+  if (anvil_drain_table_source (steer->drains, *key) == ANVIL_DRAIN_LIST)
+    anvil_drain_table_learn (steer->drains, now, *key, ANVIL_DRAIN_LIST, FALSE);
   g_hash_table_remove (steer->leaving_upstreams, key);
   g_free (key);
 }
@@ -191,6 +196,7 @@
   if (list->version < steer->list_version)
     return;
   steer->list_version = list->version;
+  steer->list_at = now;
   steer->listed = FALSE;
   g_hash_table_remove_all (steer->listed_nodes);
   for (guint i = 0; i < anvil_member_table_count (steer->members); i++)
--- a/source/steer/steer-internal.h
+++ b/source/steer/steer-internal.h
@@ -136,6 +136,7 @@
   gboolean leaving;
   anvil_time_t left_at;
   guint64 list_version;
+  anvil_time_t list_at;
   gboolean listed;
   GHashTable *listed_nodes;
   GHashTable *leaving_upstreams;
--- a/source/steer/steer-request.c
+++ b/source/steer/steer-request.c
@@ -280,7 +280,7 @@
         work->queue->typical_latency = (work->queue->typical_latency * 15 + latency) / 16;
       return;
     case ANVIL_ATTEMPT_DRAINING:
-      anvil_drain_table_learn (steer->drains, now, upstream->key, TRUE);
+      anvil_drain_table_learn (steer->drains, now, upstream->key, ANVIL_DRAIN_UPSTREAM, TRUE);
       return;
     case ANVIL_ATTEMPT_NOT_RUN:
       upstream->paused_until = now + ANVIL_SHED_PAUSE;
--- a/source/steer/steer-slot.c
+++ b/source/steer/steer-slot.c
@@ -283,6 +283,30 @@
   steer->counters.ejections++;
 }
 
+/* A report may lag, and an upstream needn't know that the platform takes it away: it ends a drain
+ * that the upstream itself told of long before, or one of unknown source that the list denies. */
+static gboolean
+may_deny_drain (const anvil_steer_t *steer,
+                anvil_time_t now,
+                anvil_time_t asked_at,
+                guint64 upstream)
+{
+  anvil_time_t age = anvil_drain_table_age (steer->drains, asked_at, upstream);
+
+  if (g_hash_table_contains (steer->leaving_upstreams, &upstream))
+    return FALSE;
+  switch (anvil_drain_table_source (steer->drains, upstream))
+    {
+    case ANVIL_DRAIN_UPSTREAM:
+      return age >= ANVIL_DRAIN_DOUBT;
+    case ANVIL_DRAIN_LIST:
+      return FALSE;
+    case ANVIL_DRAIN_PEER:
+      return age >= ANVIL_DRAIN_HEARSAY && now - steer->list_at < ANVIL_DRAIN_DOUBT;
+    }
+  return FALSE;
+}
+
 void
 anvil_steer_report (anvil_steer_t *steer,
                     anvil_time_t now,
@@ -299,14 +323,9 @@
   state->unhealthy = !healthy;
   state->reported_running = running;
   state->reported_at = asked_at;
-  /* A report may lag, so it ends only a drain that was learnt long before. */
-  if (!draining && anvil_drain_table_draining (steer->drains, upstream))
-    {
-      if (anvil_drain_table_age (steer->drains, asked_at, upstream) < ANVIL_DRAIN_DOUBT)
-        return;
-      if (g_hash_table_contains (steer->leaving_upstreams, &upstream))
-        return;
-      state->warm_since = now;
-    }
-  anvil_drain_table_learn (steer->drains, now, upstream, draining);
+  if (!draining && !may_deny_drain (steer, now, asked_at, upstream))
+    return;
+  if (anvil_drain_table_learn (steer->drains, now, upstream, ANVIL_DRAIN_UPSTREAM, draining)
+      && !draining)
+    state->warm_since = now;
 }
