Measure the slopes of the size to come: make capacity

Ruled out: the fuzzer's fake network for 490 entries: it knows 16 and runs requests, upstreams and faults, which this doesn't need. The group here uses its virtual clock, drives the real cores, and packs and unpacks every message with the real codec. Hundreds of processes: they would measure the machine.

Change: four benchmarks. Look-up: table of blocks from 1,000 to 1.2 million (build, memory, change, look-up), and the choice of entries at 7 to 490 nodes at the rate of the target. Peers: messages, bytes, processor time, memory and spread at 7, 50, 150, 490 nodes in virtual time. Budget: slots and links. Config: files by size; and what a change would cost cut into pieces named by content, or as a list of changed blocks.

--- a/Makefile
+++ b/Makefile
@@ -112,6 +112,12 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) benches
 	@$(BUILD)/bench/bench-steer $(BENCH_ARGS)
 
+# Slopes for docs/CAPACITY.md.
+CAPACITY_NAMES = bench-capacity-lookup bench-capacity-peers bench-capacity-budget bench-capacity-config
+capacity: packages
+	@$(MAKE) --no-print-directory -j$$(nproc) $(CAPACITY_NAMES:%=$(BUILD)/bench/%)
+	@for name in $(CAPACITY_NAMES); do echo "== $$name"; $(BUILD)/bench/$$name || exit 1; done
+
 demo: packages
 	@$(MAKE) --no-print-directory -j$$(nproc) all
 	@BUILD=$(BUILD) scripts/demo $(or $(DEPLOYMENT),labka)
@@ -127,5 +133,5 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all packages tests benches check fuzz fuzz-coverage bench demo format lint clean
+.PHONY: all packages tests benches check fuzz fuzz-coverage bench capacity demo format lint clean
 .SECONDARY:
--- /dev/null
+++ b/bench/bench-capacity-lookup.c
@@ -0,0 +1,186 @@
+/* What a look-up costs: the table of client blocks, and the choice of entries. */
+
+#include <stdio.h>
+
+#include "common-group.h"
+#include "common-meter.h"
+
+#define LOOKUPS 2000000u
+#define CHANGES 200u
+#define STEER_LOOKUPS 50000u
+#define REPEATS 5
+/* 260,000 look-ups a second over 490 nodes. */
+#define LOOKUP_INTERVAL ((anvil_time_t) 1885)
+#define FIRST_BLOCK 0x01000000u
+#define BLOCK_BITS 8
+#define SEED 1
+
+/* Blocks of 2^8 addresses side by side; every sixteenth has a smaller one inside. */
+static anvil_block_t *
+make_blocks (guint n_blocks)
+{
+  anvil_block_t *blocks = g_new0 (anvil_block_t, n_blocks);
+  guint32 address = FIRST_BLOCK;
+
+  for (guint i = 0; i < n_blocks; i++)
+    {
+      gboolean inner = i % 16 == 15;
+
+      blocks[i] = (anvil_block_t){
+        .address = inner ? address - (1u << BLOCK_BITS) : address,
+        .prefix = inner ? 28 : 24,
+        .region = i % 10,
+      };
+      if (!inner)
+        address += 1u << BLOCK_BITS;
+    }
+  return blocks;
+}
+
+static gint64
+best_of (gint64 best, gint64 now)
+{
+  return best == 0 ? now : MIN (best, now);
+}
+
+static gint64
+time_lookups (const anvil_blocks_t *table, guint n_blocks, guint *sum)
+{
+  GRand *rand = g_rand_new_with_seed (SEED);
+  guint32 *addresses = g_new (guint32, LOOKUPS);
+  gint64 start;
+  gint64 taken;
+
+  for (guint i = 0; i < LOOKUPS; i++)
+    addresses[i] = FIRST_BLOCK + (g_rand_int (rand) % (n_blocks << BLOCK_BITS));
+  start = common_meter_cpu ();
+  for (guint i = 0; i < LOOKUPS; i++)
+    *sum += anvil_blocks_lookup (table, addresses[i]);
+  taken = common_meter_cpu () - start;
+  g_free (addresses);
+  g_rand_free (rand);
+  return taken;
+}
+
+/* Moves single blocks to another region, each in a place of its own. */
+static gint64
+time_changes (anvil_blocks_t *table)
+{
+  GRand *rand = g_rand_new_with_seed (SEED);
+  guint count = anvil_blocks_count (table);
+  gint64 start = common_meter_cpu ();
+
+  for (guint i = 0; i < CHANGES; i++)
+    {
+      guint index = (guint) g_rand_int_range (rand, 0, (gint32) count);
+      anvil_block_t block = anvil_blocks_get (table, index);
+
+      block.region = (block.region + 1) % 10;
+      g_assert (anvil_blocks_replace (table, index, 1, &block, 1));
+    }
+  g_rand_free (rand);
+  return common_meter_cpu () - start;
+}
+
+/* Splits one block into two, which moves everything behind it. */
+static gint64
+time_split (anvil_blocks_t *table)
+{
+  anvil_block_t block = anvil_blocks_get (table, 0);
+  anvil_block_t halves[2] = { block, block };
+  gint64 start;
+
+  halves[0].prefix = 25;
+  halves[1].prefix = 25;
+  halves[1].address += 1u << (BLOCK_BITS - 1);
+  start = common_meter_cpu ();
+  g_assert (anvil_blocks_replace (table, 0, 1, halves, 2));
+  return common_meter_cpu () - start;
+}
+
+static void
+measure_blocks (guint n_blocks)
+{
+  anvil_block_t *blocks = make_blocks (n_blocks);
+  gint64 build = 0;
+  gint64 lookups = 0;
+  gint64 changes = 0;
+  gint64 split = 0;
+  gsize bytes = 0;
+  guint sum = 0;
+
+  for (guint i = 0; i < REPEATS; i++)
+    {
+      gint64 start = common_meter_cpu ();
+      anvil_blocks_t *table = anvil_blocks_new (blocks, n_blocks);
+
+      build = best_of (build, common_meter_cpu () - start);
+      bytes = anvil_blocks_bytes (table);
+      lookups = best_of (lookups, time_lookups (table, n_blocks, &sum));
+      changes = best_of (changes, time_changes (table));
+      split = best_of (split, time_split (table));
+      anvil_blocks_drop (table);
+    }
+  printf ("blocks %u: build ms %.2f, bytes a block %.2f, table MB %.2f, look-up ns %.1f, change of "
+          "one us %.2f, split of the first us %.1f (sum %u)\n",
+          n_blocks, (gdouble) build / 1e6, (gdouble) bytes / n_blocks, (gdouble) bytes / 1e6,
+          (gdouble) lookups / LOOKUPS, (gdouble) changes / CHANGES / 1e3, (gdouble) split / 1e3,
+          sum % 10);
+  g_free (blocks);
+}
+
+static void
+measure_choice (guint regions, guint zones, guint nodes)
+{
+  const common_file_size_t size = {
+    .regions = regions,
+    .zones = zones,
+    .seats = nodes,
+    .services = 3,
+    .upstreams = 120,
+    .blocks = 1000,
+  };
+  common_group_t *group = common_group_new (&size, SEED);
+  anvil_entry_choice_t choices[16];
+  gint64 best = 0;
+  guint found = 0;
+  guint known;
+  anvil_time_t now;
+
+  do
+    {
+      common_group_advance (group, ANVIL_SECOND);
+      known = common_group_known_by (group, 0);
+  } while (known < nodes && fake_clock_now (group->clock) < 300 * ANVIL_SECOND);
+  now = fake_clock_now (group->clock);
+  for (guint i = 0; i < REPEATS; i++)
+    {
+      gint64 start = common_meter_cpu ();
+
+      for (guint j = 0; j < STEER_LOOKUPS; j++)
+        {
+          now += LOOKUP_INTERVAL;
+          found = anvil_steer_lookup (group->cores[0].steer, now, 0,
+                                      FIRST_BLOCK + ((j % 1000) << BLOCK_BITS), choices,
+                                      G_N_ELEMENTS (choices));
+        }
+      best = best_of (best, common_meter_cpu () - start);
+    }
+  printf ("nodes %u (%u known), regions %u: choice of entries us %.2f (%u entries)\n", nodes, known,
+          regions, (gdouble) best / STEER_LOOKUPS / 1e3, found);
+  common_group_drop (group);
+}
+
+int
+main (void)
+{
+  static const guint sizes[] = { 1000, 10000, 100000, 400000, 1200000 };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (sizes); i++)
+    measure_blocks (sizes[i]);
+  measure_choice (3, 6, 7);
+  measure_choice (5, 15, 50);
+  measure_choice (10, 39, 150);
+  measure_choice (10, 39, 490);
+  return 0;
+}
--- /dev/null
+++ b/bench/common-meter.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include <glib.h>
+
+/** common_meter_cpu - processor time of this process, nanoseconds */
+gint64 common_meter_cpu (void);
+
+/** common_meter_memory - bytes that are allocated from the heap */
+gsize common_meter_memory (void);
