Submit the operators' file and keep entries on the newest

Cause: nothing brought a file to the platform or from there to an entry. Ruled out: reading the head's version at the end only; a lost answer would then be taken for a lost race.

--- /dev/null
+++ b/source/config/config-head.c
@@ -0,0 +1,72 @@
+#include "config/config-head.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "anvil/error.h"
+
+/* Reads a text member; NULL if it is missing or of another type. */
+static char *
+dup_member (const json_t *record, const char *name)
+{
+  return g_strdup (json_string_value (json_object_get (record, name)));
+}
+
+gboolean
+anvil_config_head_parse (anvil_str_t text, anvil_config_head_t *head, GError **error)
+{
+  json_t *record
+      = json_loadb (text.data != NULL ? text.data : "", text.length, JSON_REJECT_DUPLICATES, NULL);
+  json_int_t generation = json_integer_value (json_object_get (record, "generation"));
+
+  *head = (anvil_config_head_t){
+    .generation = generation > 0 ? (guint64) generation : 0,
+    .object = dup_member (record, "object"),
+    .submission = dup_member (record, "submission"),
+    .by = dup_member (record, "by"),
+    .at = dup_member (record, "at"),
+  };
+  json_decref (record);
+  if (head->generation > 0 && head->object != NULL && head->submission != NULL)
+    return TRUE;
+  anvil_config_head_clear (head);
+  g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_INVALID,
+               "%s: record needs a generation above 0, an object and a submission", ANVIL_HEAD_KEY);
+  return FALSE;
+}
+
+char *
+anvil_config_head_format (const anvil_config_head_t *head)
+{
+  json_t *record
+      = json_pack ("{s:I, s:s, s:s, s:s, s:s}", "generation", (json_int_t) head->generation,
+                   "object", head->object, "submission", head->submission, "by",
+                   head->by != NULL ? head->by : "", "at", head->at != NULL ? head->at : "");
+  char *text = json_dumps (record, JSON_COMPACT);
+  char *copy = g_strdup (text);
+
+  free (text);
+  json_decref (record);
+  return copy;
+}
+
+void
+anvil_config_head_clear (anvil_config_head_t *head)
+{
+  g_free (head->object);
+  g_free (head->submission);
+  g_free (head->by);
+  g_free (head->at);
+  memset (head, 0, sizeof *head);
+}
+
+char *
+anvil_config_object_name (anvil_str_t file)
+{
+  char *digest
+      = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (const guchar *) file.data, file.length);
+  char *name = g_strconcat ("config-", digest, NULL);
+
+  g_free (digest);
+  return name;
+}
--- /dev/null
+++ b/source/tools/anvil-config-submit.c
@@ -0,0 +1,173 @@
+#include "tools/anvil-config-submit.h"
+
+/* Pause before a step that had no answer is tried again. */
+#define RETRY_PAUSE (200 * ANVIL_MS)
+
+/* The platform's client joined to the submission's steps. */
+typedef struct
+{
+  anvil_config_session_t *session;
+  anvil_config_submission_t *submission;
+  anvil_submit_t *submit;
+  gboolean ended;
+} run_t;
+
+static void
+pause_after (const GError *error)
+{
+  if (error != NULL)
+    g_usleep ((gulong) RETRY_PAUSE);
+}
+
+static void
+on_stored (void *context, anvil_commit_result_t result, const GError *error)
+{
+  run_t *run = context;
+
+  pause_after (error);
+  anvil_submit_stored (run->submit, result);
+}
+
+static void
+put_object (void *context, const char *name)
+{
+  run_t *run = context;
+
+  anvil_platform_put_object (run->session->platform, name, run->submission->file, on_stored, run);
+}
+
+static void
+on_rows (void *context, const anvil_row_t *rows, guint n_rows, const GError *error)
+{
+  run_t *run = context;
+
+  pause_after (error);
+  anvil_submit_read (run->submit, error == NULL, rows, n_rows);
+}
+
+static void
+read_rows (void *context, const char *prefix)
+{
+  run_t *run = context;
+
+  anvil_platform_read (run->session->platform, prefix, on_rows, run);
+}
+
+static void
+on_committed (void *context, anvil_commit_result_t result, const GError *error)
+{
+  run_t *run = context;
+
+  pause_after (result == ANVIL_COMMIT_CONFLICT ? NULL : error);
+  anvil_submit_committed (run->submit, result);
+}
+
+static void
+commit_rows (void *context, guint64 head_version, const char *history_key, const char *record)
+{
+  run_t *run = context;
+  const anvil_row_t conditions[] = {
+    { .key = anvil_str (ANVIL_HEAD_KEY), .version = head_version },
+    { .key = anvil_str (history_key), .version = 0 },
+  };
+  const anvil_row_t writes[] = {
+    { .key = anvil_str (ANVIL_HEAD_KEY), .value = anvil_str (record) },
+    { .key = anvil_str (history_key), .value = anvil_str (record) },
+  };
+
+  anvil_platform_commit (run->session->platform, conditions, G_N_ELEMENTS (conditions), writes,
+                         G_N_ELEMENTS (writes), on_committed, run);
+}
+
+static gboolean
+same_seats (const anvil_config_t *a, const anvil_config_t *b)
+{
+  if (a->n_seats != b->n_seats)
+    return FALSE;
+  for (guint i = 0; i < a->n_seats; i++)
+    {
+      if (!anvil_str_equal (a->zones[a->seats[i].zone].name, b->zones[b->seats[i].zone].name))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Seats can't move in place: witnesses on the old and the new file would differ. */
+static void
+on_head_file (void *context, anvil_str_t body, const GError *error)
+{
+  run_t *run = context;
+  anvil_config_t *old = error == NULL ? anvil_config_load ("head", body, NULL) : NULL;
+  gboolean same = old != NULL && same_seats (old, run->submission->config);
+
+  if (error != NULL)
+    run->submission->reason
+        = g_strdup_printf ("the file in force can't be read: %s", error->message);
+  else if (old == NULL)
+    run->submission->reason = g_strdup ("the file in force isn't valid any more");
+  else if (!same)
+    run->submission->reason
+        = g_strdup ("seats: the list differs from the file in force; seats can't change in place");
+  anvil_config_drop (old);
+  anvil_submit_checked (run->submit, same);
+}
+
+static void
+check_head_file (void *context, const anvil_config_head_t *before)
+{
+  run_t *run = context;
+
+  anvil_platform_get_object (run->session->platform, before->object, on_head_file, run);
+}
+
+static void
+ended (void *context, anvil_submit_result_t result, const anvil_config_head_t *winner)
+{
+  run_t *run = context;
+
+  run->submission->result = result;
+  if (winner != NULL)
+    run->submission->winner = (anvil_config_head_t){
+      .generation = winner->generation,
+      .object = g_strdup (winner->object),
+      .submission = g_strdup (winner->submission),
+      .by = g_strdup (winner->by),
+      .at = g_strdup (winner->at),
+    };
+  run->ended = TRUE;
+  event_base_loopbreak (run->session->base);
+}
+
+void
+anvil_config_run_submission (anvil_config_session_t *session, anvil_config_submission_t *submission)
+{
+  const anvil_submit_actions_t actions = {
+    .put_object = put_object,
+    .read = read_rows,
+    .commit = commit_rows,
+    .check = check_head_file,
+    .ended = ended,
+  };
+  run_t run = { .session = session, .submission = submission };
+  GDateTime *now = g_date_time_new_now_utc ();
+  char *at = g_date_time_format_iso8601 (now);
+  char *by = g_strdup_printf ("%s@%s", g_get_user_name (), g_get_host_name ());
+  char *id = g_uuid_string_random ();
+
+  run.submit = anvil_submit_new (submission->file, id, by, at, &actions, &run);
+  anvil_submit_begin (run.submit);
+  while (!run.ended)
+    event_base_dispatch (session->base);
+  anvil_submit_drop (run.submit);
+  g_free (id);
+  g_free (by);
+  g_free (at);
+  g_date_time_unref (now);
+}
+
+void
+anvil_config_submission_clear (anvil_config_submission_t *submission)
+{
+  anvil_config_head_clear (&submission->winner);
+  g_clear_pointer (&submission->reason, g_free);
+}
--- /dev/null
+++ b/source/tools/anvil-config-submit.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "anvil/config.h"
+#include "config/submit.h"
+#include "tools/anvil-config-session.h"
+
+/**
+ * anvil_config_submission_t - a submission and how it ended
+ * @file: text of the file
+ * @config: the file, checked
+ * @result: result; how it ended
+ * @winner: result; the record of the generation that it was for, if known
+ * @reason: result; why it was refused, or NULL; freed with g_free()
+ */
+typedef struct
+{
+  anvil_str_t file;
+  const anvil_config_t *config;
+  anvil_submit_result_t result;
+  anvil_config_head_t winner;
+  char *reason;
+} anvil_config_submission_t;
+
+/** anvil_config_run_submission - submits and waits for the end */
+void anvil_config_run_submission (anvil_config_session_t *session,
+                                  anvil_config_submission_t *submission);
+
+/** anvil_config_submission_clear - frees the results */
+void anvil_config_submission_clear (anvil_config_submission_t *submission);
