Name each mechanism that can be switched off, and cut entries off from files

Cause: a stale entry that hears of a newer file but can't get it was not drawn, and the broken variants had no names for the fuzzer. Ruled out: one driver per variant.

--- a/Makefile
+++ b/Makefile
@@ -95,10 +95,12 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) all tests
 	@scripts/run-tests $(BUILD)
 
-# make fuzz SEED=1 STEPS=100000, or with HISTORY= to replay what a failure printed.
+# make fuzz SEED=1 STEPS=100000; HISTORY= replays what a failure printed, FAULT= switches a
+# mechanism off.
 fuzz: packages
 	@$(MAKE) --no-print-directory -j$$(nproc) $(BUILD)/fuzz/fuzz-steer
-	@$(BUILD)/fuzz/fuzz-steer --seed $(or $(SEED),1) --steps $(or $(STEPS),10000) --history "$(HISTORY)"
+	@$(BUILD)/fuzz/fuzz-steer --seed $(or $(SEED),1) --steps $(or $(STEPS),10000) \
+	  --history "$(HISTORY)" --fault "$(FAULT)"
 
 # make fuzz-coverage SECONDS=60; inputs that reach new code are kept in build/fuzz/corpus.
 fuzz-coverage: packages
--- a/tests/fuzz/fake-entry.c
+++ b/tests/fuzz/fake-entry.c
@@ -148,8 +148,11 @@
 static void
 fetch_later (fake_net_t *net, guint entry, guint64 generation, anvil_time_t when)
 {
-  fake_call_t *call = fake_call_new (net, entry, FAKE_CALL_FILE);
+  fake_call_t *call;
 
+  if (net->entries[entry].files_cut)
+    return;
+  call = fake_call_new (net, entry, FAKE_CALL_FILE);
   call->generation = generation;
   fake_call_at (call, when);
 }
--- a/tests/fuzz/fake-net.c
+++ b/tests/fuzz/fake-net.c
@@ -114,6 +114,7 @@
   entry->alive = TRUE;
   entry->frozen = FALSE;
   entry->leaving = FALSE;
+  entry->files_cut = FALSE;
   entry->generation = 0;
   for (guint i = 0; i < FAKE_MAX_ENTRIES; i++)
     entry->knows[i] = FALSE;
--- a/tests/fuzz/fake-net.h
+++ b/tests/fuzz/fake-net.h
@@ -57,6 +57,7 @@
  * @life: counts the processes here; what was meant for an earlier one is lost
  * @frozen: it does nothing; what comes is held back
  * @store_cut: it can't reach the platform
+ * @files_cut: it hears of new files, but can't get them
  * @knows: entries whose present VM this process has seen in the platform's list
  * @cut: directed cuts, by the entry that can't be reached
  * @upstreams_cut: its load reports don't arrive
@@ -77,6 +78,7 @@
   gboolean frozen;
   gboolean leaving;
   gboolean store_cut;
+  gboolean files_cut;
   gboolean knows[FAKE_MAX_ENTRIES];
   gboolean cut[FAKE_MAX_ENTRIES];
   gboolean reports_cut;
--- a/tests/fuzz/fuzz-steer.c
+++ b/tests/fuzz/fuzz-steer.c
@@ -5,23 +5,15 @@
 
 #include <popt.h>
 
+#include "world-fault.h"
 #include "world-run.h"
 
 static gboolean
-replay (guint32 seed, const char *text)
+replay (guint32 seed, const char *text, const anvil_steer_faults_t *faults)
 {
-  GArray *history = g_array_new (FALSE, TRUE, sizeof (world_op_t));
-  world_result_t result;
-  guint8 bytes[sizeof (world_op_t)];
+  GArray *history = world_parse (text);
+  world_result_t result = world_run (seed, history, faults);
 
-  for (gsize i = 0; g_ascii_isxdigit (text[i]) && g_ascii_isxdigit (text[i + 1]); i += 2)
-    {
-      bytes[i / 2 % sizeof bytes]
-          = (guint8) (g_ascii_xdigit_value (text[i]) << 4 | g_ascii_xdigit_value (text[i + 1]));
-      if (i / 2 % sizeof bytes == sizeof bytes - 1)
-        g_array_append_vals (history, bytes, 1);
-    }
-  result = world_run (seed, history, NULL);
   if (result.failed != NULL)
     world_print (seed, history, &result);
   else
@@ -36,10 +28,13 @@
   int seed = 1;
   int steps = 10000;
   char *history = NULL;
+  char *fault = NULL;
+  anvil_steer_faults_t faults = { 0 };
   struct poptOption options[] = {
     { "seed", 's', POPT_ARG_INT, &seed, 0, "first seed", "N" },
     { "steps", 'n', POPT_ARG_INT, &steps, 0, "operations in all", "N" },
     { "history", 0, POPT_ARG_STRING, &history, 0, "history to replay", "HEX" },
+    { "fault", 0, POPT_ARG_STRING, &fault, 0, "mechanism to switch off", "FIELD" },
     POPT_AUTOHELP POPT_TABLEEND,
   };
   poptContext context = poptGetContext ("fuzz-steer", argc, argv, options, 0);
@@ -53,12 +48,19 @@
       poptFreeContext (context);
       return 2;
     }
+  if (fault != NULL && fault[0] != '\0' && !world_fault_set (&faults, fault))
+    {
+      (void) fprintf (stderr, "fuzz-steer: no mechanism \"%s\"\n", fault);
+      poptFreeContext (context);
+      return 2;
+    }
   if (history != NULL && history[0] != '\0')
-    passed = replay ((guint32) seed, history);
+    passed = replay ((guint32) seed, history, &faults);
   else
-    passed = world_fuzz ((guint32) seed, (guint) steps);
+    passed = world_fuzz ((guint32) seed, (guint) steps, &faults);
   world_files_drop ();
   free (history);
+  free (fault);
   poptFreeContext (context);
   return passed ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/fuzz/oracle-generations.c
+++ b/tests/fuzz/oracle-generations.c
@@ -6,12 +6,14 @@
  * in_force_t - the file of one entry
  * @generation: in force, 0 before the first
  * @target: newest that it could have been told when it was found behind
+ * @files_cut: it hears of newer files, but can't get them
  * @behind_since: from when it was behind and could be told without a break
  */
 typedef struct
 {
   guint64 generation;
   guint64 target;
+  gboolean files_cut;
   anvil_time_t behind_since;
 } in_force_t;
 
@@ -54,6 +56,7 @@
                 const fake_record_t *record)
 {
   const anvil_upstream_t *upstream = &generations->config->upstreams[record->upstream];
+  const in_force_t *entry = &generations->entries[record->entry];
 
   if (upstream->service != record->service)
     oracle_fail (verdict, "half", "entry %u dispatched service %u to an upstream of service %u",
@@ -64,6 +67,9 @@
   if (record->generation != generations->entries[record->entry].generation)
     oracle_fail (verdict, "generation", "entry %u dispatched by a file that isn't in force",
                  record->entry);
+  if (entry->behind_since != NEVER && record->at - entry->behind_since > ORACLE_IN_FORCE_BOUND)
+    oracle_fail (verdict, "stale", "entry %u dispatched by a file that is old since %.1f s",
+                 record->entry, (gdouble) (record->at - entry->behind_since) / ANVIL_SECOND);
 }
 
 void
@@ -122,7 +128,7 @@
       entry->behind_since = now;
       entry->target = newest;
     }
-  if (now - entry->behind_since > ORACLE_IN_FORCE_BOUND)
+  if (!entry->files_cut && now - entry->behind_since > ORACLE_IN_FORCE_BOUND)
     oracle_fail (verdict, "in-force",
                  "entry %u is on generation %" G_GUINT64_FORMAT " and could have %" G_GUINT64_FORMAT
                  " since %.1f s",
@@ -130,6 +136,14 @@
                  (gdouble) (now - entry->behind_since) / ANVIL_SECOND);
 }
 
+static void
+note_files_cut (in_force_t *entry, gboolean files_cut)
+{
+  if (entry->files_cut && !files_cut)
+    entry->behind_since = NEVER;
+  entry->files_cut = files_cut;
+}
+
 void
 oracle_generations_sample (oracle_generations_t *generations,
                            oracle_verdict_t *verdict,
@@ -137,9 +151,14 @@
                            const oracle_reach_t *reach)
 {
   for (guint i = 0; i < net->n_entries; i++)
-    if (!net->entries[i].alive || net->entries[i].frozen)
-      generations->entries[i].behind_since = NEVER;
-    else
-      check_behind (&generations->entries[i], verdict, i,
-                    newest_within_reach (generations, net, reach, i), fake_net_now (net));
+    {
+      in_force_t *entry = &generations->entries[i];
+
+      note_files_cut (entry, net->entries[i].files_cut);
+      if (!net->entries[i].alive || net->entries[i].frozen)
+        entry->behind_since = NEVER;
+      else
+        check_behind (entry, verdict, i, newest_within_reach (generations, net, reach, i),
+                      fake_net_now (net));
+    }
 }
--- a/tests/fuzz/world-run.c
+++ b/tests/fuzz/world-run.c
@@ -24,6 +24,22 @@
   return history;
 }
 
+GArray *
+world_parse (const char *text)
+{
+  GArray *history = g_array_new (FALSE, FALSE, sizeof (world_op_t));
+  guint8 bytes[sizeof (world_op_t)];
+
+  for (gsize i = 0; g_ascii_isxdigit (text[i]) && g_ascii_isxdigit (text[i + 1]); i += 2)
+    {
+      bytes[i / 2 % sizeof bytes]
+          = (guint8) (g_ascii_xdigit_value (text[i]) << 4 | g_ascii_xdigit_value (text[i + 1]));
+      if (i / 2 % sizeof bytes == sizeof bytes - 1)
+        g_array_append_vals (history, bytes, 1);
+    }
+  return history;
+}
+
 world_result_t
 world_run (guint32 seed, const GArray *history, const anvil_steer_faults_t *faults)
 {
@@ -112,7 +128,10 @@
 }
 
 static void
-report_failure (guint32 seed, GArray *history, world_result_t result)
+report_failure (guint32 seed,
+                GArray *history,
+                world_result_t result,
+                const anvil_steer_faults_t *faults)
 {
   printf ("seed %u, step %u: oracle \"%s\" failed: %s\n", seed, result.step, result.failed,
           result.reason);
@@ -120,13 +139,13 @@
   (void) fflush (stdout);
   if (result.step < history->len)
     g_array_set_size (history, result.step + 1);
-  world_shorten (seed, history, result.failed, NULL);
-  result = world_run (seed, history, NULL);
+  world_shorten (seed, history, result.failed, faults);
+  result = world_run (seed, history, faults);
   world_print (seed, history, &result);
 }
 
 gboolean
-world_fuzz (guint32 seed, guint n_steps)
+world_fuzz (guint32 seed, guint n_steps, const anvil_steer_faults_t *faults)
 {
   guint done = 0;
 
@@ -134,10 +153,10 @@
     {
       guint steps = MIN (WORLD_STEPS, n_steps - done);
       GArray *history = world_draw (this_seed, steps);
-      world_result_t result = world_run (this_seed, history, NULL);
+      world_result_t result = world_run (this_seed, history, faults);
 
       if (result.failed != NULL)
-        report_failure (this_seed, history, result);
+        report_failure (this_seed, history, result, faults);
       g_array_unref (history);
       if (result.failed != NULL)
         return FALSE;
--- a/tests/fuzz/world-run.h
+++ b/tests/fuzz/world-run.h
@@ -18,6 +18,9 @@
 /** world_draw - the history of a seed; freed with g_array_unref() */
 GArray *world_draw (guint32 seed, guint n_steps);
 
+/** world_parse - a history from the hexadecimal text that world_print() gives */
+GArray *world_parse (const char *text);
+
 /** world_run - runs a history of world_op_t in a new world, then lets it recover */
 world_result_t world_run (guint32 seed, const GArray *history, const anvil_steer_faults_t *faults);
 
@@ -34,4 +37,4 @@
  *
  * Return: whether all passed.
  */
-gboolean world_fuzz (guint32 seed, guint n_steps);
+gboolean world_fuzz (guint32 seed, guint n_steps, const anvil_steer_faults_t *faults);
--- a/tests/fuzz/world.c
+++ b/tests/fuzz/world.c
@@ -2,6 +2,8 @@
 
 #include "world.h"
 
+#include <string.h>
+
 #define N_ENTRIES 6
 #define CLOCK_PPM 200
 #define REQUEST_BITS_PER_KB 8192
@@ -190,7 +192,10 @@
   net->platform->slow = FALSE;
   net->platform->lose_answers = FALSE;
   for (guint i = 0; i < net->n_entries; i++)
-    net->entries[i].store_cut = FALSE;
+    {
+      net->entries[i].store_cut = FALSE;
+      net->entries[i].files_cut = FALSE;
+    }
 }
 
 static void
@@ -199,6 +204,12 @@
   net->entries[entry_of (net, op->a)].store_cut = TRUE;
 }
 
+static void
+step_files_cut (fake_net_t *net, const world_op_t *op)
+{
+  net->entries[entry_of (net, op->a)].files_cut = TRUE;
+}
+
 static void
 step_list_lag (fake_net_t *net, const world_op_t *op)
 {
@@ -308,6 +319,7 @@
   { "store-loses-answers", 3, step_store_loses },
   { "store-up", 8, step_store_up },
   { "store-cut entry", 3, step_store_cut },
+  { "files-cut entry", 3, step_files_cut },
   { "list-lag", 2, step_list_lag },
   { "file variant", 5, step_file },
   { "two-files variant variant", 2, step_two_files },
@@ -340,6 +352,24 @@
   return &steps[0];
 }
 
+world_op_t
+world_op (const char *name, guint8 a, guint8 b, guint8 c)
+{
+  world_op_t op = { .a = a, .b = b, .c = c };
+  gsize length = strlen (name);
+
+  for (guint code = 0; code <= G_MAXUINT8; code++)
+    {
+      const char *known;
+
+      op.code = (guint8) code;
+      known = step_of (&op)->name;
+      if (strncmp (known, name, length) == 0 && (known[length] == '\0' || known[length] == ' '))
+        return op;
+    }
+  g_error ("no operation \"%s\"", name);
+}
+
 char *
 world_op_format (const world_op_t *op)
 {
--- a/tests/fuzz/world.h
+++ b/tests/fuzz/world.h
@@ -34,6 +34,10 @@
 /** world_recover - ends all faults and checks that everything works again; FALSE on a failure */
 gboolean world_recover (world_t *world);
 
+/** world_op - an operation by the first word of its name, such as "freeze"; for directed histories
+ */
+world_op_t world_op (const char *name, guint8 a, guint8 b, guint8 c);
+
 /** world_op_format - the operation as a person reads it, "freeze entry=2"; freed with g_free() */
 char *world_op_format (const world_op_t *op);
 
