Stop using seats by a file known to be old

Ruled out: leaving it to the witnesses; a majority of them may be behind. Change: an entry that has heard of a newer file for 1 s without getting it asks for no grants and no loans, so that its rights run out.

--- a/source/steer/steer-config.c
+++ b/source/steer/steer-config.c
@@ -4,6 +4,9 @@
 #include "steer/steer-internal.h"
 
 #define FETCH_INTERVAL (200 * ANVIL_MS)
+/* An entry that has heard of a newer file for this long and can't get it stops asking for rights.
+ */
+#define STALE_PATIENCE (1 * ANVIL_SECOND)
 #define SETTLE_INTERVAL (250 * ANVIL_MS)
 
 guint
@@ -31,13 +34,24 @@
                               guint64 generation,
                               anvil_node_t peer)
 {
-  if (generation <= steer->generation || now < steer->fetch_next)
+  if (generation <= steer->generation)
+    return;
+  if (steer->behind_since == 0)
+    steer->behind_since = now;
+  steer->heard_generation = MAX (steer->heard_generation, generation);
+  if (now < steer->fetch_next)
     return;
   steer->fetch_next = now + FETCH_INTERVAL;
-  steer->fetching = generation;
   steer->actions.fetch_config (steer->context, generation, peer);
 }
 
+gboolean
+anvil_steer_stale (const anvil_steer_t *steer, anvil_time_t now)
+{
+  return steer->behind_since != 0 && now - steer->behind_since >= STALE_PATIENCE
+         && !steer->options.faults.ignore_old_generation;
+}
+
 static void
 remember_old_generation (anvil_steer_t *steer)
 {
@@ -87,6 +101,7 @@
   remember_old_generation (steer);
   steer->config = anvil_config_keep (config);
   steer->generation = generation;
+  steer->behind_since = generation < steer->heard_generation ? now : 0;
   steer->zone = anvil_config_lookup_zone (config, steer->options.zone);
   steer->region = steer->zone != ANVIL_NONE ? config->zones[steer->zone].region : ANVIL_NONE;
   if (before == NULL)
--- a/source/steer/steer-internal.h
+++ b/source/steer/steer-internal.h
@@ -119,7 +119,8 @@
   anvil_config_t *config;
   guint64 generation;
   GArray *old_generations;
-  guint64 fetching;
+  guint64 heard_generation;
+  anvil_time_t behind_since;
   anvil_time_t fetch_next;
   guint zone;
   guint region;
@@ -183,6 +184,7 @@
                                    anvil_time_t now,
                                    guint64 generation,
                                    anvil_node_t peer);
+gboolean anvil_steer_stale (const anvil_steer_t *steer, anvil_time_t now);
 void anvil_steer_settle (anvil_steer_t *steer, anvil_time_t now);
 guint anvil_steer_region_of_zone_hash (const anvil_steer_t *steer, guint64 zone);
 guint anvil_steer_region_of_member (const anvil_steer_t *steer, anvil_node_t node);
--- a/source/steer/steer-loan.c
+++ b/source/steer/steer-loan.c
@@ -196,7 +196,8 @@
   guint wished = count_wished (steer, queue);
   guint wanted = waiting > wished ? waiting - wished : 0;
 
-  if (steer->options.sharing == ANVIL_SHARING_STATIC || wanted == 0)
+  if (steer->options.sharing == ANVIL_SHARING_STATIC || wanted == 0
+      || anvil_steer_stale (steer, now))
     return;
   wanted -= MIN (wanted, ask_peers (steer, now, queue, wanted, TRUE));
   if (wanted > 0 && may_ask_across (steer, now, queue))
--- a/source/steer/steer-seat.c
+++ b/source/steer/steer-seat.c
@@ -169,6 +169,8 @@
   if (steer->config == NULL || now < steer->grants_next)
     return;
   steer->grants_next = now + ANVIL_GRANT_INTERVAL;
+  if (anvil_steer_stale (steer, now))
+    return;
   for (guint seat = 0; seat < steer->layout->n_seats; seat++)
     {
       if (!steer->leaving)
