Wait until nobody can use a seat by the witnesses of an older file

An entry that held two of three witnesses of its seat was frozen, woke on the old file, and used the seat beside the adopter on the new one. Ruled out: a right under both files at once, which needs the questions of two layouts on the wire; letting slots alone keep them apart, since both users would also fill their buckets of link bits. Change: steer-former.c keeps the layouts and rows of older files until all is settled; a witness answers for a seat only when a majority of each older layout's witnesses is known to have moved on, or to be gone, for a term and a guard.

--- a/source/steer/steer-config.c
+++ b/source/steer/steer-config.c
@@ -83,7 +83,8 @@
       anvil_seat_layout_drop (layout);
       return;
     }
-  anvil_seat_layout_drop (steer->layout);
+  if (steer->layout != NULL)
+    anvil_steer_former_keep (steer, steer->layout);
   steer->layout = layout;
   anvil_steer_seats_reset (steer, now);
 }
@@ -157,7 +158,7 @@
       if (!seat_settled (steer, seat, steer->generation))
         return FALSE;
     }
-  return TRUE;
+  return anvil_steer_former_settled (steer);
 }
 
 void
@@ -178,6 +179,7 @@
     return;
 
   g_array_set_size (steer->old_generations, 0);
+  anvil_steer_former_forget (steer);
   steer->settled_since = 0;
   anvil_steer_slots_assign (steer, now);
   anvil_steer_rates_configure (steer, now);
--- a/source/steer/steer-internal.h
+++ b/source/steer/steer-internal.h
@@ -40,6 +40,7 @@
   gboolean releasing;
   gboolean adopting;
   anvil_time_t duty_from;
+  anvil_time_t clear_since;
   anvil_right_t right;
   anvil_grant_t given[ANVIL_WITNESSES];
 } anvil_seat_state_t;
@@ -94,6 +95,17 @@
   anvil_config_t *config;
 } anvil_old_generation_t;
 
+/**
+ * anvil_former_layout_t - seats of an older file by which some entry may still use them
+ * @layout: the seats and their witnesses
+ * @replaced_by: first generation at this entry that had others
+ */
+typedef struct
+{
+  anvil_seat_layout_t *layout;
+  guint64 replaced_by;
+} anvil_former_layout_t;
+
 /* Entries that a look-up names at most. */
 #define ANVIL_MAX_LOOKUP 16
 
@@ -145,6 +157,8 @@
   /* Seats: steer-seat.c, steer-row.c */
   anvil_seat_layout_t *layout;
   anvil_seat_state_t *seats;
+  GArray *former_layouts;
+  GArray *former_rows;
   gboolean forgot_grants;
   anvil_time_t grants_next;
   anvil_time_t rows_next;
@@ -220,6 +234,14 @@
 gboolean anvil_steer_seat_usable (const anvil_steer_t *steer, anvil_time_t now, guint seat);
 gboolean anvil_steer_wants_seat (const anvil_steer_t *steer, guint seat);
 
+/* steer-former.c */
+void anvil_former_layout_clear (gpointer data);
+void anvil_steer_former_keep (anvil_steer_t *steer, anvil_seat_layout_t *layout);
+void anvil_steer_former_row (anvil_steer_t *steer, const anvil_seat_row_t *row);
+gboolean anvil_steer_former_ended (anvil_steer_t *steer, anvil_time_t now, guint seat);
+gboolean anvil_steer_former_settled (const anvil_steer_t *steer);
+void anvil_steer_former_forget (anvil_steer_t *steer);
+
 /* steer-row.c */
 void anvil_steer_rows_tick (anvil_steer_t *steer, anvil_time_t now);
 void anvil_steer_merge_row (anvil_steer_t *steer, anvil_time_t now, const anvil_seat_row_t *row);
--- a/source/steer/steer-row.c
+++ b/source/steer/steer-row.c
@@ -50,6 +50,7 @@
   anvil_seat_state_t *state;
   gboolean own = is_own (steer, row);
 
+  anvil_steer_former_row (steer, row);
   if (row->seat >= steer->layout->n_seats)
     return;
   state = &steer->seats[row->seat];
--- a/source/steer/steer-seat.c
+++ b/source/steer/steer-seat.c
@@ -76,6 +76,9 @@
     return FALSE;
   if (ask->epoch < state->row.epoch && from != state->row.holder)
     return FALSE;
+  if (!anvil_steer_former_ended (steer, now, ask->seat)
+      && !steer->options.faults.ignore_old_generation)
+    return FALSE;
 
   granted = anvil_grant_give (grant, now, from, ask->incarnation, ask->asked_at, continued);
   *continued = *continued || unused;
--- a/source/steer/steer.c
+++ b/source/steer/steer.c
@@ -37,6 +37,9 @@
   steer->drains = anvil_drain_table_new ();
   steer->old_generations = g_array_new (FALSE, FALSE, sizeof (anvil_old_generation_t));
   g_array_set_clear_func (steer->old_generations, drop_old_generation);
+  steer->former_layouts = g_array_new (FALSE, FALSE, sizeof (anvil_former_layout_t));
+  g_array_set_clear_func (steer->former_layouts, anvil_former_layout_clear);
+  steer->former_rows = g_array_new (FALSE, TRUE, sizeof (anvil_seat_row_t));
   steer->listed_nodes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   steer->leaving_upstreams = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   steer->upstreams = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -69,6 +72,8 @@
   g_hash_table_unref (steer->leaving_upstreams);
   g_hash_table_unref (steer->listed_nodes);
   g_array_unref (steer->old_generations);
+  g_array_unref (steer->former_layouts);
+  g_array_unref (steer->former_rows);
   g_array_unref (steer->lookups);
   g_array_unref (steer->zone_hashes);
   anvil_drain_table_drop (steer->drains);
