--- a/source/steer/steer-seat.c
+++ b/source/steer/steer-seat.c
@@ -76,6 +76,9 @@
     return FALSE;
   if (ask->epoch < state->row.epoch && from != state->row.holder)
     return FALSE;
+  if (!anvil_steer_former_ended (steer, now, ask->seat)
+      && !steer->options.faults.ignore_old_generation)
+    return FALSE;
 
   granted = anvil_grant_give (grant, now, from, ask->incarnation, ask->asked_at,
                               never_used (steer, grant, witness, ask->epoch));
@@ -169,6 +172,8 @@
   if (steer->config == NULL || now < steer->grants_next)
     return;
   steer->grants_next = now + ANVIL_GRANT_INTERVAL;
+  if (anvil_steer_stale (steer, now))
+    return;
   for (guint seat = 0; seat < steer->layout->n_seats; seat++)
     {
       if (!steer->leaving)
