Test the upstreams' stand-in as a process

Cause: what the load report, the drain time and "ran twice" are read from must itself be known to be right.

Change: 14 checks against a process, callers on their own loopback addresses; the report counts cold runs, so that cold starts need no timing. The one time that is asserted is a lower bound, the delay of the link.

A first form of the slot test took the order of two connections for granted and hung once under the sanitizer; it now waits for each request before it sends the next.

--- a/standins/anvil-upstream-job.c
+++ b/standins/anvil-upstream-job.c
@@ -214,7 +214,10 @@
   if (evhttp_request_get_command (job->request) == EVHTTP_REQ_GET
       && !upstream_cache_touch (server->cache, path_of (job)))
     cold = TRUE;
-  return cold ? server->context->cold_factor : 1;
+  if (!cold)
+    return 1;
+  server->counts.cold++;
+  return server->context->cold_factor;
 }
 
 static anvil_time_t
--- a/standins/anvil-upstream-server.c
+++ b/standins/anvil-upstream-server.c
@@ -153,9 +153,10 @@
 {
   const upstream_counts_t *counts = &server->counts;
   json_t *report = json_pack (
-      "{s:s,s:s,s:i,s:I,s:I,s:I,s:i,s:I,s:I,s:I,s:I,s:I,s:i}", "name", server->upstream->name.data,
-      "service", server->service->name.data, "slots", (int) server->upstream->slots, "runs",
-      (json_int_t) counts->runs, "finished", (json_int_t) counts->finished, "over_slots",
+      "{s:s,s:s,s:i,s:I,s:I,s:I,s:I,s:i,s:I,s:I,s:I,s:I,s:I,s:i}", "name",
+      server->upstream->name.data, "service", server->service->name.data, "slots",
+      (int) server->upstream->slots, "runs", (json_int_t) counts->runs, "cold",
+      (json_int_t) counts->cold, "finished", (json_int_t) counts->finished, "over_slots",
       (json_int_t) counts->over_slots, "peak_wanted", (int) counts->peak_wanted, "shed",
       (json_int_t) counts->shed, "drained", (json_int_t) counts->drained, "expired",
       (json_int_t) counts->expired, "cancelled", (json_int_t) counts->cancelled, "killed",
--- a/standins/anvil-upstream-server.h
+++ b/standins/anvil-upstream-server.h
@@ -7,6 +7,7 @@
 /**
  * upstream_counts_t - what an upstream has done
  * @runs: requests that started to run
+ * @cold: of these, slowed by a cold start or a missing object
  * @finished: that ran to their end
  * @over_slots: requests that came while every slot was busy
  * @peak_wanted: most requests that ran and waited at once
@@ -20,6 +21,7 @@
 typedef struct
 {
   guint64 runs;
+  guint64 cold;
   guint64 finished;
   guint64 over_slots;
   guint peak_wanted;
--- /dev/null
+++ b/tests/test-upstream.c
@@ -0,0 +1,610 @@
+/* The upstreams' stand-in, as a process, met by callers with addresses of their own. */
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "anvil/settings.h"
+#include "net/http-json.h"
+#include "net/http-pool.h"
+#include "standin.h"
+
+#define TIMEOUT (20 * ANVIL_SECOND)
+#define UPSTREAM "127.91.1.1"
+#define NEAR "127.92.1.1"
+#define FAR "127.92.2.1"
+#define LINK_DELAY (35 * ANVIL_MS)
+#define RESPONSE_BYTES 8000
+
+static const char deployment[]
+    = "deployment: test\n"
+      "halves:\n  - name: left\n"
+      "regions:\n"
+      "  - name: near\n    zones: [near-a]\n    clients: [127.92.1.0/24]\n"
+      "  - name: far\n    zones: [far-a]\n    clients: [127.92.2.0/24]\n"
+      "links:\n  - between: [near, far]\n    mbit_per_s: 1\n    delay_ms: 35\n"
+      "services:\n"
+      "  - name: shop\n    hosts: [shop.example]\n    owner: left\n"
+      "    shares:\n      - half: left\n        percent: 100\n"
+      "    idempotent: false\n    deadline_ms: 5000\n    queue: 10\n    request_kb: 1\n"
+      "    response_kb: 8\n    max_request_kb: 1000\n    prefer: latency\n"
+      "upstreams:\n"
+      "  - service: shop\n    half: left\n    zone: near-a\n    address: " UPSTREAM "\n"
+      "    port: %u\n    count: 1\n    slots: 1\n    connections: 4\n"
+      "seats:\n  - zone: near-a\n    count: 1\n";
+
+static struct event_base *base;
+static standin_t standin;
+static anvil_http_pool_t *admin;
+static guint16 port;
+
+/* A port that was free a moment ago. */
+static guint16
+free_port (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t length = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  inet_pton (AF_INET, UPSTREAM, &address.sin_addr);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *) &address, sizeof address), 0);
+  getsockname (fd, (struct sockaddr *) &address, &length);
+  close (fd);
+  return ntohs (address.sin_port);
+}
+
+static void
+set_up (void)
+{
+  char *file = NULL;
+  int fd = g_file_open_tmp ("anvil-upstream-XXXXXX", &file, NULL);
+  const char *const arguments[] = { "--config",
+                                    file,
+                                    "--service-ms",
+                                    "shop=60",
+                                    "--load-lag-ms",
+                                    "1",
+                                    "--cold-requests",
+                                    "1",
+                                    "--cold-factor",
+                                    "1",
+                                    NULL };
+  guint32 address;
+  guint16 admin_port;
+  char *text;
+
+  signal (SIGPIPE, SIG_IGN);
+  base = event_base_new ();
+  port = free_port ();
+  text = g_strdup_printf (deployment, port);
+  ck_assert (g_file_set_contents (file, text, -1, NULL));
+  g_free (text);
+  close (fd);
+  standin_open (&standin, "anvil-upstream", arguments);
+  g_remove (file);
+  g_free (file);
+  ck_assert (anvil_endpoint_parse (standin.endpoint, &address, &admin_port));
+  admin = anvil_http_pool_open (base, address, admin_port, TIMEOUT);
+}
+
+static void
+tear_down (void)
+{
+  anvil_http_pool_close (admin);
+  event_base_free (base);
+  ck_assert_int_eq (standin_close (&standin), 0);
+}
+
+/* An answer of the administration address. */
+typedef struct
+{
+  gboolean done;
+  int status;
+  json_t *json;
+} answer_t;
+
+static void
+on_answer (void *context, const anvil_http_reply_t *reply)
+{
+  answer_t *answer = context;
+
+  answer->done = TRUE;
+  answer->status = reply->status;
+  if (reply->body != NULL)
+    answer->json = anvil_http_json_load (reply->body, 1u << 20, NULL);
+}
+
+static answer_t
+ask (enum evhttp_cmd_type command, const char *uri, const char *text)
+{
+  struct evbuffer *body = evbuffer_new ();
+  answer_t answer = { 0 };
+
+  evbuffer_add (body, text, strlen (text));
+  anvil_http_pool_call (admin, command, uri, body, on_answer, &answer);
+  while (!answer.done)
+    event_base_loop (base, EVLOOP_ONCE);
+  evbuffer_free (body);
+  return answer;
+}
+
+static int
+put_faults (const char *text)
+{
+  answer_t answer = ask (EVHTTP_REQ_PUT, "/standin/faults", text);
+
+  json_decref (answer.json);
+  return answer.status;
+}
+
+static void
+set_faults (const char *text)
+{
+  ck_assert_int_eq (put_faults (text), 200);
+}
+
+static json_t *
+get_report (void)
+{
+  answer_t answer = ask (EVHTTP_REQ_GET, "/standin/report", "");
+
+  ck_assert_ptr_nonnull (answer.json);
+  return answer.json;
+}
+
+/* A count of the upstream; -1 if the report hasn't got it. */
+static json_int_t
+count (const char *name)
+{
+  json_t *report = get_report ();
+  json_t *upstream = json_array_get (json_object_get (report, "upstreams"), 0);
+  json_t *value = json_object_get (upstream, name);
+  json_int_t number = value != NULL ? json_integer_value (value) : -1;
+
+  json_decref (report);
+  return number;
+}
+
+static void
+wait_for_count (const char *name, json_int_t wanted)
+{
+  while (count (name) < wanted)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+}
+
+/* A member of the link's report; link 0 goes from near to far, link 1 back. */
+static json_int_t
+link_member (guint link, const char *name)
+{
+  json_t *report = get_report ();
+  json_t *item = json_array_get (json_object_get (report, "links"), link);
+  json_int_t number = json_integer_value (json_object_get (item, name));
+
+  json_decref (report);
+  return number;
+}
+
+/* A request of a caller on a connection of its own. */
+typedef struct
+{
+  struct evhttp_connection *connection;
+  gboolean done;
+  int status;
+  char outcome[16];
+  char server[64];
+  GString *body;
+} call_t;
+
+static const char *
+header (struct evhttp_request *request, const char *name)
+{
+  const char *value = evhttp_find_header (evhttp_request_get_input_headers (request), name);
+
+  return value != NULL ? value : "";
+}
+
+static void
+on_response (struct evhttp_request *request, void *data)
+{
+  call_t *call = data;
+  struct evbuffer *body;
+
+  call->done = TRUE;
+  if (request == NULL || evhttp_request_get_response_code (request) == 0)
+    return;
+  body = evhttp_request_get_input_buffer (request);
+  call->status = evhttp_request_get_response_code (request);
+  g_strlcpy (call->outcome, header (request, "Anvil-Upstream"), sizeof call->outcome);
+  g_strlcpy (call->server, header (request, "Anvil-Server"), sizeof call->server);
+  g_string_append_len (call->body, (const char *) evbuffer_pullup (body, -1),
+                       (gssize) evbuffer_get_length (body));
+}
+
+static void
+send_on (call_t *call, const char *uri, const char *name, const char *value, gsize body_bytes)
+{
+  struct evhttp_request *request = evhttp_request_new (on_response, call);
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  char *filler = g_strnfill (body_bytes, 'x');
+
+  call->done = FALSE;
+  call->status = 0;
+  g_string_truncate (call->body, 0);
+  evhttp_add_header (headers, "Host", "shop");
+  if (name != NULL)
+    evhttp_add_header (headers, name, value);
+  evbuffer_add (evhttp_request_get_output_buffer (request), filler, body_bytes);
+  evhttp_make_request (call->connection, request, body_bytes > 0 ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
+                       uri);
+  g_free (filler);
+}
+
+static void
+call_open (call_t *call, const char *from)
+{
+  *call = (call_t){ .body = g_string_new (NULL) };
+  call->connection = evhttp_connection_base_new (base, NULL, UPSTREAM, port);
+  evhttp_connection_set_local_address (call->connection, from);
+  evhttp_connection_set_retries (call->connection, 0);
+}
+
+static void
+call_close (call_t *call)
+{
+  g_clear_pointer (&call->connection, evhttp_connection_free);
+  g_string_free (g_steal_pointer (&call->body), TRUE);
+}
+
+static void
+call_wait (call_t *call)
+{
+  while (!call->done)
+    event_base_loop (base, EVLOOP_ONCE);
+}
+
+/* One request on a fresh connection; its status, 0 without a whole answer. */
+static int
+get_once (const char *uri)
+{
+  call_t call;
+  int status;
+
+  call_open (&call, NEAR);
+  send_on (&call, uri, NULL, NULL, 0);
+  call_wait (&call);
+  status = call.status;
+  call_close (&call);
+  return status;
+}
+
+START_TEST (test_answer_is_whole_and_runs_are_counted)
+{
+  call_t call;
+  json_t *report;
+
+  call_open (&call, NEAR);
+  for (guint i = 0; i < 2; i++)
+    {
+      send_on (&call, "/a", "Anvil-Request-Id", "id-7", 0);
+      call_wait (&call);
+      ck_assert_int_eq (call.status, 200);
+      ck_assert_uint_eq (call.body->len, RESPONSE_BYTES);
+      ck_assert (g_str_has_prefix (call.body->str, "id-7\n"));
+      ck_assert (g_str_has_prefix (call.server, "shop-near-a"));
+    }
+  send_on (&call, "/a", "Idempotency-Key", "key-1", 1);
+  call_wait (&call);
+  call_close (&call);
+  report = get_report ();
+  ck_assert_int_eq (json_integer_value (json_object_get (json_object_get (report, "runs"), "id-7")),
+                    2);
+  ck_assert_int_eq (
+      json_integer_value (json_object_get (json_object_get (report, "runs"), "key-1")), 1);
+  ck_assert_uint_eq (json_array_size (json_object_get (report, "duplicates")), 1);
+  json_decref (report);
+}
+END_TEST
+
+/* One request runs, two wait. */
+static void
+fill_upstream (call_t calls[3])
+{
+  set_faults ("{\"*\":{\"slow_factor\":1000}}");
+  for (guint i = 0; i < 3; i++)
+    {
+      call_open (&calls[i], NEAR);
+      send_on (&calls[i], "/a", NULL, NULL, 0);
+      wait_for_count ("peak_wanted", i + 1);
+    }
+}
+
+START_TEST (test_slot_that_comes_free_goes_to_the_next)
+{
+  call_t calls[3];
+
+  fill_upstream (calls);
+  ck_assert_int_eq (count ("runs"), 1);
+  ck_assert_int_eq (count ("over_slots"), 2);
+  call_close (&calls[1]);
+  wait_for_count ("cancelled", 1);
+  call_close (&calls[0]);
+  wait_for_count ("runs", 2);
+  call_close (&calls[2]);
+  wait_for_count ("cancelled", 3);
+  ck_assert_int_eq (count ("runs"), 2);
+}
+END_TEST
+
+START_TEST (test_shed_was_not_run)
+{
+  set_faults ("{\"*\":{\"shed\":true}}");
+  ck_assert_int_eq (get_once ("/a"), 503);
+  ck_assert_int_eq (count ("shed"), 1);
+  ck_assert_int_eq (count ("runs"), 0);
+}
+END_TEST
+
+START_TEST (test_backlog_is_bounded)
+{
+  call_t calls[3];
+  call_t fourth;
+
+  fill_upstream (calls);
+  call_open (&fourth, NEAR);
+  send_on (&fourth, "/a", NULL, NULL, 0);
+  call_wait (&fourth);
+  ck_assert_int_eq (fourth.status, 503);
+  ck_assert_str_eq (fourth.outcome, "shed");
+  ck_assert_int_eq (count ("shed"), 1);
+  call_close (&fourth);
+  for (guint i = 3; i > 0; i--)
+    call_close (&calls[i - 1]);
+  wait_for_count ("cancelled", 3);
+  ck_assert_int_eq (count ("peak_wanted"), 3);
+}
+END_TEST
+
+START_TEST (test_connections_are_bounded)
+{
+  call_t calls[3];
+  call_t idle;
+  call_t late;
+
+  fill_upstream (calls);
+  set_faults ("{\"*\":{\"drain\":true}}");
+  call_open (&idle, NEAR);
+  send_on (&idle, "/a", NULL, NULL, 0);
+  call_wait (&idle);
+  call_open (&late, NEAR);
+  send_on (&late, "/a", NULL, NULL, 0);
+  for (guint i = 0; i < 50; i++)
+    ck_assert_int_eq (count ("drained"), 1);
+  call_close (&idle);
+  call_wait (&late);
+  ck_assert_str_eq (late.outcome, "draining");
+  ck_assert_int_eq (count ("peak_connections"), 4);
+  call_close (&late);
+  for (guint i = 0; i < 3; i++)
+    call_close (&calls[i]);
+}
+END_TEST
+
+START_TEST (test_work_stops_at_the_deadline)
+{
+  call_t call;
+
+  set_faults ("{\"*\":{\"slow_factor\":1000}}");
+  call_open (&call, NEAR);
+  send_on (&call, "/a", "Anvil-Timeout-Ms", "20", 0);
+  call_wait (&call);
+  ck_assert_int_eq (call.status, 504);
+  ck_assert_str_eq (call.outcome, "expired");
+  ck_assert_int_eq (count ("expired"), 1);
+  call_close (&call);
+}
+END_TEST
+
+START_TEST (test_drain_refuses_and_is_timed)
+{
+  call_t call;
+
+  call_open (&call, NEAR);
+  set_faults ("{\"*\":{\"slow_factor\":1000}}");
+  send_on (&call, "/a", NULL, NULL, 0);
+  wait_for_count ("runs", 1);
+  set_faults ("{\"*\":{\"drain\":true}}");
+  ck_assert_int_eq (count ("drain_ms"), -1);
+  ck_assert_int_eq (get_once ("/a"), 503);
+  ck_assert_int_eq (count ("runs"), 1);
+  ck_assert_int_eq (count ("drained"), 1);
+  call_close (&call);
+  wait_for_count ("cancelled", 1);
+  ck_assert_int_ge (count ("drain_ms"), 0);
+}
+END_TEST
+
+START_TEST (test_broken_answers_ran)
+{
+  set_faults ("{\"*\":{\"truncate_percent\":100}}");
+  ck_assert_int_eq (get_once ("/a"), 0);
+  set_faults ("{\"*\":{\"truncate_percent\":0,\"close_percent\":100}}");
+  ck_assert_int_eq (get_once ("/a"), 0);
+  ck_assert_int_eq (count ("runs"), 2);
+  set_faults ("{\"*\":{\"close_percent\":0}}");
+  ck_assert_int_eq (get_once ("/a"), 200);
+}
+END_TEST
+
+START_TEST (test_dead_upstream_refuses_connections_and_comes_back)
+{
+  set_faults ("{\"*\":{\"dead\":true}}");
+  ck_assert_int_eq (get_once ("/a"), 0);
+  ck_assert_int_eq (count ("runs"), 0);
+  set_faults ("{\"*\":{\"dead\":false}}");
+  ck_assert_int_eq (get_once ("/a"), 200);
+}
+END_TEST
+
+START_TEST (test_restart_is_cold_again)
+{
+  call_t call;
+
+  ck_assert_int_eq (get_once ("/a"), 200);
+  ck_assert_int_eq (get_once ("/a"), 200);
+  ck_assert_int_eq (count ("cold"), 1);
+  ck_assert_int_eq (get_once ("/b"), 200);
+  ck_assert_int_eq (count ("cold"), 2);
+  set_faults ("{\"*\":{\"restart\":true}}");
+  call_open (&call, NEAR);
+  send_on (&call, "/a", NULL, NULL, 1);
+  call_wait (&call);
+  call_close (&call);
+  ck_assert_int_eq (count ("cold"), 3);
+  ck_assert_int_eq (get_once ("/a"), 200);
+  ck_assert_int_eq (count ("cold"), 4);
+}
+END_TEST
+
+START_TEST (test_link_delays_and_is_metered)
+{
+  anvil_time_t start;
+  call_t call;
+
+  set_faults ("{\"*\":{\"slow_factor\":0.0001}}");
+  ck_assert_int_eq (get_once ("/a"), 200);
+  ck_assert_int_eq (link_member (0, "bits"), 0);
+  call_open (&call, FAR);
+  send_on (&call, "/a", NULL, NULL, 30000);
+  call_wait (&call);
+  ck_assert_int_eq (call.status, 200);
+  start = anvil_clock_now ();
+  send_on (&call, "/a", NULL, NULL, 0);
+  call_wait (&call);
+  ck_assert_int_ge (anvil_clock_now () - start, 2 * LINK_DELAY);
+  ck_assert_int_ge (link_member (0, "bits"), RESPONSE_BYTES * 8);
+  ck_assert_int_ge (link_member (1, "bits"), 30000 * 8);
+  ck_assert_int_eq (link_member (1, "overruns"), 0);
+  send_on (&call, "/a", NULL, NULL, 200000);
+  call_wait (&call);
+  ck_assert_int_ge (link_member (1, "overruns"), 1);
+  ck_assert_int_gt (link_member (1, "peak_bits_per_s"), 1000000);
+  ck_assert_int_eq (link_member (0, "overruns"), 0);
+  call_close (&call);
+}
+END_TEST
+
+static json_t *
+get_load (void)
+{
+  call_t call;
+  json_t *load;
+
+  call_open (&call, NEAR);
+  send_on (&call, "/standin/load", NULL, NULL, 0);
+  call_wait (&call);
+  load = json_loadb (call.body->str, call.body->len, 0, NULL);
+  ck_assert_ptr_nonnull (load);
+  call_close (&call);
+  return load;
+}
+
+static gboolean
+load_says_draining (void)
+{
+  json_t *load = get_load ();
+  gboolean draining = json_is_true (json_object_get (load, "draining"));
+
+  json_decref (load);
+  return draining;
+}
+
+static json_int_t
+load_running (void)
+{
+  json_t *load = get_load ();
+  json_int_t running = json_integer_value (json_object_get (load, "running"));
+
+  json_decref (load);
+  return running;
+}
+
+START_TEST (test_load_report_follows)
+{
+  call_t calls[3];
+
+  ck_assert_int_eq (load_running (), 0);
+  fill_upstream (calls);
+  while (load_running () != 3)
+    ;
+  for (guint i = 0; i < 3; i++)
+    call_close (&calls[i]);
+}
+END_TEST
+
+START_TEST (test_load_report_lies_and_freezes)
+{
+  json_t *load;
+
+  set_faults ("{\"*\":{\"lie_running\":7,\"freeze_load\":true,\"drain\":true}}");
+  load = get_load ();
+  ck_assert_int_eq (json_integer_value (json_object_get (load, "running")), 7);
+  ck_assert_int_eq (json_integer_value (json_object_get (load, "slots")), 1);
+  ck_assert (json_is_true (json_object_get (load, "healthy")));
+  ck_assert (json_is_false (json_object_get (load, "draining")));
+  json_decref (load);
+  set_faults ("{\"*\":{\"freeze_load\":false}}");
+  while (!load_says_draining ())
+    ;
+  ck_assert_int_eq (count ("runs"), 0);
+}
+END_TEST
+
+START_TEST (test_bad_faults_are_refused)
+{
+  static const char *const bad[] = { "[]",
+                                     "{\"nobody\":{}}",
+                                     "{\"*\":{\"nonsense\":1}}",
+                                     "{\"*\":{\"slow_factor\":0}}",
+                                     "{\"*\":{\"shed\":1}}",
+                                     "{\"*\":{\"close_percent\":101}}" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (bad); i++)
+    ck_assert_msg (put_faults (bad[i]) == 400, "took %s", bad[i]);
+  ck_assert_int_eq (get_once ("/a"), 200);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("upstream");
+  TCase *tcase = tcase_create ("upstream");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_test (tcase, test_answer_is_whole_and_runs_are_counted);
+  tcase_add_test (tcase, test_slot_that_comes_free_goes_to_the_next);
+  tcase_add_test (tcase, test_shed_was_not_run);
+  tcase_add_test (tcase, test_backlog_is_bounded);
+  tcase_add_test (tcase, test_connections_are_bounded);
+  tcase_add_test (tcase, test_work_stops_at_the_deadline);
+  tcase_add_test (tcase, test_drain_refuses_and_is_timed);
+  tcase_add_test (tcase, test_broken_answers_ran);
+  tcase_add_test (tcase, test_dead_upstream_refuses_connections_and_comes_back);
+  tcase_add_test (tcase, test_restart_is_cold_again);
+  tcase_add_test (tcase, test_link_delays_and_is_metered);
+  tcase_add_test (tcase, test_load_report_follows);
+  tcase_add_test (tcase, test_load_report_lies_and_freezes);
+  tcase_add_test (tcase, test_bad_faults_are_refused);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
