--- a/Makefile
+++ b/Makefile
@@ -113,7 +113,7 @@
 	@$(BUILD)/bench/bench-steer $(BENCH_ARGS)
 
 # Slopes for docs/CAPACITY.md.
-CAPACITY_NAMES = bench-capacity-lookup bench-capacity-peers bench-capacity-budget bench-capacity-config
+CAPACITY_NAMES = $(filter bench-capacity-%,$(BENCH_NAMES))
 capacity: packages
 	@$(MAKE) --no-print-directory -j$$(nproc) $(CAPACITY_NAMES:%=$(BUILD)/bench/%)
 	@for name in $(CAPACITY_NAMES); do echo "== $$name"; $(BUILD)/bench/$$name || exit 1; done
--- a/bench/common-group.c
+++ b/bench/common-group.c
@@ -11,6 +11,8 @@
 #define FIRST_NODE 0x0a000001u
 #define PEER_PORT 7000
 #define LENGTH_BYTES 4
+/* A write that gets no answer is given up after this. */
+#define STORE_TIMEOUT (2 * ANVIL_SECOND)
 
 enum
 {
@@ -49,6 +51,12 @@
   return index < group->n_cores ? &group->cores[index] : NULL;
 }
 
+static gboolean
+is_cut (const common_core_t *a, const common_core_t *b)
+{
+  return a->group->region_cut && (a->region == 0) != (b->region == 0);
+}
+
 static anvil_time_t
 delay_between (const common_core_t *a, const common_core_t *b)
 {
@@ -88,7 +96,7 @@
   group->traffic.cpu_ns[CPU_PACK] += common_meter_cpu () - before;
   group->traffic.messages[message->kind]++;
   group->traffic.bytes[message->kind] += group->frame->len + LENGTH_BYTES;
-  if (receiver == NULL)
+  if (receiver == NULL || is_cut (core, receiver))
     return;
 
   letter = g_malloc (sizeof *letter + group->frame->len);
@@ -117,6 +125,8 @@
   common_group_t *group = core->group;
 
   group->traffic.row_reads++;
+  if (group->store_away)
+    return;
   fake_clock_at (group->clock, fake_clock_now (group->clock) + STORE_DELAY, rows_arrive, core, NULL,
                  NULL);
 }
@@ -138,15 +148,18 @@
   common_group_t *group = core->group;
   write_t *write = g_new0 (write_t, 1);
   anvil_seat_row_t *row = &group->rows[next->seat];
+  anvil_time_t delay = group->store_away ? STORE_TIMEOUT : STORE_DELAY;
 
   group->traffic.row_writes++;
   write->core = core;
   write->row = *next;
   write->result = row->epoch == next->epoch - 1 ? ANVIL_ROW_WRITTEN : ANVIL_ROW_CONFLICT;
+  if (group->store_away)
+    write->result = ANVIL_ROW_UNKNOWN;
   if (write->result == ANVIL_ROW_WRITTEN)
     *row = *next;
-  fake_clock_at (group->clock, fake_clock_now (group->clock) + STORE_DELAY, write_answered, NULL,
-                 write, g_free);
+  fake_clock_at (group->clock, fake_clock_now (group->clock) + delay, write_answered, NULL, write,
+                 g_free);
 }
 
 static void
@@ -168,7 +181,7 @@
   common_core_t *holder = core_of_node (group, peer);
   fetch_t *fetch;
 
-  if (holder == NULL || !holder->alive)
+  if (holder == NULL || !holder->alive || is_cut (core, holder))
     return;
   group->traffic.fetches++;
   fetch = g_new0 (fetch_t, 1);
@@ -254,23 +267,31 @@
 }
 
 static void
-add_core (common_group_t *group, guint index, GRand *rand)
+new_steer (common_core_t *core, guint32 seed)
 {
-  common_core_t *core = &group->cores[index];
-  anvil_steer_options_t options = {
-    .node = anvil_node (FIRST_NODE + index, PEER_PORT),
-    .incarnation = 1,
+  const anvil_config_t *config = core->group->config;
+  const anvil_steer_options_t options = {
+    .node = core->node,
+    .incarnation = ++core->incarnation,
+    .zone = config->zones[core->zone].name,
     .caller_port = PEER_PORT + 1,
     .admin_port = PEER_PORT + 2,
-    .seed = g_rand_int (rand),
+    .seed = seed,
   };
 
+  core->steer = anvil_steer_new (&options, &group_actions, core);
+}
+
+static void
+add_core (common_group_t *group, guint index, GRand *rand)
+{
+  common_core_t *core = &group->cores[index];
+
   core->group = group;
-  core->node = options.node;
+  core->node = anvil_node (FIRST_NODE + index, PEER_PORT);
   core->zone = group->config->seats[index].zone;
   core->region = group->config->zones[core->zone].region;
-  options.zone = group->config->zones[core->zone].name;
-  core->steer = anvil_steer_new (&options, &group_actions, core);
+  new_steer (core, g_rand_int (rand));
   fake_clock_at (group->clock, g_rand_int_range (rand, 0, ANVIL_SECOND), core_starts, core, NULL,
                  NULL);
 }
@@ -385,3 +406,13 @@
 {
   group->cores[core].alive = FALSE;
 }
+
+void
+common_group_restart (common_group_t *group, guint index)
+{
+  common_core_t *core = &group->cores[index];
+
+  anvil_steer_drop (core->steer);
+  new_steer (core, index);
+  core_starts (core, NULL);
+}
--- a/bench/common-group.h
+++ b/bench/common-group.h
@@ -32,6 +32,7 @@
   struct common_group *group;
   anvil_steer_t *steer;
   anvil_node_t node;
+  guint64 incarnation;
   guint zone;
   guint region;
   gboolean alive;
@@ -40,6 +41,9 @@
 /**
  * common_group_t - many decision cores in virtual time, with a table of rows
  *
+ * @region_cut: the first region and the others don't reach each other; set it at will
+ * @store_away: the table doesn't answer; set it at will
+ *
  * Messages are packed and unpacked as on the wire. Requests, upstreams and
  * faults of the network have no part in it; the fake network of the fuzzer has
  * those, for a few entries.
@@ -54,6 +58,8 @@
   anvil_seat_row_t *rows;
   guint n_rows;
   GByteArray *frame;
+  gboolean region_cut;
+  gboolean store_away;
   common_traffic_t traffic;
 } common_group_t;
 
@@ -73,5 +79,8 @@
 /** common_group_known_by - entries that one core takes for alive, itself among them */
 guint common_group_known_by (const common_group_t *group, guint core);
 
+/** common_group_restart - a new process in the place of a core that was killed */
+void common_group_restart (common_group_t *group, guint core);
+
 /** common_group_kill - a core is gone at once */
 void common_group_kill (common_group_t *group, guint core);
