--- a/source/config/config-check.c
+++ b/source/config/config-check.c
@@ -74,6 +74,13 @@
   return FALSE;
 }
 
+/* A sign or a leading zero, which YAML reads as octal, is refused. */
+static gboolean
+is_plain_number (const char *text)
+{
+  return g_ascii_isdigit (text[0]) && (text[0] != '0' || text[1] == '\0');
+}
+
 gboolean
 anvil_config_take_number (config_check_t *check,
                           const char *field,
@@ -83,7 +90,8 @@
 {
   char *expected;
 
-  if (g_ascii_string_to_signed (text, 10, range->minimum, range->maximum, value, NULL))
+  if (is_plain_number (text)
+      && g_ascii_string_to_signed (text, 10, range->minimum, range->maximum, value, NULL))
     return TRUE;
   expected
       = g_strdup_printf ("a whole number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT " (%s)",
--- a/source/config/config-parse.c
+++ b/source/config/config-parse.c
@@ -188,6 +188,24 @@
   return "a single value";
 }
 
+static guint64
+number_after (const char *reason, const char *mark)
+{
+  const char *found = strstr (reason, mark);
+
+  return found != NULL ? g_ascii_strtoull (found + strlen (mark), NULL, 10) : 0;
+}
+
+/* A list of a wrong length is at fault itself, not its last entry. */
+static void
+drop_entry (GString *path)
+{
+  const char *entry = strrchr (path->str, '[');
+
+  if (entry != NULL)
+    g_string_truncate (path, entry - path->str);
+}
+
 /* Turns a reason of libcyaml into one that names what was expected; may extend the path. */
 static char *
 explain (const char *reason, GString *path)
@@ -196,6 +214,8 @@
   static const char missing[] = "Missing required mapping field: ";
   static const char twice[] = "Mapping field already seen: ";
   static const char type[] = "Expecting ";
+  static const char few[] = "Insufficient entries";
+  static const char many[] = "Excessive entries (";
   const char *event = strstr (reason, "got event: ");
 
   if (g_str_has_prefix (reason, unknown))
@@ -217,6 +237,18 @@
   if (g_str_has_prefix (reason, type) && event != NULL)
     return g_strdup_printf ("%s, expected %s", event_name (event + strlen ("got event: ")),
                             event_name (reason + strlen (type)));
+  if (g_str_has_prefix (reason, few))
+    {
+      drop_entry (path);
+      return g_strdup_printf ("too few entries, expected at least %" G_GUINT64_FORMAT,
+                              number_after (reason, " of "));
+    }
+  if (g_str_has_prefix (reason, many))
+    {
+      drop_entry (path);
+      return g_strdup_printf ("too many entries, expected at most %" G_GUINT64_FORMAT,
+                              number_after (reason, "("));
+    }
   return g_strdup (reason);
 }
 
--- a/source/config/config-scan.c
+++ b/source/config/config-scan.c
@@ -72,6 +72,16 @@
   return TRUE;
 }
 
+static gboolean
+check_scalar (scan_t *scan, gsize line, const yaml_event_t *event)
+{
+  if (!check_node (scan, line, event->data.scalar.anchor, event->data.scalar.tag))
+    return FALSE;
+  if (memchr (event->data.scalar.value, '\0', event->data.scalar.length) != NULL)
+    return refuse (scan, line, "a zero byte in a value, expected text");
+  return TRUE;
+}
+
 static gboolean
 check_nesting (scan_t *scan, gsize line)
 {
@@ -101,7 +111,7 @@
       return refuse (scan, line, "alias *%s, expected none",
                      (const char *) event->data.alias.anchor);
     case YAML_SCALAR_EVENT:
-      return check_node (scan, line, event->data.scalar.anchor, event->data.scalar.tag);
+      return check_scalar (scan, line, event);
     case YAML_SEQUENCE_START_EVENT:
       return check_node (scan, line, event->data.sequence_start.anchor,
                          event->data.sequence_start.tag)
--- /dev/null
+++ b/tests/test-blocks.c
@@ -0,0 +1,234 @@
+/* The table of client blocks, against a search of every block. */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include "anvil/blocks.h"
+
+#define N_SEEDS 40
+#define N_ADDRESSES 300
+#define N_EDITS 20
+#define MAX_RUN 6
+/* Few addresses, so that blocks nest and meet often. */
+#define ADDRESS_MASK 0xff0000ffu
+
+static anvil_block_t
+random_block (GRand *random)
+{
+  guint8 prefix = (guint8) g_rand_int_range (random, 0, 33);
+  guint32 mask = prefix == 0 ? 0 : G_MAXUINT32 << (32 - prefix);
+
+  return (anvil_block_t){
+    .address = g_rand_int (random) & ADDRESS_MASK & mask,
+    .prefix = prefix,
+    .region = (guint) g_rand_int_range (random, 0, 64),
+  };
+}
+
+static gint
+compare (gconstpointer a, gconstpointer b)
+{
+  return anvil_block_compare (a, b);
+}
+
+static void
+drop_twins (GArray *blocks)
+{
+  g_array_sort (blocks, compare);
+  for (guint i = blocks->len; i > 1; i--)
+    {
+      if (compare (&g_array_index (blocks, anvil_block_t, i - 2),
+                   &g_array_index (blocks, anvil_block_t, i - 1))
+          == 0)
+        g_array_remove_index (blocks, i - 1);
+    }
+}
+
+static GArray *
+random_blocks (GRand *random)
+{
+  GArray *blocks = g_array_new (FALSE, FALSE, sizeof (anvil_block_t));
+
+  for (gint n = g_rand_int_range (random, 0, 80); n > 0; n--)
+    {
+      anvil_block_t block = random_block (random);
+
+      g_array_append_val (blocks, block);
+    }
+  drop_twins (blocks);
+  return blocks;
+}
+
+static guint
+oracle (const GArray *blocks, guint32 address)
+{
+  const anvil_block_t *best = NULL;
+
+  for (guint i = 0; i < blocks->len; i++)
+    {
+      const anvil_block_t *block = &g_array_index (blocks, anvil_block_t, i);
+
+      if (block->prefix < 32
+          && (guint64) address >> (32 - block->prefix)
+                 != (guint64) block->address >> (32 - block->prefix))
+        continue;
+      if (block->prefix == 32 && block->address != address)
+        continue;
+      if (best == NULL || block->prefix > best->prefix)
+        best = block;
+    }
+  return best != NULL ? best->region : ANVIL_NONE;
+}
+
+static void
+compare_with_oracle (const anvil_blocks_t *table, const GArray *blocks, GRand *random)
+{
+  ck_assert_uint_eq (anvil_blocks_count (table), blocks->len);
+  for (guint i = 0; i < blocks->len; i++)
+    {
+      anvil_block_t block = anvil_blocks_get (table, i);
+
+      ck_assert_int_eq (compare (&block, &g_array_index (blocks, anvil_block_t, i)), 0);
+      ck_assert_uint_eq (anvil_blocks_lookup (table, block.address),
+                         oracle (blocks, block.address));
+    }
+  for (guint i = 0; i < N_ADDRESSES; i++)
+    {
+      guint32 address = g_rand_int (random) & ADDRESS_MASK;
+
+      ck_assert_uint_eq (anvil_blocks_lookup (table, address), oracle (blocks, address));
+    }
+  ck_assert_uint_eq (anvil_blocks_lookup (table, G_MAXUINT32), oracle (blocks, G_MAXUINT32));
+  ck_assert_uint_eq (anvil_blocks_lookup (table, 0), oracle (blocks, 0));
+}
+
+/* A run that fits must be taken, one that doesn't must change nothing. */
+static void
+edit_run (anvil_blocks_t *table, GArray *blocks, GRand *random)
+{
+  guint first = (guint) g_rand_int_range (random, 0, (gint) blocks->len + 1);
+  guint removed
+      = (guint) g_rand_int_range (random, 0, (gint) MIN (blocks->len - first, MAX_RUN) + 1);
+  GArray *run = g_array_new (FALSE, FALSE, sizeof (anvil_block_t));
+  GArray *next = g_array_new (FALSE, FALSE, sizeof (anvil_block_t));
+  gboolean fits = TRUE;
+
+  for (gint n = g_rand_int_range (random, 0, 3); n > 0; n--)
+    {
+      anvil_block_t block = random_block (random);
+
+      g_array_append_val (run, block);
+    }
+  drop_twins (run);
+  g_array_append_vals (next, blocks->data, first);
+  g_array_append_vals (next, run->data, run->len);
+  for (guint i = first + removed; i < blocks->len; i++)
+    g_array_append_val (next, g_array_index (blocks, anvil_block_t, i));
+  for (guint i = 1; i < next->len; i++)
+    fits = fits
+           && compare (&g_array_index (next, anvil_block_t, i - 1),
+                       &g_array_index (next, anvil_block_t, i))
+                  < 0;
+
+  ck_assert_int_eq (anvil_blocks_replace (table, first, removed,
+                                          (anvil_block_t *) (gpointer) run->data, run->len),
+                    fits);
+  if (fits)
+    {
+      g_array_set_size (blocks, 0);
+      g_array_append_vals (blocks, next->data, next->len);
+    }
+  g_array_free (run, TRUE);
+  g_array_free (next, TRUE);
+}
+
+START_TEST (test_random_tables)
+{
+  for (guint32 seed = 1; seed <= N_SEEDS; seed++)
+    {
+      GRand *random = g_rand_new_with_seed (seed);
+      GArray *blocks = random_blocks (random);
+      anvil_blocks_t *table
+          = anvil_blocks_new ((anvil_block_t *) (gpointer) blocks->data, blocks->len);
+
+      ck_assert_ptr_nonnull (table);
+      compare_with_oracle (table, blocks, random);
+      for (guint i = 0; i < N_EDITS; i++)
+        {
+          edit_run (table, blocks, random);
+          compare_with_oracle (table, blocks, random);
+        }
+      anvil_blocks_drop (table);
+      g_array_free (blocks, TRUE);
+      g_rand_free (random);
+    }
+}
+END_TEST
+
+START_TEST (test_bad_blocks_are_refused)
+{
+  static const anvil_block_t bad[][2] = {
+    { { 0x0a000000, 8, 0 }, { 0x0a000000, 8, 1 } },
+    { { 0x0b000000, 8, 0 }, { 0x0a000000, 8, 1 } },
+    { { 0x0a000000, 8, 0 }, { 0x0b000001, 8, 1 } },
+    { { 0x0a000000, 8, 0 }, { 0x0b000000, 33, 1 } },
+    { { 0x0a000000, 8, 0 }, { 0x0b000000, 8, 65536 } },
+  };
+  anvil_blocks_t *table = anvil_blocks_new (NULL, 0);
+
+  ck_assert_uint_eq (anvil_blocks_lookup (table, 1), ANVIL_NONE);
+  for (gsize i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      ck_assert_ptr_null (anvil_blocks_new (bad[i], 2));
+      ck_assert (!anvil_blocks_replace (table, 0, 0, bad[i], 2));
+    }
+  ck_assert (!anvil_blocks_replace (table, 1, 0, bad[0], 1));
+  ck_assert (!anvil_blocks_replace (table, 0, 1, bad[0], 1));
+  ck_assert_uint_eq (anvil_blocks_count (table), 0);
+  anvil_blocks_drop (table);
+}
+END_TEST
+
+START_TEST (test_target_size)
+{
+  enum
+  {
+    N_BLOCKS = 1200000,
+    BLOCK_ADDRESSES = 256,
+  };
+  anvil_block_t *blocks = g_new (anvil_block_t, N_BLOCKS);
+  anvil_blocks_t *table;
+
+  for (guint i = 0; i < N_BLOCKS; i++)
+    blocks[i] = (anvil_block_t){ .address = i * BLOCK_ADDRESSES, .prefix = 24, .region = i % 63 };
+  table = anvil_blocks_new (blocks, N_BLOCKS);
+  ck_assert_uint_eq (anvil_blocks_lookup (table, 777777 * BLOCK_ADDRESSES + 9), 777777 % 63);
+  ck_assert_uint_eq (anvil_blocks_seek (table, 777777 * BLOCK_ADDRESSES), 777777);
+  ck_assert_uint_le (anvil_blocks_bytes (table), 16 << 20);
+  blocks[5].region = 62;
+  ck_assert (anvil_blocks_replace (table, 5, 2, &blocks[5], 1));
+  ck_assert_uint_eq (anvil_blocks_lookup (table, 5 * BLOCK_ADDRESSES), 62);
+  ck_assert_uint_eq (anvil_blocks_lookup (table, 6 * BLOCK_ADDRESSES), ANVIL_NONE);
+  anvil_blocks_drop (table);
+  g_free (blocks);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("blocks");
+  TCase *tcase = tcase_create ("blocks");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tcase, 300);
+  tcase_add_test (tcase, test_random_tables);
+  tcase_add_test (tcase, test_bad_blocks_are_refused);
+  tcase_add_test (tcase, test_target_size);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
