Let a fresh entry wait for the users of a file that it never had

Ruled out: fetching the older files too. Change: a first file that isn't generation 1 counts as replacing an unknown layout; a seat is granted once every holder in the table is known to have moved on or to be gone, and a term and a guard have passed.

--- a/source/steer/steer-config.c
+++ b/source/steer/steer-config.c
@@ -83,7 +83,8 @@
       anvil_seat_layout_drop (layout);
       return;
     }
-  if (steer->layout != NULL)
+  /* Before a first file that isn't the first of all there was another, with other seats maybe. */
+  if (steer->layout != NULL || steer->generation > 1)
     anvil_steer_former_keep (steer, steer->layout);
   steer->layout = layout;
   anvil_steer_seats_reset (steer, now);
@@ -164,7 +165,9 @@
 void
 anvil_steer_settle (anvil_steer_t *steer, anvil_time_t now)
 {
-  if (steer->config == NULL || steer->old_generations->len == 0 || now < steer->settle_next)
+  if (steer->config == NULL || now < steer->settle_next)
+    return;
+  if (steer->old_generations->len == 0 && steer->former_layouts->len == 0)
     return;
   steer->settle_next = now + SETTLE_INTERVAL;
   if (!all_settled (steer))
--- a/source/steer/steer-former.c
+++ b/source/steer/steer-former.c
@@ -16,7 +16,7 @@
   anvil_former_layout_t former = { .layout = layout, .replaced_by = steer->generation };
 
   g_array_append_val (steer->former_layouts, former);
-  for (guint seat = 0; seat < layout->n_seats; seat++)
+  for (guint seat = 0; layout != NULL && seat < layout->n_seats; seat++)
     anvil_steer_former_row (steer, &steer->seats[seat].row);
 }
 
@@ -57,11 +57,28 @@
          && entry->member.incarnation >= row->incarnation;
 }
 
+/* Whether all holders refuse, which is enough whatever the layout was. */
+static gboolean
+everybody_refuses (const anvil_steer_t *steer, guint64 generation)
+{
+  if (!steer->rows_known)
+    return FALSE;
+  for (guint seat = 0; seat < steer->former_rows->len; seat++)
+    {
+      if (g_array_index (steer->former_rows, anvil_seat_row_t, seat).epoch > 0
+          && !refuses_before (steer, seat, generation))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 static gboolean
 former_clear (const anvil_steer_t *steer, const anvil_former_layout_t *former, guint seat)
 {
   guint refusing = 0;
 
+  if (former->layout == NULL)
+    return everybody_refuses (steer, former->replaced_by);
   if (seat >= former->layout->n_seats)
     return TRUE;
   for (guint i = 0; i < former->layout->n_witnesses; i++)
@@ -107,7 +124,9 @@
       const anvil_former_layout_t *former
           = &g_array_index (steer->former_layouts, anvil_former_layout_t, i);
 
-      for (guint seat = 0; seat < former->layout->n_seats; seat++)
+      guint n_seats = former->layout != NULL ? former->layout->n_seats : 1;
+
+      for (guint seat = 0; seat < n_seats; seat++)
         {
           if (!former_clear (steer, former, seat))
             return FALSE;
--- a/source/steer/steer-internal.h
+++ b/source/steer/steer-internal.h
@@ -97,7 +97,7 @@
 
 /**
  * anvil_former_layout_t - seats of an older file by which some entry may still use them
- * @layout: the seats and their witnesses
+ * @layout: the seats and their witnesses, NULL if this entry doesn't know them
  * @replaced_by: first generation at this entry that had others
  */
 typedef struct
