Send callers to the entries next to the upstreams that will serve them

A caller's half often has its upstreams in another region; a slot borrowed across a link is held for the way there and back (70 ms) beside 60 ms of work, so half of what is lent is lost. Ruled out: longer loans (the way back still counts); shares of remote slots by seat (the same); relaying from entry to entry (a second hop to prove at-most-once over). Change: a look-up names entries of the region that the file's slots and client blocks give to the caller's half: its own as far as that goes, the rest in proportion. An entry charges the links between a caller of another region and itself. The benchmark's callers cache look-ups each for themselves and their links are counted.

--- a/bench/common-arrivals.c
+++ b/bench/common-arrivals.c
@@ -7,6 +7,7 @@
 /* What a caller loses on an entry that doesn't answer. */
 #define DEAD_ENTRY_DELAY (100 * ANVIL_MS)
 #define CLIENT_NETWORK 0x7f020100u
+#define CLIENTS_PER_REGION 256
 #define N_OBJECTS 1000
 #define ZONE_DELAY 0.65
 
@@ -31,7 +32,7 @@
   gboolean lookups;
   GRand *choice;
   stream_t streams[FAKE_MAX_SERVICES];
-  cached_t cached[FAKE_MAX_SERVICES][FAKE_MAX_ENTRIES];
+  cached_t cached[FAKE_MAX_SERVICES][FAKE_MAX_ENTRIES][CLIENTS_PER_REGION];
 };
 
 typedef struct
@@ -109,7 +110,7 @@
 entry_by_lookup (
     common_arrivals_t *arrivals, guint service, guint region, guint32 client, anvil_time_t *lost)
 {
-  cached_t *cached = &arrivals->cached[service][region];
+  cached_t *cached = &arrivals->cached[service][region][client % CLIENTS_PER_REGION];
   guint total = 0;
   guint drawn;
   guint first = 0;
@@ -154,7 +155,8 @@
   const anvil_service_t *known = &config->services[service];
   GRand *random = arrivals->streams[service].random;
   guint region = (guint) g_rand_int_range (random, 0, (gint32) config->n_regions);
-  guint32 client = CLIENT_NETWORK + (region << 8) + (guint32) g_rand_int_range (random, 0, 256);
+  guint32 client
+      = CLIENT_NETWORK + (region << 8) + (guint32) g_rand_int_range (random, 0, CLIENTS_PER_REGION);
   anvil_request_t request
       = { .service = service,
           .client = client,
@@ -164,15 +166,16 @@
           .affinity = known->idempotent ? (guint64) g_rand_int_range (random, 1, N_OBJECTS) : 0 };
   anvil_time_t travel = 2 * CLIENT_DELAY;
   guint entry = choose_entry (arrivals, service, region, client, &travel);
-  guint link;
+  common_measure_arrival_t arrival = { .number = net->last_request + 1, .service = service };
 
   if (entry == ANVIL_NONE)
     return;
-  link = anvil_config_lookup_link (config, region, net->entries[entry].region);
-  if (link != ANVIL_NONE)
-    travel += 2 * config->links[link].delay;
-  common_measure_submitted (arrivals->measure, fake_net_now (net), net->last_request + 1, service,
-                            travel);
+  arrival.link_in = anvil_config_lookup_link (config, region, net->entries[entry].region);
+  arrival.link_out = anvil_config_lookup_link (config, net->entries[entry].region, region);
+  if (arrival.link_in != ANVIL_NONE)
+    travel += 2 * config->links[arrival.link_in].delay;
+  arrival.travel = travel;
+  common_measure_submitted (arrivals->measure, fake_net_now (net), &arrival);
   fake_net_submit (net, entry, request);
 }
 
--- a/bench/common-measure.c
+++ b/bench/common-measure.c
@@ -9,8 +9,7 @@
 typedef struct
 {
   anvil_time_t submitted_at;
-  anvil_time_t travel;
-  gboolean upload;
+  common_measure_arrival_t arrival;
 } request_t;
 
 typedef struct
@@ -142,19 +141,28 @@
 }
 
 void
-common_measure_submitted (
-    common_measure_t *measure, anvil_time_t now, guint64 number, guint service, anvil_time_t travel)
+common_measure_submitted (common_measure_t *measure,
+                          anvil_time_t now,
+                          const common_measure_arrival_t *arrival)
 {
+  const anvil_service_t *service = &measure->config->services[arrival->service];
   request_t *request;
 
+  if (arrival->link_in != ANVIL_NONE)
+    bin_add (measure, &measure->links[arrival->link_in], now, (gdouble) service->request_bits);
   if (now < measure->from)
     return;
   request = g_new0 (request_t, 1);
   request->submitted_at = now;
-  request->travel = travel;
-  request->upload = measure->config->services[service].request_bits >= UPLOAD_BITS;
+  request->arrival = *arrival;
   measure->submitted++;
-  g_hash_table_insert (measure->requests, GSIZE_TO_POINTER (number), request);
+  g_hash_table_insert (measure->requests, GSIZE_TO_POINTER (arrival->number), request);
+}
+
+static gboolean
+is_upload (const common_measure_t *measure, const request_t *request)
+{
+  return measure->config->services[request->arrival.service].request_bits >= UPLOAD_BITS;
 }
 
 void
@@ -218,13 +226,18 @@
 
   if (request == NULL)
     return;
-  latency = record->at - request->submitted_at + request->travel;
+  latency = record->at - request->submitted_at + request->arrival.travel;
   if (record->kind == FAKE_REFUSED)
     measure->refused++;
   else if (record->result != ANVIL_ATTEMPT_ANSWERED)
     measure->failed++;
   else
-    g_array_append_val (request->upload ? measure->upload_latencies : measure->latencies, latency);
+    g_array_append_val (
+        is_upload (measure, request) ? measure->upload_latencies : measure->latencies, latency);
+  if (record->kind == FAKE_FINISHED && record->result == ANVIL_ATTEMPT_ANSWERED
+      && request->arrival.link_out != ANVIL_NONE)
+    bin_add (measure, &measure->links[request->arrival.link_out], record->at,
+             (gdouble) measure->config->services[request->arrival.service].response_bits);
   g_hash_table_remove (measure->requests, key);
 }
 
--- a/bench/common-measure.h
+++ b/bench/common-measure.h
@@ -46,12 +46,27 @@
 
 void common_measure_record (common_measure_t *measure, const fake_record_t *record);
 
-/** common_measure_submitted - a request and the time between its caller and the entry, both ways */
+/**
+ * common_measure_arrival_t - a request that a caller sends to an entry
+ * @number: number of the request
+ * @service: its service
+ * @travel: time between caller and entry, both ways
+ * @link_in: link that the request crosses on its way to the entry, or ANVIL_NONE
+ * @link_out: link that the answer crosses on its way to the caller, or ANVIL_NONE
+ */
+typedef struct
+{
+  guint64 number;
+  guint service;
+  anvil_time_t travel;
+  guint link_in;
+  guint link_out;
+} common_measure_arrival_t;
+
+/** common_measure_submitted - a request arrives */
 void common_measure_submitted (common_measure_t *measure,
                                anvil_time_t now,
-                               guint64 request,
-                               guint service,
-                               anvil_time_t travel);
+                               const common_measure_arrival_t *arrival);
 
 /** common_measure_drain - an upstream begins to drain, or has come back */
 void
--- a/source/steer/steer-choice.c
+++ b/source/steer/steer-choice.c
@@ -13,10 +13,10 @@
 /* Spread of equal choices. */
 #define JITTER (1 * ANVIL_MS)
 
-static anvil_traffic_t
-traffic_of (const anvil_request_t *request)
+anvil_traffic_t
+anvil_traffic_of (gint64 request_bits)
 {
-  return request->request_bits >= ANVIL_BULK_BITS ? ANVIL_TRAFFIC_BULK : ANVIL_TRAFFIC_INTERACTIVE;
+  return request_bits >= ANVIL_BULK_BITS ? ANVIL_TRAFFIC_BULK : ANVIL_TRAFFIC_INTERACTIVE;
 }
 
 /* Free slot of an upstream: borrowed ones first, since their time runs out. */
@@ -60,7 +60,21 @@
                 : 0);
 }
 
-/* Checks the links to an upstream and notes them in @choice; FALSE if there is no room. */
+/* Whether a budget has room; notes one that hasn't in @choice. */
+static gboolean
+has_room (anvil_rate_t *rate, gint64 units, anvil_choice_t *choice)
+{
+  if (rate == NULL || anvil_rate_fits (rate, units))
+    return TRUE;
+  choice->short_of = rate;
+  choice->short_units = units;
+  return FALSE;
+}
+
+/*
+ * Checks the links that a request and its answer will cross and notes them in @choice; FALSE if
+ * there is no room. The way from the caller to this entry has been used already.
+ */
 static gboolean
 links_fit (anvil_steer_t *steer,
            anvil_time_t now,
@@ -69,30 +83,24 @@
            anvil_choice_t *choice)
 {
   guint region = anvil_config_region_of (steer->config, upstream->index);
-  anvil_traffic_t traffic = traffic_of (&work->request);
+  anvil_traffic_t traffic = anvil_traffic_of (work->request.request_bits);
 
   choice->out = NULL;
   choice->back = NULL;
+  choice->client = NULL;
   choice->back_bits = steer->config->services[work->request.service].response_bits;
-  if (steer->region == ANVIL_NONE || region == steer->region)
+  if (steer->region == ANVIL_NONE)
     return TRUE;
+  if (work->client_region != ANVIL_NONE)
+    choice->client
+        = anvil_steer_link_rate (steer, now, steer->region, work->client_region, traffic);
   choice->out = anvil_steer_link_rate (steer, now, steer->region, region, traffic);
   choice->back = anvil_steer_link_rate (steer, now, region, steer->region, traffic);
   if (steer->options.faults.ignore_link_budget)
     return TRUE;
-  if (choice->out != NULL && !anvil_rate_fits (choice->out, work->request.request_bits))
-    {
-      choice->short_of = choice->out;
-      choice->short_units = work->request.request_bits;
-      return FALSE;
-    }
-  if (choice->back != NULL && !anvil_rate_fits (choice->back, choice->back_bits))
-    {
-      choice->short_of = choice->back;
-      choice->short_units = choice->back_bits;
-      return FALSE;
-    }
-  return TRUE;
+  return has_room (choice->out, work->request.request_bits, choice)
+         && has_room (choice->back, choice->back_bits, choice)
+         && has_room (choice->client, choice->back_bits, choice);
 }
 
 gboolean
--- a/source/steer/steer-half.c
+++ b/source/steer/steer-half.c
@@ -8,15 +8,15 @@
 #define PLACES_PER_PERCENT (PLACES / 100u)
 
 static guint
-place_of_client (const anvil_steer_t *steer, const anvil_request_t *request)
+place_of_client (const anvil_steer_t *steer, guint service, guint32 client)
 {
   const struct
   {
     guint64 service;
     guint64 client;
   } key = {
-    .service = anvil_str_hash (steer->config->services[request->service].name),
-    .client = request->client,
+    .service = anvil_str_hash (steer->config->services[service].name),
+    .client = client,
   };
 
   return (
@@ -89,7 +89,7 @@
                          const anvil_request_t *request,
                          gboolean *shifted)
 {
-  guint place = place_of_client (steer, request);
+  guint place = place_of_client (steer, request->service, request->client);
   guint end;
   guint half = half_of_place (steer, request->service, place, &end);
 
@@ -109,3 +109,24 @@
     }
   return half;
 }
+
+guint
+anvil_steer_expected_half (const anvil_steer_t *steer,
+                           anvil_time_t now,
+                           guint service,
+                           guint32 client)
+{
+  guint place = place_of_client (steer, service, client);
+  guint end;
+  guint half = half_of_place (steer, service, place, &end);
+
+  for (guint i = 0; i < steer->config->n_shifts; i++)
+    {
+      const anvil_shift_t *shift = &steer->config->shifts[i];
+
+      if (shift->service == service && shift->from == half
+          && place + moved_places (steer, now, i) >= end)
+        return shift->to;
+    }
+  return half;
+}
--- a/source/steer/steer-internal.h
+++ b/source/steer/steer-internal.h
@@ -52,6 +52,7 @@
   guint service;
   guint half;
   GArray *upstreams;
+  gdouble *placement;
   anvil_time_t typical_latency;
 } anvil_queue_t;
 
@@ -73,8 +74,10 @@
   anvil_time_t until;
   guint64 avoid;
   gboolean cancelled;
+  guint client_region;
   guint64 charged_back;
-  gint64 charged_back_bits;
+  guint64 charged_client;
+  gint64 charged_bits;
 } anvil_work_t;
 
 /** anvil_loan_wish_t - a question for a loan that is under way */
@@ -286,13 +289,27 @@
                                const anvil_request_t *request,
                                gboolean *shifted);
 
+guint anvil_steer_expected_half (const anvil_steer_t *steer,
+                                 anvil_time_t now,
+                                 guint service,
+                                 guint32 client);
+
+/* steer-placement.c */
+void anvil_steer_placement_configure (anvil_steer_t *steer, anvil_queue_t *queue);
+guint anvil_steer_place_client (const anvil_steer_t *steer,
+                                const anvil_queue_t *queue,
+                                guint home,
+                                guint32 client);
+
 /* steer-choice.c */
+anvil_traffic_t anvil_traffic_of (gint64 request_bits);
 typedef struct
 {
   anvil_upstream_state_t *upstream;
   guint slot;
   anvil_rate_t *out;
   anvil_rate_t *back;
+  anvil_rate_t *client;
   gint64 back_bits;
   anvil_rate_t *short_of;
   gint64 short_units;
--- a/source/steer/steer-lookup.c
+++ b/source/steer/steer-lookup.c
@@ -131,6 +131,18 @@
   sort_by_weight (lookup->choices, lookup->n_choices);
 }
 
+/* Region whose entries are best for a caller. */
+static guint
+serving_region (const anvil_steer_t *steer, anvil_time_t now, guint service, guint32 client)
+{
+  guint home = anvil_config_lookup_client (steer->config, client);
+  guint half = anvil_steer_expected_half (steer, now, service, client);
+
+  if (home == ANVIL_NONE)
+    home = steer->region != ANVIL_NONE ? steer->region : 0;
+  return anvil_steer_place_client (steer, anvil_steer_queue (steer, service, half), home, client);
+}
+
 void
 anvil_steer_lookups_configure (anvil_steer_t *steer)
 {
@@ -152,9 +164,7 @@
 
   if (steer->config == NULL || service >= steer->config->n_services)
     return 0;
-  region = anvil_config_lookup_client (steer->config, client);
-  if (region == ANVIL_NONE)
-    region = steer->region != ANVIL_NONE ? steer->region : 0;
+  region = serving_region (steer, now, service, client);
 
   lookup = &g_array_index (steer->lookups, anvil_lookup_t, region);
   if (!lookup->made || now >= lookup->made_at + LOOKUP_AGE)
--- a/source/steer/steer-request.c
+++ b/source/steer/steer-request.c
@@ -14,6 +14,7 @@
 
   g_sequence_free (queue->waiting);
   g_array_unref (queue->upstreams);
+  g_free (queue->placement);
   g_free (queue);
 }
 
@@ -92,15 +93,38 @@
 static void
 charge_links (anvil_work_t *work, const anvil_choice_t *choice)
 {
-  work->charged_back = 0;
   if (choice->out != NULL)
     anvil_rate_use (choice->out, work->request.request_bits);
   if (choice->back != NULL)
-    {
-      anvil_rate_use (choice->back, choice->back_bits);
-      work->charged_back = choice->back->key;
-      work->charged_back_bits = choice->back_bits;
-    }
+    anvil_rate_use (choice->back, choice->back_bits);
+  if (choice->client != NULL)
+    anvil_rate_use (choice->client, choice->back_bits);
+  work->charged_back = choice->back != NULL ? choice->back->key : 0;
+  work->charged_client = choice->client != NULL ? choice->client->key : 0;
+  work->charged_bits = choice->back_bits;
+}
+
+/* Corrects what one link was charged for an answer. */
+static void
+settle_link (anvil_steer_t *steer, anvil_time_t now, guint64 key, gint64 bits)
+{
+  anvil_rate_t *rate = key != 0 ? anvil_steer_rate (steer, now, key) : NULL;
+
+  if (rate != NULL)
+    anvil_rate_use (rate, bits);
+}
+
+/* The request has come over the link from its caller's region, whether that had room or not. */
+static void
+charge_arrival (anvil_steer_t *steer, anvil_time_t now, const anvil_work_t *work)
+{
+  anvil_traffic_t traffic = anvil_traffic_of (work->request.request_bits);
+  anvil_rate_t *rate = NULL;
+
+  if (work->client_region != ANVIL_NONE && steer->region != ANVIL_NONE)
+    rate = anvil_steer_link_rate (steer, now, work->client_region, steer->region, traffic);
+  if (rate != NULL)
+    anvil_rate_use (rate, work->request.request_bits);
 }
 
 static void
@@ -216,6 +240,8 @@
   work->queue = queue;
   work->shifted = shifted;
   work->submitted_at = now;
+  work->client_region = anvil_config_lookup_client (steer->config, request->client);
+  charge_arrival (steer, now, work);
   g_hash_table_insert (steer->works, &work->request.id, work);
   enqueue (work);
   anvil_steer_pump (steer, now, queue);
@@ -248,8 +274,6 @@
 {
   anvil_upstream_state_t *upstream = anvil_steer_upstream_state (steer, work->upstream);
   anvil_slot_t *slot = &upstream->slots[work->slot];
-  anvil_rate_t *back
-      = work->charged_back != 0 ? anvil_steer_rate (steer, now, work->charged_back) : NULL;
 
   work->running = FALSE;
   slot->request = 0;
@@ -258,8 +282,10 @@
   /* It may go on there until its deadline. */
   if (result == ANVIL_ATTEMPT_UNKNOWN)
     slot->busy_until = MAX (slot->busy_until, work->until + ANVIL_WORK_GUARD);
-  if (back != NULL && result != ANVIL_ATTEMPT_UNKNOWN)
-    anvil_rate_use (back, response_bits - work->charged_back_bits);
+  if (result != ANVIL_ATTEMPT_UNKNOWN)
+    settle_link (steer, now, work->charged_back, response_bits - work->charged_bits);
+  settle_link (steer, now, work->charged_client,
+               (result == ANVIL_ATTEMPT_ANSWERED ? response_bits : 0) - work->charged_bits);
   return upstream;
 }
 
@@ -391,6 +417,7 @@
         g_array_append_val (queue->upstreams,
                             g_array_index (steer->by_index, anvil_upstream_state_t *, i));
     }
+  anvil_steer_placement_configure (steer, queue);
   return queue;
 }
 
