Keep an entry on the newest file as a state machine without sockets

Ruled out: testing it over sockets with a wall clock; it would prove few orders. Change: source/config/follow.c takes events and time and gives actions; the task joins it to libevent and the client, with a reference for each call under way. Before: no test of the task. Conclusion: generations in force only grow, whoever is down or replaced.

--- /dev/null
+++ b/source/entry/config-task.c
@@ -0,0 +1,181 @@
+#include "entry/config-task.h"
+
+#include "config/config-head.h"
+#include "config/follow.h"
+
+/*
+ * Joins anvil_follow_t to the event loop and the platform's client. A call of
+ * the client holds a reference, because its callback may run after the task
+ * was closed.
+ */
+struct anvil_config_task
+{
+  guint references;
+  gboolean closed;
+  anvil_platform_t *platform;
+  anvil_config_task_events_t events;
+  void *context;
+  struct event *timer;
+  anvil_follow_t *follow;
+};
+
+static void
+task_drop (anvil_config_task_t *task)
+{
+  if (--task->references > 0)
+    return;
+  anvil_follow_drop (task->follow);
+  g_free (task);
+}
+
+static void
+run_timer (anvil_config_task_t *task)
+{
+  anvil_time_t now = anvil_clock_now ();
+  anvil_time_t delay = MAX (anvil_follow_tick (task->follow, now) - now, ANVIL_MS);
+  const struct timeval timeout
+      = { .tv_sec = delay / ANVIL_SECOND, .tv_usec = delay % ANVIL_SECOND };
+
+  if (!task->closed)
+    evtimer_add (task->timer, &timeout);
+}
+
+/* The prefix of a read may match longer keys. */
+static anvil_str_t
+head_value (const anvil_row_t *rows, guint n_rows)
+{
+  for (guint i = 0; i < n_rows; i++)
+    {
+      if (anvil_str_equal (rows[i].key, anvil_str (ANVIL_HEAD_KEY)))
+        return rows[i].value;
+    }
+  return anvil_str (NULL);
+}
+
+static void
+on_head (void *context, const anvil_row_t *rows, guint n_rows, const GError *error)
+{
+  anvil_config_task_t *task = context;
+
+  if (!task->closed)
+    {
+      anvil_follow_head (task->follow, anvil_clock_now (), error == NULL,
+                         error == NULL ? head_value (rows, n_rows) : anvil_str (NULL));
+      run_timer (task);
+    }
+  task_drop (task);
+}
+
+static void
+read_head (void *context)
+{
+  anvil_config_task_t *task = context;
+
+  task->references++;
+  anvil_platform_read (task->platform, ANVIL_HEAD_KEY, on_head, task);
+}
+
+static void
+on_object (void *context, anvil_str_t body, const GError *error)
+{
+  anvil_config_task_t *task = context;
+
+  if (!task->closed)
+    {
+      anvil_follow_object (task->follow, anvil_clock_now (), error == NULL, body);
+      run_timer (task);
+    }
+  task_drop (task);
+}
+
+static void
+get_object (void *context, const char *name)
+{
+  anvil_config_task_t *task = context;
+
+  task->references++;
+  anvil_platform_get_object (task->platform, name, on_object, task);
+}
+
+static void
+ask_peer (void *context, anvil_node_t peer, guint64 generation)
+{
+  anvil_config_task_t *task = context;
+
+  task->events.ask_peer (task->context, peer, generation);
+}
+
+static void
+in_force (void *context, anvil_config_t *config, guint64 generation)
+{
+  anvil_config_task_t *task = context;
+
+  task->events.in_force (task->context, config, generation);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *context)
+{
+  run_timer (context);
+}
+
+anvil_config_task_t *
+anvil_config_task_open (struct event_base *base,
+                        anvil_platform_t *platform,
+                        const anvil_config_task_events_t *events,
+                        void *context)
+{
+  static const anvil_follow_actions_t actions = {
+    .read_head = read_head,
+    .get_object = get_object,
+    .ask_peer = ask_peer,
+    .in_force = in_force,
+  };
+  static const struct timeval at_once = { 0 };
+  anvil_config_task_t *task = g_new0 (anvil_config_task_t, 1);
+
+  task->references = 1;
+  task->platform = platform;
+  task->events = *events;
+  task->context = context;
+  task->follow = anvil_follow_new (g_random_int (), &actions, task);
+  task->timer = evtimer_new (base, on_timer, task);
+  evtimer_add (task->timer, &at_once);
+  return task;
+}
+
+void
+anvil_config_task_close (anvil_config_task_t *task)
+{
+  if (task == NULL)
+    return;
+  task->closed = TRUE;
+  event_free (task->timer);
+  task->timer = NULL;
+  task_drop (task);
+}
+
+void
+anvil_config_task_learn (anvil_config_task_t *task, guint64 generation, anvil_node_t peer)
+{
+  static const struct timeval at_once = { 0 };
+
+  anvil_follow_learn (task->follow, anvil_clock_now (), generation, peer);
+  /* Not from inside this call, which may come from within a message of the peer. */
+  evtimer_add (task->timer, &at_once);
+}
+
+void
+anvil_config_task_arrived (anvil_config_task_t *task,
+                           guint64 generation,
+                           anvil_str_t head,
+                           anvil_str_t file)
+{
+  anvil_follow_arrived (task->follow, head, file);
+}
+
+guint64
+anvil_config_task_current (const anvil_config_task_t *task, anvil_str_t *head, anvil_str_t *file)
+{
+  return anvil_follow_current (task->follow, head, file);
+}
