--- a/source/tools/anvil-load-call.c
+++ b/source/tools/anvil-load-call.c
@@ -13,6 +13,8 @@
 #define CALL_GRACE (2 * ANVIL_SECOND)
 /* A look-up whose entries all failed is asked for again so many times. */
 #define MAX_FRESH_LOOKUPS 1
+/* Bytes of an answer that a log line shows. */
+#define MAX_LOGGED_BYTES ((gsize) 120)
 
 typedef struct
 {
@@ -87,6 +89,10 @@
   if (fault != LOAD_FAULT_NONE)
     anvil_log (ANVIL_LOG_WARNING, "load", "wrong answer id=%s fault=%s status=%d", call->request.id,
                load_fault_name (fault), answer->status);
+  else if (outcome != LOAD_ANSWERED)
+    anvil_log (ANVIL_LOG_INFO, "load", "%s id=%s service=%s status=%d body=\"%.*s\"",
+               load_outcome_name (outcome), call->request.id, service->name.data, answer->status,
+               (int) MIN (answer->body.length, MAX_LOGGED_BYTES), answer->body.data);
   call_end (call, outcome, fault);
 }
 
@@ -105,6 +111,7 @@
       call_send (call);
       return;
     case TOOL_HTTP_LOST:
+      anvil_log (ANVIL_LOG_INFO, "load", "no answer id=%s", call->request.id);
       call_end (call, LOAD_UNKNOWN, LOAD_FAULT_NONE);
       return;
     case TOOL_HTTP_TRUNCATED:
