--- a/source/steer/steer-config.c
+++ b/source/steer/steer-config.c
@@ -4,6 +4,9 @@
 #include "steer/steer-internal.h"
 
 #define FETCH_INTERVAL (200 * ANVIL_MS)
+/* An entry that has heard of a newer file for this long and can't get it stops asking for rights.
+ */
+#define STALE_PATIENCE (1 * ANVIL_SECOND)
 #define SETTLE_INTERVAL (250 * ANVIL_MS)
 
 guint
@@ -31,13 +34,24 @@
                               guint64 generation,
                               anvil_node_t peer)
 {
-  if (generation <= steer->generation || now < steer->fetch_next)
+  if (generation <= steer->generation)
+    return;
+  if (steer->behind_since == 0)
+    steer->behind_since = now;
+  steer->heard_generation = MAX (steer->heard_generation, generation);
+  if (now < steer->fetch_next)
     return;
   steer->fetch_next = now + FETCH_INTERVAL;
-  steer->fetching = generation;
   steer->actions.fetch_config (steer->context, generation, peer);
 }
 
+gboolean
+anvil_steer_stale (const anvil_steer_t *steer, anvil_time_t now)
+{
+  return steer->behind_since != 0 && now - steer->behind_since >= STALE_PATIENCE
+         && !steer->options.faults.ignore_old_generation;
+}
+
 static void
 remember_old_generation (anvil_steer_t *steer)
 {
@@ -69,7 +83,9 @@
       anvil_seat_layout_drop (layout);
       return;
     }
-  anvil_seat_layout_drop (steer->layout);
+  /* Before a first file that isn't the first of all there was another, with other seats maybe. */
+  if (steer->layout != NULL || steer->generation > 1)
+    anvil_steer_former_keep (steer, steer->layout);
   steer->layout = layout;
   anvil_steer_seats_reset (steer, now);
 }
@@ -87,6 +103,7 @@
   remember_old_generation (steer);
   steer->config = anvil_config_keep (config);
   steer->generation = generation;
+  steer->behind_since = generation < steer->heard_generation ? now : 0;
   steer->zone = anvil_config_lookup_zone (config, steer->options.zone);
   steer->region = steer->zone != ANVIL_NONE ? config->zones[steer->zone].region : ANVIL_NONE;
   if (before == NULL)
@@ -98,6 +115,7 @@
   replace_layout (steer, now);
   anvil_steer_lookups_configure (steer);
   anvil_steer_slots_configure (steer, now);
+  anvil_steer_apply_list (steer, now);
   anvil_steer_rates_configure (steer, now);
   anvil_steer_requests_configure (steer, now, before);
   anvil_steer_update_self (steer, now);
@@ -142,13 +160,15 @@
       if (!seat_settled (steer, seat, steer->generation))
         return FALSE;
     }
-  return TRUE;
+  return anvil_steer_former_settled (steer);
 }
 
 void
 anvil_steer_settle (anvil_steer_t *steer, anvil_time_t now)
 {
-  if (steer->config == NULL || steer->old_generations->len == 0 || now < steer->settle_next)
+  if (steer->config == NULL || now < steer->settle_next)
+    return;
+  if (steer->old_generations->len == 0 && steer->former_layouts->len == 0)
     return;
   steer->settle_next = now + SETTLE_INTERVAL;
   if (!all_settled (steer))
@@ -163,6 +183,7 @@
     return;
 
   g_array_set_size (steer->old_generations, 0);
+  anvil_steer_former_forget (steer);
   steer->settled_since = 0;
   anvil_steer_slots_assign (steer, now);
   anvil_steer_rates_configure (steer, now);
--- a/source/steer/steer-internal.h
+++ b/source/steer/steer-internal.h
@@ -40,6 +40,7 @@
   gboolean releasing;
   gboolean adopting;
   anvil_time_t duty_from;
+  anvil_time_t clear_since;
   anvil_right_t right;
   anvil_grant_t given[ANVIL_WITNESSES];
 } anvil_seat_state_t;
@@ -94,6 +95,17 @@
   anvil_config_t *config;
 } anvil_old_generation_t;
 
+/**
+ * anvil_former_layout_t - seats of an older file by which some entry may still use them
+ * @layout: the seats and their witnesses, NULL if this entry doesn't know them
+ * @replaced_by: first generation at this entry that had others
+ */
+typedef struct
+{
+  anvil_seat_layout_t *layout;
+  guint64 replaced_by;
+} anvil_former_layout_t;
+
 /* Entries that a look-up names at most. */
 #define ANVIL_MAX_LOOKUP 16
 
@@ -119,7 +131,8 @@
   anvil_config_t *config;
   guint64 generation;
   GArray *old_generations;
-  guint64 fetching;
+  guint64 heard_generation;
+  anvil_time_t behind_since;
   anvil_time_t fetch_next;
   guint zone;
   guint region;
@@ -139,11 +152,13 @@
   anvil_time_t list_at;
   gboolean listed;
   GHashTable *listed_nodes;
-  GHashTable *leaving_upstreams;
+  GHashTable *listed_upstreams;
 
   /* Seats: steer-seat.c, steer-row.c */
   anvil_seat_layout_t *layout;
   anvil_seat_state_t *seats;
+  GArray *former_layouts;
+  GArray *former_rows;
   gboolean forgot_grants;
   anvil_time_t grants_next;
   anvil_time_t rows_next;
@@ -183,6 +198,7 @@
                                    anvil_time_t now,
                                    guint64 generation,
                                    anvil_node_t peer);
+gboolean anvil_steer_stale (const anvil_steer_t *steer, anvil_time_t now);
 void anvil_steer_settle (anvil_steer_t *steer, anvil_time_t now);
 guint anvil_steer_region_of_zone_hash (const anvil_steer_t *steer, guint64 zone);
 guint anvil_steer_region_of_member (const anvil_steer_t *steer, anvil_node_t node);
@@ -196,6 +212,7 @@
                                  anvil_time_t now,
                                  anvil_node_t from,
                                  const anvil_gossip_t *gossip);
+void anvil_steer_apply_list (anvil_steer_t *steer, anvil_time_t now);
 void anvil_steer_update_self (anvil_steer_t *steer, anvil_time_t now);
 void anvil_steer_send (anvil_steer_t *steer, anvil_node_t to, const anvil_message_t *message);
 
@@ -218,6 +235,14 @@
 gboolean anvil_steer_seat_usable (const anvil_steer_t *steer, anvil_time_t now, guint seat);
 gboolean anvil_steer_wants_seat (const anvil_steer_t *steer, guint seat);
 
+/* steer-former.c */
+void anvil_former_layout_clear (gpointer data);
+void anvil_steer_former_keep (anvil_steer_t *steer, anvil_seat_layout_t *layout);
+void anvil_steer_former_row (anvil_steer_t *steer, const anvil_seat_row_t *row);
+gboolean anvil_steer_former_ended (anvil_steer_t *steer, anvil_time_t now, guint seat);
+gboolean anvil_steer_former_settled (const anvil_steer_t *steer);
+void anvil_steer_former_forget (anvil_steer_t *steer);
+
 /* steer-row.c */
 void anvil_steer_rows_tick (anvil_steer_t *steer, anvil_time_t now);
 void anvil_steer_merge_row (anvil_steer_t *steer, anvil_time_t now, const anvil_seat_row_t *row);
