Repeat an upstream's word on its drain when a peer denies it

Ruled out: a drain for each source in the gossip. The fake network polls upstreams only at entries with a file.

--- a/source/steer/steer-gossip.c
+++ b/source/steer/steer-gossip.c
@@ -131,9 +131,11 @@
 
   if (!anvil_drain_table_merge (steer->drains, now, drain) || drain->draining || upstream == NULL)
     return;
-  /* A peer took the word of the upstream, and doesn't know what the list says. */
+  /* The peer that denies the drain may not have the word of the list, or of the upstream. */
   if (upstream->list_leaving)
     anvil_drain_table_learn (steer->drains, now, drain->upstream, ANVIL_DRAIN_LIST, TRUE);
+  else if (upstream->reported_draining && now - upstream->reported_at < ANVIL_DRAIN_DOUBT)
+    anvil_drain_table_learn (steer->drains, now, drain->upstream, ANVIL_DRAIN_UPSTREAM, TRUE);
   else
     upstream->warm_since = now;
 }
--- a/tests/fuzz/fake-entry.c
+++ b/tests/fuzz/fake-entry.c
@@ -226,6 +226,9 @@
 
   if (net->entries[entry].steer != NULL && tick % POLL_TICKS == 0)
     poll_platform (net, entry);
+  /* Without a file it knows of no upstreams. */
+  if (net->entries[entry].steer != NULL && net->entries[entry].generation == 0)
+    return;
   for (guint i = tick % POLL_TICKS; i < net->n_upstreams; i += POLL_TICKS)
     poll_upstream (net, entry, &net->upstreams[i]);
 }
