--- a/Makefile
+++ b/Makefile
@@ -98,10 +98,12 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) all tests
 	@scripts/run-tests $(BUILD)
 
-# make fuzz SEED=1 STEPS=100000, or with HISTORY= to replay what a failure printed.
+# make fuzz SEED=1 STEPS=100000; HISTORY= replays what a failure printed, FAULT= switches a
+# mechanism off.
 fuzz: packages
 	@$(MAKE) --no-print-directory -j$$(nproc) $(BUILD)/fuzz/fuzz-steer
-	@$(BUILD)/fuzz/fuzz-steer --seed $(or $(SEED),1) --steps $(or $(STEPS),10000) --history "$(HISTORY)"
+	@$(BUILD)/fuzz/fuzz-steer --seed $(or $(SEED),1) --steps $(or $(STEPS),10000) \
+	  --history "$(HISTORY)" --fault "$(FAULT)"
 
 # make fuzz-coverage SECONDS=60; inputs that reach new code are kept in build/fuzz/corpus.
 fuzz-coverage: packages
@@ -115,6 +117,12 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) benches
 	@$(BUILD)/bench/bench-steer $(BENCH_ARGS)
 
+# Slopes for docs/CAPACITY.md.
+CAPACITY_NAMES = $(filter bench-capacity-%,$(BENCH_NAMES))
+capacity: packages
+	@$(MAKE) --no-print-directory -j$$(nproc) $(CAPACITY_NAMES:%=$(BUILD)/bench/%)
+	@for name in $(CAPACITY_NAMES); do echo "== $$name"; $(BUILD)/bench/$$name || exit 1; done
+
 demo: packages
 	@$(MAKE) --no-print-directory -j$$(nproc) all
 	@BUILD=$(BUILD) scripts/demo $(or $(DEPLOYMENT),labka)
@@ -130,5 +138,5 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all packages tests benches check fuzz fuzz-coverage bench demo format lint clean
+.PHONY: all packages tests benches check fuzz fuzz-coverage bench capacity demo format lint clean
 .SECONDARY:
