--- a/include/anvil/claims.h
+++ b/include/anvil/claims.h
@@ -94,6 +94,7 @@
   gboolean forget_abandoned;
   gboolean forget_outcome;
   gboolean delete_released;
+  gboolean ignore_overtaken;
 } anvil_claims_faults_t;
 
 /**
--- a/source/steer/claims-resolve.c
+++ b/source/steer/claims-resolve.c
@@ -56,7 +56,7 @@
   gboolean claimed = row->state == CLAIM_ROW_CLAIMED && own;
   gboolean open = row->state == CLAIM_ROW_RELEASED && !own && key->uncertain;
 
-  if (claimed || open)
+  if (claimed || (open && !claims->options.faults.ignore_overtaken))
     write_over (claims, key, version);
   else
     anvil_claim_forget (claims, key);
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -573,6 +573,7 @@
     { { .forget_abandoned = TRUE }, "a key that never ran stayed taken" },
     { { .delete_released = TRUE }, "a key that never ran stayed taken" },
     { { .ignore_deadline = TRUE }, "a request was told to run after its deadline" },
+    { { .ignore_overtaken = TRUE }, "a key that never ran stayed taken" },
     { { .forget_outcome = TRUE }, "an answer wasn't recorded" },
   };
   const char *broken = NULL;
@@ -593,7 +594,7 @@
 
   tcase_set_timeout (tcase, 120);
   tcase_add_test (tcase, test_claims_hold_under_faults);
-  tcase_add_loop_test (tcase, test_each_broken_variant_is_caught, 0, 10);
+  tcase_add_loop_test (tcase, test_each_broken_variant_is_caught, 0, 11);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
