Claim the key of a non-idempotent request before it is submitted

Cause: the request path passed a key on but did nothing with it, so a repeat at the same or another entry ran again.

Change: the request task asks the claims before the core gets such a request, tells them its end, and answers repeats: recorded status with Anvil-Recorded, 409 unknown, or 503 not run. The service is looked up again after the wait, as the file may have changed. Without anvil_request_task_use_claims() nothing changes, so the daemon's main has to call it:

claims = anvil_claims_task_new (&parts, anvil_request_task_decided, requests); anvil_request_task_use_claims (requests, claims);

and drop the claims after the platform's client; a graceful shutdown should also wait, bounded, for anvil_claims_task_busy() to be 0, else the last outcomes are lost and their repeats hear unknown.

--- a/source/entry/caller-answer.c
+++ b/source/entry/caller-answer.c
@@ -39,3 +39,11 @@
   set_outcome (request, "unknown");
   anvil_http_json_fail (request, status, what);
 }
+
+void
+anvil_answer_recorded (struct evhttp_request *request, int status)
+{
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Anvil-Recorded", "1");
+  set_outcome (request, "answered");
+  evhttp_send_reply (request, status, NULL, NULL);
+}
--- a/source/entry/caller-answer.h
+++ b/source/entry/caller-answer.h
@@ -21,3 +21,9 @@
 
 /** anvil_answer_unknown - 409, 502 or 504, the request may have run */
 void anvil_answer_unknown (struct evhttp_request *request, int status, const char *what);
+
+/**
+ * anvil_answer_recorded - the outcome of an earlier request with the same key
+ * @status: of that answer; its body wasn't kept
+ */
+void anvil_answer_recorded (struct evhttp_request *request, int status);
--- a/source/entry/caller-request.h
+++ b/source/entry/caller-request.h
@@ -11,6 +11,14 @@
 
 struct anvil_request_task;
 
+/** anvil_request_claim_t - where the claim of a request's key stands */
+typedef enum
+{
+  ANVIL_REQUEST_UNCLAIMED,
+  ANVIL_REQUEST_CLAIMING,
+  ANVIL_REQUEST_CLAIMED,
+} anvil_request_claim_t;
+
 /**
  * anvil_caller_request_t - one request of a caller, from its arrival to its answer
  * @id: tells it apart from all others of this process
@@ -22,6 +30,7 @@
  * @client: IPv4 of the caller, host order
  * @idempotent: whether it may be run again
  * @key: Idempotency-Key, or NULL
+ * @claim: where the claim of @key stands
  * @deadline: when the caller gives up, on the monotonic clock
  * @body: its body, whole
  * @trace: the span of the whole request
@@ -45,6 +54,7 @@
   guint32 client;
   gboolean idempotent;
   char *key;
+  anvil_request_claim_t claim;
   anvil_time_t deadline;
   struct evbuffer *body;
   anvil_trace_context_t trace;
--- a/source/entry/request-task.c
+++ b/source/entry/request-task.c
@@ -19,6 +19,7 @@
 struct anvil_request_task
 {
   anvil_request_task_parts_t parts;
+  anvil_claims_task_t *claims;
   guint64 last_id;
   /* Requests by id. */
   GHashTable *requests;
@@ -57,6 +58,12 @@
   g_free (task);
 }
 
+void
+anvil_request_task_use_claims (anvil_request_task_t *task, anvil_claims_task_t *claims)
+{
+  task->claims = claims;
+}
+
 guint
 anvil_request_task_count (const anvil_request_task_t *task)
 {
@@ -101,6 +108,18 @@
   return http;
 }
 
+/* Tells the claim how its request ended; does nothing without one. */
+static void
+end_claim (anvil_request_task_t *task,
+           anvil_caller_request_t *request,
+           anvil_claim_end_t end,
+           int status)
+{
+  if (request->claim == ANVIL_REQUEST_CLAIMED)
+    anvil_claims_task_finished (task->claims, request->id, end, status);
+  request->claim = ANVIL_REQUEST_UNCLAIMED;
+}
+
 static void
 on_attempt_done (void *context, anvil_attempt_result_t result, struct evhttp_request *response)
 {
@@ -207,6 +226,11 @@
 
   if (request == NULL)
     return;
+  if (result == ANVIL_ATTEMPT_ANSWERED && request->response != NULL)
+    end_claim (task, request, ANVIL_CLAIM_ANSWERED,
+               evhttp_request_get_response_code (request->response));
+  else
+    end_claim (task, request, ANVIL_CLAIM_LOST, 0);
   http = take_caller (task, request);
   if (http == NULL)
     {
@@ -268,6 +292,7 @@
   if (request == NULL)
     return;
   count_refusal (task, why);
+  end_claim (task, request, ANVIL_CLAIM_NOT_RUN, 0);
   http = take_caller (task, request);
   if (http != NULL)
     anvil_answer_refused (http, anvil_refusal_name (why), describe (why), retry_after);
@@ -286,8 +311,15 @@
   anvil_caller_end (task->parts.callers, request->http);
   request->http = NULL;
   evhttp_connection_free (connection);
+  if (request->claim == ANVIL_REQUEST_CLAIMING)
+    {
+      anvil_claims_task_cancel (task->claims, id);
+      forget (task, request, "left", 0);
+      return;
+    }
   if (anvil_steer_cancel (task->parts.steer, anvil_clock_now (), id))
     {
+      end_claim (task, request, ANVIL_CLAIM_NOT_RUN, 0);
       forget (task, request, "left", 0);
       return;
     }
@@ -325,6 +357,78 @@
   anvil_steer_submit (task->parts.steer, anvil_clock_now (), &wanted);
 }
 
+/* A verdict other than to run. */
+static void
+answer_verdict (struct evhttp_request *http, anvil_claim_verdict_t verdict, gint status)
+{
+  if (verdict == ANVIL_CLAIM_RECORDED)
+    anvil_answer_recorded (http, status);
+  else if (verdict == ANVIL_CLAIM_UNKNOWN)
+    anvil_answer_unknown (http, 409, "the outcome of an earlier request with this key isn't known");
+  else
+    anvil_answer_refused (http, "claim", "not run: the key couldn't be claimed in time",
+                          ANVIL_SECOND);
+}
+
+static void
+end_by_verdict (anvil_request_task_t *task,
+                anvil_caller_request_t *request,
+                anvil_claim_verdict_t verdict,
+                gint status)
+{
+  static const struct
+  {
+    const char *outcome;
+    guint status;
+  } ends[] = {
+    [ANVIL_CLAIM_RECORDED] = { "answered", 0 },
+    [ANVIL_CLAIM_UNKNOWN] = { "unknown", 409 },
+    [ANVIL_CLAIM_UNAVAILABLE] = { "refused", HTTP_SERVUNAVAIL },
+  };
+
+  request->claim = ANVIL_REQUEST_UNCLAIMED;
+  answer_verdict (take_caller (task, request), verdict, status);
+  forget (task, request, ends[verdict].outcome,
+          ends[verdict].status != 0 ? ends[verdict].status : (guint) status);
+}
+
+void
+anvil_request_task_decided (void *data, guint64 id, anvil_claim_verdict_t verdict, gint status)
+{
+  anvil_request_task_t *task = data;
+  anvil_caller_request_t *request = lookup (task, id);
+  const anvil_config_t *config = anvil_steer_config (task->parts.steer);
+
+  if (request == NULL)
+    return;
+  if (verdict != ANVIL_CLAIM_RUN)
+    {
+      end_by_verdict (task, request, verdict, status);
+      return;
+    }
+  request->claim = ANVIL_REQUEST_CLAIMED;
+  /* The file may have changed during the wait. */
+  request->service_index = anvil_config_lookup_service (config, anvil_str (request->service));
+  if (request->service_index == ANVIL_NONE)
+    anvil_request_task_refuse (task, id, ANVIL_REFUSAL_OTHER_GENERATION, ANVIL_SECOND);
+  else
+    submit (task, request);
+}
+
+/* A request with a key that must not run twice claims it first. */
+static void
+claim_or_submit (anvil_request_task_t *task, anvil_caller_request_t *request)
+{
+  if (task->claims == NULL || request->key == NULL || request->idempotent)
+    {
+      submit (task, request);
+      return;
+    }
+  request->claim = ANVIL_REQUEST_CLAIMING;
+  anvil_claims_task_submit (task->claims, request->id, anvil_str (request->service),
+                            anvil_str (request->key), request->deadline);
+}
+
 void
 anvil_request_task_accept (anvil_request_task_t *task, struct evhttp_request *http)
 {
@@ -352,5 +456,5 @@
   request->task = task;
   g_hash_table_insert (task->requests, &request->id, request);
   anvil_caller_watch (task->parts.callers, http, on_caller_gone, request);
-  submit (task, request);
+  claim_or_submit (task, request);
 }
--- a/source/entry/request-task.h
+++ b/source/entry/request-task.h
@@ -3,6 +3,7 @@
 #include "anvil/counters.h"
 #include "anvil/steer.h"
 #include "caller-connection.h"
+#include "claims-task.h"
 #include "trace-ring.h"
 #include "upstream-pool.h"
 
@@ -29,6 +30,16 @@
 
 anvil_request_task_t *anvil_request_task_new (const anvil_request_task_parts_t *parts);
 
+/**
+ * anvil_request_task_use_claims - claims the keys of requests that must not run twice
+ * @claims: borrowed; its verdicts are to be passed on to anvil_request_task_decided()
+ */
+void anvil_request_task_use_claims (anvil_request_task_t *task, anvil_claims_task_t *claims);
+
+/** anvil_request_task_decided - a verdict of the claims; @task is the anvil_request_task_t */
+void
+anvil_request_task_decided (void *task, guint64 id, anvil_claim_verdict_t verdict, gint status);
+
 /** anvil_request_task_drop - cuts what is still under way */
 void anvil_request_task_drop (anvil_request_task_t *task);
 
