Let submit depend on the generation its author saw, and never call a sent write undone

Cause: a submission that gave up while its write was under way said that nothing was changed; a file in force that couldn't be had at once refused the submission; an accepted file whose entries weren't known ended with the code for nothing done; of two operators whose submissions don't overlap in time the second overwrote the first unseen; waiting for entries leaked connections. The registry's oracle now lets a write take effect after its author gave up, holds a submission to its expected generation, and sees one that waits for nothing. Conclusion: what submit says is what happened.

--- a/source/config/submit.c
+++ b/source/config/submit.c
@@ -1,7 +1,7 @@
 #include "config/submit.h"
 
 /* Tries of a step that had no answer. */
-#define MAX_TRIES 8
+#define MAX_TRIES 100
 
 typedef enum
 {
@@ -18,7 +18,10 @@
 {
   anvil_submit_actions_t actions;
   void *context;
+  anvil_config_head_t before;
   anvil_config_head_t next;
+  gboolean expecting;
+  guint64 expected;
   step_t step;
   guint tries;
   guint commits;
@@ -59,6 +62,7 @@
 {
   if (submit == NULL)
     return;
+  anvil_config_head_clear (&submit->before);
   anvil_config_head_clear (&submit->next);
   g_free (submit->history_key);
   g_free (submit);
@@ -128,6 +132,13 @@
   g_free (record);
 }
 
+void
+anvil_submit_expect (anvil_submit_t *submit, guint64 generation)
+{
+  submit->expecting = TRUE;
+  submit->expected = generation;
+}
+
 void
 anvil_submit_begin (anvil_submit_t *submit)
 {
@@ -146,37 +157,53 @@
     store (submit);
 }
 
+static void
+check_before (anvil_submit_t *submit)
+{
+  if (try_step (submit, STEP_CHECK))
+    submit->actions.check (submit->context, &submit->before);
+}
+
 /* Prepares the write that follows the head that was read. */
 static void
 follow (anvil_submit_t *submit, const anvil_row_t *head_row)
 {
-  anvil_config_head_t before = { 0 };
-
-  if (head_row != NULL && !anvil_config_head_parse (head_row->value, &before, NULL))
+  if (head_row != NULL && !anvil_config_head_parse (head_row->value, &submit->before, NULL))
     {
       end (submit, ANVIL_SUBMIT_REFUSED, NULL);
       return;
     }
+  if (submit->expecting && submit->before.generation != submit->expected)
+    {
+      end (submit, ANVIL_SUBMIT_LOST, &submit->before);
+      return;
+    }
   submit->head_version = head_row != NULL ? head_row->version : 0;
-  submit->next.generation = before.generation + 1;
+  submit->next.generation = submit->before.generation + 1;
   submit->history_key = anvil_config_history_key (submit->next.generation);
-  submit->step = STEP_CHECK;
   if (head_row != NULL)
-    submit->actions.check (submit->context, &before);
+    check_before (submit);
   else
-    anvil_submit_checked (submit, TRUE);
-  anvil_config_head_clear (&before);
+    commit (submit);
 }
 
 void
-anvil_submit_checked (anvil_submit_t *submit, gboolean allowed)
+anvil_submit_checked (anvil_submit_t *submit, anvil_submit_check_t check)
 {
   if (submit->step != STEP_CHECK)
     return;
-  if (allowed)
-    commit (submit);
-  else
-    end (submit, ANVIL_SUBMIT_REFUSED, NULL);
+  switch (check)
+    {
+    case ANVIL_SUBMIT_CHECK_ALLOWED:
+      commit (submit);
+      return;
+    case ANVIL_SUBMIT_CHECK_REFUSED:
+      end (submit, ANVIL_SUBMIT_REFUSED, NULL);
+      return;
+    case ANVIL_SUBMIT_CHECK_UNANSWERED:
+      check_before (submit);
+      return;
+    }
 }
 
 /* Finds out from the history who won the generation. */
@@ -241,6 +268,10 @@
 void
 anvil_submit_give_up (anvil_submit_t *submit)
 {
-  if (submit->step != STEP_ENDED)
-    end_without_answer (submit);
+  if (submit->step == STEP_ENDED)
+    return;
+  /* A write that is under way may take effect after this. */
+  if (submit->step == STEP_COMMIT)
+    submit->maybe_written = TRUE;
+  end_without_answer (submit);
 }
--- a/source/config/submit.h
+++ b/source/config/submit.h
@@ -7,7 +7,7 @@
 /**
  * anvil_submit_result_t - how a submission ended
  * @ANVIL_SUBMIT_ACCEPTED: the file is the next generation
- * @ANVIL_SUBMIT_LOST: another submission became that generation; nothing was changed
+ * @ANVIL_SUBMIT_LOST: another submission came first; nothing was changed
  * @ANVIL_SUBMIT_UNAVAILABLE: the platform couldn't be reached; nothing was changed
  * @ANVIL_SUBMIT_REFUSED: the file may not follow the one in force; nothing was changed
  * @ANVIL_SUBMIT_UNKNOWN: it may take effect yet; look at the history
@@ -21,6 +21,17 @@
   ANVIL_SUBMIT_UNKNOWN,
 } anvil_submit_result_t;
 
+/**
+ * anvil_submit_check_t - whether a file may follow the one in force
+ * @ANVIL_SUBMIT_CHECK_UNANSWERED: not known, since the file in force couldn't be had
+ */
+typedef enum
+{
+  ANVIL_SUBMIT_CHECK_ALLOWED,
+  ANVIL_SUBMIT_CHECK_REFUSED,
+  ANVIL_SUBMIT_CHECK_UNANSWERED,
+} anvil_submit_check_t;
+
 /**
  * anvil_submit_actions_t - what a submission wants done
  * @put_object: store the file, then call anvil_submit_stored()
@@ -65,6 +76,15 @@
                                   void *context);
 void anvil_submit_drop (anvil_submit_t *submit);
 
+/**
+ * anvil_submit_expect - makes the submission depend on the file that its author knew
+ * @generation: the only one that it may follow, 0 for none
+ *
+ * If another is in force it has lost to that one. Without this call it follows
+ * whatever is in force.
+ */
+void anvil_submit_expect (anvil_submit_t *submit, guint64 generation);
+
 /** anvil_submit_begin - takes the first step */
 void anvil_submit_begin (anvil_submit_t *submit);
 
@@ -78,7 +98,7 @@
                         guint n_rows);
 
 /** anvil_submit_checked - outcome of check */
-void anvil_submit_checked (anvil_submit_t *submit, gboolean allowed);
+void anvil_submit_checked (anvil_submit_t *submit, anvil_submit_check_t check);
 
 /** anvil_submit_committed - outcome of commit */
 void anvil_submit_committed (anvil_submit_t *submit, anvil_commit_result_t result);
--- a/source/tools/anvil-config-in-force.c
+++ b/source/tools/anvil-config-in-force.c
@@ -11,7 +11,6 @@
 /* One round of questions to all entries. */
 typedef struct
 {
-  struct event_base *base;
   guint64 generation;
   guint open;
   anvil_config_in_force_t count;
@@ -37,8 +36,6 @@
   else if (generation_of (answer) >= round->generation)
     round->count.in_force++;
   round->open--;
-  if (round->open == 0)
-    event_base_loopbreak (round->base);
 }
 
 static void
@@ -48,7 +45,6 @@
          anvil_config_in_force_t *result)
 {
   round_t round = {
-    .base = session->base,
     .generation = generation,
     .open = g_strv_length (entries),
     .count = { .entries = g_strv_length (entries) },
@@ -65,7 +61,9 @@
         round.open--;
     }
   while (round.open > 0)
-    event_base_dispatch (session->base);
+    event_base_loop (session->base, EVLOOP_ONCE);
+  /* Connections are freed by the loop, after their callbacks. */
+  event_base_loop (session->base, EVLOOP_NONBLOCK);
   *result = round.count;
 }
 
@@ -79,6 +77,12 @@
   anvil_time_t until = anvil_clock_now () + patience;
   char **entries = anvil_config_session_entries (session, error);
 
+  while (entries == NULL && anvil_clock_now () < until)
+    {
+      g_usleep ((gulong) ASK_INTERVAL);
+      g_clear_error (error);
+      entries = anvil_config_session_entries (session, error);
+    }
   if (entries == NULL)
     return FALSE;
   ask_all (session, entries, generation, result);
--- a/source/tools/anvil-config-submit.c
+++ b/source/tools/anvil-config-submit.c
@@ -9,13 +9,19 @@
   anvil_config_session_t *session;
   anvil_config_submission_t *submission;
   anvil_submit_t *submit;
+  anvil_time_t until;
   gboolean ended;
 } run_t;
 
+/* After a step without an answer: waits before the next try, or gives up when time is over. */
 static void
-pause_after (const GError *error)
+pause_after (run_t *run, const GError *error)
 {
-  if (error != NULL)
+  if (error == NULL)
+    return;
+  if (anvil_clock_now () >= run->until)
+    anvil_submit_give_up (run->submit);
+  else
     g_usleep ((gulong) RETRY_PAUSE);
 }
 
@@ -24,7 +30,7 @@
 {
   run_t *run = context;
 
-  pause_after (error);
+  pause_after (run, error);
   anvil_submit_stored (run->submit, result);
 }
 
@@ -41,7 +47,7 @@
 {
   run_t *run = context;
 
-  pause_after (error);
+  pause_after (run, error);
   anvil_submit_read (run->submit, error == NULL, rows, n_rows);
 }
 
@@ -58,7 +64,6 @@
 {
   run_t *run = context;
 
-  pause_after (result == ANVIL_COMMIT_CONFLICT ? NULL : error);
   anvil_submit_committed (run->submit, result);
 }
 
@@ -93,23 +98,29 @@
 }
 
 /* Seats can't move in place: witnesses on the old and the new file would differ. */
-static void
-on_head_file (void *context, anvil_str_t body, const GError *error)
+static anvil_submit_check_t
+compare_seats (run_t *run, anvil_str_t text)
 {
-  run_t *run = context;
-  anvil_config_t *old = error == NULL ? anvil_config_load ("head", body, NULL) : NULL;
+  anvil_config_t *old = anvil_config_load ("head", text, NULL);
   gboolean same = old != NULL && same_seats (old, run->submission->config);
 
-  if (error != NULL)
-    run->submission->reason
-        = g_strdup_printf ("the file in force can't be read: %s", error->message);
-  else if (old == NULL)
+  if (old == NULL)
     run->submission->reason = g_strdup ("the file in force isn't valid any more");
   else if (!same)
     run->submission->reason
         = g_strdup ("seats: the list differs from the file in force; seats can't change in place");
   anvil_config_drop (old);
-  anvil_submit_checked (run->submit, same);
+  return same ? ANVIL_SUBMIT_CHECK_ALLOWED : ANVIL_SUBMIT_CHECK_REFUSED;
+}
+
+static void
+on_head_file (void *context, anvil_str_t body, const GError *error)
+{
+  run_t *run = context;
+
+  pause_after (run, error);
+  anvil_submit_checked (run->submit,
+                        error != NULL ? ANVIL_SUBMIT_CHECK_UNANSWERED : compare_seats (run, body));
 }
 
 static void
@@ -148,13 +159,19 @@
     .check = check_head_file,
     .ended = ended,
   };
-  run_t run = { .session = session, .submission = submission };
+  run_t run = {
+    .session = session,
+    .submission = submission,
+    .until = anvil_clock_now () + submission->patience,
+  };
   GDateTime *now = g_date_time_new_now_utc ();
   char *at = g_date_time_format_iso8601 (now);
   char *by = g_strdup_printf ("%s@%s", g_get_user_name (), g_get_host_name ());
   char *id = g_uuid_string_random ();
 
   run.submit = anvil_submit_new (submission->file, id, by, at, &actions, &run);
+  if (submission->after >= 0)
+    anvil_submit_expect (run.submit, (guint64) submission->after);
   anvil_submit_begin (run.submit);
   while (!run.ended)
     event_base_dispatch (session->base);
--- a/source/tools/anvil-config-submit.h
+++ b/source/tools/anvil-config-submit.h
@@ -8,6 +8,8 @@
  * anvil_config_submission_t - a submission and how it ended
  * @file: text of the file
  * @config: the file, checked
+ * @after: the only generation that it may follow, or a negative number for any
+ * @patience: longest time for steps that have no answer
  * @result: result; how it ended
  * @winner: result; the record of the generation that it was for, if known
  * @reason: result; why it was refused, or NULL; freed with g_free()
@@ -16,6 +18,8 @@
 {
   anvil_str_t file;
   const anvil_config_t *config;
+  gint64 after;
+  anvil_time_t patience;
   anvil_submit_result_t result;
   anvil_config_head_t winner;
   char *reason;
--- a/source/tools/anvil-config.c
+++ b/source/tools/anvil-config.c
@@ -12,6 +12,7 @@
 #include "tools/anvil-config-submit.h"
 
 #define LONGEST_WAIT_MS 600000
+#define ANY_GENERATION (-1)
 
 /** exit_code_t - how the program ends; docs/CONFIGURATION.md lists them */
 typedef enum
@@ -30,6 +31,7 @@
   SETTING_PLATFORM,
   SETTING_JSON,
   SETTING_WAIT_MS,
+  SETTING_AFTER,
 };
 
 static anvil_setting_t items[] = {
@@ -42,6 +44,11 @@
                         .fallback = "10000",
                         .minimum = 0,
                         .maximum = LONGEST_WAIT_MS },
+  [SETTING_AFTER] = { .name = "after",
+                      .kind = ANVIL_SETTING_COUNT,
+                      .help = "Generation that the submitted file must follow; any if not given",
+                      .minimum = 0,
+                      .maximum = G_MAXINT64 },
 };
 
 /* A file that was read and passed every check. */
@@ -162,6 +169,27 @@
   return text;
 }
 
+static void
+print_diff (guint64 generation, guint count, const GString *lines)
+{
+  char **changes;
+  json_t *list;
+
+  if (!items[SETTING_JSON].count)
+    {
+      fputs (lines->str, stdout);
+      fprintf (stderr, "anvil-config: %u changes to generation %" G_GUINT64_FORMAT "\n", count,
+               generation);
+      return;
+    }
+  changes = g_strsplit (lines->str, "\n", -1);
+  list = json_array ();
+  for (guint i = 0; i < count; i++)
+    json_array_append_new (list, json_string (changes[i]));
+  print_json (json_pack ("{s:I, s:o}", "generation", (json_int_t) generation, "changes", list));
+  g_strfreev (changes);
+}
+
 static exit_code_t
 diff (anvil_config_session_t *session, const char *path)
 {
@@ -188,8 +216,9 @@
     printf ("no file is in force; %s would be the first\n", path);
   else
     {
-      anvil_config_diff (before, file.config, lines);
-      fputs (lines->str, stdout);
+      guint count = anvil_config_diff (before, file.config, lines);
+
+      print_diff (generation, count, lines);
     }
   clear_file (&file);
 
@@ -207,14 +236,16 @@
 {
   anvil_config_in_force_t count = { 0 };
   GError *error = NULL;
-  exit_code_t code;
 
   if (!anvil_config_wait_in_force (session, generation, items[SETTING_WAIT_MS].count * ANVIL_MS,
                                    &count, &error))
     {
-      code = fail (error);
+      fprintf (stderr,
+               "anvil-config: generation %" G_GUINT64_FORMAT
+               " was accepted, but the entries aren't known: %s\n",
+               generation, error->message);
       g_clear_error (&error);
-      return code;
+      return EXIT_NOT_EVERYWHERE;
     }
   if (items[SETTING_JSON].count)
     print_json (json_pack ("{s:s, s:I, s:i, s:i, s:i}", "result", "accepted", "generation",
@@ -226,9 +257,30 @@
   return count.in_force == count.entries ? EXIT_DONE : EXIT_NOT_EVERYWHERE;
 }
 
+static void
+print_failure (const anvil_config_submission_t *submission)
+{
+  static const char *const names[] = {
+    [ANVIL_SUBMIT_ACCEPTED] = "accepted",       [ANVIL_SUBMIT_LOST] = "lost",
+    [ANVIL_SUBMIT_UNAVAILABLE] = "unavailable", [ANVIL_SUBMIT_REFUSED] = "refused",
+    [ANVIL_SUBMIT_UNKNOWN] = "unknown",
+  };
+  json_t *result = json_pack ("{s:s}", "result", names[submission->result]);
+
+  if (submission->result == ANVIL_SUBMIT_LOST)
+    {
+      json_object_set_new (result, "generation",
+                           json_integer ((json_int_t) submission->winner.generation));
+      json_object_set_new (result, "by", json_string (submission->winner.by));
+    }
+  print_json (result);
+}
+
 static exit_code_t
 report_failure (const anvil_config_submission_t *submission)
 {
+  if (items[SETTING_JSON].count)
+    print_failure (submission);
   switch (submission->result)
     {
     case ANVIL_SUBMIT_LOST:
@@ -268,6 +320,9 @@
     }
   submission.file = (anvil_str_t){ .data = file.text->str, .length = file.text->len };
   submission.config = file.config;
+  submission.after
+      = items[SETTING_AFTER].text != NULL ? items[SETTING_AFTER].count : ANY_GENERATION;
+  submission.patience = items[SETTING_WAIT_MS].count * ANVIL_MS;
   anvil_config_run_submission (session, &submission);
   code = submission.result == ANVIL_SUBMIT_ACCEPTED
              ? report_in_force (session, submission.winner.generation)
--- a/tests/fuzz/fake-registry.c
+++ b/tests/fuzz/fake-registry.c
@@ -81,6 +81,10 @@
   registry->next_id++;
   anvil_submit_drop (self->submit);
   self->submit = anvil_submit_new (anvil_str (self->file), self->id, "test", "now", &actions, self);
+  self->expecting = g_rand_int_range (registry->random, 0, 4) == 0;
+  self->expected = registry->generation;
+  if (self->expecting)
+    anvil_submit_expect (self->submit, self->expected);
   anvil_submit_begin (self->submit);
 }
 
@@ -121,6 +125,8 @@
   if (version_of (registry, ANVIL_HEAD_KEY) != self->head_version
       || version_of (registry, self->key) != 0)
     return FALSE;
+  if (self->expecting && self->expected != registry->generation)
+    g_error ("%s follows a generation that its author didn't know", self->id);
   write_row (registry, ANVIL_HEAD_KEY, self->record);
   write_row (registry, self->key, self->record);
   registry->generation++;
@@ -181,6 +187,17 @@
                                          : ANVIL_COMMIT_UNKNOWN);
 }
 
+static void
+answer_check (fake_registry_t *registry, fake_submitter_t *self)
+{
+  if (registry->down || g_rand_int_range (registry->random, 0, 4) == 0)
+    anvil_submit_checked (self->submit, ANVIL_SUBMIT_CHECK_UNANSWERED);
+  else if (g_rand_int_range (registry->random, 0, 20) == 0)
+    anvil_submit_checked (self->submit, ANVIL_SUBMIT_CHECK_REFUSED);
+  else
+    anvil_submit_checked (self->submit, ANVIL_SUBMIT_CHECK_ALLOWED);
+}
+
 static void
 answer (fake_registry_t *registry, fake_submitter_t *self)
 {
@@ -196,7 +213,7 @@
       answer_read (registry, self);
       return;
     case FAKE_ASKED_CHECK:
-      anvil_submit_checked (self->submit, g_rand_int_range (registry->random, 0, 20) != 0);
+      answer_check (registry, self);
       return;
     case FAKE_ASKED_COMMIT:
       answer_commit (registry, self);
@@ -206,6 +223,17 @@
     }
 }
 
+/* A write that was under way may take effect after its author gave up. */
+static void
+give_up (fake_registry_t *registry, fake_submitter_t *self)
+{
+  gboolean writing = self->asked == FAKE_ASKED_COMMIT;
+
+  anvil_submit_give_up (self->submit);
+  if (writing && !registry->down && g_rand_boolean (registry->random))
+    take_commit (registry, self);
+}
+
 static void
 free_row (gpointer data)
 {
@@ -266,9 +294,11 @@
   if (self->submit == NULL || self->ended)
     begin (registry, self);
   else if (g_rand_int_range (registry->random, 0, 60) == 0)
-    anvil_submit_give_up (self->submit);
+    give_up (registry, self);
   else
     answer (registry, self);
+  if (!self->ended && self->asked == FAKE_ASKED_NOTHING)
+    g_error ("%s waits for nothing", self->id);
 }
 
 void
--- a/tests/fuzz/fake-registry.h
+++ b/tests/fuzz/fake-registry.h
@@ -23,6 +23,8 @@
   anvil_submit_t *submit;
   char *id;
   char *file;
+  gboolean expecting;
+  guint64 expected;
   fake_asked_t asked;
   char *key;
   guint64 head_version;
