--- a/bench/bench-capacity-config.c
+++ b/bench/bench-capacity-config.c
@@ -136,7 +136,8 @@
           "%u KB)\n",
           n_blocks, leaf_blocks, (gdouble) common_chunks_bytes (before) / 1e6,
           (gdouble) common_chunks_bytes (before) / n_blocks,
-          (gdouble) (common_meter_cpu () - start) / 1e6, CONTROL_BYTES_PER_S * IN_FORCE_S / 1024);
+          (gdouble) (common_meter_cpu () - start) / 1e6,
+          (guint) CONTROL_BYTES_PER_S * IN_FORCE_S / 1024);
   for (gsize i = 0; i < G_N_ELEMENTS (changes); i++)
     {
       measure_change (blocks, n_blocks, before, leaf_blocks, changes[i], FALSE);
