--- a/source/tools/anvil-status-view.c
+++ b/source/tools/anvil-status-view.c
@@ -1,5 +1,7 @@
 #include "anvil-status-view.h"
 
+#include <string.h>
+
 #include "anvil-status-sum.h"
 
 #define BITS_PER_MBIT 1e6
@@ -142,35 +144,43 @@
     }
 }
 
-/* A share may save up for a burst, so its headroom is the smaller of what may be used at once and
- * a second's worth. */
-static gdouble
-link_headroom (const status_link_t *link)
+static gint64
+used_before (const GArray *links, const char *name)
 {
-  if (link->share_bits_per_s <= 0)
-    return 0;
-  return MIN (100.0 * (gdouble) link->available_bits / (gdouble) link->share_bits_per_s, 100.0);
+  for (guint i = 0; i < links->len; i++)
+    {
+      const status_link_t *link = &g_array_index (links, status_link_t, i);
+
+      if (strcmp (link->name, name) == 0)
+        return link->used_bits;
+    }
+  return 0;
 }
 
 static void
-text_links (const GArray *links, GString *out)
+text_links (const GArray *links, const GArray *before, anvil_time_t interval, GString *out)
 {
-  g_string_append_printf (out, "\n%-24s %14s %14s %10s\n", "link", "Mbit/s", "used Mbit",
+  g_string_append_printf (out, "\n%-24s %14s %14s %10s\n", "link", "Mbit/s", "used Mbit/s",
                           "headroom");
   for (guint i = 0; i < links->len; i++)
     {
       const status_link_t *link = &g_array_index (links, status_link_t, i);
+      /* An entry that restarted meanwhile counts from 0 again. */
+      gint64 bits = MAX (link->used_bits - used_before (before, link->name), 0);
+      gdouble used = (gdouble) bits * ANVIL_SECOND / (gdouble) interval;
+      gdouble share = (gdouble) link->share_bits_per_s;
 
       g_string_append_printf (out, "%-24s %14.1f %14.1f %8.0f %%\n", link->name,
-                              (gdouble) link->share_bits_per_s / BITS_PER_MBIT,
-                              (gdouble) link->used_bits / BITS_PER_MBIT, link_headroom (link));
+                              share / BITS_PER_MBIT, used / BITS_PER_MBIT,
+                              share > 0 ? 100 * (share - used) / share : 0);
     }
 }
 
 void
-status_view_text (const GArray *entries, GString *out)
+status_view_text (const GArray *entries, const GArray *before, anvil_time_t interval, GString *out)
 {
   status_sum_t *sum = status_sum_new (entries);
+  status_sum_t *earlier = status_sum_new (before);
 
   g_string_append_printf (out, "%-20s %-9s %-20s %-12s %10s %6s %8s\n", "entry", "state", "node",
                           "zone", "generation", "busy", "members");
@@ -178,7 +188,8 @@
     text_entry (&g_array_index (entries, status_entry_t, i), out);
   text_seats (sum->seats, out);
   text_upstreams (sum->upstreams, out);
-  text_links (sum->links, out);
+  text_links (sum->links, earlier->links, interval, out);
+  status_sum_drop (earlier);
   status_sum_drop (sum);
 }
 
--- a/source/tools/anvil-status-view.h
+++ b/source/tools/anvil-status-view.h
@@ -2,6 +2,7 @@
 
 #include <jansson.h>
 
+#include "anvil/clock.h"
 #include "anvil/str.h"
 
 /**
@@ -37,8 +38,14 @@
 /** status_view_judge - verdict over all entries (an array of status_entry_t) */
 status_verdict_t status_view_judge (const GArray *entries);
 
-/** status_view_text - appends tables of entries, seats, upstreams and links */
-void status_view_text (const GArray *entries, GString *out);
+/**
+ * status_view_text - appends tables of entries, seats, upstreams and links
+ * @entries: what the entries said
+ * @before: what they said earlier, for the use of links meanwhile
+ * @interval: time between the two, microseconds
+ */
+void
+status_view_text (const GArray *entries, const GArray *before, anvil_time_t interval, GString *out);
 
 /** status_view_json - {"verdict":N,"entries":[{"admin":"...","status":{...}|null}]} */
 json_t *status_view_json (const GArray *entries);
--- a/source/tools/anvil-status.c
+++ b/source/tools/anvil-status.c
@@ -16,6 +16,7 @@
   ITEM_PLATFORM,
   ITEM_ENTRIES,
   ITEM_TIMEOUT_MS,
+  ITEM_INTERVAL_MS,
   ITEM_JSON,
   N_ITEMS,
 };
@@ -33,6 +34,12 @@
                         .fallback = "2000",
                         .minimum = 1,
                         .maximum = 60000 },
+  [ITEM_INTERVAL_MS] = { .name = "interval-ms",
+                         .kind = ANVIL_SETTING_COUNT,
+                         .help = "Time over which the use of links is measured",
+                         .fallback = "1000",
+                         .minimum = 10,
+                         .maximum = 60000 },
   [ITEM_JSON] = { .name = "json", .kind = ANVIL_SETTING_FLAG, .help = "Print the answers as JSON" },
 };
 
@@ -169,26 +176,65 @@
   return listing.listed;
 }
 
-static void
-print_view (const GArray *entries)
+/* The same entries, asked anew. */
+static GArray *
+ask_again (struct event_base *base, const GArray *entries)
 {
-  if (items[ITEM_JSON].count != 0)
+  GArray *again = g_array_new (FALSE, TRUE, sizeof (status_entry_t));
+
+  g_array_set_clear_func (again, status_entry_clear);
+  for (guint i = 0; i < entries->len; i++)
     {
-      json_t *json = status_view_json (entries);
+      status_entry_t entry
+          = { .address = g_strdup (g_array_index (entries, status_entry_t, i).address) };
 
-      json_dumpf (json, stdout, JSON_INDENT (2));
-      putchar ('\n');
-      json_decref (json);
-      return;
+      g_array_append_val (again, entry);
     }
+  ask_all (base, again);
+  return again;
+}
+
+static void
+print_json (const GArray *entries)
+{
+  json_t *json = status_view_json (entries);
+
+  json_dumpf (json, stdout, JSON_INDENT (2));
+  putchar ('\n');
+  json_decref (json);
+}
 
+static void
+print_text (const GArray *entries, const GArray *before, anvil_time_t interval)
+{
   GString *text = g_string_new (NULL);
 
-  status_view_text (entries, text);
+  status_view_text (entries, before, interval, text);
   fputs (text->str, stdout);
   g_string_free (text, TRUE);
 }
 
+static status_verdict_t
+show (struct event_base *base, GArray *entries)
+{
+  anvil_time_t start = anvil_clock_now ();
+  status_verdict_t verdict;
+  GArray *later;
+
+  ask_all (base, entries);
+  if (items[ITEM_JSON].count != 0)
+    {
+      print_json (entries);
+      return status_view_judge (entries);
+    }
+  g_usleep ((gulong) (items[ITEM_INTERVAL_MS].count * ANVIL_MS));
+  later = ask_again (base, entries);
+  print_text (later, entries, anvil_clock_now () - start);
+  verdict = status_view_judge (later);
+  g_array_unref (later);
+  return verdict;
+}
+
 static int
 run_program (void)
 {
@@ -214,9 +260,7 @@
       status = EXIT_NOBODY;
       goto out;
     }
-  ask_all (base, entries);
-  print_view (entries);
-  status = (int) status_view_judge (entries);
+  status = (int) show (base, entries);
 
 out:
   g_array_unref (entries);
--- a/tests/test-status.c
+++ b/tests/test-status.c
@@ -117,13 +117,20 @@
 {
   GArray *entries = two_entries ();
   json_t *seat = json_array_get (json_object_get (answer_of (entries, 1), "seats"), 0);
+  json_t *link = json_array_get (json_object_get (answer_of (entries, 1), "links"), 0);
+  GArray *before = two_entries ();
   GString *text = g_string_new (NULL);
 
+  json_object_set_new (link, "share_bits_per_s", json_integer (40000000));
+  json_object_set_new (link, "used_bits", json_integer (5000005));
   json_object_set_new (seat, "usable", json_true ());
-  status_view_text (entries, text);
+  status_view_text (entries, before, ANVIL_SECOND / 2, text);
   ck_assert_ptr_nonnull (g_strstr_len (text->str, -1, "USED TWICE"));
   ck_assert_ptr_nonnull (g_strstr_len (text->str, -1, "taken by some"));
+  /* 5 Mbit in half a second, of 40 Mbit/s. */
   ck_assert_ptr_nonnull (g_strstr_len (text->str, -1, "zapad->stred"));
+  ck_assert_ptr_nonnull (g_strstr_len (text->str, -1, "  40.0           10.0       75 %"));
+  g_array_unref (before);
   g_string_free (text, TRUE);
   g_array_unref (entries);
 }
