--- a/source/steer/steer-placement.c
+++ b/source/steer/steer-placement.c
@@ -49,25 +49,25 @@
 void
 anvil_steer_placement_configure (anvil_steer_t *steer, anvil_queue_t *queue)
 {
-  guint n = steer->config->n_regions;
+  gsize n = steer->config->n_regions;
   gdouble *callers = g_new0 (gdouble, n);
   gdouble *slots = g_new0 (gdouble, n);
   gdouble room = 0;
 
   count_callers (steer->config, callers);
   count_slots (steer->config, queue, slots);
-  for (guint i = 0; i < n; i++)
+  for (gsize i = 0; i < n; i++)
     room += MAX (0, slots[i] - callers[i]);
 
   queue->placement = g_new0 (gdouble, n * n);
-  for (guint home = 0; home < n; home++)
+  for (gsize home = 0; home < n; home++)
     {
       gdouble *parts = &queue->placement[home * n];
       gdouble kept = callers[home] > 0 ? MIN (1, slots[home] / callers[home]) : 0;
 
       if (room <= 0)
         kept = 1;
-      for (guint i = 0; i < n && kept < 1; i++)
+      for (gsize i = 0; i < n && kept < 1; i++)
         parts[i] = (1 - kept) * MAX (0, slots[i] - callers[i]) / room;
       parts[home] += kept;
     }
@@ -93,7 +93,7 @@
                           guint home,
                           guint32 client)
 {
-  const gdouble *parts = &queue->placement[home * steer->config->n_regions];
+  const gdouble *parts = &queue->placement[(gsize) home * steer->config->n_regions];
   gdouble draw = draw_of_client (queue, client);
 
   /* A large body is better charged to its link before it crosses it. */
