Connect to upstreams from the entry's own address

Cause: the upstreams' stand-in takes a caller's zone from its source address. On one machine the kernel picks 127.0.0.1 for every entry, so no link between regions was ever used or measured.

Change: anvil_upstream_pool_set_local(); the daemon's main has to call it with the address of its node. The default leaves the choice to the kernel.

--- a/source/entry/upstream-connection.c
+++ b/source/entry/upstream-connection.c
@@ -56,6 +56,16 @@
   return connection;
 }
 
+void
+anvil_upstream_connection_set_local (anvil_upstream_connection_t *connection, guint32 address)
+{
+  struct in_addr network = { .s_addr = htonl (address) };
+  char host[INET_ADDRSTRLEN];
+
+  inet_ntop (AF_INET, &network, host, sizeof host);
+  evhttp_connection_set_local_address (connection->http, host);
+}
+
 static void
 free_connection (evutil_socket_t fd, short what, void *data)
 {
--- a/source/entry/upstream-connection.h
+++ b/source/entry/upstream-connection.h
@@ -22,6 +22,9 @@
                                                              gssize max_header_bytes,
                                                              gssize max_body_bytes);
 
+/** anvil_upstream_connection_set_local - address that it comes from; before its first request */
+void anvil_upstream_connection_set_local (anvil_upstream_connection_t *connection, guint32 address);
+
 /**
  * anvil_upstream_connection_close - closes it from the event loop, after the callback that runs now
  *
--- a/source/entry/upstream-pool.c
+++ b/source/entry/upstream-pool.c
@@ -14,6 +14,7 @@
   struct event *sweep;
   gssize max_header_bytes;
   gssize max_body_bytes;
+  guint32 local;
   /* Queues of idle connections by address and port; the head was used last. */
   GHashTable *idle;
 };
@@ -59,6 +60,12 @@
   return pool;
 }
 
+void
+anvil_upstream_pool_set_local (anvil_upstream_pool_t *pool, guint32 address)
+{
+  pool->local = address;
+}
+
 void
 anvil_upstream_pool_close (anvil_upstream_pool_t *pool)
 {
@@ -80,11 +87,15 @@
 {
   guint64 key = anvil_node (address, port);
   GQueue *queue = g_hash_table_lookup (pool->idle, &key);
+  anvil_upstream_connection_t *connection;
 
   if (queue != NULL && !g_queue_is_empty (queue))
     return g_queue_pop_head (queue);
-  return anvil_upstream_connection_open (pool->base, address, port, pool->max_header_bytes,
-                                         pool->max_body_bytes);
+  connection = anvil_upstream_connection_open (pool->base, address, port, pool->max_header_bytes,
+                                               pool->max_body_bytes);
+  if (pool->local != 0)
+    anvil_upstream_connection_set_local (connection, pool->local);
+  return connection;
 }
 
 void
--- a/source/entry/upstream-pool.h
+++ b/source/entry/upstream-pool.h
@@ -13,6 +13,12 @@
 anvil_upstream_pool_t *
 anvil_upstream_pool_open (struct event_base *base, gssize max_header_bytes, gssize max_body_bytes);
 
+/**
+ * anvil_upstream_pool_set_local - address that new connections come from
+ * @address: IPv4 in host order; 0, the default, leaves it to the kernel
+ */
+void anvil_upstream_pool_set_local (anvil_upstream_pool_t *pool, guint32 address);
+
 /** anvil_upstream_pool_close - closes the idle connections; none may be in use */
 void anvil_upstream_pool_close (anvil_upstream_pool_t *pool);
 
--- a/tests/test-entry-request.c
+++ b/tests/test-entry-request.c
@@ -1,5 +1,6 @@
 /* Requests through an entry: whole answers, truthful outcomes, one dispatch. */
 
+#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -379,6 +380,24 @@
 }
 END_TEST
 
+START_TEST (test_connections_come_from_the_address_of_the_entry)
+{
+  rig_t *rig = rig_open (NULL);
+  struct sockaddr_in peer = { 0 };
+  socklen_t length = sizeof peer;
+  exchange_t exchange;
+
+  anvil_upstream_pool_set_local (rig->pool, INADDR_LOOPBACK + 6);
+  exchange = begin (rig, GET_PHOTO, RIG_PHOTOS);
+  ck_assert_int_eq (getpeername (exchange.upstream, (struct sockaddr *) &peer, &length), 0);
+  ck_assert_uint_eq (ntohl (peer.sin_addr.s_addr), INADDR_LOOPBACK + 6);
+  rig_send (rig, exchange.upstream, OK ("2", "hi"));
+  check_answer (rig, exchange.caller, "HTTP/1.1 200", "answered");
+  end (&exchange);
+  rig_close (rig);
+}
+END_TEST
+
 START_TEST (test_lookup_says_which_entries_to_use)
 {
   rig_t *rig = rig_open (NULL);
@@ -420,6 +439,7 @@
   tcase_add_test (tcase, test_caller_that_leaves_cancels_what_may_run_again);
   tcase_add_test (tcase, test_caller_that_leaves_while_it_waits_is_not_run);
   tcase_add_test (tcase, test_queue_that_is_full_refuses);
+  tcase_add_test (tcase, test_connections_come_from_the_address_of_the_entry);
   tcase_add_test (tcase, test_lookup_says_which_entries_to_use);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
