Take only object names that a digest makes, and run more histories

Cause: the object's name of a head record goes into a request's path unchecked; a history of nothing would have passed as proof. Change: a head record is refused unless its object is config- and 64 hexadecimal digits; test-config-task and test-submit run 300 seeds and ask for a least number of generations and of files taken from peers. Seen red: without the check of the name, and of the generation. Conclusion: a garbled record leads nowhere.

--- a/source/config/config-head.c
+++ b/source/config/config-head.c
@@ -5,6 +5,10 @@
 
 #include "anvil/error.h"
 
+#define OBJECT_PREFIX "config-"
+/* Digits of a SHA-256 digest in hexadecimal. */
+#define DIGEST_DIGITS 64
+
 /* Reads a text member; NULL if it is missing or of another type. */
 static char *
 dup_member (const json_t *record, const char *name)
@@ -12,6 +16,17 @@
   return g_strdup (json_string_value (json_object_get (record, name)));
 }
 
+/* The name goes into a request's path, so it must be one that a digest makes. */
+static gboolean
+is_object_name (const char *name)
+{
+  const char *digest = name + strlen (OBJECT_PREFIX);
+
+  if (!g_str_has_prefix (name, OBJECT_PREFIX) || strlen (digest) != DIGEST_DIGITS)
+    return FALSE;
+  return strspn (digest, "0123456789abcdef") == DIGEST_DIGITS;
+}
+
 gboolean
 anvil_config_head_parse (anvil_str_t text, anvil_config_head_t *head, GError **error)
 {
@@ -27,7 +42,8 @@
     .at = dup_member (record, "at"),
   };
   json_decref (record);
-  if (head->generation > 0 && head->object != NULL && head->submission != NULL)
+  if (head->generation > 0 && head->object != NULL && is_object_name (head->object)
+      && head->submission != NULL)
     return TRUE;
   anvil_config_head_clear (head);
   g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_INVALID,
@@ -65,7 +81,7 @@
 {
   char *digest
       = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (const guchar *) file.data, file.length);
-  char *name = g_strconcat ("config-", digest, NULL);
+  char *name = g_strconcat (OBJECT_PREFIX, digest, NULL);
 
   g_free (digest);
   return name;
--- a/tests/test-config-task.c
+++ b/tests/test-config-task.c
@@ -13,8 +13,11 @@
 #include "fake-registry.h"
 
 #define N_ENTRIES 4
-#define N_SEEDS 60
+#define N_SEEDS 300
 #define N_STEPS 1500
+/* Fewer in all histories would prove little. */
+#define MIN_FROM_PEERS 600
+#define MIN_GENERATIONS 1500
 /* Within this time after the last fault the newest file is in force everywhere. */
 #define IN_FORCE_WITHIN (6 * ANVIL_SECOND)
 
@@ -58,6 +61,7 @@
   entry_t entries[N_ENTRIES];
   gboolean calm;
   guint64 from_peers;
+  guint64 generations;
 };
 
 /* Every ninth submission is of an operator with a newer program: not valid here. */
@@ -271,11 +275,11 @@
   settle (world, FALSE);
 }
 
-static guint64
-run_history (guint32 seed)
+/* Adds to @total what happened, so that a history of nothing isn't taken for a proof. */
+static void
+run_history (guint32 seed, world_t *total)
 {
   world_t world = { .random = g_rand_new_with_seed (seed) };
-  guint64 from_peers;
 
   world.registry = fake_registry_new (world.random, write_file);
   for (guint i = 0; i < N_ENTRIES; i++)
@@ -287,7 +291,8 @@
   settle (&world, TRUE);
   replace_while_down (&world);
 
-  from_peers = world.from_peers;
+  total->from_peers += world.from_peers;
+  total->generations += world.registry->generation;
   for (guint i = 0; i < N_ENTRIES; i++)
     {
       anvil_follow_drop (world.entries[i].follow);
@@ -295,16 +300,16 @@
     }
   fake_registry_drop (world.registry);
   g_rand_free (world.random);
-  return from_peers;
 }
 
 START_TEST (test_histories)
 {
-  guint64 from_peers = 0;
+  world_t total = { 0 };
 
   for (guint32 seed = 1; seed <= N_SEEDS; seed++)
-    from_peers += run_history (seed);
-  ck_assert_uint_gt (from_peers, N_SEEDS);
+    run_history (seed, &total);
+  ck_assert_uint_gt (total.from_peers, MIN_FROM_PEERS);
+  ck_assert_uint_gt (total.generations, MIN_GENERATIONS);
 }
 END_TEST
 
--- a/tests/test-submit.c
+++ b/tests/test-submit.c
@@ -5,9 +5,11 @@
 
 #include "fake-registry.h"
 
-#define N_SEEDS 150
+#define N_SEEDS 300
 #define N_STEPS 400
 
+#define OBJECT "\"config-0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\""
+
 static char *
 write_file (guint submission)
 {
@@ -44,14 +46,19 @@
 
 START_TEST (test_head_record_round_trip_and_faults)
 {
-  static const char *const bad[] = { "",
-                                     "{}",
-                                     "[]",
-                                     "{\"generation\":0,\"object\":\"a\",\"submission\":\"b\"}",
-                                     "{\"generation\":1,\"object\":2,\"submission\":\"b\"}",
-                                     "{\"generation\":1" };
+  static const char *const bad[] = {
+    "",
+    "{}",
+    "[]",
+    "{\"generation\":0,\"object\":" OBJECT ",\"submission\":\"b\"}",
+    "{\"generation\":1,\"object\":2,\"submission\":\"b\"}",
+    "{\"generation\":1,\"object\":\"config-../seat/0\",\"submission\":\"b\"}",
+    "{\"generation\":1,\"object\":" OBJECT "}",
+    "{\"generation\":1",
+  };
+  char *object = anvil_config_object_name (anvil_str ("file"));
   anvil_config_head_t head = { .generation = 7,
-                               .object = (char *) "o",
+                               .object = object,
                                .submission = (char *) "s",
                                .by = (char *) "b\"",
                                .at = (char *) "t" };
@@ -61,7 +68,9 @@
   ck_assert (anvil_config_head_parse (anvil_str (text), &parsed, NULL));
   ck_assert_uint_eq (parsed.generation, 7);
   ck_assert_str_eq (parsed.by, "b\"");
+  ck_assert_str_eq (parsed.object, object);
   anvil_config_head_clear (&parsed);
+  g_free (object);
   g_free (text);
   for (gsize i = 0; i < G_N_ELEMENTS (bad); i++)
     ck_assert_msg (!anvil_config_head_parse (anvil_str (bad[i]), &parsed, NULL), "accepted %s",
