--- a/source/entry/entry-settings.c
+++ b/source/entry/entry-settings.c
@@ -131,8 +131,8 @@
     valid = reject (&items[LOAD_PATH], "a path that begins with /");
   if (items[PEER].text != NULL && (items[PEER].address == 0 || items[PEER].port == 0))
     valid = reject (&items[PEER], "an address and a port that other entries reach");
-  if (items[ADMIN].text != NULL && items[LISTEN].text != NULL
-      && items[ADMIN].address == items[LISTEN].address && items[ADMIN].port == items[LISTEN].port)
+  if (items[ADMIN].address != 0 && items[ADMIN].address == items[LISTEN].address
+      && items[ADMIN].port == items[LISTEN].port)
     valid = reject (&items[ADMIN], "another address or port than --listen");
   return valid;
 }
