Claim keys in the daemon, with a span for the claim

Ruled out: dropping the requests before the platform's client is closed. Its calls under way end then, and their verdicts look requests up.

Change: the entry opens the claims over its platform client, waits for their writes at shutdown within its bound, and closes in the order in which the parts call each other. A claim is a span of its own.

Conclusion: a keyed booking is claimed before it is dispatched in the daemon as well.

--- a/source/entry/caller-request.h
+++ b/source/entry/caller-request.h
@@ -37,7 +37,7 @@
  * @parent_span: span of the caller, 0 for none
  * @arrived: wall clock
  * @arrived_at: monotonic clock
- * @dispatched: wall clock of the attempt under way
+ * @dispatched: wall clock at which the last hop began or ended
  * @attempt: the attempt under way, or NULL
  * @attempt_span: its span
  * @upstream: name of the upstream of the last attempt
--- a/source/entry/entry.c
+++ b/source/entry/entry.c
@@ -25,6 +25,7 @@
   anvil_upstream_pool_t *pool;
   anvil_caller_connections_t *callers;
   anvil_request_task_t *requests;
+  anvil_claims_task_t *claims;
   anvil_config_task_t *config;
   anvil_seat_task_t *seats;
   anvil_vm_task_t *vms;
@@ -165,6 +166,7 @@
 all_done (const anvil_entry_t *entry, anvil_time_t now)
 {
   return anvil_steer_left (entry->steer, now) && anvil_request_task_count (entry->requests) == 0
+         && anvil_claims_task_busy (entry->claims) == 0
          && anvil_caller_unsent (entry->callers) == 0;
 }
 
@@ -225,6 +227,19 @@
   return anvil_steer_new (&options, &actions, entry);
 }
 
+static void
+open_claims (anvil_entry_t *entry)
+{
+  const anvil_claims_task_parts_t parts = { .base = entry->base,
+                                            .platform = entry->platform,
+                                            .counters = entry->counters,
+                                            .node = entry->settings->peer,
+                                            .incarnation = entry->settings->incarnation };
+
+  entry->claims = anvil_claims_task_new (&parts, anvil_request_task_decided, entry->requests);
+  anvil_request_task_use_claims (entry->requests, entry->claims);
+}
+
 static void
 open_tasks (anvil_entry_t *entry)
 {
@@ -245,6 +260,7 @@
                                         .counters = entry->counters,
                                         .traces = entry->traces };
   entry->requests = anvil_request_task_new (&parts);
+  open_claims (entry);
   entry->seats = anvil_seat_task_new (entry->platform, entry->steer, entry->counters);
   entry->config = anvil_config_task_open (entry->base, entry->platform, &config_events, entry);
   entry->vms = anvil_vm_task_open (entry->base, entry->platform, entry->steer, entry->counters);
@@ -314,11 +330,13 @@
   if (entry->tick != NULL)
     event_free (entry->tick);
   anvil_health_task_close (entry->health);
+  anvil_config_task_close (entry->config);
+  /* Ends the calls under way; their verdicts still find the requests. */
+  anvil_platform_close (entry->platform);
+  anvil_claims_task_drop (entry->claims);
   anvil_request_task_drop (entry->requests);
   anvil_caller_listener_close (entry->listener);
   anvil_admin_listener_close (entry->admin);
-  anvil_config_task_close (entry->config);
-  anvil_platform_close (entry->platform);
   anvil_vm_task_close (entry->vms);
   anvil_seat_task_drop (entry->seats);
   anvil_peers_close (entry->peers);
--- a/source/entry/request-task.c
+++ b/source/entry/request-task.c
@@ -401,6 +401,7 @@
 
   if (request == NULL)
     return;
+  anvil_request_trace_claim (task->parts.traces, request);
   if (verdict != ANVIL_CLAIM_RUN)
     {
       end_by_verdict (task, request, verdict, status);
--- a/source/entry/request-trace.c
+++ b/source/entry/request-trace.c
@@ -13,20 +13,28 @@
   return span;
 }
 
+/* A span within the entry, since the last hop. */
 static void
-add_wait (anvil_trace_ring_t *ring, const anvil_caller_request_t *request)
+add_internal (anvil_trace_ring_t *ring, const anvil_caller_request_t *request, const char *name)
 {
   anvil_time_t since = request->dispatched != 0 ? request->dispatched : request->arrived;
-  anvil_span_t span = span_of (request, "wait", since);
+  anvil_span_t span = span_of (request, name, since);
 
   span.context = anvil_trace_context_child (&request->trace);
   anvil_trace_ring_add (ring, &span);
 }
 
+void
+anvil_request_trace_claim (anvil_trace_ring_t *ring, anvil_caller_request_t *request)
+{
+  add_internal (ring, request, "claim");
+  request->dispatched = anvil_clock_wall ();
+}
+
 void
 anvil_request_trace_dispatch (anvil_trace_ring_t *ring, anvil_caller_request_t *request)
 {
-  add_wait (ring, request);
+  add_internal (ring, request, "wait");
   request->dispatched = anvil_clock_wall ();
   request->attempt_span = anvil_trace_context_child (&request->trace);
 }
