--- a/Makefile
+++ b/Makefile
@@ -110,7 +110,7 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) BUILD=$(FUZZ_BUILD) CC=clang \
 	  CFLAGS_MODE="-O1 $(FUZZ_FLAGS)" $(FUZZ_BUILD)/fuzz/fuzz-coverage
 	@mkdir -p $(FUZZ_BUILD)/corpus
-	@$(FUZZ_BUILD)/fuzz/fuzz-coverage -max_len=1600 -max_total_time=$(or $(SECONDS),60) $(FUZZ_BUILD)/corpus
+	@$(FUZZ_BUILD)/fuzz/fuzz-coverage -max_len=1600 -len_control=0 -max_total_time=$(or $(SECONDS),60) $(FUZZ_BUILD)/corpus
 
 # make bench BENCH_ARGS="--json"
 bench: packages
--- a/tests/test-oracles.c
+++ b/tests/test-oracles.c
@@ -92,6 +92,88 @@
 }
 END_TEST
 
+/* A history written by hand: what must never happen, and the oracle that says so. */
+static const struct
+{
+  const char *oracle;
+  fake_record_t records[4];
+} forbidden[] = {
+  { "refused",
+    { { .kind = FAKE_SUBMITTED, .request = 1 },
+      { .kind = FAKE_DISPATCHED, .request = 1, .attempt = 1, .until = ANVIL_SECOND },
+      { .kind = FAKE_RESULT, .request = 1, .attempt = 1, .result = ANVIL_ATTEMPT_UNKNOWN },
+      { .kind = FAKE_REFUSED, .request = 1 } } },
+  { "refused",
+    { { .kind = FAKE_SUBMITTED, .request = 1 },
+      { .kind = FAKE_REFUSED, .request = 1 },
+      { .kind = FAKE_WORK_ENDED, .request = 1, .attempt = 1, .ran = TRUE },
+      { .kind = FAKE_STOPPED } } },
+  { "outcome",
+    { { .kind = FAKE_SUBMITTED, .request = 1 },
+      { .kind = FAKE_REFUSED, .request = 1 },
+      { .kind = FAKE_REFUSED, .request = 1 },
+      { .kind = FAKE_STOPPED } } },
+  { "outcome",
+    { { .kind = FAKE_SUBMITTED, .request = 1 },
+      { .kind = FAKE_DISPATCHED, .request = 1, .attempt = 1, .until = ANVIL_SECOND },
+      { .kind = FAKE_FINISHED, .request = 1 },
+      { .kind = FAKE_STOPPED } } },
+  { "generation",
+    { { .kind = FAKE_STARTED },
+      { .kind = FAKE_IN_FORCE, .generation = 2 },
+      { .kind = FAKE_IN_FORCE, .generation = 1 },
+      { .kind = FAKE_STOPPED } } },
+  { "half",
+    { { .kind = FAKE_SUBMITTED, .request = 1, .service = 2 },
+      { .kind = FAKE_DISPATCHED, .request = 1, .service = 2, .upstream = 8, .until = 1 },
+      { .kind = FAKE_STOPPED },
+      { .kind = FAKE_STOPPED } } },
+  { "shutdown",
+    { { .kind = FAKE_SUBMITTED, .request = 1 },
+      { .kind = FAKE_LEFT },
+      { .kind = FAKE_EXITED },
+      { .kind = FAKE_STOPPED } } },
+};
+
+START_TEST (test_oracle_fails_on_a_forbidden_history)
+{
+  oracle_t *oracle = oracle_new (world_file (0));
+
+  for (guint i = 0; i < G_N_ELEMENTS (forbidden[_i].records); i++)
+    oracle_record (oracle, &forbidden[_i].records[i]);
+  ck_assert_str_eq (oracle_failed (oracle), forbidden[_i].oracle);
+  oracle_drop (oracle);
+}
+END_TEST
+
+START_TEST (test_in_force_oracle_fails_when_others_stay_behind)
+{
+  const fake_record_t ahead = { .kind = FAKE_IN_FORCE, .entry = 1, .generation = 9 };
+  world_t *world = world_new (1, NULL);
+  const world_op_t pause = world_op ("advance", 249, 0, 0);
+
+  for (guint i = 0; i < 5; i++)
+    ck_assert (world_step (world, &pause));
+  oracle_record (world->oracle, &ahead);
+  for (guint i = 0; i < 8; i++)
+    world_step (world, &pause);
+  ck_assert_str_eq (oracle_failed (world->oracle), "in-force");
+  world_drop (world);
+}
+END_TEST
+
+START_TEST (test_recovery_oracle_fails_when_a_seat_has_no_user)
+{
+  world_t *world = world_new (1, NULL);
+
+  for (guint i = 0; i < world->net->n_entries; i++)
+    fake_net_kill (world->net, i);
+  oracle_recovered (world->oracle, world->net);
+  ck_assert_str_eq (oracle_failed (world->oracle), "recovery");
+  world_drop (world);
+}
+END_TEST
+
 static int
 count_faults (void)
 {
@@ -113,6 +195,10 @@
   tcase_set_timeout (tcase, 0);
   tcase_add_loop_test (tcase, test_oracle_fails_without_its_mechanism, 0, count_faults ());
   tcase_add_test (tcase, test_seat_oracle_fails_when_a_witness_doesnt_wait);
+  tcase_add_loop_test (tcase, test_oracle_fails_on_a_forbidden_history, 0,
+                       G_N_ELEMENTS (forbidden));
+  tcase_add_test (tcase, test_in_force_oracle_fails_when_others_stay_behind);
+  tcase_add_test (tcase, test_recovery_oracle_fails_when_a_seat_has_no_user);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
