Let the daemon connect to upstreams from its own address

Cause: without it the stand-in takes every entry for a neighbour of 127.0.0.1.

Change: one call after the pool is opened.

--- a/source/entry/entry.c
+++ b/source/entry/entry.c
@@ -253,6 +253,7 @@
                                          settings->platform_port, PLATFORM_TIMEOUT);
   entry->pool = anvil_upstream_pool_open (entry->base, settings->max_header_bytes,
                                           settings->max_response_bytes);
+  anvil_upstream_pool_set_local (entry->pool, anvil_node_address (settings->peer));
   entry->callers = anvil_caller_connections_new (entry->base, &limits, entry->counters);
   parts = (anvil_request_task_parts_t){ .steer = entry->steer,
                                         .callers = entry->callers,
