Bound the waits of the daemon's process test

Cause: with readiness always true the test waited for a request that never came until the program's own time ran out, and gave no result.

Ruled out: a shorter time for the whole case alone; it would end the case without saying where it waited.

Change: the upstream's socket waits as long as every other wait of the test and no longer.

--- a/tests/test-entry-process.c
+++ b/tests/test-entry-process.c
@@ -14,7 +14,7 @@
 
 #include "anvil/clock.h"
 
-#define PATIENCE (30 * ANVIL_SECOND)
+#define PATIENCE (20 * ANVIL_SECOND)
 #define MAX_ANSWER_BYTES 65536
 
 /* A deployment of one entry and one upstream, which is a socket of this test. */
@@ -86,16 +86,23 @@
   return pid;
 }
 
+static void
+set_patience (int fd)
+{
+  const struct timeval patience = { .tv_sec = PATIENCE / ANVIL_SECOND };
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+}
+
 static int
 try_connect (guint16 port)
 {
   struct sockaddr_in to = { .sin_family = AF_INET,
                             .sin_port = htons (port),
                             .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  const struct timeval patience = { .tv_sec = PATIENCE / ANVIL_SECOND };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  set_patience (fd);
   if (connect (fd, (struct sockaddr *) &to, sizeof to) == 0)
     return fd;
   close (fd);
@@ -232,6 +239,7 @@
   deployment->admin = free_port ();
   deployment->peers = free_port ();
   deployment->upstream = listen_on_free_port (&deployment->upstream_port);
+  set_patience (deployment->upstream);
   deployment->platform_pid
       = start ("anvil-platform --listen 127.0.0.1:%u --vm-lag-ms 0", deployment->platform);
   wait_for_status (deployment->platform, GET ("/v1/vms"), 200);
