Let the test of a link's headroom see what was used before

Cause: with the faults put in again after the last changes, one of 43 was not seen: a headroom that ignores what the entries had used before, since the test began near 0.

Change: the test begins at 20 Mbit.

--- a/tests/test-status.c
+++ b/tests/test-status.c
@@ -122,7 +122,9 @@
   GString *text = g_string_new (NULL);
 
   json_object_set_new (link, "share_bits_per_s", json_integer (40000000));
-  json_object_set_new (link, "used_bits", json_integer (5000005));
+  json_object_set_new (link, "used_bits", json_integer (25000005));
+  link = json_array_get (json_object_get (answer_of (before, 1), "links"), 0);
+  json_object_set_new (link, "used_bits", json_integer (20000005));
   json_object_set_new (seat, "usable", json_true ());
   status_view_text (entries, before, ANVIL_SECOND / 2, text);
   ck_assert_ptr_nonnull (g_strstr_len (text->str, -1, "USED TWICE"));
