Keep a caller's socket number until nothing reads from it any more

The reference that the daemon keeps on a caller's bufferevent outlived the library's connection; its socket was closed, the number went to the next connection, and the old bufferevent still read from it. A trace showed two bufferevents taking turns on one socket: a body arrived whole in the process and half of it in each. Ruled out: pacing, the process bound, a lost read event: every byte had been read. Change: the bufferevent closes its socket with its last reference, every 100 ms at the latest; what still arrives for a closed connection is not counted. Before: the new test (8 callers in a row on one socket number) fails: the second request never reaches its upstream.

--- a/source/entry/caller-connection.c
+++ b/source/entry/caller-connection.c
@@ -8,8 +8,8 @@
 
 #include "anvil/log.h"
 
-/* How often connections that the library has closed are forgotten. */
-#define SWEEP_SECONDS 1
+/* How often the sockets of connections that the library has closed are closed too. */
+#define SWEEP_US 100000
 /* Time in which a caller that was turned away may read the answer while it still sends. */
 #define LINGER_SECONDS 2
 
@@ -156,8 +156,12 @@
 {
   connection_t *connection = data;
 
-  if (info->n_added > 0 && connection->turned_away == NULL)
+  if (info->n_added == 0 || connection->turned_away != NULL)
+    return;
+  if (is_open (connection))
     count_bytes (connection, info->n_added);
+  else
+    bufferevent_disable (connection->bev, EV_READ);
 }
 
 static void
@@ -181,7 +185,9 @@
   connection_t *connection = g_new0 (connection_t, 1);
 
   connection->owner = connections;
-  connection->bev = bufferevent_socket_new (base, -1, 0);
+  /* The socket is closed with the last reference, so that its number can't be given to another
+   * connection while this bufferevent may still read from it. */
+  connection->bev = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_incref (connection->bev);
   evbuffer_add_cb (bufferevent_get_input (connection->bev), on_input, connection);
   connection->timer = evtimer_new (base, on_timer, connection);
@@ -209,7 +215,7 @@
                               anvil_counters_t *counters)
 {
   anvil_caller_connections_t *connections = g_new0 (anvil_caller_connections_t, 1);
-  const struct timeval period = { .tv_sec = SWEEP_SECONDS };
+  const struct timeval period = { .tv_usec = SWEEP_US };
 
   connections->base = base;
   connections->limits = *limits;
--- a/tests/test-entry-request.c
+++ b/tests/test-entry-request.c
@@ -12,6 +12,9 @@
 #define POST_BOOKING "POST /book HTTP/1.1\r\nHost: booking\r\nContent-Length: 4\r\n\r\nbook"
 #define OK(length, body) "HTTP/1.1 200 OK\r\nContent-Length: " length "\r\n\r\n" body
 
+#define N_CLOSING_CALLERS 8u
+#define CLOSING_BODY_BYTES 40000u
+
 /* A request that has reached its upstream. */
 typedef struct
 {
@@ -87,6 +90,38 @@
 }
 END_TEST
 
+START_TEST (test_closed_connections_take_nothing_from_later_ones)
+{
+  char *body = g_strnfill (CLOSING_BODY_BYTES, 'b');
+  rig_t *rig = rig_open (NULL);
+
+  /* Each caller's socket gets the number of the one that has just been closed. */
+  for (guint i = 0; i < N_CLOSING_CALLERS; i++)
+    {
+      char *request
+          = g_strdup_printf ("POST /book HTTP/1.1\r\nHost: booking\r\nConnection: close\r\n"
+                             "Content-Length: %u\r\n\r\n%s",
+                             CLOSING_BODY_BYTES, body);
+      exchange_t exchange = { .caller = rig_connect (rig) };
+      char *text;
+
+      rig_send (rig, exchange.caller, request);
+      exchange.upstream = rig_accept (rig, RIG_BOOKING);
+      text = rig_read_message (rig, exchange.upstream);
+      RIG_ASSERT_HAS (text, body);
+      rig_send (rig, exchange.upstream,
+                "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
+      check_answer (rig, exchange.caller, "HTTP/1.1 200", "answered");
+      RIG_WAIT (rig, rig_closed (exchange.caller));
+      end (&exchange);
+      g_free (text);
+      g_free (request);
+    }
+  rig_close (rig);
+  g_free (body);
+}
+END_TEST
+
 START_TEST (test_spans_of_every_hop)
 {
   rig_t *rig = rig_open (NULL);
@@ -425,6 +460,7 @@
 
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, test_answer_is_passed_on_whole);
+  tcase_add_test (tcase, test_closed_connections_take_nothing_from_later_ones);
   tcase_add_test (tcase, test_spans_of_every_hop);
   tcase_add_loop_test (tcase, test_broken_answer_is_unknown_and_not_sent_again, 0,
                        G_N_ELEMENTS (broken_answers));
