Split loans by who asks, who gives and who has borrowed

Cause: steer-loan.c had grown to 590 lines and held three tasks and a table of pauses. Ruled out: splitting by kind of loan; both kinds share questions and pauses. Change: steer-loan-ask.c, steer-loan-give.c, steer-loan.c (borrowing) and loan-pause.c; no change of behaviour. Before: 590 lines in one file. Conclusion: reads better, does the same.

--- /dev/null
+++ b/source/steer/loan-pause.c
@@ -0,0 +1,56 @@
+#include "steer/loan-pause.h"
+
+#include "anvil/str.h"
+
+void
+anvil_loan_pauses_open (anvil_loan_pauses_t *pauses)
+{
+  pauses->until = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+}
+
+void
+anvil_loan_pauses_close (anvil_loan_pauses_t *pauses)
+{
+  g_hash_table_unref (pauses->until);
+}
+
+guint64
+anvil_loan_pause_key (anvil_node_t peer, guint64 what)
+{
+  const guint64 key[] = { peer, what };
+
+  return anvil_str_hash ((anvil_str_t){ .data = (const char *) key, .length = sizeof key });
+}
+
+gboolean
+anvil_loan_paused (const anvil_loan_pauses_t *pauses, anvil_time_t now, guint64 key)
+{
+  const anvil_time_t *until = g_hash_table_lookup (pauses->until, &key);
+
+  return until != NULL && now < *until;
+}
+
+void
+anvil_loan_pause (anvil_loan_pauses_t *pauses, guint64 key, anvil_time_t until)
+{
+  guint64 *stored_key = g_new (guint64, 1);
+  anvil_time_t *stored = g_new (anvil_time_t, 1);
+
+  *stored_key = key;
+  *stored = until;
+  g_hash_table_replace (pauses->until, stored_key, stored);
+}
+
+static gboolean
+is_over (gpointer key, gpointer value, gpointer data)
+{
+  const anvil_time_t *now = data;
+
+  return *now >= *(const anvil_time_t *) value;
+}
+
+void
+anvil_loan_pauses_expire (anvil_loan_pauses_t *pauses, anvil_time_t now)
+{
+  g_hash_table_foreach_remove (pauses->until, is_over, &now);
+}
--- a/source/steer/steer-internal.h
+++ b/source/steer/steer-internal.h
@@ -2,6 +2,7 @@
 
 #include "anvil/steer.h"
 #include "steer/drain-table.h"
+#include "steer/loan-pause.h"
 #include "steer/member-table.h"
 #include "steer/rate-budget.h"
 #include "steer/retry-budget.h"
@@ -191,7 +192,7 @@
 
   /* Loans: steer-loan.c */
   GHashTable *wishes;
-  GHashTable *loan_pauses;
+  anvil_loan_pauses_t loan_pauses;
   guint n_borrowed;
   guint64 next_nonce;
 };
@@ -329,7 +330,12 @@
 anvil_queue_t *anvil_steer_queue (const anvil_steer_t *steer, guint service, guint half);
 void anvil_queue_free (gpointer data);
 
-/* steer-loan.c */
+/* steer-loan-ask.c, steer-loan-give.c, steer-loan.c */
+
+/* An answer that takes longer is no longer waited for. */
+#define ANVIL_WISH_TIMEOUT (300 * ANVIL_MS)
+
+guint64 anvil_queue_key (const anvil_queue_t *queue);
 void anvil_steer_want_slots (anvil_steer_t *steer, anvil_time_t now, anvil_queue_t *queue);
 void anvil_steer_want_rate (anvil_steer_t *steer,
                             anvil_time_t now,
