Lend no rate units that this entry has just asked for

Ruled out: comparing with the waiting requests' sizes; a budget isn't tied to a queue. Change: while an entry's own question for a budget is fresh it lends nothing of it. Before: tests/test-loan fails its third check (1000 units lent).

--- a/source/steer/steer-loan-give.c
+++ b/source/steer/steer-loan-give.c
@@ -118,7 +118,9 @@
   if (ask->generation == steer->generation && ask->kind == ANVIL_LOAN_SLOTS)
     lend_slots (steer, now, from, ask, &message.loan_answer);
   rate = ask->kind == ANVIL_LOAN_RATE ? anvil_steer_rate (steer, now, ask->budget) : NULL;
-  if (ask->generation == steer->generation && rate != NULL)
+  /* An entry that has just asked for the same units needs its own. */
+  if (ask->generation == steer->generation && rate != NULL
+      && !anvil_loan_paused (&steer->loan_pauses, now, rate->key))
     message.loan_answer.amount = anvil_rate_lend (rate, ask->amount);
   anvil_steer_send (steer, from, &message);
 }
