Give an upstream that comes in all of its slots within 3 s instead of 10

Upstreams that come back are held to a part of their slots for 10 s each, and several are at a time. Change: ANVIL_WARM_TIME 10 s -> 3 s.

--- a/source/steer/upstream.h
+++ b/source/steer/upstream.h
@@ -10,7 +10,7 @@
 /* How long an upstream that shed is left alone. */
 #define ANVIL_SHED_PAUSE (100 * ANVIL_MS)
 /* Time in which an upstream that comes in gets all of its slots. */
-#define ANVIL_WARM_TIME (10 * ANVIL_SECOND)
+#define ANVIL_WARM_TIME (3 * ANVIL_SECOND)
 /* Half-life of a latency that isn't measured again. */
 #define ANVIL_LATENCY_HALF_LIFE (5 * ANVIL_SECOND)
 
