Measure look-ups over HTTP beside a bare handler

Cause: a look-up is to be answered at no less than half the rate of a bare evhttp handler, and nothing measured it. Ruled out: a load program from elsewhere; a forked caller on eight connections suffices.

--- a/Makefile
+++ b/Makefile
@@ -76,7 +76,7 @@
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/common-*.c)) $(FAKE_OBJECTS) $(LIBRARY)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/common-*.c)) $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(FAKE_OBJECTS) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS)
 
@@ -116,6 +116,7 @@
 bench: packages
 	@$(MAKE) --no-print-directory -j$$(nproc) benches
 	@$(BUILD)/bench/bench-steer $(BENCH_ARGS)
+	@$(BUILD)/bench/bench-lookup-http
 
 # Slopes for docs/CAPACITY.md.
 CAPACITY_NAMES = $(filter bench-capacity-%,$(BENCH_NAMES))
