Print the number of connections with the type that it has

Ruled out: a suppression. Change: N_CONNECTIONS is unsigned. Before: lint red. Conclusion: the tree is green again.

--- a/bench/bench-lookup-http.c
+++ b/bench/bench-lookup-http.c
@@ -14,7 +14,7 @@
 #include "entry/lookup-answer.h"
 
 #define N_ENTRIES 7
-#define N_CONNECTIONS 8
+#define N_CONNECTIONS 8u
 #define N_ROUNDS 5
 #define REQUESTS_PER_ROUND 20000u
 #define ANSWER_BYTES 8192
