Remove state of the core that nothing reads

Cause: read through once more: four values were written and never read (an upstream's reported load, the number of seats of a rate, whether a request was shifted, with the result parameter that carried it). Ruled out: keeping them for a later use; the reported load must not decide anything. Change: the fields and the parameter are gone; no behaviour changes. Conclusion: less to read.

--- a/source/steer/rate-budget.h
+++ b/source/steer/rate-budget.h
@@ -9,7 +9,6 @@
  * anvil_rate_t - a token bucket over an entry's share of one limit
  * @key: hash of the budget's name, the same at every entry
  * @per_seat: units a second that one seat may use
- * @max_seats: seats that share the limit
  * @tokens: units that may be used at once; below 0 while a large use is worked off
  * @stranded: no seat of this entry fills it now
  * @last: when tokens were last added
@@ -19,7 +18,6 @@
 {
   guint64 key;
   gdouble per_seat;
-  guint max_seats;
   gdouble tokens;
   gboolean stranded;
   anvil_time_t last;
--- a/source/steer/steer-half.c
+++ b/source/steer/steer-half.c
@@ -84,16 +84,12 @@
 }
 
 guint
-anvil_steer_choose_half (anvil_steer_t *steer,
-                         anvil_time_t now,
-                         const anvil_request_t *request,
-                         gboolean *shifted)
+anvil_steer_choose_half (anvil_steer_t *steer, anvil_time_t now, const anvil_request_t *request)
 {
   guint place = place_of_client (steer, request->service, request->client);
   guint end;
   guint half = half_of_place (steer, request->service, place, &end);
 
-  *shifted = FALSE;
   for (guint i = 0; i < steer->config->n_shifts; i++)
     {
       const anvil_shift_t *shift = &steer->config->shifts[i];
@@ -104,7 +100,6 @@
         continue;
       if (!take_cap (steer, now, i, request))
         continue;
-      *shifted = TRUE;
       return shift->to;
     }
   return half;
--- a/source/steer/steer-internal.h
+++ b/source/steer/steer-internal.h
@@ -67,7 +67,6 @@
   guint attempt;
   gboolean running;
   gboolean maybe_run;
-  gboolean shifted;
   guint64 upstream;
   guint slot;
   guint64 loan_nonce;
@@ -285,10 +284,8 @@
 anvil_steer_rate_share (const anvil_steer_t *steer, anvil_time_t now, const anvil_rate_t *rate);
 
 /* steer-half.c */
-guint anvil_steer_choose_half (anvil_steer_t *steer,
-                               anvil_time_t now,
-                               const anvil_request_t *request,
-                               gboolean *shifted);
+guint
+anvil_steer_choose_half (anvil_steer_t *steer, anvil_time_t now, const anvil_request_t *request);
 
 guint anvil_steer_expected_half (const anvil_steer_t *steer,
                                  anvil_time_t now,
--- a/source/steer/steer-rate.c
+++ b/source/steer/steer-rate.c
@@ -134,7 +134,6 @@
   budget->region_a = region_a;
   budget->region_b = region_b;
   sharing = count_sharing (steer, budget);
-  budget->rate.max_seats = sharing;
   budget->rate.per_seat = sharing > 0 ? limit / sharing : 0;
   return budget;
 }
--- a/source/steer/steer-request.c
+++ b/source/steer/steer-request.c
@@ -196,7 +196,6 @@
 {
   anvil_work_t *work;
   anvil_queue_t *queue;
-  gboolean shifted;
   guint half;
 
   if (steer->config == NULL)
@@ -220,7 +219,7 @@
       return;
     }
 
-  half = anvil_steer_choose_half (steer, now, request, &shifted);
+  half = anvil_steer_choose_half (steer, now, request);
   queue = anvil_steer_queue (steer, request->service, half);
   if (!has_upstream (steer, queue))
     {
@@ -238,7 +237,6 @@
   work = g_new0 (anvil_work_t, 1);
   work->request = *request;
   work->queue = queue;
-  work->shifted = shifted;
   work->submitted_at = now;
   work->client_region = anvil_config_lookup_client (steer->config, request->client);
   charge_arrival (steer, now, work);
--- a/source/steer/steer-slot.c
+++ b/source/steer/steer-slot.c
@@ -319,7 +319,6 @@
   if (state == NULL)
     return;
   state->unhealthy = !healthy;
-  state->reported_running = running;
   state->reported_draining = draining;
   state->reported_at = asked_at;
   if (!draining && !may_deny_drain (steer, now, asked_at, state))
--- a/source/steer/upstream.h
+++ b/source/steer/upstream.h
@@ -30,7 +30,6 @@
  * @latency_at: when that was last measured
  * @list_leaving: the platform's list says that its VM leaves
  * @unhealthy: its health endpoint says so
- * @reported_running: requests that it last reported; never trusted for a limit
  * @reported_draining: it last reported that it drains
  * @reported_at: when that report was asked for
  */
@@ -50,7 +49,6 @@
   anvil_time_t latency_at;
   gboolean list_leaving;
   gboolean unhealthy;
-  guint reported_running;
   gboolean reported_draining;
   anvil_time_t reported_at;
 } anvil_upstream_state_t;
