--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,10 @@
 
 # The packages are installed by a target, so pkg-config is only asked when a rule runs.
 CFLAGS_BASE = -std=gnu11 -g -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
-  -Wno-unused-parameter -Wno-missing-field-initializers -Werror -Iinclude -Isource -Itests/fuzz -MMD -MP
+  -Wno-unused-parameter -Wno-missing-field-initializers -Werror -Iinclude -Isource -I. -Itests/fuzz -MMD -MP
 CFLAGS_MODE ?= -O2
 CFLAGS = $(CFLAGS_BASE) $(CFLAGS_MODE) $(CFLAGS_EXTRA) $(shell pkg-config --cflags $(PACKAGES))
-LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lyaml -lm
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lyaml -lhttp_parser -lm
 LDFLAGS_MODE ?=
 
 LAYERS = core config steer net
@@ -20,6 +20,8 @@
 LIBRARY = $(BUILD)/libanvil.a
 
 ENTRY_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard source/entry/*.c))
+# The daemon for upstreams that register themselves, and the adapter to the users' platform.
+RELAY_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard source/relay/*.c platform/*.c))
 TOOL_NAMES = anvil-config anvil-status anvil-load
 STANDIN_NAMES = anvil-platform anvil-upstream
 TEST_NAMES = $(basename $(notdir $(wildcard tests/test-*.c)))
@@ -27,7 +29,7 @@
 
 standin_objects = $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/$(1).c standins/$(1)-*.c))
 
-PROGRAMS = $(BUILD)/bin/anvil-entry \
+PROGRAMS = $(BUILD)/bin/anvil-entry $(BUILD)/bin/anvil-relay \
   $(foreach name,$(TOOL_NAMES),$(if $(wildcard source/tools/$(name).c),$(BUILD)/bin/$(name))) \
   $(foreach name,$(STANDIN_NAMES),$(if $(wildcard standins/$(name).c),$(BUILD)/bin/$(name)))
 TESTS = $(TEST_NAMES:%=$(BUILD)/tests/%)
@@ -68,11 +70,12 @@
 endef
 
 $(eval $(call link_rule,anvil-entry,$(ENTRY_OBJECTS)))
+$(eval $(call link_rule,anvil-relay,$(RELAY_OBJECTS)))
 $(foreach name,$(TOOL_NAMES),$(eval $(call link_rule,$(name),$(BUILD)/source/tools/$(name).o $(TOOL_LIBRARY))))
 $(foreach name,$(STANDIN_NAMES),$(eval $(call link_rule,$(name),$(call standin_objects,$(name)))))
 
-# A test may reach the daemon's tasks, but not its main.
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(HELPER_OBJECTS) $(FAKE_OBJECTS) $(WORLD_OBJECTS) $(TOOL_LIBRARY) $(LIBRARY)
+# A test may reach the daemons' tasks, but not their mains.
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(filter-out %/anvil-relay.o,$(RELAY_OBJECTS)) $(HELPER_OBJECTS) $(FAKE_OBJECTS) $(WORLD_OBJECTS) $(TOOL_LIBRARY) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
--- a/include/anvil/codec.h
+++ b/include/anvil/codec.h
@@ -15,6 +15,7 @@
  * @ANVIL_FRAME_MESSAGE: a message between the decision cores
  * @ANVIL_FRAME_CONFIG_ASK: asks for the file of a generation or a newer one
  * @ANVIL_FRAME_CONFIG: a configuration file with its head record
+ * @ANVIL_FRAME_TASKS: a message about tasks, see relay/relay-message.h
  */
 typedef enum
 {
@@ -22,6 +23,7 @@
   ANVIL_FRAME_MESSAGE = 1,
   ANVIL_FRAME_CONFIG_ASK = 2,
   ANVIL_FRAME_CONFIG = 3,
+  ANVIL_FRAME_TASKS = 4,
 } anvil_frame_kind_t;
 
 /** anvil_hello_t - who sends on a link, and in which version of the protocol */
@@ -49,6 +51,7 @@
     anvil_message_t message;
     guint64 config_ask;
     anvil_config_frame_t config;
+    anvil_str_t tasks;
   };
 } anvil_frame_t;
 
--- a/include/anvil/peers.h
+++ b/include/anvil/peers.h
@@ -22,6 +22,7 @@
  * @message: a message for the decision core
  * @config_asked: a peer wants the file of a generation, or a newer one
  * @config_arrived: a peer sent a file; its digest must be checked by the receiver
+ * @tasks: a message about tasks, still packed; NULL refuses such frames
  */
 typedef struct
 {
@@ -29,6 +30,7 @@
   void (*config_asked) (void *context, anvil_node_t from, guint64 generation);
   void (*config_arrived) (
       void *context, anvil_node_t from, guint64 generation, anvil_str_t head, anvil_str_t file);
+  void (*tasks) (void *context, anvil_node_t from, anvil_str_t bytes);
 } anvil_peers_events_t;
 
 /** anvil_peers_counters_t - traffic since the start */
@@ -62,4 +64,11 @@
 void anvil_peers_send_config (
     anvil_peers_t *peers, anvil_node_t to, guint64 generation, anvil_str_t head, anvil_str_t file);
 
+/** anvil_peers_send_tasks - sends a packed message about tasks, or drops it */
+void anvil_peers_send_tasks (anvil_peers_t *peers, anvil_node_t to, anvil_str_t bytes);
+
+/** anvil_peers_reset - closes the link to a peer that doesn't answer; the next send opens a new one
+ */
+void anvil_peers_reset (anvil_peers_t *peers, anvil_node_t to);
+
 const anvil_peers_counters_t *anvil_peers_counters (const anvil_peers_t *peers);
--- /dev/null
+++ b/include/anvil/routes.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "anvil/clock.h"
+#include "anvil/str.h"
+
+/*
+ * Routes of a deployment whose configuration is a table of hosts and prefixes.
+ *
+ * A table is built once by a reader of some format, checked as a whole by
+ * anvil_routes_finish(), and never changes afterwards.
+ */
+
+/* Most services that one route is split over. */
+#define ANVIL_MAX_ROUTE_PARTS 16
+/* Most regions that one route is restricted to. */
+#define ANVIL_MAX_ROUTE_REGIONS 16
+
+/**
+ * anvil_route_kind_t - what may be done with a request whose outcome is unknown
+ * @ANVIL_ROUTE_SAFE: it may run again
+ * @ANVIL_ROUTE_UNSAFE: it runs once at most
+ * @ANVIL_ROUTE_UPLOAD: like unsafe, with a large body
+ */
+typedef enum
+{
+  ANVIL_ROUTE_SAFE,
+  ANVIL_ROUTE_UNSAFE,
+  ANVIL_ROUTE_UPLOAD,
+} anvil_route_kind_t;
+
+/**
+ * anvil_route_part_t - a service of a route and its share
+ * @service: name of the service
+ * @weight: share of the requests, relative to the route's other parts
+ */
+typedef struct
+{
+  char *service;
+  guint weight;
+} anvil_route_part_t;
+
+/**
+ * anvil_route_t - one route; its texts belong to the table
+ * @name: the operators' name for it
+ * @host: host without port, compared without case
+ * @prefix: begins and ends with a slash
+ * @kind: what may be repeated
+ * @timeout: longest time that a request may be kept, microseconds; 0 for none
+ * @target_latency: time within which an answer is worth most, microseconds; 0 for none
+ * @max_attempts: most upstreams that one request may be sent to
+ * @priority: rank, 0 is the most urgent
+ * @sticky: whether upstreams are faster on objects that they handled lately
+ * @parts: services, at least one of them with a weight above 0
+ * @n_parts: how many
+ * @regions: only these may serve it; none means all
+ * @n_regions: how many
+ */
+typedef struct
+{
+  char *name;
+  char *host;
+  char *prefix;
+  anvil_route_kind_t kind;
+  anvil_time_t timeout;
+  anvil_time_t target_latency;
+  guint max_attempts;
+  guint priority;
+  gboolean sticky;
+  anvil_route_part_t parts[ANVIL_MAX_ROUTE_PARTS];
+  guint n_parts;
+  char *regions[ANVIL_MAX_ROUTE_REGIONS];
+  guint n_regions;
+} anvil_route_t;
+
+/**
+ * anvil_service_t - what holds for all upstreams of a service
+ * @name: name of the service
+ * @max_connections: connections that one upstream takes from all callers together
+ * @cold_time: how long an upstream is cold after its start, microseconds
+ * @cold_per_second: requests a second that a cold upstream bears
+ */
+typedef struct
+{
+  char *name;
+  guint max_connections;
+  anvil_time_t cold_time;
+  gdouble cold_per_second;
+} anvil_service_t;
+
+/**
+ * anvil_caller_bounds_t - what a caller may send and how long it may take
+ * @max_header_bytes: request line and headers
+ * @max_body_bytes: body of a request
+ * @header_timeout: longest time from the first to the last byte of the headers, microseconds
+ * @idle_timeout: longest pause between two requests of a connection, microseconds
+ */
+typedef struct
+{
+  gsize max_header_bytes;
+  gsize max_body_bytes;
+  anvil_time_t header_timeout;
+  anvil_time_t idle_timeout;
+} anvil_caller_bounds_t;
+
+typedef struct anvil_routes anvil_routes_t;
+
+/** anvil_routes_new - an empty table of @version with the default bounds for callers */
+anvil_routes_t *anvil_routes_new (gint64 version);
+
+/** anvil_routes_drop - releases one reference */
+void anvil_routes_drop (anvil_routes_t *routes);
+anvil_routes_t *anvil_routes_keep (anvil_routes_t *routes);
+
+/** anvil_routes_add - a route to fill in; borrowed, valid until the next call */
+anvil_route_t *anvil_routes_add (anvil_routes_t *routes);
+
+/** anvil_routes_add_service - a service to fill in; borrowed, valid until the next call */
+anvil_service_t *anvil_routes_add_service (anvil_routes_t *routes);
+
+/** anvil_routes_set_bounds - replaces the bounds for callers */
+void anvil_routes_set_bounds (anvil_routes_t *routes, const anvil_caller_bounds_t *bounds);
+
+/**
+ * anvil_routes_finish - checks the table and makes it ready for look-ups
+ *
+ * Return: FALSE with @error naming the route or service and what is wrong;
+ * the table must then be dropped.
+ */
+gboolean anvil_routes_finish (anvil_routes_t *routes, GError **error);
+
+gint64 anvil_routes_version (const anvil_routes_t *routes);
+const anvil_caller_bounds_t *anvil_routes_bounds (const anvil_routes_t *routes);
+guint anvil_routes_count (const anvil_routes_t *routes);
+const anvil_route_t *anvil_routes_at (const anvil_routes_t *routes, guint index);
+guint anvil_routes_count_services (const anvil_routes_t *routes);
+const anvil_service_t *anvil_routes_service_at (const anvil_routes_t *routes, guint index);
+
+/** anvil_routes_lookup_service - a service by its name, or NULL */
+const anvil_service_t *anvil_routes_lookup_service (const anvil_routes_t *routes, anvil_str_t name);
+
+/**
+ * anvil_routes_match - the route of a request
+ * @host: the Host header, with or without a port
+ * @path: path, a query is ignored
+ *
+ * Return: the route of that host with the longest prefix that begins @path, or NULL.
+ */
+const anvil_route_t *
+anvil_routes_match (const anvil_routes_t *routes, anvil_str_t host, anvil_str_t path);
--- a/source/net/message-pack.c
+++ b/source/net/message-pack.c
@@ -233,6 +233,9 @@
     case ANVIL_FRAME_CONFIG:
       pack_config (&packer, &frame->config);
       return;
+    case ANVIL_FRAME_TASKS:
+      pack_bytes (&packer, frame->tasks);
+      return;
     }
   g_assert_not_reached ();
 }
--- a/source/net/message-unpack.c
+++ b/source/net/message-unpack.c
@@ -390,6 +390,18 @@
   close_record (outer, &reader);
 }
 
+/* Its own reader checks what is inside. */
+static void
+unpack_tasks (reader_t *outer, const msgpack_object *object, anvil_str_t *tasks)
+{
+  if (object == NULL || object->type != MSGPACK_OBJECT_BIN)
+    {
+      fail (outer, "bytes of a message about tasks");
+      return;
+    }
+  *tasks = (anvil_str_t){ .data = object->via.bin.ptr, .length = object->via.bin.size };
+}
+
 static gboolean
 unpack_frame (const msgpack_object *root, anvil_frame_t *frame, GError **error)
 {
@@ -413,6 +425,9 @@
     case ANVIL_FRAME_CONFIG:
       unpack_config (&reader, body, &frame->config);
       break;
+    case ANVIL_FRAME_TASKS:
+      unpack_tasks (&reader, body, &frame->tasks);
+      break;
     default:
       fail (&reader, "a known kind of frame");
     }
--- a/source/net/peers.c
+++ b/source/net/peers.c
@@ -80,6 +80,14 @@
       peers->events.config_arrived (peers->context, from, frame->config.generation,
                                     frame->config.head, frame->config.file);
       break;
+    case ANVIL_FRAME_TASKS:
+      if (peers->events.tasks == NULL)
+        {
+          peers->counters.bad_frames++;
+          return FALSE;
+        }
+      peers->events.tasks (peers->context, from, frame->tasks);
+      break;
     case ANVIL_FRAME_HELLO:
       break;
     }
@@ -298,6 +306,28 @@
   send_frame (peers, to, &frame);
 }
 
+void
+anvil_peers_send_tasks (anvil_peers_t *peers, anvil_node_t to, anvil_str_t bytes)
+{
+  anvil_frame_t *frame = g_new (anvil_frame_t, 1);
+
+  frame->kind = ANVIL_FRAME_TASKS;
+  frame->tasks = bytes;
+  send_frame (peers, to, frame);
+  g_free (frame);
+}
+
+void
+anvil_peers_reset (anvil_peers_t *peers, anvil_node_t to)
+{
+  anvil_peer_link_t *link = g_hash_table_lookup (peers->outgoing, &to);
+
+  if (link == NULL)
+    return;
+  g_hash_table_remove (peers->outgoing, &to);
+  anvil_peer_link_close (link);
+}
+
 const anvil_peers_counters_t *
 anvil_peers_counters (const anvil_peers_t *peers)
 {
--- /dev/null
+++ b/source/relay/relay-caller.c
@@ -0,0 +1,717 @@
+#include "relay/relay-caller.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "anvil/error.h"
+#include "anvil/log.h"
+#include "relay/http-field.h"
+
+/* Requests of one connection that may wait for their answers; more are read later. */
+#define MAX_PENDING 32
+/* How long a connection that we end may still send before it is closed: long enough for our last
+ * answer to arrive, since closing with unread bytes resets it. */
+#define LINGER (1 * ANVIL_SECOND)
+/* Headers that are longer than the configured bound by this are not even read on. */
+#define STATUS_REQUEST_TIMEOUT 408
+#define STATUS_BODY_TOO_LARGE 413
+#define STATUS_HEADERS_TOO_LARGE 431
+
+struct anvil_relay_callers
+{
+  struct event_base *base;
+  const anvil_wire_t *wire;
+  anvil_relay_caller_events_t events;
+  void *context;
+  struct evconnlistener *listener;
+  guint max_connections;
+  gboolean leaving;
+  GHashTable *connections;
+};
+
+/**
+ * turn_t - place of a request in the order of its connection
+ * @request: NULL once it was answered
+ * @answer: NULL until then
+ */
+typedef struct
+{
+  anvil_relay_request_t *request;
+  struct evbuffer *answer;
+  gboolean close;
+} turn_t;
+
+/**
+ * anvil_relay_connection - one caller's connection
+ * @parser: reads requests
+ * @reading: the request that is being read, or NULL
+ * @field: name of the header that is being read
+ * @value: its value
+ * @in_value: the parser is in the value
+ * @header_bytes: bytes of request line and headers so far
+ * @fault: status to answer when what is being read can't be taken, 0 for none
+ * @turns: turn_t in order
+ * @header_timer: runs while headers are read
+ * @paused: too many requests wait, no more is read
+ * @ending: no more requests are taken; closed once all answers are written
+ * @lingering: everything is written; waits for the caller to close
+ */
+struct anvil_relay_connection
+{
+  anvil_relay_callers_t *callers;
+  struct bufferevent *stream;
+  http_parser parser;
+  anvil_relay_request_t *reading;
+  GString *target;
+  GString *field;
+  GString *value;
+  gboolean in_value;
+  gsize header_bytes;
+  guint fault;
+  GQueue turns;
+  struct event *header_timer;
+  gboolean paused;
+  gboolean ending;
+  gboolean lingering;
+};
+
+static void read_more (anvil_relay_connection_t *connection);
+
+static struct timeval
+to_timeval (anvil_time_t time)
+{
+  return (struct timeval){ .tv_sec = time / ANVIL_SECOND, .tv_usec = time % ANVIL_SECOND };
+}
+
+static void
+request_free (anvil_relay_request_t *request)
+{
+  g_free (request->method);
+  g_free (request->target);
+  g_free (request->host);
+  g_string_free (request->headers, TRUE);
+  evbuffer_free (request->body);
+  g_free (request->id);
+  g_free (request->object);
+  g_free (request);
+}
+
+static void
+turn_free (gpointer data)
+{
+  turn_t *turn = data;
+
+  if (turn->answer != NULL)
+    evbuffer_free (turn->answer);
+  g_free (turn);
+}
+
+static void
+connection_free (anvil_relay_connection_t *connection)
+{
+  g_hash_table_remove (connection->callers->connections, connection);
+  if (connection->reading != NULL)
+    request_free (connection->reading);
+  g_string_free (connection->target, TRUE);
+  g_string_free (connection->field, TRUE);
+  g_string_free (connection->value, TRUE);
+  event_free (connection->header_timer);
+  bufferevent_free (connection->stream);
+  g_queue_clear_full (&connection->turns, turn_free);
+  g_free (connection);
+}
+
+/* The caller is gone: whoever handles its requests is told. */
+static void
+lose (anvil_relay_connection_t *connection)
+{
+  anvil_relay_callers_t *callers = connection->callers;
+  GPtrArray *orphans = g_ptr_array_new ();
+
+  for (GList *link = connection->turns.head; link != NULL; link = link->next)
+    {
+      turn_t *turn = link->data;
+
+      if (turn->request == NULL)
+        continue;
+      turn->request->connection = NULL;
+      g_ptr_array_add (orphans, turn->request);
+    }
+  connection_free (connection);
+  for (guint i = 0; i < orphans->len; i++)
+    callers->events.gone (callers->context, orphans->pdata[i]);
+  g_ptr_array_unref (orphans);
+}
+
+/* Every answer was written: the caller closes, or is closed after a while. */
+static void
+linger (anvil_relay_connection_t *connection)
+{
+  struct timeval patience = to_timeval (LINGER);
+
+  connection->lingering = TRUE;
+  shutdown (bufferevent_getfd (connection->stream), SHUT_WR);
+  bufferevent_set_timeouts (connection->stream, &patience, NULL);
+  bufferevent_enable (connection->stream, EV_READ);
+}
+
+static void
+end_if_written (anvil_relay_connection_t *connection)
+{
+  if (connection->ending && !connection->lingering && g_queue_is_empty (&connection->turns)
+      && evbuffer_get_length (bufferevent_get_output (connection->stream)) == 0)
+    linger (connection);
+}
+
+/* Takes no more requests; closes after the answers that are due. */
+static void
+end (anvil_relay_connection_t *connection)
+{
+  connection->ending = TRUE;
+  event_del (connection->header_timer);
+  end_if_written (connection);
+}
+
+/* Writes the answers whose turn has come. */
+static void
+flush (anvil_relay_connection_t *connection)
+{
+  turn_t *turn;
+
+  while ((turn = g_queue_peek_head (&connection->turns)) != NULL && turn->answer != NULL)
+    {
+      gboolean last = turn->close;
+
+      bufferevent_write_buffer (connection->stream, turn->answer);
+      g_queue_pop_head (&connection->turns);
+      turn_free (turn);
+      if (!last)
+        continue;
+      /* What was sent behind it counts as not read and is sent again elsewhere. */
+      while ((turn = g_queue_pop_head (&connection->turns)) != NULL)
+        {
+          anvil_relay_request_t *request = turn->request;
+
+          turn_free (turn);
+          if (request == NULL)
+            continue;
+          request->connection = NULL;
+          connection->callers->events.gone (connection->callers->context, request);
+        }
+      end (connection);
+      return;
+    }
+  end_if_written (connection);
+  if (connection->paused && g_queue_get_length (&connection->turns) < MAX_PENDING)
+    {
+      connection->paused = FALSE;
+      bufferevent_enable (connection->stream, EV_READ);
+      read_more (connection);
+    }
+}
+
+static turn_t *
+find_turn (anvil_relay_connection_t *connection, const anvil_relay_request_t *request)
+{
+  for (GList *link = connection->turns.head; link != NULL; link = link->next)
+    {
+      turn_t *turn = link->data;
+
+      if (turn->request == request)
+        return turn;
+    }
+  return NULL;
+}
+
+static const char *
+reason_phrase (guint status)
+{
+  switch (status)
+    {
+#define PHRASE(code, name, text)                                                                   \
+  case code:                                                                                       \
+    return #text;
+      HTTP_STATUS_MAP (PHRASE)
+#undef PHRASE
+    default:
+      return "Status";
+    }
+}
+
+static gboolean
+has_body (guint status)
+{
+  return status >= 200 && status != 204 && status != 304;
+}
+
+static struct evbuffer *
+format_answer (
+    guint status, anvil_str_t headers, struct evbuffer *body, gboolean head, gboolean close)
+{
+  struct evbuffer *out = evbuffer_new ();
+  gsize length = body != NULL ? evbuffer_get_length (body) : 0;
+
+  evbuffer_add_printf (out, "HTTP/1.1 %u %s\r\n", status, reason_phrase (status));
+  evbuffer_add (out, headers.data, headers.length);
+  if (has_body (status))
+    evbuffer_add_printf (out, "Content-Length: %zu\r\n", length);
+  evbuffer_add_printf (out, close ? "Connection: close\r\n\r\n" : "\r\n");
+  if (body != NULL && has_body (status) && !head)
+    evbuffer_add_buffer (out, body);
+  return out;
+}
+
+void
+anvil_relay_answer (anvil_relay_request_t *request,
+                    guint status,
+                    anvil_str_t headers,
+                    struct evbuffer *body)
+{
+  anvil_relay_connection_t *connection = request->connection;
+  turn_t *turn = connection != NULL ? find_turn (connection, request) : NULL;
+
+  if (turn != NULL)
+    {
+      turn->close = request->close || connection->callers->leaving;
+      turn->answer = format_answer (status, headers, body, request->head, turn->close);
+      turn->request = NULL;
+    }
+  request_free (request);
+  if (turn != NULL)
+    flush (connection);
+}
+
+/* Answers what can't be read as a request, behind the answers that are due, and ends. */
+static void
+reject (anvil_relay_connection_t *connection, guint status)
+{
+  turn_t *turn = g_new0 (turn_t, 1);
+
+  anvil_log (ANVIL_LOG_NOTICE, "caller", "input refused status=%u header_bytes=%zu", status,
+             connection->header_bytes);
+  turn->close = TRUE;
+  turn->answer = format_answer (status, (anvil_str_t){ 0 }, NULL, FALSE, TRUE);
+  g_queue_push_tail (&connection->turns, turn);
+  connection->ending = TRUE;
+  event_del (connection->header_timer);
+  flush (connection);
+}
+
+static const anvil_caller_bounds_t *
+bounds_of (const anvil_relay_connection_t *connection)
+{
+  return connection->callers->events.bounds (connection->callers->context);
+}
+
+/* Takes the header that has been read whole. */
+static void
+take_field (anvil_relay_connection_t *connection)
+{
+  const anvil_wire_t *wire = connection->callers->wire;
+  anvil_relay_request_t *request = connection->reading;
+  anvil_str_t name = { .data = connection->field->str, .length = connection->field->len };
+  anvil_str_t value = { .data = connection->value->str, .length = connection->value->len };
+  gint64 milliseconds;
+
+  if (name.length == 0)
+    return;
+  if (anvil_field_is (name, "Host"))
+    {
+      g_free (request->host);
+      request->host = anvil_str_dup (value);
+    }
+  else if (anvil_field_is (name, wire->deadline))
+    {
+      if (anvil_field_number (value, &milliseconds))
+        request->time_allowed = MAX (milliseconds, 1) * ANVIL_MS;
+      goto out;
+    }
+  else if (anvil_field_is (name, wire->request_id))
+    {
+      g_free (request->id);
+      request->id = anvil_str_dup (value);
+    }
+  else if (anvil_field_is (name, wire->object))
+    {
+      g_free (request->object);
+      request->object = anvil_str_dup (value);
+    }
+  if (!anvil_field_of_connection (name) && !anvil_field_is (name, wire->expected_upstream))
+    anvil_field_append (request->headers, name, value);
+
+out:
+  g_string_truncate (connection->field, 0);
+  g_string_truncate (connection->value, 0);
+}
+
+/* Counts bytes of the headers; non-zero stops the parser. */
+static int
+count_header_bytes (anvil_relay_connection_t *connection, size_t length)
+{
+  connection->header_bytes += length;
+  if (connection->header_bytes <= bounds_of (connection)->max_header_bytes)
+    return 0;
+  connection->fault = STATUS_HEADERS_TOO_LARGE;
+  return 1;
+}
+
+static int
+on_message_begin (http_parser *parser)
+{
+  anvil_relay_connection_t *connection = parser->data;
+  struct timeval patience = to_timeval (bounds_of (connection)->header_timeout);
+
+  connection->reading = g_new0 (anvil_relay_request_t, 1);
+  connection->reading->headers = g_string_new (NULL);
+  connection->reading->body = evbuffer_new ();
+  connection->header_bytes = 0;
+  connection->in_value = FALSE;
+  g_string_truncate (connection->target, 0);
+  g_string_truncate (connection->field, 0);
+  g_string_truncate (connection->value, 0);
+  evtimer_add (connection->header_timer, &patience);
+  return 0;
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t length)
+{
+  anvil_relay_connection_t *connection = parser->data;
+
+  g_string_append_len (connection->target, at, (gssize) length);
+  return count_header_bytes (connection, length);
+}
+
+static int
+on_header_field (http_parser *parser, const char *at, size_t length)
+{
+  anvil_relay_connection_t *connection = parser->data;
+
+  if (connection->in_value)
+    take_field (connection);
+  connection->in_value = FALSE;
+  g_string_append_len (connection->field, at, (gssize) length);
+  return count_header_bytes (connection, length);
+}
+
+static int
+on_header_value (http_parser *parser, const char *at, size_t length)
+{
+  anvil_relay_connection_t *connection = parser->data;
+
+  connection->in_value = TRUE;
+  g_string_append_len (connection->value, at, (gssize) length);
+  return count_header_bytes (connection, length);
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  anvil_relay_connection_t *connection = parser->data;
+
+  take_field (connection);
+  event_del (connection->header_timer);
+  if ((parser->flags & F_CONTENTLENGTH) != 0
+      && parser->content_length > bounds_of (connection)->max_body_bytes)
+    {
+      connection->fault = STATUS_BODY_TOO_LARGE;
+      return -1;
+    }
+  return 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t length)
+{
+  anvil_relay_connection_t *connection = parser->data;
+  struct evbuffer *body = connection->reading->body;
+
+  if (evbuffer_get_length (body) + length > bounds_of (connection)->max_body_bytes)
+    {
+      connection->fault = STATUS_BODY_TOO_LARGE;
+      return 1;
+    }
+  evbuffer_add (body, at, length);
+  return 0;
+}
+
+static int
+on_message_complete (http_parser *parser)
+{
+  anvil_relay_connection_t *connection = parser->data;
+  anvil_relay_request_t *request = g_steal_pointer (&connection->reading);
+  turn_t *turn = g_new0 (turn_t, 1);
+
+  request->connection = connection;
+  request->method = g_strdup (http_method_str (parser->method));
+  request->target = g_strdup (connection->target->str);
+  request->arrived_at = anvil_clock_now ();
+  request->close = !http_should_keep_alive (parser);
+  request->head = parser->method == HTTP_HEAD;
+  turn->request = request;
+  g_queue_push_tail (&connection->turns, turn);
+  /* The parser is left before the request is handed on: its answer may end the connection. */
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_message_begin = on_message_begin,
+  .on_url = on_url,
+  .on_header_field = on_header_field,
+  .on_header_value = on_header_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_message_complete,
+};
+
+/* Parses one contiguous piece of the input; FALSE if nothing more is to be read now. */
+static gboolean
+parse_piece (anvil_relay_connection_t *connection)
+{
+  anvil_relay_callers_t *callers = connection->callers;
+  struct evbuffer *input = bufferevent_get_input (connection->stream);
+  struct evbuffer_iovec piece;
+  enum http_errno fault;
+  size_t parsed;
+
+  if (evbuffer_peek (input, -1, NULL, &piece, 1) < 1 || piece.iov_len == 0)
+    return FALSE;
+  parsed
+      = http_parser_execute (&connection->parser, &parser_settings, piece.iov_base, piece.iov_len);
+  evbuffer_drain (input, parsed);
+  fault = HTTP_PARSER_ERRNO (&connection->parser);
+  if (fault == HPE_PAUSED)
+    {
+      turn_t *turn = g_queue_peek_tail (&connection->turns);
+
+      http_parser_pause (&connection->parser, 0);
+      if (turn->request->close)
+        connection->ending = TRUE;
+      if (g_queue_get_length (&connection->turns) >= MAX_PENDING)
+        {
+          connection->paused = TRUE;
+          bufferevent_disable (connection->stream, EV_READ);
+        }
+      callers->events.request (callers->context, turn->request);
+      return TRUE;
+    }
+  if (fault == HPE_OK && !connection->parser.upgrade)
+    return TRUE;
+  reject (connection, connection->fault != 0 ? connection->fault : 400);
+  return FALSE;
+}
+
+static void
+read_more (anvil_relay_connection_t *connection)
+{
+  anvil_relay_callers_t *callers = connection->callers;
+
+  /* A request's answer may end the connection and free it. */
+  while (g_hash_table_contains (callers->connections, connection) && !connection->ending
+         && !connection->paused)
+    {
+      if (!parse_piece (connection))
+        return;
+    }
+}
+
+static void
+on_read (struct bufferevent *stream, void *data)
+{
+  anvil_relay_connection_t *connection = data;
+  struct evbuffer *input = bufferevent_get_input (stream);
+
+  if (connection->ending)
+    evbuffer_drain (input, evbuffer_get_length (input));
+  else
+    read_more (connection);
+}
+
+static void
+on_written (struct bufferevent *stream, void *data)
+{
+  end_if_written (data);
+}
+
+/* Nothing came for as long as a caller may be idle. */
+static void
+on_idle (anvil_relay_connection_t *connection)
+{
+  if (connection->lingering)
+    lose (connection);
+  else if (!g_queue_is_empty (&connection->turns) || connection->paused)
+    bufferevent_enable (connection->stream, EV_READ);
+  else if (connection->reading != NULL)
+    reject (connection, STATUS_REQUEST_TIMEOUT);
+  else
+    end (connection);
+}
+
+static void
+on_event (struct bufferevent *stream, short what, void *data)
+{
+  anvil_relay_connection_t *connection = data;
+
+  if ((what & BEV_EVENT_TIMEOUT) != 0 && (what & BEV_EVENT_READING) != 0)
+    on_idle (connection);
+  else if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
+    lose (connection);
+}
+
+static void
+on_header_timeout (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  reject (data, STATUS_REQUEST_TIMEOUT);
+}
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *address,
+           int length,
+           void *data)
+{
+  anvil_relay_callers_t *callers = data;
+  anvil_relay_connection_t *connection;
+  struct timeval idle;
+  int on = 1;
+
+  if (g_hash_table_size (callers->connections) >= callers->max_connections)
+    {
+      anvil_log (ANVIL_LOG_WARNING, "caller", "connection refused, too many are open open=%u",
+                 g_hash_table_size (callers->connections));
+      evutil_closesocket (fd);
+      return;
+    }
+  connection = g_new0 (anvil_relay_connection_t, 1);
+  connection->callers = callers;
+  connection->stream = bufferevent_socket_new (callers->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  connection->target = g_string_new (NULL);
+  connection->field = g_string_new (NULL);
+  connection->value = g_string_new (NULL);
+  connection->header_timer = evtimer_new (callers->base, on_header_timeout, connection);
+  g_queue_init (&connection->turns);
+  http_parser_init (&connection->parser, HTTP_REQUEST);
+  connection->parser.data = connection;
+  g_hash_table_add (callers->connections, connection);
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  idle = to_timeval (bounds_of (connection)->idle_timeout);
+  bufferevent_setcb (connection->stream, on_read, on_written, on_event, connection);
+  bufferevent_set_timeouts (connection->stream, &idle, &idle);
+  bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
+}
+
+static void
+on_accept_error (struct evconnlistener *listener, void *data)
+{
+  anvil_log (ANVIL_LOG_ERROR, "caller", "can't accept error=\"%s\"", g_strerror (errno));
+}
+
+anvil_relay_callers_t *
+anvil_relay_callers_open (struct event_base *base,
+                          guint32 address,
+                          guint16 port,
+                          const anvil_wire_t *wire,
+                          guint max_connections,
+                          const anvil_relay_caller_events_t *events,
+                          void *context,
+                          GError **error)
+{
+  struct sockaddr_in local
+      = { .sin_family = AF_INET, .sin_port = htons (port), .sin_addr.s_addr = htonl (address) };
+  anvil_relay_callers_t *callers = g_new0 (anvil_relay_callers_t, 1);
+
+  callers->base = base;
+  callers->wire = wire;
+  callers->events = *events;
+  callers->context = context;
+  callers->max_connections = max_connections;
+  callers->connections = g_hash_table_new (NULL, NULL);
+  callers->listener = evconnlistener_new_bind (
+      base, on_accept, callers, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      SOMAXCONN, (struct sockaddr *) &local, sizeof local);
+  if (callers->listener == NULL)
+    {
+      g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_IO, "can't listen for callers on port %u: %s",
+                   port, g_strerror (errno));
+      g_hash_table_unref (callers->connections);
+      g_free (callers);
+      return NULL;
+    }
+  evconnlistener_set_error_cb (callers->listener, on_accept_error);
+  return callers;
+}
+
+static GList *
+all_connections (anvil_relay_callers_t *callers)
+{
+  return g_hash_table_get_keys (callers->connections);
+}
+
+void
+anvil_relay_callers_close (anvil_relay_callers_t *callers)
+{
+  GList *open;
+
+  if (callers == NULL)
+    return;
+  evconnlistener_free (callers->listener);
+  open = all_connections (callers);
+  for (GList *link = open; link != NULL; link = link->next)
+    lose (link->data);
+  g_list_free (open);
+  g_hash_table_unref (callers->connections);
+  g_free (callers);
+}
+
+void
+anvil_relay_callers_leave (anvil_relay_callers_t *callers)
+{
+  callers->leaving = TRUE;
+}
+
+guint
+anvil_relay_callers_unsent (const anvil_relay_callers_t *callers)
+{
+  GHashTableIter iter;
+  gpointer key;
+  guint unsent = 0;
+
+  g_hash_table_iter_init (&iter, callers->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const anvil_relay_connection_t *connection = key;
+
+      if (connection->turns.length > 0 || connection->reading != NULL
+          || evbuffer_get_length (bufferevent_get_output (connection->stream)) > 0)
+        unsent++;
+    }
+  return unsent;
+}
+
+guint
+anvil_relay_callers_count (const anvil_relay_callers_t *callers)
+{
+  return g_hash_table_size (callers->connections);
+}
+
+guint16
+anvil_relay_callers_port (const anvil_relay_callers_t *callers)
+{
+  struct sockaddr_in local;
+  socklen_t length = sizeof local;
+
+  if (getsockname (evconnlistener_get_fd (callers->listener), (struct sockaddr *) &local, &length)
+      != 0)
+    return 0;
+  return ntohs (local.sin_port);
+}
--- /dev/null
+++ b/source/relay/relay-caller.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+
+#include "anvil/clock.h"
+#include "anvil/routes.h"
+#include "anvil/wire.h"
+
+/*
+ * Connections of callers.
+ *
+ * evhttp answers malformed input with pages of its own and hides a caller's
+ * leaving, so connections are bufferevents with http_parser. Requests of a
+ * connection are handed on as soon as they are whole, also several at once;
+ * their answers go out in the order of the requests.
+ */
+
+typedef struct anvil_relay_callers anvil_relay_callers_t;
+typedef struct anvil_relay_connection anvil_relay_connection_t;
+
+/**
+ * anvil_relay_request_t - a whole request of a caller
+ * @connection: where its answer goes; NULL once the caller has left
+ * @method: as it was sent
+ * @target: path and query as they were sent
+ * @host: the Host header
+ * @headers: the headers that are passed on, "Name: value\r\n" each
+ * @body: its body, without chunks
+ * @id: the caller's id of it, or NULL
+ * @object: what it is about, or NULL
+ * @time_allowed: how long the caller waits, microseconds; 0 if it didn't say
+ * @arrived_at: when it was whole, monotonic clock
+ * @close: the connection ends with its answer
+ * @head: the answer must have no body
+ * @owner: for whoever handles it
+ */
+typedef struct
+{
+  anvil_relay_connection_t *connection;
+  char *method;
+  char *target;
+  char *host;
+  GString *headers;
+  struct evbuffer *body;
+  char *id;
+  char *object;
+  anvil_time_t time_allowed;
+  anvil_time_t arrived_at;
+  gboolean close;
+  gboolean head;
+  void *owner;
+} anvil_relay_request_t;
+
+/**
+ * anvil_relay_caller_events_t - what callers do
+ * @request: a whole request; answered once by anvil_relay_answer(), also if
+ *   the caller leaves
+ * @gone: the caller of an unanswered request has left
+ * @bounds: what callers may send now; borrowed
+ */
+typedef struct
+{
+  void (*request) (void *context, anvil_relay_request_t *request);
+  void (*gone) (void *context, anvil_relay_request_t *request);
+  const anvil_caller_bounds_t *(*bounds) (void *context);
+} anvil_relay_caller_events_t;
+
+/**
+ * anvil_relay_callers_open - listens for callers
+ * @wire: names of headers; borrowed
+ * @max_connections: more are closed at once
+ */
+anvil_relay_callers_t *anvil_relay_callers_open (struct event_base *base,
+                                                 guint32 address,
+                                                 guint16 port,
+                                                 const anvil_wire_t *wire,
+                                                 guint max_connections,
+                                                 const anvil_relay_caller_events_t *events,
+                                                 void *context,
+                                                 GError **error);
+
+/** anvil_relay_callers_close - every request must have been answered or have lost its caller */
+void anvil_relay_callers_close (anvil_relay_callers_t *callers);
+
+/** anvil_relay_callers_leave - answers from now on end their connections, idle ones end now */
+void anvil_relay_callers_leave (anvil_relay_callers_t *callers);
+
+/** anvil_relay_callers_unsent - connections with an answer that isn't written yet */
+guint anvil_relay_callers_unsent (const anvil_relay_callers_t *callers);
+guint anvil_relay_callers_count (const anvil_relay_callers_t *callers);
+
+/** anvil_relay_callers_port - port that is listened on */
+guint16 anvil_relay_callers_port (const anvil_relay_callers_t *callers);
+
+/**
+ * anvil_relay_answer - answers and frees a request
+ * @headers: "Name: value\r\n" each, without those of the connection or the length
+ * @body: moved out of this buffer, or NULL
+ */
+void anvil_relay_answer (anvil_relay_request_t *request,
+                         guint status,
+                         anvil_str_t headers,
+                         struct evbuffer *body);
--- /dev/null
+++ b/source/relay/relay-desk.c
@@ -0,0 +1,629 @@
+#include "relay/relay-desk.h"
+
+#include <string.h>
+
+#include "anvil/log.h"
+#include "anvil/peers.h"
+#include "relay/relay-message.h"
+
+/* How often the preferred region of each service is worked out again. */
+#define REGION_PERIOD (1 * ANVIL_SECOND)
+/* Pings without an answer after which the link is opened anew: it may be dead while others work. */
+#define PINGS_TO_RESET 2
+
+/**
+ * service_t - a service as this entry asks for it
+ * @region: region with most of its slots, or NULL; borrowed from the settings
+ * @holder: who is asked
+ */
+typedef struct
+{
+  char *name;
+  const char *region;
+  anvil_node_t holder;
+} service_t;
+
+/** local_t - an answer of this entry's own dispatcher, told from the event loop */
+typedef struct
+{
+  guint64 number;
+  gboolean granted;
+  anvil_grant_t grant;
+  anvil_task_refusal_t why;
+  anvil_time_t come_back;
+} local_t;
+
+struct anvil_relay_desk
+{
+  const anvil_relay_settings_t *settings;
+  const anvil_registry_t *registry;
+  anvil_relay_desk_events_t events;
+  void *context;
+  anvil_node_t self;
+  anvil_dispatcher_t *dispatcher;
+  anvil_members_t *members;
+  anvil_peers_t *peers;
+  /* service_t by name. */
+  GHashTable *services;
+  /* Nodes that answered at the last look. */
+  GHashTable *answering;
+  GQueue local;
+  struct event *deliver;
+  struct event *tick;
+  anvil_time_t regions_at;
+};
+
+static const char *
+region_of (void *context, const char *zone)
+{
+  const anvil_relay_desk_t *desk = context;
+
+  return anvil_relay_settings_region (desk->settings, zone);
+}
+
+static void
+send_message (anvil_relay_desk_t *desk, anvil_node_t to, const anvil_relay_message_t *message)
+{
+  GByteArray *bytes = g_byte_array_new ();
+
+  anvil_relay_message_pack (message, bytes);
+  anvil_peers_send_tasks (
+      desk->peers, to, (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len });
+  g_byte_array_unref (bytes);
+}
+
+static void
+post_local (anvil_relay_desk_t *desk, const local_t *local)
+{
+  local_t *copy = g_memdup2 (local, sizeof *local);
+
+  copy->grant.upstream_id = anvil_str (anvil_str_dup (local->grant.upstream_id));
+  copy->grant.zone = anvil_str (anvil_str_dup (local->grant.zone));
+  g_queue_push_tail (&desk->local, copy);
+  event_active (desk->deliver, EV_TIMEOUT, 0);
+}
+
+static void
+local_free (local_t *local)
+{
+  g_free ((char *) local->grant.upstream_id.data);
+  g_free ((char *) local->grant.zone.data);
+  g_free (local);
+}
+
+static void
+on_deliver (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  anvil_relay_desk_t *desk = data;
+  local_t *local;
+
+  while ((local = g_queue_pop_head (&desk->local)) != NULL)
+    {
+      if (local->granted)
+        desk->events.granted (desk->context, local->number, desk->self, &local->grant);
+      else
+        desk->events.refused (desk->context, local->number, desk->self, local->why,
+                              local->come_back);
+      local_free (local);
+    }
+}
+
+static void
+act_grant (void *context, anvil_task_id_t id, const anvil_grant_t *grant)
+{
+  anvil_relay_desk_t *desk = context;
+  const anvil_relay_message_t message
+      = { .kind = ANVIL_RELAY_GRANT, .number = id.number, .grant = *grant };
+  const local_t local = { .number = id.number, .granted = TRUE, .grant = *grant };
+
+  if (id.asker == desk->self)
+    post_local (desk, &local);
+  else
+    send_message (desk, id.asker, &message);
+}
+
+static void
+act_refuse (void *context, anvil_task_id_t id, anvil_task_refusal_t why, anvil_time_t come_back)
+{
+  anvil_relay_desk_t *desk = context;
+  const anvil_relay_message_t message
+      = { .kind = ANVIL_RELAY_REFUSE, .number = id.number, .why = why, .come_back = come_back };
+  const local_t local = { .number = id.number, .why = why, .come_back = come_back };
+
+  if (id.asker == desk->self)
+    post_local (desk, &local);
+  else
+    send_message (desk, id.asker, &message);
+}
+
+static const anvil_dispatcher_actions_t dispatcher_actions
+    = { .grant = act_grant, .refuse = act_refuse };
+
+static void
+take_task (anvil_relay_desk_t *desk, anvil_node_t from, const anvil_relay_message_t *message)
+{
+  anvil_time_t now = anvil_clock_now ();
+  anvil_task_t task = message->task;
+
+  task.id = (anvil_task_id_t){ .asker = from, .number = message->number };
+  task.target += now;
+  task.deadline += now;
+  if (message->kind == ANVIL_RELAY_ASK)
+    anvil_dispatcher_submit (desk->dispatcher, now, &task);
+  else
+    anvil_dispatcher_adopt (desk->dispatcher, now, &task, message->upstream);
+}
+
+static void
+take_pong (anvil_relay_desk_t *desk, anvil_node_t from, const anvil_relay_message_t *message)
+{
+  anvil_time_t now = anvil_clock_now ();
+
+  if (!anvil_members_answered (desk->members, now, from, &message->info,
+                               (anvil_time_t) message->number))
+    return;
+  anvil_log (ANVIL_LOG_NOTICE, "desk", "peer has restarted vm=%.*s",
+             ANVIL_STR_ARGS (message->info.name));
+  anvil_dispatcher_asker_lost (desk->dispatcher, now, from);
+  desk->events.peer_restarted (desk->context, from);
+}
+
+static void
+answer_ping (anvil_relay_desk_t *desk, anvil_node_t from, const anvil_relay_message_t *message)
+{
+  const anvil_relay_message_t pong = { .kind = ANVIL_RELAY_PONG,
+                                       .number = message->number,
+                                       .info = *anvil_members_self (desk->members) };
+
+  anvil_members_heard (desk->members, from, &message->info);
+  send_message (desk, from, &pong);
+}
+
+static void
+on_tasks (void *context, anvil_node_t from, anvil_str_t bytes)
+{
+  anvil_relay_desk_t *desk = context;
+  const anvil_task_id_t id = { .asker = from };
+  anvil_task_id_t task = id;
+  anvil_relay_message_t message;
+  GError *error = NULL;
+
+  if (!anvil_relay_message_unpack (bytes, &message, &error))
+    {
+      anvil_log (ANVIL_LOG_WARNING, "desk", "message dropped reason=\"%s\"", error->message);
+      g_error_free (error);
+      return;
+    }
+  task.number = message.number;
+  switch (message.kind)
+    {
+    case ANVIL_RELAY_PING:
+      answer_ping (desk, from, &message);
+      return;
+    case ANVIL_RELAY_PONG:
+      take_pong (desk, from, &message);
+      return;
+    case ANVIL_RELAY_ASK:
+    case ANVIL_RELAY_ADOPT:
+      take_task (desk, from, &message);
+      return;
+    case ANVIL_RELAY_GRANT:
+      desk->events.granted (desk->context, message.number, from, &message.grant);
+      return;
+    case ANVIL_RELAY_REFUSE:
+      desk->events.refused (desk->context, message.number, from, message.why, message.come_back);
+      return;
+    case ANVIL_RELAY_FINISHED:
+      anvil_dispatcher_finished (desk->dispatcher, anvil_clock_now (), task, &message.report);
+      return;
+    case ANVIL_RELAY_WITHDRAW:
+      anvil_dispatcher_withdraw (desk->dispatcher, anvil_clock_now (), task);
+      return;
+    }
+}
+
+/* Files of the operators don't travel between these entries. */
+static void
+on_message (void *context, anvil_node_t from, const anvil_message_t *message)
+{
+  anvil_log (ANVIL_LOG_WARNING, "desk", "message of an entry with seats ignored kind=%d",
+             (int) message->kind);
+}
+
+static void
+on_config_asked (void *context, anvil_node_t from, guint64 generation)
+{
+  anvil_log (ANVIL_LOG_WARNING, "desk", "question for an operators' file ignored");
+}
+
+static void
+on_config_arrived (
+    void *context, anvil_node_t from, guint64 generation, anvil_str_t head, anvil_str_t file)
+{
+  anvil_log (ANVIL_LOG_WARNING, "desk", "operators' file ignored");
+}
+
+static const anvil_peers_events_t peers_events = {
+  .message = on_message,
+  .config_asked = on_config_asked,
+  .config_arrived = on_config_arrived,
+  .tasks = on_tasks,
+};
+
+static void
+ping_peer (anvil_relay_desk_t *desk, anvil_time_t now, anvil_peer_t *peer)
+{
+  const anvil_relay_message_t ping = { .kind = ANVIL_RELAY_PING,
+                                       .number = (guint64) now,
+                                       .info = *anvil_members_self (desk->members) };
+  anvil_time_t period = anvil_members_ping_period (desk->members);
+
+  if (now - peer->pinged_at < period)
+    return;
+  if (peer->pinged_at > 0 && now - peer->answered_at > PINGS_TO_RESET * period + peer->round_trip)
+    anvil_peers_reset (desk->peers, peer->node);
+  peer->pinged_at = now;
+  send_message (desk, peer->node, &ping);
+}
+
+/* Notes peers that stopped or began to answer. */
+static void
+watch_peer (anvil_relay_desk_t *desk, anvil_time_t now, const anvil_peer_t *peer)
+{
+  gboolean answers = anvil_members_answers (desk->members, now, peer);
+  gboolean answered = g_hash_table_contains (desk->answering, &peer->node);
+
+  if (answers == answered)
+    return;
+  if (answers)
+    g_hash_table_add (desk->answering, g_memdup2 (&peer->node, sizeof peer->node));
+  else
+    {
+      g_hash_table_remove (desk->answering, &peer->node);
+      anvil_dispatcher_asker_lost (desk->dispatcher, now, peer->node);
+    }
+  anvil_log (ANVIL_LOG_NOTICE, "desk",
+             "%s vm=%s zone=%s silent_ms=%" G_GINT64_FORMAT " round_trip_us=%" G_GINT64_FORMAT,
+             answers ? "peer answers" : "peer doesn't answer any more",
+             peer->info.name.data != NULL ? peer->info.name.data : "-",
+             peer->info.zone.data != NULL ? peer->info.zone.data : "-",
+             (now - peer->answered_at) / ANVIL_MS, peer->round_trip);
+}
+
+typedef struct
+{
+  anvil_relay_desk_t *desk;
+  GHashTable *slots;
+} region_count_t;
+
+/* Adds an upstream's slots to those of its service in its region. */
+static void
+count_region (void *context, const anvil_registered_t *upstream)
+{
+  region_count_t *count = context;
+  const char *region = anvil_relay_settings_region (count->desk->settings, upstream->zone);
+  char *key;
+  gpointer slots;
+
+  if (region == NULL)
+    return;
+  key = g_strconcat (upstream->service, "\n", region, NULL);
+  slots = g_hash_table_lookup (count->slots, key);
+  g_hash_table_insert (count->slots, key,
+                       GUINT_TO_POINTER (GPOINTER_TO_UINT (slots) + upstream->slots));
+}
+
+static const char *
+largest_region (const anvil_relay_desk_t *desk, GHashTable *slots, const char *service)
+{
+  GHashTableIter iter;
+  gpointer region;
+  const char *best = NULL;
+  guint best_slots = 0;
+
+  g_hash_table_iter_init (&iter, desk->settings->regions);
+  while (g_hash_table_iter_next (&iter, NULL, &region))
+    {
+      char *key = g_strconcat (service, "\n", region, NULL);
+      guint n = GPOINTER_TO_UINT (g_hash_table_lookup (slots, key));
+
+      if (n > best_slots || (n > 0 && n == best_slots && strcmp (region, best) < 0))
+        {
+          best = region;
+          best_slots = n;
+        }
+      g_free (key);
+    }
+  return best;
+}
+
+static void
+place_services (anvil_relay_desk_t *desk, anvil_time_t now)
+{
+  region_count_t count = { .desk = desk };
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now - desk->regions_at < REGION_PERIOD)
+    return;
+  desk->regions_at = now;
+  count.slots = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  anvil_registry_each (desk->registry, count_region, &count);
+  g_hash_table_iter_init (&iter, desk->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      service_t *service = value;
+
+      service->region = largest_region (desk, count.slots, service->name);
+    }
+  g_hash_table_unref (count.slots);
+}
+
+static void
+choose_holders (anvil_relay_desk_t *desk, anvil_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, desk->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      service_t *service = value;
+      anvil_node_t holder
+          = anvil_members_holder (desk->members, now, anvil_str (service->name), service->region);
+      const anvil_peer_t *peer = anvil_members_lookup (desk->members, holder);
+
+      if (holder == service->holder)
+        continue;
+      service->holder = holder;
+      anvil_log (ANVIL_LOG_NOTICE, "desk", "slots are held elsewhere now service=%s holder=%s",
+                 service->name, peer != NULL ? peer->info.name.data : desk->settings->vm);
+      desk->events.holder_changed (desk->context, service->name, holder);
+    }
+}
+
+static void
+on_tick (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  anvil_relay_desk_t *desk = data;
+  anvil_time_t now = anvil_clock_now ();
+  anvil_time_t distance;
+
+  for (guint i = 0; i < anvil_members_count (desk->members); i++)
+    {
+      anvil_peer_t *peer = anvil_members_at (desk->members, i);
+
+      ping_peer (desk, now, peer);
+      watch_peer (desk, now, peer);
+    }
+  place_services (desk, now);
+  choose_holders (desk, now);
+  distance = anvil_members_round_trip (desk->members);
+  if (distance > 0)
+    anvil_dispatcher_set_distance (desk->dispatcher, distance);
+  anvil_dispatcher_tick (desk->dispatcher, now);
+}
+
+static void
+service_free (gpointer data)
+{
+  service_t *service = data;
+
+  g_free (service->name);
+  g_free (service);
+}
+
+static anvil_members_t *
+new_members (anvil_relay_desk_t *desk)
+{
+  const anvil_relay_settings_t *settings = desk->settings;
+  const anvil_member_info_t info
+      = { .name = anvil_str (settings->vm),
+          .zone = anvil_str (settings->zone),
+          .incarnation = ((guint64) g_random_int () << 32) | g_random_int (),
+          .caller_port = settings->callers.port };
+  anvil_members_t *members = anvil_members_new (desk->self, &info, region_of, desk);
+
+  for (guint i = 0; i < settings->n_seeds; i++)
+    anvil_members_learn (members, settings->seeds[i]);
+  return members;
+}
+
+anvil_relay_desk_t *
+anvil_relay_desk_open (struct event_base *base,
+                       const anvil_relay_settings_t *settings,
+                       const anvil_registry_t *registry,
+                       const anvil_relay_desk_events_t *events,
+                       void *context,
+                       GError **error)
+{
+  anvil_relay_desk_t *desk = g_new0 (anvil_relay_desk_t, 1);
+  const struct timeval period = { .tv_usec = ANVIL_DISPATCHER_TICK };
+
+  desk->settings = settings;
+  desk->registry = registry;
+  desk->events = *events;
+  desk->context = context;
+  desk->self = anvil_node (settings->peers.address, settings->peers.port);
+  desk->peers = anvil_peers_open (base, desk->self, &peers_events, desk, error);
+  if (desk->peers == NULL)
+    {
+      g_free (desk);
+      return NULL;
+    }
+  desk->dispatcher = anvil_dispatcher_new (&settings->bounds, &dispatcher_actions, desk);
+  desk->members = new_members (desk);
+  desk->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  desk->answering = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  g_queue_init (&desk->local);
+  desk->deliver = event_new (base, -1, 0, on_deliver, desk);
+  desk->tick = event_new (base, -1, EV_PERSIST, on_tick, desk);
+  event_add (desk->tick, &period);
+  return desk;
+}
+
+void
+anvil_relay_desk_close (anvil_relay_desk_t *desk)
+{
+  local_t *local;
+
+  if (desk == NULL)
+    return;
+  event_free (desk->tick);
+  event_free (desk->deliver);
+  anvil_peers_close (desk->peers);
+  while ((local = g_queue_pop_head (&desk->local)) != NULL)
+    local_free (local);
+  anvil_dispatcher_drop (desk->dispatcher);
+  anvil_members_drop (desk->members);
+  g_hash_table_unref (desk->services);
+  g_hash_table_unref (desk->answering);
+  g_free (desk);
+}
+
+static service_t *
+service_for (anvil_relay_desk_t *desk, const char *name)
+{
+  service_t *service = g_hash_table_lookup (desk->services, name);
+
+  if (service != NULL)
+    return service;
+  service = g_new0 (service_t, 1);
+  service->name = g_strdup (name);
+  service->holder
+      = anvil_members_holder (desk->members, anvil_clock_now (), anvil_str (name), NULL);
+  g_hash_table_insert (desk->services, service->name, service);
+  desk->regions_at = 0;
+  return service;
+}
+
+anvil_node_t
+anvil_relay_desk_holder (anvil_relay_desk_t *desk, const char *service)
+{
+  return service_for (desk, service)->holder;
+}
+
+/* A task as it travels: with times left instead of times. */
+static anvil_relay_message_t
+task_message (anvil_relay_kind_t kind, const anvil_task_t *task)
+{
+  anvil_time_t now = anvil_clock_now ();
+  anvil_relay_message_t message = { .kind = kind, .number = task->id.number, .task = *task };
+
+  message.task.target -= now;
+  message.task.deadline -= now;
+  return message;
+}
+
+void
+anvil_relay_desk_ask (anvil_relay_desk_t *desk, anvil_node_t holder, const anvil_task_t *task)
+{
+  anvil_relay_message_t message = task_message (ANVIL_RELAY_ASK, task);
+
+  if (holder == desk->self)
+    anvil_dispatcher_submit (desk->dispatcher, anvil_clock_now (), task);
+  else
+    send_message (desk, holder, &message);
+}
+
+void
+anvil_relay_desk_adopt (anvil_relay_desk_t *desk,
+                        anvil_node_t holder,
+                        const anvil_task_t *task,
+                        guint64 upstream)
+{
+  anvil_relay_message_t message = task_message (ANVIL_RELAY_ADOPT, task);
+
+  message.upstream = upstream;
+  if (holder == desk->self)
+    anvil_dispatcher_adopt (desk->dispatcher, anvil_clock_now (), task, upstream);
+  else
+    send_message (desk, holder, &message);
+}
+
+void
+anvil_relay_desk_withdraw (anvil_relay_desk_t *desk, anvil_node_t holder, guint64 number)
+{
+  const anvil_relay_message_t message = { .kind = ANVIL_RELAY_WITHDRAW, .number = number };
+  const anvil_task_id_t id = { .asker = desk->self, .number = number };
+
+  if (holder == desk->self)
+    anvil_dispatcher_withdraw (desk->dispatcher, anvil_clock_now (), id);
+  else
+    send_message (desk, holder, &message);
+}
+
+void
+anvil_relay_desk_finished (anvil_relay_desk_t *desk,
+                           anvil_node_t holder,
+                           guint64 number,
+                           const anvil_run_report_t *report)
+{
+  const anvil_relay_message_t message
+      = { .kind = ANVIL_RELAY_FINISHED, .number = number, .report = *report };
+  const anvil_task_id_t id = { .asker = desk->self, .number = number };
+
+  if (holder == desk->self)
+    anvil_dispatcher_finished (desk->dispatcher, anvil_clock_now (), id, report);
+  else
+    send_message (desk, holder, &message);
+}
+
+void
+anvil_relay_desk_upstream (anvil_relay_desk_t *desk,
+                           anvil_time_t now,
+                           const anvil_registered_t *upstream,
+                           anvil_registry_change_t change)
+{
+  const char *region = anvil_relay_settings_region (desk->settings, upstream->zone);
+
+  if (change == ANVIL_REGISTRY_LEFT)
+    anvil_dispatcher_upstream_left (desk->dispatcher, now, upstream->key);
+  else
+    anvil_dispatcher_upstream (desk->dispatcher, now, upstream, anvil_str (region), change);
+}
+
+void
+anvil_relay_desk_routes (anvil_relay_desk_t *desk, const anvil_routes_t *routes)
+{
+  for (guint i = 0; i < anvil_routes_count_services (routes); i++)
+    {
+      const anvil_service_t *service = anvil_routes_service_at (routes, i);
+
+      anvil_dispatcher_set_service (desk->dispatcher, service);
+      service_for (desk, service->name);
+    }
+}
+
+void
+anvil_relay_desk_set_bounds (anvil_relay_desk_t *desk, const anvil_dispatcher_bounds_t *bounds)
+{
+  anvil_dispatcher_set_bounds (desk->dispatcher, bounds);
+}
+
+void
+anvil_relay_desk_set_state (anvil_relay_desk_t *desk, gboolean ready, gboolean leaving)
+{
+  anvil_member_info_t *info = anvil_members_self (desk->members);
+
+  info->ready = ready;
+  info->leaving = leaving;
+}
+
+anvil_members_t *
+anvil_relay_desk_members (anvil_relay_desk_t *desk)
+{
+  return desk->members;
+}
+
+const anvil_dispatcher_t *
+anvil_relay_desk_dispatcher (const anvil_relay_desk_t *desk)
+{
+  return desk->dispatcher;
+}
+
+anvil_node_t
+anvil_relay_desk_self (const anvil_relay_desk_t *desk)
+{
+  return desk->self;
+}
--- /dev/null
+++ b/source/relay/relay-desk.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <event2/event.h>
+
+#include "anvil/members.h"
+#include "anvil/registry.h"
+#include "relay/relay-settings.h"
+
+/*
+ * Where this entry asks for slots, and where it lends those that it holds.
+ *
+ * For each service one entry holds the slots of all its upstreams. The desk
+ * asks that entry, over the link between them or straight if it is this one,
+ * and turns to the next when it stops answering.
+ */
+
+typedef struct anvil_relay_desk anvil_relay_desk_t;
+
+/**
+ * anvil_relay_desk_events_t - answers to what was asked; never from inside a call to the desk
+ * @granted: a slot; @from must be told by anvil_relay_desk_finished(), also of one not wanted any
+ * more
+ * @refused: no slot
+ * @holder_changed: tasks of @service must be asked for again at the new holder
+ * @peer_restarted: a peer has forgotten what was asked there
+ */
+typedef struct
+{
+  void (*granted) (void *context, guint64 number, anvil_node_t from, const anvil_grant_t *grant);
+  void (*refused) (void *context,
+                   guint64 number,
+                   anvil_node_t from,
+                   anvil_task_refusal_t why,
+                   anvil_time_t come_back);
+  void (*holder_changed) (void *context, const char *service, anvil_node_t holder);
+  void (*peer_restarted) (void *context, anvil_node_t peer);
+} anvil_relay_desk_events_t;
+
+/** anvil_relay_desk_open - listens for peers */
+anvil_relay_desk_t *anvil_relay_desk_open (struct event_base *base,
+                                           const anvil_relay_settings_t *settings,
+                                           const anvil_registry_t *registry,
+                                           const anvil_relay_desk_events_t *events,
+                                           void *context,
+                                           GError **error);
+void anvil_relay_desk_close (anvil_relay_desk_t *desk);
+
+/** anvil_relay_desk_holder - who is asked for slots of a service now */
+anvil_node_t anvil_relay_desk_holder (anvil_relay_desk_t *desk, const char *service);
+
+/** anvil_relay_desk_ask - a task for @holder; asking again for the same is harmless */
+void anvil_relay_desk_ask (anvil_relay_desk_t *desk, anvil_node_t holder, const anvil_task_t *task);
+
+/** anvil_relay_desk_adopt - tells a new holder of a task that is under way */
+void anvil_relay_desk_adopt (anvil_relay_desk_t *desk,
+                             anvil_node_t holder,
+                             const anvil_task_t *task,
+                             guint64 upstream);
+void anvil_relay_desk_withdraw (anvil_relay_desk_t *desk, anvil_node_t holder, guint64 number);
+void anvil_relay_desk_finished (anvil_relay_desk_t *desk,
+                                anvil_node_t holder,
+                                guint64 number,
+                                const anvil_run_report_t *report);
+
+/** anvil_relay_desk_upstream - the registry changed; see anvil_registry_events_t */
+void anvil_relay_desk_upstream (anvil_relay_desk_t *desk,
+                                anvil_time_t now,
+                                const anvil_registered_t *upstream,
+                                anvil_registry_change_t change);
+
+/** anvil_relay_desk_routes - services of a new configuration */
+void anvil_relay_desk_routes (anvil_relay_desk_t *desk, const anvil_routes_t *routes);
+
+/** anvil_relay_desk_set_bounds - other limits that entries keep together */
+void anvil_relay_desk_set_bounds (anvil_relay_desk_t *desk,
+                                  const anvil_dispatcher_bounds_t *bounds);
+
+/** anvil_relay_desk_set_state - what peers are told of this entry */
+void anvil_relay_desk_set_state (anvil_relay_desk_t *desk, gboolean ready, gboolean leaving);
+
+anvil_members_t *anvil_relay_desk_members (anvil_relay_desk_t *desk);
+const anvil_dispatcher_t *anvil_relay_desk_dispatcher (const anvil_relay_desk_t *desk);
+anvil_node_t anvil_relay_desk_self (const anvil_relay_desk_t *desk);
--- /dev/null
+++ b/source/steer/dispatcher.c
@@ -0,0 +1,639 @@
+#include "anvil/dispatcher.h"
+
+#include <string.h>
+
+#include "anvil/log.h"
+#include "steer/dispatch-internal.h"
+
+/* Share of the common retry budget that one holder spends; two may act at the same time while
+ * entries disagree, and some is left for what neither sees. */
+#define RETRY_SHARE 0.4
+/* Failures in a row after which an upstream gets nothing for a while. */
+#define FAILURES_TO_EJECT 2
+/* First and longest time that an upstream is left alone after failures. */
+#define EJECTION (500 * ANVIL_MS)
+#define MAX_EJECTION (4 * ANVIL_SECOND)
+/* A task that ended without a word of its asker is forgotten this long after its deadline. */
+#define DEADLINE_GRACE (500 * ANVIL_MS)
+/* Round trip between regions before any was measured, as between neighbouring countries. */
+#define DEFAULT_BETWEEN_REGIONS (50 * ANVIL_MS)
+
+const char *
+anvil_task_refusal_name (anvil_task_refusal_t why)
+{
+  static const char *const names[] = {
+    [ANVIL_TASK_NO_UPSTREAM] = "no-upstream",
+    [ANVIL_TASK_NO_ROOM] = "no-room",
+    [ANVIL_TASK_NO_RETRY] = "no-retry",
+    [ANVIL_TASK_LATE] = "late",
+  };
+
+  return names[why];
+}
+
+static guint
+task_id_hash (gconstpointer data)
+{
+  const anvil_task_id_t *id = data;
+  guint64 mixed = (id->number ^ (id->asker << 1)) * G_GUINT64_CONSTANT (0x9E3779B97F4A7C15);
+
+  return (guint) (mixed >> 32);
+}
+
+static gboolean
+task_id_equal (gconstpointer a, gconstpointer b)
+{
+  const anvil_task_id_t *x = a;
+  const anvil_task_id_t *y = b;
+
+  return x->number == y->number && x->asker == y->asker;
+}
+
+static void
+task_free (gpointer data)
+{
+  task_t *task = data;
+
+  g_free ((char *) task->wanted.region.data);
+  g_free ((char *) task->wanted.zone.data);
+  for (guint i = 0; i < task->wanted.n_regions; i++)
+    g_free ((char *) task->wanted.regions[i].data);
+  g_free (task);
+}
+
+static void
+upstream_free (gpointer data)
+{
+  upstream_t *upstream = data;
+
+  g_free (upstream->record.id);
+  g_free (upstream->record.zone);
+  g_free (upstream->region);
+  g_ptr_array_unref (upstream->running);
+  g_array_unref (upstream->warm);
+  g_free (upstream);
+}
+
+static void
+service_free (gpointer data)
+{
+  service_t *service = data;
+
+  g_free (service->name);
+  g_ptr_array_unref (service->upstreams);
+  g_hash_table_unref (service->objects);
+  g_free (service);
+}
+
+anvil_dispatcher_t *
+anvil_dispatcher_new (const anvil_dispatcher_bounds_t *bounds,
+                      const anvil_dispatcher_actions_t *actions,
+                      void *context)
+{
+  anvil_dispatcher_t *dispatcher = g_new0 (anvil_dispatcher_t, 1);
+
+  dispatcher->bounds = *bounds;
+  dispatcher->actions = *actions;
+  dispatcher->context = context;
+  dispatcher->between_regions = DEFAULT_BETWEEN_REGIONS;
+  dispatcher->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  dispatcher->upstreams = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, upstream_free);
+  dispatcher->tasks = g_hash_table_new_full (task_id_hash, task_id_equal, NULL, task_free);
+  return dispatcher;
+}
+
+void
+anvil_dispatcher_drop (anvil_dispatcher_t *dispatcher)
+{
+  if (dispatcher == NULL)
+    return;
+  g_hash_table_unref (dispatcher->tasks);
+  g_hash_table_unref (dispatcher->services);
+  g_hash_table_unref (dispatcher->upstreams);
+  g_free (dispatcher);
+}
+
+void
+anvil_dispatcher_set_bounds (anvil_dispatcher_t *dispatcher,
+                             const anvil_dispatcher_bounds_t *bounds)
+{
+  dispatcher->bounds = *bounds;
+}
+
+static service_t *
+service_for (anvil_dispatcher_t *dispatcher, anvil_str_t name)
+{
+  char *text = anvil_str_dup (name);
+  service_t *service = g_hash_table_lookup (dispatcher->services, text);
+
+  if (service != NULL)
+    {
+      g_free (text);
+      return service;
+    }
+  service = g_new0 (service_t, 1);
+  service->name = text;
+  service->dispatcher = dispatcher;
+  service->upstreams = g_ptr_array_new ();
+  service->objects = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, warmth_object_free);
+  service->remembered = MAX_WARM_OBJECTS;
+  g_hash_table_insert (dispatcher->services, service->name, service);
+  return service;
+}
+
+void
+anvil_dispatcher_set_service (anvil_dispatcher_t *dispatcher, const anvil_service_t *profile)
+{
+  service_t *service = service_for (dispatcher, anvil_str (profile->name));
+
+  service->profile = *profile;
+  service->profile.name = service->name;
+}
+
+void
+anvil_dispatcher_set_distance (anvil_dispatcher_t *dispatcher, anvil_time_t between_regions)
+{
+  dispatcher->between_regions = between_regions;
+}
+
+static void
+count_slots (service_t *service)
+{
+  service->n_slots = 0;
+  for (guint i = 0; i < service->upstreams->len; i++)
+    {
+      const upstream_t *upstream = service->upstreams->pdata[i];
+
+      if (anvil_registry_usable (&upstream->record) && !upstream->trial)
+        service->n_slots += upstream->record.slots;
+    }
+}
+
+/* Takes a waiting task out of the queue of its object. */
+static void
+leave_queue (task_t *task)
+{
+  g_queue_remove (&task->object->waiting, task);
+  task->service->n_waiting--;
+}
+
+static void
+forget (anvil_dispatcher_t *dispatcher, task_t *task)
+{
+  object_t *object = task->object;
+
+  g_hash_table_remove (dispatcher->tasks, &task->wanted.id);
+  object->n_tasks--;
+  warmth_forget_object_if_idle (object);
+}
+
+static void
+start (anvil_dispatcher_t *dispatcher,
+       anvil_time_t now,
+       task_t *task,
+       upstream_t *upstream,
+       gboolean warm)
+{
+  anvil_time_t run = warmth_run_time (upstream, task->wanted.kind, warm);
+
+  task->upstream = upstream;
+  task->warm = warm;
+  task->granted_at = now;
+  task->expected_end = now + placing_distance (upstream, &task->wanted) + run;
+  g_ptr_array_add (upstream->running, task);
+  task->service->n_running++;
+  if (now < upstream->record.cold_until)
+    upstream->cold.tokens -= 1;
+  warmth_granted (upstream, task->object, now, task->expected_end);
+}
+
+static void
+tell_grant (anvil_dispatcher_t *dispatcher, const task_t *task)
+{
+  const upstream_t *upstream = task->upstream;
+  const anvil_grant_t granted = { .upstream = upstream->record.key,
+                                  .upstream_id = anvil_str (upstream->record.id),
+                                  .zone = anvil_str (upstream->record.zone),
+                                  .address = upstream->record.address,
+                                  .port = upstream->record.port,
+                                  .warm = task->warm };
+
+  dispatcher->actions.grant (dispatcher->context, task->wanted.id, &granted);
+}
+
+static void
+grant (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task, upstream_t *upstream)
+{
+  const warmth_t *warmth = warmth_find (upstream, task->object);
+  gboolean warm = task->object->hash == 0 || (warmth != NULL && warmth->ready_at <= now);
+
+  start (dispatcher, now, task, upstream, warm);
+  tell_grant (dispatcher, task);
+}
+
+/* Refuses a task that is in no queue. */
+static void
+refuse (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task, anvil_task_refusal_t why)
+{
+  anvil_task_id_t id = task->wanted.id;
+  anvil_time_t come_back = refusing_come_back (task, now);
+
+  forget (dispatcher, task);
+  dispatcher->actions.refuse (dispatcher->context, id, why, come_back);
+}
+
+/* Gives free slots of an upstream to waiting tasks. */
+static void
+fill (anvil_dispatcher_t *dispatcher, anvil_time_t now, upstream_t *upstream)
+{
+  while (upstream->service->n_waiting > 0 && placing_has_room (upstream, now))
+    {
+      task_t *task = waiting_best_for (upstream, now);
+
+      if (task == NULL)
+        return;
+      leave_queue (task);
+      grant (dispatcher, now, task, upstream);
+    }
+}
+
+static void
+add_to_service (upstream_t *upstream, service_t *service)
+{
+  upstream->service = service;
+  upstream->present = TRUE;
+  g_ptr_array_add (service->upstreams, upstream);
+}
+
+static void
+remove_from_service (upstream_t *upstream)
+{
+  upstream->present = FALSE;
+  g_ptr_array_remove_fast (upstream->service->upstreams, upstream);
+  warmth_forget_upstream (upstream);
+  count_slots (upstream->service);
+}
+
+static void
+copy_record (upstream_t *upstream, const anvil_registered_t *record, anvil_str_t region)
+{
+  g_free (upstream->record.id);
+  g_free (upstream->record.zone);
+  g_free (upstream->region);
+  upstream->record = *record;
+  upstream->record.id = g_strdup (record->id);
+  upstream->record.zone = g_strdup (record->zone);
+  upstream->record.service = NULL;
+  upstream->record.slots = CLAMP (record->slots, 1, MAX_SLOTS);
+  upstream->region = anvil_str_dup (region);
+}
+
+/* A process that began anew knows nothing of its predecessor's work. */
+static void
+begin_anew (upstream_t *upstream)
+{
+  warmth_forget_upstream (upstream);
+  upstream->slowness = 1;
+  upstream->fault_share = 0;
+  upstream->failures = 0;
+  upstream->ejections = 0;
+  upstream->ejected_until = 0;
+  upstream->trial = FALSE;
+}
+
+static upstream_t *
+upstream_new (anvil_dispatcher_t *dispatcher, guint64 key)
+{
+  upstream_t *upstream = g_new0 (upstream_t, 1);
+
+  upstream->record.key = key;
+  upstream->running = g_ptr_array_new ();
+  upstream->warm = g_array_new (FALSE, FALSE, sizeof (warmth_t));
+  upstream->slowness = 1;
+  g_hash_table_insert (dispatcher->upstreams, &upstream->record.key, upstream);
+  return upstream;
+}
+
+void
+anvil_dispatcher_upstream (anvil_dispatcher_t *dispatcher,
+                           anvil_time_t now,
+                           const anvil_registered_t *record,
+                           anvil_str_t region,
+                           anvil_registry_change_t change)
+{
+  upstream_t *upstream = g_hash_table_lookup (dispatcher->upstreams, &record->key);
+  service_t *service = service_for (dispatcher, anvil_str (record->service));
+
+  if (upstream == NULL)
+    upstream = upstream_new (dispatcher, record->key);
+  if (upstream->present && upstream->service != service)
+    remove_from_service (upstream);
+  if (change == ANVIL_REGISTRY_RESTARTED)
+    begin_anew (upstream);
+  copy_record (upstream, record, region);
+  if (!upstream->present)
+    add_to_service (upstream, service);
+  count_slots (service);
+  fill (dispatcher, now, upstream);
+}
+
+static void
+free_if_done (anvil_dispatcher_t *dispatcher, upstream_t *upstream)
+{
+  if (!upstream->present && upstream->running->len == 0)
+    g_hash_table_remove (dispatcher->upstreams, &upstream->record.key);
+}
+
+void
+anvil_dispatcher_upstream_left (anvil_dispatcher_t *dispatcher, anvil_time_t now, guint64 key)
+{
+  upstream_t *upstream = g_hash_table_lookup (dispatcher->upstreams, &key);
+
+  if (upstream == NULL || !upstream->present)
+    return;
+  remove_from_service (upstream);
+  free_if_done (dispatcher, upstream);
+}
+
+static task_t *
+task_new (anvil_dispatcher_t *dispatcher, anvil_time_t now, const anvil_task_t *wanted)
+{
+  task_t *task = g_new0 (task_t, 1);
+
+  task->wanted = *wanted;
+  task->wanted.region = anvil_str (anvil_str_dup (wanted->region));
+  task->wanted.zone = anvil_str (anvil_str_dup (wanted->zone));
+  for (guint i = 0; i < wanted->n_regions; i++)
+    task->wanted.regions[i] = anvil_str (anvil_str_dup (wanted->regions[i]));
+  task->service = service_for (dispatcher, wanted->service);
+  task->wanted.service = anvil_str (task->service->name);
+  task->object = warmth_object (task->service, wanted->object);
+  task->object->n_tasks++;
+  g_hash_table_insert (dispatcher->tasks, &task->wanted.id, task);
+  return task;
+}
+
+/* Counts a try against the retry budget; FALSE if there is none left for it. */
+static gboolean
+spend_try (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task)
+{
+  const anvil_dispatcher_bounds_t *bounds = &dispatcher->bounds;
+
+  if (task->wanted.attempt <= 1)
+    {
+      anvil_retry_window_request (&task->service->retries, now, bounds->retry_window);
+      return TRUE;
+    }
+  return anvil_retry_window_spend (&task->service->retries, now, bounds->retry_window,
+                                   bounds->retry_ratio * RETRY_SHARE,
+                                   bounds->retry_extra * RETRY_SHARE);
+}
+
+void
+anvil_dispatcher_submit (anvil_dispatcher_t *dispatcher,
+                         anvil_time_t now,
+                         const anvil_task_t *wanted)
+{
+  task_t *task;
+  place_t place;
+
+  task = g_hash_table_lookup (dispatcher->tasks, &wanted->id);
+  if (task != NULL)
+    {
+      /* Asked again, since an answer was overdue: it may have been lost. */
+      if (task->upstream != NULL)
+        tell_grant (dispatcher, task);
+      return;
+    }
+  task = task_new (dispatcher, now, wanted);
+  if (!spend_try (dispatcher, now, task))
+    {
+      refuse (dispatcher, now, task, ANVIL_TASK_NO_RETRY);
+      return;
+    }
+  warmth_asked (task->object, wanted->kind, now);
+  place = placing_best_now (task, now);
+  if (place.upstream != NULL)
+    grant (dispatcher, now, task, place.upstream);
+  else if (task->service->n_slots == 0)
+    refuse (dispatcher, now, task, ANVIL_TASK_NO_UPSTREAM);
+  else if (refusing_no_room (task, now))
+    refuse (dispatcher, now, task, ANVIL_TASK_NO_ROOM);
+  else
+    {
+      g_queue_push_tail (&task->object->waiting, task);
+      task->service->n_waiting++;
+    }
+}
+
+void
+anvil_dispatcher_adopt (anvil_dispatcher_t *dispatcher,
+                        anvil_time_t now,
+                        const anvil_task_t *wanted,
+                        guint64 key)
+{
+  upstream_t *upstream = g_hash_table_lookup (dispatcher->upstreams, &key);
+  task_t *task;
+
+  if (upstream == NULL || !upstream->present
+      || g_hash_table_contains (dispatcher->tasks, &wanted->id))
+    return;
+  task = task_new (dispatcher, now, wanted);
+  start (dispatcher, now, task, upstream, TRUE);
+}
+
+void
+anvil_dispatcher_withdraw (anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_task_id_t id)
+{
+  task_t *task = g_hash_table_lookup (dispatcher->tasks, &id);
+
+  if (task == NULL || task->upstream != NULL)
+    return;
+  leave_queue (task);
+  forget (dispatcher, task);
+}
+
+static void
+eject (upstream_t *upstream, anvil_time_t now)
+{
+  anvil_time_t length = MIN (EJECTION << MIN (upstream->ejections, 8), MAX_EJECTION);
+
+  upstream->ejections++;
+  upstream->ejected_until = now + length;
+  upstream->trial = TRUE;
+  count_slots (upstream->service);
+  anvil_log (ANVIL_LOG_NOTICE, "dispatch",
+             "upstream gets nothing for a while upstream=%s service=%s failures=%u "
+             "for_ms=%" G_GINT64_FORMAT,
+             upstream->record.id, upstream->service->name, upstream->failures, length / ANVIL_MS);
+}
+
+/* It answers again; it may have restarted, so it is taken to be cold. */
+static void
+reinstate (upstream_t *upstream, anvil_time_t now)
+{
+  upstream->trial = FALSE;
+  upstream->ejections = 0;
+  upstream->record.cold_until
+      = MAX (upstream->record.cold_until, now + upstream->service->profile.cold_time);
+  count_slots (upstream->service);
+  anvil_log (ANVIL_LOG_NOTICE, "dispatch", "upstream answers again upstream=%s service=%s",
+             upstream->record.id, upstream->service->name);
+}
+
+static void
+judge (upstream_t *upstream, anvil_time_t now, anvil_run_result_t result)
+{
+  if (result == ANVIL_RUN_UNUSED)
+    return;
+  if (result == ANVIL_RUN_UNREACHED || result == ANVIL_RUN_BROKEN)
+    {
+      upstream->failures++;
+      if (upstream->trial || upstream->failures >= FAILURES_TO_EJECT)
+        eject (upstream, now);
+      return;
+    }
+  upstream->failures = 0;
+  if (upstream->trial)
+    reinstate (upstream, now);
+}
+
+/* Ends a task that was granted. */
+static void
+end (anvil_dispatcher_t *dispatcher, task_t *task)
+{
+  upstream_t *upstream = task->upstream;
+
+  g_ptr_array_remove_fast (upstream->running, task);
+  task->service->n_running--;
+  forget (dispatcher, task);
+}
+
+void
+anvil_dispatcher_finished (anvil_dispatcher_t *dispatcher,
+                           anvil_time_t now,
+                           anvil_task_id_t id,
+                           const anvil_run_report_t *report)
+{
+  task_t *task = g_hash_table_lookup (dispatcher->tasks, &id);
+  upstream_t *upstream = task != NULL ? task->upstream : NULL;
+
+  if (upstream == NULL)
+    return;
+  if (upstream->present)
+    {
+      warmth_finished (task, now, report);
+      judge (upstream, now, report->result);
+    }
+  if (report->still_running)
+    {
+      /* Its slot is busy until it should end; nobody will tell. */
+      task->wanted.deadline = MAX (task->expected_end, now);
+      return;
+    }
+  end (dispatcher, task);
+  if (upstream->present)
+    fill (dispatcher, now, upstream);
+  free_if_done (dispatcher, upstream);
+}
+
+/* Tasks whose time has come, collected first since ending one changes the table. */
+static GPtrArray *
+overdue_tasks (anvil_dispatcher_t *dispatcher, anvil_time_t now)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, dispatcher->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      task_t *task = value;
+
+      if (task->upstream != NULL ? now > task->wanted.deadline + DEADLINE_GRACE
+                                 : refusing_hopeless (task, now))
+        g_ptr_array_add (found, task);
+    }
+  return found;
+}
+
+static void
+end_overdue (anvil_dispatcher_t *dispatcher, anvil_time_t now)
+{
+  GPtrArray *overdue = overdue_tasks (dispatcher, now);
+
+  for (guint i = 0; i < overdue->len; i++)
+    {
+      task_t *task = overdue->pdata[i];
+
+      if (task->upstream != NULL)
+        {
+          upstream_t *upstream = task->upstream;
+
+          end (dispatcher, task);
+          free_if_done (dispatcher, upstream);
+          continue;
+        }
+      leave_queue (task);
+      refuse (dispatcher, now, task, ANVIL_TASK_LATE);
+    }
+  g_ptr_array_unref (overdue);
+}
+
+void
+anvil_dispatcher_tick (anvil_dispatcher_t *dispatcher, anvil_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  end_overdue (dispatcher, now);
+  g_hash_table_iter_init (&iter, dispatcher->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      service_t *service = value;
+
+      for (guint i = 0; service->n_waiting > 0 && i < service->upstreams->len; i++)
+        fill (dispatcher, now, service->upstreams->pdata[i]);
+    }
+}
+
+void
+anvil_dispatcher_asker_lost (anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_node_t asker)
+{
+  GPtrArray *lost = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, dispatcher->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const task_t *task = value;
+
+      if (task->wanted.id.asker == asker && task->upstream == NULL)
+        g_ptr_array_add (lost, value);
+    }
+  for (guint i = 0; i < lost->len; i++)
+    {
+      leave_queue (lost->pdata[i]);
+      forget (dispatcher, lost->pdata[i]);
+    }
+  g_ptr_array_unref (lost);
+}
+
+gboolean
+anvil_dispatcher_status (const anvil_dispatcher_t *dispatcher,
+                         anvil_str_t name,
+                         anvil_dispatcher_status_t *status)
+{
+  char *text = anvil_str_dup (name);
+  const service_t *service = g_hash_table_lookup (dispatcher->services, text);
+
+  g_free (text);
+  if (service == NULL)
+    return FALSE;
+  *status = (anvil_dispatcher_status_t){ .upstreams = service->upstreams->len,
+                                         .slots = service->n_slots,
+                                         .running = service->n_running,
+                                         .waiting = service->n_waiting };
+  return TRUE;
+}
--- /dev/null
+++ b/source/steer/routes.c
@@ -0,0 +1,276 @@
+#include "anvil/routes.h"
+
+#include <string.h>
+
+#include "anvil/error.h"
+
+/* Bounds until a configuration names others: common defaults of HTTP servers. */
+#define DEFAULT_HEADER_BYTES (16u << 10)
+#define DEFAULT_BODY_BYTES (64u << 20)
+#define DEFAULT_HEADER_TIMEOUT (3 * ANVIL_SECOND)
+#define DEFAULT_IDLE_TIMEOUT (15 * ANVIL_SECOND)
+
+struct anvil_routes
+{
+  gint references;
+  gint64 version;
+  anvil_caller_bounds_t bounds;
+  GArray *routes;
+  GArray *services;
+  /* Arrays of route indices by lower-case host, longest prefix first. */
+  GHashTable *by_host;
+};
+
+static void
+clear_route (gpointer data)
+{
+  anvil_route_t *route = data;
+
+  g_free (route->name);
+  g_free (route->host);
+  g_free (route->prefix);
+  for (guint i = 0; i < route->n_parts; i++)
+    g_free (route->parts[i].service);
+  for (guint i = 0; i < route->n_regions; i++)
+    g_free (route->regions[i]);
+}
+
+static void
+clear_service (gpointer data)
+{
+  anvil_service_t *service = data;
+
+  g_free (service->name);
+}
+
+anvil_routes_t *
+anvil_routes_new (gint64 version)
+{
+  anvil_routes_t *routes = g_new0 (anvil_routes_t, 1);
+
+  routes->references = 1;
+  routes->version = version;
+  routes->bounds = (anvil_caller_bounds_t){ .max_header_bytes = DEFAULT_HEADER_BYTES,
+                                            .max_body_bytes = DEFAULT_BODY_BYTES,
+                                            .header_timeout = DEFAULT_HEADER_TIMEOUT,
+                                            .idle_timeout = DEFAULT_IDLE_TIMEOUT };
+  routes->routes = g_array_new (FALSE, TRUE, sizeof (anvil_route_t));
+  g_array_set_clear_func (routes->routes, clear_route);
+  routes->services = g_array_new (FALSE, TRUE, sizeof (anvil_service_t));
+  g_array_set_clear_func (routes->services, clear_service);
+  routes->by_host
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_array_unref);
+  return routes;
+}
+
+anvil_routes_t *
+anvil_routes_keep (anvil_routes_t *routes)
+{
+  routes->references++;
+  return routes;
+}
+
+void
+anvil_routes_drop (anvil_routes_t *routes)
+{
+  if (routes == NULL || --routes->references > 0)
+    return;
+  g_array_unref (routes->routes);
+  g_array_unref (routes->services);
+  g_hash_table_unref (routes->by_host);
+  g_free (routes);
+}
+
+anvil_route_t *
+anvil_routes_add (anvil_routes_t *routes)
+{
+  g_array_set_size (routes->routes, routes->routes->len + 1);
+  return &g_array_index (routes->routes, anvil_route_t, routes->routes->len - 1);
+}
+
+anvil_service_t *
+anvil_routes_add_service (anvil_routes_t *routes)
+{
+  g_array_set_size (routes->services, routes->services->len + 1);
+  return &g_array_index (routes->services, anvil_service_t, routes->services->len - 1);
+}
+
+void
+anvil_routes_set_bounds (anvil_routes_t *routes, const anvil_caller_bounds_t *bounds)
+{
+  routes->bounds = *bounds;
+}
+
+gint64
+anvil_routes_version (const anvil_routes_t *routes)
+{
+  return routes->version;
+}
+
+const anvil_caller_bounds_t *
+anvil_routes_bounds (const anvil_routes_t *routes)
+{
+  return &routes->bounds;
+}
+
+guint
+anvil_routes_count (const anvil_routes_t *routes)
+{
+  return routes->routes->len;
+}
+
+const anvil_route_t *
+anvil_routes_at (const anvil_routes_t *routes, guint index)
+{
+  return &g_array_index (routes->routes, anvil_route_t, index);
+}
+
+guint
+anvil_routes_count_services (const anvil_routes_t *routes)
+{
+  return routes->services->len;
+}
+
+const anvil_service_t *
+anvil_routes_service_at (const anvil_routes_t *routes, guint index)
+{
+  return &g_array_index (routes->services, anvil_service_t, index);
+}
+
+const anvil_service_t *
+anvil_routes_lookup_service (const anvil_routes_t *routes, anvil_str_t name)
+{
+  for (guint i = 0; i < routes->services->len; i++)
+    {
+      const anvil_service_t *service = anvil_routes_service_at (routes, i);
+
+      if (anvil_str_equal (anvil_str (service->name), name))
+        return service;
+    }
+  return NULL;
+}
+
+static gboolean
+check_parts (const anvil_routes_t *routes, const anvil_route_t *route, GError **error)
+{
+  guint64 total = 0;
+
+  for (guint i = 0; i < route->n_parts; i++)
+    {
+      const char *service = route->parts[i].service;
+
+      total += route->parts[i].weight;
+      if (service != NULL && anvil_routes_lookup_service (routes, anvil_str (service)) != NULL)
+        continue;
+      g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_INVALID,
+                   "route \"%s\": service \"%s\" isn't in the configuration", route->name,
+                   service != NULL ? service : "");
+      return FALSE;
+    }
+  if (total > 0)
+    return TRUE;
+  g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_INVALID,
+               "route \"%s\": weights must add up to more than 0", route->name);
+  return FALSE;
+}
+
+static gboolean
+check_route (const anvil_routes_t *routes, const anvil_route_t *route, GError **error)
+{
+  const char *fault = NULL;
+
+  if (route->name == NULL || route->name[0] == '\0')
+    fault = "name must not be empty";
+  else if (route->host == NULL || route->host[0] == '\0')
+    fault = "host must not be empty";
+  else if (route->prefix == NULL || !g_str_has_prefix (route->prefix, "/")
+           || !g_str_has_suffix (route->prefix, "/"))
+    fault = "prefix must begin and end with a slash";
+  else if (route->max_attempts == 0)
+    fault = "at least one attempt must be allowed";
+  else if (route->timeout < 0 || route->target_latency < 0)
+    fault = "times must not be negative";
+  if (fault == NULL)
+    return check_parts (routes, route, error);
+  g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_INVALID, "route \"%s\": %s",
+               route->name != NULL ? route->name : "", fault);
+  return FALSE;
+}
+
+static gint
+longer_prefix_first (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const anvil_routes_t *routes = data;
+  gsize length_a = strlen (anvil_routes_at (routes, *(const guint *) a)->prefix);
+  gsize length_b = strlen (anvil_routes_at (routes, *(const guint *) b)->prefix);
+
+  return length_a < length_b ? 1 : length_a > length_b ? -1 : 0;
+}
+
+static void
+index_hosts (anvil_routes_t *routes)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  for (guint i = 0; i < routes->routes->len; i++)
+    {
+      char *host = g_ascii_strdown (anvil_routes_at (routes, i)->host, -1);
+      GArray *indices = g_hash_table_lookup (routes->by_host, host);
+
+      if (indices == NULL)
+        {
+          indices = g_array_new (FALSE, FALSE, sizeof (guint));
+          g_hash_table_insert (routes->by_host, g_strdup (host), indices);
+        }
+      g_array_append_val (indices, i);
+      g_free (host);
+    }
+  g_hash_table_iter_init (&iter, routes->by_host);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_sort_with_data (value, longer_prefix_first, routes);
+}
+
+gboolean
+anvil_routes_finish (anvil_routes_t *routes, GError **error)
+{
+  for (guint i = 0; i < routes->services->len; i++)
+    {
+      const anvil_service_t *service = anvil_routes_service_at (routes, i);
+
+      if (service->name != NULL && service->name[0] != '\0' && service->cold_time >= 0
+          && service->cold_per_second >= 0)
+        continue;
+      g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_INVALID,
+                   "service \"%s\": it needs a name and figures that aren't negative",
+                   service->name != NULL ? service->name : "");
+      return FALSE;
+    }
+  for (guint i = 0; i < routes->routes->len; i++)
+    {
+      if (!check_route (routes, anvil_routes_at (routes, i), error))
+        return FALSE;
+    }
+  index_hosts (routes);
+  return TRUE;
+}
+
+const anvil_route_t *
+anvil_routes_match (const anvil_routes_t *routes, anvil_str_t host, anvil_str_t path)
+{
+  const char *colon = host.length > 0 ? memchr (host.data, ':', host.length) : NULL;
+  gsize length = colon != NULL ? (gsize) (colon - host.data) : host.length;
+  char *name = g_ascii_strdown (host.length > 0 ? host.data : "", (gssize) length);
+  const GArray *indices = g_hash_table_lookup (routes->by_host, name);
+
+  g_free (name);
+  for (guint i = 0; indices != NULL && i < indices->len; i++)
+    {
+      const anvil_route_t *route = anvil_routes_at (routes, g_array_index (indices, guint, i));
+      gsize prefix_length = strlen (route->prefix);
+
+      if (prefix_length <= path.length && memcmp (route->prefix, path.data, prefix_length) == 0)
+        return route;
+    }
+  return NULL;
+}
