--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 # The daemon for upstreams that register themselves, and the adapter to the users' platform.
 RELAY_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard source/relay/*.c platform/*.c))
 TOOL_NAMES = anvil-config anvil-status anvil-load
-STANDIN_NAMES = anvil-platform anvil-upstream
+STANDIN_NAMES = anvil-platform anvil-upstream anvil-store anvil-registrant
 TEST_NAMES = $(basename $(notdir $(wildcard tests/test-*.c)))
 BENCH_NAMES = $(basename $(notdir $(wildcard bench/bench-*.c)))
 
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -18,6 +18,8 @@
 /* Time that the answer needs back to the caller. */
 #define ANSWER_MARGIN (15 * ANVIL_MS)
 #define NOT_READY_COME_BACK (500 * ANVIL_MS)
+/* A caller that this entry turns away while it shuts down is served by another at once. */
+#define LEAVING_COME_BACK (20 * ANVIL_MS)
 
 #define STATUS_NOT_FOUND 404
 #define STATUS_BAD_GATEWAY 502
@@ -76,6 +78,7 @@
   anvil_routes_t *routes;
   anvil_route_split_t *split;
   guint64 last_number;
+  gboolean closed;
   /* job_t by number. */
   GHashTable *jobs;
 };
@@ -157,6 +160,12 @@
   return jobs->routes;
 }
 
+void
+anvil_relay_jobs_close (anvil_relay_jobs_t *jobs)
+{
+  jobs->closed = TRUE;
+}
+
 guint
 anvil_relay_jobs_count (const anvil_relay_jobs_t *jobs)
 {
@@ -702,6 +711,11 @@
   anvil_str_t path = anvil_str (request->target);
   const anvil_route_t *route;
 
+  if (jobs->closed)
+    {
+      answer_without_job (jobs, request, STATUS_UNAVAILABLE, "leaving", LEAVING_COME_BACK);
+      return;
+    }
   if (jobs->routes == NULL)
     {
       answer_without_job (jobs, request, STATUS_UNAVAILABLE, "no-configuration",
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -42,7 +42,10 @@
 void anvil_relay_jobs_set_routes (anvil_relay_jobs_t *jobs, anvil_routes_t *routes);
 const anvil_routes_t *anvil_relay_jobs_routes (const anvil_relay_jobs_t *jobs);
 
-/** anvil_relay_jobs_accept - a whole request; @now is its arrival */
+/** anvil_relay_jobs_close - requests that come from now on are refused: this entry shuts down */
+void anvil_relay_jobs_close (anvil_relay_jobs_t *jobs);
+
+/** anvil_relay_jobs_accept - a whole request */
 void anvil_relay_jobs_accept (anvil_relay_jobs_t *jobs, anvil_relay_request_t *request);
 
 /** anvil_relay_jobs_gone - the caller of a request has left */
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -12,7 +12,8 @@
 
 #define TICK (50 * ANVIL_MS)
 /* While it leaves, it goes on taking requests this long: peers and callers learn of it by pings and
- * look-ups, which are kept for two seconds. */
+ * look-ups, which are kept for two seconds. Later ones are refused, since their answers might not
+ * be out before the end of the grace time. */
 #define LEAVE_LINGER (2500 * ANVIL_MS)
 /* Left of the grace time for ending in order. */
 #define LEAVE_MARGIN (300 * ANVIL_MS)
@@ -226,6 +227,8 @@
   gboolean done = anvil_relay_jobs_count (relay->jobs) == 0
                   && anvil_relay_callers_unsent (relay->callers) == 0;
 
+  if (since >= LEAVE_LINGER)
+    anvil_relay_jobs_close (relay->jobs);
   if (!(done && since >= LEAVE_LINGER) && since < relay->settings->grace - LEAVE_MARGIN)
     return;
   anvil_log (done ? ANVIL_LOG_NOTICE : ANVIL_LOG_WARNING, "relay", "stops requests=%u",
--- /dev/null
+++ b/standins/anvil-registrant.c
@@ -0,0 +1,469 @@
+/*
+ * anvil-registrant: stands in for an upstream that registers itself.
+ *
+ * It runs requests in its slots and queues a few more. A request for an object
+ * that it handled before takes --warm-ms, any other --work-ms; the query of a
+ * request may say otherwise:
+ *   work=MS          how long it takes
+ *   fault=KIND       reset, truncate, garbage, unsigned, error, unframed, stray
+ * GET /runs tells every run: {"ID": COUNT}. SIGTERM makes it drain.
+ */
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+
+#include "anvil/clock.h"
+#include "anvil/log.h"
+#include "anvil/settings.h"
+#include "net/http-pool.h"
+
+#define STORE_TIMEOUT (1 * ANVIL_SECOND)
+#define STATUS_MISDIRECTED 421
+#define STATUS_ERROR 500
+
+enum
+{
+  LISTEN,
+  STORE,
+  ID,
+  SERVICE,
+  ZONE,
+  SLOTS,
+  QUEUE,
+  WORK_MS,
+  WARM_MS,
+  HEARTBEAT_MS,
+  DRAIN_MS,
+  N_SETTINGS,
+};
+
+typedef struct
+{
+  const anvil_setting_t *settings;
+  struct event_base *base;
+  anvil_http_pool_t *store;
+  char *endpoint;
+  gint64 started_at;
+  guint sequence;
+  gboolean draining;
+  guint running;
+  /* work_t that wait for a slot. */
+  GQueue waiting;
+  /* Counts of runs by request id. */
+  GHashTable *runs;
+  GHashTable *objects;
+} upstream_t;
+
+typedef struct
+{
+  upstream_t *upstream;
+  struct evhttp_request *request;
+  struct event *timer;
+  char *fault;
+  guint work_ms;
+} work_t;
+
+static const char *
+header_of (struct evhttp_request *request, const char *name)
+{
+  return evhttp_find_header (evhttp_request_get_input_headers (request), name);
+}
+
+static void
+set_header (struct evhttp_request *request, const char *name, const char *value)
+{
+  if (value != NULL)
+    evhttp_add_header (evhttp_request_get_output_headers (request), name, value);
+}
+
+static void
+answer (upstream_t *upstream, struct evhttp_request *request, int status, const char *text)
+{
+  struct evbuffer *body = evbuffer_new ();
+  char *load = g_strdup_printf ("%u,%u,%" G_GINT64_FORMAT, upstream->running,
+                                upstream->waiting.length, upstream->settings[SLOTS].count);
+
+  set_header (request, "Request-Id", header_of (request, "Request-Id"));
+  set_header (request, "Server-Load", load);
+  evbuffer_add (body, text, strlen (text));
+  evhttp_send_reply (request, status, NULL, body);
+  evbuffer_free (body);
+  g_free (load);
+}
+
+/* The answer of a request that ran: names the upstream and the request. */
+static char *
+run_body (const upstream_t *upstream, struct evhttp_request *request)
+{
+  struct evbuffer *body = evhttp_request_get_input_buffer (request);
+
+  return g_strdup_printf ("%s %s %s %zu", upstream->settings[ID].text,
+                          evhttp_request_get_uri (request), header_of (request, "Request-Id"),
+                          evbuffer_get_length (body));
+}
+
+/* Bytes as they are, then the end of the connection. */
+static void
+write_raw (struct evhttp_request *request, const char *bytes, gboolean reset)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+  struct bufferevent *stream = evhttp_connection_get_bufferevent (connection);
+  evutil_socket_t fd = bufferevent_getfd (stream);
+  struct linger linger = { .l_onoff = 1 };
+
+  if (send (fd, bytes, strlen (bytes), MSG_NOSIGNAL) < 0)
+    anvil_log (ANVIL_LOG_INFO, "upstream", "caller has left");
+  if (reset)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  evhttp_connection_free (connection);
+}
+
+static void
+answer_with_fault (const work_t *work, const char *text)
+{
+  const char *id = header_of (work->request, "Request-Id");
+  char *head = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: x\r\n", id);
+  char *whole = NULL;
+
+  if (strcmp (work->fault, "reset") == 0)
+    write_raw (work->request, "", TRUE);
+  else if (strcmp (work->fault, "truncate") == 0)
+    whole = g_strdup_printf ("%sContent-Length: 1000\r\n\r\n%s", head, text);
+  else if (strcmp (work->fault, "unframed") == 0)
+    whole = g_strdup_printf ("%sConnection: close\r\n\r\n%s", head, text);
+  else if (strcmp (work->fault, "stray") == 0)
+    whole = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: x\r\n"
+                             "Content-Length: 5\r\n\r\nstray%sContent-Length: %zu\r\n\r\n%s",
+                             head, strlen (text), text);
+  else
+    whole = g_strdup ("this is no answer\r\n\r\n");
+  if (whole != NULL)
+    write_raw (work->request, whole, FALSE);
+  g_free (whole);
+  g_free (head);
+}
+
+static void start_next (upstream_t *upstream);
+
+static void
+work_free (work_t *work)
+{
+  event_free (work->timer);
+  g_free (work->fault);
+  g_free (work);
+}
+
+static void
+on_worked (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  work_t *work = data;
+  upstream_t *upstream = work->upstream;
+  char *text = run_body (upstream, work->request);
+
+  upstream->running--;
+  evhttp_connection_set_closecb (evhttp_request_get_connection (work->request), NULL, NULL);
+  if (strcmp (work->fault, "error") == 0)
+    {
+      set_header (work->request, "Server-Stamp", "x");
+      answer (upstream, work->request, STATUS_ERROR, "failed");
+    }
+  else if (work->fault[0] != '\0' && strcmp (work->fault, "unsigned") != 0)
+    answer_with_fault (work, text);
+  else
+    {
+      if (work->fault[0] == '\0')
+        set_header (work->request, "Server-Stamp", upstream->settings[ID].text);
+      answer (upstream, work->request, HTTP_OK, text);
+    }
+  g_free (text);
+  work_free (work);
+  start_next (upstream);
+}
+
+/* A request whose connection closes is dropped. */
+static void
+on_caller_gone (struct evhttp_connection *connection, void *data)
+{
+  work_t *work = data;
+  upstream_t *upstream = work->upstream;
+
+  if (!g_queue_remove (&upstream->waiting, work))
+    upstream->running--;
+  work_free (work);
+  start_next (upstream);
+}
+
+static void
+start (work_t *work)
+{
+  upstream_t *upstream = work->upstream;
+  const char *id = header_of (work->request, "Request-Id");
+  const char *object = header_of (work->request, "Affinity-Key");
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (upstream->runs, id));
+  guint ms = work->work_ms;
+  struct timeval time;
+
+  if (ms == 0)
+    ms = (guint) upstream
+             ->settings[object != NULL && g_hash_table_contains (upstream->objects, object)
+                            ? WARM_MS
+                            : WORK_MS]
+             .count;
+  if (object != NULL)
+    g_hash_table_add (upstream->objects, g_strdup (object));
+  g_hash_table_insert (upstream->runs, g_strdup (id), GUINT_TO_POINTER (count + 1));
+  upstream->running++;
+  time = (struct timeval){ .tv_sec = ms / 1000, .tv_usec = (suseconds_t) (ms % 1000) * 1000 };
+  evtimer_add (work->timer, &time);
+}
+
+static void
+start_next (upstream_t *upstream)
+{
+  while (upstream->running < upstream->settings[SLOTS].count && upstream->waiting.length > 0)
+    start (g_queue_pop_head (&upstream->waiting));
+}
+
+static void
+on_runs (struct evhttp_request *request, upstream_t *upstream)
+{
+  json_t *root = json_object ();
+  GHashTableIter iter;
+  gpointer id;
+  gpointer count;
+  char *text;
+
+  g_hash_table_iter_init (&iter, upstream->runs);
+  while (g_hash_table_iter_next (&iter, &id, &count))
+    json_object_set_new (root, id, json_integer (GPOINTER_TO_UINT (count)));
+  text = json_dumps (root, JSON_COMPACT);
+  answer (upstream, request, HTTP_OK, text);
+  free (text);
+  json_decref (root);
+}
+
+static work_t *
+work_new (upstream_t *upstream, struct evhttp_request *request)
+{
+  const char *text = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
+  work_t *work = g_new0 (work_t, 1);
+  struct evkeyvalq query;
+  const char *value;
+
+  work->upstream = upstream;
+  work->request = request;
+  work->timer = evtimer_new (upstream->base, on_worked, work);
+  evhttp_parse_query_str (text != NULL ? text : "", &query);
+  value = evhttp_find_header (&query, "fault");
+  work->fault = g_strdup (value != NULL ? value : "");
+  value = evhttp_find_header (&query, "work");
+  work->work_ms = value != NULL ? (guint) g_ascii_strtoull (value, NULL, 10) : 0;
+  evhttp_clear_headers (&query);
+  return work;
+}
+
+static void
+on_request (struct evhttp_request *request, void *data)
+{
+  upstream_t *upstream = data;
+  const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
+  const char *expected = header_of (request, "Expect-Instance");
+  work_t *work;
+
+  if (strcmp (path, "/runs") == 0)
+    {
+      on_runs (request, upstream);
+      return;
+    }
+  set_header (request, "Instance-Id", upstream->settings[ID].text);
+  if (expected != NULL && strcmp (expected, upstream->settings[ID].text) != 0)
+    {
+      answer (upstream, request, STATUS_MISDIRECTED, "");
+      return;
+    }
+  if (header_of (request, "Request-Id") == NULL
+      || upstream->waiting.length >= upstream->settings[QUEUE].count)
+    {
+      set_header (request, "Not-Run", "1");
+      answer (upstream, request, HTTP_SERVUNAVAIL, "");
+      return;
+    }
+  work = work_new (upstream, request);
+  evhttp_connection_set_closecb (evhttp_request_get_connection (request), on_caller_gone, work);
+  g_queue_push_tail (&upstream->waiting, work);
+  start_next (upstream);
+}
+
+static void
+on_written (void *context, const anvil_http_reply_t *reply)
+{
+  if (reply->status != HTTP_OK)
+    anvil_log (ANVIL_LOG_INFO, "upstream", "report wasn't taken status=%d", reply->status);
+}
+
+/* Writes its row, or removes it. */
+static void
+report (upstream_t *upstream, gboolean remove)
+{
+  const anvil_setting_t *settings = upstream->settings;
+  json_t *value = json_pack ("{s:s,s:I,s:{s:s,s:s,s:s,s:I},s:{s:s,s:i,s:i}}", "address",
+                             upstream->endpoint, "born", (json_int_t) upstream->started_at, "info",
+                             "service", settings[SERVICE].text, "version", "v1", "zone",
+                             settings[ZONE].text, "slots", (json_int_t) settings[SLOTS].count,
+                             "status", "state", upstream->draining ? "draining" : "ready",
+                             "sequence", (int) ++upstream->sequence, "coldRemainingMs", 0);
+  char *text = json_dumps (value, JSON_COMPACT);
+  char *encoded = g_base64_encode ((const guchar *) text, strlen (text));
+  json_t *row
+      = json_pack ("{s:s,s:s,s:s}", "table", "servers", "part", "", "key", settings[ID].text);
+  json_t *root;
+  struct evbuffer *body = evbuffer_new ();
+
+  if (!remove)
+    json_object_set_new (row, "value", json_string (encoded));
+  root = json_pack ("{s:[],s:[],s:[o]}", "expect", remove ? "writes" : "remove",
+                    remove ? "remove" : "writes", row);
+  free (text);
+  text = json_dumps (root, JSON_COMPACT);
+  evbuffer_add (body, text, strlen (text));
+  anvil_http_pool_call (upstream->store, EVHTTP_REQ_POST, "/-/rows-tx", body, on_written, upstream);
+  evbuffer_free (body);
+  json_decref (root);
+  json_decref (value);
+  g_free (encoded);
+  free (text);
+}
+
+static void
+on_heartbeat (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  report (data, FALSE);
+}
+
+static void
+on_drained (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  upstream_t *upstream = data;
+
+  event_base_loopbreak (upstream->base);
+}
+
+static void
+on_terminate (evutil_socket_t unused_number, short unused_what, void *data)
+{
+  upstream_t *upstream = data;
+  const anvil_setting_t *drain = &upstream->settings[DRAIN_MS];
+  struct timeval time
+      = { .tv_sec = drain->count / 1000, .tv_usec = (suseconds_t) (drain->count % 1000) * 1000 };
+
+  upstream->draining = TRUE;
+  report (upstream, FALSE);
+  event_base_once (upstream->base, -1, EV_TIMEOUT, on_drained, upstream, &time);
+}
+
+static int
+run (const anvil_setting_t *settings)
+{
+  upstream_t upstream
+      = { .settings = settings,
+          .base = event_base_new (),
+          .started_at = anvil_clock_wall () / ANVIL_MS,
+          .runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+          .objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL) };
+  const struct timeval heartbeat
+      = { .tv_sec = settings[HEARTBEAT_MS].count / 1000,
+          .tv_usec = (suseconds_t) (settings[HEARTBEAT_MS].count % 1000) * 1000 };
+  struct evhttp *http = evhttp_new (upstream.base);
+  char *host = anvil_endpoint_format (settings[LISTEN].address, 0);
+  struct event *terminate = evsignal_new (upstream.base, SIGTERM, on_terminate, &upstream);
+  struct event *beat = event_new (upstream.base, -1, EV_PERSIST, on_heartbeat, &upstream);
+  struct evhttp_bound_socket *bound;
+  struct sockaddr_in local;
+  socklen_t length = sizeof local;
+
+  *strrchr (host, ':') = '\0';
+  g_queue_init (&upstream.waiting);
+  evhttp_set_gencb (http, on_request, &upstream);
+  bound = evhttp_bind_socket_with_handle (http, host, settings[LISTEN].port);
+  if (bound == NULL)
+    {
+      fprintf (stderr, "anvil-registrant: can't listen on %s:%u\n", host, settings[LISTEN].port);
+      return EXIT_FAILURE;
+    }
+  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *) &local, &length);
+  upstream.endpoint = anvil_endpoint_format (settings[LISTEN].address, ntohs (local.sin_port));
+  upstream.store = anvil_http_pool_open (upstream.base, settings[STORE].address,
+                                         settings[STORE].port, STORE_TIMEOUT);
+  evsignal_add (terminate, NULL);
+  event_add (beat, &heartbeat);
+  report (&upstream, FALSE);
+  anvil_log (ANVIL_LOG_NOTICE, "upstream", "ready, listening on %s", upstream.endpoint);
+  event_base_dispatch (upstream.base);
+  event_free (beat);
+  event_free (terminate);
+  evhttp_free (http);
+  anvil_http_pool_close (upstream.store);
+  g_hash_table_unref (upstream.runs);
+  g_hash_table_unref (upstream.objects);
+  event_base_free (upstream.base);
+  g_free (upstream.endpoint);
+  g_free (host);
+  return EXIT_SUCCESS;
+}
+
+#define COUNT(setting, text, standard, least)                                                      \
+  {                                                                                                \
+    .name = setting, .kind = ANVIL_SETTING_COUNT, .help = text, .fallback = standard,              \
+    .minimum = least, .maximum = 1000000                                                           \
+  }
+
+int
+main (int argc, char **argv)
+{
+  anvil_setting_t items[N_SETTINGS] = {
+    [LISTEN] = { .name = "listen",
+                 .kind = ANVIL_SETTING_ENDPOINT,
+                 .help = "Address and port, port 0 for any",
+                 .fallback = "127.0.0.1:0" },
+    [STORE] = { .name = "store",
+                .kind = ANVIL_SETTING_ENDPOINT,
+                .help = "Address and port of the store",
+                .required = TRUE },
+    [ID] = { .name = "id", .kind = ANVIL_SETTING_TEXT, .help = "Its name", .required = TRUE },
+    [SERVICE] = { .name = "service",
+                  .kind = ANVIL_SETTING_TEXT,
+                  .help = "Service that it belongs to",
+                  .required = TRUE },
+    [ZONE] = { .name = "zone",
+               .kind = ANVIL_SETTING_TEXT,
+               .help = "Its availability zone",
+               .required = TRUE },
+    [SLOTS] = COUNT ("slots", "Requests that it runs at once", "3", 1),
+    [QUEUE] = COUNT ("queue", "Requests that wait for a slot", "9", 1),
+    [WORK_MS] = COUNT ("work-ms", "Length of a run", "20", 1),
+    [WARM_MS] = COUNT ("warm-ms", "Length of a run on an object that it handled before", "5", 1),
+    [HEARTBEAT_MS] = COUNT ("heartbeat-ms", "Pause between its reports", "500", 50),
+    [DRAIN_MS] = COUNT ("drain-ms", "How long it serves after it said that it drains", "2500", 0),
+  };
+  anvil_settings_t settings
+      = { .program = "anvil-registrant", .items = items, .n_items = G_N_ELEMENTS (items) };
+  anvil_settings_outcome_t outcome = anvil_settings_load (&settings, argc, (const char **) argv);
+  int status = outcome == ANVIL_SETTINGS_BAD ? 2 : EXIT_SUCCESS;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (outcome == ANVIL_SETTINGS_RUN)
+    status = run (items);
+  anvil_settings_clear (&settings);
+  return status;
+}
--- /dev/null
+++ b/standins/anvil-store-rows.c
@@ -0,0 +1,206 @@
+#include "anvil-store-rows.h"
+
+#include <string.h>
+
+/**
+ * change_t - a row as one transaction left it
+ * @value: base64, NULL if the row was removed
+ */
+typedef struct
+{
+  char *table;
+  char *key;
+  char *value;
+  guint64 version;
+} change_t;
+
+struct store_rows
+{
+  guint64 version;
+  /* Changes after this version are known. */
+  guint64 known_after;
+  GPtrArray *history;
+  /* change_t by "table\nkey", the rows that exist. */
+  GHashTable *rows;
+};
+
+static void
+change_free (gpointer data)
+{
+  change_t *change = data;
+
+  g_free (change->table);
+  g_free (change->key);
+  g_free (change->value);
+  g_free (change);
+}
+
+static change_t *
+change_new (const char *table, const char *key, const char *value, guint64 version)
+{
+  change_t *change = g_new0 (change_t, 1);
+
+  change->table = g_strdup (table);
+  change->key = g_strdup (key);
+  change->value = g_strdup (value);
+  change->version = version;
+  return change;
+}
+
+store_rows_t *
+store_rows_new (void)
+{
+  store_rows_t *rows = g_new0 (store_rows_t, 1);
+
+  rows->history = g_ptr_array_new_with_free_func (change_free);
+  rows->rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, change_free);
+  return rows;
+}
+
+void
+store_rows_drop (store_rows_t *rows)
+{
+  if (rows == NULL)
+    return;
+  g_ptr_array_unref (rows->history);
+  g_hash_table_unref (rows->rows);
+  g_free (rows);
+}
+
+guint64
+store_rows_version (const store_rows_t *rows)
+{
+  return rows->version;
+}
+
+static const char *
+text_of (json_t *item, const char *name)
+{
+  const char *text = json_string_value (json_object_get (item, name));
+
+  return text != NULL ? text : "";
+}
+
+static char *
+row_name (json_t *item)
+{
+  return g_strconcat (text_of (item, "table"), "\n", text_of (item, "key"), NULL);
+}
+
+static gboolean
+conditions_hold (const store_rows_t *rows, json_t *conditions)
+{
+  json_t *item;
+  size_t i;
+
+  json_array_foreach (conditions, i, item)
+  {
+    char *name = row_name (item);
+    const change_t *row = g_hash_table_lookup (rows->rows, name);
+    guint64 wanted = (guint64) json_integer_value (json_object_get (item, "rowVersion"));
+
+    g_free (name);
+    if ((row != NULL ? row->version : 0) != wanted)
+      return FALSE;
+  }
+  return TRUE;
+}
+
+static void
+record (store_rows_t *rows, json_t *item, const char *value)
+{
+  const char *table = text_of (item, "table");
+  const char *key = text_of (item, "key");
+  char *name = row_name (item);
+
+  g_ptr_array_add (rows->history, change_new (table, key, value, rows->version));
+  if (value != NULL)
+    g_hash_table_insert (rows->rows, name, change_new (table, key, value, rows->version));
+  else
+    {
+      g_hash_table_remove (rows->rows, name);
+      g_free (name);
+    }
+}
+
+gboolean
+store_rows_apply (store_rows_t *rows, json_t *transaction)
+{
+  json_t *item;
+  size_t i;
+
+  if (!conditions_hold (rows, json_object_get (transaction, "expect")))
+    return FALSE;
+  rows->version++;
+  json_array_foreach (json_object_get (transaction, "writes"), i, item)
+      record (rows, item, text_of (item, "value"));
+  json_array_foreach (json_object_get (transaction, "remove"), i, item) record (rows, item, NULL);
+  return TRUE;
+}
+
+static json_t *
+to_json (const change_t *change)
+{
+  json_t *row = json_pack ("{s:s,s:s,s:s,s:I}", "table", change->table, "part", "", "key",
+                           change->key, "rowVersion", (json_int_t) change->version);
+
+  if (change->value != NULL)
+    json_object_set_new (row, "value", json_string (change->value));
+  else
+    json_object_set_new (row, "tombstone", json_true ());
+  return row;
+}
+
+static gint
+by_key (gconstpointer a, gconstpointer b)
+{
+  return strcmp ((*(const change_t *const *) a)->key, (*(const change_t *const *) b)->key);
+}
+
+json_t *
+store_rows_read (const store_rows_t *rows, const char *table, const char *from)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  json_t *list = json_array ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, rows->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      change_t *row = value;
+
+      if (strcmp (row->table, table) == 0 && strcmp (row->key, from) >= 0)
+        g_ptr_array_add (found, row);
+    }
+  g_ptr_array_sort (found, by_key);
+  for (guint i = 0; i < found->len; i++)
+    json_array_append_new (list, to_json (found->pdata[i]));
+  g_ptr_array_unref (found);
+  return list;
+}
+
+json_t *
+store_rows_changes (const store_rows_t *rows, const char *table, guint64 version)
+{
+  json_t *list;
+
+  if (version < rows->known_after)
+    return NULL;
+  list = json_array ();
+  for (guint i = 0; i < rows->history->len; i++)
+    {
+      const change_t *change = rows->history->pdata[i];
+
+      if (change->version > version && strcmp (change->table, table) == 0)
+        json_array_append_new (list, to_json (change));
+    }
+  return list;
+}
+
+void
+store_rows_compact (store_rows_t *rows)
+{
+  rows->known_after = rows->version;
+  g_ptr_array_set_size (rows->history, 0);
+}
--- /dev/null
+++ b/tests/test-registry.c
@@ -0,0 +1,193 @@
+/* Upstreams that register themselves: joining, restarting, draining, lapses of the store. */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include "anvil/registry.h"
+
+typedef struct
+{
+  guint joined;
+  guint restarted;
+  guint changed;
+  guint left;
+} seen_t;
+
+static void
+on_changed (void *context,
+            anvil_time_t now,
+            const anvil_registered_t *upstream,
+            anvil_registry_change_t change)
+{
+  seen_t *seen = context;
+  guint *counts[] = { &seen->joined, &seen->restarted, &seen->changed, &seen->left };
+
+  (*counts[change])++;
+}
+
+static const anvil_registry_events_t events = { .changed = on_changed };
+
+static anvil_upstream_report_t
+report (const char *id)
+{
+  return (anvil_upstream_report_t){ .id = anvil_str (id),
+                                    .service = anvil_str ("photos"),
+                                    .zone = anvil_str ("west-a"),
+                                    .address = 0x7f000001,
+                                    .port = 80,
+                                    .slots = 3,
+                                    .started_at = 1000 };
+}
+
+static const anvil_registered_t *
+lookup (const anvil_registry_t *registry, const char *id)
+{
+  return anvil_registry_lookup (registry, anvil_str_hash (anvil_str (id)));
+}
+
+static seen_t seen;
+static anvil_registry_t *registry;
+
+static void
+set_up (void)
+{
+  const anvil_upstream_report_t first = report ("a");
+
+  seen = (seen_t){ 0 };
+  registry = anvil_registry_new (&events, &seen);
+  anvil_registry_apply (registry, 0, &first);
+}
+
+static void
+tear_down (void)
+{
+  anvil_registry_drop (registry);
+}
+
+START_TEST (test_a_report_without_news_is_no_change)
+{
+  anvil_upstream_report_t same = report ("a");
+
+  anvil_registry_apply (registry, ANVIL_SECOND, &same);
+  ck_assert_uint_eq (seen.joined, 1);
+  ck_assert_uint_eq (seen.changed, 0);
+  same.draining = TRUE;
+  anvil_registry_apply (registry, 2 * ANVIL_SECOND, &same);
+  ck_assert_uint_eq (seen.changed, 1);
+  ck_assert (!anvil_registry_usable (lookup (registry, "a")));
+}
+END_TEST
+
+START_TEST (test_another_start_under_the_same_id_is_a_restart)
+{
+  anvil_upstream_report_t next = report ("a");
+
+  next.started_at = 2000;
+  anvil_registry_apply (registry, ANVIL_SECOND, &next);
+  ck_assert_uint_eq (seen.restarted, 1);
+}
+END_TEST
+
+START_TEST (test_a_removed_row_is_gone_at_once)
+{
+  anvil_registry_remove (registry, ANVIL_SECOND, anvil_str ("a"));
+  ck_assert_uint_eq (seen.left, 1);
+  ck_assert_ptr_null (lookup (registry, "a"));
+  ck_assert (anvil_registry_left_lately (registry, anvil_str_hash (anvil_str ("a"))));
+}
+END_TEST
+
+START_TEST (test_rows_that_expired_while_the_store_was_away_may_come_back)
+{
+  const anvil_upstream_report_t again = report ("a");
+  const anvil_upstream_report_t second = report ("b");
+  anvil_time_t back = 10 * ANVIL_SECOND;
+
+  anvil_registry_apply (registry, 0, &second);
+  anvil_registry_store_lost (registry, ANVIL_SECOND);
+  anvil_registry_store_found (registry, back);
+  anvil_registry_remove (registry, back, anvil_str ("a"));
+  anvil_registry_remove (registry, back, anvil_str ("b"));
+  ck_assert_uint_eq (seen.left, 0);
+  anvil_registry_apply (registry, back + 1500 * ANVIL_MS, &again);
+  anvil_registry_tick (registry, back + ANVIL_REGISTRY_LAPSE_GRACE - 1);
+  ck_assert_uint_eq (seen.left, 0);
+  anvil_registry_tick (registry, back + ANVIL_REGISTRY_LAPSE_GRACE);
+  ck_assert_uint_eq (seen.left, 1);
+  ck_assert_ptr_nonnull (lookup (registry, "a"));
+  ck_assert_ptr_null (lookup (registry, "b"));
+}
+END_TEST
+
+START_TEST (test_a_draining_upstream_is_not_taken_for_a_lapse)
+{
+  anvil_upstream_report_t draining = report ("a");
+
+  draining.draining = TRUE;
+  anvil_registry_apply (registry, 0, &draining);
+  anvil_registry_store_lost (registry, ANVIL_SECOND);
+  anvil_registry_store_found (registry, 2 * ANVIL_SECOND);
+  anvil_registry_remove (registry, 2 * ANVIL_SECOND, anvil_str ("a"));
+  ck_assert_uint_eq (seen.left, 1);
+}
+END_TEST
+
+START_TEST (test_a_snapshot_removes_what_it_does_not_name)
+{
+  const anvil_upstream_report_t first = report ("a");
+  const anvil_upstream_report_t second = report ("b");
+
+  anvil_registry_apply (registry, 0, &second);
+  anvil_registry_begin_snapshot (registry);
+  anvil_registry_apply (registry, ANVIL_SECOND, &first);
+  anvil_registry_end_snapshot (registry, ANVIL_SECOND);
+  ck_assert_uint_eq (anvil_registry_count (registry), 1);
+  ck_assert_ptr_nonnull (lookup (registry, "a"));
+}
+END_TEST
+
+START_TEST (test_a_zone_that_is_taken_back_is_cold)
+{
+  anvil_registry_set_evacuated (registry, 0, anvil_str ("west-a"), TRUE, 0);
+  ck_assert (!anvil_registry_usable (lookup (registry, "a")));
+  anvil_registry_set_evacuated (registry, ANVIL_SECOND, anvil_str ("west-a"), FALSE,
+                                3 * ANVIL_SECOND);
+  ck_assert (anvil_registry_usable (lookup (registry, "a")));
+  ck_assert_int_eq (lookup (registry, "a")->cold_until, 4 * ANVIL_SECOND);
+}
+END_TEST
+
+START_TEST (test_an_upstream_that_joins_an_evacuated_zone_is_not_usable)
+{
+  const anvil_upstream_report_t second = report ("b");
+
+  anvil_registry_set_evacuated (registry, 0, anvil_str ("west-a"), TRUE, 0);
+  anvil_registry_apply (registry, ANVIL_SECOND, &second);
+  ck_assert (!anvil_registry_usable (lookup (registry, "b")));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("registry");
+  TCase *tests = tcase_create ("registry");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_add_test (tests, test_a_report_without_news_is_no_change);
+  tcase_add_test (tests, test_another_start_under_the_same_id_is_a_restart);
+  tcase_add_test (tests, test_a_removed_row_is_gone_at_once);
+  tcase_add_test (tests, test_rows_that_expired_while_the_store_was_away_may_come_back);
+  tcase_add_test (tests, test_a_draining_upstream_is_not_taken_for_a_lapse);
+  tcase_add_test (tests, test_a_snapshot_removes_what_it_does_not_name);
+  tcase_add_test (tests, test_a_zone_that_is_taken_back_is_cold);
+  tcase_add_test (tests, test_an_upstream_that_joins_an_evacuated_zone_is_not_usable);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
