--- /dev/null
+++ b/tests/helper-fleet.c
@@ -0,0 +1,379 @@
+#include "helper-fleet.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+
+#include <glib/gstdio.h>
+#include <jansson.h>
+
+#include "anvil/clock.h"
+
+#define MAX_ANSWER_BYTES (1u << 20)
+#define SETTLE_US 100000
+
+static guint16
+free_port (void)
+{
+  struct sockaddr_in local = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t length = sizeof local;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  ck_assert_int_eq (bind (fd, (struct sockaddr *) &local, sizeof local), 0);
+  ck_assert_int_eq (getsockname (fd, (struct sockaddr *) &local, &length), 0);
+  close (fd);
+  return ntohs (local.sin_port);
+}
+
+guint16
+fleet_port (const standin_t *standin)
+{
+  return (guint16) atoi (strrchr (standin->endpoint, ':') + 1);
+}
+
+void
+fleet_open (fleet_t *fleet)
+{
+  const char *const none[] = { NULL };
+
+  memset (fleet, 0, sizeof *fleet);
+  fleet->directory = g_dir_make_tmp ("anvil-fleet-XXXXXX", NULL);
+  ck_assert_ptr_nonnull (fleet->directory);
+  fleet->entries = g_ptr_array_new ();
+  fleet->upstreams = g_ptr_array_new ();
+  standin_open (&fleet->store, "anvil-store", none);
+}
+
+static void
+end_process (pid_t pid)
+{
+  if (pid <= 0)
+    return;
+  kill (pid, SIGKILL);
+  waitpid (pid, NULL, 0);
+}
+
+static char *
+settings_path (const fleet_t *fleet, const fleet_entry_t *entry)
+{
+  return g_strdup_printf ("%s/%s.json", fleet->directory, entry->name);
+}
+
+void
+fleet_close (fleet_t *fleet)
+{
+  for (guint i = 0; i < fleet->entries->len; i++)
+    {
+      fleet_entry_t *entry = fleet->entries->pdata[i];
+      char *path = settings_path (fleet, entry);
+
+      end_process (entry->pid);
+      g_unlink (path);
+      g_free (path);
+      g_free (entry->name);
+      g_free (entry->zone);
+      g_free (entry);
+    }
+  for (guint i = 0; i < fleet->upstreams->len; i++)
+    {
+      standin_t *upstream = fleet->upstreams->pdata[i];
+
+      end_process (upstream->pid);
+      close (upstream->errors);
+      g_free (upstream);
+    }
+  end_process (fleet->store.pid);
+  close (fleet->store.errors);
+  g_ptr_array_unref (fleet->entries);
+  g_ptr_array_unref (fleet->upstreams);
+  g_rmdir (fleet->directory);
+  g_free (fleet->directory);
+}
+
+standin_t *
+fleet_add_upstream (fleet_t *fleet, const char *id, const char *service, const char *flags)
+{
+  standin_t *upstream = g_new0 (standin_t, 1);
+  char *line = g_strdup_printf ("--store %s --id %s --service %s --zone west-a %s",
+                                fleet->store.endpoint, id, service, flags != NULL ? flags : "");
+  char **arguments = g_strsplit (g_strstrip (line), " ", -1);
+
+  standin_open (upstream, "anvil-registrant", (const char *const *) arguments);
+  g_ptr_array_add (fleet->upstreams, upstream);
+  g_strfreev (arguments);
+  g_free (line);
+  return upstream;
+}
+
+static void
+write_settings (const fleet_t *fleet, const fleet_entry_t *entry)
+{
+  const fleet_entry_t *first = fleet->entries->pdata[0];
+  char *path = settings_path (fleet, entry);
+  char *text = g_strdup_printf (
+      "{\"nodeName\":\"%s\",\"zone\":\"%s\","
+      "\"zones\":{\"west-a\":\"west\",\"west-b\":\"west\",\"east-a\":\"east\"},"
+      "\"listen\":{\"front\":\"127.0.0.1:%u\",\"ready\":\"127.0.0.1:%u\","
+      "\"directory\":\"127.0.0.1:%u\",\"control\":\"127.0.0.1:%u\"},"
+      "\"internalPorts\":[%u,%u],\"seeds\":[\"127.0.0.1:%u\"],"
+      "\"limits\":{\"memoryMb\":256,\"maxFds\":1024},\"platform\":{\"address\":\"%s\"},"
+      "\"bounds\":{\"graceS\":6,\"ttl_max_s\":5,\"retryBudgetRatio\":0.2,"
+      "\"retryBudgetExtra\":56,\"budgetWindowS\":10,\"coldLoadFactor\":1.5,\"coldSlack\":5,"
+      "\"maxShift\":0.15}}",
+      entry->name, entry->zone, entry->callers, entry->readiness, entry->lookups, entry->peers,
+      entry->metrics, entry->metrics, first->peers, fleet->store.endpoint);
+
+  ck_assert (g_file_set_contents (path, text, -1, NULL));
+  g_free (text);
+  g_free (path);
+}
+
+void
+fleet_start_entry (fleet_t *fleet, fleet_entry_t *entry)
+{
+  const char *bin = g_getenv ("ANVIL_BIN");
+  char *program = g_build_filename (bin != NULL ? bin : "build/release/bin", "anvil-relay", NULL);
+  char *settings = settings_path (fleet, entry);
+  char *log = g_strdup_printf ("%s.log", settings);
+
+  entry->pid = fork ();
+  if (entry->pid == 0)
+    {
+      /* A test that fails leaves no process behind. */
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      if (g_getenv ("ANVIL_FLEET_LOGS") == NULL)
+        log = g_strdup ("/dev/null");
+      if (freopen (log, "a", stdout) != NULL)
+        execl (program, "anvil-relay", "--settings", settings, (char *) NULL);
+      _exit (127);
+    }
+  g_free (log);
+  g_free (settings);
+  g_free (program);
+}
+
+fleet_entry_t *
+fleet_add_entry (fleet_t *fleet, const char *name, const char *zone)
+{
+  fleet_entry_t *entry = g_new0 (fleet_entry_t, 1);
+
+  entry->name = g_strdup (name);
+  entry->zone = g_strdup (zone);
+  entry->callers = free_port ();
+  entry->readiness = free_port ();
+  entry->lookups = free_port ();
+  entry->peers = free_port ();
+  entry->metrics = free_port ();
+  g_ptr_array_add (fleet->entries, entry);
+  write_settings (fleet, entry);
+  fleet_start_entry (fleet, entry);
+  return entry;
+}
+
+int
+fleet_kill_entry (fleet_entry_t *entry, int number)
+{
+  int status = -1;
+
+  kill (entry->pid, number);
+  waitpid (entry->pid, &status, 0);
+  entry->pid = 0;
+  return status;
+}
+
+int
+fleet_connect (guint16 port)
+{
+  const struct timeval patience = { .tv_sec = FLEET_PATIENCE_S };
+  struct sockaddr_in to = { .sin_family = AF_INET,
+                            .sin_port = htons (port),
+                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  if (connect (fd, (struct sockaddr *) &to, sizeof to) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+void
+fleet_send (int fd, const char *format, ...)
+{
+  va_list values;
+  char *text;
+
+  va_start (values, format);
+  text = g_strdup_vprintf (format, values);
+  va_end (values);
+  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t) strlen (text));
+  g_free (text);
+}
+
+/* Bytes that a whole answer has, 0 while its headers are incomplete. */
+static gsize
+whole_length (const char *text)
+{
+  const char *end = strstr (text, "\r\n\r\n");
+  const char *length = end != NULL ? strstr (text, "Content-Length: ") : NULL;
+
+  if (end == NULL)
+    return 0;
+  return (gsize) (end + 4 - text)
+         + (length != NULL && length < end ? (gsize) atoi (length + strlen ("Content-Length: "))
+                                           : 0);
+}
+
+char *
+fleet_read (int fd)
+{
+  char *text = g_malloc0 (MAX_ANSWER_BYTES);
+  gsize length = 0;
+
+  /* Byte by byte up to the end of the headers, so that a later answer stays unread. */
+  while (whole_length (text) == 0 || length < whole_length (text))
+    {
+      gsize left = whole_length (text) == 0 ? 1 : whole_length (text) - length;
+      ssize_t got = recv (fd, text + length, MIN (left, MAX_ANSWER_BYTES - 1 - length), 0);
+
+      if (got <= 0)
+        break;
+      length += (gsize) got;
+    }
+  return text;
+}
+
+guint
+fleet_status (const char *answer)
+{
+  return g_str_has_prefix (answer, "HTTP/1.1 ") ? (guint) atoi (answer + strlen ("HTTP/1.1 ")) : 0;
+}
+
+const char *
+fleet_body (const char *answer)
+{
+  const char *end = strstr (answer, "\r\n\r\n");
+
+  return end != NULL ? end + 4 : "";
+}
+
+char *
+fleet_ask (guint16 port, const char *method, const char *path, const char *id)
+{
+  int fd = fleet_connect (port);
+  char *answer;
+
+  if (fd < 0)
+    return g_strdup ("");
+  fleet_send (fd,
+              "%s %s HTTP/1.1\r\nHost: " FLEET_HOST "\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\n"
+              "Content-Length: 0\r\nConnection: close\r\n\r\n",
+              method, path, id);
+  answer = fleet_read (fd);
+  close (fd);
+  return answer;
+}
+
+static void
+call_store (fleet_t *fleet, const char *path, const char *body)
+{
+  int fd = fleet_connect (fleet_port (&fleet->store));
+  char *answer;
+
+  ck_assert_int_ge (fd, 0);
+  fleet_send (fd, "POST %s HTTP/1.1\r\nHost: store\r\nContent-Length: %zu\r\n\r\n%s", path,
+              strlen (body), body);
+  answer = fleet_read (fd);
+  ck_assert_uint_eq (fleet_status (answer), 200);
+  g_free (answer);
+  close (fd);
+}
+
+void
+fleet_put (fleet_t *fleet, const char *table, const char *key, const char *value)
+{
+  char *encoded = value != NULL ? g_base64_encode ((const guchar *) value, strlen (value)) : NULL;
+  char *body = g_strdup_printf (
+      "{\"expect\":[],\"%s\":[{\"table\":\"%s\",\"part\":\"\",\"key\":\"%s\","
+      "\"value\":\"%s\"}]}",
+      value != NULL ? "writes" : "remove", table, key, encoded != NULL ? encoded : "");
+
+  call_store (fleet, "/-/rows-tx", body);
+  g_free (body);
+  g_free (encoded);
+}
+
+void
+fleet_fault (fleet_t *fleet, const char *kind, guint for_ms)
+{
+  char *path = g_strdup_printf ("/fault?kind=%s&for_ms=%u", kind, for_ms);
+
+  call_store (fleet, path, "");
+  g_free (path);
+}
+
+void
+fleet_configure_raw (fleet_t *fleet, const char *text)
+{
+  fleet_put (fleet, "op", "config", text);
+}
+
+#define ROUTE(name, prefix, kind)                                                                  \
+  "{\"resourceKind\":\"routes\",\"metadata\":{\"name\":\"" name                                    \
+  "\"},\"spec\":{\"host\":\"" FLEET_HOST "\",\"prefix\":\"" prefix "\",\"kind\":\"" kind           \
+  "\",\"timeoutMs\":1500,\"targetLatencyMs\":600,"                                                 \
+  "\"priority\":1,\"service\":\"photos\",\"maxAttempts\":3,\"sticky\":true,\"allowedRegions\":[]}" \
+  "}"
+#define SERVICE(name)                                                                              \
+  "{\"resourceKind\":\"services\",\"metadata\":{\"name\":\"" name                                  \
+  "\"},\"spec\":{\"healthPath\":\"/health\",\"maxConnections\":330,\"coldStartS\":0.2,"            \
+  "\"coldPerS\":100}}"
+
+void
+fleet_configure (fleet_t *fleet, const char *more)
+{
+  char *text = g_strdup_printf (
+      "{\"version\":%u,\"resources\":[" ROUTE ("view", "/view/", "safe") "," ROUTE (
+          "pay", "/pay/", "unsafe") "," SERVICE ("photos") "," SERVICE ("other") "%s%s]}",
+      ++fleet->version, more != NULL ? "," : "", more != NULL ? more : "");
+
+  fleet_configure_raw (fleet, text);
+  g_free (text);
+}
+
+void
+fleet_wait_ready (const fleet_entry_t *entry)
+{
+  anvil_time_t until = anvil_clock_now () + FLEET_PATIENCE_S * ANVIL_SECOND;
+
+  while (anvil_clock_now () < until)
+    {
+      char *answer = fleet_ask (entry->readiness, "GET", "/-/ready", "ready");
+      gboolean ready = fleet_status (answer) == 200;
+
+      g_free (answer);
+      g_usleep (SETTLE_US);
+      if (ready)
+        return;
+    }
+  ck_abort_msg ("entry %s was never ready", entry->name);
+}
+
+guint
+fleet_runs (fleet_t *fleet, const char *id)
+{
+  guint runs = 0;
+
+  for (guint i = 0; i < fleet->upstreams->len; i++)
+    {
+      char *answer = fleet_ask (fleet_port (fleet->upstreams->pdata[i]), "GET", "/runs", "runs");
+      json_t *root = json_loads (fleet_body (answer), 0, NULL);
+
+      runs += (guint) json_integer_value (json_object_get (root, id));
+      json_decref (root);
+      g_free (answer);
+    }
+  return runs;
+}
--- /dev/null
+++ b/tests/helper-fleet.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <glib.h>
+#include <sys/types.h>
+
+#include "standin.h"
+
+/*
+ * A small deployment of real processes on loopback: the stand-in store,
+ * upstreams that register themselves, and entries.
+ */
+
+#define FLEET_HOST "shop.example"
+/* Longest wait for anything that should happen, seconds. */
+#define FLEET_PATIENCE_S 20
+
+/** fleet_entry_t - an entry and where it listens */
+typedef struct
+{
+  pid_t pid;
+  char *name;
+  char *zone;
+  guint16 callers;
+  guint16 readiness;
+  guint16 lookups;
+  guint16 peers;
+  guint16 metrics;
+} fleet_entry_t;
+
+/** fleet_t - the deployment; entries and upstreams are kept in the order of their start */
+typedef struct
+{
+  char *directory;
+  standin_t store;
+  GPtrArray *entries;
+  GPtrArray *upstreams;
+  guint version;
+} fleet_t;
+
+void fleet_open (fleet_t *fleet);
+
+/** fleet_close - ends every process that was started, and removes their files */
+void fleet_close (fleet_t *fleet);
+
+/** fleet_add_upstream - one of @service; @flags are further flags of anvil-registrant, or NULL */
+standin_t *
+fleet_add_upstream (fleet_t *fleet, const char *id, const char *service, const char *flags);
+
+/** fleet_add_entry - an entry in @zone ("west-a", "west-b" or "east-a") */
+fleet_entry_t *fleet_add_entry (fleet_t *fleet, const char *name, const char *zone);
+
+/** fleet_start_entry - starts it, also again after it has ended */
+void fleet_start_entry (fleet_t *fleet, fleet_entry_t *entry);
+
+/** fleet_kill_entry - ends it with @number and waits for its end; its exit status */
+int fleet_kill_entry (fleet_entry_t *entry, int number);
+
+/** fleet_configure - the usual routes, and @more in JSON, as the next version:
+ *   /view/ safe and /pay/ unsafe to "photos"; both with a time-out of 1500 ms */
+void fleet_configure (fleet_t *fleet, const char *more);
+
+/** fleet_configure_raw - any bytes as the configuration */
+void fleet_configure_raw (fleet_t *fleet, const char *text);
+
+/** fleet_put - a row of the store; a NULL value removes it */
+void fleet_put (fleet_t *fleet, const char *table, const char *key, const char *value);
+
+/** fleet_fault - a fault of the store, see anvil-store */
+void fleet_fault (fleet_t *fleet, const char *kind, guint for_ms);
+
+/** fleet_wait_ready - until the entry says that it is ready, and has been for a moment */
+void fleet_wait_ready (const fleet_entry_t *entry);
+
+/** fleet_connect - a connection to a port of the deployment; -1 if it is refused */
+int fleet_connect (guint16 port);
+
+/** fleet_send - writes to a connection */
+void fleet_send (int fd, const char *format, ...) G_GNUC_PRINTF (2, 3);
+
+/** fleet_read - one whole answer, or what came before the connection ended; freed with g_free() */
+char *fleet_read (int fd);
+
+/** fleet_ask - one request on a connection of its own; its answer */
+char *fleet_ask (guint16 port, const char *method, const char *path, const char *id);
+
+/** fleet_status - status of an answer, 0 if it isn't one */
+guint fleet_status (const char *answer);
+
+/** fleet_body - body of an answer, "" without one */
+const char *fleet_body (const char *answer);
+
+/** fleet_runs - how often upstreams ran the request, over all that live */
+guint fleet_runs (fleet_t *fleet, const char *id);
+
+/** fleet_port - port of a stand-in's endpoint */
+guint16 fleet_port (const standin_t *standin);
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -19,7 +19,7 @@
 } standin_t;
 
 /* Reads standard error up to the ready line. */
-static void
+static G_GNUC_UNUSED void
 standin_wait (standin_t *standin)
 {
   GIOChannel *channel = g_io_channel_unix_new (standin->errors);
@@ -44,7 +44,7 @@
 }
 
 /** standin_open - starts a program of the build; @arguments are its flags, NULL-terminated */
-static void
+static G_GNUC_UNUSED void
 standin_open (standin_t *standin, const char *program, const char *const *arguments)
 {
   const char *folder = g_getenv ("ANVIL_BIN");
@@ -67,7 +67,7 @@
 }
 
 /** standin_close - asks the process to end; its exit status */
-static int
+static G_GNUC_UNUSED int
 standin_close (standin_t *standin)
 {
   int status = -1;
--- /dev/null
+++ b/tests/test-adapter.c
@@ -0,0 +1,242 @@
+/* The users' platform in the product's terms: configuration, upstreams, settings. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib/gstdio.h>
+
+#include "platform/adapter.h"
+
+#define SPEC                                                                                       \
+  "\"host\":\"a.example\",\"prefix\":\"/x/\",\"kind\":\"unsafe\",\"timeoutMs\":1500,"              \
+  "\"targetLatencyMs\":600.5,\"priority\":2,\"maxAttempts\":2,\"sticky\":true,"                    \
+  "\"allowedRegions\":[\"west\"]"
+#define SERVICE                                                                                    \
+  "{\"resourceKind\":\"services\",\"metadata\":{\"name\":\"s\"},\"spec\":{\"healthPath\":\"/h\","  \
+  "\"maxConnections\":330,\"coldStartS\":3.0,\"coldPerS\":2.5}}"
+#define ROUTE(spec)                                                                                \
+  "{\"resourceKind\":\"routes\",\"metadata\":{\"name\":\"r\"},\"spec\":{" spec "}}"
+#define DOCUMENT(items) "{\"version\":7,\"resources\":[" items "]}"
+
+static void
+assert_refused (const char *text, const char *reason)
+{
+  GError *error = NULL;
+
+  ck_assert_ptr_null (anvil_adapter_read_routes (anvil_str (text), &error));
+  ck_assert_msg (strstr (error->message, reason) != NULL, "\"%s\" isn't in \"%s\"", reason,
+                 error->message);
+  g_error_free (error);
+}
+
+START_TEST (test_a_configuration_is_decoded)
+{
+  anvil_routes_t *routes = anvil_adapter_read_routes (
+      anvil_str (DOCUMENT (ROUTE (
+          SPEC ",\"service\":\"s\"") "," SERVICE
+                                     ",{\"resourceKind\":\"limits\",\"metadata\":{},\"spec\":{"
+                                     "\"maxHeaderBytes\":100,\"maxBodyBytes\":200,"
+                                     "\"headerTimeoutMs\":3000,"
+                                     "\"idleTimeoutMs\":15000}},{\"resourceKind\":\"novel\","
+                                     "\"spec\":{}}")),
+      NULL);
+  const anvil_route_t *route;
+
+  ck_assert_ptr_nonnull (routes);
+  ck_assert_int_eq (anvil_routes_version (routes), 7);
+  route = anvil_routes_at (routes, 0);
+  ck_assert_int_eq (route->kind, ANVIL_ROUTE_UNSAFE);
+  ck_assert_int_eq (route->timeout, 1500 * ANVIL_MS);
+  ck_assert_int_eq (route->target_latency, 600500);
+  ck_assert_uint_eq (route->max_attempts, 2);
+  ck_assert (route->sticky);
+  ck_assert_str_eq (route->regions[0], "west");
+  ck_assert_uint_eq (anvil_routes_service_at (routes, 0)->max_connections, 330);
+  ck_assert_int_eq (anvil_routes_service_at (routes, 0)->cold_time, 3 * ANVIL_SECOND);
+  ck_assert_uint_eq (anvil_routes_bounds (routes)->max_body_bytes, 200);
+  anvil_routes_drop (routes);
+}
+END_TEST
+
+START_TEST (test_a_split_is_decoded)
+{
+  anvil_routes_t *routes = anvil_adapter_read_routes (
+      anvil_str (DOCUMENT (ROUTE (SPEC ",\"trafficSplit\":[{\"service\":\"s\",\"weight\":90},"
+                                       "{\"service\":\"s\",\"weight\":10}]") "," SERVICE)),
+      NULL);
+
+  ck_assert_ptr_nonnull (routes);
+  ck_assert_uint_eq (anvil_routes_at (routes, 0)->n_parts, 2);
+  ck_assert_uint_eq (anvil_routes_at (routes, 0)->parts[1].weight, 10);
+  anvil_routes_drop (routes);
+}
+END_TEST
+
+START_TEST (test_bad_configurations_are_refused_with_field_and_reason)
+{
+  assert_refused ("{", "configuration");
+  assert_refused ("[]", "not a JSON object");
+  assert_refused ("{\"resources\":[]}", "version");
+  assert_refused ("{\"version\":\"7\",\"resources\":[]}", "version");
+  assert_refused ("{\"version\":7}", "resources");
+  assert_refused (DOCUMENT ("5"), "resourceKind");
+  assert_refused (DOCUMENT (ROUTE (SPEC ",\"service\":\"t\"") "," SERVICE), "service \"t\"");
+  assert_refused (DOCUMENT (ROUTE ("\"host\":5") "," SERVICE), "r: host");
+  assert_refused (DOCUMENT (ROUTE (SPEC ",\"service\":\"s\",\"maxAttempts\":0") "," SERVICE),
+                  "r: maxAttempts");
+  assert_refused (DOCUMENT (ROUTE (SPEC ",\"service\":\"s\",\"kind\":\"odd\"") "," SERVICE),
+                  "r: kind");
+  assert_refused (DOCUMENT (ROUTE (SPEC ",\"service\":\"s\",\"timeoutMs\":-1") "," SERVICE),
+                  "r: timeoutMs");
+  assert_refused (DOCUMENT (ROUTE (SPEC ",\"trafficSplit\":[{\"service\":\"s\"}]") "," SERVICE),
+                  "weight");
+}
+END_TEST
+
+static gboolean
+read_upstream (const char *text, anvil_upstream_report_t *report, gpointer *storage)
+{
+  GError *error = NULL;
+  gboolean valid
+      = anvil_adapter_read_upstream (anvil_str ("i-1"), anvil_str (text), report, storage, &error);
+
+  ck_assert (valid == (error == NULL));
+  g_clear_error (&error);
+  return valid;
+}
+
+START_TEST (test_an_upstream_is_decoded)
+{
+  anvil_upstream_report_t report;
+  gpointer storage;
+
+  ck_assert (read_upstream (
+      "{\"address\":\"10.1.0.9:8080\",\"born\":1733300000123,\"info\":{\"service\":\"photos\","
+      "\"version\":\"v1\",\"zone\":\"west-a\",\"slots\":3},\"status\":{\"state\":\"draining\","
+      "\"sequence\":4,\"coldRemainingMs\":1500}}",
+      &report, &storage));
+  ck_assert (anvil_str_equal (report.id, anvil_str ("i-1")));
+  ck_assert (anvil_str_equal (report.service, anvil_str ("photos")));
+  ck_assert (anvil_str_equal (report.zone, anvil_str ("west-a")));
+  ck_assert_uint_eq (report.address, 0x0a010009);
+  ck_assert_uint_eq (report.port, 8080);
+  ck_assert (report.draining);
+  ck_assert_int_eq (report.cold_left, 1500 * ANVIL_MS);
+  ck_assert_int_eq (report.started_at, G_GINT64_CONSTANT (1733300000123));
+  g_free (storage);
+}
+END_TEST
+
+START_TEST (test_rows_that_name_no_upstream_are_refused)
+{
+  static const char *const rows[] = {
+    "",
+    "\xff\xfe",
+    "[]",
+    "{}",
+    "{\"address\":\"10.1.0.9\",\"info\":{\"service\":\"p\",\"zone\":\"z\",\"slots\":3},\"status\":{"
+    "\"state\":\"ready\"}}",
+    "{\"address\":\"10.1.0.9:1\",\"info\":{\"zone\":\"z\",\"slots\":3},\"status\":{\"state\":"
+    "\"ready\"}}",
+    "{\"address\":\"10.1.0.9:1\",\"info\":{\"service\":\"p\",\"zone\":\"z\",\"slots\":0},"
+    "\"status\":{\"state\":\"ready\"}}",
+    "{\"address\":\"10.1.0.9:1\",\"info\":{\"service\":\"p\",\"zone\":\"z\",\"slots\":2.5},"
+    "\"status\":{\"state\":\"ready\"}}",
+    "{\"address\":\"10.1.0.9:1\",\"info\":{\"service\":\"p\",\"zone\":\"z\",\"slots\":3},"
+    "\"status\":{\"state\":\"up\"}}",
+    "{\"address\":\"10.1.0.9:1\",\"info\":{\"service\":\"p\",\"zone\":\"z\",\"slots\":3},"
+    "\"status\":{\"state\":\"ready\",\"coldRemainingMs\":\"1\"}}",
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      anvil_upstream_report_t report;
+      gpointer storage;
+
+      ck_assert_msg (!read_upstream (rows[i], &report, &storage), "row %zu", i);
+      ck_assert_ptr_null (storage);
+    }
+}
+END_TEST
+
+#define SETTINGS(bounds, store)                                                                    \
+  "{\"nodeName\":\"e1\",\"zone\":\"west-a\",\"zones\":{\"west-a\":\"west\"},\"novel\":1,"          \
+  "\"listen\":{\"front\":\"10.0.0.1:1\",\"ready\":\"10.0.0.1:2\",\"directory\":\"10.0.0.1:3\","    \
+  "\"control\":\"10.0.0.1:4\"},\"internalPorts\":[7540,7555],\"seeds\":[\"10.0.0.2:4\"],"          \
+  "\"limits\":{\"memoryMb\":260,\"maxFds\":4100},\"platform\":{\"address\":" store "},"            \
+  "\"bounds\":{" bounds "}}"
+#define BOUNDS                                                                                     \
+  "\"graceS\":6,\"ttl_max_s\":5,\"retryBudgetRatio\":0.2,\"retryBudgetExtra\":56,"                 \
+  "\"budgetWindowS\":10,\"coldLoadFactor\":1.5,\"coldSlack\":5,\"maxShift\":0.15"
+
+static gboolean
+load (const char *text, anvil_relay_settings_t *settings, GError **error)
+{
+  char *path;
+  int fd = g_file_open_tmp ("anvil-settings-XXXXXX", &path, NULL);
+  gboolean valid;
+
+  ck_assert_int_ge (fd, 0);
+  close (fd);
+  ck_assert (g_file_set_contents (path, text, -1, NULL));
+  valid = anvil_adapter_load_settings (path, settings, error);
+  g_unlink (path);
+  g_free (path);
+  return valid;
+}
+
+START_TEST (test_settings_are_decoded)
+{
+  anvil_relay_settings_t settings;
+
+  ck_assert (load (SETTINGS (BOUNDS, "\"10.200.1.7:8541\""), &settings, NULL));
+  ck_assert_str_eq (settings.vm, "e1");
+  ck_assert_str_eq (anvil_relay_settings_region (&settings, "west-a"), "west");
+  ck_assert_uint_eq (settings.peers.port, 4);
+  ck_assert_uint_eq (settings.store.port, 8541);
+  ck_assert_uint_eq (settings.n_seeds, 1);
+  ck_assert_int_eq (settings.grace, 6 * ANVIL_SECOND);
+  ck_assert_double_eq (settings.bounds.retry_extra, 56);
+  anvil_relay_settings_clear (&settings);
+}
+END_TEST
+
+START_TEST (test_every_bad_setting_is_named)
+{
+  anvil_relay_settings_t settings;
+  GError *error = NULL;
+
+  ck_assert (!load (SETTINGS ("\"graceS\":\"x\"", "\"nowhere\""), &settings, &error));
+  ck_assert_ptr_nonnull (strstr (error->message, "graceS"));
+  ck_assert_ptr_nonnull (strstr (error->message, "maxShift"));
+  ck_assert_ptr_nonnull (strstr (error->message, "platform: address"));
+  g_clear_error (&error);
+  ck_assert (!load ("nothing", &settings, &error));
+  g_clear_error (&error);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("adapter");
+  TCase *tests = tcase_create ("adapter");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (tests, test_a_configuration_is_decoded);
+  tcase_add_test (tests, test_a_split_is_decoded);
+  tcase_add_test (tests, test_bad_configurations_are_refused_with_field_and_reason);
+  tcase_add_test (tests, test_an_upstream_is_decoded);
+  tcase_add_test (tests, test_rows_that_name_no_upstream_are_refused);
+  tcase_add_test (tests, test_settings_are_decoded);
+  tcase_add_test (tests, test_every_bad_setting_is_named);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/test-log.c
@@ -0,0 +1,129 @@
+/* Logging to standard output: whole lines, and never waiting for a reader. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "anvil/clock.h"
+#include "anvil/log.h"
+
+#define LINES 20000
+
+/* Logs into a pipe; returns its reading end and the process. */
+static int
+start_logger (pid_t *pid, gboolean wait_between)
+{
+  int ends[2];
+
+  ck_assert_int_eq (pipe (ends), 0);
+  *pid = fork ();
+  if (*pid == 0)
+    {
+      dup2 (ends[1], STDOUT_FILENO);
+      close (ends[0]);
+      close (ends[1]);
+      anvil_log_to_output ();
+      for (guint i = 0; i < LINES; i++)
+        {
+          anvil_log (ANVIL_LOG_NOTICE, "test", "line number=%u", i);
+          if (wait_between && i % 100 == 0)
+            {
+              anvil_log_flush ();
+              g_usleep (200);
+            }
+        }
+      for (guint i = 0; i < 200; i++)
+        {
+          anvil_log_flush ();
+          g_usleep (2000);
+        }
+      _exit (0);
+    }
+  close (ends[1]);
+  return ends[0];
+}
+
+START_TEST (test_a_reader_that_stops_reading_blocks_nobody)
+{
+  anvil_time_t started_at = anvil_clock_now ();
+  pid_t pid;
+  int status;
+  int fd = start_logger (&pid, FALSE);
+
+  ck_assert_int_eq (waitpid (pid, &status, 0), pid);
+  ck_assert_int_eq (status, 0);
+  ck_assert_int_lt (anvil_clock_now () - started_at, 20 * ANVIL_SECOND);
+  close (fd);
+}
+END_TEST
+
+START_TEST (test_dropped_lines_are_counted_and_said)
+{
+  char *text = g_malloc0 (8 << 20);
+  gsize length = 0;
+  ssize_t got;
+  pid_t pid;
+  int fd = start_logger (&pid, FALSE);
+  guint lines = 0;
+  guint dropped = 0;
+  const char *found;
+
+  while ((got = read (fd, text + length, 65536)) > 0)
+    length += (gsize) got;
+  waitpid (pid, NULL, 0);
+  close (fd);
+  for (const char *line = text; (line = strstr (line, "test: line number=")) != NULL; line++)
+    lines++;
+  found = strstr (text, "lines=");
+  if (found != NULL)
+    dropped = (guint) atoi (found + strlen ("lines="));
+  ck_assert_uint_gt (dropped, 0);
+  ck_assert_uint_eq (lines + dropped, LINES);
+  g_free (text);
+}
+END_TEST
+
+START_TEST (test_a_reader_that_follows_gets_every_line)
+{
+  char *text = g_malloc0 (8 << 20);
+  gsize length = 0;
+  ssize_t got;
+  pid_t pid;
+  int fd = start_logger (&pid, TRUE);
+
+  while ((got = read (fd, text + length, 65536)) > 0)
+    length += (gsize) got;
+  waitpid (pid, NULL, 0);
+  close (fd);
+  for (guint i = 0; i < LINES; i += 997)
+    {
+      char *line = g_strdup_printf ("<5>test: line number=%u\n", i);
+
+      ck_assert_msg (strstr (text, line) != NULL, "%s", line);
+      g_free (line);
+    }
+  g_free (text);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("log");
+  TCase *tests = tcase_create ("log");
+  SRunner *runner;
+  int failed;
+
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, test_a_reader_that_stops_reading_blocks_nobody);
+  tcase_add_test (tests, test_dropped_lines_are_counted_and_said);
+  tcase_add_test (tests, test_a_reader_that_follows_gets_every_line);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/test-members.c
@@ -0,0 +1,164 @@
+/* Entries that know of each other: who answers, who holds a service, whom callers are sent to. */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include "anvil/members.h"
+
+#define SELF ((anvil_node_t) 1)
+
+static anvil_members_t *members;
+static anvil_time_t now;
+
+static const char *
+region_of (void *context, const char *zone)
+{
+  if (zone == NULL)
+    return NULL;
+  return g_str_has_prefix (zone, "west") ? "west" : "east";
+}
+
+static anvil_member_info_t
+info (const char *zone, guint64 incarnation)
+{
+  return (anvil_member_info_t){ .name = anvil_str ("vm"),
+                                .zone = anvil_str (zone),
+                                .incarnation = incarnation,
+                                .caller_port = 80,
+                                .ready = TRUE };
+}
+
+static void
+set_up (void)
+{
+  const anvil_member_info_t self = info ("west-a", 1);
+
+  now = 10 * ANVIL_SECOND;
+  members = anvil_members_new (SELF, &self, region_of, NULL);
+}
+
+static void
+tear_down (void)
+{
+  anvil_members_drop (members);
+}
+
+static gboolean
+answer (anvil_node_t node, const char *zone, guint64 incarnation)
+{
+  const anvil_member_info_t said = info (zone, incarnation);
+
+  anvil_members_learn (members, node);
+  return anvil_members_answered (members, now, node, &said, now - ANVIL_MS);
+}
+
+static guint
+entries (const char *region)
+{
+  anvil_node_t nodes[8];
+
+  return anvil_members_entries (members, now, anvil_str (region), nodes, 8);
+}
+
+START_TEST (test_a_peer_that_stops_answering_is_left_out)
+{
+  answer (2, "west-b", 1);
+  ck_assert_uint_eq (entries ("west"), 2);
+  now += 700 * ANVIL_MS;
+  ck_assert_uint_eq (entries ("west"), 2);
+  now += 100 * ANVIL_MS;
+  ck_assert_uint_eq (entries ("west"), 1);
+}
+END_TEST
+
+START_TEST (test_callers_go_to_their_region_if_an_entry_serves_there)
+{
+  anvil_member_info_t leaving = info ("east-a", 1);
+
+  answer (2, "west-b", 1);
+  answer (3, "east-a", 1);
+  ck_assert_uint_eq (entries ("east"), 1);
+  ck_assert_uint_eq (entries ("west"), 2);
+  leaving.leaving = TRUE;
+  anvil_members_answered (members, now, 3, &leaving, now);
+  ck_assert_uint_eq (entries ("east"), 2);
+}
+END_TEST
+
+START_TEST (test_every_entry_chooses_the_same_holder)
+{
+  anvil_members_t *other;
+  const anvil_member_info_t second = info ("west-b", 1);
+  const anvil_member_info_t first = info ("west-a", 1);
+
+  other = anvil_members_new (2, &second, region_of, NULL);
+  anvil_members_learn (other, SELF);
+  anvil_members_answered (other, now, SELF, &first, now);
+  anvil_members_learn (other, 3);
+  anvil_members_answered (other, now, 3, &first, now);
+  answer (2, "west-b", 1);
+  answer (3, "west-a", 1);
+  for (guint i = 0; i < 50; i++)
+    {
+      char *service = g_strdup_printf ("service-%u", i);
+
+      ck_assert_uint_eq (anvil_members_holder (members, now, anvil_str (service), "west"),
+                         anvil_members_holder (other, now, anvil_str (service), "west"));
+      g_free (service);
+    }
+  anvil_members_drop (other);
+}
+END_TEST
+
+START_TEST (test_the_holder_is_in_the_region_of_the_slots_while_one_answers_there)
+{
+  answer (2, "west-b", 1);
+  answer (3, "east-a", 1);
+  ck_assert_uint_eq (anvil_members_holder (members, now, anvil_str ("photos"), "east"), 3);
+  now += 5 * ANVIL_SECOND;
+  ck_assert_uint_eq (anvil_members_holder (members, now, anvil_str ("photos"), "east"), SELF);
+}
+END_TEST
+
+START_TEST (test_a_new_process_of_a_peer_is_noticed)
+{
+  ck_assert (!answer (2, "west-b", 1));
+  ck_assert (!answer (2, "west-b", 1));
+  ck_assert (answer (2, "west-b", 2));
+}
+END_TEST
+
+START_TEST (test_an_answer_counts_from_when_it_was_asked_for)
+{
+  const anvil_member_info_t said = info ("west-b", 1);
+
+  anvil_members_learn (members, 2);
+  anvil_members_answered (members, now, 2, &said, now - 5 * ANVIL_SECOND);
+  anvil_members_answered (members, now, 2, &said, now + 5 * ANVIL_SECOND);
+  ck_assert (
+      !anvil_members_answers (members, now + 5 * ANVIL_SECOND, anvil_members_lookup (members, 2)));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("members");
+  TCase *tests = tcase_create ("members");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_add_test (tests, test_a_peer_that_stops_answering_is_left_out);
+  tcase_add_test (tests, test_callers_go_to_their_region_if_an_entry_serves_there);
+  tcase_add_test (tests, test_every_entry_chooses_the_same_holder);
+  tcase_add_test (tests, test_the_holder_is_in_the_region_of_the_slots_while_one_answers_there);
+  tcase_add_test (tests, test_a_new_process_of_a_peer_is_noticed);
+  tcase_add_test (tests, test_an_answer_counts_from_when_it_was_asked_for);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/test-relay-message.c
@@ -0,0 +1,124 @@
+/* Messages about tasks: what is packed is read back, anything else is refused. */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include "relay/relay-message.h"
+
+static const anvil_relay_message_t samples[] = {
+  { .kind = ANVIL_RELAY_PING,
+    .number = 5,
+    .info = { .name = { "vm-1", 4 },
+              .zone = { "west-a", 6 },
+              .incarnation = G_MAXUINT64,
+              .caller_port = 80,
+              .ready = TRUE } },
+  { .kind = ANVIL_RELAY_ASK,
+    .number = 6,
+    .task = { .service = { "photos", 6 },
+              .region = { "west", 4 },
+              .zone = { "west-a", 6 },
+              .regions = { { "west", 4 } },
+              .n_regions = 1,
+              .object = 7,
+              .kind = ANVIL_ROUTE_UPLOAD,
+              .priority = 1,
+              .attempt = 2,
+              .avoid = { 8, 9 },
+              .n_avoid = 2,
+              .body_bytes = 60000,
+              .target = -5,
+              .deadline = 1500000 } },
+  { .kind = ANVIL_RELAY_ADOPT, .number = 6, .upstream = 9 },
+  { .kind = ANVIL_RELAY_GRANT,
+    .number = 7,
+    .grant = { .upstream = 9,
+               .upstream_id = { "u", 1 },
+               .zone = { "z", 1 },
+               .address = 1,
+               .port = 2,
+               .warm = TRUE } },
+  { .kind = ANVIL_RELAY_REFUSE, .number = 8, .why = ANVIL_TASK_LATE, .come_back = 100000 },
+  { .kind = ANVIL_RELAY_FINISHED,
+    .number = 9,
+    .report = { .result = ANVIL_RUN_BROKEN, .took = 5, .still_running = TRUE } },
+  { .kind = ANVIL_RELAY_WITHDRAW, .number = 10 },
+};
+
+static GByteArray *
+pack (const anvil_relay_message_t *message)
+{
+  GByteArray *bytes = g_byte_array_new ();
+
+  anvil_relay_message_pack (message, bytes);
+  return bytes;
+}
+
+START_TEST (test_every_kind_is_read_back)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (samples); i++)
+    {
+      GByteArray *bytes = pack (&samples[i]);
+      anvil_relay_message_t read;
+      GByteArray *again;
+
+      ck_assert (anvil_relay_message_unpack (
+          (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
+      again = pack (&read);
+      ck_assert_uint_eq (bytes->len, again->len);
+      ck_assert_mem_eq (bytes->data, again->data, bytes->len);
+      g_byte_array_unref (bytes);
+      g_byte_array_unref (again);
+    }
+}
+END_TEST
+
+/* Cut, changed and random bytes are refused or read as something valid, never worse. */
+START_TEST (test_damaged_messages_do_no_harm)
+{
+  GRand *random = g_rand_new_with_seed (3);
+  guint refused = 0;
+
+  for (guint round = 0; round < 20000; round++)
+    {
+      GByteArray *bytes = pack (&samples[round % G_N_ELEMENTS (samples)]);
+      anvil_relay_message_t read;
+      GError *error = NULL;
+
+      if (round % 3 == 0)
+        g_byte_array_set_size (bytes, (guint) g_rand_int_range (random, 0, (gint32) bytes->len));
+      else
+        bytes->data[g_rand_int_range (random, 0, (gint32) bytes->len)]
+            = (guint8) g_rand_int_range (random, 0, 256);
+      if (!anvil_relay_message_unpack (
+              (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read,
+              &error))
+        {
+          ck_assert_ptr_nonnull (error);
+          g_error_free (error);
+          refused++;
+        }
+      g_byte_array_unref (bytes);
+    }
+  ck_assert_uint_ge (refused, 5000);
+  g_rand_free (random);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("relay-message");
+  TCase *tests = tcase_create ("relay-message");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (tests, test_every_kind_is_read_back);
+  tcase_add_test (tests, test_damaged_messages_do_no_harm);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/test-relay-process.c
@@ -0,0 +1,496 @@
+/* Entries as processes, with a store and upstreams: what callers get, whatever fails. */
+
+#include "helper-fleet.h"
+
+#include <stdlib.h>
+
+#include "anvil/clock.h"
+
+static fleet_t fleet;
+static fleet_entry_t *entry;
+
+static void
+set_up (void)
+{
+  fleet_open (&fleet);
+}
+
+static void
+tear_down (void)
+{
+  fleet_close (&fleet);
+}
+
+/* One entry, two upstreams, the usual routes. */
+static void
+start_usual (void)
+{
+  fleet_add_upstream (&fleet, "u1", "photos", NULL);
+  fleet_add_upstream (&fleet, "u2", "photos", NULL);
+  fleet_configure (&fleet, NULL);
+  entry = fleet_add_entry (&fleet, "e1", "west-a");
+  fleet_wait_ready (entry);
+}
+
+static void
+assert_status (const char *method, const char *path, const char *id, guint status)
+{
+  char *answer = fleet_ask (entry->callers, method, path, id);
+
+  ck_assert_msg (fleet_status (answer) == status, "%s %s: %s", method, path, answer);
+  g_free (answer);
+}
+
+/* Waits until a request gets @status. */
+static void
+wait_status (guint16 port, const char *path, guint status)
+{
+  anvil_time_t until = anvil_clock_now () + FLEET_PATIENCE_S * ANVIL_SECOND;
+  guint last = 0;
+
+  for (guint i = 0; anvil_clock_now () < until; i++)
+    {
+      char *id = g_strdup_printf ("wait-%u", i);
+      char *answer = fleet_ask (port, "GET", path, id);
+
+      last = fleet_status (answer);
+      g_free (answer);
+      g_free (id);
+      if (last == status)
+        return;
+      g_usleep (50000);
+    }
+  ck_abort_msg ("%s gave %u, never %u", path, last, status);
+}
+
+START_TEST (test_request_and_answer_pass_unchanged)
+{
+  char *answer;
+
+  start_usual ();
+  answer = fleet_ask (entry->callers, "GET", "/view/1?a=b%20c", "id-1");
+  ck_assert_uint_eq (fleet_status (answer), 200);
+  ck_assert_ptr_nonnull (strstr (answer, "Server-Stamp: u"));
+  ck_assert_ptr_nonnull (strstr (answer, "Request-Id: id-1\r\n"));
+  ck_assert_ptr_nonnull (strstr (fleet_body (answer), " /view/1?a=b%20c id-1 0"));
+  g_free (answer);
+  assert_status ("GET", "/nowhere/", "id-2", 404);
+}
+END_TEST
+
+START_TEST (test_no_configuration_is_a_refusal_and_never_a_missing_route)
+{
+  fleet_add_upstream (&fleet, "u1", "photos", NULL);
+  entry = fleet_add_entry (&fleet, "e1", "west-a");
+  wait_status (entry->callers, "/view/1", 503);
+  fleet_configure (&fleet, NULL);
+  wait_status (entry->callers, "/view/1", 200);
+}
+END_TEST
+
+START_TEST (test_answers_come_in_the_order_of_the_requests)
+{
+  char *first;
+  char *second;
+  int fd;
+
+  start_usual ();
+  fd = fleet_connect (entry->callers);
+  fleet_send (fd,
+              "GET /view/slow?work=300 HTTP/1.1\r\nHost: " FLEET_HOST "\r\nRequest-Id: s\r\n\r\n"
+              "GET /view/fast?work=1 HTTP/1.1\r\nHost: " FLEET_HOST "\r\nRequest-Id: f\r\n\r\n");
+  first = fleet_read (fd);
+  second = fleet_read (fd);
+  ck_assert_ptr_nonnull (strstr (fleet_body (first), "/view/slow"));
+  ck_assert_ptr_nonnull (strstr (fleet_body (second), "/view/fast"));
+  g_free (first);
+  g_free (second);
+  close (fd);
+}
+END_TEST
+
+START_TEST (test_bodies_in_chunks_arrive_whole)
+{
+  char *answer;
+  int fd;
+
+  start_usual ();
+  fd = fleet_connect (entry->callers);
+  fleet_send (fd, "POST /pay/1 HTTP/1.1\r\nHost: " FLEET_HOST "\r\nRequest-Id: c\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n3\r\nfgh\r\n0\r\n\r\n");
+  answer = fleet_read (fd);
+  ck_assert_ptr_nonnull (strstr (fleet_body (answer), "/pay/1 c 8"));
+  g_free (answer);
+  close (fd);
+}
+END_TEST
+
+START_TEST (test_what_may_not_run_twice_runs_once_when_its_answer_is_lost)
+{
+  static const char *const faults[] = { "reset", "truncate", "garbage", "unsigned" };
+
+  start_usual ();
+  for (gsize i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      char *path = g_strdup_printf ("/pay/1?fault=%s", faults[i]);
+
+      assert_status ("POST", path, faults[i], 502);
+      ck_assert_uint_eq (fleet_runs (&fleet, faults[i]), 1);
+      g_free (path);
+    }
+}
+END_TEST
+
+START_TEST (test_what_may_run_twice_is_tried_on_another_upstream)
+{
+  start_usual ();
+  assert_status ("GET", "/view/1?fault=reset", "twice", 502);
+  ck_assert_uint_ge (fleet_runs (&fleet, "twice"), 2);
+  ck_assert_uint_le (fleet_runs (&fleet, "twice"), 3);
+}
+END_TEST
+
+START_TEST (test_failures_of_upstreams_are_passed_on)
+{
+  start_usual ();
+  assert_status ("POST", "/pay/1?fault=error", "failed", 500);
+  ck_assert_uint_eq (fleet_runs (&fleet, "failed"), 1);
+}
+END_TEST
+
+START_TEST (test_answers_without_length_and_behind_stray_ones_are_delivered)
+{
+  char *answer;
+
+  start_usual ();
+  answer = fleet_ask (entry->callers, "POST", "/pay/1?fault=unframed", "n");
+  ck_assert_uint_eq (fleet_status (answer), 200);
+  ck_assert_ptr_nonnull (strstr (fleet_body (answer), "/pay/1?fault=unframed n 0"));
+  g_free (answer);
+  answer = fleet_ask (entry->callers, "POST", "/pay/1?fault=stray", "m");
+  ck_assert_uint_eq (fleet_status (answer), 200);
+  ck_assert_ptr_nonnull (strstr (fleet_body (answer), "/pay/1?fault=stray m 0"));
+  g_free (answer);
+}
+END_TEST
+
+START_TEST (test_a_request_that_lasts_too_long_ends_at_the_time_out)
+{
+  anvil_time_t asked_at;
+
+  start_usual ();
+  asked_at = anvil_clock_now ();
+  assert_status ("POST", "/pay/1?work=5000", "long", 504);
+  ck_assert_int_ge (anvil_clock_now () - asked_at, 1400 * ANVIL_MS);
+}
+END_TEST
+
+START_TEST (test_bad_input_is_refused_and_disturbs_nobody)
+{
+  static const char *const inputs[] = {
+    "nonsense\r\n\r\n",
+    "GET /view/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n0\r\n\r\n",
+    "GET /view/1 HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+    "GET /view/1 HTTP/1.1\r\nHost a\r\n\r\n",
+    "POST /pay/1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    "POST /pay/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999\r\n\r\n",
+    "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
+  };
+
+  start_usual ();
+  for (gsize i = 0; i < G_N_ELEMENTS (inputs); i++)
+    {
+      int fd = fleet_connect (entry->callers);
+      char *answer;
+
+      fleet_send (fd, "%s", inputs[i]);
+      answer = fleet_read (fd);
+      ck_assert_msg (fleet_status (answer) >= 400 && fleet_status (answer) < 500, "%zu: %s", i,
+                     answer);
+      g_free (answer);
+      close (fd);
+      assert_status ("GET", "/view/1", inputs[i][0] == 'n' ? "a" : "b", 200);
+    }
+}
+END_TEST
+
+START_TEST (test_headers_beyond_the_bound_are_refused)
+{
+  char *filler = g_strnfill (20000, 'x');
+  char *answer;
+  int fd;
+
+  start_usual ();
+  fd = fleet_connect (entry->callers);
+  fleet_send (fd, "GET /view/1 HTTP/1.1\r\nHost: a\r\nFiller: %s\r\n\r\n", filler);
+  answer = fleet_read (fd);
+  ck_assert_uint_eq (fleet_status (answer), 431);
+  g_free (answer);
+  g_free (filler);
+  close (fd);
+}
+END_TEST
+
+START_TEST (test_a_newer_configuration_comes_into_force_whole)
+{
+  start_usual ();
+  assert_status ("GET", "/new/1", "before", 404);
+  fleet_configure (
+      &fleet, "{\"resourceKind\":\"routes\",\"metadata\":{\"name\":\"new\"},\"spec\":{\"host\":"
+              "\"" FLEET_HOST "\",\"prefix\":\"/new/\",\"kind\":\"safe\",\"service\":\"photos\","
+              "\"maxAttempts\":1}}");
+  wait_status (entry->callers, "/new/1", 200);
+  fleet_configure_raw (&fleet, "{\"version\":99,\"resources\":[{\"resourceKind\":\"routes\"}]}");
+  fleet_configure_raw (&fleet, "{\"version\":100,");
+  g_usleep (300000);
+  assert_status ("GET", "/new/1", "kept", 200);
+  fleet_configure (&fleet, NULL);
+  wait_status (entry->callers, "/new/1", 404);
+}
+END_TEST
+
+START_TEST (test_nothing_is_sent_to_a_draining_upstream)
+{
+  standin_t *first;
+  char *answer;
+
+  start_usual ();
+  first = fleet.upstreams->pdata[0];
+  kill (first->pid, SIGTERM);
+  g_usleep (1700000);
+  for (guint i = 0; i < 20; i++)
+    {
+      answer = fleet_ask (entry->callers, "GET", "/view/1", "drain");
+      ck_assert_uint_eq (fleet_status (answer), 200);
+      ck_assert_ptr_nonnull (strstr (answer, "Server-Stamp: u2"));
+      g_free (answer);
+    }
+}
+END_TEST
+
+START_TEST (test_rows_of_foreign_writers_name_no_upstream_and_harm_none)
+{
+  static const char *const rows[] = {
+    "not JSON",
+    "{}",
+    "{\"address\":5,\"info\":[],\"status\":null}",
+    "{\"address\":\"127.0.0.1:1\",\"info\":{\"service\":\"photos\",\"zone\":\"west-a\",\"slots\":"
+    "\"3\"},"
+    "\"status\":{\"state\":\"ready\"}}",
+    "{\"address\":\"127.0.0.1:1\",\"info\":{\"service\":\"photos\",\"zone\":\"west-a\",\"slots\":3}"
+    ","
+    "\"status\":{\"state\":\"odd\"}}",
+  };
+
+  start_usual ();
+  for (gsize i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      char *key = g_strdup_printf ("foreign-%zu", i);
+
+      fleet_put (&fleet, "servers", key, rows[i]);
+      g_free (key);
+    }
+  g_usleep (1300000);
+  for (guint i = 0; i < 20; i++)
+    assert_status ("GET", "/view/1", "foreign", 200);
+}
+END_TEST
+
+START_TEST (test_callers_are_served_while_the_store_is_away)
+{
+  static const char *const kinds[] = { "busy", "silent" };
+
+  start_usual ();
+  for (gsize i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      fleet_fault (&fleet, kinds[i], 4000);
+      for (guint j = 0; j < 30; j++)
+        {
+          assert_status ("GET", "/view/1", "away", 200);
+          g_usleep (100000);
+        }
+      fleet_fault (&fleet, "none", 0);
+    }
+}
+END_TEST
+
+START_TEST (test_a_forgotten_history_is_read_again)
+{
+  start_usual ();
+  fleet_fault (&fleet, "compact", 0);
+  fleet_configure (
+      &fleet, "{\"resourceKind\":\"routes\",\"metadata\":{\"name\":\"new\"},\"spec\":{\"host\":"
+              "\"" FLEET_HOST "\",\"prefix\":\"/new/\",\"kind\":\"safe\",\"service\":\"photos\","
+              "\"maxAttempts\":1}}");
+  fleet_fault (&fleet, "compact", 0);
+  wait_status (entry->callers, "/new/1", 200);
+}
+END_TEST
+
+START_TEST (test_a_caller_that_leaves_frees_the_slot)
+{
+  int fds[6];
+
+  fleet_add_upstream (&fleet, "u1", "photos", "--slots 3");
+  fleet_configure (&fleet, NULL);
+  entry = fleet_add_entry (&fleet, "e1", "west-a");
+  fleet_wait_ready (entry);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    {
+      fds[i] = fleet_connect (entry->callers);
+      fleet_send (
+          fds[i],
+          "GET /view/1?work=1300 HTTP/1.1\r\nHost: " FLEET_HOST "\r\nRequest-Id: g%zu\r\n\r\n", i);
+    }
+  g_usleep (100000);
+  for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+  assert_status ("GET", "/view/1?work=1", "after", 200);
+}
+END_TEST
+
+START_TEST (test_a_stopped_entry_delivers_and_refuses_what_comes_late)
+{
+  char *answer;
+  int running;
+  int kept;
+  int status;
+
+  start_usual ();
+  kept = fleet_connect (entry->callers);
+  running = fleet_connect (entry->callers);
+  fleet_send (running, "POST /pay/1?work=1200 HTTP/1.1\r\nHost: " FLEET_HOST
+                       "\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n");
+  g_usleep (100000);
+  kill (entry->pid, SIGTERM);
+  g_usleep (100000);
+  assert_status ("GET", "/view/1", "soon", 200);
+  answer = fleet_read (running);
+  ck_assert_uint_eq (fleet_status (answer), 200);
+  ck_assert_ptr_nonnull (strstr (answer, "Connection: close"));
+  g_free (answer);
+  /* Keeps the process up past the time in which it takes requests. */
+  close (running);
+  running = fleet_connect (entry->callers);
+  g_usleep (700000);
+  fleet_send (running, "POST /pay/1?work=1200 HTTP/1.1\r\nHost: " FLEET_HOST
+                       "\r\nRequest-Id: q\r\nContent-Length: 0\r\n\r\n");
+  g_usleep (800000);
+  fleet_send (kept, "GET /view/1 HTTP/1.1\r\nHost: " FLEET_HOST "\r\nRequest-Id: late\r\n\r\n");
+  answer = fleet_read (kept);
+  ck_assert_msg (fleet_status (answer) == 503, "%s", answer);
+  ck_assert_ptr_nonnull (strstr (answer, "Retry-After: "));
+  g_free (answer);
+  answer = fleet_read (running);
+  ck_assert_uint_eq (fleet_status (answer), 200);
+  g_free (answer);
+  close (running);
+  close (kept);
+  waitpid (entry->pid, &status, 0);
+  entry->pid = 0;
+  ck_assert_int_eq (status, 0);
+  ck_assert_uint_eq (fleet_runs (&fleet, "late"), 0);
+}
+END_TEST
+
+START_TEST (test_entries_find_each_other_and_survive_the_loss_of_any)
+{
+  fleet_entry_t *entries[3];
+
+  fleet_add_upstream (&fleet, "u1", "photos", NULL);
+  fleet_configure (&fleet, NULL);
+  entries[0] = fleet_add_entry (&fleet, "e1", "west-a");
+  entries[1] = fleet_add_entry (&fleet, "e2", "west-b");
+  entries[2] = fleet_add_entry (&fleet, "e3", "east-a");
+  for (guint i = 0; i < 3; i++)
+    fleet_wait_ready (entries[i]);
+  for (guint lost = 0; lost < 3; lost++)
+    {
+      fleet_kill_entry (entries[lost], SIGKILL);
+      for (guint i = 0; i < 3; i++)
+        {
+          if (i != lost)
+            wait_status (entries[i]->callers, "/view/1", 200);
+        }
+      fleet_start_entry (&fleet, entries[lost]);
+      fleet_wait_ready (entries[lost]);
+    }
+}
+END_TEST
+
+START_TEST (test_look_ups_name_entries_of_the_callers_region_that_serve)
+{
+  anvil_time_t until = anvil_clock_now () + FLEET_PATIENCE_S * ANVIL_SECOND;
+  fleet_entry_t *east;
+  char *address;
+  gboolean named = TRUE;
+
+  start_usual ();
+  east = fleet_add_entry (&fleet, "e2", "east-a");
+  fleet_wait_ready (east);
+  address = g_strdup_printf ("\"127.0.0.1:%u\"", east->callers);
+  while (anvil_clock_now () < until)
+    {
+      char *answer
+          = fleet_ask (entry->lookups, "GET", "/-/resolve?name=x&region=east&zone=east-a", "l");
+
+      named = strstr (answer, address) != NULL && strstr (answer, ",\"127") == NULL;
+      g_free (answer);
+      if (named)
+        break;
+      g_usleep (50000);
+    }
+  ck_assert (named);
+  fleet_kill_entry (east, SIGKILL);
+  while (named && anvil_clock_now () < until)
+    {
+      char *answer
+          = fleet_ask (entry->lookups, "GET", "/-/resolve?name=x&region=east&zone=east-a", "l");
+
+      named = strstr (answer, address) != NULL;
+      g_free (answer);
+      g_usleep (50000);
+    }
+  ck_assert (!named);
+  g_free (address);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("relay-process");
+  TCase *tests = tcase_create ("relay-process");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_set_timeout (tests, 120);
+  tcase_add_test (tests, test_request_and_answer_pass_unchanged);
+  tcase_add_test (tests, test_no_configuration_is_a_refusal_and_never_a_missing_route);
+  tcase_add_test (tests, test_answers_come_in_the_order_of_the_requests);
+  tcase_add_test (tests, test_bodies_in_chunks_arrive_whole);
+  tcase_add_test (tests, test_what_may_not_run_twice_runs_once_when_its_answer_is_lost);
+  tcase_add_test (tests, test_what_may_run_twice_is_tried_on_another_upstream);
+  tcase_add_test (tests, test_failures_of_upstreams_are_passed_on);
+  tcase_add_test (tests, test_answers_without_length_and_behind_stray_ones_are_delivered);
+  tcase_add_test (tests, test_a_request_that_lasts_too_long_ends_at_the_time_out);
+  tcase_add_test (tests, test_bad_input_is_refused_and_disturbs_nobody);
+  tcase_add_test (tests, test_headers_beyond_the_bound_are_refused);
+  tcase_add_test (tests, test_a_newer_configuration_comes_into_force_whole);
+  tcase_add_test (tests, test_nothing_is_sent_to_a_draining_upstream);
+  tcase_add_test (tests, test_rows_of_foreign_writers_name_no_upstream_and_harm_none);
+  tcase_add_test (tests, test_callers_are_served_while_the_store_is_away);
+  tcase_add_test (tests, test_a_forgotten_history_is_read_again);
+  tcase_add_test (tests, test_a_caller_that_leaves_frees_the_slot);
+  tcase_add_test (tests, test_a_stopped_entry_delivers_and_refuses_what_comes_late);
+  tcase_add_test (tests, test_entries_find_each_other_and_survive_the_loss_of_any);
+  tcase_add_test (tests, test_look_ups_name_entries_of_the_callers_region_that_serve);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
