--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 # The packages are installed by a target, so pkg-config is only asked when a rule runs.
 CFLAGS_BASE = -std=gnu11 -g -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
-  -Wno-unused-parameter -Wno-missing-field-initializers -Werror -Iinclude -Isource -I. -Itests/fuzz -MMD -MP
+  -Wno-unused-parameter -Wno-missing-field-initializers -Werror -Iinclude -Isource -I. -Itests -Itests/fuzz -MMD -MP
 CFLAGS_MODE ?= -O2
 CFLAGS = $(CFLAGS_BASE) $(CFLAGS_MODE) $(CFLAGS_EXTRA) $(shell pkg-config --cflags $(PACKAGES))
 LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lyaml -lhttp_parser -lm
@@ -94,6 +94,10 @@
 	@mkdir -p $(@D)
 	$(Q)$(CC) -fsanitize=fuzzer,address,undefined -o $@ $^ $(LDLIBS)
 
+$(BUILD)/soak/soak: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c)) $(BUILD)/tests/helper-fleet.o $(LIBRARY)
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
+
 tests: $(TESTS)
 benches: $(BENCHES)
 
@@ -121,6 +125,11 @@
 	@$(BUILD)/bench/bench-steer $(BENCH_ARGS)
 	@$(BUILD)/bench/bench-lookup-http
 
+# make soak SEED=1 SECONDS=30; SOAK_ARGS="--entries 12 --upstreams 60 --rate 400" for a larger one.
+soak: packages
+	@$(MAKE) --no-print-directory -j$$(nproc) all $(BUILD)/soak/soak
+	@ANVIL_BIN=$(BUILD)/bin $(BUILD)/soak/soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),30) $(SOAK_ARGS)
+
 # Slopes for docs/CAPACITY.md.
 CAPACITY_NAMES = $(filter bench-capacity-%,$(BENCH_NAMES))
 capacity: packages
@@ -142,5 +151,5 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all packages tests benches check fuzz fuzz-coverage bench capacity demo format lint clean
+.PHONY: all packages tests benches check fuzz fuzz-coverage bench capacity soak demo format lint clean
 .SECONDARY:
--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -18,6 +18,7 @@
  * @zone: its availability zone
  * @incarnation: differs between any two starts of a process
  * @caller_port: port for callers, on its node's address
+ * @capacity: processor that it may use, thousandths of a core
  * @ready: it serves callers
  * @leaving: it is shutting down
  */
@@ -27,6 +28,7 @@
   anvil_str_t zone;
   guint64 incarnation;
   guint16 caller_port;
+  guint capacity;
   gboolean ready;
   gboolean leaving;
 } anvil_member_info_t;
@@ -96,6 +98,9 @@
  * anvil_members_holder - who holds the slots of a service
  * @region: where most of its slots are, or NULL; an entry there is preferred
  *
+ * Holding takes processor time for every request of the service, so among the
+ * entries of that region those with much of it come first.
+ *
  * Return: the entry with the highest rank for @service among those that answer
  * and serve; this one if there is none.
  */
--- a/source/relay/relay-desk.c
+++ b/source/relay/relay-desk.c
@@ -421,7 +421,8 @@
       = { .name = anvil_str (settings->vm),
           .zone = anvil_str (settings->zone),
           .incarnation = ((guint64) g_random_int () << 32) | g_random_int (),
-          .caller_port = settings->callers.port };
+          .caller_port = settings->callers.port,
+          .capacity = settings->capacity };
   anvil_members_t *members = anvil_members_new (desk->self, &info, region_of, desk);
 
   for (guint i = 0; i < settings->n_seeds; i++)
--- a/source/relay/relay-settings.h
+++ b/source/relay/relay-settings.h
@@ -32,6 +32,7 @@
  * @n_seeds: how many
  * @grace: time between the request to stop and the kill, microseconds
  * @lookup_ttl_s: how long callers may keep the answer of a look-up, seconds
+ * @capacity: processor that this process may use, thousandths of a core
  * @memory_bytes: memory that this process may use
  * @max_descriptors: descriptors that it may use
  * @bounds: limits that entries keep together
@@ -51,6 +52,7 @@
   guint n_seeds;
   anvil_time_t grace;
   guint lookup_ttl_s;
+  guint capacity;
   gsize memory_bytes;
   guint max_descriptors;
   anvil_dispatcher_bounds_t bounds;
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -67,7 +67,6 @@
   guint16 port;
   struct bufferevent *stream;
   anvil_relay_run_t *run;
-  gboolean connected;
   gboolean reused;
   anvil_time_t keep;
   anvil_time_t used_at;
@@ -76,6 +75,7 @@
 
 /**
  * anvil_relay_run - one request and its answer
+ * @length: bytes of the request
  * @ended: the parser has seen the end of an answer
  * @strays: answers of other requests so far
  */
@@ -87,6 +87,7 @@
   char *id;
   char *upstream_id;
   gboolean head;
+  gsize length;
   anvil_time_t started_at;
   http_parser parser;
   GString *field;
@@ -169,6 +170,14 @@
   run_free (run);
 }
 
+/* Whether any byte of the request has left. The word that a connection is up may come after its
+ * first bytes have gone out, so it doesn't tell. */
+static gboolean
+has_sent (const anvil_relay_run_t *run)
+{
+  return evbuffer_get_length (bufferevent_get_output (run->link->stream)) < run->length;
+}
+
 /* No usable answer comes any more. */
 static void
 fail (anvil_relay_run_t *run, anvil_run_result_t result, const char *reason)
@@ -476,7 +485,6 @@
 
   if ((what & BEV_EVENT_CONNECTED) != 0)
     {
-      link->connected = TRUE;
       bufferevent_set_timeouts (stream, NULL, NULL);
       return;
     }
@@ -485,7 +493,7 @@
       unkeep (link);
       link_free (link);
     }
-  else if (!link->connected)
+  else if (!has_sent (link->run))
     fail (link->run, ANVIL_RUN_UNREACHED,
           (what & BEV_EVENT_TIMEOUT) != 0 ? "no connection in time" : "connection refused");
   else if ((what & BEV_EVENT_EOF) != 0)
@@ -567,6 +575,7 @@
   evbuffer_add (out, "\r\n", 2);
   if (length > 0)
     evbuffer_add (out, evbuffer_pullup (send->body, -1), length);
+  run->length = evbuffer_get_length (out);
 }
 
 anvil_relay_run_t *
@@ -600,7 +609,7 @@
 gboolean
 anvil_relay_run_cancel (anvil_relay_run_t *run)
 {
-  gboolean sent = run->link->connected;
+  gboolean sent = has_sent (run);
 
   link_free (run->link);
   run_free (run);
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -42,7 +42,9 @@
 /**
  * object_t - an object that requests of a service are about
  * @upstreams: upstream_t that remember it
- * @waiting: task_t that wait, oldest first
+ * @anonymous: stands for requests that no upstream is faster for
+ * @waiting: task_t that can still be answered within their target, oldest first
+ * @late: task_t that can't, oldest first
  * @n_tasks: tasks about it, waiting or under way
  * @kind: kind of the last request
  * @interval: mean time between requests, microseconds; 0 for unknown
@@ -53,7 +55,9 @@
   guint64 hash;
   service_t *service;
   GPtrArray *upstreams;
+  gboolean anonymous;
   GQueue waiting;
+  GQueue late;
   guint n_tasks;
   anvil_route_kind_t kind;
   gdouble interval;
@@ -63,10 +67,12 @@
 /**
  * upstream_t - an upstream as the holder sees it
  * @record: what it registered; its texts are owned here
- * @region: region of its zone
+ * @region: number of its region, see name_number()
+ * @zone: number of its zone
  * @present: it is registered; an absent one only ends its tasks
  * @running: task_t under way
  * @warm: what it remembers
+ * @object_load: slots that the demand for what it remembers fills; kept by the tick
  * @slowness: its durations, times what is expected of them
  * @failures: failures in a row that say that it can't be used
  * @fault_share: running mean of failed or shed runs, 0 to 1
@@ -78,11 +84,13 @@
 struct upstream
 {
   anvil_registered_t record;
-  char *region;
+  guint region;
+  guint zone;
   service_t *service;
   gboolean present;
   GPtrArray *running;
   GArray *warm;
+  gdouble object_load;
   gdouble slowness;
   guint failures;
   gdouble fault_share;
@@ -94,7 +102,12 @@
 
 /**
  * task_t - a task that waits or is under way
- * @wanted: what was asked for; its texts are owned here
+ * @wanted: what was asked for, without its texts
+ * @region: number of the asker's region
+ * @zone: number of the asker's zone
+ * @regions: numbers of the regions that may serve it
+ * @is_late: it waits among those that are late
+ * @admitted_late: it was found to have a chance when it became late
  * @upstream: where it runs, NULL while it waits
  * @warm: it was granted for an object that the upstream remembers
  * @granted_at: when it was granted
@@ -103,8 +116,13 @@
 struct task
 {
   anvil_task_t wanted;
+  guint region;
+  guint zone;
+  guint regions[ANVIL_MAX_ROUTE_REGIONS];
   service_t *service;
   object_t *object;
+  gboolean is_late;
+  gboolean admitted_late;
   upstream_t *upstream;
   gboolean warm;
   anvil_time_t granted_at;
@@ -116,7 +134,9 @@
  * @profile: limits of cold upstreams
  * @upstreams: upstream_t that are present
  * @objects: object_t by hash
+ * @waiting_objects: object_t with tasks that wait, a set
  * @n_waiting: tasks that wait
+ * @n_late: of these, tasks that are late
  * @n_running: tasks under way
  * @n_slots: slots of the upstreams that take requests; kept by count_slots()
  * @warm_run: how long a run takes on an upstream that remembers the object, by kind
@@ -132,7 +152,9 @@
   anvil_service_t profile;
   GPtrArray *upstreams;
   GHashTable *objects;
+  GHashTable *waiting_objects;
   guint n_waiting;
+  guint n_late;
   guint n_running;
   guint n_slots;
   estimate_t warm_run[ANVIL_ROUTE_UPLOAD + 1];
@@ -153,11 +175,17 @@
   GHashTable *upstreams;
   /* task_t by id. */
   GHashTable *tasks;
+  /* Numbers by name of regions and zones. */
+  GHashTable *names;
+  anvil_time_t loads_at;
 };
 
+/* Number of a region or zone, so that comparing costs nothing. */
+guint name_number (anvil_dispatcher_t *dispatcher, anvil_str_t name);
+
 /* dispatch-warmth.c: which upstream remembers what, and how long runs take. */
 
-object_t *warmth_object (service_t *service, guint64 hash);
+object_t *warmth_object (service_t *service, const anvil_task_t *task);
 void warmth_asked (object_t *object, anvil_route_kind_t kind, anvil_time_t now);
 warmth_t *warmth_find (const upstream_t *upstream, const object_t *object);
 void
@@ -167,7 +195,13 @@
 void warmth_forget_object_if_idle (object_t *object);
 void warmth_object_free (gpointer data);
 
-/* Expected length of a run, without the way there. */
+void warmth_measure_load (upstream_t *upstream);
+
+/* Slots that an object's demand fills, all its upstreams together. */
+gdouble warmth_demand (const object_t *object);
+
+/* Expected length of a run on a usual upstream; and on this one, without the way there. */
+anvil_time_t warmth_usual_run (const service_t *service, anvil_route_kind_t kind, gboolean warm);
 anvil_time_t warmth_run_time (const upstream_t *upstream, anvil_route_kind_t kind, gboolean warm);
 
 /* dispatch-placing.c */
@@ -188,19 +222,25 @@
 
 gboolean placing_allowed (const upstream_t *upstream, const task_t *task);
 gboolean placing_has_room (upstream_t *upstream, anvil_time_t now);
-anvil_time_t placing_distance (const upstream_t *upstream, const anvil_task_t *task);
+anvil_time_t placing_distance (const upstream_t *upstream, const task_t *task);
 place_t
 placing_estimate (upstream_t *upstream, const task_t *task, anvil_time_t now, gboolean warm);
-gboolean placing_may_start_cold (const upstream_t *upstream, const task_t *task);
+gboolean placing_may_start_cold (const upstream_t *upstream, const object_t *object);
 place_t placing_best_now (task_t *task, anvil_time_t now);
 place_t placing_best_warm (task_t *task, anvil_time_t now);
 
 /* dispatch-waiting.c */
 
+void waiting_enter (task_t *task);
+void waiting_leave (task_t *task);
 task_t *waiting_best_for (upstream_t *upstream, anvil_time_t now);
 
+/* Moves tasks that can't be answered within their target any more behind those that can. */
+void waiting_sort_out_late (object_t *object, anvil_time_t now);
+
 /* dispatch-refusing.c */
 
-gboolean refusing_hopeless (task_t *task, anvil_time_t now);
-gboolean refusing_no_room (task_t *task, anvil_time_t now);
-anvil_time_t refusing_come_back (task_t *task, anvil_time_t now);
+gboolean refusing_hopeless (const task_t *task, anvil_time_t now);
+gboolean refusing_no_room (const task_t *task, anvil_time_t now);
+gboolean refusing_late (const task_t *task, anvil_time_t now);
+anvil_time_t refusing_come_back (const task_t *task, anvil_time_t now);
--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -32,14 +32,14 @@
 #define HOLDERS 2
 
 static gboolean
-region_allowed (const upstream_t *upstream, const anvil_task_t *task)
+region_allowed (const upstream_t *upstream, const task_t *task)
 {
-  for (guint i = 0; i < task->n_regions; i++)
+  for (guint i = 0; i < task->wanted.n_regions; i++)
     {
-      if (anvil_str_equal (task->regions[i], anvil_str (upstream->region)))
+      if (task->regions[i] == upstream->region)
         return TRUE;
     }
-  return task->n_regions == 0;
+  return task->wanted.n_regions == 0;
 }
 
 gboolean
@@ -50,7 +50,7 @@
       if (task->wanted.avoid[i] == upstream->record.key)
         return FALSE;
     }
-  return region_allowed (upstream, &task->wanted);
+  return region_allowed (upstream, task);
 }
 
 /* Most requests a second that this holder sends to a cold upstream. */
@@ -69,8 +69,8 @@
 {
   guint running = upstream->running->len;
 
-  if (!upstream->present || !anvil_registry_usable (&upstream->record)
-      || now < upstream->ejected_until)
+  if (running >= upstream->record.slots || !upstream->present
+      || !anvil_registry_usable (&upstream->record) || now < upstream->ejected_until)
     return FALSE;
   if (upstream->trial && running > 0)
     return FALSE;
@@ -80,28 +80,26 @@
       if (upstream->cold.tokens < 1)
         return FALSE;
     }
-  return running < upstream->record.slots;
+  return TRUE;
 }
 
 anvil_time_t
-placing_distance (const upstream_t *upstream, const anvil_task_t *task)
+placing_distance (const upstream_t *upstream, const task_t *task)
 {
-  if (!anvil_str_equal (task->region, anvil_str (upstream->region)))
+  if (task->region != upstream->region)
     return upstream->service->dispatcher->between_regions;
-  return anvil_str_equal (task->zone, anvil_str (upstream->record.zone)) ? 0 : WITHIN_REGION;
+  return task->zone == upstream->zone ? 0 : WITHIN_REGION;
 }
 
 /* Bytes that cross a link, as time. */
 static anvil_time_t
-moving_cost (const upstream_t *upstream, const anvil_task_t *task)
+moving_cost (const upstream_t *upstream, const task_t *task)
 {
-  anvil_time_t kilobytes = (anvil_time_t) (task->body_bytes / BYTES_PER_KB);
+  anvil_time_t kilobytes = (anvil_time_t) (task->wanted.body_bytes / BYTES_PER_KB);
 
-  if (!anvil_str_equal (task->region, anvil_str (upstream->region)))
+  if (task->region != upstream->region)
     return kilobytes * BETWEEN_REGIONS_PER_KB;
-  if (!anvil_str_equal (task->zone, anvil_str (upstream->record.zone)))
-    return kilobytes * BETWEEN_ZONES_PER_KB;
-  return 0;
+  return task->zone == upstream->zone ? 0 : kilobytes * BETWEEN_ZONES_PER_KB;
 }
 
 /* When the next slot is expected to be free. */
@@ -126,9 +124,9 @@
 
   if (warmth != NULL)
     start = MAX (start, warmth->ready_at);
-  place.finish = start + placing_distance (upstream, &task->wanted)
+  place.finish = start + placing_distance (upstream, task)
                  + warmth_run_time (upstream, task->wanted.kind, warm);
-  place.cost = place.finish + moving_cost (upstream, &task->wanted)
+  place.cost = place.finish + moving_cost (upstream, task)
                + (anvil_time_t) (upstream->fault_share * (gdouble) FAULT_COST);
   return place;
 }
@@ -137,7 +135,7 @@
 static const GPtrArray *
 remembering (const task_t *task)
 {
-  return task->object->hash == 0 ? task->service->upstreams : task->object->upstreams;
+  return task->object->anonymous ? task->service->upstreams : task->object->upstreams;
 }
 
 static gboolean
@@ -178,30 +176,6 @@
   return best_remembering (task, now, FALSE);
 }
 
-/* Slots that an object's demand fills, all its upstreams together. */
-static gdouble
-object_demand (const upstream_t *upstream, const object_t *object)
-{
-  if (object->interval <= 0)
-    return 0;
-  return (gdouble) warmth_run_time (upstream, object->kind, TRUE) / object->interval;
-}
-
-/* Load that the objects of an upstream bring, in slots. */
-static gdouble
-object_load (const upstream_t *upstream)
-{
-  gdouble load = 0;
-
-  for (guint i = 0; i < upstream->warm->len; i++)
-    {
-      const object_t *object = g_array_index (upstream->warm, warmth_t, i).object;
-
-      load += object_demand (upstream, object) / object->upstreams->len;
-    }
-  return load;
-}
-
 static anvil_time_t
 order_by_object (const upstream_t *upstream, const object_t *object)
 {
@@ -214,18 +188,16 @@
 static guint
 wanted_upstreams (const object_t *object, const upstream_t *upstream)
 {
-  gdouble one_upstream = OBJECT_FILL * (gdouble) upstream->record.slots;
-
-  return 1 + (guint) (object_demand (upstream, object) / one_upstream);
+  return 1 + (guint) (warmth_demand (object) / (OBJECT_FILL * (gdouble) upstream->record.slots));
 }
 
 gboolean
-placing_may_start_cold (const upstream_t *upstream, const task_t *task)
+placing_may_start_cold (const upstream_t *upstream, const object_t *object)
 {
-  const service_t *service = task->service;
+  const service_t *service = upstream->service;
   guint idle = service->n_slots > service->n_running ? service->n_slots - service->n_running : 0;
 
-  return task->object->upstreams->len < wanted_upstreams (task->object, upstream)
+  return object->upstreams->len < wanted_upstreams (object, upstream)
          || (gdouble) idle > IDLE_SHARE * service->n_slots;
 }
 
@@ -241,13 +213,14 @@
       upstream_t *upstream = upstreams->pdata[i];
       place_t place;
 
-      if (!placing_allowed (upstream, task) || warmth_find (upstream, task->object) != NULL
-          || !placing_has_room (upstream, now) || !placing_may_start_cold (upstream, task))
+      if (!placing_has_room (upstream, now) || !placing_allowed (upstream, task)
+          || warmth_find (upstream, task->object) != NULL
+          || !placing_may_start_cold (upstream, task->object))
         continue;
       place = placing_estimate (upstream, task, now, FALSE);
       place.cost
           += order_by_object (upstream, task->object)
-             + (anvil_time_t) (object_load (upstream) / upstream->record.slots
+             + (anvil_time_t) (upstream->object_load / upstream->record.slots
                                * (gdouble) warmth_run_time (upstream, task->wanted.kind, TRUE));
       if (is_better (&place, &best))
         best = place;
@@ -262,7 +235,7 @@
   place_t later_warm;
   place_t cold;
 
-  if (now_warm.upstream != NULL || task->object->hash == 0)
+  if (now_warm.upstream != NULL || task->object->anonymous)
     return now_warm;
   cold = best_cold (task, now);
   if (cold.upstream == NULL)
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -16,66 +16,70 @@
 /* When no upstream takes requests: about when one could have registered again. */
 #define NO_UPSTREAM_COME_BACK (500 * ANVIL_MS)
 
-/* The least that a run of the task can take, anywhere. */
+/* Share of a service's slots that tasks may wait for which are late already. Newer tasks that can
+ * be in time go before them, so more would only be held and refused in the end. */
+#define LATE_SHARE 0.125
+
+/* What a run of the task takes on a usual upstream. */
 static anvil_time_t
-least_run (task_t *task, anvil_time_t now)
+usual_run (const task_t *task)
 {
-  const GPtrArray *upstreams = task->service->upstreams;
-  anvil_time_t least = G_MAXINT64;
-
-  for (guint i = 0; i < upstreams->len; i++)
-    {
-      const upstream_t *upstream = upstreams->pdata[i];
-      gboolean warm = task->object->hash == 0 || warmth_find (upstream, task->object) != NULL;
+  gboolean warm = task->object->anonymous || task->object->upstreams->len > 0;
 
-      if (!placing_allowed (upstream, task) || !anvil_registry_usable (&upstream->record))
-        continue;
-      least = MIN (least, placing_distance (upstream, &task->wanted)
-                              + warmth_run_time (upstream, task->wanted.kind, warm));
-    }
-  return least;
+  return warmth_usual_run (task->service, task->wanted.kind, warm);
 }
 
 gboolean
-refusing_hopeless (task_t *task, anvil_time_t now)
+refusing_hopeless (const task_t *task, anvil_time_t now)
 {
-  anvil_time_t least = least_run (task, now);
-
-  return least == G_MAXINT64 || now + least > task->wanted.deadline;
+  return now + usual_run (task) > task->wanted.deadline;
 }
 
-/* How long the slots need for what waits and isn't less urgent. */
+/* How long the slots need for @n_tasks. */
 static anvil_time_t
-work_ahead (const task_t *task)
+work (const task_t *task, guint n_tasks)
 {
   const service_t *service = task->service;
-  gdouble run;
 
-  if (service->upstreams->len == 0 || service->n_slots == 0)
+  if (service->n_slots == 0)
     return 0;
-  run = (gdouble) warmth_run_time (service->upstreams->pdata[0], task->wanted.kind, TRUE);
-  return (anvil_time_t) (run * service->n_waiting / service->n_slots);
+  return warmth_usual_run (service, task->wanted.kind, TRUE) * n_tasks
+         / (anvil_time_t) service->n_slots;
 }
 
 gboolean
-refusing_no_room (task_t *task, anvil_time_t now)
+refusing_late (const task_t *task, anvil_time_t now)
 {
-  if (task->service->n_waiting >= MAX_WAITING_TASKS || refusing_hopeless (task, now))
+  const service_t *service = task->service;
+
+  if ((gdouble) service->n_late > LATE_SHARE * service->n_slots)
     return TRUE;
-  return now + least_run (task, now) + work_ahead (task) > task->wanted.deadline;
+  return now + usual_run (task) + work (task, service->n_waiting) > task->wanted.deadline;
+}
+
+gboolean
+refusing_no_room (const task_t *task, anvil_time_t now)
+{
+  const service_t *service = task->service;
+  guint in_time = service->n_waiting - service->n_late;
+
+  if (service->n_waiting >= MAX_WAITING_TASKS || refusing_hopeless (task, now))
+    return TRUE;
+  /* Those that can be in time are served in the order of their targets. */
+  if (now + usual_run (task) + work (task, in_time) <= task->wanted.target)
+    return FALSE;
+  return refusing_late (task, now);
 }
 
 anvil_time_t
-refusing_come_back (task_t *task, anvil_time_t now)
+refusing_come_back (const task_t *task, anvil_time_t now)
 {
   service_t *service = task->service;
-  anvil_time_t step;
+  anvil_time_t first = now + MIN_COME_BACK + work (task, service->n_waiting);
 
   if (service->n_slots == 0)
     return NO_UPSTREAM_COME_BACK;
-  step = warmth_run_time (service->upstreams->pdata[0], task->wanted.kind, TRUE)
-         / (anvil_time_t) service->n_slots;
-  service->return_at = MAX (service->return_at, now + MIN_COME_BACK + work_ahead (task)) + step;
+  service->return_at = MAX (service->return_at, first) + work (task, 1);
   service->return_at = MIN (service->return_at, now + MAX_COME_BACK);
   return service->return_at - now;
 }
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -40,8 +40,51 @@
   return a->order < b->order;
 }
 
-/* A task that isn't in time anyway and would run cold waits, if an upstream that remembers its
- * object ends it sooner. */
+/* Tasks of one object that are looked at before it is passed over: the first may avoid an upstream.
+ */
+#define LOOK_AHEAD 4
+
+void
+waiting_enter (task_t *task)
+{
+  service_t *service = task->service;
+
+  g_queue_push_tail (&task->object->waiting, task);
+  g_hash_table_add (service->waiting_objects, task->object);
+  service->n_waiting++;
+}
+
+void
+waiting_leave (task_t *task)
+{
+  object_t *object = task->object;
+  service_t *service = task->service;
+
+  g_queue_remove (task->is_late ? &object->late : &object->waiting, task);
+  if (object->waiting.length + object->late.length == 0)
+    g_hash_table_remove (service->waiting_objects, object);
+  service->n_waiting--;
+  if (task->is_late)
+    service->n_late--;
+  task->is_late = FALSE;
+}
+
+void
+waiting_sort_out_late (object_t *object, anvil_time_t now)
+{
+  task_t *task;
+
+  while ((task = g_queue_peek_head (&object->waiting)) != NULL
+         && now + warmth_usual_run (object->service, task->wanted.kind, TRUE) > task->wanted.target)
+    {
+      g_queue_push_tail (&object->late, g_queue_pop_head (&object->waiting));
+      task->is_late = TRUE;
+      object->service->n_late++;
+    }
+}
+
+/* A run that would be cold waits, if an upstream that remembers the object ends it in time or
+ * sooner. */
 static gboolean
 better_elsewhere (task_t *task, const place_t *place, anvil_time_t now)
 {
@@ -61,9 +104,7 @@
   if (!placing_allowed (upstream, task))
     return FALSE;
   place = placing_estimate (upstream, task, now, warm);
-  if (place.finish > task->wanted.deadline)
-    return FALSE;
-  if (!warm && (!placing_may_start_cold (upstream, task) || better_elsewhere (task, &place, now)))
+  if (place.finish > task->wanted.deadline || (!warm && better_elsewhere (task, &place, now)))
     return FALSE;
   in_time = place.finish <= task->wanted.target;
   result->priority = task->wanted.priority;
@@ -72,42 +113,70 @@
   return TRUE;
 }
 
+typedef struct
+{
+  upstream_t *upstream;
+  anvil_time_t now;
+  task_t *best;
+  rank_t rank;
+} choice_t;
+
 static gboolean
-remembers (const upstream_t *upstream, const object_t *object, anvil_time_t now)
+consider (choice_t *choice, task_t *task, gboolean warm)
+{
+  rank_t candidate;
+
+  if (!rank (choice->upstream, task, choice->now, warm, &candidate))
+    return FALSE;
+  if (choice->best == NULL || comes_before (&candidate, &choice->rank))
+    {
+      choice->best = task;
+      choice->rank = candidate;
+    }
+  return TRUE;
+}
+
+/* The oldest of those that can be in time, and the newest of those that are late. */
+static void
+consider_object (choice_t *choice, object_t *object, gboolean warm)
 {
-  const warmth_t *warmth = warmth_find (upstream, object);
+  guint looked_at = 0;
 
-  return object->hash == 0 || (warmth != NULL && warmth->ready_at <= now);
+  waiting_sort_out_late (object, choice->now);
+  for (GList *link = object->waiting.head; link != NULL && looked_at < LOOK_AHEAD;
+       link = link->next)
+    {
+      looked_at++;
+      if (consider (choice, link->data, warm))
+        break;
+    }
+  looked_at = 0;
+  for (GList *link = object->late.tail; link != NULL && looked_at < LOOK_AHEAD; link = link->prev)
+    {
+      looked_at++;
+      if (consider (choice, link->data, warm))
+        break;
+    }
 }
 
 task_t *
 waiting_best_for (upstream_t *upstream, anvil_time_t now)
 {
-  task_t *best = NULL;
-  rank_t best_rank;
+  choice_t choice = { .upstream = upstream, .now = now };
   GHashTableIter iter;
-  gpointer value;
+  gpointer key;
 
-  g_hash_table_iter_init (&iter, upstream->service->objects);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  g_hash_table_iter_init (&iter, upstream->service->waiting_objects);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
     {
-      object_t *object = value;
-      gboolean warm = remembers (upstream, object, now);
-
-      /* Its first run there is under way: soon faster than now. */
-      if (!warm && warmth_find (upstream, object) != NULL)
-        continue;
-      for (const GList *link = object->waiting.head; link != NULL; link = link->next)
-        {
-          rank_t candidate;
-
-          if (rank (upstream, link->data, now, warm, &candidate)
-              && (best == NULL || comes_before (&candidate, &best_rank)))
-            {
-              best = link->data;
-              best_rank = candidate;
-            }
-        }
+      object_t *object = key;
+      const warmth_t *warmth = warmth_find (upstream, object);
+
+      if (object->anonymous || (warmth != NULL && warmth->ready_at <= now))
+        consider_object (&choice, object, TRUE);
+      /* Where its first run is under way, it is faster soon. */
+      else if (warmth == NULL && placing_may_start_cold (upstream, object))
+        consider_object (&choice, object, FALSE);
     }
-  return best;
+  return choice.best;
 }
--- a/source/steer/dispatch-warmth.c
+++ b/source/steer/dispatch-warmth.c
@@ -23,9 +23,17 @@
 /* Weight of a new outcome in an upstream's share of faults. */
 #define FAULT_WEIGHT 0.12
 
+/* Requests without an object wait together if they are as urgent. */
+static guint64
+object_hash (const anvil_task_t *task)
+{
+  return task->object != 0 ? task->object + task->priority : task->priority;
+}
+
 object_t *
-warmth_object (service_t *service, guint64 hash)
+warmth_object (service_t *service, const anvil_task_t *task)
 {
+  guint64 hash = object_hash (task);
   object_t *object = g_hash_table_lookup (service->objects, &hash);
 
   if (object != NULL)
@@ -33,8 +41,10 @@
   object = g_new0 (object_t, 1);
   object->hash = hash;
   object->service = service;
+  object->anonymous = task->object == 0;
   object->upstreams = g_ptr_array_new ();
   g_queue_init (&object->waiting);
+  g_queue_init (&object->late);
   g_hash_table_insert (service->objects, &object->hash, object);
   return object;
 }
@@ -46,6 +56,7 @@
 
   g_ptr_array_unref (object->upstreams);
   g_queue_clear (&object->waiting);
+  g_queue_clear (&object->late);
   g_free (object);
 }
 
@@ -113,7 +124,7 @@
   warmth_t *known = warmth_find (upstream, object);
   const warmth_t added = { .object = object, .ready_at = ready_at, .used_at = now };
 
-  if (object->hash == 0)
+  if (object->anonymous)
     return;
   if (known != NULL)
     {
@@ -155,6 +166,32 @@
   return cold > 0 ? cold * UNMEASURED_WARM_SHARE : UNMEASURED_RUN;
 }
 
+anvil_time_t
+warmth_usual_run (const service_t *service, anvil_route_kind_t kind, gboolean warm)
+{
+  return (anvil_time_t) usual_run (service, kind, warm);
+}
+
+gdouble
+warmth_demand (const object_t *object)
+{
+  if (object->interval <= 0)
+    return 0;
+  return usual_run (object->service, object->kind, TRUE) / object->interval;
+}
+
+void
+warmth_measure_load (upstream_t *upstream)
+{
+  upstream->object_load = 0;
+  for (guint i = 0; i < upstream->warm->len; i++)
+    {
+      const object_t *object = g_array_index (upstream->warm, warmth_t, i).object;
+
+      upstream->object_load += warmth_demand (object) / object->upstreams->len;
+    }
+}
+
 anvil_time_t
 warmth_run_time (const upstream_t *upstream, anvil_route_kind_t kind, gboolean warm)
 {
@@ -168,7 +205,7 @@
   upstream_t *upstream = task->upstream;
   service_t *service = task->service;
   anvil_route_kind_t kind = task->wanted.kind;
-  gdouble run = (gdouble) MAX (took - placing_distance (upstream, &task->wanted), ANVIL_MS);
+  gdouble run = (gdouble) MAX (took - placing_distance (upstream, task), ANVIL_MS);
   gdouble ratio = run / usual_run (service, kind, task->warm);
 
   learn (task->warm ? &service->warm_run[kind] : &service->cold_run[kind], run);
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -15,6 +15,8 @@
 #define MAX_EJECTION (4 * ANVIL_SECOND)
 /* A task that ended without a word of its asker is forgotten this long after its deadline. */
 #define DEADLINE_GRACE (500 * ANVIL_MS)
+/* How often the load that objects bring to upstreams is worked out again. */
+#define LOAD_PERIOD (200 * ANVIL_MS)
 /* Round trip between regions before any was measured, as between neighbouring countries. */
 #define DEFAULT_BETWEEN_REGIONS (50 * ANVIL_MS)
 
@@ -54,10 +56,6 @@
 {
   task_t *task = data;
 
-  g_free ((char *) task->wanted.region.data);
-  g_free ((char *) task->wanted.zone.data);
-  for (guint i = 0; i < task->wanted.n_regions; i++)
-    g_free ((char *) task->wanted.regions[i].data);
   g_free (task);
 }
 
@@ -68,7 +66,6 @@
 
   g_free (upstream->record.id);
   g_free (upstream->record.zone);
-  g_free (upstream->region);
   g_ptr_array_unref (upstream->running);
   g_array_unref (upstream->warm);
   g_free (upstream);
@@ -81,6 +78,7 @@
 
   g_free (service->name);
   g_ptr_array_unref (service->upstreams);
+  g_hash_table_unref (service->waiting_objects);
   g_hash_table_unref (service->objects);
   g_free (service);
 }
@@ -99,6 +97,7 @@
   dispatcher->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   dispatcher->upstreams = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, upstream_free);
   dispatcher->tasks = g_hash_table_new_full (task_id_hash, task_id_equal, NULL, task_free);
+  dispatcher->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return dispatcher;
 }
 
@@ -110,9 +109,26 @@
   g_hash_table_unref (dispatcher->tasks);
   g_hash_table_unref (dispatcher->services);
   g_hash_table_unref (dispatcher->upstreams);
+  g_hash_table_unref (dispatcher->names);
   g_free (dispatcher);
 }
 
+guint
+name_number (anvil_dispatcher_t *dispatcher, anvil_str_t name)
+{
+  char *text = anvil_str_dup (name);
+  guint number = GPOINTER_TO_UINT (g_hash_table_lookup (dispatcher->names, text));
+
+  if (number != 0)
+    {
+      g_free (text);
+      return number;
+    }
+  number = g_hash_table_size (dispatcher->names) + 1;
+  g_hash_table_insert (dispatcher->names, text, GUINT_TO_POINTER (number));
+  return number;
+}
+
 void
 anvil_dispatcher_set_bounds (anvil_dispatcher_t *dispatcher,
                              const anvil_dispatcher_bounds_t *bounds)
@@ -136,6 +152,7 @@
   service->dispatcher = dispatcher;
   service->upstreams = g_ptr_array_new ();
   service->objects = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, warmth_object_free);
+  service->waiting_objects = g_hash_table_new (NULL, NULL);
   service->remembered = MAX_WARM_OBJECTS;
   g_hash_table_insert (dispatcher->services, service->name, service);
   return service;
@@ -169,14 +186,6 @@
     }
 }
 
-/* Takes a waiting task out of the queue of its object. */
-static void
-leave_queue (task_t *task)
-{
-  g_queue_remove (&task->object->waiting, task);
-  task->service->n_waiting--;
-}
-
 static void
 forget (anvil_dispatcher_t *dispatcher, task_t *task)
 {
@@ -199,7 +208,7 @@
   task->upstream = upstream;
   task->warm = warm;
   task->granted_at = now;
-  task->expected_end = now + placing_distance (upstream, &task->wanted) + run;
+  task->expected_end = now + placing_distance (upstream, task) + run;
   g_ptr_array_add (upstream->running, task);
   task->service->n_running++;
   if (now < upstream->record.cold_until)
@@ -225,7 +234,7 @@
 grant (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task, upstream_t *upstream)
 {
   const warmth_t *warmth = warmth_find (upstream, task->object);
-  gboolean warm = task->object->hash == 0 || (warmth != NULL && warmth->ready_at <= now);
+  gboolean warm = task->object->anonymous || (warmth != NULL && warmth->ready_at <= now);
 
   start (dispatcher, now, task, upstream, warm);
   tell_grant (dispatcher, task);
@@ -252,7 +261,7 @@
 
       if (task == NULL)
         return;
-      leave_queue (task);
+      waiting_leave (task);
       grant (dispatcher, now, task, upstream);
     }
 }
@@ -275,17 +284,20 @@
 }
 
 static void
-copy_record (upstream_t *upstream, const anvil_registered_t *record, anvil_str_t region)
+copy_record (anvil_dispatcher_t *dispatcher,
+             upstream_t *upstream,
+             const anvil_registered_t *record,
+             anvil_str_t region)
 {
   g_free (upstream->record.id);
   g_free (upstream->record.zone);
-  g_free (upstream->region);
   upstream->record = *record;
   upstream->record.id = g_strdup (record->id);
   upstream->record.zone = g_strdup (record->zone);
   upstream->record.service = NULL;
   upstream->record.slots = CLAMP (record->slots, 1, MAX_SLOTS);
-  upstream->region = anvil_str_dup (region);
+  upstream->region = name_number (dispatcher, region);
+  upstream->zone = name_number (dispatcher, anvil_str (record->zone));
 }
 
 /* A process that began anew knows nothing of its predecessor's work. */
@@ -330,7 +342,7 @@
     remove_from_service (upstream);
   if (change == ANVIL_REGISTRY_RESTARTED)
     begin_anew (upstream);
-  copy_record (upstream, record, region);
+  copy_record (dispatcher, upstream, record, region);
   if (!upstream->present)
     add_to_service (upstream, service);
   count_slots (service);
@@ -361,13 +373,12 @@
   task_t *task = g_new0 (task_t, 1);
 
   task->wanted = *wanted;
-  task->wanted.region = anvil_str (anvil_str_dup (wanted->region));
-  task->wanted.zone = anvil_str (anvil_str_dup (wanted->zone));
+  task->region = name_number (dispatcher, wanted->region);
+  task->zone = name_number (dispatcher, wanted->zone);
   for (guint i = 0; i < wanted->n_regions; i++)
-    task->wanted.regions[i] = anvil_str (anvil_str_dup (wanted->regions[i]));
+    task->regions[i] = name_number (dispatcher, wanted->regions[i]);
   task->service = service_for (dispatcher, wanted->service);
-  task->wanted.service = anvil_str (task->service->name);
-  task->object = warmth_object (task->service, wanted->object);
+  task->object = warmth_object (task->service, wanted);
   task->object->n_tasks++;
   g_hash_table_insert (dispatcher->tasks, &task->wanted.id, task);
   return task;
@@ -420,10 +431,7 @@
   else if (refusing_no_room (task, now))
     refuse (dispatcher, now, task, ANVIL_TASK_NO_ROOM);
   else
-    {
-      g_queue_push_tail (&task->object->waiting, task);
-      task->service->n_waiting++;
-    }
+    waiting_enter (task);
 }
 
 void
@@ -449,7 +457,7 @@
 
   if (task == NULL || task->upstream != NULL)
     return;
-  leave_queue (task);
+  waiting_leave (task);
   forget (dispatcher, task);
 }
 
@@ -537,6 +545,20 @@
   free_if_done (dispatcher, upstream);
 }
 
+/* A waiting task that has become late stays only if it has a chance then. */
+static gboolean
+waits_in_vain (task_t *task, anvil_time_t now)
+{
+  if (!task->is_late)
+    waiting_sort_out_late (task->object, now);
+  if (refusing_hopeless (task, now))
+    return TRUE;
+  if (!task->is_late || task->admitted_late)
+    return FALSE;
+  task->admitted_late = TRUE;
+  return refusing_late (task, now);
+}
+
 /* Tasks whose time has come, collected first since ending one changes the table. */
 static GPtrArray *
 overdue_tasks (anvil_dispatcher_t *dispatcher, anvil_time_t now)
@@ -551,7 +573,7 @@
       task_t *task = value;
 
       if (task->upstream != NULL ? now > task->wanted.deadline + DEADLINE_GRACE
-                                 : refusing_hopeless (task, now))
+                                 : waits_in_vain (task, now))
         g_ptr_array_add (found, task);
     }
   return found;
@@ -574,12 +596,26 @@
           free_if_done (dispatcher, upstream);
           continue;
         }
-      leave_queue (task);
+      waiting_leave (task);
       refuse (dispatcher, now, task, ANVIL_TASK_LATE);
     }
   g_ptr_array_unref (overdue);
 }
 
+static void
+measure_loads (anvil_dispatcher_t *dispatcher, anvil_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now - dispatcher->loads_at < LOAD_PERIOD)
+    return;
+  dispatcher->loads_at = now;
+  g_hash_table_iter_init (&iter, dispatcher->upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    warmth_measure_load (value);
+}
+
 void
 anvil_dispatcher_tick (anvil_dispatcher_t *dispatcher, anvil_time_t now)
 {
@@ -587,6 +623,7 @@
   gpointer value;
 
   end_overdue (dispatcher, now);
+  measure_loads (dispatcher, now);
   g_hash_table_iter_init (&iter, dispatcher->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -614,7 +651,7 @@
     }
   for (guint i = 0; i < lost->len; i++)
     {
-      leave_queue (lost->pdata[i]);
+      waiting_leave (lost->pdata[i]);
       forget (dispatcher, lost->pdata[i]);
     }
   g_ptr_array_unref (lost);
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -9,6 +9,9 @@
 #define MAX_PING_PERIOD (1000 * ANVIL_MS)
 /* Pings without an answer after which a peer is left out. */
 #define MISSED_PINGS 3
+/* Entries whose processors differ by less than this, thousandths of a core, hold slots alike. */
+#define CAPACITY_CLASS 200
+#define MAX_CAPACITY_CLASS 7
 /* Weight of a new round trip in the mean: a ping may wait behind other work. */
 #define ROUND_TRIP_WEIGHT 8
 
@@ -164,15 +167,17 @@
   return anvil_members_answers (members, now, peer) && peer->info.ready && !peer->info.leaving;
 }
 
-/* Rank of an entry for a service, the same at every entry; the preferred region comes first. */
+/* Rank of an entry for a service, the same at every entry: the preferred region comes first, then
+ * the class of its processor, then a hash. */
 static guint64
-rank (anvil_node_t node, anvil_str_t service, gboolean preferred)
+rank (anvil_node_t node, const anvil_member_info_t *info, anvil_str_t service, gboolean preferred)
 {
   guint64 seed = anvil_str_hash (service) ^ (node * G_GUINT64_CONSTANT (0x9E3779B97F4A7C15));
   guint64 mixed
       = anvil_str_hash ((anvil_str_t){ .data = (const char *) &seed, .length = sizeof seed });
+  guint64 class = MIN (info->capacity / CAPACITY_CLASS, MAX_CAPACITY_CLASS);
 
-  return (mixed >> 1) | (preferred ? G_GUINT64_CONSTANT (1) << 63 : 0);
+  return ((guint64) preferred << 63) | (class << 60) | (mixed >> 4);
 }
 
 anvil_node_t
@@ -186,7 +191,7 @@
   guint64 best_rank = 0;
 
   if (members->info.ready && !members->info.leaving)
-    best_rank = rank (members->self, service, g_strcmp0 (own_region, region) == 0);
+    best_rank = rank (members->self, &members->info, service, g_strcmp0 (own_region, region) == 0);
   for (guint i = 0; i < members->peers->len; i++)
     {
       const anvil_peer_t *peer = members->peers->pdata[i];
@@ -194,7 +199,7 @@
 
       if (!serves (members, now, peer))
         continue;
-      candidate = rank (peer->node, service, g_strcmp0 (peer->region, region) == 0);
+      candidate = rank (peer->node, &peer->info, service, g_strcmp0 (peer->region, region) == 0);
       if (candidate > best_rank)
         {
           best = peer->node;
--- a/standins/anvil-registrant.c
+++ b/standins/anvil-registrant.c
@@ -6,7 +6,9 @@
  * request may say otherwise:
  *   work=MS          how long it takes
  *   fault=KIND       reset, truncate, garbage, unsigned, error, unframed, stray
- * GET /runs tells every run: {"ID": COUNT}. SIGTERM makes it drain.
+ * GET /runs tells every run: {"ID": COUNT}. SIGTERM makes it drain. With --runs a
+ * line is appended to a file for each run ("run TIME ID") and when the store has
+ * taken the word that it drains ("draining TIME"), times in microseconds since 1970.
  */
 
 #include <arpa/inet.h>
@@ -45,6 +47,8 @@
   WARM_MS,
   HEARTBEAT_MS,
   DRAIN_MS,
+  ADVERTISE,
+  RUNS,
   N_SETTINGS,
 };
 
@@ -57,12 +61,15 @@
   gint64 started_at;
   guint sequence;
   gboolean draining;
+  gboolean drain_taken;
   guint running;
   /* work_t that wait for a slot. */
   GQueue waiting;
   /* Counts of runs by request id. */
   GHashTable *runs;
   GHashTable *objects;
+  /* Where runs are noted, or NULL. */
+  FILE *notes;
 } upstream_t;
 
 typedef struct
@@ -204,6 +211,16 @@
   start_next (upstream);
 }
 
+/* One write a line, so that a killed process leaves whole lines. */
+static void
+note (upstream_t *upstream, const char *word, const char *id)
+{
+  if (upstream->notes == NULL)
+    return;
+  fprintf (upstream->notes, "%s %" G_GINT64_FORMAT " %s\n", word, anvil_clock_wall (), id);
+  fflush (upstream->notes);
+}
+
 static void
 start (work_t *work)
 {
@@ -226,6 +243,7 @@
   upstream->running++;
   time = (struct timeval){ .tv_sec = ms / 1000, .tv_usec = (suseconds_t) (ms % 1000) * 1000 };
   evtimer_add (work->timer, &time);
+  note (upstream, "run", id);
 }
 
 static void
@@ -308,8 +326,15 @@
 static void
 on_written (void *context, const anvil_http_reply_t *reply)
 {
+  upstream_t *upstream = context;
+
   if (reply->status != HTTP_OK)
     anvil_log (ANVIL_LOG_INFO, "upstream", "report wasn't taken status=%d", reply->status);
+  else if (upstream->draining && !upstream->drain_taken)
+    {
+      upstream->drain_taken = TRUE;
+      note (upstream, "draining", "-");
+    }
 }
 
 /* Writes its row, or removes it. */
@@ -317,12 +342,13 @@
 report (upstream_t *upstream, gboolean remove)
 {
   const anvil_setting_t *settings = upstream->settings;
-  json_t *value = json_pack ("{s:s,s:I,s:{s:s,s:s,s:s,s:I},s:{s:s,s:i,s:i}}", "address",
-                             upstream->endpoint, "born", (json_int_t) upstream->started_at, "info",
-                             "service", settings[SERVICE].text, "version", "v1", "zone",
-                             settings[ZONE].text, "slots", (json_int_t) settings[SLOTS].count,
-                             "status", "state", upstream->draining ? "draining" : "ready",
-                             "sequence", (int) ++upstream->sequence, "coldRemainingMs", 0);
+  json_t *value = json_pack (
+      "{s:s,s:I,s:{s:s,s:s,s:s,s:I},s:{s:s,s:i,s:i}}", "address",
+      settings[ADVERTISE].text != NULL ? settings[ADVERTISE].text : upstream->endpoint, "born",
+      (json_int_t) upstream->started_at, "info", "service", settings[SERVICE].text, "version", "v1",
+      "zone", settings[ZONE].text, "slots", (json_int_t) settings[SLOTS].count, "status", "state",
+      upstream->draining ? "draining" : "ready", "sequence", (int) ++upstream->sequence,
+      "coldRemainingMs", 0);
   char *text = json_dumps (value, JSON_COMPACT);
   char *encoded = g_base64_encode ((const guchar *) text, strlen (text));
   json_t *row
@@ -403,6 +429,8 @@
     }
   getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *) &local, &length);
   upstream.endpoint = anvil_endpoint_format (settings[LISTEN].address, ntohs (local.sin_port));
+  if (settings[RUNS].text != NULL)
+    upstream.notes = fopen (settings[RUNS].text, "a");
   upstream.store = anvil_http_pool_open (upstream.base, settings[STORE].address,
                                          settings[STORE].port, STORE_TIMEOUT);
   evsignal_add (terminate, NULL);
@@ -454,6 +482,10 @@
     [WORK_MS] = COUNT ("work-ms", "Length of a run", "20", 1),
     [WARM_MS] = COUNT ("warm-ms", "Length of a run on an object that it handled before", "5", 1),
     [HEARTBEAT_MS] = COUNT ("heartbeat-ms", "Pause between its reports", "500", 50),
+    [ADVERTISE] = { .name = "advertise",
+                    .kind = ANVIL_SETTING_ENDPOINT,
+                    .help = "Address and port that it registers, if not its own" },
+    [RUNS] = { .name = "runs", .kind = ANVIL_SETTING_TEXT, .help = "File to note runs in" },
     [DRAIN_MS] = COUNT ("drain-ms", "How long it serves after it said that it drains", "2500", 0),
   };
   anvil_settings_t settings
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -21,8 +21,8 @@
   socklen_t length = sizeof local;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-  ck_assert_int_eq (bind (fd, (struct sockaddr *) &local, sizeof local), 0);
-  ck_assert_int_eq (getsockname (fd, (struct sockaddr *) &local, &length), 0);
+  g_assert_cmpint (bind (fd, (struct sockaddr *) &local, sizeof local), ==, 0);
+  g_assert_cmpint (getsockname (fd, (struct sockaddr *) &local, &length), ==, 0);
   close (fd);
   return ntohs (local.sin_port);
 }
@@ -40,7 +40,7 @@
 
   memset (fleet, 0, sizeof *fleet);
   fleet->directory = g_dir_make_tmp ("anvil-fleet-XXXXXX", NULL);
-  ck_assert_ptr_nonnull (fleet->directory);
+  g_assert_nonnull (fleet->directory);
   fleet->entries = g_ptr_array_new ();
   fleet->upstreams = g_ptr_array_new ();
   standin_open (&fleet->store, "anvil-store", none);
@@ -123,9 +123,10 @@
       "\"retryBudgetExtra\":56,\"budgetWindowS\":10,\"coldLoadFactor\":1.5,\"coldSlack\":5,"
       "\"maxShift\":0.15}}",
       entry->name, entry->zone, entry->callers, entry->readiness, entry->lookups, entry->peers,
-      entry->metrics, entry->metrics, first->peers, fleet->store.endpoint);
+      entry->metrics, entry->metrics, first->peers,
+      fleet->store_for_entries != NULL ? fleet->store_for_entries : fleet->store.endpoint);
 
-  ck_assert (g_file_set_contents (path, text, -1, NULL));
+  g_assert (g_file_set_contents (path, text, -1, NULL));
   g_free (text);
   g_free (path);
 }
@@ -208,7 +209,7 @@
   va_start (values, format);
   text = g_strdup_vprintf (format, values);
   va_end (values);
-  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t) strlen (text));
+  g_assert_cmpint (send (fd, text, strlen (text), MSG_NOSIGNAL), ==, (ssize_t) strlen (text));
   g_free (text);
 }
 
@@ -276,33 +277,43 @@
   return answer;
 }
 
-static void
+static gboolean
 call_store (fleet_t *fleet, const char *path, const char *body)
 {
   int fd = fleet_connect (fleet_port (&fleet->store));
+  gboolean done;
   char *answer;
 
-  ck_assert_int_ge (fd, 0);
+  g_assert_cmpint (fd, >=, 0);
   fleet_send (fd, "POST %s HTTP/1.1\r\nHost: store\r\nContent-Length: %zu\r\n\r\n%s", path,
               strlen (body), body);
   answer = fleet_read (fd);
-  ck_assert_uint_eq (fleet_status (answer), 200);
+  done = fleet_status (answer) == 200;
   g_free (answer);
   close (fd);
+  return done;
 }
 
-void
-fleet_put (fleet_t *fleet, const char *table, const char *key, const char *value)
+gboolean
+fleet_try_put (fleet_t *fleet, const char *table, const char *key, const char *value)
 {
+  gboolean done;
   char *encoded = value != NULL ? g_base64_encode ((const guchar *) value, strlen (value)) : NULL;
   char *body = g_strdup_printf (
       "{\"expect\":[],\"%s\":[{\"table\":\"%s\",\"part\":\"\",\"key\":\"%s\","
       "\"value\":\"%s\"}]}",
       value != NULL ? "writes" : "remove", table, key, encoded != NULL ? encoded : "");
 
-  call_store (fleet, "/-/rows-tx", body);
+  done = call_store (fleet, "/-/rows-tx", body);
   g_free (body);
   g_free (encoded);
+  return done;
+}
+
+void
+fleet_put (fleet_t *fleet, const char *table, const char *key, const char *value)
+{
+  g_assert (fleet_try_put (fleet, table, key, value));
 }
 
 void
@@ -310,7 +321,7 @@
 {
   char *path = g_strdup_printf ("/fault?kind=%s&for_ms=%u", kind, for_ms);
 
-  call_store (fleet, path, "");
+  g_assert (call_store (fleet, path, ""));
   g_free (path);
 }
 
@@ -358,7 +369,7 @@
       if (ready)
         return;
     }
-  ck_abort_msg ("entry %s was never ready", entry->name);
+  g_error ("entry %s was never ready", entry->name);
 }
 
 guint
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -31,6 +31,8 @@
 typedef struct
 {
   char *directory;
+  /* Endpoint by which entries reach the store, if it isn't the store's own. */
+  const char *store_for_entries;
   standin_t store;
   GPtrArray *entries;
   GPtrArray *upstreams;
@@ -65,6 +67,9 @@
 /** fleet_put - a row of the store; a NULL value removes it */
 void fleet_put (fleet_t *fleet, const char *table, const char *key, const char *value);
 
+/** fleet_try_put - the same, where the store may not answer; FALSE if it didn't take the row */
+gboolean fleet_try_put (fleet_t *fleet, const char *table, const char *key, const char *value);
+
 /** fleet_fault - a fault of the store, see anvil-store */
 void fleet_fault (fleet_t *fleet, const char *kind, guint for_ms);
 
--- /dev/null
+++ b/tests/soak/soak-callers.c
@@ -0,0 +1,235 @@
+#include "soak-callers.h"
+
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+#include "anvil/clock.h"
+
+#define HOST "shop.example"
+/* Longest wait for an answer: the route's time-out and some for the way. */
+#define PATIENCE_S 5
+#define TICK_US 10000
+#define OBJECTS 12
+
+typedef struct
+{
+  soak_callers_t *callers;
+  soak_request_t *request;
+  char *target;
+  struct evhttp_connection *connection;
+} call_t;
+
+struct soak_callers
+{
+  struct event_base *base;
+  const guint16 *ports;
+  guint n_ports;
+  GRand *random;
+  gdouble per_tick;
+  gdouble faults;
+  gdouble due;
+  struct event *tick;
+  GPtrArray *requests;
+  /* Connections that carry no request now, by entry. */
+  GQueue *kept;
+  guint64 run;
+};
+
+static void
+request_free (gpointer data)
+{
+  soak_request_t *request = data;
+
+  g_free (request->id);
+  g_free (request->detail);
+  g_free (request);
+}
+
+/* Says why an answer can't be right, or NULL. */
+static char *
+fault_of (const call_t *call, struct evhttp_request *http)
+{
+  struct evkeyvalq *headers = evhttp_request_get_input_headers (http);
+  struct evbuffer *body = evhttp_request_get_input_buffer (http);
+  gsize length = evbuffer_get_length (body);
+  const char *signature = evhttp_find_header (headers, "Server-Stamp");
+  const char *id = evhttp_find_header (headers, "Request-Id");
+  char *text = g_strndup ((const char *) evbuffer_pullup (body, -1), length);
+  char *expected = g_strdup_printf (" %s %s 0", call->target, call->request->id);
+  char *fault = NULL;
+
+  if (signature == NULL)
+    fault = g_strdup ("success without a signature");
+  else if (g_strcmp0 (id, call->request->id) != 0)
+    fault = g_strdup_printf ("answer to %s", id != NULL ? id : "nothing");
+  else if (!g_str_has_suffix (text, expected))
+    fault = g_strdup_printf ("body \"%s\" instead of \"...%s\"", text, expected);
+  g_free (expected);
+  g_free (text);
+  return fault;
+}
+
+static void
+judge (call_t *call, struct evhttp_request *http)
+{
+  soak_request_t *request = call->request;
+
+  request->ended_at = anvil_clock_wall ();
+  request->status = http != NULL ? (guint) evhttp_request_get_response_code (http) : 0;
+  if (request->status == 429 || request->status == 503)
+    request->outcome = SOAK_REFUSED;
+  else if (request->status == 200)
+    {
+      request->detail = fault_of (call, http);
+      request->outcome = request->detail != NULL ? SOAK_WRONG : SOAK_ANSWERED;
+    }
+  else
+    request->outcome = SOAK_UNKNOWN;
+}
+
+static void
+on_answer (struct evhttp_request *http, void *data)
+{
+  call_t *call = data;
+  soak_callers_t *callers = call->callers;
+  const char *connection
+      = http != NULL ? evhttp_find_header (evhttp_request_get_input_headers (http), "Connection")
+                     : NULL;
+
+  judge (call, http);
+  if (call->request->status != 0 && g_strcmp0 (connection, "close") != 0)
+    g_queue_push_tail (&callers->kept[call->request->entry], call->connection);
+  else
+    evhttp_connection_free_on_completion (call->connection);
+  g_free (call->target);
+  g_free (call);
+}
+
+static struct evhttp_connection *
+connect_to (soak_callers_t *callers, guint entry)
+{
+  struct evhttp_connection *connection = NULL;
+
+  /* Two of three requests use a connection again. */
+  if (g_rand_int_range (callers->random, 0, 3) > 0)
+    connection = g_queue_pop_head (&callers->kept[entry]);
+  if (connection == NULL)
+    connection
+        = evhttp_connection_base_new (callers->base, NULL, "127.0.0.1", callers->ports[entry]);
+  evhttp_connection_set_timeout (connection, PATIENCE_S);
+  evhttp_connection_set_retries (connection, 0);
+  return connection;
+}
+
+static const char *
+draw_fault (soak_callers_t *callers)
+{
+  static const char *const faults[]
+      = { "reset", "truncate", "garbage", "unsigned", "error", "unframed", "stray" };
+
+  if (g_rand_double (callers->random) >= callers->faults)
+    return "";
+  return faults[g_rand_int_range (callers->random, 0, G_N_ELEMENTS (faults))];
+}
+
+static void
+send_one (soak_callers_t *callers)
+{
+  soak_request_t *request = g_new0 (soak_request_t, 1);
+  call_t *call = g_new0 (call_t, 1);
+  struct evhttp_request *http = evhttp_request_new (on_answer, call);
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (http);
+  const char *fault = draw_fault (callers);
+  char object[16];
+
+  request->id
+      = g_strdup_printf ("s%" G_GINT64_MODIFIER "x-%u", callers->run, callers->requests->len);
+  request->repeatable = g_rand_boolean (callers->random);
+  request->entry = (guint) g_rand_int_range (callers->random, 0, (gint32) callers->n_ports);
+  request->sent_at = anvil_clock_wall ();
+  g_ptr_array_add (callers->requests, request);
+  g_snprintf (object, sizeof object, "%d", g_rand_int_range (callers->random, 0, OBJECTS));
+  call->callers = callers;
+  call->request = request;
+  call->target
+      = g_strdup_printf ("/%s/%s?fault=%s", request->repeatable ? "view" : "pay", object, fault);
+  call->connection = connect_to (callers, request->entry);
+  evhttp_add_header (headers, "Host", HOST);
+  evhttp_add_header (headers, "Request-Id", request->id);
+  evhttp_add_header (headers, "Affinity-Key", object);
+  evhttp_add_header (headers, "Deadline-Ms", "2000");
+  if (evhttp_make_request (call->connection, http,
+                           request->repeatable ? EVHTTP_REQ_GET : EVHTTP_REQ_POST, call->target)
+      != 0)
+    request->outcome = SOAK_UNKNOWN;
+}
+
+static void
+on_tick (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  soak_callers_t *callers = data;
+
+  for (callers->due += callers->per_tick; callers->due >= 1; callers->due -= 1)
+    send_one (callers);
+}
+
+soak_callers_t *
+soak_callers_open (struct event_base *base,
+                   const guint16 *ports,
+                   guint n_ports,
+                   GRand *random,
+                   gdouble per_second,
+                   gdouble faults)
+{
+  soak_callers_t *callers = g_new0 (soak_callers_t, 1);
+  const struct timeval period = { .tv_usec = TICK_US };
+
+  callers->base = base;
+  callers->ports = ports;
+  callers->n_ports = n_ports;
+  callers->random = random;
+  callers->per_tick = per_second * TICK_US / (gdouble) ANVIL_SECOND;
+  callers->faults = faults;
+  callers->requests = g_ptr_array_new_with_free_func (request_free);
+  callers->kept = g_new0 (GQueue, n_ports);
+  callers->run = (guint64) anvil_clock_wall ();
+  callers->tick = event_new (base, -1, EV_PERSIST, on_tick, callers);
+  event_add (callers->tick, &period);
+  return callers;
+}
+
+void
+soak_callers_stop (soak_callers_t *callers)
+{
+  event_del (callers->tick);
+}
+
+void
+soak_callers_calm (soak_callers_t *callers)
+{
+  callers->faults = 0;
+}
+
+void
+soak_callers_close (soak_callers_t *callers)
+{
+  event_free (callers->tick);
+  for (guint i = 0; i < callers->n_ports; i++)
+    {
+      struct evhttp_connection *connection;
+
+      while ((connection = g_queue_pop_head (&callers->kept[i])) != NULL)
+        evhttp_connection_free (connection);
+    }
+  g_free (callers->kept);
+  g_ptr_array_unref (callers->requests);
+  g_free (callers);
+}
+
+const GPtrArray *
+soak_callers_requests (const soak_callers_t *callers)
+{
+  return callers->requests;
+}
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,604 @@
+/*
+ * soak: entries, upstreams and a store as real processes, faults from outside,
+ * and the promises checked from what callers and upstreams saw.
+ *
+ *   soak --seed N --seconds N [--entries N] [--upstreams N] [--rate N]
+ *
+ * Ends with one line that names every broken promise, and exit status 1 if
+ * there is one.
+ */
+
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib/gstdio.h>
+
+#include "anvil/clock.h"
+#include "anvil/settings.h"
+#include "helper-fleet.h"
+#include "soak-callers.h"
+#include "soak-proxy.h"
+
+#define MAX_ENTRIES 64
+#define MAX_UPSTREAMS 256
+#define DRAIN_MS 2500
+/* Bounds of the platform's contract, microseconds. */
+#define DRAIN_BOUND (2500 * ANVIL_MS)
+#define TOUCH_WINDOW (4 * ANVIL_SECOND)
+/* Pauses between faults, and how long they last, milliseconds. */
+#define LEAST_PAUSE_MS 150
+#define MOST_PAUSE_MS 1200
+#define LEAST_FAULT_MS 200
+#define MOST_FAULT_MS 3500
+/* Time without faults at the end, in which everything must be served again. */
+#define CALM_S 10
+#define SETTLED_S 5
+#define MAX_REPORTED 5
+
+/**
+ * node_t - an entry or an upstream, with what may happen to it
+ * @busy: a fault of it is under way
+ * @harmed_at: when a fault of it began or ended last, wall clock
+ */
+typedef struct
+{
+  gboolean busy;
+  gint64 harmed_at;
+  fleet_entry_t *entry;
+  standin_t upstream;
+  char *id;
+  char *notes;
+  soak_proxy_t *proxy;
+} node_t;
+
+typedef struct
+{
+  struct event_base *base;
+  GRand *random;
+  fleet_t fleet;
+  soak_proxy_t *store_proxy;
+  char *store_endpoint;
+  guint n_entries;
+  guint n_upstreams;
+  node_t entries[MAX_ENTRIES];
+  node_t upstreams[MAX_UPSTREAMS];
+  guint16 ports[MAX_ENTRIES];
+  soak_callers_t *callers;
+  struct event *next_fault;
+  gboolean store_busy;
+  gint64 store_harmed_at;
+  guint n_faults;
+  guint starts;
+  guint broken;
+} soak_t;
+
+/** undo_t - ends a fault */
+typedef struct
+{
+  soak_t *soak;
+  node_t *node;
+  void (*undo) (soak_t *soak, node_t *node);
+} undo_t;
+
+static guint
+draw (soak_t *soak, guint least, guint most)
+{
+  return (guint) g_rand_int_range (soak->random, (gint32) least, (gint32) most + 1);
+}
+
+static void
+say (soak_t *soak, const char *what, const char *who)
+{
+  printf ("%.3f %s %s\n", (gdouble) anvil_clock_wall () / (gdouble) ANVIL_SECOND, what, who);
+  fflush (stdout);
+}
+
+static void
+harmed (soak_t *soak, node_t *node)
+{
+  if (node != NULL)
+    node->harmed_at = anvil_clock_wall ();
+  else
+    soak->store_harmed_at = anvil_clock_wall ();
+}
+
+static void
+on_undo (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  undo_t *undo = data;
+
+  undo->undo (undo->soak, undo->node);
+  harmed (undo->soak, undo->node);
+  if (undo->node != NULL)
+    undo->node->busy = FALSE;
+  else
+    undo->soak->store_busy = FALSE;
+  g_free (undo);
+}
+
+/* Ends the fault of a node, or of the store where @node is NULL, after a while. */
+static void
+undo_later (soak_t *soak, node_t *node, void (*undo) (soak_t *, node_t *))
+{
+  guint ms = draw (soak, LEAST_FAULT_MS, MOST_FAULT_MS);
+  struct timeval time = { .tv_sec = ms / 1000, .tv_usec = (suseconds_t) (ms % 1000) * 1000 };
+  undo_t *later = g_new0 (undo_t, 1);
+
+  *later = (undo_t){ .soak = soak, .node = node, .undo = undo };
+  harmed (soak, node);
+  if (node != NULL)
+    node->busy = TRUE;
+  else
+    soak->store_busy = TRUE;
+  soak->n_faults++;
+  event_base_once (soak->base, -1, EV_TIMEOUT, on_undo, later, &time);
+}
+
+static void
+start_upstream (soak_t *soak, node_t *node)
+{
+  char *line;
+  char **arguments;
+
+  g_free (node->id);
+  node->id = g_strdup_printf ("u%u", ++soak->starts);
+  line = g_strdup_printf (
+      "--store %s --id %s --service photos --zone west-a --advertise 127.0.0.1:%u "
+      "--runs %s --drain-ms %d --slots 3 --work-ms 40 --warm-ms 10",
+      soak->fleet.store.endpoint, node->id, soak_proxy_port (node->proxy), node->notes, DRAIN_MS);
+  arguments = g_strsplit (line, " ", -1);
+  standin_open (&node->upstream, "anvil-registrant", (const char *const *) arguments);
+  soak_proxy_set_target (node->proxy, fleet_port (&node->upstream));
+  g_strfreev (arguments);
+  g_free (line);
+}
+
+static void
+end_upstream (node_t *node, int number)
+{
+  kill (node->upstream.pid, number);
+  kill (node->upstream.pid, SIGCONT);
+  waitpid (node->upstream.pid, NULL, 0);
+  close (node->upstream.errors);
+}
+
+static void
+undo_stop_entry (soak_t *soak, node_t *node)
+{
+  kill (node->entry->pid, SIGCONT);
+}
+
+static void
+undo_kill_entry (soak_t *soak, node_t *node)
+{
+  fleet_start_entry (&soak->fleet, node->entry);
+}
+
+static void
+undo_term_entry (soak_t *soak, node_t *node)
+{
+  int status = 0;
+  pid_t pid = waitpid (node->entry->pid, &status, WNOHANG);
+
+  /* It may still deliver; it's killed at the end of its grace time as the platform does. */
+  if (pid == 0)
+    {
+      kill (node->entry->pid, SIGKILL);
+      waitpid (node->entry->pid, &status, 0);
+    }
+  fleet_start_entry (&soak->fleet, node->entry);
+}
+
+static void
+undo_kill_upstream (soak_t *soak, node_t *node)
+{
+  start_upstream (soak, node);
+}
+
+static void
+undo_term_upstream (soak_t *soak, node_t *node)
+{
+  end_upstream (node, SIGKILL);
+  /* A row that the store keeps names an upstream that is gone, which may happen too. */
+  if (!fleet_try_put (&soak->fleet, "servers", node->id, NULL))
+    say (soak, "row stays", node->id);
+  start_upstream (soak, node);
+}
+
+static void
+undo_stop_upstream (soak_t *soak, node_t *node)
+{
+  kill (node->upstream.pid, SIGCONT);
+}
+
+static void
+undo_proxy (soak_t *soak, node_t *node)
+{
+  soak_proxy_harm (node != NULL ? node->proxy : soak->store_proxy, SOAK_HARM_NONE, 0);
+}
+
+static void
+undo_store (soak_t *soak, node_t *node)
+{
+  fleet_fault (&soak->fleet, "none", 0);
+}
+
+static void
+harm_entry (soak_t *soak, node_t *node)
+{
+  static const struct
+  {
+    const char *what;
+    int number;
+    void (*undo) (soak_t *, node_t *);
+  } kinds[] = { { "entry stops", SIGSTOP, undo_stop_entry },
+                { "entry is killed", SIGKILL, undo_kill_entry },
+                { "entry is told to end", SIGTERM, undo_term_entry } };
+  guint kind = draw (soak, 0, G_N_ELEMENTS (kinds) - 1);
+
+  if (node->busy)
+    return;
+  say (soak, kinds[kind].what, node->entry->name);
+  kill (node->entry->pid, kinds[kind].number);
+  if (kinds[kind].number == SIGKILL)
+    waitpid (node->entry->pid, NULL, 0);
+  undo_later (soak, node, kinds[kind].undo);
+}
+
+static void
+harm_proxy (soak_t *soak, node_t *node)
+{
+  static const char *const names[]
+      = { "", "is delayed", "is silent", "is cut one way", "is refused" };
+  soak_harm_t harm = (soak_harm_t) draw (soak, SOAK_HARM_DELAY, SOAK_HARM_REFUSE);
+
+  say (soak, names[harm], node != NULL ? node->id : "store");
+  soak_proxy_harm (node != NULL ? node->proxy : soak->store_proxy, harm, draw (soak, 20, 400));
+  undo_later (soak, node, undo_proxy);
+}
+
+static void
+harm_upstream (soak_t *soak, node_t *node)
+{
+  if (node->busy)
+    return;
+  switch (draw (soak, 0, 4))
+    {
+    case 0:
+      say (soak, "upstream is killed", node->id);
+      end_upstream (node, SIGKILL);
+      undo_later (soak, node, undo_kill_upstream);
+      return;
+    case 1:
+      say (soak, "upstream drains", node->id);
+      kill (node->upstream.pid, SIGTERM);
+      undo_later (soak, node, undo_term_upstream);
+      return;
+    case 2:
+      say (soak, "upstream stops", node->id);
+      kill (node->upstream.pid, SIGSTOP);
+      undo_later (soak, node, undo_stop_upstream);
+      return;
+    case 3:
+      say (soak, "upstream's connections are reset", node->id);
+      soak_proxy_reset (node->proxy);
+      return;
+    default:
+      harm_proxy (soak, node);
+      return;
+    }
+}
+
+static void
+harm_store (soak_t *soak)
+{
+  static const char *const kinds[] = { "busy", "silent", "lose", "compact" };
+  guint kind = draw (soak, 0, G_N_ELEMENTS (kinds));
+
+  if (soak->store_busy)
+    return;
+  if (kind == G_N_ELEMENTS (kinds))
+    {
+      harm_proxy (soak, NULL);
+      return;
+    }
+  say (soak, "store:", kinds[kind]);
+  fleet_fault (&soak->fleet, kinds[kind], MOST_FAULT_MS);
+  undo_later (soak, NULL, undo_store);
+}
+
+static void
+schedule (soak_t *soak)
+{
+  guint ms = draw (soak, LEAST_PAUSE_MS, MOST_PAUSE_MS);
+  struct timeval time = { .tv_sec = ms / 1000, .tv_usec = (suseconds_t) (ms % 1000) * 1000 };
+
+  event_add (soak->next_fault, &time);
+}
+
+static void
+on_next_fault (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  soak_t *soak = data;
+  guint choice = draw (soak, 0, 9);
+
+  if (choice < 3)
+    harm_entry (soak, &soak->entries[draw (soak, 0, soak->n_entries - 1)]);
+  else if (choice < 8)
+    harm_upstream (soak, &soak->upstreams[draw (soak, 0, soak->n_upstreams - 1)]);
+  else
+    harm_store (soak);
+  schedule (soak);
+}
+
+static void
+on_time_up (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  event_base_loopbreak (data);
+}
+
+static void
+run_for (soak_t *soak, guint seconds)
+{
+  struct timeval time = { .tv_sec = seconds };
+
+  event_base_once (soak->base, -1, EV_TIMEOUT, on_time_up, soak->base, &time);
+  event_base_dispatch (soak->base);
+}
+
+static void
+report (soak_t *soak, const char *promise, const soak_request_t *request, const char *detail)
+{
+  if (soak->broken++ < MAX_REPORTED)
+    printf ("BROKEN %s: request %s to entry %u at %.3f, status %u: %s\n", promise, request->id,
+            request->entry, (gdouble) request->sent_at / (gdouble) ANVIL_SECOND, request->status,
+            detail);
+}
+
+/**
+ * notes_t - what upstreams noted
+ * @runs: how often each request ran
+ */
+typedef struct
+{
+  soak_t *soak;
+  GHashTable *runs;
+} notes_t;
+
+static gboolean
+undisturbed (const node_t *node, gint64 at)
+{
+  return node->harmed_at + TOUCH_WINDOW < at;
+}
+
+/* Whether every entry and the store had been left alone for a while. */
+static gboolean
+all_in_touch (const soak_t *soak, gint64 at)
+{
+  for (guint i = 0; i < soak->n_entries; i++)
+    {
+      if (!undisturbed (&soak->entries[i], at))
+        return FALSE;
+    }
+  return soak->store_harmed_at + TOUCH_WINDOW < at;
+}
+
+/* Reads one upstream's notes; a run too long after its drain breaks a promise if all were in touch
+ * until the end of the soak, since only the last harm is known. */
+static void
+read_notes (notes_t *notes, const node_t *node)
+{
+  char *text = NULL;
+  char **lines;
+  gint64 draining_at = 0;
+
+  if (!g_file_get_contents (node->notes, &text, NULL, NULL))
+    return;
+  lines = g_strsplit (text, "\n", -1);
+  for (guint i = 0; lines[i] != NULL && lines[i][0] != '\0'; i++)
+    {
+      char **fields = g_strsplit (lines[i], " ", 3);
+      gint64 at = g_ascii_strtoll (fields[1], NULL, 10);
+
+      if (strcmp (fields[0], "draining") == 0)
+        draining_at = at;
+      else
+        {
+          guint count = GPOINTER_TO_UINT (g_hash_table_lookup (notes->runs, fields[2]));
+
+          g_hash_table_insert (notes->runs, g_strdup (fields[2]), GUINT_TO_POINTER (count + 1));
+          if (draining_at > 0 && at > draining_at + DRAIN_BOUND
+              && at < draining_at + 2 * DRAIN_BOUND && all_in_touch (notes->soak, draining_at))
+            {
+              notes->soak->broken++;
+              printf ("BROKEN drain: upstream of %s got %s %.3f s after the store took its word\n",
+                      node->notes, fields[2],
+                      (gdouble) (at - draining_at) / (gdouble) ANVIL_SECOND);
+            }
+        }
+      g_strfreev (fields);
+    }
+  g_strfreev (lines);
+  g_free (text);
+}
+
+static void
+check_requests (soak_t *soak, gint64 calm_at)
+{
+  notes_t notes
+      = { .soak = soak, .runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL) };
+  const GPtrArray *requests = soak_callers_requests (soak->callers);
+  guint counts[SOAK_WRONG + 1] = { 0 };
+  guint calm = 0;
+  guint calm_answered = 0;
+
+  for (guint i = 0; i < soak->n_upstreams; i++)
+    read_notes (&notes, &soak->upstreams[i]);
+  for (guint i = 0; i < requests->len; i++)
+    {
+      const soak_request_t *request = requests->pdata[i];
+      guint runs = GPOINTER_TO_UINT (g_hash_table_lookup (notes.runs, request->id));
+
+      counts[request->outcome]++;
+      if (request->outcome == SOAK_WRONG)
+        report (soak, "whole and own answers", request, request->detail);
+      if (!request->repeatable && runs > 1)
+        report (soak, "at most once", request, "it ran more than once");
+      if (request->outcome == SOAK_REFUSED && runs > 0)
+        report (soak, "refused means not run", request, "it has run");
+      if (request->outcome == SOAK_ANSWERED && runs == 0)
+        report (soak, "answers come from upstreams", request, "it never ran");
+      if (request->outcome == SOAK_PENDING)
+        report (soak, "every request ends", request, "no answer");
+      if (request->sent_at > calm_at + SETTLED_S * ANVIL_SECOND)
+        {
+          calm++;
+          calm_answered += request->outcome == SOAK_ANSWERED;
+        }
+    }
+  if (calm == 0 || calm_answered * 100 < calm * 99)
+    {
+      soak->broken++;
+      printf ("BROKEN recovery: %u of %u answered from %d s after the last fault on\n",
+              calm_answered, calm, SETTLED_S);
+    }
+  printf ("requests=%u answered=%u refused=%u unknown=%u wrong=%u pending=%u faults=%u calm=%u/%u "
+          "broken=%u\n",
+          requests->len, counts[SOAK_ANSWERED], counts[SOAK_REFUSED], counts[SOAK_UNKNOWN],
+          counts[SOAK_WRONG], counts[SOAK_PENDING], soak->n_faults, calm_answered, calm,
+          soak->broken);
+  g_hash_table_unref (notes.runs);
+}
+
+static void
+open_all (soak_t *soak)
+{
+  static const char *const zones[] = { "west-a", "west-b", "east-a" };
+
+  fleet_open (&soak->fleet);
+  soak->store_proxy = soak_proxy_open (soak->base);
+  soak_proxy_set_target (soak->store_proxy, fleet_port (&soak->fleet.store));
+  soak->store_endpoint = g_strdup_printf ("127.0.0.1:%u", soak_proxy_port (soak->store_proxy));
+  soak->fleet.store_for_entries = soak->store_endpoint;
+  fleet_configure (&soak->fleet, NULL);
+  for (guint i = 0; i < soak->n_upstreams; i++)
+    {
+      node_t *node = &soak->upstreams[i];
+
+      node->proxy = soak_proxy_open (soak->base);
+      node->notes = g_strdup_printf ("%s/runs-%u", soak->fleet.directory, i);
+      start_upstream (soak, node);
+    }
+  for (guint i = 0; i < soak->n_entries; i++)
+    {
+      char *name = g_strdup_printf ("e%u", i);
+
+      soak->entries[i].entry
+          = fleet_add_entry (&soak->fleet, name, zones[i % G_N_ELEMENTS (zones)]);
+      soak->ports[i] = soak->entries[i].entry->callers;
+      g_free (name);
+    }
+  /* They come up while the proxies of this process pass their calls on. */
+  run_for (soak, 3);
+}
+
+static void
+close_all (soak_t *soak)
+{
+  for (guint i = 0; i < soak->n_upstreams; i++)
+    {
+      node_t *node = &soak->upstreams[i];
+
+      end_upstream (node, SIGKILL);
+      g_unlink (node->notes);
+      g_free (node->notes);
+      g_free (node->id);
+      soak_proxy_close (node->proxy);
+    }
+  soak_proxy_close (soak->store_proxy);
+  soak_callers_close (soak->callers);
+  fleet_close (&soak->fleet);
+  g_free (soak->store_endpoint);
+}
+
+/* An entry that ended by itself is a fault of ours. */
+static void
+check_processes (soak_t *soak)
+{
+  for (guint i = 0; i < soak->n_entries; i++)
+    {
+      int status = 0;
+
+      if (waitpid (soak->entries[i].entry->pid, &status, WNOHANG) == 0)
+        continue;
+      soak->broken++;
+      printf ("BROKEN processes stay up: entry %u ended with status %d\n", i, status);
+      fleet_start_entry (&soak->fleet, soak->entries[i].entry);
+    }
+}
+
+static int
+run (soak_t *soak, guint seconds, gdouble rate)
+{
+  gint64 calm_at;
+
+  open_all (soak);
+  soak->callers
+      = soak_callers_open (soak->base, soak->ports, soak->n_entries, soak->random, rate, 0.05);
+  soak->next_fault = evtimer_new (soak->base, on_next_fault, soak);
+  schedule (soak);
+  run_for (soak, seconds);
+  event_free (soak->next_fault);
+  soak_callers_calm (soak->callers);
+  /* Faults that are under way end by themselves. */
+  run_for (soak, MOST_FAULT_MS / 1000 + 1);
+  calm_at = anvil_clock_wall ();
+  run_for (soak, CALM_S);
+  soak_callers_stop (soak->callers);
+  run_for (soak, 6);
+  check_processes (soak);
+  check_requests (soak, calm_at);
+  close_all (soak);
+  return soak->broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+#define COUNT(setting, text, standard, most)                                                       \
+  {                                                                                                \
+    .name = setting, .kind = ANVIL_SETTING_COUNT, .help = text, .fallback = standard,              \
+    .minimum = 1, .maximum = most                                                                  \
+  }
+
+int
+main (int argc, char **argv)
+{
+  anvil_setting_t items[] = {
+    COUNT ("seed", "Seed of faults and requests", "1", G_MAXINT32),
+    COUNT ("seconds", "How long faults come", "30", 86400),
+    COUNT ("entries", "Entries", "3", MAX_ENTRIES),
+    COUNT ("upstreams", "Upstreams", "6", MAX_UPSTREAMS),
+    COUNT ("rate", "Requests a second", "60", 100000),
+  };
+  anvil_settings_t settings
+      = { .program = "soak", .items = items, .n_items = G_N_ELEMENTS (items) };
+  anvil_settings_outcome_t outcome = anvil_settings_load (&settings, argc, (const char **) argv);
+  soak_t *soak;
+  int status;
+
+  if (outcome != ANVIL_SETTINGS_RUN)
+    return outcome == ANVIL_SETTINGS_BAD ? 2 : EXIT_SUCCESS;
+  signal (SIGPIPE, SIG_IGN);
+  soak = g_new0 (soak_t, 1);
+  soak->base = event_base_new ();
+  soak->random = g_rand_new_with_seed ((guint32) items[0].count);
+  soak->n_entries = (guint) items[2].count;
+  soak->n_upstreams = (guint) items[3].count;
+  status = run (soak, (guint) items[1].count, (gdouble) items[4].count);
+  event_base_free (soak->base);
+  g_rand_free (soak->random);
+  g_free (soak);
+  anvil_settings_clear (&settings);
+  return status;
+}
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -40,7 +40,8 @@
     }
   g_free (line);
   g_io_channel_unref (channel);
-  ck_assert_msg (standin->endpoint[0] != '\0', "the stand-in never listened");
+  if (standin->endpoint[0] == '\0')
+    g_error ("the stand-in never listened");
 }
 
 /** standin_open - starts a program of the build; @arguments are its flags, NULL-terminated */
@@ -59,7 +60,7 @@
   memset (standin, 0, sizeof *standin);
   if (!g_spawn_async_with_pipes (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
                                  &standin->pid, NULL, NULL, &standin->errors, &error))
-    ck_abort_msg ("%s", error->message);
+    g_error ("%s", error->message);
   g_strv_builder_unref (builder);
   g_strfreev (argv);
   g_free (path);
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -120,6 +120,25 @@
 }
 END_TEST
 
+START_TEST (test_entries_with_much_processor_hold_slots)
+{
+  anvil_member_info_t large = info ("west-b", 1);
+
+  large.capacity = 500;
+  answer (2, "west-a", 1);
+  answer (4, "west-a", 1);
+  anvil_members_learn (members, 3);
+  anvil_members_answered (members, now, 3, &large, now);
+  for (guint i = 0; i < 20; i++)
+    {
+      char *service = g_strdup_printf ("service-%u", i);
+
+      ck_assert_uint_eq (anvil_members_holder (members, now, anvil_str (service), "west"), 3);
+      g_free (service);
+    }
+}
+END_TEST
+
 START_TEST (test_a_new_process_of_a_peer_is_noticed)
 {
   ck_assert (!answer (2, "west-b", 1));
@@ -153,6 +172,7 @@
   tcase_add_test (tests, test_callers_go_to_their_region_if_an_entry_serves_there);
   tcase_add_test (tests, test_every_entry_chooses_the_same_holder);
   tcase_add_test (tests, test_the_holder_is_in_the_region_of_the_slots_while_one_answers_there);
+  tcase_add_test (tests, test_entries_with_much_processor_hold_slots);
   tcase_add_test (tests, test_a_new_process_of_a_peer_is_noticed);
   tcase_add_test (tests, test_an_answer_counts_from_when_it_was_asked_for);
   suite_add_tcase (suite, tests);
