Count an object as remembered once its first run has ended

Cause: before any run was measured, a first run was taken to last 300 ms, so after that time the second request for an object was sent to the same upstream as if it remembered the object. Those runs took as long as cold ones and entered the mean of the warm ones, which then took dozens of runs to come down.

Change: an upstream remembers an object once its first run there has ended; runs that weren't measured yet are taken to be long; means weigh their first values alike. The log of a sent request names its object.

--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -449,11 +449,12 @@
                                     },
                                     on_run_done, job);
   anvil_log (ANVIL_LOG_INFO, "request",
-             "sent request=%s route=%s service=%s upstream=%s zone=%.*s warm=%d attempt=%u "
+             "sent request=%s route=%s service=%s object=%" G_GINT64_MODIFIER
+             "x upstream=%s zone=%.*s warm=%d attempt=%u "
              "waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
              " registry_age_ms=%" G_GINT64_FORMAT,
-             text_or_dash (request->id), job->route, job->service, job->upstream_id,
-             ANVIL_STR_ARGS (grant->zone), grant->warm, job->task.attempt,
+             text_or_dash (request->id), job->route, job->service, job->task.object,
+             job->upstream_id, ANVIL_STR_ARGS (grant->zone), grant->warm, job->task.attempt,
              (now - request->arrived_at) / ANVIL_MS, (job->task.deadline - now) / ANVIL_MS,
              (now - jobs->parts.known_at (jobs->parts.context)) / ANVIL_MS);
 }
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -21,20 +21,24 @@
 /**
  * estimate_t - a running mean of durations, microseconds
  * @mean: 0 until the first value
+ * @n_values: how many it is made of
  */
 typedef struct
 {
   gdouble mean;
+  guint n_values;
 } estimate_t;
 
 /**
  * warmth_t - an object that an upstream is believed to remember
- * @ready_at: from when on; in the future while its first run is under way
+ * @ready: its first run there has ended
+ * @ready_at: when that run should end, or has ended
  * @used_at: when it was last granted for the object
  */
 typedef struct
 {
   object_t *object;
+  gboolean ready;
   anvil_time_t ready_at;
   anvil_time_t used_at;
 } warmth_t;
@@ -188,6 +192,7 @@
 object_t *warmth_object (service_t *service, const anvil_task_t *task);
 void warmth_asked (object_t *object, anvil_route_kind_t kind, anvil_time_t now);
 warmth_t *warmth_find (const upstream_t *upstream, const object_t *object);
+gboolean warmth_is_ready (const upstream_t *upstream, const object_t *object);
 void
 warmth_granted (upstream_t *upstream, object_t *object, anvil_time_t now, anvil_time_t ready_at);
 void warmth_finished (task_t *task, anvil_time_t now, const anvil_run_report_t *report);
--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -154,12 +154,11 @@
   for (guint i = 0; i < upstreams->len; i++)
     {
       upstream_t *upstream = upstreams->pdata[i];
-      const warmth_t *warmth = warmth_find (upstream, task->object);
       place_t place;
 
       if (!upstream->present || !placing_allowed (upstream, task))
         continue;
-      if (room && ((warmth != NULL && warmth->ready_at > now) || !placing_has_room (upstream, now)))
+      if (room && !(warmth_is_ready (upstream, task->object) && placing_has_room (upstream, now)))
         continue;
       if (!room && (!anvil_registry_usable (&upstream->record) || upstream->trial))
         continue;
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -170,12 +170,11 @@
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
       object_t *object = key;
-      const warmth_t *warmth = warmth_find (upstream, object);
 
-      if (object->anonymous || (warmth != NULL && warmth->ready_at <= now))
+      if (warmth_is_ready (upstream, object))
         consider_object (&choice, object, TRUE);
       /* Where its first run is under way, it is faster soon. */
-      else if (warmth == NULL && placing_may_start_cold (upstream, object))
+      else if (warmth_find (upstream, object) == NULL && placing_may_start_cold (upstream, object))
         consider_object (&choice, object, FALSE);
     }
   return choice.best;
--- a/source/steer/dispatch-warmth.c
+++ b/source/steer/dispatch-warmth.c
@@ -8,10 +8,11 @@
 
 #include "steer/dispatch-internal.h"
 
-/* Expected run before any was measured: within a factor of a few for interactive services. */
-#define UNMEASURED_RUN (300 * ANVIL_MS)
+/* Expected run before any was measured: long, so that a second request for an object waits for the
+ * first to end instead of finding out that its upstream didn't remember it yet. */
+#define UNMEASURED_RUN (1000 * ANVIL_MS)
 /* Share of a cold run that a warm one is taken to need before any was measured. */
-#define UNMEASURED_WARM_SHARE 0.5
+#define UNMEASURED_WARM_SHARE 0.35
 /* Weight of a new value in the mean of a service and in that of an upstream; the latter must
  * follow an upstream that turns slow within a few runs. */
 #define RUN_WEIGHT 0.05
@@ -93,6 +94,14 @@
   return NULL;
 }
 
+gboolean
+warmth_is_ready (const upstream_t *upstream, const object_t *object)
+{
+  const warmth_t *warmth = warmth_find (upstream, object);
+
+  return object->anonymous || (warmth != NULL && warmth->ready);
+}
+
 static void
 forget_at (upstream_t *upstream, guint index)
 {
@@ -148,10 +157,8 @@
 static void
 learn (estimate_t *estimate, gdouble value)
 {
-  if (estimate->mean <= 0)
-    estimate->mean = value;
-  else
-    estimate->mean += (value - estimate->mean) * RUN_WEIGHT;
+  estimate->n_values++;
+  estimate->mean += (value - estimate->mean) * MAX (RUN_WEIGHT, 1.0 / estimate->n_values);
 }
 
 static gdouble
@@ -163,7 +170,7 @@
     return cold > 0 ? cold : UNMEASURED_RUN;
   if (service->warm_run[kind].mean > 0)
     return service->warm_run[kind].mean;
-  return cold > 0 ? cold * UNMEASURED_WARM_SHARE : UNMEASURED_RUN;
+  return (cold > 0 ? cold : UNMEASURED_RUN) * UNMEASURED_WARM_SHARE;
 }
 
 anvil_time_t
@@ -228,10 +235,13 @@
       if (report->took > 0)
         learn_run (task, report->took);
       if (warmth != NULL)
-        warmth->ready_at = MIN (warmth->ready_at, now);
+        {
+          warmth->ready = TRUE;
+          warmth->ready_at = MIN (warmth->ready_at, now);
+        }
       return;
     }
   /* The object's first run there didn't come to an end. */
-  if (warmth != NULL && warmth->ready_at > now)
+  if (warmth != NULL && !warmth->ready)
     forget_at (upstream, (guint) (warmth - (warmth_t *) (gpointer) upstream->warm->data));
 }
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -233,10 +233,7 @@
 static void
 grant (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task, upstream_t *upstream)
 {
-  const warmth_t *warmth = warmth_find (upstream, task->object);
-  gboolean warm = task->object->anonymous || (warmth != NULL && warmth->ready_at <= now);
-
-  start (dispatcher, now, task, upstream, warm);
+  start (dispatcher, now, task, upstream, warmth_is_ready (upstream, task->object));
   tell_grant (dispatcher, task);
 }
 
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -213,6 +213,9 @@
   g_free (text);
 }
 
+/* Longest wait for an answer of the store, which may keep silent on purpose, seconds. */
+#define STORE_PATIENCE_S 1
+
 /* Bytes that a whole answer has, 0 while its headers are incomplete. */
 static gsize
 whole_length (const char *text)
@@ -280,11 +283,13 @@
 static gboolean
 call_store (fleet_t *fleet, const char *path, const char *body)
 {
+  const struct timeval patience = { .tv_sec = STORE_PATIENCE_S };
   int fd = fleet_connect (fleet_port (&fleet->store));
   gboolean done;
   char *answer;
 
   g_assert_cmpint (fd, >=, 0);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
   fleet_send (fd, "POST %s HTTP/1.1\r\nHost: store\r\nContent-Length: %zu\r\n\r\n%s", path,
               strlen (body), body);
   answer = fleet_read (fd);
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -64,6 +64,19 @@
 }
 END_TEST
 
+START_TEST (test_an_object_is_remembered_only_once_its_first_run_has_ended)
+{
+  add_upstreams (1);
+  lab_ask (&lab, 5);
+  lab_run (&lab, 400 * ANVIL_MS);
+  lab_ask (&lab, 5);
+  ck_assert (!lab_task (&lab, 1)->granted);
+  lab_run (&lab, 500 * ANVIL_MS);
+  ck_assert (lab_task (&lab, 1)->granted);
+  ck_assert (lab_task (&lab, 1)->warm);
+}
+END_TEST
+
 /* 14 upstreams with 3 slots: 76 requests a second take 20 slots if their upstreams remember the
  * objects, and 67 if not. */
 START_TEST (test_load_beyond_what_cold_runs_could_carry_is_served_in_time)
@@ -325,6 +338,7 @@
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_a_slot_is_given_to_one_task_at_a_time);
   tcase_add_test (tests, test_an_object_returns_to_the_upstream_that_remembers_it);
+  tcase_add_test (tests, test_an_object_is_remembered_only_once_its_first_run_has_ended);
   tcase_add_test (tests, test_load_beyond_what_cold_runs_could_carry_is_served_in_time);
   tcase_add_test (tests, test_beyond_saturation_most_slots_serve_in_time);
   tcase_add_test (tests, test_what_can_not_be_served_in_time_is_refused_at_once);
