--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -19,6 +19,8 @@
 /* Share of a service's slots that tasks may wait for which are late already. Newer tasks that can
  * be in time go before them, so more would only be held and refused in the end. */
 #define LATE_SHARE 0.125
+/* At least so many may, also at a service with few slots. */
+#define LEAST_LATE 3
 
 /* What a run of the task takes on a usual upstream. */
 static anvil_time_t
@@ -52,7 +54,7 @@
 {
   const service_t *service = task->service;
 
-  if ((gdouble) service->n_late > LATE_SHARE * service->n_slots)
+  if ((gdouble) service->n_late > MAX (LATE_SHARE * service->n_slots, LEAST_LATE))
     return TRUE;
   return now + usual_run (task) + work (task, service->n_waiting) > task->wanted.deadline;
 }
