--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -39,6 +39,23 @@
 /** anvil_task_refusal_name - the reason as a word for logs and metrics */
 const char *anvil_task_refusal_name (anvil_task_refusal_t why);
 
+/**
+ * anvil_refused_task_t - why a task gets no slot, and what decided it
+ * @why: the reason
+ * @come_back: when there may be room, microseconds from now
+ * @waiting: tasks that waited for the service
+ * @running: tasks under way
+ * @slots: slots of the upstreams that take requests
+ */
+typedef struct
+{
+  anvil_task_refusal_t why;
+  anvil_time_t come_back;
+  guint waiting;
+  guint running;
+  guint slots;
+} anvil_refused_task_t;
+
 /**
  * anvil_task_id_t - who asks, and its own number for the task
  * @asker: entry that holds the request
@@ -159,15 +176,12 @@
 /**
  * anvil_dispatcher_actions_t - what was decided
  * @grant: the task may be sent; answer by anvil_dispatcher_finished()
- * @refuse: the task is forgotten; @come_back is when there may be room, microseconds from now
+ * @refuse: the task is forgotten
  */
 typedef struct
 {
   void (*grant) (void *context, anvil_task_id_t id, const anvil_grant_t *grant);
-  void (*refuse) (void *context,
-                  anvil_task_id_t id,
-                  anvil_task_refusal_t why,
-                  anvil_time_t come_back);
+  void (*refuse) (void *context, anvil_task_id_t id, const anvil_refused_task_t *refused);
 } anvil_dispatcher_actions_t;
 
 typedef struct anvil_dispatcher anvil_dispatcher_t;
--- a/source/relay/relay-desk.c
+++ b/source/relay/relay-desk.c
@@ -29,8 +29,7 @@
   guint64 number;
   gboolean granted;
   anvil_grant_t grant;
-  anvil_task_refusal_t why;
-  anvil_time_t come_back;
+  anvil_refused_task_t refused;
 } local_t;
 
 struct anvil_relay_desk
@@ -102,8 +101,7 @@
       if (local->granted)
         desk->events.granted (desk->context, local->number, desk->self, &local->grant);
       else
-        desk->events.refused (desk->context, local->number, desk->self, local->why,
-                              local->come_back);
+        desk->events.refused (desk->context, local->number, desk->self, &local->refused);
       local_free (local);
     }
 }
@@ -123,12 +121,12 @@
 }
 
 static void
-act_refuse (void *context, anvil_task_id_t id, anvil_task_refusal_t why, anvil_time_t come_back)
+act_refuse (void *context, anvil_task_id_t id, const anvil_refused_task_t *refused)
 {
   anvil_relay_desk_t *desk = context;
   const anvil_relay_message_t message
-      = { .kind = ANVIL_RELAY_REFUSE, .number = id.number, .why = why, .come_back = come_back };
-  const local_t local = { .number = id.number, .why = why, .come_back = come_back };
+      = { .kind = ANVIL_RELAY_REFUSE, .number = id.number, .refused = *refused };
+  const local_t local = { .number = id.number, .refused = *refused };
 
   if (id.asker == desk->self)
     post_local (desk, &local);
@@ -211,7 +209,7 @@
       desk->events.granted (desk->context, message.number, from, &message.grant);
       return;
     case ANVIL_RELAY_REFUSE:
-      desk->events.refused (desk->context, message.number, from, message.why, message.come_back);
+      desk->events.refused (desk->context, message.number, from, &message.refused);
       return;
     case ANVIL_RELAY_FINISHED:
       anvil_dispatcher_finished (desk->dispatcher, anvil_clock_now (), task, &message.report);
@@ -371,13 +369,12 @@
       service_t *service = value;
       anvil_node_t holder
           = anvil_members_holder (desk->members, now, anvil_str (service->name), service->region);
-      const anvil_peer_t *peer = anvil_members_lookup (desk->members, holder);
 
       if (holder == service->holder)
         continue;
       service->holder = holder;
       anvil_log (ANVIL_LOG_NOTICE, "desk", "slots are held elsewhere now service=%s holder=%s",
-                 service->name, peer != NULL ? peer->info.name.data : desk->settings->vm);
+                 service->name, anvil_relay_desk_name (desk, holder));
       desk->events.holder_changed (desk->context, service->name, holder);
     }
 }
@@ -611,6 +608,16 @@
   info->leaving = leaving;
 }
 
+const char *
+anvil_relay_desk_name (const anvil_relay_desk_t *desk, anvil_node_t node)
+{
+  const anvil_peer_t *peer = anvil_members_lookup (desk->members, node);
+
+  if (node == desk->self)
+    return desk->settings->vm;
+  return peer != NULL && peer->info.name.data != NULL ? peer->info.name.data : "-";
+}
+
 anvil_members_t *
 anvil_relay_desk_members (anvil_relay_desk_t *desk)
 {
--- a/source/relay/relay-desk.h
+++ b/source/relay/relay-desk.h
@@ -30,8 +30,7 @@
   void (*refused) (void *context,
                    guint64 number,
                    anvil_node_t from,
-                   anvil_task_refusal_t why,
-                   anvil_time_t come_back);
+                   const anvil_refused_task_t *refused);
   void (*holder_changed) (void *context, const char *service, anvil_node_t holder);
   void (*peer_restarted) (void *context, anvil_node_t peer);
 } anvil_relay_desk_events_t;
@@ -78,6 +77,9 @@
 /** anvil_relay_desk_set_state - what peers are told of this entry */
 void anvil_relay_desk_set_state (anvil_relay_desk_t *desk, gboolean ready, gboolean leaving);
 
+/** anvil_relay_desk_name - name of an entry's VM for logs; borrowed until the next event */
+const char *anvil_relay_desk_name (const anvil_relay_desk_t *desk, anvil_node_t node);
+
 anvil_members_t *anvil_relay_desk_members (anvil_relay_desk_t *desk);
 const anvil_dispatcher_t *anvil_relay_desk_dispatcher (const anvil_relay_desk_t *desk);
 anvil_node_t anvil_relay_desk_self (const anvil_relay_desk_t *desk);
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -422,6 +422,15 @@
   return known_at == G_MAXINT64 || anvil_clock_now () - known_at <= MAX_KNOWLEDGE_AGE;
 }
 
+/* Age of what is known of upstreams, -1 while the store is away. */
+static gint64
+knowledge_age_ms (const anvil_relay_jobs_t *jobs, anvil_time_t now)
+{
+  anvil_time_t known_at = jobs->parts.known_at (jobs->parts.context);
+
+  return known_at == G_MAXINT64 ? -1 : (now - known_at) / ANVIL_MS;
+}
+
 static void
 start_run (job_t *job, const anvil_grant_t *grant)
 {
@@ -450,13 +459,14 @@
                                     on_run_done, job);
   anvil_log (ANVIL_LOG_INFO, "request",
              "sent request=%s route=%s service=%s object=%" G_GINT64_MODIFIER
-             "x upstream=%s zone=%.*s warm=%d attempt=%u "
+             "x holder=%s upstream=%s zone=%.*s warm=%d attempt=%u "
              "waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
              " registry_age_ms=%" G_GINT64_FORMAT,
              text_or_dash (request->id), job->route, job->service, job->task.object,
-             job->upstream_id, ANVIL_STR_ARGS (grant->zone), grant->warm, job->task.attempt,
+             anvil_relay_desk_name (jobs->parts.desk, job->holder), job->upstream_id,
+             ANVIL_STR_ARGS (grant->zone), grant->warm, job->task.attempt,
              (now - request->arrived_at) / ANVIL_MS, (job->task.deadline - now) / ANVIL_MS,
-             (now - jobs->parts.known_at (jobs->parts.context)) / ANVIL_MS);
+             knowledge_age_ms (jobs, now));
 }
 
 static job_t *
@@ -518,15 +528,21 @@
 anvil_relay_jobs_refused (anvil_relay_jobs_t *jobs,
                           guint64 number,
                           anvil_node_t from,
-                          anvil_task_refusal_t why,
-                          anvil_time_t come_back)
+                          const anvil_refused_task_t *refused)
 {
   job_t *job = lookup (jobs, number);
 
   /* A refusal of a former holder says nothing of the room that the present one has. */
   if (job == NULL || job->state != JOB_ASKING || from != job->holder)
     return;
-  give_up (job, STATUS_BAD_GATEWAY, anvil_task_refusal_name (why), come_back);
+  anvil_log (ANVIL_LOG_INFO, "request",
+             "no slot request=%s service=%s holder=%s reason=%s attempt=%u waiting=%u running=%u "
+             "slots=%u left_ms=%" G_GINT64_FORMAT " come_back_ms=%" G_GINT64_FORMAT,
+             text_or_dash (job->request->id), job->service,
+             anvil_relay_desk_name (jobs->parts.desk, from), anvil_task_refusal_name (refused->why),
+             job->task.attempt, refused->waiting, refused->running, refused->slots,
+             (job->task.deadline - anvil_clock_now ()) / ANVIL_MS, refused->come_back / ANVIL_MS);
+  give_up (job, STATUS_BAD_GATEWAY, anvil_task_refusal_name (refused->why), refused->come_back);
 }
 
 typedef void (*visit_t) (job_t *job, gconstpointer data);
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -89,9 +89,12 @@
       pack_grant (packer, &message->grant);
       return;
     case ANVIL_RELAY_REFUSE:
-      msgpack_pack_array (packer, 2);
-      msgpack_pack_uint64 (packer, message->why);
-      msgpack_pack_int64 (packer, message->come_back);
+      msgpack_pack_array (packer, 5);
+      msgpack_pack_uint64 (packer, message->refused.why);
+      msgpack_pack_int64 (packer, message->refused.come_back);
+      msgpack_pack_uint64 (packer, message->refused.waiting);
+      msgpack_pack_uint64 (packer, message->refused.running);
+      msgpack_pack_uint64 (packer, message->refused.slots);
       return;
     case ANVIL_RELAY_FINISHED:
       msgpack_pack_array (packer, 3);
@@ -280,8 +283,11 @@
       return;
     case ANVIL_RELAY_REFUSE:
       body = take_array (reader, "refuse");
-      message->why = (anvil_task_refusal_t) take_number (&body, "reason", ANVIL_TASK_LATE);
-      message->come_back = take_time (&body, "come back");
+      message->refused.why = (anvil_task_refusal_t) take_number (&body, "reason", ANVIL_TASK_LATE);
+      message->refused.come_back = take_time (&body, "come back");
+      message->refused.waiting = (guint) take_number (&body, "waiting", G_MAXUINT);
+      message->refused.running = (guint) take_number (&body, "running", G_MAXUINT);
+      message->refused.slots = (guint) take_number (&body, "slots", G_MAXUINT);
       return;
     case ANVIL_RELAY_FINISHED:
       body = take_array (reader, "finished");
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -34,8 +34,7 @@
  *   microseconds, since clocks differ between processes
  * @upstream: adopt: key of the upstream that it runs on
  * @grant: grant
- * @why: refuse
- * @come_back: refuse: when there may be room, microseconds from now
+ * @refused: refuse
  * @report: finished
  */
 typedef struct
@@ -46,8 +45,7 @@
   anvil_task_t task;
   guint64 upstream;
   anvil_grant_t grant;
-  anvil_task_refusal_t why;
-  anvil_time_t come_back;
+  anvil_refused_task_t refused;
   anvil_run_report_t report;
 } anvil_relay_message_t;
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -78,15 +78,11 @@
 }
 
 static void
-on_refused (void *context,
-            guint64 number,
-            anvil_node_t from,
-            anvil_task_refusal_t why,
-            anvil_time_t come_back)
+on_refused (void *context, guint64 number, anvil_node_t from, const anvil_refused_task_t *refused)
 {
   anvil_relay_t *relay = context;
 
-  anvil_relay_jobs_refused (relay->jobs, number, from, why, come_back);
+  anvil_relay_jobs_refused (relay->jobs, number, from, refused);
 }
 
 static void
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -242,10 +242,15 @@
 refuse (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task, anvil_task_refusal_t why)
 {
   anvil_task_id_t id = task->wanted.id;
-  anvil_time_t come_back = refusing_come_back (task, now);
+  const service_t *service = task->service;
+  const anvil_refused_task_t refused = { .why = why,
+                                         .come_back = refusing_come_back (task, now),
+                                         .waiting = service->n_waiting,
+                                         .running = service->n_running,
+                                         .slots = service->n_slots };
 
   forget (dispatcher, task);
-  dispatcher->actions.refuse (dispatcher->context, id, why, come_back);
+  dispatcher->actions.refuse (dispatcher->context, id, &refused);
 }
 
 /* Gives free slots of an upstream to waiting tasks. */
--- a/tests/helper-dispatch.c
+++ b/tests/helper-dispatch.c
@@ -21,14 +21,14 @@
 }
 
 static void
-on_refuse (void *context, anvil_task_id_t id, anvil_task_refusal_t why, anvil_time_t come_back)
+on_refuse (void *context, anvil_task_id_t id, const anvil_refused_task_t *refused)
 {
   dispatch_lab_t *lab = context;
   lab_task_t *task = lab_task (lab, (guint) id.number);
 
   task->refused = TRUE;
-  task->why = why;
-  task->come_back = come_back;
+  task->why = refused->why;
+  task->come_back = refused->come_back;
   lab->n_refusals++;
 }
 
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -38,7 +38,10 @@
                .address = 1,
                .port = 2,
                .warm = TRUE } },
-  { .kind = ANVIL_RELAY_REFUSE, .number = 8, .why = ANVIL_TASK_LATE, .come_back = 100000 },
+  { .kind = ANVIL_RELAY_REFUSE,
+    .number = 8,
+    .refused
+    = { .why = ANVIL_TASK_LATE, .come_back = 100000, .waiting = 3, .running = 2, .slots = 1 } },
   { .kind = ANVIL_RELAY_FINISHED,
     .number = 9,
     .report = { .result = ANVIL_RUN_BROKEN, .took = 5, .still_running = TRUE } },
