Ping close peers often and the others rarely; forget peers that are gone

Cause: every entry pinged every other at the same pace, so that 490 entries would send 490 pings and as many answers a second each, and addresses of replaced VMs were pinged for ever.

Change: up to 40 peers all are close; above, those of the own region (they matter for look-ups) and the first four in rank for each service (they are its next holders) are pinged often, the others every 8 s. A peer that has been silent for 150 s and isn't listed any more is forgotten; the list in the store is read once a minute, so that regions that lost each other for an hour find each other again.

Rows of VMs that never come back stay in the store's table; removing them is left open.

--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -41,6 +41,8 @@
  * @answered_at: when it last answered a ping, 0 for never
  * @pinged_at: when the last ping was sent
  * @round_trip: running mean of its answers, microseconds; 0 for unknown
+ * @learnt_at: when its address was learnt last
+ * @close: it is pinged often: it is of this entry's region, or may hold a service soon
  */
 typedef struct
 {
@@ -50,8 +52,21 @@
   anvil_time_t answered_at;
   anvil_time_t pinged_at;
   anvil_time_t round_trip;
+  anvil_time_t learnt_at;
+  gboolean close;
 } anvil_peer_t;
 
+/**
+ * anvil_held_service_t - a service whose slots some entry holds
+ * @service: its name; borrowed
+ * @region: region with most of its slots, or NULL; borrowed
+ */
+typedef struct
+{
+  anvil_str_t service;
+  const char *region;
+} anvil_held_service_t;
+
 typedef struct anvil_members anvil_members_t;
 
 /**
@@ -66,11 +81,32 @@
 void anvil_members_drop (anvil_members_t *members);
 
 /** anvil_members_learn - an address of an entry, which may be stale */
-void anvil_members_learn (anvil_members_t *members, anvil_node_t node);
+void anvil_members_learn (anvil_members_t *members, anvil_time_t now, anvil_node_t node);
+
+/** anvil_members_lost - whether a peer has been silent, and its address not learnt again, for so
+ * long that it should be forgotten */
+gboolean anvil_members_lost (const anvil_peer_t *peer, anvil_time_t now);
+
+/** anvil_members_forget - removes a peer; it may be learnt again */
+void anvil_members_forget (anvil_members_t *members, anvil_node_t node);
+
+/**
+ * anvil_members_plan - which peers are pinged often
+ *
+ * With hundreds of entries nobody can ping all of them often. Those of the own
+ * region matter for look-ups, and the first few in rank for each service are
+ * its next holders; the others are pinged rarely, to know that they are there.
+ */
+void anvil_members_plan (anvil_members_t *members,
+                         anvil_time_t now,
+                         const anvil_held_service_t *services,
+                         guint n_services);
 
 /** anvil_members_heard - a peer said who it is */
-void
-anvil_members_heard (anvil_members_t *members, anvil_node_t node, const anvil_member_info_t *info);
+void anvil_members_heard (anvil_members_t *members,
+                          anvil_time_t now,
+                          anvil_node_t node,
+                          const anvil_member_info_t *info);
 
 /**
  * anvil_members_answered - a peer answered a ping
@@ -87,8 +123,8 @@
 /** anvil_members_self - what this entry says of itself, to be changed in place */
 anvil_member_info_t *anvil_members_self (anvil_members_t *members);
 
-/** anvil_members_ping_period - pause between pings to one peer; grows with their number */
-anvil_time_t anvil_members_ping_period (const anvil_members_t *members);
+/** anvil_members_ping_period - pause between pings to @peer; grows with the number of close ones */
+anvil_time_t anvil_members_ping_period (const anvil_members_t *members, const anvil_peer_t *peer);
 
 /** anvil_members_answers - whether a peer has answered within three periods */
 gboolean
--- a/source/relay/relay-desk.c
+++ b/source/relay/relay-desk.c
@@ -173,7 +173,7 @@
                                        .number = message->number,
                                        .info = *anvil_members_self (desk->members) };
 
-  anvil_members_heard (desk->members, from, &message->info);
+  anvil_members_heard (desk->members, anvil_clock_now (), from, &message->info);
   send_message (desk, from, &pong);
 }
 
@@ -254,7 +254,7 @@
   const anvil_relay_message_t ping = { .kind = ANVIL_RELAY_PING,
                                        .number = (guint64) now,
                                        .info = *anvil_members_self (desk->members) };
-  anvil_time_t period = anvil_members_ping_period (desk->members);
+  anvil_time_t period = anvil_members_ping_period (desk->members, peer);
 
   if (now - peer->pinged_at < period)
     return;
@@ -288,6 +288,19 @@
              (now - peer->answered_at) / ANVIL_MS, peer->round_trip);
 }
 
+static void
+forget_if_lost (anvil_relay_desk_t *desk, anvil_time_t now, const anvil_peer_t *peer)
+{
+  anvil_node_t node = peer->node;
+
+  if (!anvil_members_lost (peer, now))
+    return;
+  anvil_log (ANVIL_LOG_NOTICE, "desk", "peer is forgotten vm=%s",
+             peer->info.name.data != NULL ? peer->info.name.data : "-");
+  anvil_peers_reset (desk->peers, node);
+  anvil_members_forget (desk->members, node);
+}
+
 typedef struct
 {
   anvil_relay_desk_t *desk;
@@ -335,6 +348,28 @@
   return best;
 }
 
+/* Decides which peers are pinged often. */
+static void
+plan_pings (anvil_relay_desk_t *desk, anvil_time_t now)
+{
+  GArray *services = g_array_new (FALSE, FALSE, sizeof (anvil_held_service_t));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, desk->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const service_t *service = value;
+      const anvil_held_service_t held
+          = { .service = anvil_str (service->name), .region = service->region };
+
+      g_array_append_val (services, held);
+    }
+  anvil_members_plan (desk->members, now, (const anvil_held_service_t *) (gpointer) services->data,
+                      services->len);
+  g_array_unref (services);
+}
+
 static void
 place_services (anvil_relay_desk_t *desk, anvil_time_t now)
 {
@@ -355,6 +390,7 @@
       service->region = largest_region (desk, count.slots, service->name);
     }
   g_hash_table_unref (count.slots);
+  plan_pings (desk, now);
 }
 
 static void
@@ -386,12 +422,13 @@
   anvil_time_t now = anvil_clock_now ();
   anvil_time_t distance;
 
-  for (guint i = 0; i < anvil_members_count (desk->members); i++)
+  for (guint i = anvil_members_count (desk->members); i > 0; i--)
     {
-      anvil_peer_t *peer = anvil_members_at (desk->members, i);
+      anvil_peer_t *peer = anvil_members_at (desk->members, i - 1);
 
       ping_peer (desk, now, peer);
       watch_peer (desk, now, peer);
+      forget_if_lost (desk, now, peer);
     }
   place_services (desk, now);
   choose_holders (desk, now);
@@ -423,7 +460,7 @@
   anvil_members_t *members = anvil_members_new (desk->self, &info, region_of, desk);
 
   for (guint i = 0; i < settings->n_seeds; i++)
-    anvil_members_learn (members, settings->seeds[i]);
+    anvil_members_learn (members, anvil_clock_now (), settings->seeds[i]);
   return members;
 }
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -21,8 +21,10 @@
 #define SUSPENSION (500 * ANVIL_MS)
 /* Table in which entries leave their addresses for each other. */
 #define ENTRY_TABLE "entries"
-/* Pause before another try to read or write there. */
+/* Pause before another try to read or write there, and between two reads of all: entries that lost
+ * each other for long, as in a cut between regions, find each other again. */
 #define ENTRY_RETRY (1 * ANVIL_SECOND)
+#define ENTRY_PERIOD (60 * ANVIL_SECOND)
 /* Descriptors that are not for callers' connections: upstreams, peers, the store, files. */
 #define OTHER_DESCRIPTORS_SHARE 2
 
@@ -273,12 +275,14 @@
       guint16 port;
 
       if (anvil_endpoint_parse (text, &address, &port))
-        anvil_members_learn (anvil_relay_desk_members (relay->desk), anvil_node (address, port));
+        anvil_members_learn (anvil_relay_desk_members (relay->desk), anvil_clock_now (),
+                             anvil_node (address, port));
       else
         anvil_log (ANVIL_LOG_WARNING, "relay", "row names no entry key=%.*s",
                    ANVIL_STR_ARGS (page->rows[i].key));
       g_free (text);
     }
+  announce_after (relay, ENTRY_PERIOD);
 }
 
 /* Two entries that start together both write before they read, so one of them finds the other. */
@@ -342,7 +346,8 @@
 anvil_relay_reload (anvil_relay_t *relay, const anvil_relay_settings_t *settings)
 {
   for (guint i = 0; i < settings->n_seeds; i++)
-    anvil_members_learn (anvil_relay_desk_members (relay->desk), settings->seeds[i]);
+    anvil_members_learn (anvil_relay_desk_members (relay->desk), anvil_clock_now (),
+                         settings->seeds[i]);
   anvil_relay_desk_set_bounds (relay->desk, &settings->bounds);
 }
 
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -2,11 +2,20 @@
 
 #include <string.h>
 
-/* Pause between two pings of a peer: the least, for each member, and the most. The product of
- * members and pings stays below 40 a second up to 40 members. */
+/* Pause between two pings of a close peer: the least, for each of them, and the most. Up to 40
+ * close peers an entry sends at most 40 pings a second. */
 #define MIN_PING_PERIOD (250 * ANVIL_MS)
-#define PING_PERIOD_PER_MEMBER (25 * ANVIL_MS)
+#define PING_PERIOD_PER_PEER (25 * ANVIL_MS)
 #define MAX_PING_PERIOD (1000 * ANVIL_MS)
+/* Pause between two pings of any other peer: often enough that a link stays open. */
+#define FAR_PING_PERIOD (8 * ANVIL_SECOND)
+/* Up to so many peers all are close: at ten pings a second, nothing is gained by leaving some out.
+ */
+#define ALL_CLOSE 40
+/* Entries in the order of rank for a service that are watched closely. */
+#define CANDIDATES 4
+/* Silence after which a peer is forgotten; the store's list is read again well within it. */
+#define LOST_AFTER (150 * ANVIL_SECOND)
 /* Pings without an answer after which a peer is left out. */
 #define MISSED_PINGS 3
 /* Entries whose processors differ by less than this, thousandths of a core, hold slots alike. */
@@ -23,6 +32,7 @@
   void *context;
   /* anvil_peer_t in the order of learning. */
   GPtrArray *peers;
+  guint n_close;
   GHashTable *by_node;
 };
 
@@ -94,24 +104,51 @@
 }
 
 void
-anvil_members_learn (anvil_members_t *members, anvil_node_t node)
+anvil_members_learn (anvil_members_t *members, anvil_time_t now, anvil_node_t node)
 {
-  anvil_peer_t *peer;
+  anvil_peer_t *peer = lookup (members, node);
+
+  if (node == ANVIL_NO_NODE || node == members->self)
+    return;
+  if (peer == NULL)
+    {
+      peer = g_new0 (anvil_peer_t, 1);
+      peer->node = node;
+      peer->close = TRUE;
+      members->n_close++;
+      g_ptr_array_add (members->peers, peer);
+      g_hash_table_insert (members->by_node, &peer->node, peer);
+    }
+  peer->learnt_at = now;
+}
+
+gboolean
+anvil_members_lost (const anvil_peer_t *peer, anvil_time_t now)
+{
+  return now - MAX (peer->answered_at, peer->learnt_at) > LOST_AFTER;
+}
 
-  if (node == ANVIL_NO_NODE || node == members->self || lookup (members, node) != NULL)
+void
+anvil_members_forget (anvil_members_t *members, anvil_node_t node)
+{
+  anvil_peer_t *peer = lookup (members, node);
+
+  if (peer == NULL)
     return;
-  peer = g_new0 (anvil_peer_t, 1);
-  peer->node = node;
-  g_ptr_array_add (members->peers, peer);
-  g_hash_table_insert (members->by_node, &peer->node, peer);
+  members->n_close -= peer->close ? 1 : 0;
+  g_hash_table_remove (members->by_node, &node);
+  g_ptr_array_remove (members->peers, peer);
 }
 
 void
-anvil_members_heard (anvil_members_t *members, anvil_node_t node, const anvil_member_info_t *info)
+anvil_members_heard (anvil_members_t *members,
+                     anvil_time_t now,
+                     anvil_node_t node,
+                     const anvil_member_info_t *info)
 {
   anvil_peer_t *peer;
 
-  anvil_members_learn (members, node);
+  anvil_members_learn (members, now, node);
   peer = lookup (members, node);
   if (peer == NULL)
     return;
@@ -133,7 +170,7 @@
   if (peer == NULL || took < 0)
     return FALSE;
   restarted = peer->answered_at > 0 && peer->info.incarnation != info->incarnation;
-  anvil_members_heard (members, node, info);
+  anvil_members_heard (members, now, node, info);
   peer->answered_at = MAX (peer->answered_at, sent_at);
   peer->round_trip = peer->round_trip == 0
                          ? took
@@ -148,15 +185,18 @@
 }
 
 anvil_time_t
-anvil_members_ping_period (const anvil_members_t *members)
+anvil_members_ping_period (const anvil_members_t *members, const anvil_peer_t *peer)
 {
-  return CLAMP (members->peers->len * PING_PERIOD_PER_MEMBER, MIN_PING_PERIOD, MAX_PING_PERIOD);
+  if (!peer->close)
+    return FAR_PING_PERIOD;
+  return CLAMP (members->n_close * PING_PERIOD_PER_PEER, MIN_PING_PERIOD, MAX_PING_PERIOD);
 }
 
 gboolean
 anvil_members_answers (const anvil_members_t *members, anvil_time_t now, const anvil_peer_t *peer)
 {
-  anvil_time_t patience = MISSED_PINGS * anvil_members_ping_period (members) + peer->round_trip;
+  anvil_time_t patience
+      = MISSED_PINGS * anvil_members_ping_period (members, peer) + peer->round_trip;
 
   return peer->answered_at > 0 && now - peer->answered_at <= patience;
 }
@@ -209,6 +249,73 @@
   return best;
 }
 
+static void
+set_close (anvil_members_t *members, anvil_peer_t *peer, gboolean close)
+{
+  if (close == peer->close)
+    return;
+  peer->close = close;
+  members->n_close += close ? 1 : -1;
+}
+
+/* Marks the peers that are first in rank for a service. */
+static void
+mark_candidates (anvil_members_t *members, anvil_time_t now, const anvil_held_service_t *service)
+{
+  anvil_peer_t *best[CANDIDATES] = { NULL };
+  guint64 ranks[CANDIDATES] = { 0 };
+
+  for (guint i = 0; i < members->peers->len; i++)
+    {
+      anvil_peer_t *peer = members->peers->pdata[i];
+      guint64 candidate = rank (peer->node, &peer->info, service->service,
+                                g_strcmp0 (peer->region, service->region) == 0);
+
+      if (!serves (members, now, peer))
+        continue;
+      for (guint j = 0; j < CANDIDATES; j++)
+        {
+          anvil_peer_t *displaced = best[j];
+          guint64 displaced_rank = ranks[j];
+
+          if (displaced != NULL && candidate <= displaced_rank)
+            continue;
+          best[j] = peer;
+          ranks[j] = candidate;
+          peer = displaced;
+          candidate = displaced_rank;
+          if (peer == NULL)
+            break;
+        }
+    }
+  for (guint j = 0; j < CANDIDATES; j++)
+    {
+      if (best[j] != NULL)
+        set_close (members, best[j], TRUE);
+    }
+}
+
+void
+anvil_members_plan (anvil_members_t *members,
+                    anvil_time_t now,
+                    const anvil_held_service_t *services,
+                    guint n_services)
+{
+  const char *own_region = members->region_of (members->context, members->info.zone.data);
+
+  for (guint i = 0; i < members->peers->len; i++)
+    {
+      anvil_peer_t *peer = members->peers->pdata[i];
+      gboolean unknown = peer->region == NULL;
+
+      set_close (members, peer,
+                 members->peers->len <= ALL_CLOSE || unknown
+                     || g_strcmp0 (peer->region, own_region) == 0);
+    }
+  for (guint i = 0; i < n_services && members->peers->len > ALL_CLOSE; i++)
+    mark_candidates (members, now, &services[i]);
+}
+
 anvil_time_t
 anvil_members_round_trip (const anvil_members_t *members)
 {
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -48,7 +48,7 @@
 {
   const anvil_member_info_t said = info (zone, incarnation);
 
-  anvil_members_learn (members, node);
+  anvil_members_learn (members, now, node);
   return anvil_members_answered (members, now, node, &said, now - ANVIL_MS);
 }
 
@@ -92,9 +92,9 @@
   const anvil_member_info_t first = info ("west-a", 1);
 
   other = anvil_members_new (2, &second, region_of, NULL);
-  anvil_members_learn (other, SELF);
+  anvil_members_learn (other, now, SELF);
   anvil_members_answered (other, now, SELF, &first, now);
-  anvil_members_learn (other, 3);
+  anvil_members_learn (other, now, 3);
   anvil_members_answered (other, now, 3, &first, now);
   answer (2, "west-b", 1);
   answer (3, "west-a", 1);
@@ -127,7 +127,7 @@
   large.capacity = 500;
   answer (2, "west-a", 1);
   answer (4, "west-a", 1);
-  anvil_members_learn (members, 3);
+  anvil_members_learn (members, now, 3);
   anvil_members_answered (members, now, 3, &large, now);
   for (guint i = 0; i < 20; i++)
     {
@@ -139,6 +139,66 @@
 }
 END_TEST
 
+/* 300 entries in three regions: an entry pings its own region and the next holders often. */
+START_TEST (test_with_hundreds_of_entries_few_are_pinged_often)
+{
+  const anvil_held_service_t services[]
+      = { { .service = anvil_str ("photos"), .region = "east" },
+          { .service = anvil_str ("booking"), .region = "east" } };
+  anvil_node_t holder;
+  guint close = 0;
+
+  for (anvil_node_t node = 2; node <= 300; node++)
+    answer (node, node % 3 == 0 ? "west-b" : "east-a", 1);
+  holder = anvil_members_holder (members, now, anvil_str ("photos"), "east");
+  anvil_members_plan (members, now, services, 2);
+  for (guint i = 0; i < anvil_members_count (members); i++)
+    {
+      const anvil_peer_t *peer = anvil_members_at (members, i);
+
+      close += peer->close;
+      if (g_strcmp0 (peer->region, "west") == 0)
+        ck_assert (peer->close);
+    }
+  ck_assert_uint_ge (close, 100 + 4);
+  ck_assert_uint_le (close, 100 + 2 * 4);
+  ck_assert (anvil_members_lookup (members, holder)->close);
+  ck_assert_uint_eq (anvil_members_holder (members, now, anvil_str ("photos"), "east"), holder);
+}
+END_TEST
+
+START_TEST (test_the_next_holder_is_watched_before_it_is_needed)
+{
+  const anvil_held_service_t service = { .service = anvil_str ("photos"), .region = "east" };
+  anvil_node_t first;
+  anvil_node_t next;
+
+  for (anvil_node_t node = 2; node <= 300; node++)
+    answer (node, "east-a", 1);
+  anvil_members_plan (members, now, &service, 1);
+  first = anvil_members_holder (members, now, anvil_str ("photos"), "east");
+  anvil_members_forget (members, first);
+  next = anvil_members_holder (members, now, anvil_str ("photos"), "east");
+  ck_assert_uint_ne (next, first);
+  ck_assert (anvil_members_lookup (members, next)->close);
+}
+END_TEST
+
+START_TEST (test_a_peer_that_is_silent_for_minutes_is_forgotten_and_may_return)
+{
+  answer (2, "west-b", 1);
+  ck_assert (!anvil_members_lost (anvil_members_lookup (members, 2), now + 60 * ANVIL_SECOND));
+  ck_assert (anvil_members_lost (anvil_members_lookup (members, 2), now + 200 * ANVIL_SECOND));
+  now += 100 * ANVIL_SECOND;
+  anvil_members_learn (members, now, 2);
+  ck_assert (!anvil_members_lost (anvil_members_lookup (members, 2), now + 100 * ANVIL_SECOND));
+  anvil_members_forget (members, 2);
+  ck_assert_ptr_null (anvil_members_lookup (members, 2));
+  answer (2, "west-b", 2);
+  ck_assert_uint_eq (entries ("west"), 2);
+}
+END_TEST
+
 START_TEST (test_a_new_process_of_a_peer_is_noticed)
 {
   ck_assert (!answer (2, "west-b", 1));
@@ -151,7 +211,7 @@
 {
   const anvil_member_info_t said = info ("west-b", 1);
 
-  anvil_members_learn (members, 2);
+  anvil_members_learn (members, now, 2);
   anvil_members_answered (members, now, 2, &said, now - 5 * ANVIL_SECOND);
   anvil_members_answered (members, now, 2, &said, now + 5 * ANVIL_SECOND);
   ck_assert (
@@ -173,6 +233,9 @@
   tcase_add_test (tests, test_every_entry_chooses_the_same_holder);
   tcase_add_test (tests, test_the_holder_is_in_the_region_of_the_slots_while_one_answers_there);
   tcase_add_test (tests, test_entries_with_much_processor_hold_slots);
+  tcase_add_test (tests, test_with_hundreds_of_entries_few_are_pinged_often);
+  tcase_add_test (tests, test_the_next_holder_is_watched_before_it_is_needed);
+  tcase_add_test (tests, test_a_peer_that_is_silent_for_minutes_is_forgotten_and_may_return);
   tcase_add_test (tests, test_a_new_process_of_a_peer_is_noticed);
   tcase_add_test (tests, test_an_answer_counts_from_when_it_was_asked_for);
   suite_add_tcase (suite, tests);
