Tell a new holder which upstreams remember which objects

Ruled out: keeping a holder that is about to stop (it has seconds), and a hash that fixes objects to upstreams (it can't follow demand).

Change: entries note where requests for an object were answered and tell a service's new holder, or the holder that has restarted. What the holder has seen itself goes before it. A stopping entry's own end of the store's calls isn't logged as a lost store any more.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -231,6 +231,17 @@
                              const anvil_task_t *task,
                              guint64 upstream);
 
+/**
+ * anvil_dispatcher_remember - an upstream has handled an object lately, as an asker knows
+ *
+ * What this holder has seen itself goes before it.
+ */
+void anvil_dispatcher_remember (anvil_dispatcher_t *dispatcher,
+                                anvil_time_t now,
+                                anvil_str_t service,
+                                guint64 object,
+                                guint64 upstream);
+
 /** anvil_dispatcher_withdraw - a waiting task is forgotten; a granted one goes on */
 void
 anvil_dispatcher_withdraw (anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_task_id_t id);
--- a/source/relay/relay-desk.c
+++ b/source/relay/relay-desk.c
@@ -177,6 +177,17 @@
   send_message (desk, from, &pong);
 }
 
+static void
+remember_places (anvil_relay_desk_t *desk,
+                 anvil_str_t service,
+                 const anvil_place_t *places,
+                 guint n_places)
+{
+  for (guint i = 0; i < n_places; i++)
+    anvil_dispatcher_remember (desk->dispatcher, anvil_clock_now (), service, places[i].object,
+                               places[i].upstream);
+}
+
 static void
 on_tasks (void *context, anvil_node_t from, anvil_str_t bytes)
 {
@@ -217,6 +228,9 @@
     case ANVIL_RELAY_WITHDRAW:
       anvil_dispatcher_withdraw (desk->dispatcher, anvil_clock_now (), task);
       return;
+    case ANVIL_RELAY_PLACES:
+      remember_places (desk, message.service, message.places, message.n_places);
+      return;
     }
 }
 
@@ -576,6 +590,32 @@
     send_message (desk, holder, &message);
 }
 
+void
+anvil_relay_desk_tell_places (anvil_relay_desk_t *desk,
+                              anvil_node_t holder,
+                              const char *service,
+                              const anvil_place_t *places,
+                              guint n_places)
+{
+  anvil_relay_message_t *message;
+
+  if (holder == desk->self)
+    {
+      remember_places (desk, anvil_str (service), places, n_places);
+      return;
+    }
+  message = g_new0 (anvil_relay_message_t, 1);
+  message->kind = ANVIL_RELAY_PLACES;
+  message->service = anvil_str (service);
+  for (guint sent = 0; sent < n_places; sent += message->n_places)
+    {
+      message->n_places = MIN (n_places - sent, ANVIL_MAX_TOLD_PLACES);
+      memcpy (message->places, places + sent, message->n_places * sizeof *places);
+      send_message (desk, holder, message);
+    }
+  g_free (message);
+}
+
 void
 anvil_relay_desk_withdraw (anvil_relay_desk_t *desk, anvil_node_t holder, guint64 number)
 {
--- a/source/relay/relay-desk.h
+++ b/source/relay/relay-desk.h
@@ -4,6 +4,7 @@
 
 #include "anvil/members.h"
 #include "anvil/registry.h"
+#include "relay/recent-places.h"
 #include "relay/relay-settings.h"
 
 /*
@@ -55,6 +56,13 @@
                              anvil_node_t holder,
                              const anvil_task_t *task,
                              guint64 upstream);
+
+/** anvil_relay_desk_tell_places - tells a new holder where objects were handled lately */
+void anvil_relay_desk_tell_places (anvil_relay_desk_t *desk,
+                                   anvil_node_t holder,
+                                   const char *service,
+                                   const anvil_place_t *places,
+                                   guint n_places);
 void anvil_relay_desk_withdraw (anvil_relay_desk_t *desk, anvil_node_t holder, guint64 number);
 void anvil_relay_desk_finished (anvil_relay_desk_t *desk,
                                 anvil_node_t holder,
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -84,6 +84,7 @@
   anvil_route_split_t *split;
   guint64 last_number;
   gboolean closed;
+  anvil_recent_places_t *places;
   /* job_t by number. */
   GHashTable *jobs;
 };
@@ -98,6 +99,7 @@
   jobs->parts = *parts;
   jobs->region = anvil_relay_settings_region (parts->settings, parts->settings->zone);
   jobs->split = anvil_route_split_new ();
+  jobs->places = anvil_recent_places_new ();
   /* Numbers differ from those before a restart, which holders may still know. */
   jobs->last_number = ((guint64) g_random_int () << 32) | g_random_int ();
   jobs->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -147,6 +149,7 @@
     }
   g_hash_table_unref (jobs->jobs);
   anvil_route_split_drop (jobs->split);
+  anvil_recent_places_drop (jobs->places);
   anvil_routes_drop (jobs->routes);
   g_free (jobs);
 }
@@ -377,6 +380,8 @@
   switch (outcome->result)
     {
     case ANVIL_RUN_ANSWERED:
+      anvil_recent_places_note (job->jobs->places, anvil_clock_now (), job->service,
+                                job->task.object, job->upstream);
       deliver (job, outcome->status, outcome->headers, outcome->body);
       return;
     case ANVIL_RUN_FAILED:
@@ -595,11 +600,24 @@
   anvil_relay_desk_adopt (desk, job->holder, &job->task, job->upstream);
 }
 
+/* A new holder knows nothing of what upstreams remember. */
+static void
+tell_places (anvil_relay_jobs_t *jobs, const char *service, anvil_node_t holder)
+{
+  anvil_place_t *places = g_new (anvil_place_t, ANVIL_MAX_RECENT_PLACES);
+  guint n = anvil_recent_places_list (jobs->places, anvil_clock_now (), service, places,
+                                      ANVIL_MAX_RECENT_PLACES);
+
+  anvil_relay_desk_tell_places (jobs->parts.desk, holder, service, places, n);
+  g_free (places);
+}
+
 void
 anvil_relay_jobs_holder_changed (anvil_relay_jobs_t *jobs, const char *service, anvil_node_t holder)
 {
   const change_t change = { .service = service, .holder = holder };
 
+  tell_places (jobs, service, holder);
   each_job (jobs, move_to_holder, &change);
 }
 
@@ -619,6 +637,13 @@
 void
 anvil_relay_jobs_peer_restarted (anvil_relay_jobs_t *jobs, anvil_node_t peer)
 {
+  for (guint i = 0; jobs->routes != NULL && i < anvil_routes_count_services (jobs->routes); i++)
+    {
+      const char *service = anvil_routes_service_at (jobs->routes, i)->name;
+
+      if (anvil_relay_desk_holder (jobs->parts.desk, service) == peer)
+        tell_places (jobs, service, peer);
+    }
   each_job (jobs, tell_restarted, &peer);
 }
 
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -105,6 +105,16 @@
     case ANVIL_RELAY_WITHDRAW:
       msgpack_pack_nil (packer);
       return;
+    case ANVIL_RELAY_PLACES:
+      msgpack_pack_array (packer, 2);
+      pack_text (packer, message->service);
+      msgpack_pack_array (packer, 2 * message->n_places);
+      for (guint i = 0; i < message->n_places; i++)
+        {
+          msgpack_pack_uint64 (packer, message->places[i].object);
+          msgpack_pack_uint64 (packer, message->places[i].upstream);
+        }
+      return;
     }
   g_assert_not_reached ();
 }
@@ -259,6 +269,22 @@
   grant->warm = take_number (&reader, "warm", 1) != 0;
 }
 
+static void
+read_places (reader_t *outer, anvil_relay_message_t *message)
+{
+  reader_t body = take_array (outer, "places");
+  reader_t list;
+
+  message->service = take_text (&body, "service");
+  list = take_array (&body, "list of places");
+  message->n_places = array_length (&list, "list of places", 2 * ANVIL_MAX_TOLD_PLACES) / 2;
+  for (guint i = 0; i < message->n_places; i++)
+    {
+      message->places[i].object = take_number (&list, "object", G_MAXUINT64);
+      message->places[i].upstream = take_number (&list, "upstream", G_MAXUINT64);
+    }
+}
+
 static void
 read_body (reader_t *reader, anvil_relay_message_t *message)
 {
@@ -297,6 +323,9 @@
       return;
     case ANVIL_RELAY_WITHDRAW:
       return;
+    case ANVIL_RELAY_PLACES:
+      read_places (reader, message);
+      return;
     }
   *reader->fault = "kind";
 }
@@ -318,7 +347,7 @@
   else
     {
       reader.array = &root.via.array;
-      message->kind = (anvil_relay_kind_t) take_number (&reader, "kind", ANVIL_RELAY_WITHDRAW);
+      message->kind = (anvil_relay_kind_t) take_number (&reader, "kind", ANVIL_RELAY_PLACES);
       message->number = take_number (&reader, "number", G_MAXUINT64);
       if (fault == NULL)
         read_body (&reader, message);
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -2,6 +2,7 @@
 
 #include "anvil/dispatcher.h"
 #include "anvil/members.h"
+#include "relay/recent-places.h"
 
 /**
  * anvil_relay_kind_t - messages between entries that serve registered upstreams
@@ -13,6 +14,7 @@
  * @ANVIL_RELAY_REFUSE: no slot for a task
  * @ANVIL_RELAY_FINISHED: a granted task has ended
  * @ANVIL_RELAY_WITHDRAW: a task that waits needs no slot any more
+ * @ANVIL_RELAY_PLACES: where objects of a service were handled lately
  */
 typedef enum
 {
@@ -24,6 +26,7 @@
   ANVIL_RELAY_REFUSE,
   ANVIL_RELAY_FINISHED,
   ANVIL_RELAY_WITHDRAW,
+  ANVIL_RELAY_PLACES,
 } anvil_relay_kind_t;
 
 /**
@@ -36,6 +39,9 @@
  * @grant: grant
  * @refused: refuse
  * @report: finished
+ * @service: places: the service
+ * @places: places
+ * @n_places: how many
  */
 typedef struct
 {
@@ -47,6 +53,9 @@
   anvil_grant_t grant;
   anvil_refused_task_t refused;
   anvil_run_report_t report;
+  anvil_str_t service;
+  anvil_place_t places[ANVIL_MAX_TOLD_PLACES];
+  guint n_places;
 } anvil_relay_message_t;
 
 /** anvil_relay_message_pack - appends a message as msgpack */
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -25,7 +25,8 @@
                                              const anvil_relay_watch_events_t *events,
                                              void *context);
 
-/** anvil_relay_watch_close - after anvil_store_close() */
+/** anvil_relay_watch_close - before anvil_store_close(), so that its end isn't taken for an outage
+ */
 void anvil_relay_watch_close (anvil_relay_watch_t *watch);
 
 /** anvil_relay_watch_ready - whether configuration and upstreams have been read */
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -424,11 +424,11 @@
     return;
   if (relay->tick != NULL)
     event_free (relay->tick);
+  anvil_relay_watch_close (relay->watch);
   /* Ends the calls under way; their callbacks still find the other parts. */
   anvil_store_close (relay->store);
   if (relay->announce != NULL)
     event_free (relay->announce);
-  anvil_relay_watch_close (relay->watch);
   anvil_relay_service_close (relay->service);
   if (relay->jobs != NULL)
     anvil_relay_jobs_drop (g_steal_pointer (&relay->jobs));
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -221,6 +221,8 @@
 {
   if (follower == NULL)
     return;
+  if (follower->call != NULL)
+    follower->call->follower = NULL;
   event_free (follower->next_call);
   g_free (follower->read_from);
   g_free (follower);
--- a/source/relay/table-follower.h
+++ b/source/relay/table-follower.h
@@ -46,7 +46,7 @@
 /** anvil_table_follower_ask_again - what is being waited for may never come: asks anew at once */
 void anvil_table_follower_ask_again (anvil_table_follower_t *follower);
 
-/** anvil_table_follower_close - after anvil_store_close(), which ends its call */
+/** anvil_table_follower_close - its call may still be under way; nothing is told any more */
 void anvil_table_follower_close (anvil_table_follower_t *follower);
 
 /** anvil_table_follower_ready - whether the table has been read whole once */
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -195,6 +195,8 @@
 gboolean warmth_is_ready (const upstream_t *upstream, const object_t *object);
 void
 warmth_granted (upstream_t *upstream, object_t *object, anvil_time_t now, anvil_time_t ready_at);
+/* Takes another entry's word that an upstream remembers an object. */
+void warmth_remember (upstream_t *upstream, object_t *object, anvil_time_t now);
 void warmth_finished (task_t *task, anvil_time_t now, const anvil_run_report_t *report);
 void warmth_forget_upstream (upstream_t *upstream);
 void warmth_forget_object_if_idle (object_t *object);
--- a/source/steer/dispatch-warmth.c
+++ b/source/steer/dispatch-warmth.c
@@ -28,7 +28,7 @@
 static guint64
 object_hash (const anvil_task_t *task)
 {
-  return task->object != 0 ? task->object + task->priority : task->priority;
+  return task->object != 0 ? task->object : task->priority;
 }
 
 object_t *
@@ -94,6 +94,20 @@
   return NULL;
 }
 
+void
+warmth_remember (upstream_t *upstream, object_t *object, anvil_time_t now)
+{
+  warmth_t *warmth;
+
+  /* What this holder has seen itself goes before what others tell. */
+  if (object->anonymous || warmth_find (upstream, object) != NULL
+      || upstream->warm->len >= MIN (upstream->service->remembered, MAX_WARM_OBJECTS))
+    return;
+  warmth_granted (upstream, object, now, now);
+  warmth = warmth_find (upstream, object);
+  warmth->ready = TRUE;
+}
+
 gboolean
 warmth_is_ready (const upstream_t *upstream, const object_t *object)
 {
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -452,6 +452,22 @@
   start (dispatcher, now, task, upstream, TRUE);
 }
 
+void
+anvil_dispatcher_remember (
+    anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_str_t name, guint64 hash, guint64 key)
+{
+  upstream_t *upstream = g_hash_table_lookup (dispatcher->upstreams, &key);
+  service_t *service = service_for (dispatcher, name);
+  const anvil_task_t about = { .object = hash };
+  object_t *object;
+
+  if (upstream == NULL || !upstream->present || upstream->service != service || hash == 0)
+    return;
+  object = warmth_object (service, &about);
+  warmth_remember (upstream, object, now);
+  warmth_forget_object_if_idle (object);
+}
+
 void
 anvil_dispatcher_withdraw (anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_task_id_t id)
 {
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -293,6 +293,20 @@
 }
 END_TEST
 
+START_TEST (test_a_new_holder_takes_the_askers_word_on_what_upstreams_remember)
+{
+  guint index;
+
+  add_upstreams (8);
+  anvil_dispatcher_remember (lab.dispatcher, lab.now, anvil_str ("photos"), 5, lab.keys[6]);
+  anvil_dispatcher_remember (lab.dispatcher, lab.now, anvil_str ("photos"), 6, 12345);
+  anvil_dispatcher_remember (lab.dispatcher, lab.now, anvil_str ("nowhere"), 5, lab.keys[5]);
+  index = lab_ask (&lab, 5);
+  ck_assert_uint_eq (lab_task (&lab, index)->upstream, lab.keys[6]);
+  ck_assert (lab_task (&lab, index)->warm);
+}
+END_TEST
+
 START_TEST (test_asking_again_repeats_the_grant_and_takes_no_second_slot)
 {
   anvil_dispatcher_status_t status;
@@ -351,6 +365,7 @@
   tcase_add_test (tests, test_an_upstream_that_fails_is_left_alone_and_tried_again);
   tcase_add_test (tests, test_a_draining_upstream_gets_nothing);
   tcase_add_test (tests, test_a_new_holder_counts_what_runs_already);
+  tcase_add_test (tests, test_a_new_holder_takes_the_askers_word_on_what_upstreams_remember);
   tcase_add_test (tests, test_asking_again_repeats_the_grant_and_takes_no_second_slot);
   tcase_add_test (tests, test_tasks_of_a_lost_asker_make_room);
   suite_add_tcase (suite, tests);
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -46,6 +46,10 @@
     .number = 9,
     .report = { .result = ANVIL_RUN_BROKEN, .took = 5, .still_running = TRUE } },
   { .kind = ANVIL_RELAY_WITHDRAW, .number = 10 },
+  { .kind = ANVIL_RELAY_PLACES,
+    .service = { "photos", 6 },
+    .places = { { 1, 2 }, { G_MAXUINT64, 4 } },
+    .n_places = 2 },
 };
 
 static GByteArray *
