Keep in the store what upstreams remember, for when all entries are lost at once

Ruled out: writing at each change (a call each), and entries that keep it on disk (there is none).

They are hints: what a holder has seen itself goes before them, and an upstream that restarted under another id isn't named by them.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -242,6 +242,15 @@
                                 guint64 object,
                                 guint64 upstream);
 
+/**
+ * anvil_dispatcher_list - what upstreams of a service remember, as far as their runs have ended
+ * @tell: called for each object and upstream
+ */
+void anvil_dispatcher_list (const anvil_dispatcher_t *dispatcher,
+                            anvil_str_t service,
+                            void (*tell) (void *context, guint64 object, guint64 upstream),
+                            void *context);
+
 /** anvil_dispatcher_withdraw - a waiting task is forgotten; a granted one goes on */
 void
 anvil_dispatcher_withdraw (anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_task_id_t id);
--- /dev/null
+++ b/source/relay/places-record.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "anvil/store.h"
+#include "relay/relay-desk.h"
+
+/*
+ * What upstreams remember, kept in the store.
+ *
+ * Entries tell a new holder what they know, but when all of them are lost at
+ * once nobody knows anything while the upstreams are still warm. So a holder
+ * writes its services' places to the store now and then, and an entry that
+ * starts reads them. They are hints: an old one costs a cold run.
+ */
+
+typedef struct anvil_places_record anvil_places_record_t;
+
+anvil_places_record_t *
+anvil_places_record_open (struct event_base *base, anvil_store_t *store, anvil_relay_desk_t *desk);
+
+/** anvil_places_record_close - before anvil_store_close() */
+void anvil_places_record_close (anvil_places_record_t *record);
+
+/** anvil_places_record_read - takes over what the store has; once, when upstreams are known */
+void anvil_places_record_read (anvil_places_record_t *record);
+
+/** anvil_places_pack - places as the store keeps them: pairs of 64-bit numbers in network order */
+void anvil_places_pack (const anvil_place_t *places, guint n_places, GByteArray *out);
+
+/** anvil_places_unpack - the reverse; bytes beyond whole pairs are ignored; how many were read */
+guint anvil_places_unpack (anvil_str_t bytes, anvil_place_t *places, guint max_places);
--- a/source/relay/relay-desk.c
+++ b/source/relay/relay-desk.c
@@ -616,6 +616,52 @@
   g_free (message);
 }
 
+typedef struct
+{
+  anvil_place_t *places;
+  guint n;
+  guint max;
+} place_list_t;
+
+static void
+list_place (void *context, guint64 object, guint64 upstream)
+{
+  place_list_t *list = context;
+
+  if (list->n < list->max)
+    list->places[list->n++] = (anvil_place_t){ .object = object, .upstream = upstream };
+}
+
+guint
+anvil_relay_desk_list_places (anvil_relay_desk_t *desk,
+                              const char *service,
+                              anvil_place_t *places,
+                              guint max_places)
+{
+  place_list_t list = { .places = places, .max = max_places };
+
+  anvil_dispatcher_list (desk->dispatcher, anvil_str (service), list_place, &list);
+  return list.n;
+}
+
+void
+anvil_relay_desk_each_held (anvil_relay_desk_t *desk,
+                            void (*visit) (void *context, const char *service),
+                            void *context)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, desk->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const service_t *service = value;
+
+      if (service->holder == desk->self)
+        visit (context, service->name);
+    }
+}
+
 void
 anvil_relay_desk_withdraw (anvil_relay_desk_t *desk, anvil_node_t holder, guint64 number)
 {
--- a/source/relay/relay-desk.h
+++ b/source/relay/relay-desk.h
@@ -63,6 +63,17 @@
                                    const char *service,
                                    const anvil_place_t *places,
                                    guint n_places);
+
+/** anvil_relay_desk_list_places - what this entry, as holder, believes upstreams to remember */
+guint anvil_relay_desk_list_places (anvil_relay_desk_t *desk,
+                                    const char *service,
+                                    anvil_place_t *places,
+                                    guint max_places);
+
+/** anvil_relay_desk_each_held - visits the services whose slots this entry holds */
+void anvil_relay_desk_each_held (anvil_relay_desk_t *desk,
+                                 void (*visit) (void *context, const char *service),
+                                 void *context);
 void anvil_relay_desk_withdraw (anvil_relay_desk_t *desk, anvil_node_t holder, guint64 number);
 void anvil_relay_desk_finished (anvil_relay_desk_t *desk,
                                 anvil_node_t holder,
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -5,6 +5,7 @@
 
 #include "anvil/log.h"
 #include "anvil/settings.h"
+#include "relay/places-record.h"
 #include "relay/relay-desk.h"
 #include "relay/relay-job.h"
 #include "relay/relay-service.h"
@@ -37,6 +38,7 @@
   anvil_store_t *store;
   anvil_registry_t *registry;
   anvil_relay_watch_t *watch;
+  anvil_places_record_t *record;
   anvil_relay_desk_t *desk;
   anvil_relay_pool_t *pool;
   anvil_relay_jobs_t *jobs;
@@ -213,6 +215,7 @@
   if (ready == relay->ready)
     return;
   relay->ready = ready;
+  anvil_places_record_read (relay->record);
   anvil_log (ANVIL_LOG_NOTICE, "relay", "%s upstreams=%u", ready ? "ready" : "not ready",
              anvil_registry_count (relay->registry));
   anvil_relay_desk_set_state (relay->desk, ready, relay->leaving);
@@ -410,6 +413,7 @@
   relay->store = anvil_store_open (base, settings->store.address, settings->store.port);
   relay->watch = anvil_relay_watch_open (base, relay->store, deployment, relay->registry,
                                          &watch_events, relay);
+  relay->record = anvil_places_record_open (base, relay->store, relay->desk);
   relay->tick = event_new (base, -1, EV_PERSIST, on_tick, relay);
   event_add (relay->tick, &period);
   relay->announce = evtimer_new (base, on_announce, relay);
@@ -425,6 +429,7 @@
   if (relay->tick != NULL)
     event_free (relay->tick);
   anvil_relay_watch_close (relay->watch);
+  anvil_places_record_close (relay->record);
   /* Ends the calls under way; their callbacks still find the other parts. */
   anvil_store_close (relay->store);
   if (relay->announce != NULL)
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -468,6 +468,30 @@
   warmth_forget_object_if_idle (object);
 }
 
+void
+anvil_dispatcher_list (const anvil_dispatcher_t *dispatcher,
+                       anvil_str_t name,
+                       void (*tell) (void *context, guint64 object, guint64 upstream),
+                       void *context)
+{
+  char *text = anvil_str_dup (name);
+  const service_t *service = g_hash_table_lookup (dispatcher->services, text);
+
+  g_free (text);
+  for (guint i = 0; service != NULL && i < service->upstreams->len; i++)
+    {
+      const upstream_t *upstream = service->upstreams->pdata[i];
+
+      for (guint j = 0; j < upstream->warm->len; j++)
+        {
+          const warmth_t *warmth = &g_array_index (upstream->warm, warmth_t, j);
+
+          if (warmth->ready)
+            tell (context, warmth->object->hash, upstream->record.key);
+        }
+    }
+}
+
 void
 anvil_dispatcher_withdraw (anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_task_id_t id)
 {
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -3,6 +3,7 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "relay/places-record.h"
 #include "relay/relay-message.h"
 
 static const anvil_relay_message_t samples[] = {
@@ -112,6 +113,25 @@
 }
 END_TEST
 
+START_TEST (test_places_are_read_back_from_the_store)
+{
+  const anvil_place_t places[] = { { 1, 2 }, { G_MAXUINT64, 3 } };
+  GByteArray *bytes = g_byte_array_new ();
+  anvil_place_t read[4];
+
+  anvil_places_pack (places, 2, bytes);
+  ck_assert_uint_eq (bytes->len, 32);
+  ck_assert_uint_eq (anvil_places_unpack ((anvil_str_t){ (const char *) bytes->data, 31 }, read, 4),
+                     1);
+  ck_assert_uint_eq (anvil_places_unpack ((anvil_str_t){ (const char *) bytes->data, 32 }, read, 1),
+                     1);
+  ck_assert_uint_eq (anvil_places_unpack ((anvil_str_t){ (const char *) bytes->data, 32 }, read, 4),
+                     2);
+  ck_assert_mem_eq (read, places, sizeof places);
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -122,6 +142,7 @@
 
   tcase_add_test (tests, test_every_kind_is_read_back);
   tcase_add_test (tests, test_damaged_messages_do_no_harm);
+  tcase_add_test (tests, test_places_are_read_back_from_the_store);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
