--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -707,7 +707,7 @@
 guint16
 anvil_relay_callers_port (const anvil_relay_callers_t *callers)
 {
-  struct sockaddr_in local;
+  struct sockaddr_in local = { .sin_port = 0 };
   socklen_t length = sizeof local;
 
   if (getsockname (evconnlistener_get_fd (callers->listener), (struct sockaddr *) &local, &length)
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -108,7 +108,7 @@
     case ANVIL_RELAY_PLACES:
       msgpack_pack_array (packer, 2);
       pack_text (packer, message->service);
-      msgpack_pack_array (packer, 2 * message->n_places);
+      msgpack_pack_array (packer, (size_t) 2 * message->n_places);
       for (guint i = 0; i < message->n_places; i++)
         {
           msgpack_pack_uint64 (packer, message->places[i].object);
