Let one entry of a region read upstreams for all

Ruled out: reading more rarely (drains must be known within 2.5 s), and reading the table whole now and then (a third of the bytes, and late).

Change: one entry of a region, ranked as holders are, follows the table, keeps what brought news with the version it was read at (news-log.c), and tells the others (relay-feed.c). An entry that hears nothing from its reader for 1.7 s follows the store itself from where it is, as it does at its start. A reader that has lost the store, or stood still, tells nothing; for how long rows may come back after an outage is told with the news.

--- a/include/anvil/registry.h
+++ b/include/anvil/registry.h
@@ -91,10 +91,14 @@
 anvil_registry_t *anvil_registry_new (const anvil_registry_events_t *events, void *context);
 void anvil_registry_drop (anvil_registry_t *registry);
 
-/** anvil_registry_apply - a row was read; the upstream joins, restarts, changes or stays */
-void anvil_registry_apply (anvil_registry_t *registry,
-                           anvil_time_t now,
-                           const anvil_upstream_report_t *report);
+/**
+ * anvil_registry_apply - a row was read; the upstream joins, restarts, changes or stays
+ *
+ * Return: whether it brought news.
+ */
+gboolean anvil_registry_apply (anvil_registry_t *registry,
+                               anvil_time_t now,
+                               const anvil_upstream_report_t *report);
 
 /**
  * anvil_registry_remove - a row is gone, or names no upstream that can be used
@@ -102,8 +106,10 @@
  * Takes effect at once, unless the store was away not long ago: then rows of
  * live upstreams have expired too and come back, and the upstream stays usable
  * until ANVIL_REGISTRY_LAPSE_GRACE has passed since the store's return.
+ *
+ * Return: whether the upstream was there.
  */
-void anvil_registry_remove (anvil_registry_t *registry, anvil_time_t now, anvil_str_t id);
+gboolean anvil_registry_remove (anvil_registry_t *registry, anvil_time_t now, anvil_str_t id);
 
 /* How long after the store's return a row that expired meanwhile may be missing. The platform's
  * contract says about two seconds; reports come every second or so. */
@@ -121,6 +127,12 @@
 /** anvil_registry_store_found - the store answers again */
 void anvil_registry_store_found (anvil_registry_t *registry, anvil_time_t now);
 
+/** anvil_registry_lapses_for - how much longer a missing row may come back, microseconds */
+anvil_time_t anvil_registry_lapses_for (const anvil_registry_t *registry, anvil_time_t now);
+
+/** anvil_registry_expect_lapses - rows that are missing before @until may come back */
+void anvil_registry_expect_lapses (anvil_registry_t *registry, anvil_time_t until);
+
 /** anvil_registry_tick - upstreams whose lapse has ended leave */
 void anvil_registry_tick (anvil_registry_t *registry, anvil_time_t now);
 
--- a/source/relay/relay-desk.c
+++ b/source/relay/relay-desk.c
@@ -228,6 +228,12 @@
     case ANVIL_RELAY_WITHDRAW:
       anvil_dispatcher_withdraw (desk->dispatcher, anvil_clock_now (), task);
       return;
+    case ANVIL_RELAY_ASK_NEWS:
+      desk->events.news_asked (desk->context, from, message.number);
+      return;
+    case ANVIL_RELAY_NEWS:
+      desk->events.news_told (desk->context, from, &message);
+      return;
     case ANVIL_RELAY_PLACES:
       remember_places (desk, message.service, message.places, message.n_places);
       return;
@@ -731,6 +737,29 @@
   info->leaving = leaving;
 }
 
+anvil_node_t
+anvil_relay_desk_first_of_region (const anvil_relay_desk_t *desk, const char *name)
+{
+  return anvil_members_holder (desk->members, anvil_clock_now (), anvil_str (name),
+                               region_of ((void *) desk, desk->settings->zone));
+}
+
+void
+anvil_relay_desk_ask_news (anvil_relay_desk_t *desk, anvil_node_t reader, guint64 version)
+{
+  const anvil_relay_message_t message = { .kind = ANVIL_RELAY_ASK_NEWS, .number = version };
+
+  send_message (desk, reader, &message);
+}
+
+void
+anvil_relay_desk_tell_news (anvil_relay_desk_t *desk,
+                            anvil_node_t peer,
+                            const anvil_relay_message_t *message)
+{
+  send_message (desk, peer, message);
+}
+
 const char *
 anvil_relay_desk_name (const anvil_relay_desk_t *desk, anvil_node_t node)
 {
--- a/source/relay/relay-desk.h
+++ b/source/relay/relay-desk.h
@@ -5,6 +5,7 @@
 #include "anvil/members.h"
 #include "anvil/registry.h"
 #include "relay/recent-places.h"
+#include "relay/relay-message.h"
 #include "relay/relay-settings.h"
 
 /*
@@ -24,6 +25,8 @@
  * @refused: no slot
  * @holder_changed: tasks of @service must be asked for again at the new holder
  * @peer_restarted: a peer has forgotten what was asked there
+ * @news_asked: a peer wants the news of upstreams after @version
+ * @news_told: a peer told news of upstreams; borrowed
  */
 typedef struct
 {
@@ -34,6 +37,8 @@
                    const anvil_refused_task_t *refused);
   void (*holder_changed) (void *context, const char *service, anvil_node_t holder);
   void (*peer_restarted) (void *context, anvil_node_t peer);
+  void (*news_asked) (void *context, anvil_node_t peer, guint64 version);
+  void (*news_told) (void *context, anvil_node_t peer, const anvil_relay_message_t *message);
 } anvil_relay_desk_events_t;
 
 /** anvil_relay_desk_open - listens for peers */
@@ -96,6 +101,15 @@
 /** anvil_relay_desk_set_state - what peers are told of this entry */
 void anvil_relay_desk_set_state (anvil_relay_desk_t *desk, gboolean ready, gboolean leaving);
 
+/** anvil_relay_desk_first_of_region - the entry of this one's region that ranks first for @name */
+anvil_node_t anvil_relay_desk_first_of_region (const anvil_relay_desk_t *desk, const char *name);
+
+/** anvil_relay_desk_ask_news, anvil_relay_desk_tell_news - see anvil_relay_feed_t */
+void anvil_relay_desk_ask_news (anvil_relay_desk_t *desk, anvil_node_t reader, guint64 version);
+void anvil_relay_desk_tell_news (anvil_relay_desk_t *desk,
+                                 anvil_node_t peer,
+                                 const anvil_relay_message_t *message);
+
 /** anvil_relay_desk_name - name of an entry's VM for logs; borrowed until the next event */
 const char *anvil_relay_desk_name (const anvil_relay_desk_t *desk, anvil_node_t node);
 
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -103,8 +103,17 @@
       msgpack_pack_uint64 (packer, message->report.still_running);
       return;
     case ANVIL_RELAY_WITHDRAW:
+    case ANVIL_RELAY_ASK_NEWS:
       msgpack_pack_nil (packer);
       return;
+    case ANVIL_RELAY_NEWS:
+      msgpack_pack_array (packer, 4);
+      msgpack_pack_uint64 (packer, message->after);
+      msgpack_pack_int64 (packer, message->age);
+      msgpack_pack_int64 (packer, message->lapses_for);
+      msgpack_pack_bin (packer, message->rows.length);
+      msgpack_pack_bin_body (packer, message->rows.data, message->rows.length);
+      return;
     case ANVIL_RELAY_PLACES:
       msgpack_pack_array (packer, 2);
       pack_text (packer, message->service);
@@ -285,6 +294,20 @@
     }
 }
 
+static void
+read_news (reader_t *outer, anvil_relay_message_t *message)
+{
+  reader_t body = take_array (outer, "news");
+  const msgpack_object *rows;
+
+  message->after = take_number (&body, "after", G_MAXUINT64);
+  message->age = take_time (&body, "age");
+  message->lapses_for = take_time (&body, "lapses for");
+  rows = take (&body, "rows", MSGPACK_OBJECT_BIN);
+  if (rows != NULL)
+    message->rows = (anvil_str_t){ .data = rows->via.bin.ptr, .length = rows->via.bin.size };
+}
+
 static void
 read_body (reader_t *reader, anvil_relay_message_t *message)
 {
@@ -322,6 +345,10 @@
       message->report.still_running = take_number (&body, "still running", 1) != 0;
       return;
     case ANVIL_RELAY_WITHDRAW:
+    case ANVIL_RELAY_ASK_NEWS:
+      return;
+    case ANVIL_RELAY_NEWS:
+      read_news (reader, message);
       return;
     case ANVIL_RELAY_PLACES:
       read_places (reader, message);
@@ -347,7 +374,7 @@
   else
     {
       reader.array = &root.via.array;
-      message->kind = (anvil_relay_kind_t) take_number (&reader, "kind", ANVIL_RELAY_PLACES);
+      message->kind = (anvil_relay_kind_t) take_number (&reader, "kind", ANVIL_RELAY_NEWS);
       message->number = take_number (&reader, "number", G_MAXUINT64);
       if (fault == NULL)
         read_body (&reader, message);
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -15,6 +15,8 @@
  * @ANVIL_RELAY_FINISHED: a granted task has ended
  * @ANVIL_RELAY_WITHDRAW: a task that waits needs no slot any more
  * @ANVIL_RELAY_PLACES: where objects of a service were handled lately
+ * @ANVIL_RELAY_ASK_NEWS: asks a reader for news of upstreams
+ * @ANVIL_RELAY_NEWS: news of upstreams
  */
 typedef enum
 {
@@ -27,11 +29,14 @@
   ANVIL_RELAY_FINISHED,
   ANVIL_RELAY_WITHDRAW,
   ANVIL_RELAY_PLACES,
+  ANVIL_RELAY_ASK_NEWS,
+  ANVIL_RELAY_NEWS,
 } anvil_relay_kind_t;
 
 /**
  * anvil_relay_message_t - one message; texts are views into the bytes it was read from
- * @number: the asker's number of the task; of a ping, its time on the sender's clock
+ * @number: the asker's number of the task; of a ping, its time on the sender's clock; of
+ *   news, the version up to which the sender has read the store, or the asker knows it
  * @info: ping and pong
  * @task: ask and adopt; @task.target and @task.deadline are times left,
  *   microseconds, since clocks differ between processes
@@ -42,6 +47,10 @@
  * @service: places: the service
  * @places: places
  * @n_places: how many
+ * @after: news: version that they begin after
+ * @age: news: how long ago the sender read the store, microseconds
+ * @lapses_for: news: how much longer a missing row may come back, microseconds
+ * @rows: news: packed rows, see relay/news-log.h
  */
 typedef struct
 {
@@ -56,6 +65,10 @@
   anvil_str_t service;
   anvil_place_t places[ANVIL_MAX_TOLD_PLACES];
   guint n_places;
+  guint64 after;
+  anvil_time_t age;
+  anvil_time_t lapses_for;
+  anvil_str_t rows;
 } anvil_relay_message_t;
 
 /** anvil_relay_message_pack - appends a message as msgpack */
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -21,6 +21,13 @@
   void *context;
   anvil_table_follower_t *operators;
   anvil_table_follower_t *upstreams;
+  anvil_news_log_t *news;
+  /* Version of the store up to which upstreams are known; and when a peer that told them read it.
+   */
+  guint64 upstream_version;
+  gboolean read_whole;
+  gboolean told_by_peer;
+  anvil_time_t told_at;
   gboolean has_routes;
   gint64 version;
   /* How long upstreams of a zone that is taken back may be cold. */
@@ -133,30 +140,43 @@
   g_list_free (zones);
 }
 
-static void
-on_upstream_row (void *context, const anvil_store_row_t *row)
+/* Applies a row; TRUE if it brought news. */
+static gboolean
+apply_upstream (anvil_relay_watch_t *watch, const anvil_store_row_t *row)
 {
-  anvil_relay_watch_t *watch = context;
   anvil_time_t now = anvil_clock_now ();
   anvil_upstream_report_t report;
   gpointer storage = NULL;
   GError *error = NULL;
+  gboolean news;
 
   if (row->removed)
-    {
-      anvil_registry_remove (watch->registry, now, row->key);
-      return;
-    }
+    return anvil_registry_remove (watch->registry, now, row->key);
   if (watch->deployment->read_upstream (row->key, row->value, &report, &storage, &error))
     {
-      anvil_registry_apply (watch->registry, now, &report);
+      news = anvil_registry_apply (watch->registry, now, &report);
       g_free (storage);
-      return;
+      return news;
     }
   anvil_log (ANVIL_LOG_INFO, "registry", "row names no upstream key=%.*s reason=\"%s\"",
              ANVIL_STR_ARGS (row->key), error->message);
   g_error_free (error);
-  anvil_registry_remove (watch->registry, now, row->key);
+  return anvil_registry_remove (watch->registry, now, row->key);
+}
+
+static void
+on_upstream_row (void *context, const anvil_store_row_t *row)
+{
+  anvil_relay_watch_t *watch = context;
+
+  if (apply_upstream (watch, row))
+    anvil_news_log_add (watch->news, row);
+}
+
+static void
+on_told_row (void *context, const anvil_store_row_t *row)
+{
+  apply_upstream (context, row);
 }
 
 static void
@@ -173,6 +193,27 @@
   anvil_relay_watch_t *watch = context;
 
   anvil_registry_end_snapshot (watch->registry, anvil_clock_now ());
+  watch->read_whole = TRUE;
+}
+
+static void
+on_upstream_read (void *context, guint64 version)
+{
+  anvil_relay_watch_t *watch = context;
+
+  /* A whole read doesn't tell what was removed since the last one. */
+  if (watch->read_whole)
+    anvil_news_log_begin (watch->news, version);
+  else
+    anvil_news_log_read (watch->news, version);
+  watch->read_whole = FALSE;
+  watch->upstream_version = version;
+  watch->events.upstreams_read (watch->context);
+}
+
+static void
+on_operator_read (void *context, guint64 version)
+{
 }
 
 static void
@@ -205,6 +246,7 @@
   .end = on_operator_end,
   .lost = on_operator_away,
   .found = on_operator_away,
+  .read = on_operator_read,
 };
 
 static const anvil_table_events_t upstream_events = {
@@ -213,6 +255,7 @@
   .end = on_upstream_end,
   .lost = on_upstream_lost,
   .found = on_upstream_found,
+  .read = on_upstream_read,
 };
 
 anvil_relay_watch_t *
@@ -231,6 +274,7 @@
   watch->context = context;
   watch->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   watch->named = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  watch->news = anvil_news_log_new ();
   watch->operators = anvil_table_follower_open (base, store, deployment->operator_table,
                                                 OPERATOR_WAIT, 0, &operator_events, watch);
   watch->upstreams = anvil_table_follower_open (base, store, deployment->upstream_table, 0,
@@ -247,6 +291,7 @@
   anvil_table_follower_close (watch->upstreams);
   g_hash_table_unref (watch->evacuated);
   g_hash_table_unref (watch->named);
+  anvil_news_log_drop (watch->news);
   g_free (watch);
 }
 
@@ -256,9 +301,66 @@
   return watch->has_routes && anvil_table_follower_ready (watch->upstreams);
 }
 
+void
+anvil_relay_watch_follow_upstreams (anvil_relay_watch_t *watch, gboolean follow)
+{
+  watch->told_by_peer = !follow;
+  if (follow)
+    {
+      /* What a peer told isn't in the log, so it can't be passed on from here. */
+      anvil_news_log_begin (watch->news, watch->upstream_version);
+      anvil_table_follower_resume (watch->upstreams, watch->upstream_version);
+    }
+  else
+    anvil_table_follower_pause (watch->upstreams);
+}
+
+guint64
+anvil_relay_watch_upstream_version (const anvil_relay_watch_t *watch)
+{
+  return watch->upstream_version;
+}
+
+const anvil_news_log_t *
+anvil_relay_watch_news (const anvil_relay_watch_t *watch)
+{
+  return watch->news;
+}
+
+gboolean
+anvil_relay_watch_take_news (anvil_relay_watch_t *watch,
+                             const anvil_relay_message_t *message,
+                             anvil_time_t known_at)
+{
+  anvil_time_t now = anvil_clock_now ();
+
+  if (message->number < watch->upstream_version)
+    return FALSE;
+  /* The peer reaches the store, so what is told is the store's word. */
+  anvil_registry_store_found (watch->registry, now);
+  anvil_registry_expect_lapses (watch->registry, now + message->lapses_for);
+  if (!anvil_news_unpack (message->rows, on_told_row, watch))
+    {
+      anvil_log (ANVIL_LOG_WARNING, "feed", "news of a peer can't be read bytes=%zu",
+                 message->rows.length);
+      return FALSE;
+    }
+  watch->upstream_version = message->number;
+  watch->told_at = known_at;
+  return TRUE;
+}
+
+anvil_time_t
+anvil_relay_watch_lapses_for (const anvil_relay_watch_t *watch)
+{
+  return anvil_registry_lapses_for (watch->registry, anvil_clock_now ());
+}
+
 anvil_time_t
 anvil_relay_watch_known_at (const anvil_relay_watch_t *watch)
 {
+  if (watch->told_by_peer)
+    return watch->told_at;
   return anvil_table_follower_away (watch->upstreams)
              ? G_MAXINT64
              : anvil_table_follower_read_at (watch->upstreams);
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -7,6 +7,7 @@
 #include "anvil/settings.h"
 #include "relay/places-record.h"
 #include "relay/relay-desk.h"
+#include "relay/relay-feed.h"
 #include "relay/relay-job.h"
 #include "relay/relay-service.h"
 #include "relay/relay-watch.h"
@@ -39,6 +40,7 @@
   anvil_registry_t *registry;
   anvil_relay_watch_t *watch;
   anvil_places_record_t *record;
+  anvil_relay_feed_t *feed;
   anvil_relay_desk_t *desk;
   anvil_relay_pool_t *pool;
   anvil_relay_jobs_t *jobs;
@@ -105,11 +107,31 @@
   anvil_relay_jobs_peer_restarted (relay->jobs, peer);
 }
 
+static void
+on_news_asked (void *context, anvil_node_t peer, guint64 version)
+{
+  anvil_relay_t *relay = context;
+
+  if (relay->feed != NULL && is_ready (relay))
+    anvil_relay_feed_asked (relay->feed, peer, version);
+}
+
+static void
+on_news_told (void *context, anvil_node_t peer, const anvil_relay_message_t *message)
+{
+  anvil_relay_t *relay = context;
+
+  if (relay->feed != NULL)
+    anvil_relay_feed_told (relay->feed, peer, message);
+}
+
 static const anvil_relay_desk_events_t desk_events = {
   .granted = on_granted,
   .refused = on_refused,
   .holder_changed = on_holder_changed,
   .peer_restarted = on_peer_restarted,
+  .news_asked = on_news_asked,
+  .news_told = on_news_told,
 };
 
 static void
@@ -182,7 +204,17 @@
   anvil_relay_desk_routes (relay->desk, routes);
 }
 
-static const anvil_relay_watch_events_t watch_events = { .routes = on_routes };
+static void
+on_upstreams_read (void *context)
+{
+  anvil_relay_t *relay = context;
+
+  if (relay->feed != NULL && is_ready (relay))
+    anvil_relay_feed_read (relay->feed);
+}
+
+static const anvil_relay_watch_events_t watch_events
+    = { .routes = on_routes, .upstreams_read = on_upstreams_read };
 
 static anvil_time_t
 suspended_so_far (void)
@@ -246,6 +278,8 @@
   notice_suspension (relay, now);
   set_ready (relay);
   anvil_registry_tick (relay->registry, now);
+  if (is_ready (relay))
+    anvil_relay_feed_tick (relay->feed, now);
   anvil_relay_jobs_tick (relay->jobs, now);
   if (relay->leaving)
     end_if_done (relay, now);
@@ -413,6 +447,7 @@
   relay->store = anvil_store_open (base, settings->store.address, settings->store.port);
   relay->watch = anvil_relay_watch_open (base, relay->store, deployment, relay->registry,
                                          &watch_events, relay);
+  relay->feed = anvil_relay_feed_open (relay->desk, relay->watch, known_at, relay);
   relay->record = anvil_places_record_open (base, relay->store, relay->desk);
   relay->tick = event_new (base, -1, EV_PERSIST, on_tick, relay);
   event_add (relay->tick, &period);
@@ -428,6 +463,7 @@
     return;
   if (relay->tick != NULL)
     event_free (relay->tick);
+  anvil_relay_feed_close (g_steal_pointer (&relay->feed));
   anvil_relay_watch_close (relay->watch);
   anvil_places_record_close (relay->record);
   /* Ends the calls under way; their callbacks still find the other parts. */
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -147,6 +147,7 @@
   follower->must_read = FALSE;
   follower->ready = TRUE;
   follower->events.end (follower->context);
+  follower->events.read (follower->context, follower->version);
   call_after (follower, follower->wait > 0 ? 0 : follower->period);
 }
 
@@ -165,6 +166,7 @@
   note_success (follower);
   follower->version = MAX (follower->version, page->version);
   tell_rows (follower, page);
+  follower->events.read (follower->context, follower->version);
   call_after (follower, follower->wait > 0 ? LEAST_PAUSE : follower->period);
 }
 
@@ -184,15 +186,35 @@
                         on_changes, follower->call);
 }
 
-void
-anvil_table_follower_ask_again (anvil_table_follower_t *follower)
+static void
+drop_call (anvil_table_follower_t *follower)
 {
   if (follower->call != NULL)
     follower->call->follower = NULL;
   follower->call = NULL;
+}
+
+void
+anvil_table_follower_ask_again (anvil_table_follower_t *follower)
+{
+  drop_call (follower);
   call_after (follower, 0);
 }
 
+void
+anvil_table_follower_pause (anvil_table_follower_t *follower)
+{
+  drop_call (follower);
+  evtimer_del (follower->next_call);
+}
+
+void
+anvil_table_follower_resume (anvil_table_follower_t *follower, guint64 version)
+{
+  follower->version = MAX (follower->version, version);
+  anvil_table_follower_ask_again (follower);
+}
+
 anvil_table_follower_t *
 anvil_table_follower_open (struct event_base *base,
                            anvil_store_t *store,
@@ -221,8 +243,7 @@
 {
   if (follower == NULL)
     return;
-  if (follower->call != NULL)
-    follower->call->follower = NULL;
+  drop_call (follower);
   event_free (follower->next_call);
   g_free (follower->read_from);
   g_free (follower);
--- a/source/relay/table-follower.h
+++ b/source/relay/table-follower.h
@@ -19,6 +19,7 @@
  * @end: the whole table has been read
  * @lost: the store stopped answering
  * @found: it answers again; called before what it answers is told
+ * @read: everything up to @version has been told
  */
 typedef struct
 {
@@ -27,6 +28,7 @@
   void (*end) (void *context);
   void (*lost) (void *context);
   void (*found) (void *context);
+  void (*read) (void *context, guint64 version);
 } anvil_table_events_t;
 
 /**
@@ -46,6 +48,12 @@
 /** anvil_table_follower_ask_again - what is being waited for may never come: asks anew at once */
 void anvil_table_follower_ask_again (anvil_table_follower_t *follower);
 
+/** anvil_table_follower_pause - asks nothing until it is resumed */
+void anvil_table_follower_pause (anvil_table_follower_t *follower);
+
+/** anvil_table_follower_resume - follows on after @version, which is known from elsewhere */
+void anvil_table_follower_resume (anvil_table_follower_t *follower, guint64 version);
+
 /** anvil_table_follower_close - its call may still be under way; nothing is told any more */
 void anvil_table_follower_close (anvil_table_follower_t *follower);
 
--- a/source/steer/registry.c
+++ b/source/steer/registry.c
@@ -102,6 +102,7 @@
   anvil_registered_t *upstream = &entry->upstream;
   anvil_time_t cold_until = report->cold_left > 0 ? now + report->cold_left : 0;
   gboolean was_usable = anvil_registry_usable (upstream);
+  gboolean was_lapsing = upstream->lapsing;
   gboolean changed = update_text (&upstream->service, report->service);
 
   changed |= update_text (&upstream->zone, report->zone);
@@ -117,7 +118,7 @@
   upstream->started_at = report->started_at;
   upstream->lapsing = FALSE;
   upstream->evacuated = in_evacuated_zone (registry, upstream->zone);
-  return changed || was_usable != anvil_registry_usable (upstream);
+  return changed || was_lapsing || was_usable != anvil_registry_usable (upstream);
 }
 
 static entry_t *
@@ -132,7 +133,7 @@
   return entry;
 }
 
-void
+gboolean
 anvil_registry_apply (anvil_registry_t *registry,
                       anvil_time_t now,
                       const anvil_upstream_report_t *report)
@@ -147,14 +148,16 @@
       entry->in_snapshot = TRUE;
       update (registry, now, entry, report);
       tell (registry, now, entry, ANVIL_REGISTRY_JOINED);
-      return;
+      return TRUE;
     }
   entry->in_snapshot = TRUE;
   restarted = entry->upstream.started_at != report->started_at;
   if (restarted)
     entry->upstream.cold_until = 0;
-  if (update (registry, now, entry, report) || restarted)
-    tell (registry, now, entry, restarted ? ANVIL_REGISTRY_RESTARTED : ANVIL_REGISTRY_CHANGED);
+  if (!update (registry, now, entry, report) && !restarted)
+    return FALSE;
+  tell (registry, now, entry, restarted ? ANVIL_REGISTRY_RESTARTED : ANVIL_REGISTRY_CHANGED);
+  return TRUE;
 }
 
 static void
@@ -191,19 +194,20 @@
       = registry->store_away ? now + ANVIL_REGISTRY_LAPSE_GRACE : registry->lapses_until;
 }
 
-void
+gboolean
 anvil_registry_remove (anvil_registry_t *registry, anvil_time_t now, anvil_str_t id)
 {
   guint64 key = anvil_str_hash (id);
   entry_t *entry = g_hash_table_lookup (registry->entries, &key);
 
   if (entry == NULL)
-    return;
+    return FALSE;
   /* An upstream that had said that it drains has left; no lapse explains its missing row. */
   if (entry->upstream.draining)
     leave (registry, now, entry);
   else
     remove_entry (registry, now, entry);
+  return TRUE;
 }
 
 void
@@ -273,6 +277,18 @@
   registry->lapses_until = now + ANVIL_REGISTRY_LAPSE_GRACE;
 }
 
+anvil_time_t
+anvil_registry_lapses_for (const anvil_registry_t *registry, anvil_time_t now)
+{
+  return MAX (registry->lapses_until - now, 0);
+}
+
+void
+anvil_registry_expect_lapses (anvil_registry_t *registry, anvil_time_t until)
+{
+  registry->lapses_until = MAX (registry->lapses_until, until);
+}
+
 void
 anvil_registry_tick (anvil_registry_t *registry, anvil_time_t now)
 {
--- a/standins/anvil-store.c
+++ b/standins/anvil-store.c
@@ -7,6 +7,7 @@
  *   lose     writes are done and their answers lost
  *   compact  the history is forgotten, once
  *   none     ends the fault
+ * and GET /follows?table=T: how often changes of a table were asked for.
  */
 
 #include <signal.h>
@@ -44,6 +45,8 @@
   store_rows_t *rows;
   /* held_t, calls that wait for changes. */
   GPtrArray *held;
+  /* Counts of calls for changes, by table. */
+  GHashTable *follows;
   fault_t fault;
   anvil_time_t fault_ends;
 } store_t;
@@ -211,6 +214,28 @@
   g_ptr_array_add (store->held, held);
 }
 
+static void
+count_follow (store_t *store, const char *table)
+{
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (store->follows, table));
+
+  g_hash_table_insert (store->follows, g_strdup (table), GUINT_TO_POINTER (count + 1));
+}
+
+static void
+on_follows (struct evhttp_request *request, void *data)
+{
+  store_t *store = data;
+  struct evkeyvalq query;
+
+  read_query (request, &query);
+  answer (request, HTTP_OK,
+          json_pack ("{s:I}", "calls",
+                     (json_int_t) GPOINTER_TO_UINT (
+                         g_hash_table_lookup (store->follows, text_in (&query, "table")))));
+  evhttp_clear_headers (&query);
+}
+
 static void
 on_feed (struct evhttp_request *request, void *data)
 {
@@ -223,6 +248,7 @@
   if (taken_by_fault (store, request))
     return;
   read_query (request, &query);
+  count_follow (store, text_in (&query, "table"));
   after = number_in (&query, "after");
   wait = MIN (number_in (&query, "waitMs"), MAX_HOLD_MS);
   changes = store_rows_changes (store->rows, text_in (&query, "table"), after);
@@ -294,7 +320,8 @@
 {
   store_t store = { .base = event_base_new (),
                     .rows = store_rows_new (),
-                    .held = g_ptr_array_new_with_free_func (held_free) };
+                    .held = g_ptr_array_new_with_free_func (held_free),
+                    .follows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL) };
   struct event *terminate = evsignal_new (store.base, SIGTERM, on_signal, store.base);
   struct evhttp_bound_socket *bound;
   char *host = anvil_endpoint_format (listen->address, 0);
@@ -309,6 +336,7 @@
   evhttp_set_cb (store.http, "/-/rows-feed", on_feed, &store);
   evhttp_set_cb (store.http, "/-/rows-tx", on_transaction, &store);
   evhttp_set_cb (store.http, "/fault", on_fault, &store);
+  evhttp_set_cb (store.http, "/follows", on_follows, &store);
   bound = evhttp_bind_socket_with_handle (store.http, host, listen->port);
   if (bound == NULL)
     {
@@ -323,6 +351,7 @@
   evhttp_free (store.http);
   g_ptr_array_unref (store.held);
   store_rows_drop (store.rows);
+  g_hash_table_unref (store.follows);
   event_base_free (store.base);
   g_free (endpoint);
   g_free (host);
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -330,6 +330,20 @@
   g_free (path);
 }
 
+guint
+fleet_follows (fleet_t *fleet, const char *table)
+{
+  char *path = g_strdup_printf ("/follows?table=%s", table);
+  char *answer = fleet_ask (fleet_port (&fleet->store), "GET", path, "follows");
+  json_t *root = json_loads (fleet_body (answer), 0, NULL);
+  guint calls = (guint) json_integer_value (json_object_get (root, "calls"));
+
+  json_decref (root);
+  g_free (answer);
+  g_free (path);
+  return calls;
+}
+
 void
 fleet_configure_raw (fleet_t *fleet, const char *text)
 {
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -73,6 +73,9 @@
 /** fleet_fault - a fault of the store, see anvil-store */
 void fleet_fault (fleet_t *fleet, const char *kind, guint for_ms);
 
+/** fleet_follows - how often the store was asked for changes of @table */
+guint fleet_follows (fleet_t *fleet, const char *table);
+
 /** fleet_wait_ready - until the entry says that it is ready, and has been for a moment */
 void fleet_wait_ready (const fleet_entry_t *entry);
 
--- a/tests/test-relay-process.c
+++ b/tests/test-relay-process.c
@@ -457,6 +457,75 @@
 }
 END_TEST
 
+START_TEST (test_one_entry_of_a_region_reads_upstreams_for_all)
+{
+  fleet_entry_t *entries[4];
+  guint before;
+
+  fleet_add_upstream (&fleet, "u1", "photos", NULL);
+  fleet_configure (&fleet, NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (entries); i++)
+    {
+      char *name = g_strdup_printf ("e%u", i);
+
+      entries[i] = fleet_add_entry (&fleet, name, i % 2 == 0 ? "west-a" : "west-b");
+      g_free (name);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (entries); i++)
+    fleet_wait_ready (entries[i]);
+  /* They find each other and the reader is chosen. */
+  g_usleep (3000000);
+  before = fleet_follows (&fleet, "servers");
+  g_usleep (5000000);
+  /* One call a second, where each for itself would make twenty. */
+  ck_assert_uint_le (fleet_follows (&fleet, "servers") - before, 8);
+  ck_assert_uint_ge (fleet_follows (&fleet, "servers") - before, 3);
+}
+END_TEST
+
+START_TEST (test_a_drain_is_seen_whoever_of_the_region_is_lost)
+{
+  fleet_entry_t *entries[3];
+
+  fleet_add_upstream (&fleet, "u1", "photos", NULL);
+  fleet_configure (&fleet, NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (entries); i++)
+    {
+      char *name = g_strdup_printf ("e%u", i);
+
+      entries[i] = fleet_add_entry (&fleet, name, "west-a");
+      g_free (name);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (entries); i++)
+    fleet_wait_ready (entries[i]);
+  for (guint lost = 0; lost < G_N_ELEMENTS (entries); lost++)
+    {
+      char *id = g_strdup_printf ("n%u", lost);
+      standin_t *leaving = fleet.upstreams->pdata[fleet.upstreams->len - 1];
+      char *stamp = g_strdup_printf ("Server-Stamp: %s", id);
+
+      g_usleep (2500000);
+      fleet_add_upstream (&fleet, id, "photos", NULL);
+      g_usleep (1500000);
+      fleet_kill_entry (entries[lost], SIGKILL);
+      kill (leaving->pid, SIGTERM);
+      g_usleep (2600000);
+      for (guint i = 0; i < 2 * G_N_ELEMENTS (entries); i++)
+        {
+          const fleet_entry_t *left = entries[i % G_N_ELEMENTS (entries)];
+          char *answer = left->pid != 0 ? fleet_ask (left->callers, "GET", "/view/1", "d") : NULL;
+
+          ck_assert_msg (answer == NULL || strstr (answer, stamp) != NULL, "%s", answer);
+          g_free (answer);
+        }
+      fleet_start_entry (&fleet, entries[lost]);
+      fleet_wait_ready (entries[lost]);
+      g_free (stamp);
+      g_free (id);
+    }
+}
+END_TEST
+
 START_TEST (test_look_ups_name_entries_of_the_callers_region_that_serve)
 {
   anvil_time_t until = anvil_clock_now () + FLEET_PATIENCE_S * ANVIL_SECOND;
@@ -526,6 +595,8 @@
   tcase_add_test (tests, test_a_caller_that_leaves_frees_the_slot);
   tcase_add_test (tests, test_a_stopped_entry_delivers_and_refuses_what_comes_late);
   tcase_add_test (tests, test_entries_find_each_other_and_survive_the_loss_of_any);
+  tcase_add_test (tests, test_one_entry_of_a_region_reads_upstreams_for_all);
+  tcase_add_test (tests, test_a_drain_is_seen_whoever_of_the_region_is_lost);
   tcase_add_test (tests, test_look_ups_name_entries_of_the_callers_region_that_serve);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
