Check a peer's message before it is unpacked

Cause: the library's unpacker allocates what an array's header claims.

Change: messages and each row of news pass the check of claims that frames have. Places travel as bytes, not as an array longer than that check allows.

Before: test-relay-message ends with an allocator error under the address sanitizer.

Ruled out: a larger bound for arrays, which all frames would share.

--- a/source/relay/news-log.c
+++ b/source/relay/news-log.c
@@ -1,11 +1,16 @@
 #include "relay/news-log.h"
 
 #include <msgpack.h>
+#include <string.h>
+
+#include "net/message-check.h"
 
 /* Reads that are kept: at one a second, peers may be half a minute behind. */
 #define MAX_READS 30
 /* Most news of all reads that are kept; a peer that is further behind reads the store itself. */
 #define MAX_BYTES (64u << 10)
+/* Most room that the objects of one row need while it is read. */
+#define ZONE_CHUNK_BYTES 512
 
 /**
  * read_t - what one read of the table brought
@@ -76,18 +81,25 @@
   log->version = version;
 }
 
+/* A row is an array behind its length, so that each can be checked before it is unpacked. */
 void
 anvil_news_log_add (anvil_news_log_t *log, const anvil_store_row_t *row)
 {
+  GByteArray *packed = g_byte_array_new ();
   msgpack_packer packer;
+  guint32 prefix;
 
-  msgpack_packer_init (&packer, log->adding, append);
+  msgpack_packer_init (&packer, packed, append);
   msgpack_pack_array (&packer, 3);
   msgpack_pack_bin (&packer, row->key.length);
   msgpack_pack_bin_body (&packer, row->key.data, row->key.length);
   msgpack_pack_bin (&packer, row->value.length);
   msgpack_pack_bin_body (&packer, row->value.data, row->value.length);
   msgpack_pack_uint64 (&packer, row->removed);
+  prefix = GUINT32_TO_BE (packed->len);
+  g_byte_array_append (log->adding, (const guint8 *) &prefix, sizeof prefix);
+  g_byte_array_append (log->adding, packed->data, packed->len);
+  g_byte_array_unref (packed);
 }
 
 static void
@@ -155,18 +167,39 @@
   return TRUE;
 }
 
+static gboolean
+unpack_row (anvil_str_t bytes, anvil_news_visit_t visit, void *context)
+{
+  msgpack_zone zone;
+  msgpack_object object;
+  gboolean valid;
+
+  if (!anvil_frame_check_bounds (bytes))
+    return FALSE;
+  if (!msgpack_zone_init (&zone, ZONE_CHUNK_BYTES))
+    g_error ("out of memory");
+  valid = msgpack_unpack (bytes.data, bytes.length, NULL, &zone, &object) == MSGPACK_UNPACK_SUCCESS
+          && visit_row (&object, visit, context);
+  msgpack_zone_destroy (&zone);
+  return valid;
+}
+
 gboolean
 anvil_news_unpack (anvil_str_t bytes, anvil_news_visit_t visit, void *context)
 {
-  msgpack_unpacked unpacked;
-  size_t offset = 0;
-  gboolean valid = TRUE;
-
-  msgpack_unpacked_init (&unpacked);
-  while (valid && offset < bytes.length)
-    valid = msgpack_unpack_next (&unpacked, bytes.data, bytes.length, &offset)
-                == MSGPACK_UNPACK_SUCCESS
-            && visit_row (&unpacked.data, visit, context);
-  msgpack_unpacked_destroy (&unpacked);
-  return valid;
+  while (bytes.length > 0)
+    {
+      guint32 prefix;
+      anvil_str_t row;
+
+      if (bytes.length < sizeof prefix)
+        return FALSE;
+      memcpy (&prefix, bytes.data, sizeof prefix);
+      row = (anvil_str_t){ .data = bytes.data + sizeof prefix, .length = GUINT32_FROM_BE (prefix) };
+      if (row.length > bytes.length - sizeof prefix || !unpack_row (row, visit, context))
+        return FALSE;
+      bytes.data += sizeof prefix + row.length;
+      bytes.length -= sizeof prefix + row.length;
+    }
+  return TRUE;
 }
--- a/source/relay/places-record.h
+++ b/source/relay/places-record.h
@@ -22,9 +22,3 @@
 
 /** anvil_places_record_read - takes over what the store has; once, when upstreams are known */
 void anvil_places_record_read (anvil_places_record_t *record);
-
-/** anvil_places_pack - places as the store keeps them: pairs of 64-bit numbers in network order */
-void anvil_places_pack (const anvil_place_t *places, guint n_places, GByteArray *out);
-
-/** anvil_places_unpack - the reverse; bytes beyond whole pairs are ignored; how many were read */
-guint anvil_places_unpack (anvil_str_t bytes, anvil_place_t *places, guint max_places);
--- a/source/relay/recent-places.c
+++ b/source/relay/recent-places.c
@@ -110,3 +110,30 @@
     }
   return n;
 }
+
+void
+anvil_places_pack (const anvil_place_t *places, guint n_places, GByteArray *out)
+{
+  for (guint i = 0; i < n_places; i++)
+    {
+      const guint64 pair[2]
+          = { GUINT64_TO_BE (places[i].object), GUINT64_TO_BE (places[i].upstream) };
+
+      g_byte_array_append (out, (const guint8 *) pair, sizeof pair);
+    }
+}
+
+guint
+anvil_places_unpack (anvil_str_t bytes, anvil_place_t *places, guint max_places)
+{
+  guint64 pair[2];
+  guint n = (guint) MIN (bytes.length / sizeof pair, max_places);
+
+  for (guint i = 0; i < n; i++)
+    {
+      memcpy (pair, bytes.data + i * sizeof pair, sizeof pair);
+      places[i].object = GUINT64_FROM_BE (pair[0]);
+      places[i].upstream = GUINT64_FROM_BE (pair[1]);
+    }
+  return n;
+}
--- a/source/relay/recent-places.h
+++ b/source/relay/recent-places.h
@@ -51,3 +51,10 @@
                                 const char *service,
                                 anvil_place_t *list,
                                 guint max);
+
+/** anvil_places_pack - places as they are stored and sent: pairs of 64-bit numbers in network order
+ */
+void anvil_places_pack (const anvil_place_t *places, guint n_places, GByteArray *out);
+
+/** anvil_places_unpack - the reverse; bytes beyond whole pairs are ignored; how many were read */
+guint anvil_places_unpack (anvil_str_t bytes, anvil_place_t *places, guint max_places);
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -1,8 +1,10 @@
 #include "relay/relay-message.h"
 
 #include <msgpack.h>
+#include <string.h>
 
 #include "anvil/error.h"
+#include "net/message-check.h"
 
 /* Most room that the objects of one message need while it is read. */
 #define ZONE_CHUNK_BYTES 2048
@@ -68,6 +70,17 @@
   msgpack_pack_uint64 (packer, grant->warm);
 }
 
+static void
+pack_places (msgpack_packer *packer, const anvil_relay_message_t *message)
+{
+  GByteArray *bytes = g_byte_array_new ();
+
+  anvil_places_pack (message->places, message->n_places, bytes);
+  msgpack_pack_bin (packer, bytes->len);
+  msgpack_pack_bin_body (packer, bytes->data, bytes->len);
+  g_byte_array_unref (bytes);
+}
+
 static void
 pack_body (msgpack_packer *packer, const anvil_relay_message_t *message)
 {
@@ -117,12 +130,7 @@
     case ANVIL_RELAY_PLACES:
       msgpack_pack_array (packer, 2);
       pack_text (packer, message->service);
-      msgpack_pack_array (packer, (size_t) 2 * message->n_places);
-      for (guint i = 0; i < message->n_places; i++)
-        {
-          msgpack_pack_uint64 (packer, message->places[i].object);
-          msgpack_pack_uint64 (packer, message->places[i].upstream);
-        }
+      pack_places (packer, message);
       return;
     }
   g_assert_not_reached ();
@@ -278,34 +286,35 @@
   grant->warm = take_number (&reader, "warm", 1) != 0;
 }
 
+static anvil_str_t
+take_bytes (reader_t *reader, const char *field)
+{
+  const msgpack_object *object = take (reader, field, MSGPACK_OBJECT_BIN);
+
+  if (object == NULL)
+    return (anvil_str_t){ 0 };
+  return (anvil_str_t){ .data = object->via.bin.ptr, .length = object->via.bin.size };
+}
+
 static void
 read_places (reader_t *outer, anvil_relay_message_t *message)
 {
   reader_t body = take_array (outer, "places");
-  reader_t list;
 
   message->service = take_text (&body, "service");
-  list = take_array (&body, "list of places");
-  message->n_places = array_length (&list, "list of places", 2 * ANVIL_MAX_TOLD_PLACES) / 2;
-  for (guint i = 0; i < message->n_places; i++)
-    {
-      message->places[i].object = take_number (&list, "object", G_MAXUINT64);
-      message->places[i].upstream = take_number (&list, "upstream", G_MAXUINT64);
-    }
+  message->n_places = anvil_places_unpack (take_bytes (&body, "list of places"), message->places,
+                                           ANVIL_MAX_TOLD_PLACES);
 }
 
 static void
 read_news (reader_t *outer, anvil_relay_message_t *message)
 {
   reader_t body = take_array (outer, "news");
-  const msgpack_object *rows;
 
   message->after = take_number (&body, "after", G_MAXUINT64);
   message->age = take_time (&body, "age");
   message->lapses_for = take_time (&body, "lapses for");
-  rows = take (&body, "rows", MSGPACK_OBJECT_BIN);
-  if (rows != NULL)
-    message->rows = (anvil_str_t){ .data = rows->via.bin.ptr, .length = rows->via.bin.size };
+  message->rows = take_bytes (&body, "rows");
 }
 
 static void
@@ -368,7 +377,9 @@
   memset (message, 0, sizeof *message);
   if (!msgpack_zone_init (&zone, ZONE_CHUNK_BYTES))
     g_error ("out of memory");
-  if (msgpack_unpack (bytes.data, bytes.length, NULL, &zone, &root) != MSGPACK_UNPACK_SUCCESS
+  /* The unpacker allocates what an array's header claims, so the claims are checked first. */
+  if (!anvil_frame_check_bounds (bytes)
+      || msgpack_unpack (bytes.data, bytes.length, NULL, &zone, &root) != MSGPACK_UNPACK_SUCCESS
       || root.type != MSGPACK_OBJECT_ARRAY)
     fault = "message";
   else
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -3,7 +3,6 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "relay/places-record.h"
 #include "relay/relay-message.h"
 
 static const anvil_relay_message_t samples[] = {
