Take no missing row for a lapse if a peer reached the store all the while

Its entry had been cut off from 1 to 13 s, and the history that it followed was gone. When it found the store again it took the missing row for one that had expired in an outage of the store and kept the upstream for 2.2 s; with the time to find the store that went beyond the 4 s after which it counts as in touch.

Ruled out: a shorter grace (rows that did expire are back only within about two seconds).

Change: entries tell in pings for how long they have read upstreams from the store without a break. If a peer has, over the whole time in which this entry hadn't, nothing lapsed, and missing rows are gone at once. A store that is lost is tried again every 0.5 s instead of every second.

--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -19,6 +19,8 @@
  * @incarnation: differs between any two starts of a process
  * @caller_port: port for callers, on its node's address
  * @capacity: processor that it may use, thousandths of a core
+ * @store_ok_for: how long it has read upstreams from the store without a break, microseconds; 0 if
+ *   it doesn't
  * @ready: it serves callers
  * @leaving: it is shutting down
  */
@@ -29,6 +31,7 @@
   guint64 incarnation;
   guint16 caller_port;
   guint capacity;
+  anvil_time_t store_ok_for;
   gboolean ready;
   gboolean leaving;
 } anvil_member_info_t;
@@ -41,6 +44,8 @@
  * @answered_at: when it last answered a ping, 0 for never
  * @pinged_at: when the last ping was sent
  * @round_trip: running mean of its answers, microseconds; 0 for unknown
+ * @store_ok_since: since when it has read the store without a break, this entry's clock; 0 for
+ * never
  * @learnt_at: when its address was learnt last
  * @close: it is pinged often: it is of this entry's region, or may hold a service soon
  */
@@ -52,6 +57,7 @@
   anvil_time_t answered_at;
   anvil_time_t pinged_at;
   anvil_time_t round_trip;
+  anvil_time_t store_ok_since;
   anvil_time_t learnt_at;
   gboolean close;
 } anvil_peer_t;
@@ -148,6 +154,9 @@
 /** anvil_members_round_trip - mean round trip to entries of other regions, 0 for unknown */
 anvil_time_t anvil_members_round_trip (const anvil_members_t *members);
 
+/** anvil_members_store_ok_since - the earliest such time of a peer that answers, 0 for none */
+anvil_time_t anvil_members_store_ok_since (const anvil_members_t *members, anvil_time_t now);
+
 const anvil_peer_t *anvil_members_lookup (const anvil_members_t *members, anvil_node_t node);
 guint anvil_members_count (const anvil_members_t *members);
 
--- a/include/anvil/registry.h
+++ b/include/anvil/registry.h
@@ -121,8 +121,8 @@
 /** anvil_registry_end_snapshot - upstreams that the snapshot didn't name are removed */
 void anvil_registry_end_snapshot (anvil_registry_t *registry, anvil_time_t now);
 
-/** anvil_registry_store_lost - the store stopped answering */
-void anvil_registry_store_lost (anvil_registry_t *registry, anvil_time_t now);
+/** anvil_registry_store_lost - the store stopped answering; it was last reached at @since */
+void anvil_registry_store_lost (anvil_registry_t *registry, anvil_time_t since);
 
 /** anvil_registry_store_found - the store answers again */
 void anvil_registry_store_found (anvil_registry_t *registry, anvil_time_t now);
@@ -133,6 +133,14 @@
 /** anvil_registry_expect_lapses - rows that are missing before @until may come back */
 void anvil_registry_expect_lapses (anvil_registry_t *registry, anvil_time_t until);
 
+/**
+ * anvil_registry_deny_lapses - somebody else has reached the store all the while since @since
+ *
+ * If that covers the whole time in which this entry didn't, the entry was cut
+ * off and the store wasn't away: nothing expired, and missing rows are gone.
+ */
+void anvil_registry_deny_lapses (anvil_registry_t *registry, anvil_time_t now, anvil_time_t since);
+
 /** anvil_registry_tick - upstreams whose lapse has ended leave */
 void anvil_registry_tick (anvil_registry_t *registry, anvil_time_t now);
 
--- a/source/relay/relay-desk.c
+++ b/source/relay/relay-desk.c
@@ -770,6 +770,12 @@
   return peer != NULL && peer->info.name.data != NULL ? peer->info.name.data : "-";
 }
 
+void
+anvil_relay_desk_set_store_ok_for (anvil_relay_desk_t *desk, anvil_time_t store_ok_for)
+{
+  anvil_members_self (desk->members)->store_ok_for = store_ok_for;
+}
+
 anvil_members_t *
 anvil_relay_desk_members (anvil_relay_desk_t *desk)
 {
--- a/source/relay/relay-desk.h
+++ b/source/relay/relay-desk.h
@@ -98,8 +98,9 @@
 void anvil_relay_desk_set_bounds (anvil_relay_desk_t *desk,
                                   const anvil_dispatcher_bounds_t *bounds);
 
-/** anvil_relay_desk_set_state - what peers are told of this entry */
+/** anvil_relay_desk_set_state - what peers are told of this entry; see anvil_member_info_t */
 void anvil_relay_desk_set_state (anvil_relay_desk_t *desk, gboolean ready, gboolean leaving);
+void anvil_relay_desk_set_store_ok_for (anvil_relay_desk_t *desk, anvil_time_t store_ok_for);
 
 /** anvil_relay_desk_first_of_region - the entry of this one's region that ranks first for @name */
 anvil_node_t anvil_relay_desk_first_of_region (const anvil_relay_desk_t *desk, const char *name);
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -25,6 +25,8 @@
   /* Version of the store up to which upstreams are known; and when a peer that told them read it.
    */
   guint64 upstream_version;
+  /* Since when upstreams have been read without a break, 0 if they aren't. */
+  anvil_time_t reading_since;
   gboolean read_whole;
   gboolean told_by_peer;
   anvil_time_t told_at;
@@ -208,6 +210,8 @@
     anvil_news_log_read (watch->news, version);
   watch->read_whole = FALSE;
   watch->upstream_version = version;
+  if (watch->reading_since == 0)
+    watch->reading_since = anvil_table_follower_read_at (watch->upstreams);
   watch->events.upstreams_read (watch->context);
 }
 
@@ -221,7 +225,8 @@
 {
   anvil_relay_watch_t *watch = context;
 
-  anvil_registry_store_lost (watch->registry, anvil_clock_now ());
+  watch->reading_since = 0;
+  anvil_registry_store_lost (watch->registry, anvil_table_follower_read_at (watch->upstreams));
 }
 
 static void
@@ -305,6 +310,7 @@
 anvil_relay_watch_follow_upstreams (anvil_relay_watch_t *watch, gboolean follow)
 {
   watch->told_by_peer = !follow;
+  watch->reading_since = 0;
   if (follow)
     {
       /* What a peer told isn't in the log, so it can't be passed on from here. */
@@ -350,6 +356,12 @@
   return TRUE;
 }
 
+anvil_time_t
+anvil_relay_watch_store_ok_for (const anvil_relay_watch_t *watch, anvil_time_t now)
+{
+  return watch->reading_since > 0 ? now - watch->reading_since : 0;
+}
+
 anvil_time_t
 anvil_relay_watch_lapses_for (const anvil_relay_watch_t *watch)
 {
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -57,6 +57,10 @@
                                       const anvil_relay_message_t *message,
                                       anvil_time_t known_at);
 
+/** anvil_relay_watch_store_ok_for - how long upstreams have been read from the store without a
+ * break, microseconds; 0 if they aren't */
+anvil_time_t anvil_relay_watch_store_ok_for (const anvil_relay_watch_t *watch, anvil_time_t now);
+
 /** anvil_relay_watch_lapses_for - how much longer a missing row may come back, microseconds */
 anvil_time_t anvil_relay_watch_lapses_for (const anvil_relay_watch_t *watch);
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -269,6 +269,18 @@
   event_base_loopbreak (relay->base);
 }
 
+/* A peer that has reached the store all the while says that only this entry was cut off. */
+static void
+deny_lapses (anvil_relay_t *relay, anvil_time_t now)
+{
+  anvil_time_t since = anvil_members_store_ok_since (anvil_relay_desk_members (relay->desk), now);
+
+  anvil_relay_desk_set_store_ok_for (relay->desk,
+                                     anvil_relay_watch_store_ok_for (relay->watch, now));
+  if (since > 0)
+    anvil_registry_deny_lapses (relay->registry, now, since);
+}
+
 static void
 on_tick (evutil_socket_t unused_fd, short unused_what, void *data)
 {
@@ -277,6 +289,7 @@
 
   notice_suspension (relay, now);
   set_ready (relay);
+  deny_lapses (relay, now);
   anvil_registry_tick (relay->registry, now);
   if (is_ready (relay))
     anvil_relay_feed_tick (relay->feed, now);
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -6,7 +6,7 @@
 /* Pause after a failed call: first, and at most. A store that comes back is seen within the
  * longest, and a fleet that retries stays below its usual rate of calls. */
 #define FIRST_RETRY (200 * ANVIL_MS)
-#define LONGEST_RETRY (1000 * ANVIL_MS)
+#define LONGEST_RETRY (500 * ANVIL_MS)
 /* Least pause between two calls that the store may hold: it answers at once while rows change. */
 #define LEAST_PAUSE (50 * ANVIL_MS)
 
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -172,6 +172,8 @@
   restarted = peer->answered_at > 0 && peer->info.incarnation != info->incarnation;
   anvil_members_heard (members, now, node, info);
   peer->answered_at = MAX (peer->answered_at, sent_at);
+  /* Counted from the answer's arrival, so that the time on the way never adds to it. */
+  peer->store_ok_since = info->store_ok_for > 0 ? now - info->store_ok_for : 0;
   peer->round_trip = peer->round_trip == 0
                          ? took
                          : peer->round_trip + (took - peer->round_trip) / ROUND_TRIP_WEIGHT;
@@ -335,6 +337,22 @@
   return n > 0 ? sum / n : 0;
 }
 
+anvil_time_t
+anvil_members_store_ok_since (const anvil_members_t *members, anvil_time_t now)
+{
+  anvil_time_t earliest = 0;
+
+  for (guint i = 0; i < members->peers->len; i++)
+    {
+      const anvil_peer_t *peer = members->peers->pdata[i];
+
+      if (peer->store_ok_since > 0 && anvil_members_answers (members, now, peer)
+          && (earliest == 0 || peer->store_ok_since < earliest))
+        earliest = peer->store_ok_since;
+    }
+  return earliest;
+}
+
 guint
 anvil_members_count (const anvil_members_t *members)
 {
--- a/source/steer/registry.c
+++ b/source/steer/registry.c
@@ -27,6 +27,8 @@
   /* Names of the zones that are being emptied. */
   GHashTable *evacuated;
   gboolean store_away;
+  /* When the store was last reached before it was lost. */
+  anvil_time_t lost_since;
   /* Removals before this time are taken as lapses; 0 if the store was never away. */
   anvil_time_t lapses_until;
 };
@@ -263,8 +265,10 @@
 }
 
 void
-anvil_registry_store_lost (anvil_registry_t *registry, anvil_time_t now)
+anvil_registry_store_lost (anvil_registry_t *registry, anvil_time_t since)
 {
+  if (!registry->store_away)
+    registry->lost_since = since;
   registry->store_away = TRUE;
 }
 
@@ -289,6 +293,20 @@
   registry->lapses_until = MAX (registry->lapses_until, until);
 }
 
+void
+anvil_registry_deny_lapses (anvil_registry_t *registry, anvil_time_t now, anvil_time_t since)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (registry->store_away || now >= registry->lapses_until || since > registry->lost_since)
+    return;
+  registry->lapses_until = now;
+  g_hash_table_iter_init (&iter, registry->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((entry_t *) value)->upstream.lapse_ends = now;
+}
+
 void
 anvil_registry_tick (anvil_registry_t *registry, anvil_time_t now)
 {
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -140,6 +140,20 @@
 END_TEST
 
 /* 300 entries in three regions: an entry pings its own region and the next holders often. */
+START_TEST (test_peers_tell_since_when_they_have_reached_the_store)
+{
+  anvil_member_info_t reading = info ("west-b", 1);
+
+  answer (2, "west-b", 1);
+  ck_assert_int_eq (anvil_members_store_ok_since (members, now), 0);
+  reading.store_ok_for = 4 * ANVIL_SECOND;
+  anvil_members_answered (members, now, 2, &reading, now - ANVIL_MS);
+  ck_assert_int_eq (anvil_members_store_ok_since (members, now), now - 4 * ANVIL_SECOND);
+  now += 5 * ANVIL_SECOND;
+  ck_assert_int_eq (anvil_members_store_ok_since (members, now), 0);
+}
+END_TEST
+
 START_TEST (test_with_hundreds_of_entries_few_are_pinged_often)
 {
   const anvil_held_service_t services[]
@@ -233,6 +247,7 @@
   tcase_add_test (tests, test_every_entry_chooses_the_same_holder);
   tcase_add_test (tests, test_the_holder_is_in_the_region_of_the_slots_while_one_answers_there);
   tcase_add_test (tests, test_entries_with_much_processor_hold_slots);
+  tcase_add_test (tests, test_peers_tell_since_when_they_have_reached_the_store);
   tcase_add_test (tests, test_with_hundreds_of_entries_few_are_pinged_often);
   tcase_add_test (tests, test_the_next_holder_is_watched_before_it_is_needed);
   tcase_add_test (tests, test_a_peer_that_is_silent_for_minutes_is_forgotten_and_may_return);
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -119,6 +119,23 @@
 }
 END_TEST
 
+START_TEST (test_nothing_lapsed_if_a_peer_reached_the_store_all_the_while)
+{
+  anvil_time_t back = 10 * ANVIL_SECOND;
+
+  anvil_registry_store_lost (registry, ANVIL_SECOND);
+  anvil_registry_store_found (registry, back);
+  anvil_registry_remove (registry, back, anvil_str ("a"));
+  /* A peer that has reached it for a part of that time only says nothing of the rest. */
+  anvil_registry_deny_lapses (registry, back, 2 * ANVIL_SECOND);
+  anvil_registry_tick (registry, back);
+  ck_assert_uint_eq (seen.left, 0);
+  anvil_registry_deny_lapses (registry, back, ANVIL_SECOND / 2);
+  anvil_registry_tick (registry, back);
+  ck_assert_uint_eq (seen.left, 1);
+}
+END_TEST
+
 START_TEST (test_a_draining_upstream_is_not_taken_for_a_lapse)
 {
   anvil_upstream_report_t draining = report ("a");
@@ -180,6 +197,7 @@
   tcase_add_test (tests, test_another_start_under_the_same_id_is_a_restart);
   tcase_add_test (tests, test_a_removed_row_is_gone_at_once);
   tcase_add_test (tests, test_rows_that_expired_while_the_store_was_away_may_come_back);
+  tcase_add_test (tests, test_nothing_lapsed_if_a_peer_reached_the_store_all_the_while);
   tcase_add_test (tests, test_a_draining_upstream_is_not_taken_for_a_lapse);
   tcase_add_test (tests, test_a_snapshot_removes_what_it_does_not_name);
   tcase_add_test (tests, test_a_zone_that_is_taken_back_is_cold);
