Count what waits before saying when a remembered object's turn comes

Cause: the estimate of when an upstream that remembers an object could run a task looked at the runs under way there, not at the tasks that wait for the same object, so tasks went on waiting for it although it couldn't be in time, and no further upstream learnt the object.

Ruled out: a lower fill at which an object is spread (0.35, 0.25, 0.15 change nothing: the wait came first).

Change: the estimate adds the run time of what waits for the object, over the slots of the upstreams that remember it.

--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -169,10 +169,31 @@
   return best;
 }
 
+/* What waits for the same object keeps the upstreams that remember it busy first. */
+static anvil_time_t
+queue_delay (const task_t *task)
+{
+  const object_t *object = task->object;
+  guint slots = 0;
+
+  if (object->anonymous)
+    return 0;
+  for (guint i = 0; i < object->upstreams->len; i++)
+    slots += ((const upstream_t *) object->upstreams->pdata[i])->record.slots;
+  return slots == 0 ? 0
+                    : warmth_usual_run (task->service, task->wanted.kind, TRUE)
+                          * object->waiting.length / (anvil_time_t) slots;
+}
+
 place_t
 placing_best_warm (task_t *task, anvil_time_t now)
 {
-  return best_remembering (task, now, FALSE);
+  place_t place = best_remembering (task, now, FALSE);
+  anvil_time_t delay = queue_delay (task);
+
+  place.finish += delay;
+  place.cost += delay;
+  return place;
 }
 
 static anvil_time_t
--- a/tests/helper-dispatch.c
+++ b/tests/helper-dispatch.c
@@ -57,6 +57,7 @@
   lab_task_t *task = lab_task (lab, (guint) id.number);
 
   task->refused = TRUE;
+  task->refused_at = lab->now;
   task->why = refused->why;
   task->come_back = refused->come_back;
   lab->n_refusals++;
--- a/tests/helper-dispatch.h
+++ b/tests/helper-dispatch.h
@@ -20,6 +20,7 @@
   gboolean granted;
   gboolean warm;
   gboolean refused;
+  anvil_time_t refused_at;
   gboolean done;
   anvil_task_refusal_t why;
   anvil_time_t come_back;
