Refuse late tasks that newer ones have passed over

Cause: a task that had become late and was let in could be passed over by newer ones until no run fitted before its deadline: of 1,570 refused in the dispatcher's test beyond saturation, 90 had waited for two thirds of their time.

Ruled out: letting in fewer (what is served late, is served from them).

Change: a late task that hasn't got a slot by the middle of the time between its target and its deadline is refused then; its caller can still return.

--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -249,5 +249,6 @@
 
 gboolean refusing_hopeless (const task_t *task, anvil_time_t now);
 gboolean refusing_no_room (const task_t *task, anvil_time_t now);
+gboolean refusing_passed_over (const task_t *task, anvil_time_t now);
 gboolean refusing_late (const task_t *task, anvil_time_t now);
 anvil_time_t refusing_come_back (const task_t *task, anvil_time_t now);
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -22,6 +22,11 @@
 /* At least so many may, also at a service with few slots. */
 #define LEAST_LATE 3
 
+/* The part of the time between target and deadline, one in so many, in which a late task must get
+ * its slot. Newer ones go first, so one that was passed over for longer would most likely be held
+ * to its end; its caller does better to know while it can still return. */
+#define LATE_STAY 2
+
 /* What a run of the task takes on a usual upstream. */
 static anvil_time_t
 usual_run (const task_t *task)
@@ -49,6 +54,14 @@
          / (anvil_time_t) service->n_slots;
 }
 
+gboolean
+refusing_passed_over (const task_t *task, anvil_time_t now)
+{
+  anvil_time_t rest = task->wanted.deadline - task->wanted.target;
+
+  return task->is_late && now + usual_run (task) > task->wanted.target + rest / LATE_STAY;
+}
+
 gboolean
 refusing_late (const task_t *task, anvil_time_t now)
 {
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -593,7 +593,7 @@
 {
   if (!task->is_late)
     waiting_sort_out_late (task->object, now);
-  if (refusing_hopeless (task, now))
+  if (refusing_hopeless (task, now) || refusing_passed_over (task, now))
     return TRUE;
   if (!task->is_late || task->admitted_late)
     return FALSE;
