--- /dev/null
+++ b/source/relay/relay-caller-internal.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <http_parser.h>
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "relay/relay-caller.h"
+
+/* Parts of callers' connections: relay-caller.c keeps them and writes answers, relay-caller-read.c
+ * reads requests. */
+
+/* Requests of one connection that may wait for their answers; more are read later. */
+#define MAX_PENDING 32
+
+struct anvil_relay_callers
+{
+  struct event_base *base;
+  const anvil_wire_t *wire;
+  anvil_relay_caller_events_t events;
+  void *context;
+  struct evconnlistener *listener;
+  guint max_connections;
+  gboolean leaving;
+  GHashTable *connections;
+};
+
+/**
+ * turn_t - place of a request in the order of its connection
+ * @request: NULL once it was answered
+ * @answer: NULL until then
+ */
+typedef struct
+{
+  anvil_relay_request_t *request;
+  struct evbuffer *answer;
+  gboolean close;
+} turn_t;
+
+/**
+ * anvil_relay_connection - one caller's connection
+ * @parser: reads requests
+ * @reading: the request that is being read, or NULL
+ * @field: name of the header that is being read
+ * @value: its value
+ * @in_value: the parser is in the value
+ * @header_bytes: bytes of request line and headers so far
+ * @fault: status to answer when what is being read can't be taken, 0 for none
+ * @turns: turn_t in order
+ * @header_timer: runs while headers are read
+ * @paused: too many requests wait, no more is read
+ * @ending: no more requests are taken; closed once all answers are written
+ * @lingering: everything is written; waits for the caller to close
+ */
+struct anvil_relay_connection
+{
+  anvil_relay_callers_t *callers;
+  struct bufferevent *stream;
+  http_parser parser;
+  anvil_relay_request_t *reading;
+  GString *target;
+  GString *field;
+  GString *value;
+  gboolean in_value;
+  gsize header_bytes;
+  guint fault;
+  GQueue turns;
+  struct event *header_timer;
+  gboolean paused;
+  gboolean ending;
+  gboolean lingering;
+};
+
+struct timeval caller_to_timeval (anvil_time_t time);
+const anvil_caller_bounds_t *caller_bounds_of (const anvil_relay_connection_t *connection);
+
+/* Answers what can't be read as a request, behind the answers that are due, and ends. */
+void caller_reject (anvil_relay_connection_t *connection, guint status);
+
+/* Hands on the whole requests that have arrived. The connection may be freed. */
+void caller_read_more (anvil_relay_connection_t *connection);
--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -1,92 +1,22 @@
-#include "relay/relay-caller.h"
+#include "relay/relay-caller-internal.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <http_parser.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
-
 #include "anvil/error.h"
 #include "anvil/log.h"
-#include "relay/http-field.h"
 
-/* Requests of one connection that may wait for their answers; more are read later. */
-#define MAX_PENDING 32
 /* How long a connection that we end may still send before it is closed: long enough for our last
  * answer to arrive, since closing with unread bytes resets it. */
 #define LINGER (1 * ANVIL_SECOND)
-/* Headers that are longer than the configured bound by this are not even read on. */
 #define STATUS_REQUEST_TIMEOUT 408
-#define STATUS_BODY_TOO_LARGE 413
-#define STATUS_HEADERS_TOO_LARGE 431
 
-struct anvil_relay_callers
-{
-  struct event_base *base;
-  const anvil_wire_t *wire;
-  anvil_relay_caller_events_t events;
-  void *context;
-  struct evconnlistener *listener;
-  guint max_connections;
-  gboolean leaving;
-  GHashTable *connections;
-};
-
-/**
- * turn_t - place of a request in the order of its connection
- * @request: NULL once it was answered
- * @answer: NULL until then
- */
-typedef struct
-{
-  anvil_relay_request_t *request;
-  struct evbuffer *answer;
-  gboolean close;
-} turn_t;
-
-/**
- * anvil_relay_connection - one caller's connection
- * @parser: reads requests
- * @reading: the request that is being read, or NULL
- * @field: name of the header that is being read
- * @value: its value
- * @in_value: the parser is in the value
- * @header_bytes: bytes of request line and headers so far
- * @fault: status to answer when what is being read can't be taken, 0 for none
- * @turns: turn_t in order
- * @header_timer: runs while headers are read
- * @paused: too many requests wait, no more is read
- * @ending: no more requests are taken; closed once all answers are written
- * @lingering: everything is written; waits for the caller to close
- */
-struct anvil_relay_connection
-{
-  anvil_relay_callers_t *callers;
-  struct bufferevent *stream;
-  http_parser parser;
-  anvil_relay_request_t *reading;
-  GString *target;
-  GString *field;
-  GString *value;
-  gboolean in_value;
-  gsize header_bytes;
-  guint fault;
-  GQueue turns;
-  struct event *header_timer;
-  gboolean paused;
-  gboolean ending;
-  gboolean lingering;
-};
-
-static void read_more (anvil_relay_connection_t *connection);
-
-static struct timeval
-to_timeval (anvil_time_t time)
+struct timeval
+caller_to_timeval (anvil_time_t time)
 {
   return (struct timeval){ .tv_sec = time / ANVIL_SECOND, .tv_usec = time % ANVIL_SECOND };
 }
@@ -155,7 +85,7 @@
 static void
 linger (anvil_relay_connection_t *connection)
 {
-  struct timeval patience = to_timeval (LINGER);
+  struct timeval patience = caller_to_timeval (LINGER);
 
   connection->lingering = TRUE;
   shutdown (bufferevent_getfd (connection->stream), SHUT_WR);
@@ -214,7 +144,7 @@
     {
       connection->paused = FALSE;
       bufferevent_enable (connection->stream, EV_READ);
-      read_more (connection);
+      caller_read_more (connection);
     }
 }
 
@@ -290,8 +220,8 @@
 }
 
 /* Answers what can't be read as a request, behind the answers that are due, and ends. */
-static void
-reject (anvil_relay_connection_t *connection, guint status)
+void
+caller_reject (anvil_relay_connection_t *connection, guint status)
 {
   turn_t *turn = g_new0 (turn_t, 1);
 
@@ -305,225 +235,6 @@
   flush (connection);
 }
 
-static const anvil_caller_bounds_t *
-bounds_of (const anvil_relay_connection_t *connection)
-{
-  return connection->callers->events.bounds (connection->callers->context);
-}
-
-/* Takes the header that has been read whole. */
-static void
-take_field (anvil_relay_connection_t *connection)
-{
-  const anvil_wire_t *wire = connection->callers->wire;
-  anvil_relay_request_t *request = connection->reading;
-  anvil_str_t name = { .data = connection->field->str, .length = connection->field->len };
-  anvil_str_t value = { .data = connection->value->str, .length = connection->value->len };
-  gint64 milliseconds;
-
-  if (name.length == 0)
-    return;
-  if (anvil_field_is (name, "Host"))
-    {
-      g_free (request->host);
-      request->host = anvil_str_dup (value);
-    }
-  else if (anvil_field_is (name, wire->deadline))
-    {
-      if (anvil_field_number (value, &milliseconds))
-        request->time_allowed = MAX (milliseconds, 1) * ANVIL_MS;
-      goto out;
-    }
-  else if (anvil_field_is (name, wire->request_id))
-    {
-      g_free (request->id);
-      request->id = anvil_str_dup (value);
-    }
-  else if (anvil_field_is (name, wire->object))
-    {
-      g_free (request->object);
-      request->object = anvil_str_dup (value);
-    }
-  if (!anvil_field_of_connection (name) && !anvil_field_is (name, wire->expected_upstream))
-    anvil_field_append (request->headers, name, value);
-
-out:
-  g_string_truncate (connection->field, 0);
-  g_string_truncate (connection->value, 0);
-}
-
-/* Counts bytes of the headers; non-zero stops the parser. */
-static int
-count_header_bytes (anvil_relay_connection_t *connection, size_t length)
-{
-  connection->header_bytes += length;
-  if (connection->header_bytes <= bounds_of (connection)->max_header_bytes)
-    return 0;
-  connection->fault = STATUS_HEADERS_TOO_LARGE;
-  return 1;
-}
-
-static int
-on_message_begin (http_parser *parser)
-{
-  anvil_relay_connection_t *connection = parser->data;
-  struct timeval patience = to_timeval (bounds_of (connection)->header_timeout);
-
-  connection->reading = g_new0 (anvil_relay_request_t, 1);
-  connection->reading->headers = g_string_new (NULL);
-  connection->reading->body = evbuffer_new ();
-  connection->header_bytes = 0;
-  connection->in_value = FALSE;
-  g_string_truncate (connection->target, 0);
-  g_string_truncate (connection->field, 0);
-  g_string_truncate (connection->value, 0);
-  evtimer_add (connection->header_timer, &patience);
-  return 0;
-}
-
-static int
-on_url (http_parser *parser, const char *at, size_t length)
-{
-  anvil_relay_connection_t *connection = parser->data;
-
-  g_string_append_len (connection->target, at, (gssize) length);
-  return count_header_bytes (connection, length);
-}
-
-static int
-on_header_field (http_parser *parser, const char *at, size_t length)
-{
-  anvil_relay_connection_t *connection = parser->data;
-
-  if (connection->in_value)
-    take_field (connection);
-  connection->in_value = FALSE;
-  g_string_append_len (connection->field, at, (gssize) length);
-  return count_header_bytes (connection, length);
-}
-
-static int
-on_header_value (http_parser *parser, const char *at, size_t length)
-{
-  anvil_relay_connection_t *connection = parser->data;
-
-  connection->in_value = TRUE;
-  g_string_append_len (connection->value, at, (gssize) length);
-  return count_header_bytes (connection, length);
-}
-
-static int
-on_headers_complete (http_parser *parser)
-{
-  anvil_relay_connection_t *connection = parser->data;
-
-  take_field (connection);
-  event_del (connection->header_timer);
-  if ((parser->flags & F_CONTENTLENGTH) != 0
-      && parser->content_length > bounds_of (connection)->max_body_bytes)
-    {
-      connection->fault = STATUS_BODY_TOO_LARGE;
-      return -1;
-    }
-  return 0;
-}
-
-static int
-on_body (http_parser *parser, const char *at, size_t length)
-{
-  anvil_relay_connection_t *connection = parser->data;
-  struct evbuffer *body = connection->reading->body;
-
-  if (evbuffer_get_length (body) + length > bounds_of (connection)->max_body_bytes)
-    {
-      connection->fault = STATUS_BODY_TOO_LARGE;
-      return 1;
-    }
-  evbuffer_add (body, at, length);
-  return 0;
-}
-
-static int
-on_message_complete (http_parser *parser)
-{
-  anvil_relay_connection_t *connection = parser->data;
-  anvil_relay_request_t *request = g_steal_pointer (&connection->reading);
-  turn_t *turn = g_new0 (turn_t, 1);
-
-  request->connection = connection;
-  request->method = g_strdup (http_method_str (parser->method));
-  request->target = g_strdup (connection->target->str);
-  request->arrived_at = anvil_clock_now ();
-  request->close = !http_should_keep_alive (parser);
-  request->head = parser->method == HTTP_HEAD;
-  turn->request = request;
-  g_queue_push_tail (&connection->turns, turn);
-  /* The parser is left before the request is handed on: its answer may end the connection. */
-  http_parser_pause (parser, 1);
-  return 0;
-}
-
-static const http_parser_settings parser_settings = {
-  .on_message_begin = on_message_begin,
-  .on_url = on_url,
-  .on_header_field = on_header_field,
-  .on_header_value = on_header_value,
-  .on_headers_complete = on_headers_complete,
-  .on_body = on_body,
-  .on_message_complete = on_message_complete,
-};
-
-/* Parses one contiguous piece of the input; FALSE if nothing more is to be read now. */
-static gboolean
-parse_piece (anvil_relay_connection_t *connection)
-{
-  anvil_relay_callers_t *callers = connection->callers;
-  struct evbuffer *input = bufferevent_get_input (connection->stream);
-  struct evbuffer_iovec piece;
-  enum http_errno fault;
-  size_t parsed;
-
-  if (evbuffer_peek (input, -1, NULL, &piece, 1) < 1 || piece.iov_len == 0)
-    return FALSE;
-  parsed
-      = http_parser_execute (&connection->parser, &parser_settings, piece.iov_base, piece.iov_len);
-  evbuffer_drain (input, parsed);
-  fault = HTTP_PARSER_ERRNO (&connection->parser);
-  if (fault == HPE_PAUSED)
-    {
-      turn_t *turn = g_queue_peek_tail (&connection->turns);
-
-      http_parser_pause (&connection->parser, 0);
-      if (turn->request->close)
-        connection->ending = TRUE;
-      if (g_queue_get_length (&connection->turns) >= MAX_PENDING)
-        {
-          connection->paused = TRUE;
-          bufferevent_disable (connection->stream, EV_READ);
-        }
-      callers->events.request (callers->context, turn->request);
-      return TRUE;
-    }
-  if (fault == HPE_OK && !connection->parser.upgrade)
-    return TRUE;
-  reject (connection, connection->fault != 0 ? connection->fault : 400);
-  return FALSE;
-}
-
-static void
-read_more (anvil_relay_connection_t *connection)
-{
-  anvil_relay_callers_t *callers = connection->callers;
-
-  /* A request's answer may end the connection and free it. */
-  while (g_hash_table_contains (callers->connections, connection) && !connection->ending
-         && !connection->paused)
-    {
-      if (!parse_piece (connection))
-        return;
-    }
-}
-
 static void
 on_read (struct bufferevent *stream, void *data)
 {
@@ -533,7 +244,7 @@
   if (connection->ending)
     evbuffer_drain (input, evbuffer_get_length (input));
   else
-    read_more (connection);
+    caller_read_more (connection);
 }
 
 static void
@@ -551,7 +262,7 @@
   else if (!g_queue_is_empty (&connection->turns) || connection->paused)
     bufferevent_enable (connection->stream, EV_READ);
   else if (connection->reading != NULL)
-    reject (connection, STATUS_REQUEST_TIMEOUT);
+    caller_reject (connection, STATUS_REQUEST_TIMEOUT);
   else
     end (connection);
 }
@@ -570,7 +281,7 @@
 static void
 on_header_timeout (evutil_socket_t unused_fd, short unused_what, void *data)
 {
-  reject (data, STATUS_REQUEST_TIMEOUT);
+  caller_reject (data, STATUS_REQUEST_TIMEOUT);
 }
 
 static void
@@ -604,7 +315,7 @@
   connection->parser.data = connection;
   g_hash_table_add (callers->connections, connection);
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  idle = to_timeval (bounds_of (connection)->idle_timeout);
+  idle = caller_to_timeval (caller_bounds_of (connection)->idle_timeout);
   bufferevent_setcb (connection->stream, on_read, on_written, on_event, connection);
   bufferevent_set_timeouts (connection->stream, &idle, &idle);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
--- a/source/relay/relay-desk.c
+++ b/source/relay/relay-desk.c
@@ -1,56 +1,8 @@
-#include "relay/relay-desk.h"
+#include "relay/relay-desk-internal.h"
 
 #include <string.h>
 
 #include "anvil/log.h"
-#include "anvil/peers.h"
-#include "relay/relay-message.h"
-
-/* How often the preferred region of each service is worked out again. */
-#define REGION_PERIOD (1 * ANVIL_SECOND)
-/* Pings without an answer after which the link is opened anew: it may be dead while others work. */
-#define PINGS_TO_RESET 2
-
-/**
- * service_t - a service as this entry asks for it
- * @region: region with most of its slots, or NULL; borrowed from the settings
- * @holder: who is asked
- */
-typedef struct
-{
-  char *name;
-  const char *region;
-  anvil_node_t holder;
-} service_t;
-
-/** local_t - an answer of this entry's own dispatcher, told from the event loop */
-typedef struct
-{
-  guint64 number;
-  gboolean granted;
-  anvil_grant_t grant;
-  anvil_refused_task_t refused;
-} local_t;
-
-struct anvil_relay_desk
-{
-  const anvil_relay_settings_t *settings;
-  const anvil_registry_t *registry;
-  anvil_relay_desk_events_t events;
-  void *context;
-  anvil_node_t self;
-  anvil_dispatcher_t *dispatcher;
-  anvil_members_t *members;
-  anvil_peers_t *peers;
-  /* service_t by name. */
-  GHashTable *services;
-  /* Nodes that answered at the last look. */
-  GHashTable *answering;
-  GQueue local;
-  struct event *deliver;
-  struct event *tick;
-  anvil_time_t regions_at;
-};
 
 static const char *
 region_of (void *context, const char *zone)
@@ -60,8 +12,8 @@
   return anvil_relay_settings_region (desk->settings, zone);
 }
 
-static void
-send_message (anvil_relay_desk_t *desk, anvil_node_t to, const anvil_relay_message_t *message)
+void
+desk_send (anvil_relay_desk_t *desk, anvil_node_t to, const anvil_relay_message_t *message)
 {
   GByteArray *bytes = g_byte_array_new ();
 
@@ -117,7 +69,7 @@
   if (id.asker == desk->self)
     post_local (desk, &local);
   else
-    send_message (desk, id.asker, &message);
+    desk_send (desk, id.asker, &message);
 }
 
 static void
@@ -131,310 +83,12 @@
   if (id.asker == desk->self)
     post_local (desk, &local);
   else
-    send_message (desk, id.asker, &message);
+    desk_send (desk, id.asker, &message);
 }
 
 static const anvil_dispatcher_actions_t dispatcher_actions
     = { .grant = act_grant, .refuse = act_refuse };
 
-static void
-take_task (anvil_relay_desk_t *desk, anvil_node_t from, const anvil_relay_message_t *message)
-{
-  anvil_time_t now = anvil_clock_now ();
-  anvil_task_t task = message->task;
-
-  task.id = (anvil_task_id_t){ .asker = from, .number = message->number };
-  task.target += now;
-  task.deadline += now;
-  if (message->kind == ANVIL_RELAY_ASK)
-    anvil_dispatcher_submit (desk->dispatcher, now, &task);
-  else
-    anvil_dispatcher_adopt (desk->dispatcher, now, &task, message->upstream);
-}
-
-static void
-take_pong (anvil_relay_desk_t *desk, anvil_node_t from, const anvil_relay_message_t *message)
-{
-  anvil_time_t now = anvil_clock_now ();
-
-  if (!anvil_members_answered (desk->members, now, from, &message->info,
-                               (anvil_time_t) message->number))
-    return;
-  anvil_log (ANVIL_LOG_NOTICE, "desk", "peer has restarted vm=%.*s",
-             ANVIL_STR_ARGS (message->info.name));
-  anvil_dispatcher_asker_lost (desk->dispatcher, now, from);
-  desk->events.peer_restarted (desk->context, from);
-}
-
-static void
-answer_ping (anvil_relay_desk_t *desk, anvil_node_t from, const anvil_relay_message_t *message)
-{
-  const anvil_relay_message_t pong = { .kind = ANVIL_RELAY_PONG,
-                                       .number = message->number,
-                                       .info = *anvil_members_self (desk->members) };
-
-  anvil_members_heard (desk->members, anvil_clock_now (), from, &message->info);
-  send_message (desk, from, &pong);
-}
-
-static void
-remember_places (anvil_relay_desk_t *desk,
-                 anvil_str_t service,
-                 const anvil_place_t *places,
-                 guint n_places)
-{
-  for (guint i = 0; i < n_places; i++)
-    anvil_dispatcher_remember (desk->dispatcher, anvil_clock_now (), service, places[i].object,
-                               places[i].upstream);
-}
-
-static void
-on_tasks (void *context, anvil_node_t from, anvil_str_t bytes)
-{
-  anvil_relay_desk_t *desk = context;
-  const anvil_task_id_t id = { .asker = from };
-  anvil_task_id_t task = id;
-  anvil_relay_message_t message;
-  GError *error = NULL;
-
-  if (!anvil_relay_message_unpack (bytes, &message, &error))
-    {
-      anvil_log (ANVIL_LOG_WARNING, "desk", "message dropped reason=\"%s\"", error->message);
-      g_error_free (error);
-      return;
-    }
-  task.number = message.number;
-  switch (message.kind)
-    {
-    case ANVIL_RELAY_PING:
-      answer_ping (desk, from, &message);
-      return;
-    case ANVIL_RELAY_PONG:
-      take_pong (desk, from, &message);
-      return;
-    case ANVIL_RELAY_ASK:
-    case ANVIL_RELAY_ADOPT:
-      take_task (desk, from, &message);
-      return;
-    case ANVIL_RELAY_GRANT:
-      desk->events.granted (desk->context, message.number, from, &message.grant);
-      return;
-    case ANVIL_RELAY_REFUSE:
-      desk->events.refused (desk->context, message.number, from, &message.refused);
-      return;
-    case ANVIL_RELAY_FINISHED:
-      anvil_dispatcher_finished (desk->dispatcher, anvil_clock_now (), task, &message.report);
-      return;
-    case ANVIL_RELAY_WITHDRAW:
-      anvil_dispatcher_withdraw (desk->dispatcher, anvil_clock_now (), task);
-      return;
-    case ANVIL_RELAY_ASK_NEWS:
-      desk->events.news_asked (desk->context, from, message.number);
-      return;
-    case ANVIL_RELAY_NEWS:
-      desk->events.news_told (desk->context, from, &message);
-      return;
-    case ANVIL_RELAY_PLACES:
-      remember_places (desk, message.service, message.places, message.n_places);
-      return;
-    }
-}
-
-/* Files of the operators don't travel between these entries. */
-static void
-on_message (void *context, anvil_node_t from, const anvil_message_t *message)
-{
-  anvil_log (ANVIL_LOG_WARNING, "desk", "message of an entry with seats ignored kind=%d",
-             (int) message->kind);
-}
-
-static void
-on_config_asked (void *context, anvil_node_t from, guint64 generation)
-{
-  anvil_log (ANVIL_LOG_WARNING, "desk", "question for an operators' file ignored");
-}
-
-static void
-on_config_arrived (
-    void *context, anvil_node_t from, guint64 generation, anvil_str_t head, anvil_str_t file)
-{
-  anvil_log (ANVIL_LOG_WARNING, "desk", "operators' file ignored");
-}
-
-static const anvil_peers_events_t peers_events = {
-  .message = on_message,
-  .config_asked = on_config_asked,
-  .config_arrived = on_config_arrived,
-  .tasks = on_tasks,
-};
-
-static void
-ping_peer (anvil_relay_desk_t *desk, anvil_time_t now, anvil_peer_t *peer)
-{
-  const anvil_relay_message_t ping = { .kind = ANVIL_RELAY_PING,
-                                       .number = (guint64) now,
-                                       .info = *anvil_members_self (desk->members) };
-  anvil_time_t period = anvil_members_ping_period (desk->members, peer);
-
-  if (now - peer->pinged_at < period)
-    return;
-  if (peer->pinged_at > 0 && now - peer->answered_at > PINGS_TO_RESET * period + peer->round_trip)
-    anvil_peers_reset (desk->peers, peer->node);
-  peer->pinged_at = now;
-  send_message (desk, peer->node, &ping);
-}
-
-/* Notes peers that stopped or began to answer. */
-static void
-watch_peer (anvil_relay_desk_t *desk, anvil_time_t now, const anvil_peer_t *peer)
-{
-  gboolean answers = anvil_members_answers (desk->members, now, peer);
-  gboolean answered = g_hash_table_contains (desk->answering, &peer->node);
-
-  if (answers == answered)
-    return;
-  if (answers)
-    g_hash_table_add (desk->answering, g_memdup2 (&peer->node, sizeof peer->node));
-  else
-    {
-      g_hash_table_remove (desk->answering, &peer->node);
-      anvil_dispatcher_asker_lost (desk->dispatcher, now, peer->node);
-    }
-  anvil_log (ANVIL_LOG_NOTICE, "desk",
-             "%s vm=%s zone=%s silent_ms=%" G_GINT64_FORMAT " round_trip_us=%" G_GINT64_FORMAT,
-             answers ? "peer answers" : "peer doesn't answer any more",
-             peer->info.name.data != NULL ? peer->info.name.data : "-",
-             peer->info.zone.data != NULL ? peer->info.zone.data : "-",
-             (now - peer->answered_at) / ANVIL_MS, peer->round_trip);
-}
-
-static void
-forget_if_lost (anvil_relay_desk_t *desk, anvil_time_t now, const anvil_peer_t *peer)
-{
-  anvil_node_t node = peer->node;
-
-  if (!anvil_members_lost (peer, now))
-    return;
-  anvil_log (ANVIL_LOG_NOTICE, "desk", "peer is forgotten vm=%s",
-             peer->info.name.data != NULL ? peer->info.name.data : "-");
-  anvil_peers_reset (desk->peers, node);
-  anvil_members_forget (desk->members, node);
-}
-
-typedef struct
-{
-  anvil_relay_desk_t *desk;
-  GHashTable *slots;
-} region_count_t;
-
-/* Adds an upstream's slots to those of its service in its region. */
-static void
-count_region (void *context, const anvil_registered_t *upstream)
-{
-  region_count_t *count = context;
-  const char *region = anvil_relay_settings_region (count->desk->settings, upstream->zone);
-  char *key;
-  gpointer slots;
-
-  if (region == NULL)
-    return;
-  key = g_strconcat (upstream->service, "\n", region, NULL);
-  slots = g_hash_table_lookup (count->slots, key);
-  g_hash_table_insert (count->slots, key,
-                       GUINT_TO_POINTER (GPOINTER_TO_UINT (slots) + upstream->slots));
-}
-
-static const char *
-largest_region (const anvil_relay_desk_t *desk, GHashTable *slots, const char *service)
-{
-  GHashTableIter iter;
-  gpointer region;
-  const char *best = NULL;
-  guint best_slots = 0;
-
-  g_hash_table_iter_init (&iter, desk->settings->regions);
-  while (g_hash_table_iter_next (&iter, NULL, &region))
-    {
-      char *key = g_strconcat (service, "\n", region, NULL);
-      guint n = GPOINTER_TO_UINT (g_hash_table_lookup (slots, key));
-
-      if (n > best_slots || (n > 0 && n == best_slots && strcmp (region, best) < 0))
-        {
-          best = region;
-          best_slots = n;
-        }
-      g_free (key);
-    }
-  return best;
-}
-
-/* Decides which peers are pinged often. */
-static void
-plan_pings (anvil_relay_desk_t *desk, anvil_time_t now)
-{
-  GArray *services = g_array_new (FALSE, FALSE, sizeof (anvil_held_service_t));
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, desk->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const service_t *service = value;
-      const anvil_held_service_t held
-          = { .service = anvil_str (service->name), .region = service->region };
-
-      g_array_append_val (services, held);
-    }
-  anvil_members_plan (desk->members, now, (const anvil_held_service_t *) (gpointer) services->data,
-                      services->len);
-  g_array_unref (services);
-}
-
-static void
-place_services (anvil_relay_desk_t *desk, anvil_time_t now)
-{
-  region_count_t count = { .desk = desk };
-  GHashTableIter iter;
-  gpointer value;
-
-  if (now - desk->regions_at < REGION_PERIOD)
-    return;
-  desk->regions_at = now;
-  count.slots = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  anvil_registry_each (desk->registry, count_region, &count);
-  g_hash_table_iter_init (&iter, desk->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      service_t *service = value;
-
-      service->region = largest_region (desk, count.slots, service->name);
-    }
-  g_hash_table_unref (count.slots);
-  plan_pings (desk, now);
-}
-
-static void
-choose_holders (anvil_relay_desk_t *desk, anvil_time_t now)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, desk->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      service_t *service = value;
-      anvil_node_t holder
-          = anvil_members_holder (desk->members, now, anvil_str (service->name), service->region);
-
-      if (holder == service->holder)
-        continue;
-      service->holder = holder;
-      anvil_log (ANVIL_LOG_NOTICE, "desk", "slots are held elsewhere now service=%s holder=%s",
-                 service->name, anvil_relay_desk_name (desk, holder));
-      desk->events.holder_changed (desk->context, service->name, holder);
-    }
-}
-
 static void
 on_tick (evutil_socket_t unused_fd, short unused_what, void *data)
 {
@@ -446,12 +100,12 @@
     {
       anvil_peer_t *peer = anvil_members_at (desk->members, i - 1);
 
-      ping_peer (desk, now, peer);
-      watch_peer (desk, now, peer);
-      forget_if_lost (desk, now, peer);
+      desk_ping (desk, now, peer);
+      desk_watch (desk, now, peer);
+      desk_forget_if_lost (desk, now, peer);
     }
-  place_services (desk, now);
-  choose_holders (desk, now);
+  desk_place_services (desk, now);
+  desk_choose_holders (desk, now);
   distance = anvil_members_round_trip (desk->members);
   if (distance > 0)
     anvil_dispatcher_set_distance (desk->dispatcher, distance);
@@ -500,7 +154,7 @@
   desk->events = *events;
   desk->context = context;
   desk->self = anvil_node (settings->peers.address, settings->peers.port);
-  desk->peers = anvil_peers_open (base, desk->self, &peers_events, desk, error);
+  desk->peers = anvil_peers_open (base, desk->self, &desk_peers_events, desk, error);
   if (desk->peers == NULL)
     {
       g_free (desk);
@@ -578,7 +232,7 @@
   if (holder == desk->self)
     anvil_dispatcher_submit (desk->dispatcher, anvil_clock_now (), task);
   else
-    send_message (desk, holder, &message);
+    desk_send (desk, holder, &message);
 }
 
 void
@@ -593,7 +247,7 @@
   if (holder == desk->self)
     anvil_dispatcher_adopt (desk->dispatcher, anvil_clock_now (), task, upstream);
   else
-    send_message (desk, holder, &message);
+    desk_send (desk, holder, &message);
 }
 
 void
@@ -607,7 +261,7 @@
 
   if (holder == desk->self)
     {
-      remember_places (desk, anvil_str (service), places, n_places);
+      desk_remember_places (desk, anvil_str (service), places, n_places);
       return;
     }
   message = g_new0 (anvil_relay_message_t, 1);
@@ -617,7 +271,7 @@
     {
       message->n_places = MIN (n_places - sent, ANVIL_MAX_TOLD_PLACES);
       memcpy (message->places, places + sent, message->n_places * sizeof *places);
-      send_message (desk, holder, message);
+      desk_send (desk, holder, message);
     }
   g_free (message);
 }
@@ -677,7 +331,7 @@
   if (holder == desk->self)
     anvil_dispatcher_withdraw (desk->dispatcher, anvil_clock_now (), id);
   else
-    send_message (desk, holder, &message);
+    desk_send (desk, holder, &message);
 }
 
 void
@@ -693,7 +347,7 @@
   if (holder == desk->self)
     anvil_dispatcher_finished (desk->dispatcher, anvil_clock_now (), id, report);
   else
-    send_message (desk, holder, &message);
+    desk_send (desk, holder, &message);
 }
 
 void
@@ -749,7 +403,7 @@
 {
   const anvil_relay_message_t message = { .kind = ANVIL_RELAY_ASK_NEWS, .number = version };
 
-  send_message (desk, reader, &message);
+  desk_send (desk, reader, &message);
 }
 
 void
@@ -757,7 +411,7 @@
                             anvil_node_t peer,
                             const anvil_relay_message_t *message)
 {
-  send_message (desk, peer, message);
+  desk_send (desk, peer, message);
 }
 
 const char *
--- /dev/null
+++ b/source/relay/relay-job-new.c
@@ -0,0 +1,83 @@
+#include "relay/relay-job-internal.h"
+
+/* A caller without a deadline on a route without a time-out waits this long at most. */
+#define DEFAULT_PATIENCE (30 * ANVIL_SECOND)
+/* Time that the answer needs back to the caller. */
+#define ANSWER_MARGIN (15 * ANVIL_MS)
+
+void
+job_free (job_t *job)
+{
+  event_free (job->timer);
+  for (guint i = 0; i < job->task.n_regions; i++)
+    g_free ((char *) job->task.regions[i].data);
+  g_free (job->service);
+  g_free (job->route);
+  g_free (job->upstream_id);
+  if (job->saved_headers != NULL)
+    g_string_free (job->saved_headers, TRUE);
+  if (job->saved_body != NULL)
+    evbuffer_free (job->saved_body);
+  g_free (job);
+}
+
+/* The same object on the same kind of route, whichever entry asks. */
+static guint64
+object_hash (const anvil_route_t *route, const anvil_relay_request_t *request)
+{
+  guint64 hash;
+
+  if (!route->sticky || request->object == NULL)
+    return 0;
+  hash = anvil_str_hash (anvil_str (request->object)) ^ ((guint64) route->kind << 8);
+  return hash != 0 ? hash : 1;
+}
+
+static void
+fill_task (anvil_relay_jobs_t *jobs, job_t *job, const anvil_route_t *route)
+{
+  const anvil_relay_request_t *request = job->request;
+  anvil_time_t patience = request->time_allowed > 0 ? request->time_allowed : DEFAULT_PATIENCE;
+
+  if (route->timeout > 0)
+    patience = MIN (patience, route->timeout);
+  job->task = (anvil_task_t){
+    .id = { .asker = anvil_relay_desk_self (jobs->parts.desk), .number = ++jobs->last_number },
+    .service = anvil_str (job->service),
+    .region = anvil_str (jobs->region),
+    .zone = anvil_str (jobs->parts.settings->zone),
+    .object = object_hash (route, request),
+    .kind = route->kind,
+    .priority = route->priority,
+    .attempt = 1,
+    .body_bytes = evbuffer_get_length (request->body),
+    .target = request->arrived_at + (route->target_latency > 0 ? route->target_latency : patience),
+    .deadline = request->arrived_at + MAX (patience - ANSWER_MARGIN, ANVIL_MS),
+    .n_regions = route->n_regions,
+  };
+  for (guint i = 0; i < route->n_regions; i++)
+    job->task.regions[i] = anvil_str (g_strdup (route->regions[i]));
+}
+
+job_t *
+job_new (anvil_relay_jobs_t *jobs, anvil_relay_request_t *request, const anvil_route_t *route)
+{
+  guint part = anvil_route_split_next (jobs->split, route);
+  job_t *job = g_new0 (job_t, 1);
+  anvil_time_t left;
+  struct timeval time;
+
+  job->jobs = jobs;
+  job->request = request;
+  job->service = g_strdup (route->parts[part].service);
+  job->route = g_strdup (route->name);
+  job->max_attempts = route->max_attempts;
+  fill_task (jobs, job, route);
+  left = MAX (job->task.deadline - anvil_clock_now (), 0);
+  time = (struct timeval){ .tv_sec = left / ANVIL_SECOND, .tv_usec = left % ANVIL_SECOND };
+  job->timer = evtimer_new (jobs->parts.base, job_on_deadline, job);
+  evtimer_add (job->timer, &time);
+  request->owner = job;
+  g_hash_table_insert (jobs->jobs, &job->task.id.number, job);
+  return job;
+}
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -1,16 +1,12 @@
-#include "relay/relay-upstream.h"
+#include "relay/relay-upstream-internal.h"
 
 #include <arpa/inet.h>
-#include <http_parser.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#include <event2/bufferevent.h>
-
 #include "anvil/log.h"
-#include "relay/http-field.h"
 
 /* Longest time to connect: some round trips between far regions. */
 #define CONNECT_TIMEOUT (400 * ANVIL_MS)
@@ -21,89 +17,15 @@
  * seconds, this many times. */
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_PROBES 2
-/* Connections are kept unused this long unless the upstream says otherwise; and this much less than
- * it says, so that a request doesn't cross its close. */
+/* Connections are kept unused this long unless the upstream says otherwise. */
 #define DEFAULT_KEEP (4 * ANVIL_SECOND)
-#define KEEP_MARGIN (1 * ANVIL_SECOND)
 /* A request that must not run twice is sent on a kept connection only if that was used this lately:
  * the older, the likelier its other end has gone unnoticed. */
 #define FRESH_FOR_UNSAFE (1500 * ANVIL_MS)
-/* Largest answer that is held, bytes; more than any body that upstreams send today. */
-#define MAX_ANSWER_BYTES (32u << 20)
 /* Answers of other requests that are thrown away while one is waited for. */
 #define MAX_STRAYS 4
 #define SWEEP_PERIOD_S 1
 
-#define STATUS_MISDIRECTED 421
-#define STATUS_TOO_MANY 429
-#define STATUS_UNAVAILABLE 503
-#define STATUS_BAD_REQUEST 400
-
-typedef struct link link_t;
-
-struct anvil_relay_pool
-{
-  struct event_base *base;
-  const anvil_wire_t *wire;
-  guint32 local;
-  /* GQueue of unused link_t by upstream, the one used last first. */
-  GHashTable *kept;
-  struct event *sweep;
-  anvil_relay_pool_counters_t counters;
-};
-
-/**
- * link - one connection to an upstream
- * @run: under way on it, or NULL while it is kept
- * @keep: how long it may stay unused
- * @used_at: when its last answer ended
- * @closing: the upstream ends it after its answer
- */
-struct link
-{
-  anvil_relay_pool_t *pool;
-  guint64 upstream;
-  guint32 address;
-  guint16 port;
-  struct bufferevent *stream;
-  anvil_relay_run_t *run;
-  gboolean reused;
-  anvil_time_t keep;
-  anvil_time_t used_at;
-  gboolean closing;
-};
-
-/**
- * anvil_relay_run - one request and its answer
- * @length: bytes of the request
- * @ended: the parser has seen the end of an answer
- * @strays: answers of other requests so far
- */
-struct anvil_relay_run
-{
-  link_t *link;
-  anvil_relay_done_cb_t done;
-  void *context;
-  char *id;
-  char *upstream_id;
-  gboolean head;
-  gsize length;
-  anvil_time_t started_at;
-  http_parser parser;
-  GString *field;
-  GString *value;
-  gboolean in_value;
-  GString *headers;
-  struct evbuffer *body;
-  char *answer_id;
-  char *answer_upstream;
-  gboolean signature;
-  gboolean not_run;
-  gboolean encoded;
-  gboolean ended;
-  guint strays;
-};
-
 static struct timeval
 to_timeval (anvil_time_t time)
 {
@@ -189,192 +111,12 @@
   finish (run, &outcome);
 }
 
-/* Whether the answer says, for this very request, that it has not run. */
-static gboolean
-says_not_run (const anvil_relay_run_t *run, guint status)
-{
-  if (run->answer_id != NULL && g_strcmp0 (run->answer_id, run->id) != 0)
-    return FALSE;
-  return run->not_run
-         && (status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY
-             || status == STATUS_BAD_REQUEST || status == STATUS_MISDIRECTED);
-}
-
-/* Judges a whole answer with the right id. */
-static anvil_relay_outcome_t
-judge (const anvil_relay_run_t *run)
-{
-  guint status = run->parser.status_code;
-  anvil_relay_outcome_t outcome = { .result = ANVIL_RUN_ANSWERED,
-                                    .status = status,
-                                    .headers = run->headers,
-                                    .body = run->body,
-                                    .took = anvil_clock_now () - run->started_at };
-
-  if (status == STATUS_MISDIRECTED)
-    {
-      outcome.result = ANVIL_RUN_UNREACHED;
-      outcome.misdirected = TRUE;
-      outcome.reason = "another upstream has its address";
-    }
-  else if (says_not_run (run, status))
-    {
-      outcome.result = ANVIL_RUN_SHED;
-      outcome.reason = "upstream has no room";
-    }
-  else if (!run->signature || run->encoded)
-    {
-      outcome = (anvil_relay_outcome_t){ .result = ANVIL_RUN_BROKEN,
-                                         .reason = "answer isn't the upstream's",
-                                         .took = outcome.took };
-    }
-  else if (status >= 500)
-    outcome.result = ANVIL_RUN_FAILED;
-  return outcome;
-}
-
-/* The answer that was read is for this request, or says that another upstream has the address. */
-static gboolean
-is_ours (const anvil_relay_run_t *run)
-{
-  if (run->answer_id != NULL)
-    return g_strcmp0 (run->answer_id, run->id) == 0;
-  return run->id == NULL || run->not_run || run->parser.status_code == STATUS_MISDIRECTED;
-}
-
-static void
-begin_answer (anvil_relay_run_t *run)
-{
-  run->in_value = FALSE;
-  run->signature = FALSE;
-  run->not_run = FALSE;
-  run->encoded = FALSE;
-  run->ended = FALSE;
-  g_clear_pointer (&run->answer_id, g_free);
-  g_clear_pointer (&run->answer_upstream, g_free);
-  g_string_truncate (run->field, 0);
-  g_string_truncate (run->value, 0);
-  g_string_truncate (run->headers, 0);
-  evbuffer_drain (run->body, evbuffer_get_length (run->body));
-}
-
-static void
-take_keep_time (link_t *link, const GString *value)
-{
-  const char *timeout = strstr (value->str, "timeout=");
-  gint64 seconds;
-
-  if (timeout == NULL)
-    return;
-  seconds = g_ascii_strtoll (timeout + strlen ("timeout="), NULL, 10);
-  link->keep = MAX (seconds * ANVIL_SECOND - KEEP_MARGIN, 0);
-}
-
-static void
-take_field (anvil_relay_run_t *run)
-{
-  const anvil_wire_t *wire = run->link->pool->wire;
-  anvil_str_t name = { .data = run->field->str, .length = run->field->len };
-  anvil_str_t value = { .data = run->value->str, .length = run->value->len };
-
-  if (name.length == 0)
-    return;
-  if (anvil_field_is (name, wire->request_id))
-    {
-      g_free (run->answer_id);
-      run->answer_id = anvil_str_dup (value);
-    }
-  else if (anvil_field_is (name, wire->signature))
-    run->signature = TRUE;
-  else if (anvil_field_is (name, wire->not_run))
-    run->not_run = TRUE;
-  else if (anvil_field_is (name, "Content-Encoding"))
-    run->encoded = !anvil_field_is (value, "identity");
-  else if (anvil_field_is (name, "Connection"))
-    run->link->closing |= anvil_field_has_token (value, "close");
-  else if (anvil_field_is (name, "Keep-Alive"))
-    take_keep_time (run->link, run->value);
-  if (!anvil_field_of_connection (name))
-    anvil_field_append (run->headers, name, value);
-  g_string_truncate (run->field, 0);
-  g_string_truncate (run->value, 0);
-}
-
-static int
-on_message_begin (http_parser *parser)
-{
-  begin_answer (parser->data);
-  return 0;
-}
-
-static int
-on_header_field (http_parser *parser, const char *at, size_t length)
-{
-  anvil_relay_run_t *run = parser->data;
-
-  if (run->in_value)
-    take_field (run);
-  run->in_value = FALSE;
-  g_string_append_len (run->field, at, (gssize) length);
-  return 0;
-}
-
-static int
-on_header_value (http_parser *parser, const char *at, size_t length)
-{
-  anvil_relay_run_t *run = parser->data;
-
-  run->in_value = TRUE;
-  g_string_append_len (run->value, at, (gssize) length);
-  return 0;
-}
-
-static int
-on_headers_complete (http_parser *parser)
-{
-  anvil_relay_run_t *run = parser->data;
-
-  take_field (run);
-  /* 1 tells the parser that the answer to a HEAD request has no body. */
-  return run->head ? 1 : 0;
-}
-
-static int
-on_body (http_parser *parser, const char *at, size_t length)
-{
-  anvil_relay_run_t *run = parser->data;
-
-  if (evbuffer_get_length (run->body) + length > MAX_ANSWER_BYTES)
-    return 1;
-  evbuffer_add (run->body, at, length);
-  return 0;
-}
-
-static int
-on_message_complete (http_parser *parser)
-{
-  anvil_relay_run_t *run = parser->data;
-
-  run->ended = TRUE;
-  http_parser_pause (parser, 1);
-  return 0;
-}
-
-static const http_parser_settings parser_settings = {
-  .on_message_begin = on_message_begin,
-  .on_header_field = on_header_field,
-  .on_header_value = on_header_value,
-  .on_headers_complete = on_headers_complete,
-  .on_body = on_body,
-  .on_message_complete = on_message_complete,
-};
-
 /* The request's own answer is whole: keeps the connection if nothing speaks against it. */
 static void
 complete (anvil_relay_run_t *run, gboolean keep_alive)
 {
   link_t *link = run->link;
-  anvil_relay_outcome_t outcome = judge (run);
+  anvil_relay_outcome_t outcome = run_judge (run);
   gboolean reusable = keep_alive && !link->closing && run->strays == 0 && link->keep > 0
                       && outcome.result != ANVIL_RUN_BROKEN && !outcome.misdirected
                       && evbuffer_get_length (bufferevent_get_input (link->stream)) == 0
@@ -397,7 +139,7 @@
   run->ended = FALSE;
   if (run->parser.status_code < 200)
     return TRUE;
-  if (is_ours (run))
+  if (run_is_ours (run))
     {
       complete (run, keep_alive);
       return FALSE;
@@ -430,8 +172,7 @@
     }
   while (evbuffer_peek (input, -1, NULL, &piece, 1) >= 1 && piece.iov_len > 0)
     {
-      size_t parsed
-          = http_parser_execute (&run->parser, &parser_settings, piece.iov_base, piece.iov_len);
+      size_t parsed = run_parse (run, piece.iov_base, piece.iov_len);
 
       evbuffer_drain (input, parsed);
       if (run->ended)
@@ -455,8 +196,8 @@
 {
   anvil_relay_run_t *run = link->run;
 
-  http_parser_execute (&run->parser, &parser_settings, NULL, 0);
-  if (run->ended && is_ours (run))
+  run_parse (run, NULL, 0);
+  if (run->ended && run_is_ours (run))
     complete (run, FALSE);
   else
     fail (run, ANVIL_RUN_BROKEN, "upstream closed before the end of its answer");
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -187,6 +187,33 @@
 /* Number of a region or zone, so that comparing costs nothing. */
 guint name_number (anvil_dispatcher_t *dispatcher, anvil_str_t name);
 
+/* dispatcher.c */
+
+/* The service of this name, which begins to exist if it is asked for. */
+service_t *dispatch_service (anvil_dispatcher_t *dispatcher, anvil_str_t name);
+
+/* dispatch-retry.c */
+
+/* Counts a try against the retry budget; FALSE if there is none left for it. */
+gboolean dispatch_spend_try (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task);
+
+/* dispatch-upstream.c */
+
+upstream_t *dispatch_upstream_new (anvil_dispatcher_t *dispatcher, guint64 key);
+void dispatch_upstream_free (gpointer data);
+void dispatch_upstream_enter (upstream_t *upstream, service_t *service);
+void dispatch_upstream_leave (upstream_t *upstream);
+void dispatch_upstream_update (anvil_dispatcher_t *dispatcher,
+                               upstream_t *upstream,
+                               const anvil_registered_t *record,
+                               anvil_str_t region);
+/* A process that began anew knows nothing of its predecessor's work. */
+void dispatch_upstream_begin_anew (upstream_t *upstream);
+/* Brings the number of slots of a service up to date. */
+void dispatch_upstream_count (service_t *service);
+/* Draws conclusions from how a task ended. */
+void dispatch_upstream_judge (upstream_t *upstream, anvil_time_t now, anvil_run_result_t result);
+
 /* dispatch-warmth.c: which upstream remembers what, and how long runs take. */
 
 object_t *warmth_object (service_t *service, const anvil_task_t *task);
@@ -249,6 +276,7 @@
 
 gboolean refusing_hopeless (const task_t *task, anvil_time_t now);
 gboolean refusing_no_room (const task_t *task, anvil_time_t now);
+gboolean refusing_in_vain (task_t *task, anvil_time_t now);
 gboolean refusing_passed_over (const task_t *task, anvil_time_t now);
 gboolean refusing_late (const task_t *task, anvil_time_t now);
 anvil_time_t refusing_come_back (const task_t *task, anvil_time_t now);
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -98,3 +98,30 @@
   service->return_at = MIN (service->return_at, now + MAX_COME_BACK);
   return service->return_at - now;
 }
+
+const char *
+anvil_task_refusal_name (anvil_task_refusal_t why)
+{
+  static const char *const names[] = {
+    [ANVIL_TASK_NO_UPSTREAM] = "no-upstream",
+    [ANVIL_TASK_NO_ROOM] = "no-room",
+    [ANVIL_TASK_NO_RETRY] = "no-retry",
+    [ANVIL_TASK_LATE] = "late",
+  };
+
+  return names[why];
+}
+
+/* A waiting task that has become late stays only if it has a chance then. */
+gboolean
+refusing_in_vain (task_t *task, anvil_time_t now)
+{
+  if (!task->is_late)
+    waiting_sort_out_late (task->object, now);
+  if (refusing_hopeless (task, now) || refusing_passed_over (task, now))
+    return TRUE;
+  if (!task->is_late || task->admitted_late)
+    return FALSE;
+  task->admitted_late = TRUE;
+  return refusing_late (task, now);
+}
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -5,14 +5,6 @@
 #include "anvil/log.h"
 #include "steer/dispatch-internal.h"
 
-/* Share of the common retry budget that one holder spends; two may act at the same time while
- * entries disagree, and some is left for what neither sees. */
-#define RETRY_SHARE 0.4
-/* Failures in a row after which an upstream gets nothing for a while. */
-#define FAILURES_TO_EJECT 2
-/* First and longest time that an upstream is left alone after failures. */
-#define EJECTION (500 * ANVIL_MS)
-#define MAX_EJECTION (4 * ANVIL_SECOND)
 /* A task that ended without a word of its asker is forgotten this long after its deadline. */
 #define DEADLINE_GRACE (500 * ANVIL_MS)
 /* How often the load that objects bring to upstreams is worked out again. */
@@ -20,19 +12,6 @@
 /* Round trip between regions before any was measured, as between neighbouring countries. */
 #define DEFAULT_BETWEEN_REGIONS (50 * ANVIL_MS)
 
-const char *
-anvil_task_refusal_name (anvil_task_refusal_t why)
-{
-  static const char *const names[] = {
-    [ANVIL_TASK_NO_UPSTREAM] = "no-upstream",
-    [ANVIL_TASK_NO_ROOM] = "no-room",
-    [ANVIL_TASK_NO_RETRY] = "no-retry",
-    [ANVIL_TASK_LATE] = "late",
-  };
-
-  return names[why];
-}
-
 static guint
 task_id_hash (gconstpointer data)
 {
@@ -59,18 +38,6 @@
   g_free (task);
 }
 
-static void
-upstream_free (gpointer data)
-{
-  upstream_t *upstream = data;
-
-  g_free (upstream->record.id);
-  g_free (upstream->record.zone);
-  g_ptr_array_unref (upstream->running);
-  g_array_unref (upstream->warm);
-  g_free (upstream);
-}
-
 static void
 service_free (gpointer data)
 {
@@ -95,7 +62,8 @@
   dispatcher->context = context;
   dispatcher->between_regions = DEFAULT_BETWEEN_REGIONS;
   dispatcher->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
-  dispatcher->upstreams = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, upstream_free);
+  dispatcher->upstreams
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, dispatch_upstream_free);
   dispatcher->tasks = g_hash_table_new_full (task_id_hash, task_id_equal, NULL, task_free);
   dispatcher->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return dispatcher;
@@ -136,8 +104,8 @@
   dispatcher->bounds = *bounds;
 }
 
-static service_t *
-service_for (anvil_dispatcher_t *dispatcher, anvil_str_t name)
+service_t *
+dispatch_service (anvil_dispatcher_t *dispatcher, anvil_str_t name)
 {
   char *text = anvil_str_dup (name);
   service_t *service = g_hash_table_lookup (dispatcher->services, text);
@@ -161,7 +129,7 @@
 void
 anvil_dispatcher_set_service (anvil_dispatcher_t *dispatcher, const anvil_service_t *profile)
 {
-  service_t *service = service_for (dispatcher, anvil_str (profile->name));
+  service_t *service = dispatch_service (dispatcher, anvil_str (profile->name));
 
   service->profile = *profile;
   service->profile.name = service->name;
@@ -173,19 +141,6 @@
   dispatcher->between_regions = between_regions;
 }
 
-static void
-count_slots (service_t *service)
-{
-  service->n_slots = 0;
-  for (guint i = 0; i < service->upstreams->len; i++)
-    {
-      const upstream_t *upstream = service->upstreams->pdata[i];
-
-      if (anvil_registry_usable (&upstream->record) && !upstream->trial)
-        service->n_slots += upstream->record.slots;
-    }
-}
-
 static void
 forget (anvil_dispatcher_t *dispatcher, task_t *task)
 {
@@ -268,66 +223,6 @@
     }
 }
 
-static void
-add_to_service (upstream_t *upstream, service_t *service)
-{
-  upstream->service = service;
-  upstream->present = TRUE;
-  g_ptr_array_add (service->upstreams, upstream);
-}
-
-static void
-remove_from_service (upstream_t *upstream)
-{
-  upstream->present = FALSE;
-  g_ptr_array_remove_fast (upstream->service->upstreams, upstream);
-  warmth_forget_upstream (upstream);
-  count_slots (upstream->service);
-}
-
-static void
-copy_record (anvil_dispatcher_t *dispatcher,
-             upstream_t *upstream,
-             const anvil_registered_t *record,
-             anvil_str_t region)
-{
-  g_free (upstream->record.id);
-  g_free (upstream->record.zone);
-  upstream->record = *record;
-  upstream->record.id = g_strdup (record->id);
-  upstream->record.zone = g_strdup (record->zone);
-  upstream->record.service = NULL;
-  upstream->record.slots = CLAMP (record->slots, 1, MAX_SLOTS);
-  upstream->region = name_number (dispatcher, region);
-  upstream->zone = name_number (dispatcher, anvil_str (record->zone));
-}
-
-/* A process that began anew knows nothing of its predecessor's work. */
-static void
-begin_anew (upstream_t *upstream)
-{
-  warmth_forget_upstream (upstream);
-  upstream->slowness = 1;
-  upstream->fault_share = 0;
-  upstream->failures = 0;
-  upstream->ejections = 0;
-  upstream->ejected_until = 0;
-  upstream->trial = FALSE;
-}
-
-static upstream_t *
-upstream_new (anvil_dispatcher_t *dispatcher, guint64 key)
-{
-  upstream_t *upstream = g_new0 (upstream_t, 1);
-
-  upstream->record.key = key;
-  upstream->running = g_ptr_array_new ();
-  upstream->warm = g_array_new (FALSE, FALSE, sizeof (warmth_t));
-  upstream->slowness = 1;
-  g_hash_table_insert (dispatcher->upstreams, &upstream->record.key, upstream);
-  return upstream;
-}
-
 void
 anvil_dispatcher_upstream (anvil_dispatcher_t *dispatcher,
                            anvil_time_t now,
@@ -336,18 +231,18 @@
                            anvil_registry_change_t change)
 {
   upstream_t *upstream = g_hash_table_lookup (dispatcher->upstreams, &record->key);
-  service_t *service = service_for (dispatcher, anvil_str (record->service));
+  service_t *service = dispatch_service (dispatcher, anvil_str (record->service));
 
   if (upstream == NULL)
-    upstream = upstream_new (dispatcher, record->key);
+    upstream = dispatch_upstream_new (dispatcher, record->key);
   if (upstream->present && upstream->service != service)
-    remove_from_service (upstream);
+    dispatch_upstream_leave (upstream);
   if (change == ANVIL_REGISTRY_RESTARTED)
-    begin_anew (upstream);
-  copy_record (dispatcher, upstream, record, region);
+    dispatch_upstream_begin_anew (upstream);
+  dispatch_upstream_update (dispatcher, upstream, record, region);
   if (!upstream->present)
-    add_to_service (upstream, service);
-  count_slots (service);
+    dispatch_upstream_enter (upstream, service);
+  dispatch_upstream_count (service);
   fill (dispatcher, now, upstream);
 }
 
@@ -365,7 +260,7 @@
 
   if (upstream == NULL || !upstream->present)
     return;
-  remove_from_service (upstream);
+  dispatch_upstream_leave (upstream);
   free_if_done (dispatcher, upstream);
 }
 
@@ -379,29 +274,13 @@
   task->zone = name_number (dispatcher, wanted->zone);
   for (guint i = 0; i < wanted->n_regions; i++)
     task->regions[i] = name_number (dispatcher, wanted->regions[i]);
-  task->service = service_for (dispatcher, wanted->service);
+  task->service = dispatch_service (dispatcher, wanted->service);
   task->object = warmth_object (task->service, wanted);
   task->object->n_tasks++;
   g_hash_table_insert (dispatcher->tasks, &task->wanted.id, task);
   return task;
 }
 
-/* Counts a try against the retry budget; FALSE if there is none left for it. */
-static gboolean
-spend_try (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task)
-{
-  const anvil_dispatcher_bounds_t *bounds = &dispatcher->bounds;
-
-  if (task->wanted.attempt <= 1)
-    {
-      anvil_retry_window_request (&task->service->retries, now, bounds->retry_window);
-      return TRUE;
-    }
-  return anvil_retry_window_spend (&task->service->retries, now, bounds->retry_window,
-                                   bounds->retry_ratio * RETRY_SHARE,
-                                   bounds->retry_extra * RETRY_SHARE);
-}
-
 void
 anvil_dispatcher_submit (anvil_dispatcher_t *dispatcher,
                          anvil_time_t now,
@@ -419,7 +298,7 @@
       return;
     }
   task = task_new (dispatcher, now, wanted);
-  if (!spend_try (dispatcher, now, task))
+  if (!dispatch_spend_try (dispatcher, now, task))
     {
       refuse (dispatcher, now, task, ANVIL_TASK_NO_RETRY);
       return;
@@ -452,46 +331,6 @@
   start (dispatcher, now, task, upstream, TRUE);
 }
 
-void
-anvil_dispatcher_remember (
-    anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_str_t name, guint64 hash, guint64 key)
-{
-  upstream_t *upstream = g_hash_table_lookup (dispatcher->upstreams, &key);
-  service_t *service = service_for (dispatcher, name);
-  const anvil_task_t about = { .object = hash };
-  object_t *object;
-
-  if (upstream == NULL || !upstream->present || upstream->service != service || hash == 0)
-    return;
-  object = warmth_object (service, &about);
-  warmth_remember (upstream, object, now);
-  warmth_forget_object_if_idle (object);
-}
-
-void
-anvil_dispatcher_list (const anvil_dispatcher_t *dispatcher,
-                       anvil_str_t name,
-                       void (*tell) (void *context, guint64 object, guint64 upstream),
-                       void *context)
-{
-  char *text = anvil_str_dup (name);
-  const service_t *service = g_hash_table_lookup (dispatcher->services, text);
-
-  g_free (text);
-  for (guint i = 0; service != NULL && i < service->upstreams->len; i++)
-    {
-      const upstream_t *upstream = service->upstreams->pdata[i];
-
-      for (guint j = 0; j < upstream->warm->len; j++)
-        {
-          const warmth_t *warmth = &g_array_index (upstream->warm, warmth_t, j);
-
-          if (warmth->ready)
-            tell (context, warmth->object->hash, upstream->record.key);
-        }
-    }
-}
-
 void
 anvil_dispatcher_withdraw (anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_task_id_t id)
 {
@@ -503,51 +342,6 @@
   forget (dispatcher, task);
 }
 
-static void
-eject (upstream_t *upstream, anvil_time_t now)
-{
-  anvil_time_t length = MIN (EJECTION << MIN (upstream->ejections, 8), MAX_EJECTION);
-
-  upstream->ejections++;
-  upstream->ejected_until = now + length;
-  upstream->trial = TRUE;
-  count_slots (upstream->service);
-  anvil_log (ANVIL_LOG_NOTICE, "dispatch",
-             "upstream gets nothing for a while upstream=%s service=%s failures=%u "
-             "for_ms=%" G_GINT64_FORMAT,
-             upstream->record.id, upstream->service->name, upstream->failures, length / ANVIL_MS);
-}
-
-/* It answers again; it may have restarted, so it is taken to be cold. */
-static void
-reinstate (upstream_t *upstream, anvil_time_t now)
-{
-  upstream->trial = FALSE;
-  upstream->ejections = 0;
-  upstream->record.cold_until
-      = MAX (upstream->record.cold_until, now + upstream->service->profile.cold_time);
-  count_slots (upstream->service);
-  anvil_log (ANVIL_LOG_NOTICE, "dispatch", "upstream answers again upstream=%s service=%s",
-             upstream->record.id, upstream->service->name);
-}
-
-static void
-judge (upstream_t *upstream, anvil_time_t now, anvil_run_result_t result)
-{
-  if (result == ANVIL_RUN_UNUSED)
-    return;
-  if (result == ANVIL_RUN_UNREACHED || result == ANVIL_RUN_BROKEN)
-    {
-      upstream->failures++;
-      if (upstream->trial || upstream->failures >= FAILURES_TO_EJECT)
-        eject (upstream, now);
-      return;
-    }
-  upstream->failures = 0;
-  if (upstream->trial)
-    reinstate (upstream, now);
-}
-
 /* Ends a task that was granted. */
 static void
 end (anvil_dispatcher_t *dispatcher, task_t *task)
@@ -573,7 +367,7 @@
   if (upstream->present)
     {
       warmth_finished (task, now, report);
-      judge (upstream, now, report->result);
+      dispatch_upstream_judge (upstream, now, report->result);
     }
   if (report->still_running)
     {
@@ -587,20 +381,6 @@
   free_if_done (dispatcher, upstream);
 }
 
-/* A waiting task that has become late stays only if it has a chance then. */
-static gboolean
-waits_in_vain (task_t *task, anvil_time_t now)
-{
-  if (!task->is_late)
-    waiting_sort_out_late (task->object, now);
-  if (refusing_hopeless (task, now) || refusing_passed_over (task, now))
-    return TRUE;
-  if (!task->is_late || task->admitted_late)
-    return FALSE;
-  task->admitted_late = TRUE;
-  return refusing_late (task, now);
-}
-
 /* Tasks whose time has come, collected first since ending one changes the table. */
 static GPtrArray *
 overdue_tasks (anvil_dispatcher_t *dispatcher, anvil_time_t now)
@@ -615,7 +395,7 @@
       task_t *task = value;
 
       if (task->upstream != NULL ? now > task->wanted.deadline + DEADLINE_GRACE
-                                 : waits_in_vain (task, now))
+                                 : refusing_in_vain (task, now))
         g_ptr_array_add (found, task);
     }
   return found;
--- /dev/null
+++ b/standins/anvil-registrant-report.c
@@ -0,0 +1,116 @@
+#include "anvil-registrant.h"
+
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <jansson.h>
+
+#include "anvil/clock.h"
+#include "anvil/log.h"
+
+const char *
+registrant_header (struct evhttp_request *request, const char *name)
+{
+  return evhttp_find_header (evhttp_request_get_input_headers (request), name);
+}
+
+/* Bytes as they are, then the end of the connection. */
+static void
+write_raw (struct evhttp_request *request, const char *bytes, gboolean reset)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+  struct bufferevent *stream = evhttp_connection_get_bufferevent (connection);
+  evutil_socket_t fd = bufferevent_getfd (stream);
+  struct linger linger = { .l_onoff = 1 };
+
+  if (send (fd, bytes, strlen (bytes), MSG_NOSIGNAL) < 0)
+    anvil_log (ANVIL_LOG_INFO, "upstream", "caller has left");
+  if (reset)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  evhttp_connection_free (connection);
+}
+
+void
+registrant_answer_fault (const work_t *work, const char *text)
+{
+  const char *id = registrant_header (work->request, "Request-Id");
+  char *head = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: x\r\n", id);
+  char *whole = NULL;
+
+  if (strcmp (work->fault, "reset") == 0)
+    write_raw (work->request, "", TRUE);
+  else if (strcmp (work->fault, "truncate") == 0)
+    whole = g_strdup_printf ("%sContent-Length: 1000\r\n\r\n%s", head, text);
+  else if (strcmp (work->fault, "unframed") == 0)
+    whole = g_strdup_printf ("%sConnection: close\r\n\r\n%s", head, text);
+  else if (strcmp (work->fault, "stray") == 0)
+    whole = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: x\r\n"
+                             "Content-Length: 5\r\n\r\nstray%sContent-Length: %zu\r\n\r\n%s",
+                             head, strlen (text), text);
+  else
+    whole = g_strdup ("this is no answer\r\n\r\n");
+  if (whole != NULL)
+    write_raw (work->request, whole, FALSE);
+  g_free (whole);
+  g_free (head);
+}
+
+/* One write a line, so that a killed process leaves whole lines. */
+void
+registrant_note (upstream_t *upstream, const char *word, const char *id)
+{
+  if (upstream->notes == NULL)
+    return;
+  fprintf (upstream->notes, "%s %" G_GINT64_FORMAT " %s\n", word, anvil_clock_wall (), id);
+  fflush (upstream->notes);
+}
+
+static void
+on_written (void *context, const anvil_http_reply_t *reply)
+{
+  upstream_t *upstream = context;
+
+  if (reply->status != HTTP_OK)
+    anvil_log (ANVIL_LOG_INFO, "upstream", "report wasn't taken status=%d", reply->status);
+  else if (upstream->draining && !upstream->drain_taken)
+    {
+      upstream->drain_taken = TRUE;
+      registrant_note (upstream, "draining", "-");
+    }
+}
+
+/* Writes its row, or removes it. */
+void
+registrant_report (upstream_t *upstream, gboolean remove)
+{
+  const anvil_setting_t *settings = upstream->settings;
+  json_t *value = json_pack (
+      "{s:s,s:I,s:{s:s,s:s,s:s,s:I},s:{s:s,s:i,s:i}}", "address",
+      settings[ADVERTISE].text != NULL ? settings[ADVERTISE].text : upstream->endpoint, "born",
+      (json_int_t) upstream->started_at, "info", "service", settings[SERVICE].text, "version", "v1",
+      "zone", settings[ZONE].text, "slots", (json_int_t) settings[SLOTS].count, "status", "state",
+      upstream->draining ? "draining" : "ready", "sequence", (int) ++upstream->sequence,
+      "coldRemainingMs", 0);
+  char *text = json_dumps (value, JSON_COMPACT);
+  char *encoded = g_base64_encode ((const guchar *) text, strlen (text));
+  json_t *row
+      = json_pack ("{s:s,s:s,s:s}", "table", "servers", "part", "", "key", settings[ID].text);
+  json_t *root;
+  struct evbuffer *body = evbuffer_new ();
+
+  if (!remove)
+    json_object_set_new (row, "value", json_string (encoded));
+  root = json_pack ("{s:[],s:[],s:[o]}", "expect", remove ? "writes" : "remove",
+                    remove ? "remove" : "writes", row);
+  free (text);
+  text = json_dumps (root, JSON_COMPACT);
+  evbuffer_add (body, text, strlen (text));
+  anvil_http_pool_call (upstream->store, EVHTTP_REQ_POST, "/-/rows-tx", body, on_written, upstream);
+  evbuffer_free (body);
+  json_decref (root);
+  json_decref (value);
+  g_free (encoded);
+  free (text);
+}
--- a/standins/anvil-registrant.c
+++ b/standins/anvil-registrant.c
@@ -25,69 +25,15 @@
 #include <event2/keyvalq_struct.h>
 #include <jansson.h>
 
+#include "anvil-registrant.h"
 #include "anvil/clock.h"
 #include "anvil/log.h"
-#include "anvil/settings.h"
-#include "net/http-pool.h"
 
 #define STORE_TIMEOUT (1 * ANVIL_SECOND)
 #define STATUS_MISDIRECTED 421
 #define STATUS_ERROR 500
 #define MAX_COUNT 1000000
 
-enum
-{
-  LISTEN,
-  STORE,
-  ID,
-  SERVICE,
-  ZONE,
-  SLOTS,
-  QUEUE,
-  WORK_MS,
-  WARM_MS,
-  HEARTBEAT_MS,
-  DRAIN_MS,
-  ADVERTISE,
-  RUNS,
-  N_SETTINGS,
-};
-
-typedef struct
-{
-  const anvil_setting_t *settings;
-  struct event_base *base;
-  anvil_http_pool_t *store;
-  char *endpoint;
-  gint64 started_at;
-  guint sequence;
-  gboolean draining;
-  gboolean drain_taken;
-  guint running;
-  /* work_t that wait for a slot. */
-  GQueue waiting;
-  /* Counts of runs by request id. */
-  GHashTable *runs;
-  GHashTable *objects;
-  /* Where runs are noted, or NULL. */
-  FILE *notes;
-} upstream_t;
-
-typedef struct
-{
-  upstream_t *upstream;
-  struct evhttp_request *request;
-  struct event *timer;
-  char *fault;
-  guint work_ms;
-} work_t;
-
-static const char *
-header_of (struct evhttp_request *request, const char *name)
-{
-  return evhttp_find_header (evhttp_request_get_input_headers (request), name);
-}
-
 static void
 set_header (struct evhttp_request *request, const char *name, const char *value)
 {
@@ -102,7 +48,7 @@
   char *load = g_strdup_printf ("%u,%u,%" G_GINT64_FORMAT, upstream->running,
                                 upstream->waiting.length, upstream->settings[SLOTS].count);
 
-  set_header (request, "Request-Id", header_of (request, "Request-Id"));
+  set_header (request, "Request-Id", registrant_header (request, "Request-Id"));
   set_header (request, "Server-Load", load);
   evbuffer_add (body, text, strlen (text));
   evhttp_send_reply (request, status, NULL, body);
@@ -117,49 +63,8 @@
   struct evbuffer *body = evhttp_request_get_input_buffer (request);
 
   return g_strdup_printf ("%s %s %s %zu", upstream->settings[ID].text,
-                          evhttp_request_get_uri (request), header_of (request, "Request-Id"),
-                          evbuffer_get_length (body));
-}
-
-/* Bytes as they are, then the end of the connection. */
-static void
-write_raw (struct evhttp_request *request, const char *bytes, gboolean reset)
-{
-  struct evhttp_connection *connection = evhttp_request_get_connection (request);
-  struct bufferevent *stream = evhttp_connection_get_bufferevent (connection);
-  evutil_socket_t fd = bufferevent_getfd (stream);
-  struct linger linger = { .l_onoff = 1 };
-
-  if (send (fd, bytes, strlen (bytes), MSG_NOSIGNAL) < 0)
-    anvil_log (ANVIL_LOG_INFO, "upstream", "caller has left");
-  if (reset)
-    setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-  evhttp_connection_free (connection);
-}
-
-static void
-answer_with_fault (const work_t *work, const char *text)
-{
-  const char *id = header_of (work->request, "Request-Id");
-  char *head = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: x\r\n", id);
-  char *whole = NULL;
-
-  if (strcmp (work->fault, "reset") == 0)
-    write_raw (work->request, "", TRUE);
-  else if (strcmp (work->fault, "truncate") == 0)
-    whole = g_strdup_printf ("%sContent-Length: 1000\r\n\r\n%s", head, text);
-  else if (strcmp (work->fault, "unframed") == 0)
-    whole = g_strdup_printf ("%sConnection: close\r\n\r\n%s", head, text);
-  else if (strcmp (work->fault, "stray") == 0)
-    whole = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: x\r\n"
-                             "Content-Length: 5\r\n\r\nstray%sContent-Length: %zu\r\n\r\n%s",
-                             head, strlen (text), text);
-  else
-    whole = g_strdup ("this is no answer\r\n\r\n");
-  if (whole != NULL)
-    write_raw (work->request, whole, FALSE);
-  g_free (whole);
-  g_free (head);
+                          evhttp_request_get_uri (request),
+                          registrant_header (request, "Request-Id"), evbuffer_get_length (body));
 }
 
 static void start_next (upstream_t *upstream);
@@ -187,7 +92,7 @@
       answer (upstream, work->request, STATUS_ERROR, "failed");
     }
   else if (work->fault[0] != '\0' && strcmp (work->fault, "unsigned") != 0)
-    answer_with_fault (work, text);
+    registrant_answer_fault (work, text);
   else
     {
       if (work->fault[0] == '\0')
@@ -212,22 +117,12 @@
   start_next (upstream);
 }
 
-/* One write a line, so that a killed process leaves whole lines. */
-static void
-note (upstream_t *upstream, const char *word, const char *id)
-{
-  if (upstream->notes == NULL)
-    return;
-  fprintf (upstream->notes, "%s %" G_GINT64_FORMAT " %s\n", word, anvil_clock_wall (), id);
-  fflush (upstream->notes);
-}
-
 static void
 start (work_t *work)
 {
   upstream_t *upstream = work->upstream;
-  const char *id = header_of (work->request, "Request-Id");
-  const char *object = header_of (work->request, "Affinity-Key");
+  const char *id = registrant_header (work->request, "Request-Id");
+  const char *object = registrant_header (work->request, "Affinity-Key");
   guint count = GPOINTER_TO_UINT (g_hash_table_lookup (upstream->runs, id));
   guint ms = work->work_ms;
   struct timeval time;
@@ -244,7 +139,7 @@
   upstream->running++;
   time = (struct timeval){ .tv_sec = ms / 1000, .tv_usec = (suseconds_t) (ms % 1000) * 1000 };
   evtimer_add (work->timer, &time);
-  note (upstream, "run", id);
+  registrant_note (upstream, "run", id);
 }
 
 static void
@@ -297,7 +192,7 @@
 {
   upstream_t *upstream = data;
   const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
-  const char *expected = header_of (request, "Expect-Instance");
+  const char *expected = registrant_header (request, "Expect-Instance");
   work_t *work;
 
   if (strcmp (path, "/runs") == 0)
@@ -311,7 +206,7 @@
       answer (upstream, request, STATUS_MISDIRECTED, "");
       return;
     }
-  if (header_of (request, "Request-Id") == NULL
+  if (registrant_header (request, "Request-Id") == NULL
       || upstream->waiting.length >= upstream->settings[QUEUE].count)
     {
       set_header (request, "Not-Run", "1");
@@ -324,58 +219,10 @@
   start_next (upstream);
 }
 
-static void
-on_written (void *context, const anvil_http_reply_t *reply)
-{
-  upstream_t *upstream = context;
-
-  if (reply->status != HTTP_OK)
-    anvil_log (ANVIL_LOG_INFO, "upstream", "report wasn't taken status=%d", reply->status);
-  else if (upstream->draining && !upstream->drain_taken)
-    {
-      upstream->drain_taken = TRUE;
-      note (upstream, "draining", "-");
-    }
-}
-
-/* Writes its row, or removes it. */
-static void
-report (upstream_t *upstream, gboolean remove)
-{
-  const anvil_setting_t *settings = upstream->settings;
-  json_t *value = json_pack (
-      "{s:s,s:I,s:{s:s,s:s,s:s,s:I},s:{s:s,s:i,s:i}}", "address",
-      settings[ADVERTISE].text != NULL ? settings[ADVERTISE].text : upstream->endpoint, "born",
-      (json_int_t) upstream->started_at, "info", "service", settings[SERVICE].text, "version", "v1",
-      "zone", settings[ZONE].text, "slots", (json_int_t) settings[SLOTS].count, "status", "state",
-      upstream->draining ? "draining" : "ready", "sequence", (int) ++upstream->sequence,
-      "coldRemainingMs", 0);
-  char *text = json_dumps (value, JSON_COMPACT);
-  char *encoded = g_base64_encode ((const guchar *) text, strlen (text));
-  json_t *row
-      = json_pack ("{s:s,s:s,s:s}", "table", "servers", "part", "", "key", settings[ID].text);
-  json_t *root;
-  struct evbuffer *body = evbuffer_new ();
-
-  if (!remove)
-    json_object_set_new (row, "value", json_string (encoded));
-  root = json_pack ("{s:[],s:[],s:[o]}", "expect", remove ? "writes" : "remove",
-                    remove ? "remove" : "writes", row);
-  free (text);
-  text = json_dumps (root, JSON_COMPACT);
-  evbuffer_add (body, text, strlen (text));
-  anvil_http_pool_call (upstream->store, EVHTTP_REQ_POST, "/-/rows-tx", body, on_written, upstream);
-  evbuffer_free (body);
-  json_decref (root);
-  json_decref (value);
-  g_free (encoded);
-  free (text);
-}
-
 static void
 on_heartbeat (evutil_socket_t unused_fd, short unused_what, void *data)
 {
-  report (data, FALSE);
+  registrant_report (data, FALSE);
 }
 
 static void
@@ -395,7 +242,7 @@
       = { .tv_sec = drain->count / 1000, .tv_usec = (suseconds_t) (drain->count % 1000) * 1000 };
 
   upstream->draining = TRUE;
-  report (upstream, FALSE);
+  registrant_report (upstream, FALSE);
   event_base_once (upstream->base, -1, EV_TIMEOUT, on_drained, upstream, &time);
 }
 
@@ -432,12 +279,12 @@
   upstream.endpoint = anvil_endpoint_format (settings[LISTEN].address, ntohs (local.sin_port));
   if (settings[RUNS].text != NULL)
     upstream.notes = fopen (settings[RUNS].text, "a");
-  note (&upstream, "start", "-");
+  registrant_note (&upstream, "start", "-");
   upstream.store = anvil_http_pool_open (upstream.base, settings[STORE].address,
                                          settings[STORE].port, STORE_TIMEOUT);
   evsignal_add (terminate, NULL);
   event_add (beat, &heartbeat);
-  report (&upstream, FALSE);
+  registrant_report (&upstream, FALSE);
   anvil_log (ANVIL_LOG_NOTICE, "upstream", "ready, listening on %s", upstream.endpoint);
   event_base_dispatch (upstream.base);
   event_free (beat);
