Give up a region's reader sooner, and tell while leaving

Replayed with logs: the region's reader was being restarted and told nothing while it left; a listener waited 1.7 s, then asked the store for itself just as 18 of 29 entries were killed and its 10 Mbit/s link filled up, and had no answer for 0.9 s.

Ruled out: a stale whole read (its registry was fresh until the reader went quiet), and a kept connection gone dead.

Change: a listener follows the store again after 1.3 s of silence, and at once when another entry becomes the reader; a reader that leaves goes on telling.

--- a/source/relay/relay-feed.c
+++ b/source/relay/relay-feed.c
@@ -10,7 +10,7 @@
 #define LISTENER_LEAVES (3 * ANVIL_SECOND)
 /* Silence of the reader after which a listener follows the store itself. With the read that follows
  * at once, a drain is still known within the 2.5 s of the platform's contract. */
-#define READER_SILENCE (1700 * ANVIL_MS)
+#define READER_SILENCE (1300 * ANVIL_MS)
 /* What a reader tells must not be older than this. */
 #define MAX_AGE (1500 * ANVIL_MS)
 
@@ -76,6 +76,8 @@
     {
       feed->reader = reader;
       feed->asked_at = 0;
+      /* Until the new one answers. */
+      set_listening (feed, FALSE, "another entry reads for the region");
     }
   if (reader == anvil_relay_desk_self (feed->desk))
     {
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -112,7 +112,7 @@
 {
   anvil_relay_t *relay = context;
 
-  if (relay->feed != NULL && is_ready (relay))
+  if (relay->feed != NULL && relay->ready)
     anvil_relay_feed_asked (relay->feed, peer, version);
 }
 
@@ -209,7 +209,7 @@
 {
   anvil_relay_t *relay = context;
 
-  if (relay->feed != NULL && is_ready (relay))
+  if (relay->feed != NULL && relay->ready)
     anvil_relay_feed_read (relay->feed);
 }
 
@@ -291,7 +291,7 @@
   set_ready (relay);
   deny_lapses (relay, now);
   anvil_registry_tick (relay->registry, now);
-  if (is_ready (relay))
+  if (relay->ready)
     anvil_relay_feed_tick (relay->feed, now);
   anvil_relay_jobs_tick (relay->jobs, now);
   if (relay->leaving)
