--- a/Makefile
+++ b/Makefile
@@ -98,7 +98,7 @@
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
-tests: $(TESTS)
+tests: $(TESTS) $(BUILD)/soak/soak
 benches: $(BENCHES)
 
 check: packages
--- /dev/null
+++ b/tests/test-soak.c
@@ -0,0 +1,43 @@
+/* A short soak of real processes, with fixed seeds. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+
+#include <glib.h>
+
+/* Seeds that break a promise join these, with a line on the cause; none has so far. */
+static const int seeds[] = { 1, 11 };
+
+START_TEST (test_promises_hold_under_faults)
+{
+  const char *bin = g_getenv ("ANVIL_BIN");
+  char *command = g_strdup_printf ("%s/../soak/soak --seed %d --seconds 8",
+                                   bin != NULL ? bin : "build/release/bin", seeds[_i]);
+  char *output = NULL;
+  int status = -1;
+
+  ck_assert (g_spawn_command_line_sync (command, &output, NULL, &status, NULL));
+  ck_assert_msg (status == 0, "%s:\n%s", command, output);
+  g_free (output);
+  g_free (command);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("soak");
+  TCase *tests = tcase_create ("soak");
+  SRunner *runner;
+  int failed;
+
+  tcase_set_timeout (tests, 180);
+  tcase_add_loop_test (tests, test_promises_hold_under_faults, 0, G_N_ELEMENTS (seeds));
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
