Find a returned store by whichever way comes first; bound the bodies that are held

Cause, second: nothing bounded the bodies of requests that one process holds, whatever memory the settings give it.

Ruled out: asking all the time with short calls.

Change: what a peer tells counts as the store's return; a follower that has lost the store asks without a hold until it answers. Bodies may take a quarter of the memory; an upload beyond is refused as not run before it is read whole. Metrics have gauges.

Before: the new process test on three entries of a region fails (bound 2.5 s). A first run of the test on bodies failed under load: the first upload wasn't read yet when the second began, so the wrong one was refused; it waits for the gauge now.

--- a/include/anvil/registry.h
+++ b/include/anvil/registry.h
@@ -124,8 +124,8 @@
 /** anvil_registry_store_lost - the store stopped answering; it was last reached at @since */
 void anvil_registry_store_lost (anvil_registry_t *registry, anvil_time_t since);
 
-/** anvil_registry_store_found - the store answers again */
-void anvil_registry_store_found (anvil_registry_t *registry, anvil_time_t now);
+/** anvil_registry_store_found - the store answers; TRUE if it was lost before */
+gboolean anvil_registry_store_found (anvil_registry_t *registry, anvil_time_t now);
 
 /** anvil_registry_lapses_for - how much longer a missing row may come back, microseconds */
 anvil_time_t anvil_registry_lapses_for (const anvil_registry_t *registry, anvil_time_t now);
--- a/source/relay/relay-caller-internal.h
+++ b/source/relay/relay-caller-internal.h
@@ -21,6 +21,9 @@
   void *context;
   struct evconnlistener *listener;
   guint max_connections;
+  gsize max_buffered;
+  /* Bytes of the bodies of all requests that aren't answered. */
+  gsize buffered;
   gboolean leaving;
   GHashTable *connections;
 };
--- a/source/relay/relay-caller-read.c
+++ b/source/relay/relay-caller-read.c
@@ -5,6 +5,7 @@
 #include "relay/http-field.h"
 
 #define STATUS_BODY_TOO_LARGE 413
+#define STATUS_UNAVAILABLE 503
 #define STATUS_HEADERS_TOO_LARGE 431
 
 const anvil_caller_bounds_t *
@@ -72,6 +73,7 @@
   struct timeval patience = caller_to_timeval (caller_bounds_of (connection)->header_timeout);
 
   connection->reading = g_new0 (anvil_relay_request_t, 1);
+  connection->reading->callers = connection->callers;
   connection->reading->headers = g_string_new (NULL);
   connection->reading->body = evbuffer_new ();
   connection->header_bytes = 0;
@@ -141,7 +143,13 @@
       connection->fault = STATUS_BODY_TOO_LARGE;
       return 1;
     }
+  if (connection->callers->buffered + length > connection->callers->max_buffered)
+    {
+      connection->fault = STATUS_UNAVAILABLE;
+      return 1;
+    }
   evbuffer_add (body, at, length);
+  connection->callers->buffered += length;
   return 0;
 }
 
--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -27,6 +27,7 @@
   g_free (request->method);
   g_free (request->target);
   g_free (request->host);
+  request->callers->buffered -= evbuffer_get_length (request->body);
   g_string_free (request->headers, TRUE);
   evbuffer_free (request->body);
   g_free (request->id);
@@ -333,6 +334,7 @@
                           guint16 port,
                           const anvil_wire_t *wire,
                           guint max_connections,
+                          gsize max_buffered,
                           const anvil_relay_caller_events_t *events,
                           void *context,
                           GError **error)
@@ -346,6 +348,7 @@
   callers->events = *events;
   callers->context = context;
   callers->max_connections = max_connections;
+  callers->max_buffered = max_buffered;
   callers->connections = g_hash_table_new (NULL, NULL);
   callers->listener = evconnlistener_new_bind (
       base, on_accept, callers, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
@@ -409,6 +412,12 @@
   return unsent;
 }
 
+gsize
+anvil_relay_callers_buffered (const anvil_relay_callers_t *callers)
+{
+  return callers->buffered;
+}
+
 guint
 anvil_relay_callers_count (const anvil_relay_callers_t *callers)
 {
--- a/source/relay/relay-caller.h
+++ b/source/relay/relay-caller.h
@@ -34,6 +34,7 @@
  * @close: the connection ends with its answer
  * @head: the answer must have no body
  * @owner: for whoever handles it
+ * @callers: that it came to
  */
 typedef struct
 {
@@ -50,6 +51,7 @@
   gboolean close;
   gboolean head;
   void *owner;
+  anvil_relay_callers_t *callers;
 } anvil_relay_request_t;
 
 /**
@@ -70,12 +72,14 @@
  * anvil_relay_callers_open - listens for callers
  * @wire: names of headers; borrowed
  * @max_connections: more are closed at once
+ * @max_buffered: bytes of bodies that are held; a request beyond is refused before it is read whole
  */
 anvil_relay_callers_t *anvil_relay_callers_open (struct event_base *base,
                                                  guint32 address,
                                                  guint16 port,
                                                  const anvil_wire_t *wire,
                                                  guint max_connections,
+                                                 gsize max_buffered,
                                                  const anvil_relay_caller_events_t *events,
                                                  void *context,
                                                  GError **error);
@@ -83,7 +87,10 @@
 /** anvil_relay_callers_close - every request must have been answered or have lost its caller */
 void anvil_relay_callers_close (anvil_relay_callers_t *callers);
 
-/** anvil_relay_callers_leave - answers from now on end their connections, idle ones end now */
+/** anvil_relay_callers_buffered - bytes of bodies that are held */
+gsize anvil_relay_callers_buffered (const anvil_relay_callers_t *callers);
+
+/** anvil_relay_callers_leave - answers from now on end their connections */
 void anvil_relay_callers_leave (anvil_relay_callers_t *callers);
 
 /** anvil_relay_callers_unsent - connections with an answer that isn't written yet */
--- a/source/relay/relay-service.c
+++ b/source/relay/relay-service.c
@@ -94,6 +94,7 @@
   const anvil_relay_service_t *service = data;
   GString *text = g_string_new (NULL);
 
+  service->parts.refresh (service->parts.context);
   anvil_counters_render (service->parts.counters, text);
   answer (request, HTTP_OK, "text/plain; version=0.0.4", text->str);
   g_string_free (text, TRUE);
--- a/source/relay/relay-service.h
+++ b/source/relay/relay-service.h
@@ -16,6 +16,7 @@
 /**
  * anvil_relay_service_parts_t - all borrowed
  * @ready: whether this entry serves callers
+ * @refresh: brings gauges up to date, before they are read
  */
 typedef struct
 {
@@ -24,6 +25,7 @@
   anvil_relay_desk_t *desk;
   anvil_counters_t *counters;
   gboolean (*ready) (void *context);
+  void (*refresh) (void *context);
   void *context;
 } anvil_relay_service_parts_t;
 
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -234,9 +234,9 @@
 {
   anvil_relay_watch_t *watch = context;
 
-  anvil_registry_store_found (watch->registry, anvil_clock_now ());
   /* A held call that the store took while it was away may get no answer for seconds. */
-  anvil_table_follower_ask_again (watch->operators);
+  if (anvil_registry_store_found (watch->registry, anvil_clock_now ()))
+    anvil_table_follower_ask_again (watch->operators);
 }
 
 /* The configuration in force stays while the store is away. */
@@ -343,7 +343,8 @@
   if (message->number < watch->upstream_version)
     return FALSE;
   /* The peer reaches the store, so what is told is the store's word. */
-  anvil_registry_store_found (watch->registry, now);
+  if (anvil_registry_store_found (watch->registry, now))
+    anvil_table_follower_ask_again (watch->operators);
   anvil_registry_expect_lapses (watch->registry, now + message->lapses_for);
   if (!anvil_news_unpack (message->rows, on_told_row, watch))
     {
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -29,6 +29,9 @@
 #define ENTRY_PERIOD (60 * ANVIL_SECOND)
 /* Descriptors that are not for callers' connections: upstreams, peers, the store, files. */
 #define OTHER_DESCRIPTORS_SHARE 2
+/* Part of the memory, one in so many, for bodies of requests: they are held once more while they
+ * are sent, and answers take room too. */
+#define BUFFERED_SHARE 4
 
 struct anvil_relay
 {
@@ -401,6 +404,53 @@
   anvil_relay_desk_set_bounds (relay->desk, &settings->bounds);
 }
 
+static void
+set_service_gauges (void *context, const char *service)
+{
+  anvil_relay_t *relay = context;
+  char *labels = g_strdup_printf ("service=\"%s\"", service);
+  anvil_dispatcher_status_t status;
+
+  if (anvil_dispatcher_status (anvil_relay_desk_dispatcher (relay->desk), anvil_str (service),
+                               &status))
+    {
+      anvil_counters_set (relay->counters, "anvil_held_upstreams", labels, status.upstreams);
+      anvil_counters_set (relay->counters, "anvil_held_slots", labels, status.slots);
+      anvil_counters_set (relay->counters, "anvil_held_running", labels, status.running);
+      anvil_counters_set (relay->counters, "anvil_held_waiting", labels, status.waiting);
+    }
+  g_free (labels);
+}
+
+static void
+refresh_gauges (void *context)
+{
+  anvil_relay_t *relay = context;
+  const anvil_routes_t *routes = anvil_relay_jobs_routes (relay->jobs);
+  const anvil_relay_pool_counters_t *pool = anvil_relay_pool_counters (relay->pool);
+  anvil_time_t known = anvil_relay_watch_known_at (relay->watch);
+  gdouble age
+      = known == G_MAXINT64 ? -1 : (gdouble) (anvil_clock_now () - known) / (gdouble) ANVIL_SECOND;
+
+  anvil_counters_set (relay->counters, "anvil_ready", "", is_ready (relay));
+  anvil_counters_set (relay->counters, "anvil_routes_version", "",
+                      routes != NULL ? (gdouble) anvil_routes_version (routes) : 0);
+  anvil_counters_set (relay->counters, "anvil_upstreams", "",
+                      anvil_registry_count (relay->registry));
+  anvil_counters_set (relay->counters, "anvil_upstreams_age_seconds", "", age);
+  anvil_counters_set (relay->counters, "anvil_requests_open", "",
+                      anvil_relay_jobs_count (relay->jobs));
+  anvil_counters_set (relay->counters, "anvil_caller_connections", "",
+                      anvil_relay_callers_count (relay->callers));
+  anvil_counters_set (relay->counters, "anvil_buffered_bytes", "",
+                      (gdouble) anvil_relay_callers_buffered (relay->callers));
+  anvil_counters_set (relay->counters, "anvil_upstream_connections_opened", "",
+                      (gdouble) pool->opened);
+  anvil_counters_set (relay->counters, "anvil_upstream_answers_strayed", "",
+                      (gdouble) pool->strays);
+  anvil_relay_desk_each_held (relay->desk, set_service_gauges, relay);
+}
+
 static gboolean
 open_parts (anvil_relay_t *relay, GError **error)
 {
@@ -416,6 +466,7 @@
                                                 .deployment = relay->deployment,
                                                 .counters = relay->counters,
                                                 .ready = is_ready,
+                                                .refresh = refresh_gauges,
                                                 .context = relay };
 
   relay->desk
@@ -429,7 +480,8 @@
   relay->jobs = anvil_relay_jobs_new (&job_parts);
   relay->callers = anvil_relay_callers_open (
       relay->base, settings->callers.address, settings->callers.port, &relay->deployment->wire,
-      settings->max_descriptors / OTHER_DESCRIPTORS_SHARE, &caller_events, relay, error);
+      settings->max_descriptors / OTHER_DESCRIPTORS_SHARE, settings->memory_bytes / BUFFERED_SHARE,
+      &caller_events, relay, error);
   if (relay->callers == NULL)
     return FALSE;
   service_parts.desk = relay->desk;
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -175,6 +175,10 @@
 {
   anvil_table_follower_t *follower = data;
 
+  /* A store that was lost is asked for an answer at once: a held call that it takes while it is
+   * away would only be missed seconds after its return. */
+  anvil_time_t wait = follower->away ? 0 : follower->wait;
+
   follower->asked_at = anvil_clock_now ();
   follower->call = g_new0 (call_t, 1);
   follower->call->follower = follower;
@@ -182,8 +186,8 @@
     anvil_store_read (follower->store, follower->table, follower->read_from, on_page,
                       follower->call);
   else
-    anvil_store_follow (follower->store, follower->table, follower->version, follower->wait,
-                        on_changes, follower->call);
+    anvil_store_follow (follower->store, follower->table, follower->version, wait, on_changes,
+                        follower->call);
 }
 
 static void
--- a/source/steer/registry.c
+++ b/source/steer/registry.c
@@ -272,13 +272,14 @@
   registry->store_away = TRUE;
 }
 
-void
+gboolean
 anvil_registry_store_found (anvil_registry_t *registry, anvil_time_t now)
 {
   if (!registry->store_away)
-    return;
+    return FALSE;
   registry->store_away = FALSE;
   registry->lapses_until = now + ANVIL_REGISTRY_LAPSE_GRACE;
+  return TRUE;
 }
 
 anvil_time_t
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -373,6 +373,19 @@
   g_free (text);
 }
 
+gint64
+fleet_gauge (const fleet_entry_t *entry, const char *name)
+{
+  char *answer = fleet_ask (entry->metrics, "GET", "/metrics", "metrics");
+  char *line = g_strdup_printf ("\n%s ", name);
+  const char *found = strstr (answer, line);
+  gint64 value = found != NULL ? (gint64) g_ascii_strtod (found + strlen (line), NULL) : -1;
+
+  g_free (line);
+  g_free (answer);
+  return value;
+}
+
 void
 fleet_wait_ready (const fleet_entry_t *entry)
 {
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -76,6 +76,9 @@
 /** fleet_follows - how often the store was asked for changes of @table */
 guint fleet_follows (fleet_t *fleet, const char *table);
 
+/** fleet_gauge - value of a metric without labels, -1 if it isn't there */
+gint64 fleet_gauge (const fleet_entry_t *entry, const char *name);
+
 /** fleet_wait_ready - until the entry says that it is ready, and has been for a moment */
 void fleet_wait_ready (const fleet_entry_t *entry);
 
--- a/tests/test-relay-process.c
+++ b/tests/test-relay-process.c
@@ -214,6 +214,47 @@
 }
 END_TEST
 
+/* Begins an upload and sends so many megabytes of it. */
+static int
+begin_upload (const char *id, guint megabytes)
+{
+  char *piece = g_strnfill (1 << 20, 'x');
+  int fd = fleet_connect (entry->callers);
+
+  fleet_send (fd,
+              "POST /pay/1 HTTP/1.1\r\nHost: " FLEET_HOST
+              "\r\nRequest-Id: %s\r\nContent-Length: 67108864\r\n\r\n",
+              id);
+  for (guint i = 0; i < megabytes; i++)
+    fleet_send (fd, "%s", piece);
+  g_free (piece);
+  return fd;
+}
+
+START_TEST (test_bodies_beyond_the_memory_for_them_are_refused)
+{
+  char *answer;
+  int first;
+  int second;
+
+  /* The settings give 256 MB, a quarter of it for bodies. */
+  start_usual ();
+  first = begin_upload ("first", 40);
+  while (fleet_gauge (entry, "anvil_buffered_bytes") < 40 << 20)
+    g_usleep (20000);
+  second = begin_upload ("second", 30);
+  answer = fleet_read (second);
+  ck_assert_msg (fleet_status (answer) == 503, "%s", answer);
+  g_free (answer);
+  close (second);
+  close (first);
+  for (guint i = 0; i < 250 && fleet_gauge (entry, "anvil_buffered_bytes") > 0; i++)
+    g_usleep (20000);
+  ck_assert_int_eq (fleet_gauge (entry, "anvil_buffered_bytes"), 0);
+  assert_status ("POST", "/pay/1", "small", 200);
+}
+END_TEST
+
 START_TEST (test_headers_beyond_the_bound_are_refused)
 {
   char *filler = g_strnfill (20000, 'x');
@@ -333,6 +374,46 @@
 }
 END_TEST
 
+START_TEST (test_a_configuration_of_a_silent_time_is_in_force_soon_at_every_entry_of_a_region)
+{
+  fleet_entry_t *entries[3];
+  anvil_time_t back_at;
+
+  fleet_add_upstream (&fleet, "u1", "photos", NULL);
+  fleet_configure (&fleet, NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (entries); i++)
+    {
+      char *name = g_strdup_printf ("e%u", i);
+
+      entries[i] = fleet_add_entry (&fleet, name, "west-a");
+      g_free (name);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (entries); i++)
+    fleet_wait_ready (entries[i]);
+  for (guint round = 0; round < 3; round++)
+    {
+      char *route = g_strdup_printf (
+          "{\"resourceKind\":\"routes\",\"metadata\":{\"name\":\"new\"},\"spec\":{\"host\":"
+          "\"" FLEET_HOST "\",\"prefix\":\"/new%u/\",\"kind\":\"safe\",\"service\":\"photos\","
+          "\"maxAttempts\":1}}",
+          round);
+      char *path = g_strdup_printf ("/new%u/1", round);
+
+      g_usleep (2500000);
+      fleet_fault (&fleet, "silent", 60000);
+      g_usleep (3700000 + round * 900000);
+      fleet_fault (&fleet, "none", 0);
+      back_at = anvil_clock_now ();
+      fleet_configure (&fleet, route);
+      for (guint i = 0; i < G_N_ELEMENTS (entries); i++)
+        wait_status (entries[i]->callers, path, 200);
+      ck_assert_int_lt (anvil_clock_now () - back_at, 2500 * ANVIL_MS);
+      g_free (path);
+      g_free (route);
+    }
+}
+END_TEST
+
 START_TEST (test_an_answer_that_came_while_the_entry_stood_still_is_delivered)
 {
   char *answer;
@@ -584,12 +665,15 @@
   tcase_add_test (tests, test_answers_without_length_and_behind_stray_ones_are_delivered);
   tcase_add_test (tests, test_a_request_that_lasts_too_long_ends_at_the_time_out);
   tcase_add_test (tests, test_bad_input_is_refused_and_disturbs_nobody);
+  tcase_add_test (tests, test_bodies_beyond_the_memory_for_them_are_refused);
   tcase_add_test (tests, test_headers_beyond_the_bound_are_refused);
   tcase_add_test (tests, test_a_newer_configuration_comes_into_force_whole);
   tcase_add_test (tests, test_nothing_is_sent_to_a_draining_upstream);
   tcase_add_test (tests, test_rows_of_foreign_writers_name_no_upstream_and_harm_none);
   tcase_add_test (tests, test_callers_are_served_while_the_store_is_away);
   tcase_add_test (tests, test_a_configuration_of_a_silent_time_is_in_force_soon_after_it);
+  tcase_add_test (
+      tests, test_a_configuration_of_a_silent_time_is_in_force_soon_at_every_entry_of_a_region);
   tcase_add_test (tests, test_an_answer_that_came_while_the_entry_stood_still_is_delivered);
   tcase_add_test (tests, test_a_forgotten_history_is_read_again);
   tcase_add_test (tests, test_a_caller_that_leaves_frees_the_slot);
