--- a/tests/soak/soak-callers.c
+++ b/tests/soak/soak-callers.c
@@ -89,6 +89,13 @@
     request->outcome = SOAK_UNKNOWN;
 }
 
+/* Not from inside its own callback; the library frees it by itself only after an answer. */
+static void
+on_used_up (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  evhttp_connection_free (data);
+}
+
 static void
 on_answer (struct evhttp_request *http, void *data)
 {
@@ -97,12 +104,13 @@
   const char *connection
       = http != NULL ? evhttp_find_header (evhttp_request_get_input_headers (http), "Connection")
                      : NULL;
+  const struct timeval at_once = { 0 };
 
   judge (call, http);
   if (call->request->status != 0 && g_strcmp0 (connection, "close") != 0)
     g_queue_push_tail (&callers->kept[call->request->entry], call->connection);
   else
-    evhttp_connection_free_on_completion (call->connection);
+    event_base_once (callers->base, -1, EV_TIMEOUT, on_used_up, call->connection, &at_once);
   g_free (call->target);
   g_free (call);
 }
