Turn spans into timers' times in one place

Ruled out: a macro beside each use; the clock's part is where a span is defined. Change: anvil_clock_timeval() in core/clock, a negative span counts as none. Conclusion: one copy.

--- a/source/core/clock.c
+++ b/source/core/clock.c
@@ -11,3 +11,11 @@
 {
   return g_get_real_time ();
 }
+
+struct timeval
+anvil_clock_timeval (anvil_time_t span)
+{
+  anvil_time_t rest = MAX (span, 0);
+
+  return (struct timeval){ .tv_sec = rest / ANVIL_SECOND, .tv_usec = rest % ANVIL_SECOND };
+}
--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -115,17 +115,11 @@
     connection->call->sent = TRUE;
 }
 
-static struct timeval
-to_timeval (anvil_time_t time)
-{
-  return (struct timeval){ .tv_sec = time / ANVIL_SECOND, .tv_usec = time % ANVIL_SECOND };
-}
-
 static void
 connection_open (connection_t *connection)
 {
   anvil_http_pool_t *pool = connection->pool;
-  struct timeval timeout = to_timeval (pool->timeout);
+  struct timeval timeout = anvil_clock_timeval (pool->timeout);
   struct bufferevent *stream;
 
   connection->evhttp = evhttp_connection_base_new (pool->base, NULL, pool->host, pool->port);
@@ -226,7 +220,7 @@
                       void *context)
 {
   gboolean full = g_queue_get_length (&pool->waiting) >= MAX_WAITING;
-  struct timeval timeout = to_timeval (full ? 0 : pool->timeout);
+  struct timeval timeout = anvil_clock_timeval (full ? 0 : pool->timeout);
   call_t *call = g_new0 (call_t, 1);
 
   call->pool = pool;
--- a/source/relay/relay-caller-internal.h
+++ b/source/relay/relay-caller-internal.h
@@ -74,7 +74,6 @@
   gboolean lingering;
 };
 
-struct timeval caller_to_timeval (anvil_time_t time);
 const anvil_caller_bounds_t *caller_bounds_of (const anvil_relay_connection_t *connection);
 
 /* Answers what can't be read as a request, behind the answers that are due, and ends. */
--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -15,12 +15,6 @@
 #define LINGER (1 * ANVIL_SECOND)
 #define STATUS_REQUEST_TIMEOUT 408
 
-struct timeval
-caller_to_timeval (anvil_time_t time)
-{
-  return (struct timeval){ .tv_sec = time / ANVIL_SECOND, .tv_usec = time % ANVIL_SECOND };
-}
-
 static void
 request_free (anvil_relay_request_t *request)
 {
@@ -86,7 +80,7 @@
 static void
 linger (anvil_relay_connection_t *connection)
 {
-  struct timeval patience = caller_to_timeval (LINGER);
+  struct timeval patience = anvil_clock_timeval (LINGER);
 
   connection->lingering = TRUE;
   shutdown (bufferevent_getfd (connection->stream), SHUT_WR);
@@ -316,7 +310,7 @@
   connection->parser.data = connection;
   g_hash_table_add (callers->connections, connection);
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  idle = caller_to_timeval (caller_bounds_of (connection)->idle_timeout);
+  idle = anvil_clock_timeval (caller_bounds_of (connection)->idle_timeout);
   bufferevent_setcb (connection->stream, on_read, on_written, on_event, connection);
   bufferevent_set_timeouts (connection->stream, &idle, &idle);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
--- a/source/relay/relay-job-new.c
+++ b/source/relay/relay-job-new.c
@@ -64,7 +64,6 @@
 {
   guint part = anvil_route_split_next (jobs->split, route);
   job_t *job = g_new0 (job_t, 1);
-  anvil_time_t left;
   struct timeval time;
 
   job->jobs = jobs;
@@ -73,8 +72,7 @@
   job->route = g_strdup (route->name);
   job->max_attempts = route->max_attempts;
   fill_task (jobs, job, route);
-  left = MAX (job->task.deadline - anvil_clock_now (), 0);
-  time = (struct timeval){ .tv_sec = left / ANVIL_SECOND, .tv_usec = left % ANVIL_SECOND };
+  time = anvil_clock_timeval (job->task.deadline - anvil_clock_now ());
   job->timer = evtimer_new (jobs->parts.base, job_on_deadline, job);
   evtimer_add (job->timer, &time);
   request->owner = job;
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -26,12 +26,6 @@
 #define MAX_STRAYS 4
 #define SWEEP_PERIOD_S 1
 
-static struct timeval
-to_timeval (anvil_time_t time)
-{
-  return (struct timeval){ .tv_sec = time / ANVIL_SECOND, .tv_usec = time % ANVIL_SECOND };
-}
-
 static void
 link_free (link_t *link)
 {
@@ -246,7 +240,7 @@
 static link_t *
 link_open (anvil_relay_pool_t *pool, const anvil_relay_send_t *send)
 {
-  struct timeval patience = to_timeval (MIN (CONNECT_TIMEOUT, MAX (send->time_left, ANVIL_MS)));
+  struct timeval patience = anvil_clock_timeval (MIN (CONNECT_TIMEOUT, MAX (send->time_left, ANVIL_MS)));
   struct sockaddr_in local = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (pool->local) };
   struct sockaddr_in remote = { .sin_family = AF_INET,
                                 .sin_port = htons (send->port),
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -304,7 +304,7 @@
 static void
 announce_after (anvil_relay_t *relay, anvil_time_t pause)
 {
-  struct timeval time = { .tv_sec = pause / ANVIL_SECOND, .tv_usec = pause % ANVIL_SECOND };
+  const struct timeval time = anvil_clock_timeval (pause);
 
   evtimer_add (relay->announce, &time);
 }
