Count a caller's idle time from its last answer, by the limits in force

Cause: the read timeout of a caller's connection was set when the connection was accepted, from the limits of that moment, and ran from the caller's last byte. A caller may use a connection again for four fifths of the idle time after its last answer; after an answer that took a few seconds, or once the configuration has raised the limit, we closed first, and a request that was under way got neither answer nor refusal. Change: a timer for each connection looks at when bytes came or went last and at the limits in force; while an answer is owed the caller isn't idle.

--- a/source/relay/relay-caller-internal.h
+++ b/source/relay/relay-caller-internal.h
@@ -51,6 +51,8 @@
  * @fault: status to answer when what is being read can't be taken, 0 for none
  * @turns: turn_t in order
  * @header_timer: runs while headers are read
+ * @idle_timer: runs always; looks at @active_at
+ * @active_at: when the caller's bytes arrived or its answers were written last
  * @paused: too many requests wait, no more is read
  * @ending: no more requests are taken; closed once all answers are written
  * @lingering: everything is written; waits for the caller to close
@@ -69,6 +71,8 @@
   guint fault;
   GQueue turns;
   struct event *header_timer;
+  struct event *idle_timer;
+  anvil_time_t active_at;
   gboolean paused;
   gboolean ending;
   gboolean lingering;
--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -49,6 +49,7 @@
   g_string_free (connection->field, TRUE);
   g_string_free (connection->value, TRUE);
   event_free (connection->header_timer);
+  event_free (connection->idle_timer);
   bufferevent_free (connection->stream);
   g_queue_clear_full (&connection->turns, turn_free);
   g_free (connection);
@@ -83,6 +84,7 @@
   struct timeval patience = anvil_clock_timeval (LINGER);
 
   connection->lingering = TRUE;
+  event_del (connection->idle_timer);
   shutdown (bufferevent_getfd (connection->stream), SHUT_WR);
   bufferevent_set_timeouts (connection->stream, &patience, NULL);
   bufferevent_enable (connection->stream, EV_READ);
@@ -236,6 +238,7 @@
   anvil_relay_connection_t *connection = data;
   struct evbuffer *input = bufferevent_get_input (stream);
 
+  connection->active_at = anvil_clock_now ();
   if (connection->ending)
     evbuffer_drain (input, evbuffer_get_length (input));
   else
@@ -245,17 +248,34 @@
 static void
 on_written (struct bufferevent *stream, void *data)
 {
-  end_if_written (data);
+  anvil_relay_connection_t *connection = data;
+
+  connection->active_at = anvil_clock_now ();
+  end_if_written (connection);
+}
+
+/* An answer is due or on its way: the caller isn't idle, it waits. */
+static gboolean
+is_owed (const anvil_relay_connection_t *connection)
+{
+  return connection->turns.length > 0
+         || evbuffer_get_length (bufferevent_get_output (connection->stream)) > 0;
 }
 
-/* Nothing came for as long as a caller may be idle. */
+/* A caller counts its idle time from the last answer, and by the configuration of that moment, so a
+ * timer set when the request came, or by an older configuration, would close too soon: while its
+ * next request is under way. */
 static void
-on_idle (anvil_relay_connection_t *connection)
+on_idle_timer (evutil_socket_t unused_fd, short unused_what, void *data)
 {
-  if (connection->lingering)
-    lose (connection);
-  else if (!g_queue_is_empty (&connection->turns) || connection->paused)
-    bufferevent_enable (connection->stream, EV_READ);
+  anvil_relay_connection_t *connection = data;
+  anvil_time_t now = anvil_clock_now ();
+  anvil_time_t idle_timeout = caller_bounds_of (connection)->idle_timeout;
+  anvil_time_t since = is_owed (connection) ? now : connection->active_at;
+  struct timeval rest = anvil_clock_timeval (since + idle_timeout - now);
+
+  if (now - since < idle_timeout)
+    evtimer_add (connection->idle_timer, &rest);
   else if (connection->reading != NULL)
     caller_reject (connection, STATUS_REQUEST_TIMEOUT);
   else
@@ -267,9 +287,8 @@
 {
   anvil_relay_connection_t *connection = data;
 
-  if ((what & BEV_EVENT_TIMEOUT) != 0 && (what & BEV_EVENT_READING) != 0)
-    on_idle (connection);
-  else if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
+  /* Reading has a time limit only while lingering, writing always. */
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
     lose (connection);
 }
 
@@ -305,6 +324,8 @@
   connection->field = g_string_new (NULL);
   connection->value = g_string_new (NULL);
   connection->header_timer = evtimer_new (callers->base, on_header_timeout, connection);
+  connection->idle_timer = evtimer_new (callers->base, on_idle_timer, connection);
+  connection->active_at = anvil_clock_now ();
   g_queue_init (&connection->turns);
   http_parser_init (&connection->parser, HTTP_REQUEST);
   connection->parser.data = connection;
@@ -312,7 +333,8 @@
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   idle = anvil_clock_timeval (caller_bounds_of (connection)->idle_timeout);
   bufferevent_setcb (connection->stream, on_read, on_written, on_event, connection);
-  bufferevent_set_timeouts (connection->stream, &idle, &idle);
+  bufferevent_set_timeouts (connection->stream, NULL, &idle);
+  evtimer_add (connection->idle_timer, &idle);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
 }
 
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -240,7 +240,8 @@
 static link_t *
 link_open (anvil_relay_pool_t *pool, const anvil_relay_send_t *send)
 {
-  struct timeval patience = anvil_clock_timeval (MIN (CONNECT_TIMEOUT, MAX (send->time_left, ANVIL_MS)));
+  struct timeval patience
+      = anvil_clock_timeval (MIN (CONNECT_TIMEOUT, MAX (send->time_left, ANVIL_MS)));
   struct sockaddr_in local = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (pool->local) };
   struct sockaddr_in remote = { .sin_family = AF_INET,
                                 .sin_port = htons (send->port),
