Answer every request of a connection before a leaving entry closes it

Cause: once an entry was leaving, the next answer on a connection carried Connection: close and everything behind it was dropped, also requests that upstreams were at work on. Callers that send several requests at once lost them. Ruled out: closing without the header (callers would go on using it). Change: the answer that is last in the order of what was handed on closes. Before: test_a_leaving_entry_answers_all_requests_of_a_connection fails (the second request lost its caller).

--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -158,6 +158,13 @@
   return NULL;
 }
 
+/* Requests behind it were handed on already, and their answers are owed. */
+static gboolean
+is_last (const anvil_relay_connection_t *connection, const turn_t *turn)
+{
+  return connection->turns.tail->data == turn;
+}
+
 static const char *
 reason_phrase (guint status)
 {
@@ -207,7 +214,7 @@
 
   if (turn != NULL)
     {
-      turn->close = request->close || connection->callers->leaving;
+      turn->close = request->close || (connection->callers->leaving && is_last (connection, turn));
       turn->answer = format_answer (status, headers, body, request->head, turn->close);
       turn->request = NULL;
     }
--- a/tests/test-relay-caller.c
+++ b/tests/test-relay-caller.c
@@ -209,6 +209,26 @@
 }
 END_TEST
 
+START_TEST (test_a_leaving_entry_answers_all_requests_of_a_connection)
+{
+  const char *first;
+  const char *second;
+
+  send_text (ONE_REQUEST ANOTHER_REQUEST);
+  wait_for_requests (2);
+  anvil_relay_callers_leave (callers);
+  answer_first ("Answer: first\r\n");
+  ck_assert_msg (gone == 0, "a request that was handed on has lost its caller");
+  answer_first ("Answer: second\r\n");
+  wait_for_end ();
+  first = strstr (received->str, "Answer: first");
+  second = strstr (received->str, "Answer: second");
+  ck_assert_msg (first != NULL && second != NULL && first < second, "%s", received->str);
+  ck_assert_ptr_nonnull (strstr (second, "Connection: close"));
+  ck_assert_ptr_null (g_strstr_len (first, second - first, "Connection: close"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -225,6 +245,7 @@
   tcase_add_test (tests, test_a_longer_idle_time_holds_for_open_connections);
   tcase_add_test (tests, test_an_idle_connection_ends);
   tcase_add_test (tests, test_a_body_that_stops_coming_is_answered_408);
+  tcase_add_test (tests, test_a_leaving_entry_answers_all_requests_of_a_connection);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
