--- a/tests/test-oracles.c
+++ b/tests/test-oracles.c
@@ -162,6 +162,31 @@
 }
 END_TEST
 
+START_TEST (test_in_force_oracle_asks_for_no_file_by_way_of_entries_that_get_none)
+{
+  const fake_record_t ahead = { .kind = FAKE_IN_FORCE, .entry = 1, .generation = 9 };
+  world_t *world = world_new (1, NULL);
+  const world_op_t pause = world_op ("advance", 249, 0, 0);
+  const world_op_t apart = world_op ("cut", 5, 1, 0);
+
+  for (guint i = 0; i < 5; i++)
+    ck_assert (world_step (world, &pause));
+  oracle_record (world->oracle, &ahead);
+  for (guint8 i = 0; i < 5; i++)
+    {
+      const world_op_t files_cut = world_op ("files-cut", i, 0, 0);
+
+      if (i != ahead.entry)
+        world_step (world, &files_cut);
+    }
+  world_step (world, &apart);
+  for (guint i = 0; i < 8; i++)
+    world_step (world, &pause);
+  ck_assert_msg (oracle_failed (world->oracle) == NULL, "%s", oracle_reason (world->oracle));
+  world_drop (world);
+}
+END_TEST
+
 START_TEST (test_recovery_oracle_fails_when_a_seat_has_no_user)
 {
   world_t *world = world_new (1, NULL);
@@ -198,6 +223,7 @@
   tcase_add_loop_test (tcase, test_oracle_fails_on_a_forbidden_history, 0,
                        G_N_ELEMENTS (forbidden));
   tcase_add_test (tcase, test_in_force_oracle_fails_when_others_stay_behind);
+  tcase_add_test (tcase, test_in_force_oracle_asks_for_no_file_by_way_of_entries_that_get_none);
   tcase_add_test (tcase, test_recovery_oracle_fails_when_a_seat_has_no_user);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
