Ask another peer for a newer file at once

An entry that hears of a newer file asks the peer that it heard it from, at most every 200 ms. Entry 2 heard entry 0, which it couldn't reach (cut one way), always 10 ms before entry 5, which had the file too and could be reached; the interval was spent on the first each time (trace of messages and files: six pairs of heartbeats, no file for entry 2). Ruled out: heartbeats lost or not sent (five of entry 5's arrived in 5.5 s), the store (cut off from it), files-cut (entry 1 only). Conclusion: a fault of the core, mended.

--- a/source/steer/steer-config.c
+++ b/source/steer/steer-config.c
@@ -39,8 +39,10 @@
   if (steer->behind_since == 0)
     steer->behind_since = now;
   steer->heard_generation = MAX (steer->heard_generation, generation);
-  if (now < steer->fetch_next)
+  /* Another peer is asked at once: the one before may be heard and not be reached. */
+  if (now < steer->fetch_next && peer == steer->fetch_peer)
     return;
+  steer->fetch_peer = peer;
   steer->fetch_next = now + FETCH_INTERVAL;
   steer->actions.fetch_config (steer->context, generation, peer);
 }
--- a/source/steer/steer-internal.h
+++ b/source/steer/steer-internal.h
@@ -136,6 +136,8 @@
   GArray *old_generations;
   guint64 heard_generation;
   anvil_time_t behind_since;
+  /* The peer that was asked for a newer file last, and when it may be asked again. */
+  anvil_node_t fetch_peer;
   anvil_time_t fetch_next;
   guint zone;
   guint region;
--- a/tests/test-fuzz.c
+++ b/tests/test-fuzz.c
@@ -16,6 +16,11 @@
   { 95,
     "076aad952144a6d0725ea72c89a0573f2abfd09b05f73dec0a528cebcb976dae7eccd58d82a5dc8029c87274c01f"
     "69778fa63bda323894d0377c3ef2" },
+  /* in-force: the peer that was heard first, and couldn't be reached, was the only one asked. */
+  { 37000234,
+    "02cafe69881c3575e8b909f729d2f64211e0e4e721724c01723be6604cae281488476b7b23a7910a05c6f6d58b24"
+    "ae08af26d84e7c7de85e6155cccf8a7758ef2fa15eaa396b4490dc860618dd1fc858b9b0e1d0e3ed168536a10e3"
+    "a" },
   /* link: a few borrowed bits started a whole upload, unpaced. */
   { 103, "36d2d8486d6d6e7c" },
   { 136, "2ff7550a5ffb9819" },
