Reset a connection to an upstream whose exchange is given up

An exchange that is given up was closed in order, and an orderly close goes on sending what is held up. Change: cancelled and failed exchanges are reset; answered ones end in order. Conclusion: nothing that was given up is on its way any more.

--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -1,6 +1,7 @@
 #include "relay/relay-upstream-internal.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -33,6 +34,21 @@
   g_free (link);
 }
 
+/* Ends a connection whose exchange is given up. An orderly close would let the kernel go on sending
+ * what a cut has held up, for many seconds, and the upstream could run it long after its caller was
+ * answered; a reset drops it. */
+static void
+link_abort (link_t *link)
+{
+  const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+  evutil_socket_t fd = bufferevent_getfd (link->stream);
+
+  if (fd >= 0 && setsockopt (fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once) != 0)
+    anvil_log (ANVIL_LOG_WARNING, "upstream", "connection is closed in order error=\"%s\"",
+               g_strerror (errno));
+  link_free (link);
+}
+
 static void
 run_free (anvil_relay_run_t *run)
 {
@@ -101,7 +117,7 @@
   const anvil_relay_outcome_t outcome
       = { .result = result, .reason = reason, .took = anvil_clock_now () - run->started_at };
 
-  link_free (run->link);
+  link_abort (run->link);
   finish (run, &outcome);
 }
 
@@ -347,7 +363,7 @@
 {
   gboolean sent = has_sent (run);
 
-  link_free (run->link);
+  link_abort (run->link);
   run_free (run);
   return sent;
 }
