Let an entry believe a list that is older than a drain

The platform's list was 12 s behind: it told entry 0 at 10.40 s of a drain that had ended, when the upstream had just begun to drain again, and at 16.40 s that it didn't drain. The oracle took the first for news of the second drain and ignored the second list (trace of the lists that entry 0 got, beside the truth). Ruled out: a report or a peer that denied the drain (none did), a list delivered out of order (versions grow). Change: an entry whose list denies a drain counts as told from then on only by those it is in touch with, as an entry that has just started. Conclusion: the check was wrong for lists that lag behind two drains.

--- a/tests/fuzz/oracle-drains.c
+++ b/tests/fuzz/oracle-drains.c
@@ -101,6 +101,17 @@
       drain->since[i] = NEVER;
 }
 
+/* An entry follows the newest list that it has, which may be older than the drain. From then on it
+ * counts as told by whoever it is in touch with, as after a start. */
+static void
+note_denied_by_list (drain_t *drain, guint entry)
+{
+  if (drain->told[entry] != TOLD_BY_LIST)
+    return;
+  drain->told[entry] = TOLD_NOTHING;
+  drain->since[entry] = NEVER;
+}
+
 static void
 forget_entry (oracle_drains_t *drains, guint entry)
 {
@@ -131,7 +142,12 @@
   if (record->kind == FAKE_DRAIN_LEARNT && drain->draining)
     note_told (drain, record);
   if (record->kind == FAKE_DRAIN_DENIED && drain->draining)
-    note_denied (drains, drain);
+    {
+      if (record->listed)
+        note_denied_by_list (drain, record->entry);
+      else
+        note_denied (drains, drain);
+    }
   if (record->kind == FAKE_STOPPED)
     lose_touch (drains);
   if (record->kind == FAKE_STARTED)
