Judge a task's turn by all that waits for its upstreams

A task's turn was reckoned from the tasks that wait for its own object, and its admission from all slots of the service; an upstream remembers 5 to 10 objects, whose tasks ask for the same three slots. Ruled out: cold runs (121 of 5,219), distance (within stred, 1 to 2 ms away, the wait was the same), forgotten objects (at most 10 an upstream are in use). Change: each upstream has its share of the tasks that wait for what it remembers; a task waits, runs cold elsewhere or is refused by that. Test: test_requests_for_other_objects_of_an_upstream_count_as_waiting_for_it, red before (three grants).

--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -77,6 +77,7 @@
  * @running: task_t under way
  * @warm: what it remembers
  * @object_load: slots that the demand for what it remembers fills; kept by the tick
+ * @backlog: its share of the tasks that wait for what it remembers, as far as they can be in time
  * @slowness: its durations, times what is expected of them
  * @failures: failures in a row that say that it can't be used
  * @fault_share: running mean of failed or shed runs, 0 to 1
@@ -95,6 +96,7 @@
   GPtrArray *running;
   GArray *warm;
   gdouble object_load;
+  gdouble backlog;
   gdouble slowness;
   guint failures;
   gdouble fault_share;
@@ -266,6 +268,8 @@
 /* dispatch-waiting.c */
 
 void waiting_enter (task_t *task);
+/* Works out anew which waiting tasks each upstream of a service has before it. */
+void waiting_measure_backlog (service_t *service);
 void waiting_leave (task_t *task);
 task_t *waiting_best_for (upstream_t *upstream, anvil_time_t now);
 
@@ -275,7 +279,7 @@
 /* dispatch-refusing.c */
 
 gboolean refusing_hopeless (const task_t *task, anvil_time_t now);
-gboolean refusing_no_room (const task_t *task, anvil_time_t now);
+gboolean refusing_no_room (task_t *task, anvil_time_t now);
 gboolean refusing_in_vain (task_t *task, anvil_time_t now);
 gboolean refusing_passed_over (const task_t *task, anvil_time_t now);
 gboolean refusing_late (const task_t *task, anvil_time_t now);
--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -144,6 +144,16 @@
   return best->upstream == NULL || place->cost < best->cost;
 }
 
+/* How long an upstream needs for the tasks that wait for it: for this object or for others that it
+ * remembers, which ask for the same slots. */
+static anvil_time_t
+backlog_delay (const upstream_t *upstream, const task_t *task)
+{
+  gdouble run = (gdouble) warmth_run_time (upstream, task->wanted.kind, TRUE);
+
+  return (anvil_time_t) (upstream->backlog * run / MAX (upstream->record.slots, 1u));
+}
+
 /* The best of the upstreams that remember the object; with @room, of those with a free slot. */
 static place_t
 best_remembering (task_t *task, anvil_time_t now, gboolean room)
@@ -163,37 +173,23 @@
       if (!room && (!anvil_registry_usable (&upstream->record) || upstream->trial))
         continue;
       place = placing_estimate (upstream, task, now, TRUE);
+      if (!room)
+        {
+          anvil_time_t delay = backlog_delay (upstream, task);
+
+          place.finish += delay;
+          place.cost += delay;
+        }
       if (is_better (&place, &best))
         best = place;
     }
   return best;
 }
 
-/* What waits for the same object keeps the upstreams that remember it busy first. */
-static anvil_time_t
-queue_delay (const task_t *task)
-{
-  const object_t *object = task->object;
-  guint slots = 0;
-
-  if (object->anonymous)
-    return 0;
-  for (guint i = 0; i < object->upstreams->len; i++)
-    slots += ((const upstream_t *) object->upstreams->pdata[i])->record.slots;
-  return slots == 0 ? 0
-                    : warmth_usual_run (task->service, task->wanted.kind, TRUE)
-                          * object->waiting.length / (anvil_time_t) slots;
-}
-
 place_t
 placing_best_warm (task_t *task, anvil_time_t now)
 {
-  place_t place = best_remembering (task, now, FALSE);
-  anvil_time_t delay = queue_delay (task);
-
-  place.finish += delay;
-  place.cost += delay;
-  return place;
+  return best_remembering (task, now, FALSE);
 }
 
 static anvil_time_t
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -72,18 +72,29 @@
   return now + usual_run (task) + work (task, service->n_waiting) > task->wanted.deadline;
 }
 
-gboolean
-refusing_no_room (const task_t *task, anvil_time_t now)
+/* Whether the task's turn comes within its target. Those that can be in time are served in the
+ * order of their targets; where upstreams remember the object, it waits for these and not for any.
+ */
+static gboolean
+comes_in_time (task_t *task, anvil_time_t now)
 {
   const service_t *service = task->service;
-  guint in_time = service->n_waiting - service->n_late;
+  place_t warm = { 0 };
+
+  if (!task->object->anonymous)
+    warm = placing_best_warm (task, now);
+  if (warm.upstream != NULL)
+    return warm.finish <= task->wanted.target;
+  return now + usual_run (task) + work (task, service->n_waiting - service->n_late)
+         <= task->wanted.target;
+}
 
-  if (service->n_waiting >= MAX_WAITING_TASKS || refusing_hopeless (task, now))
+gboolean
+refusing_no_room (task_t *task, anvil_time_t now)
+{
+  if (task->service->n_waiting >= MAX_WAITING_TASKS || refusing_hopeless (task, now))
     return TRUE;
-  /* Those that can be in time are served in the order of their targets. */
-  if (now + usual_run (task) + work (task, in_time) <= task->wanted.target)
-    return FALSE;
-  return refusing_late (task, now);
+  return !comes_in_time (task, now) && refusing_late (task, now);
 }
 
 anvil_time_t
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -44,6 +44,33 @@
  */
 #define LOOK_AHEAD 4
 
+/* Spreads @tasks that wait for an object over the upstreams that remember it. */
+static void
+add_backlog (const object_t *object, gdouble tasks)
+{
+  const GPtrArray *upstreams = object->upstreams;
+
+  for (guint i = 0; i < upstreams->len; i++)
+    {
+      upstream_t *upstream = upstreams->pdata[i];
+
+      upstream->backlog = MAX (upstream->backlog + tasks / upstreams->len, 0);
+    }
+}
+
+void
+waiting_measure_backlog (service_t *service)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  for (guint i = 0; i < service->upstreams->len; i++)
+    ((upstream_t *) service->upstreams->pdata[i])->backlog = 0;
+  g_hash_table_iter_init (&iter, service->waiting_objects);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    add_backlog (key, ((const object_t *) key)->waiting.length);
+}
+
 void
 waiting_enter (task_t *task)
 {
@@ -52,6 +79,7 @@
   g_queue_push_tail (&task->object->waiting, task);
   g_hash_table_add (service->waiting_objects, task->object);
   service->n_waiting++;
+  add_backlog (task->object, 1);
 }
 
 void
@@ -66,6 +94,8 @@
   service->n_waiting--;
   if (task->is_late)
     service->n_late--;
+  else
+    add_backlog (object, -1);
   task->is_late = FALSE;
 }
 
@@ -80,6 +110,7 @@
       g_queue_push_tail (&object->late, g_queue_pop_head (&object->waiting));
       task->is_late = TRUE;
       object->service->n_late++;
+      add_backlog (object, -1);
     }
 }
 
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -451,6 +451,7 @@
     {
       service_t *service = value;
 
+      waiting_measure_backlog (service);
       for (guint i = 0; service->n_waiting > 0 && i < service->upstreams->len; i++)
         fill (dispatcher, now, service->upstreams->pdata[i]);
     }
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -109,6 +109,27 @@
 }
 END_TEST
 
+/* One upstream remembers twelve objects, and a request comes for each of them: each alone would
+ * find its turn soon, all together don't. Those whose turn would come later than the end of a run
+ * on the idle upstream run there. */
+START_TEST (test_requests_for_other_objects_of_an_upstream_count_as_waiting_for_it)
+{
+  guint first;
+
+  add_upstreams (1);
+  for (guint64 object = 1; object <= 12; object++)
+    {
+      lab_ask (&lab, object);
+      lab_run (&lab, ANVIL_SECOND);
+    }
+  add_upstreams (1);
+  first = lab.n_grants;
+  for (guint64 object = 1; object <= 12; object++)
+    lab_ask (&lab, object);
+  ck_assert_uint_gt (lab.n_grants - first, 3);
+}
+END_TEST
+
 /* 14 upstreams with 3 slots: 76 requests a second take 20 slots if their upstreams remember the
  * objects, and 67 if not. */
 START_TEST (test_load_beyond_what_cold_runs_could_carry_is_served_in_time)
@@ -408,6 +429,7 @@
   tcase_add_test (tests, test_an_object_is_remembered_only_once_its_first_run_has_ended);
   tcase_add_test (tests, test_objects_are_not_spread_beyond_what_upstreams_remember);
   tcase_add_test (tests, test_of_the_late_the_newest_is_served_first);
+  tcase_add_test (tests, test_requests_for_other_objects_of_an_upstream_count_as_waiting_for_it);
   tcase_add_test (tests, test_load_beyond_what_cold_runs_could_carry_is_served_in_time);
   tcase_add_test (tests, test_beyond_saturation_most_slots_serve_in_time);
   tcase_add_test (tests, test_beyond_saturation_refusals_come_early);
