Count the way back to the caller against the target latency

Cause: a task counted as in time if its answer was here within the route's target latency; callers count from their side. Ruled out: the deadline (the same margin counted against it already).

--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -77,6 +77,13 @@
 job_new (anvil_relay_jobs_t *jobs, anvil_relay_request_t *request, const anvil_route_t *route);
 void job_free (job_t *job);
 
+/* When the answer has to be here so that the caller gets it within the route's target latency, and
+ * within its own time or the route's time-out. @time_allowed is 0 if the caller named none. */
+void job_set_times (anvil_task_t *task,
+                    const anvil_route_t *route,
+                    anvil_time_t arrived_at,
+                    anvil_time_t time_allowed);
+
 /* A job's time is up. */
 void job_on_deadline (evutil_socket_t unused_fd, short unused_what, void *data);
 
--- a/source/relay/relay-job-new.c
+++ b/source/relay/relay-job-new.c
@@ -33,14 +33,26 @@
   return hash != 0 ? hash : 1;
 }
 
+void
+job_set_times (anvil_task_t *task,
+               const anvil_route_t *route,
+               anvil_time_t arrived_at,
+               anvil_time_t time_allowed)
+{
+  anvil_time_t patience = time_allowed > 0 ? time_allowed : DEFAULT_PATIENCE;
+  anvil_time_t target = route->target_latency > 0 ? route->target_latency : G_MAXINT64;
+
+  if (route->timeout > 0)
+    patience = MIN (patience, route->timeout);
+  task->deadline = arrived_at + MAX (patience - ANSWER_MARGIN, ANVIL_MS);
+  task->target = arrived_at + MAX (MIN (target, patience) - ANSWER_MARGIN, ANVIL_MS);
+}
+
 static void
 fill_task (anvil_relay_jobs_t *jobs, job_t *job, const anvil_route_t *route)
 {
   const anvil_relay_request_t *request = job->request;
-  anvil_time_t patience = request->time_allowed > 0 ? request->time_allowed : DEFAULT_PATIENCE;
 
-  if (route->timeout > 0)
-    patience = MIN (patience, route->timeout);
   job->task = (anvil_task_t){
     .id = { .asker = anvil_relay_desk_self (jobs->parts.desk), .number = ++jobs->last_number },
     .service = anvil_str (job->service),
@@ -51,10 +63,9 @@
     .priority = route->priority,
     .attempt = 1,
     .body_bytes = evbuffer_get_length (request->body),
-    .target = request->arrived_at + (route->target_latency > 0 ? route->target_latency : patience),
-    .deadline = request->arrived_at + MAX (patience - ANSWER_MARGIN, ANVIL_MS),
     .n_regions = route->n_regions,
   };
+  job_set_times (&job->task, route, request->arrived_at, request->time_allowed);
   for (guint i = 0; i < route->n_regions; i++)
     job->task.regions[i] = anvil_str (g_strdup (route->regions[i]));
 }
