Say in the comments what leaving and backlogs now mean

Cause: read as a newcomer, the comment on leaving callers said that any answer ends its connection, and the header of placing didn't name the load that backlogs answer. Change: comments, and the order of two declarations. No behaviour changes.

--- a/source/relay/relay-caller.h
+++ b/source/relay/relay-caller.h
@@ -90,7 +90,7 @@
 /** anvil_relay_callers_buffered - bytes of bodies that are held */
 gsize anvil_relay_callers_buffered (const anvil_relay_callers_t *callers);
 
-/** anvil_relay_callers_leave - answers from now on end their connections */
+/** anvil_relay_callers_leave - from now on the last answer that is due on a connection ends it */
 void anvil_relay_callers_leave (anvil_relay_callers_t *callers);
 
 /** anvil_relay_callers_unsent - connections with an answer that isn't written yet */
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -268,11 +268,13 @@
 /* dispatch-waiting.c */
 
 void waiting_enter (task_t *task);
-/* Works out anew which waiting tasks each upstream of a service has before it. */
-void waiting_measure_backlog (service_t *service);
 void waiting_leave (task_t *task);
 task_t *waiting_best_for (upstream_t *upstream, anvil_time_t now);
 
+/* Works out anew which waiting tasks each upstream of a service has before it: objects come to be
+ * remembered and are forgotten between a task's entering and leaving. */
+void waiting_measure_backlog (service_t *service);
+
 /* Moves tasks that can't be answered within their target any more behind those that can. */
 void waiting_sort_out_late (object_t *object, anvil_time_t now);
 
--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -7,6 +7,9 @@
  * further upstreams learn an object only as its demand asks for them, or while
  * slots are idle. With large bodies, the way costs more than the run, so they
  * stay near their caller.
+ *
+ * An upstream remembers several objects, and all that waits for these asks for
+ * the same slots: its backlog says when a further task's turn would come.
  */
 
 #include "steer/dispatch-internal.h"
