Keep the ports of tests for the test, and share the fault proxy

Ruled out: a retry in the entry, which must fail at once if its port is taken.

Change: the test keeps a socket bound to the port, with SO_REUSEADDR and without listening, so that the kernel gives it to nobody else and the entry can listen on it.

--- a/tests/soak/soak-proxy.c
+++ b/tests/helper-fault-proxy.c
@@ -1,4 +1,4 @@
-#include "soak-proxy.h"
+#include "helper-fault-proxy.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -14,18 +14,18 @@
  */
 typedef struct
 {
-  soak_proxy_t *proxy;
+  fault_proxy_t *proxy;
   struct bufferevent *ends[2];
   struct event *timers[2];
 } pair_t;
 
-struct soak_proxy
+struct fault_proxy
 {
   struct event_base *base;
   struct evconnlistener *listener;
   guint16 port;
   guint16 target;
-  soak_proxy_fault_t fault;
+  fault_proxy_kind_t fault;
   guint delay_ms;
   GHashTable *pairs;
 };
@@ -53,10 +53,10 @@
 }
 
 static gboolean
-forwards (const soak_proxy_t *proxy, guint side)
+forwards (const fault_proxy_t *proxy, guint side)
 {
-  return proxy->fault != SOAK_PROXY_FAULT_BLACKHOLE
-         && !(proxy->fault == SOAK_PROXY_FAULT_ONE_WAY && side == 1);
+  return proxy->fault != FAULT_PROXY_BLACKHOLE
+         && !(proxy->fault == FAULT_PROXY_ONE_WAY && side == 1);
 }
 
 static void
@@ -79,7 +79,7 @@
   guint side = side_index (pair, end);
   struct timeval delay = { .tv_usec = (suseconds_t) pair->proxy->delay_ms * 1000 };
 
-  if (pair->proxy->fault == SOAK_PROXY_FAULT_DELAY)
+  if (pair->proxy->fault == FAULT_PROXY_DELAY)
     event_add (pair->timers[side], &delay);
   else
     forward (pair, side);
@@ -133,7 +133,7 @@
            int length,
            void *data)
 {
-  soak_proxy_t *proxy = data;
+  fault_proxy_t *proxy = data;
   struct sockaddr_in to = { .sin_family = AF_INET,
                             .sin_port = htons (proxy->target),
                             .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
@@ -148,7 +148,7 @@
   pair->timers[1] = evtimer_new (proxy->base, on_target_delay, pair);
   g_hash_table_add (proxy->pairs, pair);
   bufferevent_socket_connect (pair->ends[1], (struct sockaddr *) &to, sizeof to);
-  if (proxy->fault == SOAK_PROXY_FAULT_RESET)
+  if (proxy->fault == FAULT_PROXY_RESET)
     {
       pair_free (pair, TRUE);
       return;
@@ -160,10 +160,10 @@
     }
 }
 
-soak_proxy_t *
-soak_proxy_open (struct event_base *base)
+fault_proxy_t *
+fault_proxy_open (struct event_base *base)
 {
-  soak_proxy_t *proxy = g_new0 (soak_proxy_t, 1);
+  fault_proxy_t *proxy = g_new0 (fault_proxy_t, 1);
   struct sockaddr_in local = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   socklen_t length = sizeof local;
 
@@ -173,14 +173,14 @@
                                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
                                              SOMAXCONN, (struct sockaddr *) &local, sizeof local);
   if (proxy->listener == NULL)
-    g_error ("soak proxy can't listen on a loopback port");
+    g_error ("fault proxy can't listen on a loopback port");
   getsockname (evconnlistener_get_fd (proxy->listener), (struct sockaddr *) &local, &length);
   proxy->port = ntohs (local.sin_port);
   return proxy;
 }
 
 void
-soak_proxy_reset_connections (soak_proxy_t *proxy)
+fault_proxy_reset_connections (fault_proxy_t *proxy)
 {
   GList *open = g_hash_table_get_keys (proxy->pairs);
 
@@ -190,29 +190,29 @@
 }
 
 void
-soak_proxy_close (soak_proxy_t *proxy)
+fault_proxy_close (fault_proxy_t *proxy)
 {
-  soak_proxy_reset_connections (proxy);
+  fault_proxy_reset_connections (proxy);
   evconnlistener_free (proxy->listener);
   g_hash_table_unref (proxy->pairs);
   g_free (proxy);
 }
 
 void
-soak_proxy_set_target (soak_proxy_t *proxy, guint16 port)
+fault_proxy_set_target (fault_proxy_t *proxy, guint16 port)
 {
   proxy->target = port;
 }
 
 guint16
-soak_proxy_port (const soak_proxy_t *proxy)
+fault_proxy_port (const fault_proxy_t *proxy)
 {
   return proxy->port;
 }
 
 /* Data held back during a fault is delivered when it ends, as after a partition. */
 static void
-forward_held_data (soak_proxy_t *proxy)
+forward_held_data (fault_proxy_t *proxy)
 {
   GHashTableIter iter;
   gpointer key;
@@ -226,12 +226,12 @@
 }
 
 void
-soak_proxy_set_fault (soak_proxy_t *proxy, soak_proxy_fault_t fault, guint delay_ms)
+fault_proxy_set_fault (fault_proxy_t *proxy, fault_proxy_kind_t fault, guint delay_ms)
 {
   proxy->fault = fault;
   proxy->delay_ms = delay_ms;
-  if (fault == SOAK_PROXY_FAULT_RESET)
-    soak_proxy_reset_connections (proxy);
-  else if (fault == SOAK_PROXY_FAULT_NONE)
+  if (fault == FAULT_PROXY_RESET)
+    fault_proxy_reset_connections (proxy);
+  else if (fault == FAULT_PROXY_NONE)
     forward_held_data (proxy);
 }
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -10,23 +10,12 @@
 #include <jansson.h>
 
 #include "anvil/clock.h"
+#include "helper-fault-proxy.h"
+#include "helper-ports.h"
 
 #define MAX_RESPONSE_BYTES (1u << 20)
 #define SETTLE_US 100000
 
-static guint16
-free_port (void)
-{
-  struct sockaddr_in local = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t length = sizeof local;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-  g_assert (bind (fd, (struct sockaddr *) &local, sizeof local) == 0);
-  g_assert (getsockname (fd, (struct sockaddr *) &local, &length) == 0);
-  close (fd);
-  return ntohs (local.sin_port);
-}
-
 guint16
 fleet_port (const standin_t *standin)
 {
@@ -43,6 +32,7 @@
   g_assert_nonnull (fleet->directory);
   fleet->entries = g_ptr_array_new ();
   fleet->upstreams = g_ptr_array_new ();
+  fleet->proxies = g_ptr_array_new ();
   standin_open (&fleet->store, "anvil-store", none);
 }
 
@@ -86,8 +76,17 @@
     }
   kill_process (fleet->store.pid);
   close (fleet->store.stderr_fd);
+  for (guint i = 0; i < fleet->proxies->len; i++)
+    {
+      fleet_proxy_t *proxy = fleet->proxies->pdata[i];
+
+      kill_process (proxy->pid);
+      g_free (proxy->endpoint);
+      g_free (proxy);
+    }
   g_ptr_array_unref (fleet->entries);
   g_ptr_array_unref (fleet->upstreams);
+  g_ptr_array_unref (fleet->proxies);
   g_rmdir (fleet->directory);
   g_free (fleet->directory);
 }
@@ -107,6 +106,42 @@
   return upstream;
 }
 
+static void
+run_proxy (guint16 target, int port_fd)
+{
+  struct event_base *base = event_base_new ();
+  fault_proxy_t *proxy = fault_proxy_open (base);
+  guint16 port = fault_proxy_port (proxy);
+
+  fault_proxy_set_target (proxy, target);
+  g_assert (write (port_fd, &port, sizeof port) == sizeof port);
+  close (port_fd);
+  event_base_dispatch (base);
+}
+
+fleet_proxy_t *
+fleet_add_store_proxy (fleet_t *fleet)
+{
+  fleet_proxy_t *proxy = g_new0 (fleet_proxy_t, 1);
+  guint16 port;
+  int fds[2];
+
+  g_assert (pipe (fds) == 0);
+  proxy->pid = fork ();
+  if (proxy->pid == 0)
+    {
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      run_proxy (fleet_port (&fleet->store), fds[1]);
+      _exit (0);
+    }
+  close (fds[1]);
+  g_assert (read (fds[0], &port, sizeof port) == sizeof port);
+  close (fds[0]);
+  proxy->endpoint = g_strdup_printf ("127.0.0.1:%u", port);
+  g_ptr_array_add (fleet->proxies, proxy);
+  return proxy;
+}
+
 static void
 write_settings (const fleet_t *fleet, const fleet_entry_t *entry)
 {
@@ -162,11 +197,11 @@
 
   entry->name = g_strdup (name);
   entry->zone = g_strdup (zone);
-  entry->caller_port = free_port ();
-  entry->readiness_port = free_port ();
-  entry->lookup_port = free_port ();
-  entry->peer_port = free_port ();
-  entry->metrics_port = free_port ();
+  entry->caller_port = reserve_port ();
+  entry->readiness_port = reserve_port ();
+  entry->lookup_port = reserve_port ();
+  entry->peer_port = reserve_port ();
+  entry->metrics_port = reserve_port ();
   g_ptr_array_add (fleet->entries, entry);
   write_settings (fleet, entry);
   fleet_start_entry (fleet, entry);
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -27,6 +27,14 @@
   guint16 metrics_port;
 } fleet_entry_t;
 
+/** fleet_proxy_t - a process that forwards connections to the store; while it is stopped by
+ * SIGSTOP, the store is silent for those that use it */
+typedef struct
+{
+  pid_t pid;
+  char *endpoint;
+} fleet_proxy_t;
+
 /** fleet_t - the deployment; entries and upstreams are in the order in which they were added */
 typedef struct
 {
@@ -36,6 +44,7 @@
   standin_t store;
   GPtrArray *entries;
   GPtrArray *upstreams;
+  GPtrArray *proxies;
   guint version;
 } fleet_t;
 
@@ -49,6 +58,10 @@
 standin_t *
 fleet_add_upstream (fleet_t *fleet, const char *id, const char *service, const char *flags);
 
+/** fleet_add_store_proxy - starts a proxy to the store; @entry_store_endpoint can be set to its
+ * endpoint before an entry is added */
+fleet_proxy_t *fleet_add_store_proxy (fleet_t *fleet);
+
 /** fleet_add_entry - starts an entry in @zone ("west-a", "west-b" or "east-a") */
 fleet_entry_t *fleet_add_entry (fleet_t *fleet, const char *name, const char *zone);
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -101,11 +101,11 @@
   line = g_strdup_printf (
       "--store %s --id %s --service photos --zone west-a --advertise 127.0.0.1:%u "
       "--runs %s --drain-ms %d --slots 3 --work-ms 40 --warm-ms 10",
-      soak->fleet.store.endpoint, node->id, soak_proxy_port (node->proxy), node->runs_path,
+      soak->fleet.store.endpoint, node->id, fault_proxy_port (node->proxy), node->runs_path,
       UPSTREAM_DRAIN_MS);
   arguments = g_strsplit (line, " ", -1);
   standin_open (&node->upstream, "anvil-registrant", (const char *const *) arguments);
-  soak_proxy_set_target (node->proxy, fleet_port (&node->upstream));
+  fault_proxy_set_target (node->proxy, fleet_port (&node->upstream));
   g_strfreev (arguments);
   g_free (line);
 }
@@ -171,7 +171,7 @@
 static void
 undo_proxy_fault (soak_t *soak, node_t *node)
 {
-  soak_proxy_set_fault (node != NULL ? node->proxy : soak->store_proxy, SOAK_PROXY_FAULT_NONE, 0);
+  fault_proxy_set_fault (node != NULL ? node->proxy : soak->store_proxy, FAULT_PROXY_NONE, 0);
 }
 
 static void
@@ -207,12 +207,12 @@
 {
   static const char *const names[] = { "", "connections are delayed", "connections are blackholed",
                                        "responses are blackholed", "all connections are reset" };
-  soak_proxy_fault_t fault
-      = (soak_proxy_fault_t) random_in_range (soak, SOAK_PROXY_FAULT_DELAY, SOAK_PROXY_FAULT_RESET);
+  fault_proxy_kind_t fault
+      = (fault_proxy_kind_t) random_in_range (soak, FAULT_PROXY_DELAY, FAULT_PROXY_RESET);
 
   log_event (soak, names[fault], node != NULL ? node->id : "store");
-  soak_proxy_set_fault (node != NULL ? node->proxy : soak->store_proxy, fault,
-                        random_in_range (soak, 20, 400));
+  fault_proxy_set_fault (node != NULL ? node->proxy : soak->store_proxy, fault,
+                         random_in_range (soak, 20, 400));
   schedule_undo (soak, node, undo_proxy_fault);
 }
 
@@ -240,7 +240,7 @@
       return;
     case 3:
       log_event (soak, "upstream's connections are reset", node->id);
-      soak_proxy_reset_connections (node->proxy);
+      fault_proxy_reset_connections (node->proxy);
       return;
     default:
       inject_proxy_fault (soak, node);
@@ -312,16 +312,16 @@
   static const char *const zones[] = { "west-a", "west-b", "east-a" };
 
   fleet_open (&soak->fleet);
-  soak->store_proxy = soak_proxy_open (soak->base);
-  soak_proxy_set_target (soak->store_proxy, fleet_port (&soak->fleet.store));
-  soak->store_endpoint = g_strdup_printf ("127.0.0.1:%u", soak_proxy_port (soak->store_proxy));
+  soak->store_proxy = fault_proxy_open (soak->base);
+  fault_proxy_set_target (soak->store_proxy, fleet_port (&soak->fleet.store));
+  soak->store_endpoint = g_strdup_printf ("127.0.0.1:%u", fault_proxy_port (soak->store_proxy));
   soak->fleet.entry_store_endpoint = soak->store_endpoint;
   fleet_configure (&soak->fleet, NULL);
   for (guint i = 0; i < soak->n_upstreams; i++)
     {
       node_t *node = &soak->upstreams[i];
 
-      node->proxy = soak_proxy_open (soak->base);
+      node->proxy = fault_proxy_open (soak->base);
       node->runs_path = g_strdup_printf ("%s/runs-%u", soak->fleet.directory, i);
       start_upstream (soak, node);
     }
@@ -349,9 +349,9 @@
       g_unlink (node->runs_path);
       g_free (node->runs_path);
       g_free (node->id);
-      soak_proxy_close (node->proxy);
+      fault_proxy_close (node->proxy);
     }
-  soak_proxy_close (soak->store_proxy);
+  fault_proxy_close (soak->store_proxy);
   soak_callers_close (soak->callers);
   fleet_close (&soak->fleet);
   g_free (soak->store_endpoint);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "helper-fault-proxy.h"
 #include "helper-fleet.h"
 #include "soak-callers.h"
-#include "soak-proxy.h"
 
 #define MAX_ENTRIES 64
 #define MAX_UPSTREAMS 256
@@ -21,7 +21,7 @@
   standin_t upstream;
   char *id;
   char *runs_path;
-  soak_proxy_t *proxy;
+  fault_proxy_t *proxy;
 } node_t;
 
 typedef struct
@@ -29,7 +29,7 @@
   struct event_base *base;
   GRand *random;
   fleet_t fleet;
-  soak_proxy_t *store_proxy;
+  fault_proxy_t *store_proxy;
   char *store_endpoint;
   guint n_entries;
   guint n_upstreams;
--- a/tests/test-entry-process.c
+++ b/tests/test-entry-process.c
@@ -13,6 +13,7 @@
 #include <glib/gstdio.h>
 
 #include "anvil/clock.h"
+#include "helper-ports.h"
 
 #define TIMEOUT (20 * ANVIL_SECOND)
 #define MAX_MESSAGE_BYTES 65536
@@ -45,15 +46,6 @@
   return fd;
 }
 
-static guint16
-free_port (void)
-{
-  guint16 port;
-
-  close (listen_on_free_port (&port));
-  return port;
-}
-
 /* Starts a program of the build. The formatted command line is split at spaces. */
 static pid_t start (const char *format, ...) G_GNUC_PRINTF (1, 2);
 
@@ -234,10 +226,10 @@
   deployment_t *deployment = g_new0 (deployment_t, 1);
 
   deployment->directory = g_dir_make_tmp ("anvil-XXXXXX", NULL);
-  deployment->platform_port = free_port ();
-  deployment->caller_port = free_port ();
-  deployment->admin_port = free_port ();
-  deployment->peer_port = free_port ();
+  deployment->platform_port = reserve_port ();
+  deployment->caller_port = reserve_port ();
+  deployment->admin_port = reserve_port ();
+  deployment->peer_port = reserve_port ();
   deployment->upstream_listener = listen_on_free_port (&deployment->upstream_port);
   set_receive_timeout (deployment->upstream_listener);
   deployment->platform_pid
--- a/tests/test-peers.c
+++ b/tests/test-peers.c
@@ -12,6 +12,7 @@
 #include "anvil/codec.h"
 #include "anvil/log.h"
 #include "anvil/peers.h"
+#include "helper-ports.h"
 
 #define LOCALHOST 0x7f000001u
 #define WAIT_TIMEOUT (20 * ANVIL_SECOND)
@@ -58,20 +59,6 @@
   g_string_append_len (endpoint->file, file.data, (gssize) file.length);
 }
 
-/* Returns a port that the kernel chose, which is free again. */
-static guint16
-free_port (void)
-{
-  struct sockaddr_in local = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (LOCALHOST) };
-  socklen_t length = sizeof local;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  ck_assert_int_eq (bind (fd, (struct sockaddr *) &local, sizeof local), 0);
-  ck_assert_int_eq (getsockname (fd, (struct sockaddr *) &local, &length), 0);
-  close (fd);
-  return ntohs (local.sin_port);
-}
-
 static endpoint_t *
 endpoint_open (struct event_base *base, anvil_node_t node)
 {
@@ -81,7 +68,7 @@
   endpoint_t *endpoint = g_new0 (endpoint_t, 1);
   GError *error = NULL;
 
-  endpoint->node = node != 0 ? node : anvil_node (LOCALHOST, free_port ());
+  endpoint->node = node != 0 ? node : anvil_node (LOCALHOST, reserve_port ());
   endpoint->file = g_string_new (NULL);
   endpoint->peers = anvil_peers_open (base, endpoint->node, &callbacks, endpoint, &error);
   ck_assert_msg (endpoint->peers != NULL, "%s", error != NULL ? error->message : "");
