Judge granted upstreams by whose read of the store is newer

An upstream left without announcing it. Two entries that restarted in that time had read a table without its row, so to them it was unknown, not departed, and they took it on the holder's word: up to 9 s after it had left. The holder itself went on too, and held the missing row for a lapse.

Ruled out: taking every unknown upstream for departed. A holder may have read the store later than the asker, and after an outage for all, rows that expired are back only after two seconds.

Change: - a grant carries the version of the store at which the holder knew the upstream's row to exist (0 if it is missing). An entry without that row uses the upstream only if the holder has read later, or if the store has not yet answered for 2.2 s since a possible outage; - an entry that the store doesn't answer subscribes to a peer that it does answer, the one that has read longest first, until it answers again; - if no peer can send what it lacks, it tells its peers that it is outdated and holds no service; - how long the store is known to have answered is passed on with the updates, so a reader that is cut off no longer takes a removal for a lapse because its peers had only subscribed to it; - a draining upstream that a full read lacks is removed at once, as one that an update removes.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -109,6 +109,7 @@
  * @address: IPv4 in host order
  * @port: TCP port
  * @warm: the upstream is expected to be warm for the object
+ * @row_version: anvil_registry_row_version() at the holder; set by the slot broker
  */
 typedef struct
 {
@@ -118,6 +119,7 @@
   guint32 address;
   guint16 port;
   gboolean warm;
+  guint64 row_version;
 } anvil_slot_grant_t;
 
 /**
--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -22,10 +22,12 @@
  * @incarnation: differs between any two starts of a process
  * @caller_port: port for callers, on its node's address
  * @cpu_millicores: processor time that it may use, thousandths of a core
- * @store_ok_for: how long it has read upstreams from the store without an interruption,
- *   microseconds; 0 if it can't read them now
+ * @store_ok_for: for how long it knows the store to have answered, to it or to a peer,
+ *   microseconds; 0 if it doesn't know whether it still does
+ * @reads_store: it reads upstreams from the store, not from a peer
  * @ready: it serves callers
  * @leaving: it is shutting down
+ * @outdated: it can't learn of changes of upstreams, though other entries can
  */
 typedef struct
 {
@@ -37,6 +39,8 @@
   anvil_time_t store_ok_for;
   gboolean ready;
   gboolean leaving;
+  gboolean reads_store;
+  gboolean outdated;
 } anvil_member_info_t;
 
 /**
@@ -47,8 +51,8 @@
  * @answered_at: when the latest ping that it answered was sent, 0 for never
  * @pinged_at: when the latest ping was sent
  * @rtt: moving average of the round-trip time, microseconds; 0 for unknown
- * @store_ok_since: since when it has read the store without an interruption, this entry's clock; 0
- *   if it can't read it
+ * @store_ok_since: since when it knows the store to have answered, this entry's clock; 0 if it
+ *   doesn't know whether it still does
  * @address_seen_at: when its address was last passed to anvil_members_add()
  * @pinged_often: it is in this entry's region, or among the next holders of a service
  */
@@ -152,7 +156,7 @@
  * that region the entries with the most of it come first.
  *
  * Return: the entry with the highest rank for @service among those that are
- * reachable and serve callers; this entry if there is none.
+ * reachable, serve callers and aren't outdated; this entry if there is none.
  */
 anvil_node_t anvil_members_holder (const anvil_members_t *members,
                                    anvil_time_t now,
@@ -167,6 +171,18 @@
  */
 anvil_time_t anvil_members_store_ok_since (const anvil_members_t *members, anvil_time_t now);
 
+/**
+ * anvil_members_next_store_reader - a reachable peer that reads upstreams from the store
+ * @previous: the last one that was returned, or ANVIL_NO_NODE
+ *
+ * Those that have read it for longest come first, since they know the most updates.
+ *
+ * Return: the one after @previous, the first again after the last; ANVIL_NO_NODE if there is none.
+ */
+anvil_node_t anvil_members_next_store_reader (const anvil_members_t *members,
+                                              anvil_time_t now,
+                                              anvil_node_t previous);
+
 const anvil_peer_t *anvil_members_lookup (const anvil_members_t *members, anvil_node_t node);
 guint anvil_members_count (const anvil_members_t *members);
 
--- a/include/anvil/registry.h
+++ b/include/anvil/registry.h
@@ -167,6 +167,33 @@
 /** anvil_registry_recently_removed - whether the upstream was removed and hasn't returned */
 gboolean anvil_registry_recently_removed (const anvil_registry_t *registry, guint64 key);
 
+/** anvil_registry_set_version - the registry knows all rows of the store's table up to @version */
+void anvil_registry_set_version (anvil_registry_t *registry, guint64 version);
+
+/** anvil_registry_version - version of the store's table up to which the rows are known */
+guint64 anvil_registry_version (const anvil_registry_t *registry);
+
+/** anvil_registry_row_version - version of the store's table at which an upstream's row was known
+ * to exist; 0 if it is missing */
+guint64 anvil_registry_row_version (const anvil_registry_t *registry, guint64 key);
+
+/**
+ * anvil_registry_reason_not_to_use - whether an upstream that another entry granted may be used
+ * @key: the granted upstream
+ * @grant_version: anvil_registry_row_version() at the entry that granted it
+ * @store_ok_for: for how long this entry or a peer has read the store without an interruption
+ *
+ * An upstream without a row here is new if the other entry's knowledge is newer.
+ * Otherwise it has left, even if this process started later and never knew it,
+ * unless its row may have expired in an outage of the store that has just ended.
+ *
+ * Return: why the upstream must not be used, for logs; NULL if it may be.
+ */
+const char *anvil_registry_reason_not_to_use (const anvil_registry_t *registry,
+                                              guint64 key,
+                                              guint64 grant_version,
+                                              anvil_time_t store_ok_for);
+
 guint anvil_registry_count (const anvil_registry_t *registry);
 
 typedef void (*anvil_registry_visit_t) (void *context, const anvil_registered_upstream_t *upstream);
--- a/source/relay/relay-feed.c
+++ b/source/relay/relay-feed.c
@@ -13,6 +13,9 @@
 #define READER_TIMEOUT (1300 * ANVIL_MS)
 /* A reader sends no updates if its last read is older than this. */
 #define MAX_UPDATE_AGE (1500 * ANVIL_MS)
+/* An entry that receives upstreams from nowhere is outdated after this time. All entries notice an
+ * outage of the store within it, and then none claims to read the store. */
+#define OUTDATED_AFTER (3 * ANVIL_SECOND)
 
 struct anvil_relay_feed
 {
@@ -21,9 +24,12 @@
   anvil_time_t (*upstreams_read_at) (void *context);
   void *context;
   anvil_node_t reader;
+  anvil_time_t chosen_at;
   anvil_time_t subscribed_at;
   anvil_time_t received_at;
   gboolean subscribed;
+  /* When upstreams were last known to be up to date. */
+  anvil_time_t current_at;
   /* subscriber_t by node. */
   GHashTable *subscribers;
 };
@@ -68,17 +74,58 @@
              anvil_relay_watch_upstream_version (feed->watch));
 }
 
+/* The region's reader, or, if the store doesn't answer this entry, a peer that it does answer. */
+static anvil_node_t
+choose_reader (const anvil_relay_feed_t *feed, anvil_time_t now)
+{
+  const anvil_members_t *members = anvil_slot_broker_members (feed->slot_broker);
+  anvil_node_t first = anvil_slot_broker_first_in_region (feed->slot_broker, READER_NAME);
+  anvil_node_t next;
+
+  if (!anvil_relay_watch_store_lost (feed->watch))
+    return first;
+  /* A reader that has just been chosen gets time to answer. */
+  if (feed->reader != anvil_slot_broker_self (feed->slot_broker)
+      && now - MAX (feed->received_at, feed->chosen_at) <= READER_TIMEOUT)
+    return feed->reader;
+  next = anvil_members_next_store_reader (members, now, feed->reader);
+  return next != ANVIL_NO_NODE ? next : first;
+}
+
+/* Tells the peers whether this entry may be a holder. */
+static void
+update_outdated (anvil_relay_feed_t *feed, anvil_time_t now)
+{
+  anvil_members_t *members = anvil_slot_broker_members (feed->slot_broker);
+  anvil_member_info_t *self = anvil_members_self (members);
+  gboolean outdated;
+
+  if (feed->subscribed || !anvil_relay_watch_store_lost (feed->watch)
+      || anvil_members_next_store_reader (members, now, ANVIL_NO_NODE) == ANVIL_NO_NODE)
+    feed->current_at = now;
+  outdated = now - feed->current_at > OUTDATED_AFTER;
+  if (outdated == self->outdated)
+    return;
+  self->outdated = outdated;
+  anvil_log (ANVIL_LOG_NOTICE, "feed", "%s version=%" G_GUINT64_FORMAT,
+             outdated ? "changes of upstreams can't be learned, slots are held elsewhere"
+                      : "changes of upstreams are learned again",
+             anvil_relay_watch_upstream_version (feed->watch));
+}
+
 void
 anvil_relay_feed_tick (anvil_relay_feed_t *feed, anvil_time_t now)
 {
-  anvil_node_t reader = anvil_slot_broker_first_in_region (feed->slot_broker, READER_NAME);
+  anvil_node_t reader = choose_reader (feed, now);
 
+  update_outdated (feed, now);
   if (reader != feed->reader)
     {
       feed->reader = reader;
+      feed->chosen_at = now;
       feed->subscribed_at = 0;
       /* Until the new reader sends updates. */
-      set_subscribed (feed, FALSE, "another entry is the reader of the region");
+      set_subscribed (feed, FALSE, "another entry is the reader");
     }
   if (reader == anvil_slot_broker_self (feed->slot_broker))
     {
@@ -120,6 +167,7 @@
       message->number = anvil_update_log_version (anvil_relay_watch_update_log (feed->watch));
       message->after_version = version;
       message->age = age;
+      message->store_ok_for = anvil_relay_watch_store_ok_for (feed->watch, anvil_clock_now ());
       message->grace_remaining = anvil_relay_watch_grace_remaining (feed->watch);
       message->rows = (anvil_str_t){ .data = (const char *) rows->data, .length = rows->len };
       anvil_slot_broker_send_updates (feed->slot_broker, peer, message);
--- a/source/relay/relay-feed.h
+++ b/source/relay/relay-feed.h
@@ -11,7 +11,9 @@
  * entry of a region, the reader, reads the table and sends the updates that
  * matter to the others, its subscribers. It is chosen in the same way as holders.
  * A subscriber that receives nothing from its reader reads the store itself,
- * starting at the version that it has.
+ * starting at the version that it has. An entry that the store doesn't answer
+ * subscribes to any peer that it does answer; if none can send it what it lacks, it
+ * tells its peers that it is outdated, and holds no service.
  */
 
 typedef struct anvil_relay_feed anvil_relay_feed_t;
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -226,23 +226,6 @@
   job_request_slot (job);
 }
 
-/* Why the request must not be sent to the granted upstream, as far as this entry knows, or NULL. */
-static const char *
-reason_not_to_send (const anvil_relay_jobs_t *jobs, const anvil_slot_grant_t *grant)
-{
-  const anvil_registered_upstream_t *registered
-      = anvil_registry_lookup (jobs->options.registry, grant->upstream);
-
-  if (registered == NULL)
-    return anvil_registry_recently_removed (jobs->options.registry, grant->upstream) ? "left"
-                                                                                     : NULL;
-  if (registered->draining)
-    return "draining";
-  if (registered->evacuated)
-    return "evacuated";
-  return NULL;
-}
-
 static gboolean
 registry_is_fresh (const anvil_relay_jobs_t *jobs)
 {
@@ -340,14 +323,19 @@
       release_slot (jobs, from, number);
       return;
     }
-  reason = reason_not_to_send (jobs, grant);
+  reason = anvil_registry_reason_not_to_use (jobs->options.registry, grant->upstream,
+                                             grant->row_version,
+                                             jobs->options.store_ok_for (jobs->options.context));
   if (reason == NULL)
     {
       start_attempt (job, grant);
       return;
     }
-  anvil_log (ANVIL_LOG_INFO, "request", "granted slot not used request=%s upstream=%.*s reason=%s",
-             text_or_dash (job->request->id), ANVIL_STR_ARGS (grant->upstream_id), reason);
+  anvil_log (ANVIL_LOG_INFO, "request",
+             "granted slot not used request=%s upstream=%.*s reason=%s version=%" G_GUINT64_FORMAT
+             " holder_version=%" G_GUINT64_FORMAT,
+             text_or_dash (job->request->id), ANVIL_STR_ARGS (grant->upstream_id), reason,
+             anvil_registry_version (jobs->options.registry), grant->row_version);
   release_slot (jobs, from, number);
   exclude_upstream (job, grant->upstream);
   retry_unsent (job, "no-upstream");
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -19,6 +19,8 @@
  * anvil_relay_jobs_options_t - what jobs depend on; all borrowed
  * @upstreams_read_at: when upstreams were last read, monotonic clock; G_MAXINT64 while the store
  *   doesn't answer, when requests are sent on the basis of the last read, however old
+ * @store_ok_for: for how long this entry or a peer has read upstreams from the store without an
+ *   interruption, microseconds
  */
 typedef struct
 {
@@ -30,6 +32,7 @@
   anvil_relay_upstream_pool_t *upstream_pool;
   anvil_metrics_t *metrics;
   anvil_time_t (*upstreams_read_at) (void *context);
+  anvil_time_t (*store_ok_for) (void *context);
   void *context;
 } anvil_relay_jobs_options_t;
 
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -26,7 +26,7 @@
 static void
 pack_info (msgpack_packer *packer, const anvil_member_info_t *info)
 {
-  msgpack_pack_array (packer, 8);
+  msgpack_pack_array (packer, 10);
   pack_text (packer, info->name);
   pack_text (packer, info->zone);
   msgpack_pack_uint64 (packer, info->incarnation);
@@ -35,6 +35,8 @@
   msgpack_pack_int64 (packer, info->store_ok_for);
   msgpack_pack_uint64 (packer, info->ready);
   msgpack_pack_uint64 (packer, info->leaving);
+  msgpack_pack_uint64 (packer, info->reads_store);
+  msgpack_pack_uint64 (packer, info->outdated);
 }
 
 static void
@@ -62,13 +64,14 @@
 static void
 pack_grant (msgpack_packer *packer, const anvil_slot_grant_t *grant)
 {
-  msgpack_pack_array (packer, 6);
+  msgpack_pack_array (packer, 7);
   msgpack_pack_uint64 (packer, grant->upstream);
   pack_text (packer, grant->upstream_id);
   pack_text (packer, grant->zone);
   msgpack_pack_uint64 (packer, grant->address);
   msgpack_pack_uint64 (packer, grant->port);
   msgpack_pack_uint64 (packer, grant->warm);
+  msgpack_pack_uint64 (packer, grant->row_version);
 }
 
 static void
@@ -121,9 +124,10 @@
       msgpack_pack_nil (packer);
       return;
     case ANVIL_RELAY_UPDATES:
-      msgpack_pack_array (packer, 4);
+      msgpack_pack_array (packer, 5);
       msgpack_pack_uint64 (packer, message->after_version);
       msgpack_pack_int64 (packer, message->age);
+      msgpack_pack_int64 (packer, message->store_ok_for);
       msgpack_pack_int64 (packer, message->grace_remaining);
       msgpack_pack_bin (packer, message->rows.length);
       msgpack_pack_bin_body (packer, message->rows.data, message->rows.length);
@@ -237,6 +241,8 @@
   info->store_ok_for = read_time (&reader, "store_ok_for");
   info->ready = read_number (&reader, "ready", 1) != 0;
   info->leaving = read_number (&reader, "leaving", 1) != 0;
+  info->reads_store = read_number (&reader, "reads store", 1) != 0;
+  info->outdated = read_number (&reader, "outdated", 1) != 0;
 }
 
 static guint
@@ -288,6 +294,7 @@
   grant->address = (guint32) read_number (&reader, "address", G_MAXUINT32);
   grant->port = (guint16) read_number (&reader, "port", G_MAXUINT16);
   grant->warm = read_number (&reader, "warm", 1) != 0;
+  grant->row_version = read_number (&reader, "row version", G_MAXUINT64);
 }
 
 static anvil_str_t
@@ -317,6 +324,7 @@
 
   message->after_version = read_number (&body, "after", G_MAXUINT64);
   message->age = read_time (&body, "age");
+  message->store_ok_for = read_time (&body, "time without an outage");
   message->grace_remaining = read_time (&body, "remaining grace");
   message->rows = read_bytes (&body, "rows");
 }
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -50,6 +50,8 @@
  * @n_objects: warm objects: length of @objects
  * @after_version: updates: version of the store after which they start
  * @age: updates: time since the sender read the store, microseconds
+ * @store_ok_for: updates: for how long the store is known to have answered, microseconds; see
+ *   steer/read-span.h
  * @grace_remaining: updates: how much longer the registry waits for a missing row to come back,
  *   microseconds
  * @rows: updates: packed rows, see relay/update-log.h
@@ -69,6 +71,7 @@
   guint n_objects;
   guint64 after_version;
   anvil_time_t age;
+  anvil_time_t store_ok_for;
   anvil_time_t grace_remaining;
   anvil_str_t rows;
 } anvil_relay_message_t;
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -4,6 +4,7 @@
 
 #include "anvil/log.h"
 #include "relay/table-follower.h"
+#include "steer/read-span.h"
 
 /* Changes of upstreams are polled: every heartbeat changes a row, so a long poll would be answered
  * at once. A drain must be known within the 2.5 s of the platform's contract even if one call is
@@ -22,11 +23,10 @@
   anvil_table_follower_t *operator_follower;
   anvil_table_follower_t *upstream_follower;
   anvil_update_log_t *update_log;
-  /* Version of the store up to which upstreams are known. */
-  guint64 upstream_version;
-  /* Time of the first read of upstreams since which all have succeeded; 0 if the last one failed or
-   * none was made. */
-  anvil_time_t store_ok_since;
+  /* Reads of upstreams by this entry and by those that it received them from. */
+  anvil_read_span_t reads;
+  /* When a read of upstreams failed; 0 if the last one succeeded. */
+  anvil_time_t store_lost_at;
   /* A read of the whole table has just finished. */
   gboolean full_read;
   /* Upstreams are received from a peer, not read from the store. */
@@ -207,6 +207,7 @@
 on_upstream_read_up_to (void *context, guint64 version)
 {
   anvil_relay_watch_t *watch = context;
+  anvil_time_t read_at = anvil_table_follower_read_at (watch->upstream_follower);
 
   /* A full read doesn't list the rows that were removed since the last one. */
   if (watch->full_read)
@@ -214,9 +215,9 @@
   else
     anvil_update_log_end_batch (watch->update_log, version);
   watch->full_read = FALSE;
-  watch->upstream_version = version;
-  if (watch->store_ok_since == 0)
-    watch->store_ok_since = anvil_table_follower_read_at (watch->upstream_follower);
+  watch->store_lost_at = 0;
+  anvil_registry_set_version (watch->registry, version);
+  anvil_read_span_add (&watch->reads, read_at, read_at);
   watch->callbacks.upstreams_read (watch->context);
 }
 
@@ -230,7 +231,7 @@
 {
   anvil_relay_watch_t *watch = context;
 
-  watch->store_ok_since = 0;
+  watch->store_lost_at = anvil_clock_now ();
   anvil_registry_store_lost (watch->registry,
                              anvil_table_follower_read_at (watch->upstream_follower));
 }
@@ -315,13 +316,14 @@
 void
 anvil_relay_watch_follow_upstreams (anvil_relay_watch_t *watch, gboolean follow)
 {
+  guint64 version = anvil_registry_version (watch->registry);
+
   watch->from_peer = !follow;
-  watch->store_ok_since = 0;
   if (follow)
     {
       /* Updates received from a peer aren't in the log, so they can't be sent on. */
-      anvil_update_log_reset (watch->update_log, watch->upstream_version);
-      anvil_table_follower_resume (watch->upstream_follower, watch->upstream_version);
+      anvil_update_log_reset (watch->update_log, version);
+      anvil_table_follower_resume (watch->upstream_follower, version);
     }
   else
     anvil_table_follower_pause (watch->upstream_follower);
@@ -330,7 +332,18 @@
 guint64
 anvil_relay_watch_upstream_version (const anvil_relay_watch_t *watch)
 {
-  return watch->upstream_version;
+  return anvil_registry_version (watch->registry);
+}
+
+gboolean
+anvil_relay_watch_store_lost (const anvil_relay_watch_t *watch)
+{
+  if (!watch->from_peer && anvil_table_follower_store_lost (watch->upstream_follower))
+    return TRUE;
+  /* While upstreams come from a peer, and until their first read after that, only the operators'
+   * table shows whether the store answers. */
+  return watch->store_lost_at > 0
+         && anvil_table_follower_read_at (watch->operator_follower) <= watch->store_lost_at;
 }
 
 const anvil_update_log_t *
@@ -346,7 +359,7 @@
 {
   anvil_time_t now = anvil_clock_now ();
 
-  if (message->number < watch->upstream_version)
+  if (message->number < anvil_registry_version (watch->registry))
     return FALSE;
   /* The peer reaches the store, so its updates are as good as a read of the store. */
   if (anvil_registry_store_recovered (watch->registry, now))
@@ -358,15 +371,23 @@
                  message->rows.length);
       return FALSE;
     }
-  watch->upstream_version = message->number;
+  anvil_registry_set_version (watch->registry, message->number);
   watch->peer_read_at = read_at;
+  anvil_read_span_add (&watch->reads, now - message->store_ok_for, read_at);
   return TRUE;
 }
 
 anvil_time_t
 anvil_relay_watch_store_ok_for (const anvil_relay_watch_t *watch, anvil_time_t now)
 {
-  return watch->store_ok_since > 0 ? now - watch->store_ok_since : 0;
+  return anvil_read_span_length (&watch->reads, now);
+}
+
+gboolean
+anvil_relay_watch_reads_store (const anvil_relay_watch_t *watch)
+{
+  return !watch->from_peer && anvil_relay_watch_ready (watch)
+         && !anvil_relay_watch_store_lost (watch);
 }
 
 anvil_time_t
@@ -380,7 +401,7 @@
 {
   if (watch->from_peer)
     return watch->peer_read_at;
-  return anvil_table_follower_store_lost (watch->upstream_follower)
+  return anvil_relay_watch_store_lost (watch)
              ? G_MAXINT64
-             : anvil_table_follower_read_at (watch->upstream_follower);
+             : MAX (anvil_table_follower_read_at (watch->upstream_follower), watch->peer_read_at);
 }
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -44,6 +44,12 @@
 /** anvil_relay_watch_upstream_version - version of the store up to which upstreams are known */
 guint64 anvil_relay_watch_upstream_version (const anvil_relay_watch_t *watch);
 
+/** anvil_relay_watch_reads_store - whether this entry reads upstreams from the store */
+gboolean anvil_relay_watch_reads_store (const anvil_relay_watch_t *watch);
+
+/** anvil_relay_watch_store_lost - whether the store doesn't answer this entry */
+gboolean anvil_relay_watch_store_lost (const anvil_relay_watch_t *watch);
+
 /** anvil_relay_watch_update_log - updates of upstreams that were read from the store */
 const anvil_update_log_t *anvil_relay_watch_update_log (const anvil_relay_watch_t *watch);
 
@@ -58,8 +64,8 @@
                                           const anvil_relay_message_t *message,
                                           anvil_time_t read_at);
 
-/** anvil_relay_watch_store_ok_for - for how long all reads of upstreams from the store have
- * succeeded, microseconds; 0 if upstreams aren't read from it or the last read failed */
+/** anvil_relay_watch_store_ok_for - for how long the store is known to have answered, microseconds;
+ * see steer/read-span.h */
 anvil_time_t anvil_relay_watch_store_ok_for (const anvil_relay_watch_t *watch, anvil_time_t now);
 
 /** anvil_relay_watch_grace_remaining - how much longer the registry waits for a missing row to come
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -75,6 +75,18 @@
   return read_at != G_MAXINT64 && read_at <= relay->resumed_at ? 0 : read_at;
 }
 
+static anvil_time_t
+store_ok_for (void *context)
+{
+  const anvil_relay_t *relay = context;
+  anvil_time_t now = anvil_clock_now ();
+  anvil_time_t peer_since
+      = anvil_members_store_ok_since (anvil_slot_broker_members (relay->slot_broker), now);
+
+  return MAX (anvil_relay_watch_store_ok_for (relay->watch, now),
+              peer_since > 0 ? now - peer_since : 0);
+}
+
 static void
 on_granted (void *context, guint64 number, anvil_node_t from, const anvil_slot_grant_t *grant)
 {
@@ -272,17 +284,18 @@
   event_base_loopbreak (relay->base);
 }
 
-/* A peer that has read the store throughout shows that only this entry was cut off from it. */
+/* If some entry has read the store throughout, only this one was cut off from it. */
 static void
 update_grace (anvil_relay_t *relay, anvil_time_t now)
 {
-  anvil_time_t from
-      = anvil_members_store_ok_since (anvil_slot_broker_members (relay->slot_broker), now);
+  anvil_members_t *members = anvil_slot_broker_members (relay->slot_broker);
+  anvil_member_info_t *self = anvil_members_self (members);
+  anvil_time_t ok_for = store_ok_for (relay);
 
-  anvil_slot_broker_set_store_ok_for (relay->slot_broker,
-                                      anvil_relay_watch_store_ok_for (relay->watch, now));
-  if (from > 0)
-    anvil_registry_cancel_grace (relay->registry, now, from);
+  self->store_ok_for = anvil_relay_watch_store_ok_for (relay->watch, now);
+  self->reads_store = anvil_relay_watch_reads_store (relay->watch);
+  if (ok_for > 0)
+    anvil_registry_cancel_grace (relay->registry, now, now - ok_for);
 }
 
 static void
@@ -467,6 +480,7 @@
                                              .registry = relay->registry,
                                              .metrics = relay->metrics,
                                              .upstreams_read_at = upstreams_read_at,
+                                             .store_ok_for = store_ok_for,
                                              .context = relay };
   anvil_relay_aux_server_options_t server_options = { .settings = settings,
                                                       .adapter = relay->adapter,
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -64,10 +64,12 @@
 on_grant (void *context, anvil_task_id_t id, const anvil_slot_grant_t *grant)
 {
   anvil_slot_broker_t *broker = context;
-  const anvil_relay_message_t message
+  anvil_relay_message_t message
       = { .kind = ANVIL_RELAY_GRANT, .number = id.number, .grant = *grant };
-  const local_decision_t decision = { .number = id.number, .granted = TRUE, .grant = *grant };
+  local_decision_t decision = { .number = id.number, .granted = TRUE };
 
+  message.grant.row_version = anvil_registry_row_version (broker->registry, grant->upstream);
+  decision.grant = message.grant;
   if (id.requester == broker->self)
     queue_local_decision (broker, &decision);
   else
@@ -432,12 +434,6 @@
   return peer != NULL && peer->info.name.data != NULL ? peer->info.name.data : "-";
 }
 
-void
-anvil_slot_broker_set_store_ok_for (anvil_slot_broker_t *broker, anvil_time_t store_ok_for)
-{
-  anvil_members_self (broker->members)->store_ok_for = store_ok_for;
-}
-
 anvil_members_t *
 anvil_slot_broker_members (anvil_slot_broker_t *broker)
 {
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -115,7 +115,6 @@
 
 /** anvil_slot_broker_set_state - sets what peers are told of this entry; see anvil_member_info_t */
 void anvil_slot_broker_set_state (anvil_slot_broker_t *broker, gboolean ready, gboolean leaving);
-void anvil_slot_broker_set_store_ok_for (anvil_slot_broker_t *broker, anvil_time_t store_ok_for);
 
 /** anvil_slot_broker_first_in_region - the entry of this entry's region that ranks first for @name
  */
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -220,6 +220,7 @@
 anvil_table_follower_resume (anvil_table_follower_t *follower, guint64 version)
 {
   follower->version = MAX (follower->version, version);
+  follower->store_lost = FALSE;
   anvil_table_follower_read_now (follower);
 }
 
--- a/source/relay/table-follower.h
+++ b/source/relay/table-follower.h
@@ -54,7 +54,7 @@
 void anvil_table_follower_pause (anvil_table_follower_t *follower);
 
 /** anvil_table_follower_resume - reads changes after @version; those up to it are known from
- * elsewhere */
+ * elsewhere, so the store counts as answering until a call fails */
 void anvil_table_follower_resume (anvil_table_follower_t *follower, guint64 version);
 
 /** anvil_table_follower_close - may be called with a call under way; no callback runs any more */
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -207,6 +207,13 @@
   return anvil_members_reachable (members, now, peer) && peer->info.ready && !peer->info.leaving;
 }
 
+/* An entry that can't learn of changes of upstreams would grant slots of those that have left. */
+static gboolean
+can_hold (const anvil_member_info_t *info)
+{
+  return info->ready && !info->leaving && !info->outdated;
+}
+
 /* Rank of an entry for a service, computed alike at every entry: entries of the preferred region
  * come first, then those of a higher class of processor time, then a hash decides. */
 static guint64
@@ -230,14 +237,14 @@
   anvil_node_t best = members->self;
   guint64 best_rank = 0;
 
-  if (members->info.ready && !members->info.leaving)
+  if (can_hold (&members->info))
     best_rank = rank (members->self, &members->info, service, g_strcmp0 (own_region, region) == 0);
   for (guint i = 0; i < members->peers->len; i++)
     {
       const anvil_peer_t *peer = members->peers->pdata[i];
       guint64 peer_rank;
 
-      if (!serves (members, now, peer))
+      if (!anvil_members_reachable (members, now, peer) || !can_hold (&peer->info))
         continue;
       peer_rank = rank (peer->node, &peer->info, service, g_strcmp0 (peer->region, region) == 0);
       if (peer_rank > best_rank)
@@ -353,6 +360,33 @@
   return earliest;
 }
 
+anvil_node_t
+anvil_members_next_store_reader (const anvil_members_t *members,
+                                 anvil_time_t now,
+                                 anvil_node_t previous)
+{
+  const anvil_peer_t *previous_peer = lookup (members, previous);
+  anvil_time_t after = previous_peer != NULL ? previous_peer->store_ok_since : 0;
+  const anvil_peer_t *first = NULL;
+  const anvil_peer_t *next = NULL;
+
+  for (guint i = 0; i < members->peers->len; i++)
+    {
+      const anvil_peer_t *peer = members->peers->pdata[i];
+
+      if (!peer->info.reads_store || !anvil_members_reachable (members, now, peer))
+        continue;
+      if (first == NULL || peer->store_ok_since < first->store_ok_since)
+        first = peer;
+      if (peer->store_ok_since > after
+          && (next == NULL || peer->store_ok_since < next->store_ok_since))
+        next = peer;
+    }
+  if (next != NULL)
+    return next->node;
+  return first != NULL ? first->node : ANVIL_NO_NODE;
+}
+
 guint
 anvil_members_count (const anvil_members_t *members)
 {
--- a/source/steer/registry.c
+++ b/source/steer/registry.c
@@ -26,6 +26,8 @@
   GHashTable *removed_keys;
   /* Names of evacuated zones. */
   GHashTable *evacuated_zones;
+  /* Version of the store's table up to which all rows are known. */
+  guint64 version;
   gboolean store_lost;
   /* When the store was last reached before it was lost. */
   anvil_time_t store_reached_at;
@@ -181,11 +183,12 @@
   entry_free (entry);
 }
 
-/* Removes an entry, or defers that if its row may have expired while the store was lost. */
+/* Removes an entry, or defers that if its row may have expired while the store was lost. A draining
+ * upstream was about to leave, so its row is gone because it has left. */
 static void
 remove_or_defer (anvil_registry_t *registry, anvil_time_t now, entry_t *entry)
 {
-  if (!registry->store_lost && now >= registry->grace_ends)
+  if (entry->upstream.draining || (!registry->store_lost && now >= registry->grace_ends))
     {
       remove_now (registry, now, entry);
       return;
@@ -205,11 +208,7 @@
 
   if (entry == NULL)
     return FALSE;
-  /* A draining upstream was about to leave, so its row is gone because it has left. */
-  if (entry->upstream.draining)
-    remove_now (registry, now, entry);
-  else
-    remove_or_defer (registry, now, entry);
+  remove_or_defer (registry, now, entry);
   return TRUE;
 }
 
@@ -377,6 +376,47 @@
   return g_hash_table_contains (registry->removed_keys, &key);
 }
 
+void
+anvil_registry_set_version (anvil_registry_t *registry, guint64 version)
+{
+  registry->version = version;
+}
+
+guint64
+anvil_registry_version (const anvil_registry_t *registry)
+{
+  return registry->version;
+}
+
+guint64
+anvil_registry_row_version (const anvil_registry_t *registry, guint64 key)
+{
+  const anvil_registered_upstream_t *upstream = anvil_registry_lookup (registry, key);
+
+  return upstream == NULL || upstream->removal_pending ? 0 : registry->version;
+}
+
+const char *
+anvil_registry_reason_not_to_use (const anvil_registry_t *registry,
+                                  guint64 key,
+                                  guint64 grant_version,
+                                  anvil_time_t store_ok_for)
+{
+  const anvil_registered_upstream_t *upstream = anvil_registry_lookup (registry, key);
+
+  if (upstream != NULL && upstream->draining)
+    return "draining";
+  if (upstream != NULL && upstream->evacuated)
+    return "evacuated";
+  if (upstream != NULL)
+    return NULL;
+  if (anvil_registry_recently_removed (registry, key))
+    return "left";
+  if (grant_version > registry->version || store_ok_for < ANVIL_REGISTRY_REMOVAL_GRACE)
+    return NULL;
+  return "unknown-to-newer-read";
+}
+
 guint
 anvil_registry_count (const anvil_registry_t *registry)
 {
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -153,6 +153,42 @@
 }
 END_TEST
 
+START_TEST (test_an_outdated_entry_holds_no_service)
+{
+  anvil_member_info_t outdated = info ("east-a", 1);
+
+  answer_ping (3, "east-a", 1);
+  ck_assert_uint_eq (anvil_members_holder (members, now, anvil_str ("photos"), "east"), 3);
+  outdated.outdated = TRUE;
+  anvil_members_ping_answered (members, now, 3, &outdated, now);
+  ck_assert_uint_eq (anvil_members_holder (members, now, anvil_str ("photos"), "east"), SELF);
+  ck_assert_uint_eq (count_entries_for_caller ("east"), 1);
+  anvil_members_self (members)->outdated = TRUE;
+  answer_ping (2, "west-b", 1);
+  ck_assert_uint_eq (anvil_members_holder (members, now, anvil_str ("photos"), "west"), 2);
+}
+END_TEST
+
+START_TEST (test_readers_of_the_store_come_in_turn_from_the_longest_on)
+{
+  anvil_member_info_t reading = info ("west-b", 1);
+
+  answer_ping (2, "west-b", 1);
+  ck_assert_uint_eq (anvil_members_next_store_reader (members, now, ANVIL_NO_NODE), ANVIL_NO_NODE);
+  reading.reads_store = TRUE;
+  for (anvil_node_t node = 3; node <= 5; node++)
+    {
+      reading.store_ok_for = (anvil_time_t) node * ANVIL_SECOND;
+      anvil_members_add (members, now, node);
+      anvil_members_ping_answered (members, now, node, &reading, now - ANVIL_MS);
+    }
+  ck_assert_uint_eq (anvil_members_next_store_reader (members, now, ANVIL_NO_NODE), 5);
+  ck_assert_uint_eq (anvil_members_next_store_reader (members, now, 5), 4);
+  ck_assert_uint_eq (anvil_members_next_store_reader (members, now, 4), 3);
+  ck_assert_uint_eq (anvil_members_next_store_reader (members, now, 3), 5);
+}
+END_TEST
+
 /* 300 entries: an entry pings those of its own region and the next holders often. */
 START_TEST (test_few_of_hundreds_of_peers_are_pinged_often)
 {
@@ -248,6 +284,8 @@
   tcase_add_test (tests, test_holder_is_in_region_of_slots_if_an_entry_is_reachable_there);
   tcase_add_test (tests, test_entry_with_most_processor_time_is_holder);
   tcase_add_test (tests, test_peers_report_since_when_they_read_the_store);
+  tcase_add_test (tests, test_an_outdated_entry_holds_no_service);
+  tcase_add_test (tests, test_readers_of_the_store_come_in_turn_from_the_longest_on);
   tcase_add_test (tests, test_few_of_hundreds_of_peers_are_pinged_often);
   tcase_add_test (tests, test_next_holder_is_pinged_often_in_advance);
   tcase_add_test (tests, test_silent_peer_expires_and_can_be_added_again);
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -149,6 +149,52 @@
 }
 END_TEST
 
+START_TEST (test_draining_upstream_that_a_snapshot_lacks_is_removed_at_once_after_an_outage)
+{
+  anvil_upstream_report_t draining = report ("a");
+
+  draining.draining = TRUE;
+  anvil_registry_apply (registry, 0, &draining);
+  anvil_registry_store_lost (registry, ANVIL_SECOND);
+  anvil_registry_store_recovered (registry, 2 * ANVIL_SECOND);
+  anvil_registry_begin_snapshot (registry);
+  anvil_registry_end_snapshot (registry, 2 * ANVIL_SECOND);
+  ck_assert_uint_eq (changes.left, 1);
+}
+END_TEST
+
+/* An entry that started after "gone" had left, and an entry that still knows it. */
+START_TEST (test_granted_upstream_without_a_row_is_judged_by_the_newer_read)
+{
+  const guint64 gone = anvil_str_hash (anvil_str ("gone"));
+  const anvil_time_t settled = ANVIL_REGISTRY_REMOVAL_GRACE;
+
+  anvil_registry_set_version (registry, 50);
+  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, gone, 49, settled));
+  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, gone, 50, settled));
+  /* The other entry has read later, so the upstream is new. */
+  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, gone, 51, settled));
+  /* Its row may have expired in an outage and not be back yet. */
+  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, gone, 49, settled - 1));
+  ck_assert_ptr_null (
+      anvil_registry_reason_not_to_use (registry, anvil_str_hash (anvil_str ("a")), 49, settled));
+}
+END_TEST
+
+START_TEST (test_row_of_an_upstream_is_as_new_as_the_last_read_unless_it_is_missing)
+{
+  const guint64 key = anvil_str_hash (anvil_str ("a"));
+
+  anvil_registry_set_version (registry, 50);
+  ck_assert_uint_eq (anvil_registry_row_version (registry, key), 50);
+  anvil_registry_store_lost (registry, ANVIL_SECOND);
+  anvil_registry_store_recovered (registry, 10 * ANVIL_SECOND);
+  anvil_registry_remove (registry, 10 * ANVIL_SECOND, anvil_str ("a"));
+  ck_assert_ptr_nonnull (lookup (registry, "a"));
+  ck_assert_uint_eq (anvil_registry_row_version (registry, key), 0);
+}
+END_TEST
+
 START_TEST (test_snapshot_removes_upstreams_that_are_not_in_it)
 {
   const anvil_upstream_report_t first = report ("a");
@@ -199,6 +245,10 @@
   tcase_add_test (tests, test_removals_are_deferred_after_an_outage_of_the_store);
   tcase_add_test (tests, test_removals_take_effect_if_a_peer_reached_the_store_during_the_outage);
   tcase_add_test (tests, test_draining_upstream_is_removed_at_once_after_an_outage);
+  tcase_add_test (tests,
+                  test_draining_upstream_that_a_snapshot_lacks_is_removed_at_once_after_an_outage);
+  tcase_add_test (tests, test_granted_upstream_without_a_row_is_judged_by_the_newer_read);
+  tcase_add_test (tests, test_row_of_an_upstream_is_as_new_as_the_last_read_unless_it_is_missing);
   tcase_add_test (tests, test_snapshot_removes_upstreams_that_are_not_in_it);
   tcase_add_test (tests, test_zone_is_cold_after_an_evacuation);
   tcase_add_test (tests, test_upstream_that_joins_an_evacuated_zone_is_not_usable);
--- /dev/null
+++ b/tests/test-relay-drains.c
@@ -0,0 +1,156 @@
+/* Upstreams that left are not used by entries that lack part of the knowledge: one that was
+ * restarted since, and one that the store doesn't answer. */
+
+#include "helper-fleet.h"
+
+#include <stdlib.h>
+
+#define N_ENTRIES 3
+#define N_REQUESTS 9
+/* Until an entry has noticed that the store doesn't answer it. */
+#define NOTICE_LOSS_US 2000000
+/* The platform's contract: no request reaches an upstream later than this after its row is gone. */
+#define MAX_DRAIN_DELAY_US 2500000
+
+static fleet_t fleet;
+static fleet_entry_t *entries[N_ENTRIES];
+static fleet_proxy_t *proxies[N_ENTRIES];
+static guint holder;
+
+static guint
+find_holder (void)
+{
+  for (guint i = 0; i < N_ENTRIES; i++)
+    {
+      if (fleet_read_metric (entries[i], "anvil_held_upstreams{service=\"photos\"}") > 0)
+        return i;
+    }
+  ck_abort_msg ("no entry holds the service");
+  return 0;
+}
+
+/* Entries with a connection to the store each, an upstream that stays, and one that leaves. The
+ * latter writes its row only once, so that the test can remove it while it still serves. */
+static void
+set_up (void)
+{
+  fleet_open (&fleet);
+  fleet_add_upstream (&fleet, "stays", "photos", NULL);
+  fleet_add_upstream (&fleet, "leaves", "photos", "--heartbeat-ms 1000000");
+  fleet_configure (&fleet, NULL);
+  for (guint i = 0; i < N_ENTRIES; i++)
+    {
+      char *name = g_strdup_printf ("e%u", i);
+
+      proxies[i] = fleet_add_store_proxy (&fleet);
+      fleet.entry_store_endpoint = proxies[i]->endpoint;
+      entries[i] = fleet_add_entry (&fleet, name, "west-a");
+      g_free (name);
+    }
+  for (guint i = 0; i < N_ENTRIES; i++)
+    fleet_wait_ready (entries[i]);
+  g_usleep (NOTICE_LOSS_US);
+  holder = find_holder ();
+}
+
+static void
+tear_down (void)
+{
+  fleet_close (&fleet);
+}
+
+static void
+remove_upstream_while_holder_is_cut_off (void)
+{
+  kill (proxies[holder]->pid, SIGSTOP);
+  g_usleep (NOTICE_LOSS_US);
+  fleet_put_row (&fleet, "servers", "leaves", NULL);
+}
+
+/* Sends requests at the same time, more than one upstream has slots; returns how many of them @id
+ * ran. */
+static guint
+count_responses_of (const char *id, const fleet_entry_t *entry)
+{
+  char *stamp = g_strdup_printf ("Server-Stamp: %s\r\n", id);
+  int fds[N_REQUESTS];
+  guint n = 0;
+
+  for (guint i = 0; i < N_REQUESTS; i++)
+    {
+      fds[i] = fleet_connect (entry->caller_port);
+      fleet_send (fds[i],
+                  "GET /view/1?work=100 HTTP/1.1\r\nHost: " FLEET_HOST
+                  "\r\nRequest-Id: request-%u\r\n\r\n",
+                  i);
+    }
+  for (guint i = 0; i < N_REQUESTS; i++)
+    {
+      char *response = fleet_read_response (fds[i]);
+
+      ck_assert_msg (fleet_response_status (response) == 200, "%s", response);
+      n += strstr (response, stamp) != NULL;
+      g_free (response);
+      close (fds[i]);
+    }
+  g_free (stamp);
+  return n;
+}
+
+/* The restarted entry never knew the upstream, and the holder doesn't know that it left. */
+START_TEST (test_a_restarted_entry_does_not_use_an_upstream_that_left)
+{
+  fleet_entry_t *restarted = entries[(holder + 1) % N_ENTRIES];
+
+  remove_upstream_while_holder_is_cut_off ();
+  fleet_kill_entry (restarted, SIGKILL);
+  fleet_start_entry (&fleet, restarted);
+  fleet_wait_ready (restarted);
+  g_usleep (MAX_DRAIN_DELAY_US);
+  ck_assert_uint_eq (count_responses_of ("leaves", restarted), 0);
+}
+END_TEST
+
+START_TEST (test_an_entry_without_the_store_learns_from_its_peers_that_an_upstream_left)
+{
+  remove_upstream_while_holder_is_cut_off ();
+  g_usleep (MAX_DRAIN_DELAY_US);
+  ck_assert_uint_eq (count_responses_of ("leaves", entries[holder]), 0);
+}
+END_TEST
+
+/* The entry reads the store itself again once that answers. */
+START_TEST (test_an_entry_that_the_store_answers_again_knows_of_new_upstreams)
+{
+  remove_upstream_while_holder_is_cut_off ();
+  g_usleep (MAX_DRAIN_DELAY_US);
+  for (guint i = 0; i < N_ENTRIES; i++)
+    kill (proxies[i]->pid, i == holder ? SIGCONT : SIGSTOP);
+  g_usleep (NOTICE_LOSS_US);
+  fleet_add_upstream (&fleet, "new", "photos", NULL);
+  g_usleep (MAX_DRAIN_DELAY_US);
+  ck_assert_uint_gt (count_responses_of ("new", entries[holder]), 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("relay-drains");
+  TCase *tests = tcase_create ("relay-drains");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_set_timeout (tests, 120);
+  tcase_add_test (tests, test_a_restarted_entry_does_not_use_an_upstream_that_left);
+  tcase_add_test (tests,
+                  test_an_entry_without_the_store_learns_from_its_peers_that_an_upstream_left);
+  tcase_add_test (tests, test_an_entry_that_the_store_answers_again_knows_of_new_upstreams);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
