Start tests once the upstreams have registered, and notice cancelled requests

The entry had read the store before an upstream had written its row. With one of two upstreams registered, two faults in a row eject it, and the third request is refused. The refusal is true; the test began too early.

Ruled out: a response taken for "not run"; no attempt was made at all.

Second finding in the same runs: a request after six callers had left took 1.2 s. The stand-in did not notice that its caller had closed, since evhttp stops reading while a request is handled, so the test passed by waiting for the runs to end, and failed where that took longer than the time-out.

Change: fleet_add_upstream() waits until the store has the row. The stand-in goes on reading, and gets faults that later tests need: a second copy of a response, a head and a body without end. The runs that are cancelled in test_a_disconnected_caller_releases_the_slot last a minute, so that it fails without the cancellation on any machine.

--- a/standins/anvil-registrant-report.c
+++ b/standins/anvil-registrant-report.c
@@ -16,6 +16,21 @@
   return evhttp_find_header (evhttp_request_get_input_headers (request), name);
 }
 
+void
+registrant_send_copy (struct evhttp_request *request, const char *text)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+  evutil_socket_t fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
+  char *response
+      = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: x\r\n"
+                         "Content-Length: %zu\r\n\r\n%s",
+                         registrant_request_header (request, "Request-Id"), strlen (text), text);
+
+  if (send (fd, response, strlen (response), MSG_NOSIGNAL) < 0)
+    anvil_log (ANVIL_LOG_INFO, "upstream", "caller disconnected");
+  g_free (response);
+}
+
 /* Sends bytes past evhttp, then closes the connection, with a TCP reset if @reset. */
 static void
 send_raw_and_close (struct evhttp_request *request, const char *bytes, gboolean reset)
@@ -32,6 +47,41 @@
   evhttp_connection_free (connection);
 }
 
+/* Bytes that are sent at once, again and again. */
+#define FLOOD_PIECE_BYTES (16u << 10)
+
+static void
+on_flood_writable (evutil_socket_t fd, short unused_what, void *unused_data)
+{
+  char piece[FLOOD_PIECE_BYTES];
+
+  memset (piece, 'x', sizeof piece);
+  /* A failure means that the caller has closed; evhttp notices that and calls on_flood_ended(). */
+  if (send (fd, piece, sizeof piece, MSG_NOSIGNAL) < 0)
+    return;
+}
+
+static void
+on_flood_ended (struct evhttp_connection *connection, void *data)
+{
+  event_free (data);
+}
+
+/* Sends @start and then bytes without end, until the caller closes the connection. */
+static void
+send_without_end (struct evhttp_request *request, const char *start)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+  evutil_socket_t fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
+  struct event *writable = event_new (evhttp_connection_get_base (connection), fd,
+                                      EV_WRITE | EV_PERSIST, on_flood_writable, NULL);
+
+  if (send (fd, start, strlen (start), MSG_NOSIGNAL) < 0)
+    anvil_log (ANVIL_LOG_INFO, "upstream", "caller disconnected");
+  evhttp_connection_set_closecb (connection, on_flood_ended, writable);
+  event_add (writable, NULL);
+}
+
 void
 registrant_send_faulty_response (const registrant_job_t *job, const char *text)
 {
@@ -43,6 +93,15 @@
     send_raw_and_close (job->request, "", TRUE);
   else if (strcmp (job->fault, "truncate") == 0)
     response = g_strdup_printf ("%sContent-Length: 1000\r\n\r\n%s", head, text);
+  else if (strcmp (job->fault, "endless-head") == 0)
+    send_without_end (job->request, "HTTP/1.1 200 OK\r\nFiller: ");
+  else if (strcmp (job->fault, "endless-body") == 0)
+    {
+      char *start = g_strdup_printf ("%s\r\n", head);
+
+      send_without_end (job->request, start);
+      g_free (start);
+    }
   else if (strcmp (job->fault, "unframed") == 0)
     response = g_strdup_printf ("%sConnection: close\r\n\r\n%s", head, text);
   else if (strcmp (job->fault, "stray") == 0)
--- a/standins/anvil-registrant.c
+++ b/standins/anvil-registrant.c
@@ -13,6 +13,9 @@
  *     error            status 500
  *     unframed         body without Content-Length that ends with the connection
  *     stray            a response to another request comes first
+ *     copies           the response comes twice
+ *     endless-head     a header without end, until the caller closes
+ *     endless-body     a body without end, until the caller closes
  *   echo=headers     the response's body includes the headers of the request
  * GET /runs returns the number of runs by request ID: {"ID": COUNT}. SIGTERM starts a drain.
  * With --runs, lines are appended to a file: "start TIME -" when the process starts,
@@ -107,11 +110,14 @@
       set_header (job->request, "Server-Stamp", "x");
       respond (upstream, job->request, STATUS_ERROR, "failed");
     }
-  else if (job->fault[0] != '\0' && strcmp (job->fault, "unsigned") != 0)
+  else if (job->fault[0] != '\0' && strcmp (job->fault, "unsigned") != 0
+           && strcmp (job->fault, "copies") != 0)
     registrant_send_faulty_response (job, text);
   else
     {
-      if (job->fault[0] == '\0')
+      if (strcmp (job->fault, "copies") == 0)
+        registrant_send_copy (job->request, text);
+      if (strcmp (job->fault, "unsigned") != 0)
         set_header (job->request, "Server-Stamp", upstream->settings[ID].text);
       respond (upstream, job->request, HTTP_OK, text);
     }
@@ -209,6 +215,7 @@
   upstream_t *upstream = data;
   const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
   const char *expected = registrant_request_header (request, "Expect-Instance");
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
   registrant_job_t *job;
 
   if (strcmp (path, "/runs") == 0)
@@ -230,8 +237,10 @@
       return;
     }
   job = job_new (upstream, request);
-  evhttp_connection_set_closecb (evhttp_request_get_connection (request), on_caller_disconnected,
-                                 job);
+  evhttp_connection_set_closecb (connection, on_caller_disconnected, job);
+  /* evhttp stops reading while a request is handled, and would not notice that the caller closes.
+   */
+  bufferevent_enable (evhttp_connection_get_bufferevent (connection), EV_READ);
   g_queue_push_tail (&upstream->waiting, job);
   start_queued_jobs (upstream);
 }
--- a/standins/anvil-registrant.h
+++ b/standins/anvil-registrant.h
@@ -64,6 +64,9 @@
 /* Sends the faulty response that the request selected; @text is the body where there is one. */
 void registrant_send_faulty_response (const registrant_job_t *job, const char *text);
 
+/* Sends a response past evhttp, which leaves the connection as it is. */
+void registrant_send_copy (struct evhttp_request *request, const char *text);
+
 /* Logs an event. Each line is written at once, so that a killed process leaves no partial line. */
 void registrant_log_event (upstream_t *upstream, const char *event, const char *id);
 
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -15,6 +15,7 @@
 
 #define MAX_RESPONSE_BYTES (1u << 20)
 #define SETTLE_US 100000
+#define ROW_POLL_US 2000
 
 guint16
 fleet_port (const standin_t *standin)
@@ -91,6 +92,30 @@
   g_free (fleet->directory);
 }
 
+/* Waits until the store has a row. An entry that reads the table before has no upstream. */
+static void
+wait_for_row (fleet_t *fleet, const char *table, const char *key)
+{
+  char *path = g_strdup_printf ("/-/rows-get?table=%s&part=", table);
+  char *name = g_strdup_printf ("\"%s\"", key);
+  anvil_time_t until = anvil_clock_now () + FLEET_TIMEOUT_S * ANVIL_SECOND;
+  gboolean found = FALSE;
+
+  while (!found && anvil_clock_now () < until)
+    {
+      char *response = fleet_request (fleet_port (&fleet->store), "GET", path, "rows");
+
+      found = strstr (response, name) != NULL;
+      g_free (response);
+      if (!found)
+        g_usleep (ROW_POLL_US);
+    }
+  if (!found)
+    g_error ("row %s was never written", key);
+  g_free (name);
+  g_free (path);
+}
+
 standin_t *
 fleet_add_upstream (fleet_t *fleet, const char *id, const char *service, const char *flags)
 {
@@ -101,6 +126,7 @@
 
   standin_open (upstream, "anvil-registrant", (const char *const *) arguments);
   g_ptr_array_add (fleet->upstreams, upstream);
+  wait_for_row (fleet, "servers", id);
   g_strfreev (arguments);
   g_free (line);
   return upstream;
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -53,8 +53,8 @@
 /** fleet_close - kills all processes and removes their settings files */
 void fleet_close (fleet_t *fleet);
 
-/** fleet_add_upstream - starts an upstream of @service; @flags are more flags of anvil-registrant,
- * or NULL */
+/** fleet_add_upstream - starts an upstream of @service and waits until it has registered itself;
+ * @flags are more flags of anvil-registrant, or NULL */
 standin_t *
 fleet_add_upstream (fleet_t *fleet, const char *id, const char *service, const char *flags);
 
--- a/tests/test-relay-process.c
+++ b/tests/test-relay-process.c
@@ -461,7 +461,7 @@
       fds[i] = fleet_connect (entry->caller_port);
       fleet_send (
           fds[i],
-          "GET /view/1?work=1300 HTTP/1.1\r\nHost: " FLEET_HOST "\r\nRequest-Id: g%zu\r\n\r\n", i);
+          "GET /view/1?work=60000 HTTP/1.1\r\nHost: " FLEET_HOST "\r\nRequest-Id: g%zu\r\n\r\n", i);
     }
   g_usleep (100000);
   for (gsize i = 0; i < G_N_ELEMENTS (fds); i++)
