Bound what upstreams and callers may send or leave unread

Ruled out: time limits for a head or a body. A silent upstream is no reason to end a request sooner than its deadline, and a slow one looks the same.

Change: - the bodies of all responses that are being received have one sum, an eighth of the memory; above it the longest is given up, which is that of an upstream without end. Its callers get 502, and it is ejected as for any broken response; - bytes outside of bodies are limited to 64 KB and 16 for each byte of a body; - responses that callers have not read have a sum of the same size; above it the connection with most of them is closed; - a caller's body must arrive within the caller's time-out, at least 30 s; - a connection on which bytes, or its end, have arrived unread is not used again; - a rejection without a request id counts only on a new connection: on a used one it may be the late copy of another; - at the deadline of a request, bytes that have arrived are read first.

--- a/source/relay/relay-caller-internal.h
+++ b/source/relay/relay-caller-internal.h
@@ -24,6 +24,10 @@
   gsize max_buffered_bytes;
   /* Bytes of the bodies of all unanswered requests. */
   gsize buffered_bytes;
+  /* Limit of the responses that callers have not read yet, and their current sum. */
+  gsize max_unsent_bytes;
+  gsize unsent_bytes;
+  struct event *unsent_limit_event;
   gboolean shutting_down;
   GHashTable *connections;
 };
@@ -54,7 +58,9 @@
  * @header_bytes: size of request line and headers so far
  * @error_status: status of the response to input that was rejected, 0 for none
  * @pending_responses: pending_response_t in order
+ * @unsent_bytes: bytes of responses that were not written to the socket yet
  * @header_timer: runs while headers are read
+ * @body_timer: runs while a body is read
  * @idle_timer: always runs; compares @last_active_at with the idle time-out
  * @last_active_at: when bytes of the caller arrived or responses were written last
  * @reading_paused: MAX_PENDING_RESPONSES are pending, no more is read
@@ -77,7 +83,9 @@
   gsize header_bytes;
   guint error_status;
   GQueue pending_responses;
+  gsize unsent_bytes;
   struct event *header_timer;
+  struct event *body_timer;
   struct event *idle_timer;
   anvil_time_t last_active_at;
   gboolean reading_paused;
--- a/source/relay/relay-caller-read.c
+++ b/source/relay/relay-caller-read.c
@@ -4,6 +4,9 @@
 
 #include "relay/http-field.h"
 
+/* A body must arrive within the caller's own timeout, but at least this time is allowed: large
+ * uploads come over slow links. */
+#define MIN_BODY_TIME (30 * ANVIL_SECOND)
 #define STATUS_BAD_REQUEST 400
 #define STATUS_BODY_TOO_LARGE 413
 #define STATUS_UNAVAILABLE 503
@@ -165,9 +168,12 @@
   const anvil_str_t listed_names
       = { .data = connection->hop_by_hop_names->str, .length = connection->hop_by_hop_names->len };
 
+  struct timeval body_time;
+
   event_del (connection->header_timer);
   if (process_field (connection) != 0)
     return -1;
+  body_time = anvil_time_to_timeval (MAX (connection->partial_request->timeout, MIN_BODY_TIME));
   connection->in_trailers = TRUE;
   if (parser->http_major != 1 || connection->partial_request->host == NULL
       || parser->method == HTTP_CONNECT)
@@ -175,6 +181,7 @@
       connection->error_status = STATUS_BAD_REQUEST;
       return -1;
     }
+  evtimer_add (connection->body_timer, &body_time);
   anvil_http_field_foreach_token (listed_names, remove_hop_by_hop_field, connection);
   if ((parser->flags & F_CONTENTLENGTH) != 0
       && parser->content_length > caller_limits (connection)->max_body_bytes)
@@ -213,6 +220,7 @@
   anvil_relay_request_t *request = g_steal_pointer (&connection->partial_request);
   pending_response_t *pending = g_new0 (pending_response_t, 1);
 
+  event_del (connection->body_timer);
   request->connection = connection;
   request->method = g_strdup (http_method_str (parser->method));
   request->target = g_strdup (connection->target->str);
--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -39,6 +39,16 @@
   g_free (pending);
 }
 
+/* Bytes that leave the output were written to the socket. */
+static void
+on_output_changed (struct evbuffer *output, const struct evbuffer_cb_info *info, void *data)
+{
+  anvil_relay_caller_connection_t *connection = data;
+
+  connection->unsent_bytes -= info->n_deleted;
+  connection->callers->unsent_bytes -= info->n_deleted;
+}
+
 static void
 connection_close (anvil_relay_caller_connection_t *connection)
 {
@@ -50,7 +60,10 @@
   g_string_free (connection->field_value, TRUE);
   g_string_free (connection->hop_by_hop_names, TRUE);
   event_free (connection->header_timer);
+  event_free (connection->body_timer);
   event_free (connection->idle_timer);
+  connection->callers->unsent_bytes -= connection->unsent_bytes;
+  evbuffer_remove_cb (bufferevent_get_output (connection->stream), on_output_changed, connection);
   bufferevent_free (connection->stream);
   g_queue_clear_full (&connection->pending_responses, pending_response_drop);
   g_free (connection);
@@ -106,6 +119,7 @@
 {
   connection->closing = TRUE;
   event_del (connection->header_timer);
+  event_del (connection->body_timer);
   linger_if_flushed (connection);
 }
 
@@ -210,6 +224,56 @@
   return out;
 }
 
+/* The connection with most unsent bytes of responses. */
+static anvil_relay_caller_connection_t *
+slowest_reader (const anvil_relay_callers_t *callers)
+{
+  anvil_relay_caller_connection_t *slowest = NULL;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, callers->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      anvil_relay_caller_connection_t *connection = key;
+
+      if (slowest == NULL || connection->unsent_bytes > slowest->unsent_bytes)
+        slowest = connection;
+    }
+  return slowest;
+}
+
+/* Closes the connections of callers that don't read while all unsent responses exceed the limit.
+ * Runs from the event loop, since it may free any connection. */
+static void
+on_unsent_limit (evutil_socket_t unused_fd, short unused_events, void *data)
+{
+  anvil_relay_callers_t *callers = data;
+
+  while (callers->unsent_bytes > callers->max_unsent_bytes)
+    {
+      anvil_relay_caller_connection_t *slowest = slowest_reader (callers);
+
+      anvil_log (ANVIL_LOG_WARNING, "caller",
+                 "connection closed, unsent responses exceed their memory bytes=%zu "
+                 "all_bytes=%zu limit=%zu",
+                 slowest->unsent_bytes, callers->unsent_bytes, callers->max_unsent_bytes);
+      on_disconnected (slowest);
+    }
+}
+
+static void
+count_unsent_bytes (anvil_relay_caller_connection_t *connection, const struct evbuffer *response)
+{
+  anvil_relay_callers_t *callers = connection->callers;
+  gsize length = evbuffer_get_length (response);
+
+  connection->unsent_bytes += length;
+  callers->unsent_bytes += length;
+  if (callers->unsent_bytes > callers->max_unsent_bytes)
+    event_active (callers->unsent_limit_event, EV_TIMEOUT, 0);
+}
+
 void
 anvil_relay_respond (anvil_relay_request_t *request,
                      guint status,
@@ -227,6 +291,7 @@
             || (connection->callers->shutting_down && is_last_pending (connection, pending));
       pending->response = format_response (status, headers, body, request->is_head, pending->close);
       pending->request = NULL;
+      count_unsent_bytes (connection, pending->response);
     }
   request_drop (request);
   if (pending != NULL)
@@ -242,9 +307,11 @@
              connection->header_bytes);
   pending->close = TRUE;
   pending->response = format_response (status, (anvil_str_t){ 0 }, NULL, FALSE, TRUE);
+  count_unsent_bytes (connection, pending->response);
   g_queue_push_tail (&connection->pending_responses, pending);
   connection->closing = TRUE;
   event_del (connection->header_timer);
+  event_del (connection->body_timer);
   write_ready_responses (connection);
 }
 
@@ -309,8 +376,9 @@
     on_disconnected (connection);
 }
 
+/* The headers, or the body, took too long. */
 static void
-on_header_timeout (evutil_socket_t unused_fd, short unused_events, void *data)
+on_request_timeout (evutil_socket_t unused_fd, short unused_events, void *data)
 {
   caller_connection_reject (data, STATUS_REQUEST_TIMEOUT);
 }
@@ -342,7 +410,8 @@
   connection->field_name = g_string_new (NULL);
   connection->field_value = g_string_new (NULL);
   connection->hop_by_hop_names = g_string_new (NULL);
-  connection->header_timer = evtimer_new (callers->base, on_header_timeout, connection);
+  connection->header_timer = evtimer_new (callers->base, on_request_timeout, connection);
+  connection->body_timer = evtimer_new (callers->base, on_request_timeout, connection);
   connection->idle_timer = evtimer_new (callers->base, on_idle_timer, connection);
   connection->last_active_at = anvil_clock_now ();
   g_queue_init (&connection->pending_responses);
@@ -352,6 +421,7 @@
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   idle_timeout = anvil_time_to_timeval (caller_limits (connection)->idle_timeout);
   bufferevent_setcb (connection->stream, on_read, on_written, on_event, connection);
+  evbuffer_add_cb (bufferevent_get_output (connection->stream), on_output_changed, connection);
   bufferevent_set_timeouts (connection->stream, NULL, &idle_timeout);
   evtimer_add (connection->idle_timer, &idle_timeout);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
@@ -371,6 +441,7 @@
                           const anvil_header_names_t *header_names,
                           guint max_connections,
                           gsize max_buffered_bytes,
+                          gsize max_unsent_bytes,
                           const anvil_relay_caller_callbacks_t *callbacks,
                           void *context,
                           GError **error)
@@ -385,6 +456,8 @@
   callers->context = context;
   callers->max_connections = max_connections;
   callers->max_buffered_bytes = max_buffered_bytes;
+  callers->max_unsent_bytes = max_unsent_bytes;
+  callers->unsent_limit_event = event_new (base, -1, 0, on_unsent_limit, callers);
   callers->connections = g_hash_table_new (NULL, NULL);
   callers->listener = evconnlistener_new_bind (
       base, on_accept, callers, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
@@ -393,6 +466,7 @@
     {
       g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_IO, "can't listen for callers on port %u: %s",
                    port, g_strerror (errno));
+      event_free (callers->unsent_limit_event);
       g_hash_table_unref (callers->connections);
       g_free (callers);
       return NULL;
@@ -419,6 +493,7 @@
   for (GList *link = connections; link != NULL; link = link->next)
     on_disconnected (link->data);
   g_list_free (connections);
+  event_free (callers->unsent_limit_event);
   g_hash_table_unref (callers->connections);
   g_free (callers);
 }
@@ -454,6 +529,12 @@
   return callers->buffered_bytes;
 }
 
+gsize
+anvil_relay_callers_unsent_bytes (const anvil_relay_callers_t *callers)
+{
+  return callers->unsent_bytes;
+}
+
 guint
 anvil_relay_callers_count_connections (const anvil_relay_callers_t *callers)
 {
--- a/source/relay/relay-caller.h
+++ b/source/relay/relay-caller.h
@@ -76,6 +76,8 @@
  * @max_connections: connections beyond this are closed at once
  * @max_buffered_bytes: bytes of request bodies in memory; a request that would exceed it is
  *   refused before it is read completely
+ * @max_unsent_bytes: bytes of responses that callers have not read yet; above it the connection
+ *   with most of them is closed
  */
 anvil_relay_callers_t *anvil_relay_callers_open (struct event_base *base,
                                                  guint32 address,
@@ -83,6 +85,7 @@
                                                  const anvil_header_names_t *header_names,
                                                  guint max_connections,
                                                  gsize max_buffered_bytes,
+                                                 gsize max_unsent_bytes,
                                                  const anvil_relay_caller_callbacks_t *callbacks,
                                                  void *context,
                                                  GError **error);
@@ -94,6 +97,9 @@
 /** anvil_relay_callers_buffered_bytes - bytes of request bodies in memory */
 gsize anvil_relay_callers_buffered_bytes (const anvil_relay_callers_t *callers);
 
+/** anvil_relay_callers_unsent_bytes - bytes of responses that callers have not read yet */
+gsize anvil_relay_callers_unsent_bytes (const anvil_relay_callers_t *callers);
+
 /** anvil_relay_callers_begin_shutdown - from now on a connection closes after its last pending
  * response */
 void anvil_relay_callers_begin_shutdown (anvil_relay_callers_t *callers);
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -31,7 +31,7 @@
  * @upstream_id: upstream that the request was sent to last
  * @attempt: the exchange with the upstream, while the job is running
  * @timer: ends the job at its deadline
- * @deadline_passed: the deadline has passed, and the event loop gets one more iteration
+ * @n_deadline_extensions: how often the deadline was extended to read what has arrived
  * @unsent_attempts: attempts that failed before anything was sent
  * @may_have_run: an upstream may have run the request
  * @saved_status: status of an upstream's failure response, which is passed on if no retry succeeds;
@@ -52,7 +52,7 @@
   char *upstream_id;
   anvil_relay_attempt_t *attempt;
   struct event *timer;
-  gboolean deadline_passed;
+  guint n_deadline_extensions;
   guint unsent_attempts;
   gboolean may_have_run;
   guint saved_status;
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -11,8 +11,10 @@
  * route. */
 #define MAX_UNSENT_ATTEMPTS 6
 /* When the deadline passes, the response may have arrived without having been read, especially if
- * the process was suspended. The event loop gets this time to read it. */
+ * the process was suspended. The event loop gets this time to read it, and as much again while
+ * bytes remain unread, up to the maximum: an upstream may send without end. */
 #define DEADLINE_EXTENSION (1 * ANVIL_MS)
+#define MAX_DEADLINE_EXTENSIONS 20
 #define NOT_READY_RETRY_AFTER (500 * ANVIL_MS)
 /* During shutdown another entry can serve the caller at once. */
 #define SHUTDOWN_RETRY_AFTER (20 * ANVIL_MS)
@@ -141,11 +143,13 @@
       job_fail (job, STATUS_GATEWAY_TIMEOUT, "no-slot-in-time", 0);
       return;
     }
-  if (!job->deadline_passed)
+  if (job->n_deadline_extensions == 0
+      || (job->n_deadline_extensions < MAX_DEADLINE_EXTENSIONS
+          && anvil_relay_attempt_has_unread_bytes (job->attempt)))
     {
       const struct timeval extension = { .tv_usec = DEADLINE_EXTENSION };
 
-      job->deadline_passed = TRUE;
+      job->n_deadline_extensions++;
       evtimer_add (job->timer, &extension);
       return;
     }
--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -18,6 +18,11 @@
   guint32 local_address;
   /* GQueue of idle upstream_connection_t by key of the upstream, most recently used first. */
   GHashTable *idle_connections;
+  /* Set of the attempts under way. */
+  GHashTable *attempts;
+  /* Limit of the bytes in the bodies of all of them, and their current sum. */
+  gsize max_buffered_bytes;
+  gsize buffered_bytes;
   struct event *sweep_timer;
   anvil_relay_upstream_pool_counters_t counters;
 };
@@ -52,6 +57,8 @@
  * @has_content_encoding: the response has a Content-Encoding other than identity
  * @response_complete: the parser has reached the end of a response
  * @n_mismatched: responses to other requests so far
+ * @framing_bytes: bytes received that belong to no body: heads, chunk sizes, trailers
+ * @body_bytes: bytes received that belong to a body, also of a discarded response
  */
 struct anvil_relay_attempt
 {
@@ -76,15 +83,24 @@
   gboolean has_content_encoding;
   gboolean response_complete;
   guint n_mismatched;
+  gsize framing_bytes;
+  gsize body_bytes;
 };
 
 /* Parses bytes of a response, or the end of the stream if @length is 0. Returns the number of bytes
  * consumed; stops after each complete response. */
 size_t attempt_parse (anvil_relay_attempt_t *attempt, const char *bytes, size_t length);
 
+/* Empties the body and takes its bytes off the pool's sum. */
+void attempt_clear_body (anvil_relay_attempt_t *attempt);
+
+/* Whether so many bytes have arrived that belong to no body that no response needs them. */
+gboolean attempt_has_excessive_framing (const anvil_relay_attempt_t *attempt);
+
 /* Whether the parsed response is for this request. A response without a request id is accepted if
- * the request has no id either, or if the response says that the request has not run or that
- * another upstream has the address. */
+ * the request has no id either. It is also accepted if it says that the request has not run or that
+ * another upstream has the address, but only on a new connection: on a used one it may be a late
+ * copy of the response to an earlier request. */
 gboolean attempt_response_matches (const anvil_relay_attempt_t *attempt);
 
 /* Derives the outcome from a complete response to this request. */
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -6,6 +6,10 @@
 
 /* Largest response body that is buffered; larger than any body that upstreams send today. */
 #define MAX_RESPONSE_BODY_BYTES (32u << 20)
+/* Bytes that may arrive outside of bodies: heads of interim and discarded responses too. A body in
+ * chunks has more, up to this number for each byte of the body, which allows chunks of one byte. */
+#define MAX_FRAMING_BYTES (64u << 10)
+#define MAX_FRAMING_PER_BODY_BYTE 16
 /* Idle connections are closed this much earlier than the upstream's Keep-Alive time-out, so that no
  * request is sent while the upstream closes. */
 #define IDLE_TIMEOUT_MARGIN (1 * ANVIL_SECOND)
@@ -66,8 +70,26 @@
 {
   if (attempt->response_request_id != NULL)
     return g_strcmp0 (attempt->response_request_id, attempt->request_id) == 0;
-  return attempt->request_id == NULL || attempt->not_run
-         || attempt->parser.status_code == STATUS_MISDIRECTED;
+  if (attempt->request_id == NULL)
+    return TRUE;
+  return !attempt->connection->reused
+         && (attempt->not_run || attempt->parser.status_code == STATUS_MISDIRECTED);
+}
+
+void
+attempt_clear_body (anvil_relay_attempt_t *attempt)
+{
+  gsize length = evbuffer_get_length (attempt->body);
+
+  attempt->connection->pool->buffered_bytes -= length;
+  evbuffer_drain (attempt->body, length);
+}
+
+gboolean
+attempt_has_excessive_framing (const anvil_relay_attempt_t *attempt)
+{
+  return attempt->framing_bytes
+         > MAX_FRAMING_BYTES + attempt->body_bytes * MAX_FRAMING_PER_BODY_BYTE;
 }
 
 static void
@@ -83,7 +105,7 @@
   g_string_truncate (attempt->field_name, 0);
   g_string_truncate (attempt->field_value, 0);
   g_string_truncate (attempt->headers, 0);
-  evbuffer_drain (attempt->body, evbuffer_get_length (attempt->body));
+  attempt_clear_body (attempt);
 }
 
 static void
@@ -175,6 +197,8 @@
   if (evbuffer_get_length (attempt->body) + length > MAX_RESPONSE_BODY_BYTES)
     return 1;
   evbuffer_add (attempt->body, at, length);
+  attempt->connection->pool->buffered_bytes += length;
+  attempt->body_bytes += length;
   return 0;
 }
 
@@ -200,5 +224,9 @@
 size_t
 attempt_parse (anvil_relay_attempt_t *attempt, const char *bytes, size_t length)
 {
-  return http_parser_execute (&attempt->parser, &parser_settings, bytes, length);
+  gsize body_bytes = attempt->body_bytes;
+  size_t parsed = http_parser_execute (&attempt->parser, &parser_settings, bytes, length);
+
+  attempt->framing_bytes += parsed - (attempt->body_bytes - body_bytes);
+  return parsed;
 }
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -50,6 +51,16 @@
   connection_close (connection);
 }
 
+/* Ends the attempt's part in the pool, while it still has its connection. */
+static void
+leave_pool (anvil_relay_attempt_t *attempt)
+{
+  anvil_relay_upstream_pool_t *pool = attempt->connection->pool;
+
+  pool->buffered_bytes -= evbuffer_get_length (attempt->body);
+  g_hash_table_remove (pool->attempts, attempt);
+}
+
 static void
 attempt_drop (anvil_relay_attempt_t *attempt)
 {
@@ -122,6 +133,7 @@
     .result = result, .reason = reason, .duration = anvil_clock_now () - attempt->started_at
   };
 
+  leave_pool (attempt);
   connection_reset (attempt->connection);
   attempt_finish (attempt, &outcome);
 }
@@ -138,6 +150,7 @@
                       && evbuffer_get_length (bufferevent_get_input (connection->stream)) == 0
                       && evbuffer_get_length (bufferevent_get_output (connection->stream)) == 0;
 
+  leave_pool (attempt);
   connection->attempt = NULL;
   if (reusable)
     add_idle (connection);
@@ -172,11 +185,52 @@
   return FALSE;
 }
 
+/* The attempt with the longest body, or NULL. */
+static anvil_relay_attempt_t *
+largest_attempt (const anvil_relay_upstream_pool_t *pool)
+{
+  anvil_relay_attempt_t *largest = NULL;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, pool->attempts);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      anvil_relay_attempt_t *attempt = key;
+
+      if (largest == NULL
+          || evbuffer_get_length (attempt->body) > evbuffer_get_length (largest->body))
+        largest = attempt;
+    }
+  return largest;
+}
+
+/* Gives up the longest responses while all together exceed the limit. It is an upstream that sends
+ * without end whose responses are the longest. */
+static void
+enforce_buffer_limit (anvil_relay_upstream_pool_t *pool)
+{
+  while (pool->buffered_bytes > pool->max_buffered_bytes)
+    {
+      anvil_relay_attempt_t *attempt = largest_attempt (pool);
+
+      anvil_log (ANVIL_LOG_WARNING, "upstream",
+                 "response given up, responses exceed their memory upstream=%s request=%s "
+                 "bytes=%zu all_bytes=%zu limit=%zu",
+                 attempt->upstream_id, attempt->request_id != NULL ? attempt->request_id : "-",
+                 evbuffer_get_length (attempt->body), pool->buffered_bytes,
+                 pool->max_buffered_bytes);
+      pool->counters.oversized_responses++;
+      attempt_fail (attempt, ANVIL_RUN_INTERRUPTED, "responses exceed their memory");
+    }
+}
+
 static void
 on_read (struct bufferevent *stream, void *data)
 {
   upstream_connection_t *connection = data;
   struct evbuffer *input = bufferevent_get_input (stream);
+  anvil_relay_upstream_pool_t *pool = connection->pool;
   anvil_relay_attempt_t *attempt = connection->attempt;
   struct evbuffer_iovec chunk;
 
@@ -197,14 +251,20 @@
           http_parser_pause (&attempt->parser, 0);
           if (!on_response (attempt))
             return;
-          continue;
         }
-      if (HTTP_PARSER_ERRNO (&attempt->parser) != HPE_OK || attempt->parser.upgrade)
+      else if (HTTP_PARSER_ERRNO (&attempt->parser) != HPE_OK || attempt->parser.upgrade)
         {
           attempt_fail (attempt, ANVIL_RUN_INTERRUPTED, "malformed or oversized response");
           return;
         }
+      if (attempt_has_excessive_framing (attempt))
+        {
+          pool->counters.oversized_responses++;
+          attempt_fail (attempt, ANVIL_RUN_INTERRUPTED, "too many bytes outside of a body");
+          return;
+        }
     }
+  enforce_buffer_limit (pool);
 }
 
 /* The upstream closed its side, which may mark the end of a response without a length. */
@@ -300,6 +360,16 @@
   return connection;
 }
 
+/* Whether bytes, or the end of the connection, have arrived and were not read yet. */
+static gboolean
+has_unread_bytes (const upstream_connection_t *connection)
+{
+  struct pollfd readable = { .fd = bufferevent_getfd (connection->stream), .events = POLLIN };
+
+  return evbuffer_get_length (bufferevent_get_input (connection->stream)) > 0
+         || (readable.fd >= 0 && poll (&readable, 1, 0) > 0);
+}
+
 /* Returns an idle connection that may carry the request, or NULL. */
 static upstream_connection_t *
 take_idle (anvil_relay_upstream_pool_t *pool, const anvil_relay_upstream_request_t *request)
@@ -316,6 +386,11 @@
       || (!request->idempotent && idle_for > MAX_IDLE_NON_IDEMPOTENT))
     return NULL;
   remove_idle (connection);
+  if (has_unread_bytes (connection))
+    {
+      connection_close (connection);
+      return NULL;
+    }
   connection->reused = TRUE;
   pool->counters.connections_reused++;
   return connection;
@@ -368,6 +443,7 @@
   if (attempt->connection == NULL)
     attempt->connection = connection_open (pool, request);
   attempt->connection->attempt = attempt;
+  g_hash_table_add (pool->attempts, attempt);
   write_request (attempt, request);
   return attempt;
 }
@@ -377,11 +453,18 @@
 {
   gboolean sent = is_request_sent (attempt);
 
+  leave_pool (attempt);
   connection_reset (attempt->connection);
   attempt_drop (attempt);
   return sent;
 }
 
+gboolean
+anvil_relay_attempt_has_unread_bytes (const anvil_relay_attempt_t *attempt)
+{
+  return has_unread_bytes (attempt->connection);
+}
+
 void
 anvil_relay_upstream_pool_close_idle (anvil_relay_upstream_pool_t *pool, guint64 upstream_key)
 {
@@ -420,7 +503,8 @@
 anvil_relay_upstream_pool_t *
 anvil_relay_upstream_pool_open (struct event_base *base,
                                 const anvil_header_names_t *header_names,
-                                guint32 local_address)
+                                guint32 local_address,
+                                gsize max_buffered_bytes)
 {
   anvil_relay_upstream_pool_t *pool = g_new0 (anvil_relay_upstream_pool_t, 1);
   const struct timeval interval = { .tv_sec = SWEEP_INTERVAL_S };
@@ -430,6 +514,8 @@
   pool->local_address = local_address;
   pool->idle_connections
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify) g_queue_free);
+  pool->attempts = g_hash_table_new (NULL, NULL);
+  pool->max_buffered_bytes = max_buffered_bytes;
   pool->sweep_timer = event_new (base, -1, EV_PERSIST, on_sweep_timer, pool);
   event_add (pool->sweep_timer, &interval);
   return pool;
@@ -452,6 +538,7 @@
         connection_close (item->data);
     }
   g_hash_table_unref (pool->idle_connections);
+  g_hash_table_unref (pool->attempts);
   event_free (pool->sweep_timer);
   g_free (pool);
 }
@@ -461,3 +548,9 @@
 {
   return &pool->counters;
 }
+
+gsize
+anvil_relay_upstream_pool_buffered_bytes (const anvil_relay_upstream_pool_t *pool)
+{
+  return pool->buffered_bytes;
+}
--- a/source/relay/relay-upstream.h
+++ b/source/relay/relay-upstream.h
@@ -74,21 +74,32 @@
  * anvil_relay_upstream_pool_counters_t - totals since the pool was opened
  * @connections_reused: attempts on connections that were idle
  * @mismatched_responses: discarded responses that carry the id of another request
+ * @oversized_responses: responses given up since they or all together were too long
  */
 typedef struct
 {
   guint64 connections_opened;
   guint64 connections_reused;
   guint64 mismatched_responses;
+  guint64 oversized_responses;
 } anvil_relay_upstream_pool_counters_t;
 
 /**
  * anvil_relay_upstream_pool_open - creates a pool without connections
  * @header_names: names of the exchanged headers; borrowed
  * @local_address: own IPv4 that connections are bound to, host order; 0 leaves it to the kernel
+ * @max_buffered_bytes: limit of the bodies of all responses that are being received; above it the
+ *   longest is given up
  */
-anvil_relay_upstream_pool_t *anvil_relay_upstream_pool_open (
-    struct event_base *base, const anvil_header_names_t *header_names, guint32 local_address);
+anvil_relay_upstream_pool_t *
+anvil_relay_upstream_pool_open (struct event_base *base,
+                                const anvil_header_names_t *header_names,
+                                guint32 local_address,
+                                gsize max_buffered_bytes);
+
+/** anvil_relay_upstream_pool_buffered_bytes - bytes in the bodies of responses that are being
+ * received */
+gsize anvil_relay_upstream_pool_buffered_bytes (const anvil_relay_upstream_pool_t *pool);
 
 /** anvil_relay_upstream_pool_close - every attempt must have ended */
 void anvil_relay_upstream_pool_close (anvil_relay_upstream_pool_t *pool);
@@ -103,6 +114,10 @@
  * bytes of the request may have been sent */
 gboolean anvil_relay_attempt_cancel (anvil_relay_attempt_t *attempt);
 
+/** anvil_relay_attempt_has_unread_bytes - whether bytes from the upstream have arrived that were
+ * not parsed yet */
+gboolean anvil_relay_attempt_has_unread_bytes (const anvil_relay_attempt_t *attempt);
+
 /** anvil_relay_upstream_pool_close_idle - closes the idle connections to an upstream */
 void anvil_relay_upstream_pool_close_idle (anvil_relay_upstream_pool_t *pool, guint64 upstream_key);
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -29,6 +29,9 @@
 #define CALLER_DESCRIPTORS_DIVISOR 2
 /* One in so many bytes is for bodies: they are copied while sent, and responses need memory too. */
 #define BUFFERED_BODIES_DIVISOR 4
+/* One in so many bytes is for responses that are being received, and as many for those that callers
+ * have not read yet. */
+#define RESPONSES_DIVISOR 8
 
 struct anvil_relay
 {
@@ -463,6 +466,13 @@
                            anvil_relay_callers_count_connections (relay->callers));
   anvil_metrics_set_gauge (relay->metrics, "anvil_buffered_bytes", "",
                            (gdouble) anvil_relay_callers_buffered_bytes (relay->callers));
+  anvil_metrics_set_gauge (relay->metrics, "anvil_unsent_response_bytes", "",
+                           (gdouble) anvil_relay_callers_unsent_bytes (relay->callers));
+  anvil_metrics_set_gauge (
+      relay->metrics, "anvil_buffered_response_bytes", "",
+      (gdouble) anvil_relay_upstream_pool_buffered_bytes (relay->upstream_pool));
+  anvil_metrics_set_gauge (relay->metrics, "anvil_oversized_responses", "",
+                           (gdouble) pool->oversized_responses);
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstream_connections_opened", "",
                            (gdouble) pool->connections_opened);
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstream_answers_strayed", "",
@@ -493,15 +503,17 @@
                                                &broker_callbacks, relay, error);
   if (relay->slot_broker == NULL)
     return FALSE;
-  relay->upstream_pool = anvil_relay_upstream_pool_open (relay->base, &relay->adapter->header_names,
-                                                         settings->caller_endpoint.address);
+  relay->upstream_pool = anvil_relay_upstream_pool_open (
+      relay->base, &relay->adapter->header_names, settings->caller_endpoint.address,
+      settings->memory_bytes / RESPONSES_DIVISOR);
   job_options.slot_broker = relay->slot_broker;
   job_options.upstream_pool = relay->upstream_pool;
   relay->jobs = anvil_relay_jobs_new (&job_options);
   relay->callers = anvil_relay_callers_open (
       relay->base, settings->caller_endpoint.address, settings->caller_endpoint.port,
       &relay->adapter->header_names, settings->max_descriptors / CALLER_DESCRIPTORS_DIVISOR,
-      settings->memory_bytes / BUFFERED_BODIES_DIVISOR, &caller_callbacks, relay, error);
+      settings->memory_bytes / BUFFERED_BODIES_DIVISOR, settings->memory_bytes / RESPONSES_DIVISOR,
+      &caller_callbacks, relay, error);
   if (relay->callers == NULL)
     return FALSE;
   server_options.slot_broker = relay->slot_broker;
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -396,6 +396,27 @@
 }
 END_TEST
 
+/* Its link is cut or it is suspended, but the upstream goes on with its tasks. */
+START_TEST (test_slots_of_a_silent_requester_stay_in_use_until_the_deadline)
+{
+  anvil_time_t deadline;
+
+  add_upstreams (1);
+  for (guint i = 0; i < 3; i++)
+    sim_submit (&sim, 0);
+  deadline = sim_task (&sim, 0)->task.deadline;
+  anvil_dispatcher_requester_lost (sim.dispatcher, sim.now, sim_task (&sim, 0)->task.id.requester);
+  sim.now = deadline;
+  anvil_dispatcher_tick (sim.dispatcher, sim.now);
+  sim_submit (&sim, 0);
+  ck_assert_uint_eq (sim.n_grants, 3);
+  sim.now = deadline + ANVIL_SECOND;
+  anvil_dispatcher_tick (sim.dispatcher, sim.now);
+  sim_submit (&sim, 0);
+  ck_assert_uint_ge (sim.n_grants, 4);
+}
+END_TEST
+
 START_TEST (test_tasks_of_a_lost_requester_are_removed)
 {
   anvil_dispatcher_status_t status;
@@ -446,6 +467,7 @@
   tcase_add_test (tests, test_adopted_tasks_use_slots);
   tcase_add_test (tests, test_reported_warm_objects_are_used);
   tcase_add_test (tests, test_second_submission_repeats_the_grant_without_a_second_slot);
+  tcase_add_test (tests, test_slots_of_a_silent_requester_stay_in_use_until_the_deadline);
   tcase_add_test (tests, test_tasks_of_a_lost_requester_are_removed);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
--- a/tests/test-relay-caller.c
+++ b/tests/test-relay-caller.c
@@ -17,6 +17,7 @@
 /* Longest wait for an expected event. */
 #define WAIT_TIMEOUT (20 * ANVIL_SECOND)
 #define IDLE_TIMEOUT (400 * ANVIL_MS)
+#define MAX_UNSENT_BYTES (1u << 20)
 #define FIRST_REQUEST "GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: one\r\n\r\n"
 #define SECOND_REQUEST "GET /b HTTP/1.1\r\nHost: h\r\nRequest-Id: two\r\n\r\n"
 
@@ -70,7 +71,7 @@
   received = g_string_new (NULL);
   n_disconnected = 0;
   callers = anvil_relay_callers_open (base, INADDR_LOOPBACK, 0, &header_names, 10, 1 << 20,
-                                      &callbacks, NULL, NULL);
+                                      MAX_UNSENT_BYTES, &callbacks, NULL, NULL);
   ck_assert_ptr_nonnull (callers);
   address.sin_port = htons (anvil_relay_callers_port (callers));
   caller = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -232,6 +233,93 @@
 }
 END_TEST
 
+/* Two responses are ready, and the caller reads none of them. */
+START_TEST (test_a_caller_that_does_not_read_is_disconnected_at_the_memory_limit)
+{
+  char *text = g_strnfill (3 * MAX_UNSENT_BYTES, 'x');
+  anvil_time_t deadline = anvil_clock_now () + WAIT_TIMEOUT;
+
+  send_text (FIRST_REQUEST SECOND_REQUEST SECOND_REQUEST);
+  wait_for_requests (3);
+  for (guint i = 0; i < 2; i++)
+    {
+      struct evbuffer *body = evbuffer_new ();
+
+      evbuffer_add (body, text, 3 * MAX_UNSENT_BYTES);
+      anvil_relay_respond (g_ptr_array_steal_index (requests, 0), 200, (anvil_str_t){ 0 }, body);
+      evbuffer_free (body);
+    }
+  while (anvil_relay_callers_count_connections (callers) > 0 && anvil_clock_now () < deadline)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_uint_eq (anvil_relay_callers_count_connections (callers), 0);
+  ck_assert_uint_eq (anvil_relay_callers_unsent_bytes (callers), 0);
+  ck_assert_uint_eq (n_disconnected, 1);
+  g_free (text);
+}
+END_TEST
+
+START_TEST (test_unsent_bytes_are_counted_until_the_caller_has_read_them)
+{
+  struct evbuffer *body = evbuffer_new ();
+  char *text = g_strnfill (MAX_UNSENT_BYTES / 2, 'x');
+
+  evbuffer_add (body, text, MAX_UNSENT_BYTES / 2);
+  send_text (FIRST_REQUEST);
+  wait_for_requests (1);
+  anvil_relay_respond (g_ptr_array_steal_index (requests, 0), 200, (anvil_str_t){ 0 }, body);
+  ck_assert_uint_gt (anvil_relay_callers_unsent_bytes (callers), 0);
+  while (received->len < MAX_UNSENT_BYTES / 2)
+    ck_assert (run_loop_once ());
+  run_for (10 * ANVIL_MS);
+  ck_assert_uint_eq (anvil_relay_callers_unsent_bytes (callers), 0);
+  evbuffer_free (body);
+  g_free (text);
+}
+END_TEST
+
+/* Bytes without end instead of a request, until the entry closes the connection. */
+START_TEST (test_input_without_end_is_refused)
+{
+  static const struct
+  {
+    const char *start;
+    const char *piece;
+  } floods[] = {
+    { "", "\r\n" },
+    { "GET /", "x" },
+    { "GET / HTTP/1.1\r\nFiller: ", "x" },
+    { "GET / HTTP/1.1\r\n", "Filler: x\r\n" },
+    { "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n" },
+    { "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x" },
+    { "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Trailer: x\r\n" },
+  };
+  const gsize max_bytes = 16u << 20;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (floods); i++)
+    {
+      gsize sent = 0;
+
+      tear_down ();
+      set_up ();
+      send_text (floods[i].start);
+      while (run_loop_once () && sent < max_bytes)
+        {
+          ssize_t n = send (caller, floods[i].piece, strlen (floods[i].piece), MSG_NOSIGNAL);
+
+          sent += n > 0 ? (gsize) n : 0;
+          for (guint j = 0; n > 0 && j < 2000; j++)
+            {
+              n = send (caller, floods[i].piece, strlen (floods[i].piece), MSG_NOSIGNAL);
+              sent += n > 0 ? (gsize) n : 0;
+            }
+        }
+      ck_assert_msg (sent < max_bytes, "%zu: %zu bytes were taken", i, sent);
+      ck_assert_msg (g_str_has_prefix (received->str, "HTTP/1.1 4"), "%zu: %s", i, received->str);
+      ck_assert_uint_eq (requests->len, 0);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -248,6 +336,9 @@
   tcase_add_test (tests, test_idle_connection_is_closed);
   tcase_add_test (tests, test_stalled_body_is_answered_with_408);
   tcase_add_test (tests, test_shutdown_answers_all_pipelined_requests);
+  tcase_add_test (tests, test_a_caller_that_does_not_read_is_disconnected_at_the_memory_limit);
+  tcase_add_test (tests, test_unsent_bytes_are_counted_until_the_caller_has_read_them);
+  tcase_add_test (tests, test_input_without_end_is_refused);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -1,5 +1,5 @@
-/* Attempts at an upstream without the rest of the entry: how the upstream sees their connections
- * closed. */
+/* Attempts at an upstream without the rest of the entry: how their connections are closed, and what
+ * becomes of responses that break off, come twice, or never end. */
 
 #include <check.h>
 #include <errno.h>
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -16,6 +17,8 @@
 
 /* Longest wait for an expected event. */
 #define WAIT_TIMEOUT (20 * ANVIL_SECOND)
+/* Memory of the pool for responses; a fraction of what the tests send. */
+#define MAX_BUFFERED_BYTES (4u << 20)
 
 static const anvil_header_names_t header_names = { .request_id = "Request-Id",
                                                    .timeout_ms = "Deadline-Ms",
@@ -31,14 +34,23 @@
 static anvil_relay_attempt_t *attempt;
 static gboolean is_done;
 static anvil_run_result_t result;
+static guint status;
+static char *body_text;
 
 static void
 on_done (void *context, const anvil_relay_attempt_outcome_t *outcome)
 {
   is_done = TRUE;
   result = outcome->result;
+  status = outcome->status;
+  g_free (body_text);
+  body_text = outcome->body == NULL ? NULL
+                                    : g_strndup ((const char *) evbuffer_pullup (outcome->body, -1),
+                                                 evbuffer_get_length (outcome->body));
 }
 
+static anvil_relay_attempt_cb_t attempt_callback = on_done;
+
 static void
 set_up (void)
 {
@@ -48,7 +60,7 @@
 
   is_done = FALSE;
   base = event_base_new ();
-  pool = anvil_relay_upstream_pool_open (base, &header_names, 0);
+  pool = anvil_relay_upstream_pool_open (base, &header_names, 0, MAX_BUFFERED_BYTES);
   listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   ck_assert_int_eq (bind (listener, (struct sockaddr *) &address, sizeof address), 0);
   ck_assert_int_eq (listen (listener, 5), 0);
@@ -62,12 +74,13 @@
   anvil_relay_upstream_pool_close (pool);
   event_base_free (base);
   close (listener);
+  g_clear_pointer (&body_text, g_free);
 }
 
 static void
-start_attempt (void)
+start_attempt_for (const char *id)
 {
-  GString *headers = g_string_new ("Request-Id: one\r\n");
+  GString *headers = g_string_new (NULL);
   struct evbuffer *body = evbuffer_new ();
   const anvil_relay_upstream_request_t request = { .upstream_key = 1,
                                                    .upstream_id = "u1",
@@ -77,15 +90,23 @@
                                                    .target = "/a",
                                                    .headers = headers,
                                                    .body = body,
-                                                   .id = "one",
+                                                   .id = id,
                                                    .idempotent = TRUE,
                                                    .timeout = WAIT_TIMEOUT };
 
-  attempt = anvil_relay_attempt_start (pool, &request, on_done, NULL);
+  is_done = FALSE;
+  g_string_printf (headers, "Request-Id: %s\r\n", id);
+  attempt = anvil_relay_attempt_start (pool, &request, attempt_callback, NULL);
   g_string_free (headers, TRUE);
   evbuffer_free (body);
 }
 
+static void
+start_attempt (void)
+{
+  start_attempt_for ("one");
+}
+
 static void
 run_loop_once (void)
 {
@@ -147,6 +168,26 @@
   ck_assert (is_done);
 }
 
+static void
+wait_until_done (void)
+{
+  for (anvil_time_t deadline = anvil_clock_now () + WAIT_TIMEOUT;
+       !is_done && anvil_clock_now () < deadline;)
+    run_loop_once ();
+  ck_assert (is_done);
+}
+
+/* Closes the upstream's end, by a reset if @reset. */
+static void
+close_end (int fd, gboolean reset)
+{
+  const struct linger linger = { .l_onoff = 1 };
+
+  if (reset)
+    ck_assert_int_eq (setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger), 0);
+  close (fd);
+}
+
 START_TEST (test_cancelled_attempt_resets_the_connection)
 {
   int fd;
@@ -172,6 +213,24 @@
 }
 END_TEST
 
+/* At the deadline of a request that was suspended with its entry, the response is in the socket. */
+START_TEST (test_bytes_that_have_arrived_are_noticed_before_they_are_read)
+{
+  int fd;
+
+  start_attempt ();
+  fd = accept_request ();
+  ck_assert (!anvil_relay_attempt_has_unread_bytes (attempt));
+  ck_assert_int_eq (send (fd, "H", 1, MSG_NOSIGNAL), 1);
+  for (anvil_time_t deadline = anvil_clock_now () + WAIT_TIMEOUT;
+       !anvil_relay_attempt_has_unread_bytes (attempt) && anvil_clock_now () < deadline;)
+    g_usleep (1000);
+  ck_assert (anvil_relay_attempt_has_unread_bytes (attempt));
+  anvil_relay_attempt_cancel (attempt);
+  close (fd);
+}
+END_TEST
+
 START_TEST (test_connection_close_of_upstream_is_orderly)
 {
   int fd;
@@ -187,6 +246,252 @@
 }
 END_TEST
 
+/* A response that ends early, by an orderly close or a reset at any place. */
+START_TEST (test_a_response_that_breaks_off_is_never_complete)
+{
+  static const char *const responses[] = {
+    "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\nbody",
+    "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n"
+    "\r\n3\r\nbod\r\n1\r\ny\r\n0\r\n\r\n",
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (responses); i++)
+    for (gsize length = 0; length < strlen (responses[i]); length++)
+      for (guint reset = 0; reset < 2; reset++)
+        {
+          int fd;
+
+          start_attempt ();
+          fd = accept_request ();
+          ck_assert_int_eq (send (fd, responses[i], length, MSG_NOSIGNAL), (ssize_t) length);
+          close_end (fd, reset != 0);
+          wait_until_done ();
+          ck_assert_msg (result == ANVIL_RUN_INTERRUPTED, "%zu: %zu bytes gave %d", i, length,
+                         (int) result);
+        }
+}
+END_TEST
+
+START_TEST (test_a_response_without_length_ends_with_an_orderly_close_only)
+{
+  const char *response = "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\n\r\nbody";
+
+  for (guint reset = 0; reset < 2; reset++)
+    {
+      int fd;
+
+      start_attempt ();
+      fd = accept_request ();
+      ck_assert_int_eq (send (fd, response, strlen (response), MSG_NOSIGNAL),
+                        (ssize_t) strlen (response));
+      for (guint i = 0; i < 100; i++)
+        run_loop_once ();
+      close_end (fd, reset != 0);
+      wait_until_done ();
+      ck_assert_int_eq (result, reset != 0 ? ANVIL_RUN_INTERRUPTED : ANVIL_RUN_ANSWERED);
+    }
+}
+END_TEST
+
+#define RESPONSE_TO(id)                                                                            \
+  "HTTP/1.1 200 OK\r\nRequest-Id: " id "\r\nServer-Stamp: s\r\nContent-Length: 3\r\n\r\n" id
+
+/* Completes the first request on a connection that stays open. */
+static int
+complete_first_request (void)
+{
+  int fd;
+
+  start_attempt ();
+  fd = accept_request ();
+  send_response (fd, RESPONSE_TO ("one"));
+  ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+  return fd;
+}
+
+/* The copy has arrived when the next request is about to be sent, and the event loop has not read
+ * it. */
+START_TEST (test_a_connection_with_unread_bytes_is_not_used_again)
+{
+  int used = complete_first_request ();
+  struct pollfd poll_fd = { .fd = used, .events = POLLIN };
+  int fd;
+
+  ck_assert_int_eq (send (used, RESPONSE_TO ("one"), 10, MSG_NOSIGNAL), 10);
+  g_usleep (10000);
+  start_attempt_for ("two");
+  fd = accept_request ();
+  send_response (fd, RESPONSE_TO ("two"));
+  ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+  ck_assert_str_eq (body_text, "two");
+  ck_assert_int_eq (poll (&poll_fd, 1, 1000), 1);
+  close (fd);
+  close (used);
+}
+END_TEST
+
+/* The copy arrives in place of the response to the next request, whole or in two parts. */
+START_TEST (test_a_late_copy_is_not_the_response_to_the_next_request)
+{
+  const char *copy = RESPONSE_TO ("one");
+
+  for (gsize first_part = 1; first_part <= strlen (copy); first_part++)
+    {
+      int fd = complete_first_request ();
+
+      start_attempt_for ("two");
+      wait_readable (fd);
+      ck_assert_int_eq (send (fd, copy, first_part, MSG_NOSIGNAL), (ssize_t) first_part);
+      for (guint i = 0; i < 10; i++)
+        run_loop_once ();
+      ck_assert (!is_done);
+      ck_assert_int_eq (send (fd, copy + first_part, strlen (copy) - first_part, MSG_NOSIGNAL),
+                        (ssize_t) (strlen (copy) - first_part));
+      send_response (fd, RESPONSE_TO ("two"));
+      ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+      ck_assert_str_eq (body_text, "two");
+      close (fd);
+    }
+}
+END_TEST
+
+/* A rejection without an id may belong to an earlier request of the connection. If it were taken
+ * for this one, a request that runs would be sent again or be refused as not run. */
+START_TEST (test_a_rejection_without_an_id_counts_only_on_a_new_connection)
+{
+  const char *rejection = "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  int fd;
+
+  start_attempt ();
+  fd = accept_request ();
+  send_response (fd, rejection);
+  ck_assert_int_eq (result, ANVIL_RUN_SHED);
+  close (fd);
+  fd = complete_first_request ();
+  start_attempt_for ("two");
+  wait_readable (fd);
+  ck_assert_int_eq (send (fd, rejection, strlen (rejection), MSG_NOSIGNAL),
+                    (ssize_t) strlen (rejection));
+  send_response (fd, RESPONSE_TO ("two"));
+  ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+  close (fd);
+}
+END_TEST
+
+/* More than any response may have, and than the test may need until the entry gives up. */
+#define MAX_FLOOD_BYTES (64u << 20)
+#define HEAD "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\n"
+
+/* Sends @start, then @piece again and again until the attempt ends; returns the bytes sent. */
+static gsize
+flood (int fd, const char *start, const char *piece)
+{
+  GString *pieces = g_string_new (NULL);
+  gsize sent = strlen (start);
+  gsize offset = 0;
+
+  while (pieces->len < 4096)
+    g_string_append (pieces, piece);
+  ck_assert_int_eq (send (fd, start, strlen (start), MSG_NOSIGNAL), (ssize_t) strlen (start));
+  ck_assert_int_eq (fcntl (fd, F_SETFL, O_NONBLOCK), 0);
+  while (!is_done && sent < MAX_FLOOD_BYTES)
+    {
+      ssize_t n = send (fd, pieces->str + offset, pieces->len - offset, MSG_NOSIGNAL);
+
+      if (n > 0)
+        {
+          sent += (gsize) n;
+          offset = (offset + (gsize) n) % pieces->len;
+        }
+      run_loop_once ();
+      ck_assert_uint_le (anvil_relay_upstream_pool_buffered_bytes (pool), MAX_BUFFERED_BYTES);
+    }
+  g_string_free (pieces, TRUE);
+  return sent;
+}
+
+/* Bytes that are in socket buffers when the entry gives up. */
+#define SOCKET_BUFFER_BYTES (8u << 20)
+
+START_TEST (test_bytes_without_end_end_the_attempt)
+{
+  static const struct
+  {
+    const char *name;
+    const char *start;
+    const char *piece;
+    gsize max_bytes;
+  } floods[] = {
+    { "noise", "", "\x01\x02noise", 1 << 10 },
+    { "blank lines", "", "\r\n", 128 << 10 },
+    { "status line", "HTTP/1.1 200 ", "OK", 128 << 10 },
+    { "header value", HEAD "Filler: ", "x", 128 << 10 },
+    { "header fields", HEAD, "Filler: x\r\n", 128 << 10 },
+    { "interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", 128 << 10 },
+    { "body without length", HEAD "\r\n", "x", MAX_BUFFERED_BYTES },
+    { "chunks", HEAD "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n",
+      3 * MAX_BUFFERED_BYTES },
+    { "chunk extension", HEAD "Transfer-Encoding: chunked\r\n\r\n4;", "x", 128 << 10 },
+    { "short chunks with extensions", HEAD "Transfer-Encoding: chunked\r\n\r\n",
+      "1;xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\nb\r\n", 256 << 10 },
+    { "trailers", HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Trailer: x\r\n", 128 << 10 },
+    { "responses to others", "",
+      "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n", 128 << 10 },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (floods); i++)
+    {
+      gsize sent;
+      int fd;
+
+      start_attempt ();
+      fd = accept_request ();
+      sent = flood (fd, floods[i].start, floods[i].piece);
+      ck_assert_msg (is_done && result == ANVIL_RUN_INTERRUPTED, "%s: not ended", floods[i].name);
+      ck_assert_msg (sent <= floods[i].max_bytes + SOCKET_BUFFER_BYTES, "%s: %zu bytes",
+                     floods[i].name, sent);
+      ck_assert_uint_eq (anvil_relay_upstream_pool_buffered_bytes (pool), 0);
+      close (fd);
+    }
+}
+END_TEST
+
+static gboolean honest_is_done;
+
+static void
+on_honest_done (void *context, const anvil_relay_attempt_outcome_t *outcome)
+{
+  honest_is_done = TRUE;
+  ck_assert_int_eq (outcome->result, ANVIL_RUN_ANSWERED);
+}
+
+START_TEST (test_the_longest_response_is_given_up_for_the_others)
+{
+  const char *half = HEAD "Content-Length: 8\r\n\r\nhalf";
+  int honest;
+  int flooding;
+
+  honest_is_done = FALSE;
+  attempt_callback = on_honest_done;
+  start_attempt ();
+  attempt_callback = on_done;
+  honest = accept_request ();
+  ck_assert_int_eq (send (honest, half, strlen (half), MSG_NOSIGNAL), (ssize_t) strlen (half));
+  start_attempt ();
+  flooding = accept_request ();
+  flood (flooding, HEAD "\r\n", "x");
+  ck_assert_int_eq (result, ANVIL_RUN_INTERRUPTED);
+  ck_assert (!honest_is_done);
+  ck_assert_int_eq (send (honest, "half", 4, MSG_NOSIGNAL), 4);
+  for (anvil_time_t deadline = anvil_clock_now () + WAIT_TIMEOUT;
+       !honest_is_done && anvil_clock_now () < deadline;)
+    run_loop_once ();
+  ck_assert (honest_is_done);
+  close (honest);
+  close (flooding);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -199,7 +504,15 @@
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_cancelled_attempt_resets_the_connection);
   tcase_add_test (tests, test_failed_attempt_resets_the_connection);
+  tcase_add_test (tests, test_bytes_that_have_arrived_are_noticed_before_they_are_read);
   tcase_add_test (tests, test_connection_close_of_upstream_is_orderly);
+  tcase_add_test (tests, test_a_response_that_breaks_off_is_never_complete);
+  tcase_add_test (tests, test_a_response_without_length_ends_with_an_orderly_close_only);
+  tcase_add_test (tests, test_a_connection_with_unread_bytes_is_not_used_again);
+  tcase_add_test (tests, test_a_late_copy_is_not_the_response_to_the_next_request);
+  tcase_add_test (tests, test_a_rejection_without_an_id_counts_only_on_a_new_connection);
+  tcase_add_test (tests, test_bytes_without_end_end_the_attempt);
+  tcase_add_test (tests, test_the_longest_response_is_given_up_for_the_others);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
