Show what a change of the settings reaches, before and when it takes effect

Cause: operators can't tell what an edit of the settings file touches, nor when it took hold; the reload logged a number of seeds.

Ruled out: taking over more settings at a reload. Addresses, zones and memory are read by open sockets and running requests.

test-relay-settings: a change is compared, made under a request that runs, and found in the log; the request is answered.

--- a/source/relay/anvil-relay.c
+++ b/source/relay/anvil-relay.c
@@ -10,6 +10,7 @@
 #include "anvil/log.h"
 #include "anvil/settings.h"
 #include "platform/adapter.h"
+#include "relay/relay-settings-diff.h"
 #include "relay/relay.h"
 
 #define EXIT_SETTINGS 2
@@ -20,6 +21,7 @@
 enum
 {
   SETTINGS,
+  COMPARE,
   LOG_LEVEL,
 };
 
@@ -28,6 +30,10 @@
                  .kind = ANVIL_SETTING_TEXT,
                  .help = "Settings file of this VM",
                  .required = TRUE },
+  [COMPARE]
+  = { .name = "compare",
+      .kind = ANVIL_SETTING_TEXT,
+      .help = "Settings file that is to replace --settings: shows what changes, and exits" },
   [LOG_LEVEL] = { .name = "log-level",
                   .kind = ANVIL_SETTING_TEXT,
                   .help = "error, warning, notice, info or debug",
@@ -37,7 +43,7 @@
 /**
  * program_t - context of the signal handlers and of the settings timer
  * @path: path of the settings file
- * @settings: settings read at the start
+ * @settings: settings in force
  * @modified_at: modification time of the file when it was read last
  */
 typedef struct
@@ -66,11 +72,64 @@
   return status.st_mtim;
 }
 
+static void
+log_change (void *context, const anvil_relay_setting_change_t *change)
+{
+  anvil_log (ANVIL_LOG_NOTICE, "settings",
+             "setting changed name=\"%s\" from=\"%s\" to=\"%s\" reaches=\"%s\" effect=%s",
+             change->name, change->from, change->to, change->reaches,
+             change->at_reload ? "now" : "at-next-start");
+}
+
+static void
+print_change (void *context, const anvil_relay_setting_change_t *change)
+{
+  printf ("%-18s %s -> %s  (%s; %s)\n", change->name, change->from, change->to, change->reaches,
+          change->at_reload ? "at reload" : "at the next start");
+}
+
+/* For --check-settings: names every invalid field of the settings file. */
+static int
+check_file (const char *path)
+{
+  anvil_relay_settings_t settings;
+  GError *error = NULL;
+
+  if (anvil_adapter_load_settings (path, &settings, &error))
+    {
+      anvil_relay_settings_clear (&settings);
+      return EXIT_SUCCESS;
+    }
+  fprintf (stderr, "anvil-relay: %s: %s\n", path, error->message);
+  g_error_free (error);
+  return EXIT_SETTINGS;
+}
+
+/* Shows what replacing the settings in force by those of @path would change. */
+static int
+compare (const anvil_relay_settings_t *in_force, const char *path)
+{
+  anvil_relay_settings_t next;
+  GError *error = NULL;
+
+  if (!anvil_adapter_load_settings (path, &next, &error))
+    {
+      fprintf (stderr, "anvil-relay: %s: %s\n", path, error->message);
+      g_error_free (error);
+      return EXIT_SETTINGS;
+    }
+  if (anvil_relay_settings_diff (in_force, &next, print_change, NULL) == 0)
+    printf ("no setting that this program uses differs\n");
+  anvil_relay_settings_clear (&next);
+  return EXIT_SUCCESS;
+}
+
 static void
 reload (program_t *program)
 {
   anvil_relay_settings_t next;
   GError *error = NULL;
+  guint n_changes;
 
   program->modified_at = file_modified_at (program->path);
   if (!anvil_adapter_load_settings (program->path, &next, &error))
@@ -80,8 +139,13 @@
       g_error_free (error);
       return;
     }
-  anvil_log (ANVIL_LOG_NOTICE, "settings", "settings reloaded seeds=%u", next.n_seeds);
+  n_changes = anvil_relay_settings_diff (&program->settings, &next, log_change, NULL);
+  anvil_log (ANVIL_LOG_NOTICE, "settings", "settings reloaded changes=%u", n_changes);
   anvil_relay_reload (program->relay, &next);
+  /* What takes effect only at the next start stays different until then. */
+  memcpy (program->settings.seeds, next.seeds, sizeof next.seeds);
+  program->settings.n_seeds = next.n_seeds;
+  program->settings.limits = next.limits;
   anvil_relay_settings_clear (&next);
 }
 
@@ -156,7 +220,7 @@
   memcpy (items, option_definitions, sizeof items);
   outcome = anvil_settings_load (&options, argc, (const char **) argv);
   if (outcome == ANVIL_SETTINGS_EXIT)
-    return EXIT_SUCCESS;
+    return items[SETTINGS].text != NULL ? check_file (items[SETTINGS].text) : EXIT_SUCCESS;
   if (outcome == ANVIL_SETTINGS_INVALID)
     return EXIT_SETTINGS;
   if (!anvil_log_level_parse (items[LOG_LEVEL].text, &level))
@@ -173,6 +237,13 @@
       g_error_free (error);
       return EXIT_SETTINGS;
     }
+  if (items[COMPARE].text != NULL)
+    {
+      status = compare (&program.settings, items[COMPARE].text);
+      anvil_relay_settings_clear (&program.settings);
+      anvil_settings_clear (&options);
+      return status;
+    }
   signal (SIGPIPE, SIG_IGN);
   anvil_log_set_level (level);
   anvil_log_to_stdout ();
