--- a/tests/soak/soak-callers.c
+++ b/tests/soak/soak-callers.c
@@ -139,7 +139,8 @@
 choose_response_fault (soak_callers_t *callers)
 {
   static const char *const faults[]
-      = { "reset", "truncate", "garbage", "unsigned", "error", "unframed", "stray" };
+      = { "reset",    "truncate", "garbage", "unsigned",     "error",
+          "unframed", "stray",    "copies",  "endless-head", "endless-body" };
 
   if (g_rand_double (callers->random) >= callers->fault_ratio)
     return "";
