--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -6,8 +6,8 @@
 
 #include "relay/relay-upstream.h"
 
-/* Shared by relay-upstream.c, which manages connections and sends requests, and
- * relay-upstream-response.c, which parses and classifies responses. */
+/* relay-upstream.c connects and sends requests, relay-upstream-pool.c keeps idle connections,
+ * relay-upstream-response.c parses and classifies responses. */
 
 typedef struct upstream_connection upstream_connection_t;
 
@@ -87,6 +87,20 @@
   gsize body_bytes;
 };
 
+/* Closes a connection in order, and frees it. */
+void upstream_connection_close (upstream_connection_t *connection);
+
+/* Whether bytes, or the end of the connection, have arrived and were not read yet. */
+gboolean upstream_connection_has_unread_bytes (const upstream_connection_t *connection);
+
+/* Adds a connection to the idle ones, and takes it from them. */
+void pool_add_idle (upstream_connection_t *connection);
+void pool_remove_idle (upstream_connection_t *connection);
+
+/* Takes an idle connection that may carry the request, or NULL. */
+upstream_connection_t *pool_take_idle (anvil_relay_upstream_pool_t *pool,
+                                       const anvil_relay_upstream_request_t *request);
+
 /* Parses bytes of a response, or the end of the stream if @length is 0. Returns the number of bytes
  * consumed; stops after each complete response. */
 size_t attempt_parse (anvil_relay_attempt_t *attempt, const char *bytes, size_t length);
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -4,7 +4,6 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -21,15 +20,11 @@
 #define KEEPALIVE_PROBES 2
 /* Idle time-out of a connection whose upstream sends no Keep-Alive header. */
 #define DEFAULT_IDLE_TIMEOUT (4 * ANVIL_SECOND)
-/* A request that must not run twice is sent on an idle connection only if the connection was used
- * within this time: the longer it was idle, the likelier the upstream has closed it unnoticed. */
-#define MAX_IDLE_NON_IDEMPOTENT (1500 * ANVIL_MS)
 /* Responses to other requests that are discarded on one connection before the attempt fails. */
 #define MAX_MISMATCHED_RESPONSES 4
-#define SWEEP_INTERVAL_S 1
 
-static void
-connection_close (upstream_connection_t *connection)
+void
+upstream_connection_close (upstream_connection_t *connection)
 {
   bufferevent_free (connection->stream);
   g_free (connection);
@@ -48,7 +43,7 @@
     anvil_log (ANVIL_LOG_WARNING, "upstream",
                "can't set SO_LINGER, connection is closed without a reset error=\"%s\"",
                g_strerror (errno));
-  connection_close (connection);
+  upstream_connection_close (connection);
 }
 
 /* Ends the attempt's part in the pool, while it still has its connection. */
@@ -75,39 +70,6 @@
   g_free (attempt);
 }
 
-static GQueue *
-idle_connections_to (anvil_relay_upstream_pool_t *pool, guint64 upstream_key)
-{
-  return g_hash_table_lookup (pool->idle_connections, &upstream_key);
-}
-
-static void
-add_idle (upstream_connection_t *connection)
-{
-  anvil_relay_upstream_pool_t *pool = connection->pool;
-  GQueue *connections = idle_connections_to (pool, connection->upstream_key);
-
-  if (connections == NULL)
-    {
-      connections = g_queue_new ();
-      g_hash_table_insert (pool->idle_connections,
-                           g_memdup2 (&connection->upstream_key, sizeof connection->upstream_key),
-                           connections);
-    }
-  connection->idle_since = anvil_clock_now ();
-  g_queue_push_head (connections, connection);
-}
-
-static void
-remove_idle (upstream_connection_t *connection)
-{
-  GQueue *connections = idle_connections_to (connection->pool, connection->upstream_key);
-
-  g_queue_remove (connections, connection);
-  if (g_queue_is_empty (connections))
-    g_hash_table_remove (connection->pool->idle_connections, &connection->upstream_key);
-}
-
 /* Calls back and frees the attempt. The caller has already disposed of the connection. */
 static void
 attempt_finish (anvil_relay_attempt_t *attempt, const anvil_relay_attempt_outcome_t *outcome)
@@ -153,9 +115,9 @@
   leave_pool (attempt);
   connection->attempt = NULL;
   if (reusable)
-    add_idle (connection);
+    pool_add_idle (connection);
   else
-    connection_close (connection);
+    upstream_connection_close (connection);
   attempt_finish (attempt, &outcome);
 }
 
@@ -237,8 +199,8 @@
   if (attempt == NULL)
     {
       /* Unsolicited bytes: they belong to no request, so the connection can't be reused. */
-      remove_idle (connection);
-      connection_close (connection);
+      pool_remove_idle (connection);
+      upstream_connection_close (connection);
       return;
     }
   while (evbuffer_peek (input, -1, NULL, &chunk, 1) >= 1 && chunk.iov_len > 0)
@@ -309,8 +271,8 @@
     }
   if (connection->attempt == NULL)
     {
-      remove_idle (connection);
-      connection_close (connection);
+      pool_remove_idle (connection);
+      upstream_connection_close (connection);
     }
   else if (!is_request_sent (connection->attempt))
     attempt_fail (connection->attempt, ANVIL_RUN_CONNECT_FAILED,
@@ -360,42 +322,6 @@
   return connection;
 }
 
-/* Whether bytes, or the end of the connection, have arrived and were not read yet. */
-static gboolean
-has_unread_bytes (const upstream_connection_t *connection)
-{
-  struct pollfd readable = { .fd = bufferevent_getfd (connection->stream), .events = POLLIN };
-
-  return evbuffer_get_length (bufferevent_get_input (connection->stream)) > 0
-         || (readable.fd >= 0 && poll (&readable, 1, 0) > 0);
-}
-
-/* Returns an idle connection that may carry the request, or NULL. */
-static upstream_connection_t *
-take_idle (anvil_relay_upstream_pool_t *pool, const anvil_relay_upstream_request_t *request)
-{
-  GQueue *connections = idle_connections_to (pool, request->upstream_key);
-  upstream_connection_t *connection = connections != NULL ? g_queue_peek_head (connections) : NULL;
-  anvil_time_t idle_for;
-
-  if (connection == NULL)
-    return NULL;
-  idle_for = anvil_clock_now () - connection->idle_since;
-  if (connection->address != request->address || connection->port != request->port
-      || idle_for > connection->idle_timeout
-      || (!request->idempotent && idle_for > MAX_IDLE_NON_IDEMPOTENT))
-    return NULL;
-  remove_idle (connection);
-  if (has_unread_bytes (connection))
-    {
-      connection_close (connection);
-      return NULL;
-    }
-  connection->reused = TRUE;
-  pool->counters.connections_reused++;
-  return connection;
-}
-
 static void
 write_request (anvil_relay_attempt_t *attempt, const anvil_relay_upstream_request_t *request)
 {
@@ -439,7 +365,7 @@
   attempt->body = evbuffer_new ();
   http_parser_init (&attempt->parser, HTTP_RESPONSE);
   attempt->parser.data = attempt;
-  attempt->connection = take_idle (pool, request);
+  attempt->connection = pool_take_idle (pool, request);
   if (attempt->connection == NULL)
     attempt->connection = connection_open (pool, request);
   attempt->connection->attempt = attempt;
@@ -462,95 +388,5 @@
 gboolean
 anvil_relay_attempt_has_unread_bytes (const anvil_relay_attempt_t *attempt)
 {
-  return has_unread_bytes (attempt->connection);
-}
-
-void
-anvil_relay_upstream_pool_close_idle (anvil_relay_upstream_pool_t *pool, guint64 upstream_key)
-{
-  GQueue *connections = idle_connections_to (pool, upstream_key);
-
-  if (connections == NULL)
-    return;
-  for (GList *item = connections->head; item != NULL; item = item->next)
-    connection_close (item->data);
-  g_hash_table_remove (pool->idle_connections, &upstream_key);
-}
-
-/* Closes connections whose idle time-out has passed. The longest idle are at the tail. */
-static void
-on_sweep_timer (evutil_socket_t unused_fd, short unused_events, void *data)
-{
-  anvil_relay_upstream_pool_t *pool = data;
-  anvil_time_t now = anvil_clock_now ();
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, pool->idle_connections);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      GQueue *connections = value;
-      upstream_connection_t *oldest;
-
-      while ((oldest = g_queue_peek_tail (connections)) != NULL
-             && now - oldest->idle_since > oldest->idle_timeout)
-        connection_close (g_queue_pop_tail (connections));
-      if (g_queue_is_empty (connections))
-        g_hash_table_iter_remove (&iter);
-    }
-}
-
-anvil_relay_upstream_pool_t *
-anvil_relay_upstream_pool_open (struct event_base *base,
-                                const anvil_header_names_t *header_names,
-                                guint32 local_address,
-                                gsize max_buffered_bytes)
-{
-  anvil_relay_upstream_pool_t *pool = g_new0 (anvil_relay_upstream_pool_t, 1);
-  const struct timeval interval = { .tv_sec = SWEEP_INTERVAL_S };
-
-  pool->base = base;
-  pool->header_names = header_names;
-  pool->local_address = local_address;
-  pool->idle_connections
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify) g_queue_free);
-  pool->attempts = g_hash_table_new (NULL, NULL);
-  pool->max_buffered_bytes = max_buffered_bytes;
-  pool->sweep_timer = event_new (base, -1, EV_PERSIST, on_sweep_timer, pool);
-  event_add (pool->sweep_timer, &interval);
-  return pool;
-}
-
-void
-anvil_relay_upstream_pool_close (anvil_relay_upstream_pool_t *pool)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  if (pool == NULL)
-    return;
-  g_hash_table_iter_init (&iter, pool->idle_connections);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      GQueue *connections = value;
-
-      for (GList *item = connections->head; item != NULL; item = item->next)
-        connection_close (item->data);
-    }
-  g_hash_table_unref (pool->idle_connections);
-  g_hash_table_unref (pool->attempts);
-  event_free (pool->sweep_timer);
-  g_free (pool);
-}
-
-const anvil_relay_upstream_pool_counters_t *
-anvil_relay_upstream_pool_counters (const anvil_relay_upstream_pool_t *pool)
-{
-  return &pool->counters;
-}
-
-gsize
-anvil_relay_upstream_pool_buffered_bytes (const anvil_relay_upstream_pool_t *pool)
-{
-  return pool->buffered_bytes;
+  return upstream_connection_has_unread_bytes (attempt->connection);
 }
--- a/source/steer/dispatch-shift.c
+++ b/source/steer/dispatch-shift.c
@@ -11,11 +11,11 @@
 {
   gint64 number = now / SHIFT_BUCKET_TIME;
 
-  if (number - window->newest >= 2 * SHIFT_WINDOW_BUCKETS)
+  if (number - window->newest >= SHIFT_BUCKETS)
     memset (window->buckets, 0, sizeof window->buckets);
   else
     for (gint64 i = window->newest + 1; i <= number; i++)
-      window->buckets[i % (2 * SHIFT_WINDOW_BUCKETS)] = (shift_count_t){ 0 };
+      window->buckets[i % SHIFT_BUCKETS] = (shift_count_t){ 0 };
   window->newest = MAX (window->newest, number);
 }
 
@@ -27,7 +27,7 @@
 
   for (gint64 i = MAX (last - SHIFT_WINDOW_BUCKETS + 1, 0); i <= last; i++)
     {
-      const shift_count_t *bucket = &window->buckets[i % (2 * SHIFT_WINDOW_BUCKETS)];
+      const shift_count_t *bucket = &window->buckets[i % SHIFT_BUCKETS];
 
       sum.local += bucket->local;
       sum.remote += bucket->remote;
@@ -41,7 +41,7 @@
   shift_count_t *bucket;
 
   advance (window, now);
-  bucket = &window->buckets[window->newest % (2 * SHIFT_WINDOW_BUCKETS)];
+  bucket = &window->buckets[window->newest % SHIFT_BUCKETS];
   if (remote)
     bucket->remote++;
   else
--- a/source/steer/dispatch-shift.h
+++ b/source/steer/dispatch-shift.h
@@ -7,9 +7,10 @@
  * to bound how fast it grows.
  */
 
-/* Lengths of a bucket and of the two windows that are compared. */
+/* Length of a bucket, and the buckets of a window and of the two windows that are compared. */
 #define SHIFT_BUCKET_TIME (500 * ANVIL_MS)
 #define SHIFT_WINDOW_BUCKETS 4
+#define SHIFT_BUCKETS 8
 
 /** shift_count_t - requests that ran in their own region, and in another */
 typedef struct
@@ -25,7 +26,7 @@
  */
 typedef struct
 {
-  shift_count_t buckets[2 * SHIFT_WINDOW_BUCKETS];
+  shift_count_t buckets[SHIFT_BUCKETS];
   gint64 newest;
 } shift_window_t;
 
--- a/tests/test-relay-caller.c
+++ b/tests/test-relay-caller.c
@@ -17,7 +17,7 @@
 /* Longest wait for an expected event. */
 #define WAIT_TIMEOUT (20 * ANVIL_SECOND)
 #define IDLE_TIMEOUT (400 * ANVIL_MS)
-#define MAX_UNSENT_BYTES (1u << 20)
+#define MAX_UNSENT_BYTES ((gsize) 1 << 20)
 #define FIRST_REQUEST "GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: one\r\n\r\n"
 #define SECOND_REQUEST "GET /b HTTP/1.1\r\nHost: h\r\nRequest-Id: two\r\n\r\n"
 
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -18,7 +18,7 @@
 /* Longest wait for an expected event. */
 #define WAIT_TIMEOUT (20 * ANVIL_SECOND)
 /* Memory of the pool for responses; a fraction of what the tests send. */
-#define MAX_BUFFERED_BYTES (4u << 20)
+#define MAX_BUFFERED_BYTES ((gsize) 4 << 20)
 
 static const anvil_header_names_t header_names = { .request_id = "Request-Id",
                                                    .timeout_ms = "Deadline-Ms",
