Free the command line's settings on every way out of anvil-relay

LeakSanitizer reports the options' texts, which only the last way out freed. The plain program was right, so the test had passed without a sanitizer.

--- a/source/relay/anvil-relay.c
+++ b/source/relay/anvil-relay.c
@@ -220,13 +220,18 @@
   memcpy (items, option_definitions, sizeof items);
   outcome = anvil_settings_load (&options, argc, (const char **) argv);
   if (outcome == ANVIL_SETTINGS_EXIT)
-    return items[SETTINGS].text != NULL ? check_file (items[SETTINGS].text) : EXIT_SUCCESS;
+    {
+      status = items[SETTINGS].text != NULL ? check_file (items[SETTINGS].text) : EXIT_SUCCESS;
+      anvil_settings_clear (&options);
+      return status;
+    }
   if (outcome == ANVIL_SETTINGS_INVALID)
     return EXIT_SETTINGS;
   if (!anvil_log_level_parse (items[LOG_LEVEL].text, &level))
     {
       fprintf (stderr, "anvil-relay: --log-level \"%s\" is not a log level\n",
                items[LOG_LEVEL].text);
+      anvil_settings_clear (&options);
       return EXIT_SETTINGS;
     }
   program.path = items[SETTINGS].text;
@@ -235,6 +240,7 @@
     {
       fprintf (stderr, "anvil-relay: %s: %s\n", program.path, error->message);
       g_error_free (error);
+      anvil_settings_clear (&options);
       return EXIT_SETTINGS;
     }
   if (items[COMPARE].text != NULL)
