Log how long a call to the store waited and might be held

The log of an entry that was late with a configuration didn't tell a lost long poll from ordinary calls on dead connections. The line of an unanswered call gets waited_ms, hold_ms and unread_ms (time since the table was read), that of the recovery took_ms and unread_ms; the gauge anvil_routes_age_seconds tells how old the operators' table is.

--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -419,3 +419,9 @@
              ? G_MAXINT64
              : MAX (anvil_table_follower_read_at (watch->upstream_follower), watch->peer_read_at);
 }
+
+anvil_time_t
+anvil_relay_watch_operators_read_at (const anvil_relay_watch_t *watch)
+{
+  return anvil_table_follower_read_at (watch->operator_follower);
+}
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -82,3 +82,7 @@
 /** anvil_relay_watch_upstreams_read_at - when upstreams were last read; G_MAXINT64 while the store
  * doesn't answer */
 anvil_time_t anvil_relay_watch_upstreams_read_at (const anvil_relay_watch_t *watch);
+
+/** anvil_relay_watch_operators_read_at - when the configuration and the evacuated zones were last
+ * read; 0 if they were not */
+anvil_time_t anvil_relay_watch_operators_read_at (const anvil_relay_watch_t *watch);
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -442,6 +442,14 @@
   g_free (labels);
 }
 
+/* Time since a read, seconds; -1 if it is unknown, G_MAXINT64. */
+static gdouble
+age_seconds (anvil_time_t read_at)
+{
+  return read_at == G_MAXINT64 ? -1
+                               : (gdouble) (anvil_clock_now () - read_at) / (gdouble) ANVIL_SECOND;
+}
+
 static void
 update_gauges (void *context)
 {
@@ -450,16 +458,17 @@
   const anvil_relay_upstream_pool_counters_t *pool
       = anvil_relay_upstream_pool_counters (relay->upstream_pool);
   anvil_time_t read_at = anvil_relay_watch_upstreams_read_at (relay->watch);
-  gdouble age = read_at == G_MAXINT64
-                    ? -1
-                    : (gdouble) (anvil_clock_now () - read_at) / (gdouble) ANVIL_SECOND;
+  anvil_time_t routes_read_at = anvil_relay_watch_operators_read_at (relay->watch);
 
   anvil_metrics_set_gauge (relay->metrics, "anvil_ready", "", is_ready (relay));
   anvil_metrics_set_gauge (relay->metrics, "anvil_routes_version", "",
                            routes != NULL ? (gdouble) anvil_routes_version (routes) : 0);
+  anvil_metrics_set_gauge (relay->metrics, "anvil_routes_age_seconds", "",
+                           age_seconds (routes_read_at > 0 ? routes_read_at : G_MAXINT64));
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstreams", "",
                            anvil_registry_count (relay->registry));
-  anvil_metrics_set_gauge (relay->metrics, "anvil_upstreams_age_seconds", "", age);
+  anvil_metrics_set_gauge (relay->metrics, "anvil_upstreams_age_seconds", "",
+                           age_seconds (read_at));
   anvil_metrics_set_gauge (relay->metrics, "anvil_requests_open", "",
                            anvil_relay_jobs_count (relay->jobs));
   anvil_metrics_set_gauge (relay->metrics, "anvil_caller_connections", "",
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -39,6 +39,8 @@
   gboolean store_lost;
   anvil_time_t retry_pause;
   anvil_time_t call_started_at;
+  /* How long the store may hold the call under way; 0 if it isn't a long poll. */
+  anvil_time_t call_hold_time;
   anvil_time_t read_at;
 };
 
@@ -50,9 +52,18 @@
   evtimer_add (follower->call_timer, &time);
 }
 
+/* Time since a read, for log lines; -1 if there was none. */
+static gint64
+ms_since (anvil_time_t now, anvil_time_t read_at)
+{
+  return read_at != 0 ? (now - read_at) / ANVIL_MS : -1;
+}
+
 static void
 on_failure (anvil_table_follower_t *follower, const GError *error)
 {
+  anvil_time_t now = anvil_clock_now ();
+
   if (g_error_matches (error, ANVIL_ERROR, ANVIL_ERROR_NOT_FOUND))
     {
       anvil_log (ANVIL_LOG_NOTICE, "store",
@@ -69,8 +80,12 @@
       follower->store_lost = TRUE;
       follower->retry_pause = MIN_RETRY_PAUSE;
       anvil_log (ANVIL_LOG_WARNING, "store",
-                 "store does not answer table=%s version=%" G_GUINT64_FORMAT " reason=\"%s\"",
-                 follower->table, follower->version, error->message);
+                 "store does not answer table=%s version=%" G_GUINT64_FORMAT
+                 " reason=\"%s\" waited_ms=%" G_GINT64_FORMAT " hold_ms=%" G_GINT64_FORMAT
+                 " unread_ms=%" G_GINT64_FORMAT,
+                 follower->table, follower->version, error->message,
+                 (now - follower->call_started_at) / ANVIL_MS, follower->call_hold_time / ANVIL_MS,
+                 ms_since (now, follower->read_at));
       follower->callbacks.store_lost (follower->context);
     }
   schedule_call (follower, follower->retry_pause);
@@ -80,11 +95,17 @@
 static void
 on_success (anvil_table_follower_t *follower)
 {
+  anvil_time_t now = anvil_clock_now ();
+  anvil_time_t last_read_at = follower->read_at;
+
   follower->read_at = follower->call_started_at;
   if (!follower->store_lost)
     return;
   follower->store_lost = FALSE;
-  anvil_log (ANVIL_LOG_NOTICE, "store", "store answers again table=%s", follower->table);
+  anvil_log (
+      ANVIL_LOG_NOTICE, "store",
+      "store answers again table=%s took_ms=%" G_GINT64_FORMAT " unread_ms=%" G_GINT64_FORMAT,
+      follower->table, (now - follower->call_started_at) / ANVIL_MS, ms_since (now, last_read_at));
   follower->callbacks.store_recovered (follower->context);
 }
 
@@ -184,6 +205,7 @@
   anvil_time_t hold_time = follower->store_lost ? 0 : follower->hold_time;
 
   follower->call_started_at = anvil_clock_now ();
+  follower->call_hold_time = follower->needs_full_read ? 0 : hold_time;
   follower->call = g_new0 (call_t, 1);
   follower->call->follower = follower;
   if (follower->needs_full_read)
