Test that changes are in force in time after a lost long poll

Three entries read a change, and the store is silent for 0.3 s while they start the next long poll. A configuration or an evacuation written after the outage must be in force 3 s after the outage (stableWindowMs of the test's settings).

--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -11,6 +11,9 @@
  */
 
 #define FLEET_HOST "shop.example"
+/* After an outage, entries know every change again within this time; stableWindowMs in the settings
+ * of the entries. */
+#define FLEET_RESYNC_TIME (3 * ANVIL_SECOND)
 /* Timeout of every wait. */
 #define FLEET_TIMEOUT_S 20
 
