Give up a lost long poll before the entry must know of changes again

Callers got responses by a configuration that had been replaced more than 2.5 s before, at entries that had lost the store for 0.3 s (CONFIG), and requests reached regions that the new one forbids (HOME).

Cause: a long poll of the operators' table that the store took while it was silent is never answered. It was given up after 4.9 s, a constant, while an entry is bound again stableWindowMs after the outage (3 to 4 s on the deployments known), and nothing else told the entry that it was behind.

Evidence: waited_ms=4900 hold_ms=4000 at each late entry, and the next call answered.

Change: the setting resync_time (stableWindowMs) bounds how long an entry may not know that it missed a change. The hold time of the long poll is what is left of it after the poll's own time-out and one more call: 1.2 to 2.2 s. A lost long poll is repeated at once. The time-out of a call follows its hold time instead of the longest one. The setting takes effect at a reload.

Why it works: a call that the store took before the end of an outage was started before that end, so it is given up at most hold time + 0.9 s after it, and the next call has 0.9 s until the bound. Evacuations come by the same call.

--- a/include/anvil/store.h
+++ b/include/anvil/store.h
@@ -16,6 +16,11 @@
  * interface.
  */
 
+/* A call without a complete response has failed after this time, beyond the time for which the
+ * store was allowed to delay the response: a few round trips between regions and some milliseconds
+ * in the store. */
+#define ANVIL_STORE_CALL_TIMEOUT (900 * ANVIL_MS)
+
 /**
  * anvil_store_row_t - a row, or the tombstone of a removed row
  * @key: key in the table
--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -35,6 +35,7 @@
 struct call
 {
   anvil_http_pool_t *pool;
+  anvil_time_t timeout;
   enum evhttp_cmd_type command;
   char *uri;
   struct evbuffer *body;
@@ -122,12 +123,10 @@
 connection_open (connection_t *connection)
 {
   anvil_http_pool_t *pool = connection->pool;
-  struct timeval timeout = anvil_time_to_timeval (pool->timeout);
   struct bufferevent *stream;
 
   connection->evhttp = evhttp_connection_base_new (pool->base, NULL, pool->host, pool->port);
   evhttp_connection_set_retries (connection->evhttp, 0);
-  evhttp_connection_set_timeout_tv (connection->evhttp, &timeout);
   evhttp_connection_set_max_headers_size (connection->evhttp, MAX_HEADERS_BYTES);
   evhttp_connection_set_max_body_size (connection->evhttp, MAX_BODY_BYTES);
   stream = evhttp_connection_get_bufferevent (connection->evhttp);
@@ -146,9 +145,11 @@
 {
   struct evhttp_request *request = evhttp_request_new (on_response, call);
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  const struct timeval timeout = anvil_time_to_timeval (call->timeout);
 
   if (connection->evhttp == NULL)
     connection_open (connection);
+  evhttp_connection_set_timeout_tv (connection->evhttp, &timeout);
   g_assert (connection->call == NULL);
   connection->call = call;
   call->connection = connection;
@@ -215,19 +216,21 @@
 }
 
 void
-anvil_http_pool_call (anvil_http_pool_t *pool,
-                      enum evhttp_cmd_type command,
-                      const char *uri,
-                      struct evbuffer *body,
-                      anvil_http_result_cb_t done,
-                      void *context)
+anvil_http_pool_call_within (anvil_http_pool_t *pool,
+                             anvil_time_t timeout,
+                             enum evhttp_cmd_type command,
+                             const char *uri,
+                             struct evbuffer *body,
+                             anvil_http_result_cb_t done,
+                             void *context)
 {
   /* With a full queue, the call ends by its timer as soon as the loop runs. */
   gboolean full = g_queue_get_length (&pool->queue) >= MAX_QUEUED_CALLS;
-  struct timeval timeout = anvil_time_to_timeval (full ? 0 : pool->timeout);
+  const struct timeval time = anvil_time_to_timeval (full ? 0 : timeout);
   call_t *call = g_new0 (call_t, 1);
 
   call->pool = pool;
+  call->timeout = timeout;
   call->command = command;
   call->uri = g_strdup (uri);
   call->body = evbuffer_new ();
@@ -236,8 +239,19 @@
   call->done = done;
   call->context = context;
   call->timer = evtimer_new (pool->base, on_timeout, call);
-  evtimer_add (call->timer, &timeout);
+  evtimer_add (call->timer, &time);
   if (!full)
     g_queue_push_tail (&pool->queue, call);
   event_active (pool->dispatch_event, EV_TIMEOUT, 0);
 }
+
+void
+anvil_http_pool_call (anvil_http_pool_t *pool,
+                      enum evhttp_cmd_type command,
+                      const char *uri,
+                      struct evbuffer *body,
+                      anvil_http_result_cb_t done,
+                      void *context)
+{
+  anvil_http_pool_call_within (pool, pool->timeout, command, uri, body, done, context);
+}
--- a/source/net/http-pool.h
+++ b/source/net/http-pool.h
@@ -39,7 +39,7 @@
 void anvil_http_pool_close (anvil_http_pool_t *pool);
 
 /**
- * anvil_http_pool_call - sends a request
+ * anvil_http_pool_call - sends a request, within the pool's limit on the duration of a call
  * @uri: path and query
  * @body: body, moved out of this buffer, or NULL
  * @done: called exactly once, never from inside this function
@@ -50,3 +50,13 @@
                            struct evbuffer *body,
                            anvil_http_result_cb_t done,
                            void *context);
+
+/** anvil_http_pool_call_within - like anvil_http_pool_call(), with a limit of its own on the
+ * duration of the call */
+void anvil_http_pool_call_within (anvil_http_pool_t *pool,
+                                  anvil_time_t timeout,
+                                  enum evhttp_cmd_type command,
+                                  const char *uri,
+                                  struct evbuffer *body,
+                                  anvil_http_result_cb_t done,
+                                  void *context);
--- a/source/relay/anvil-relay.c
+++ b/source/relay/anvil-relay.c
@@ -146,6 +146,7 @@
   memcpy (program->settings.seeds, next.seeds, sizeof next.seeds);
   program->settings.n_seeds = next.n_seeds;
   program->settings.limits = next.limits;
+  program->settings.resync_time = next.resync_time;
   anvil_relay_settings_clear (&next);
 }
 
--- a/source/relay/relay-settings-diff.c
+++ b/source/relay/relay-settings-diff.c
@@ -42,6 +42,8 @@
 TEXT_FORMATTER (format_store, format_endpoint (&settings->store_endpoint))
 TEXT_FORMATTER (format_shutdown_timeout,
                 g_strdup_printf ("%" G_GINT64_FORMAT "ms", settings->shutdown_timeout / ANVIL_MS))
+TEXT_FORMATTER (format_resync_time,
+                g_strdup_printf ("%" G_GINT64_FORMAT "ms", settings->resync_time / ANVIL_MS))
 TEXT_FORMATTER (format_lookup_ttl, g_strdup_printf ("%us", settings->lookup_ttl_s))
 TEXT_FORMATTER (format_cpu, g_strdup_printf ("%umillicores", settings->cpu_millicores))
 TEXT_FORMATTER (format_memory, g_strdup_printf ("%zubytes", settings->memory_bytes))
@@ -82,6 +84,7 @@
   { "store", "configuration, evacuations, upstreams", FALSE, format_store },
   { "seeds", "which entries are contacted first", TRUE, format_seeds },
   { "shutdown-timeout", "planned stops", FALSE, format_shutdown_timeout },
+  { "resync-time", "how often the operators' table is read", TRUE, format_resync_time },
   { "lookup-ttl", "look-ups of entries", FALSE, format_lookup_ttl },
   { "cpu", "choice of holders", FALSE, format_cpu },
   { "memory", "limits of bodies and responses", FALSE, format_memory },
--- a/source/relay/relay-settings.h
+++ b/source/relay/relay-settings.h
@@ -30,6 +30,8 @@
  * @seeds: addresses of entries to contact first; some may be stale
  * @n_seeds: number of @seeds
  * @shutdown_timeout: time from SIGTERM until the platform kills the process, microseconds
+ * @resync_time: time after the end of an outage, of the store or of the network, within which this
+ *   entry must know of every change again, microseconds
  * @lookup_ttl_s: how long callers may cache the response to a look-up, seconds
  * @cpu_millicores: CPU share of this process, thousandths of a core
  * @memory_bytes: memory limit of this process
@@ -50,6 +52,7 @@
   anvil_node_t seeds[ANVIL_RELAY_MAX_SEEDS];
   guint n_seeds;
   anvil_time_t shutdown_timeout;
+  anvil_time_t resync_time;
   guint lookup_ttl_s;
   guint cpu_millicores;
   gsize memory_bytes;
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -10,9 +10,9 @@
  * at once. A drain must be known within the 2.5 s of the platform's contract even if one call is
  * lost. */
 #define UPSTREAM_PERIOD (1000 * ANVIL_MS)
-/* How long the store may hold a call for changes of the operators' table, which are rare. It also
- * bounds the time until a dead connection is noticed. */
-#define OPERATOR_HOLD_TIME (4 * ANVIL_SECOND)
+/* How long the store may hold a call for changes of the operators' table, which are rare. */
+#define MIN_OPERATOR_HOLD_TIME (200 * ANVIL_MS)
+#define MAX_OPERATOR_HOLD_TIME (4 * ANVIL_SECOND)
 
 struct anvil_relay_watch
 {
@@ -270,11 +270,27 @@
   .read_up_to = on_upstream_read_up_to,
 };
 
+/* A call that the store took at the end of an outage may be lost, which shows only once it has
+ * timed out. One more call must fit into @resync_time. */
+static anvil_time_t
+operator_hold_time (anvil_time_t resync_time)
+{
+  return CLAMP (resync_time - 2 * ANVIL_STORE_CALL_TIMEOUT, MIN_OPERATOR_HOLD_TIME,
+                MAX_OPERATOR_HOLD_TIME);
+}
+
+void
+anvil_relay_watch_set_resync_time (anvil_relay_watch_t *watch, anvil_time_t resync_time)
+{
+  anvil_table_follower_set_hold_time (watch->operator_follower, operator_hold_time (resync_time));
+}
+
 anvil_relay_watch_t *
 anvil_relay_watch_open (struct event_base *base,
                         anvil_store_t *store,
                         const anvil_adapter_t *adapter,
                         anvil_registry_t *registry,
+                        anvil_time_t resync_time,
                         const anvil_relay_watch_callbacks_t *callbacks,
                         void *context)
 {
@@ -287,8 +303,9 @@
   watch->evacuated_zones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   watch->zones_seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   watch->update_log = anvil_update_log_new ();
-  watch->operator_follower = anvil_table_follower_open (
-      base, store, adapter->operator_table, OPERATOR_HOLD_TIME, 0, &operator_callbacks, watch);
+  watch->operator_follower
+      = anvil_table_follower_open (base, store, adapter->operator_table,
+                                   operator_hold_time (resync_time), 0, &operator_callbacks, watch);
   watch->upstream_follower = anvil_table_follower_open (
       base, store, adapter->upstream_table, 0, UPSTREAM_PERIOD, &upstream_callbacks, watch);
   return watch;
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -22,11 +22,13 @@
   void (*upstreams_read) (void *context);
 } anvil_relay_watch_callbacks_t;
 
-/** anvil_relay_watch_open - starts to read the store and to update @registry */
+/** anvil_relay_watch_open - starts to read the store and to update @registry; @resync_time as in
+ * anvil_relay_settings_t */
 anvil_relay_watch_t *anvil_relay_watch_open (struct event_base *base,
                                              anvil_store_t *store,
                                              const anvil_adapter_t *adapter,
                                              anvil_registry_t *registry,
+                                             anvil_time_t resync_time,
                                              const anvil_relay_watch_callbacks_t *callbacks,
                                              void *context);
 
@@ -34,6 +36,9 @@
  * taken for an outage */
 void anvil_relay_watch_close (anvil_relay_watch_t *watch);
 
+/** anvil_relay_watch_set_resync_time - see anvil_relay_settings_t */
+void anvil_relay_watch_set_resync_time (anvil_relay_watch_t *watch, anvil_time_t resync_time);
+
 /** anvil_relay_watch_ready - whether the configuration and all upstreams have been read */
 gboolean anvil_relay_watch_ready (const anvil_relay_watch_t *watch);
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -422,6 +422,7 @@
     anvil_members_add (anvil_slot_broker_members (relay->slot_broker), anvil_clock_now (),
                        settings->seeds[i]);
   anvil_slot_broker_set_limits (relay->slot_broker, &settings->limits);
+  anvil_relay_watch_set_resync_time (relay->watch, settings->resync_time);
 }
 
 static void
@@ -553,7 +554,7 @@
   relay->store
       = anvil_store_open (base, settings->store_endpoint.address, settings->store_endpoint.port);
   relay->watch = anvil_relay_watch_open (base, relay->store, adapter, relay->registry,
-                                         &watch_callbacks, relay);
+                                         settings->resync_time, &watch_callbacks, relay);
   relay->feed = anvil_relay_feed_open (relay->slot_broker, relay->watch, upstreams_read_at, relay);
   relay->warm_object_backup
       = anvil_warm_object_backup_open (base, relay->store, relay->slot_broker);
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -88,6 +88,13 @@
                  ms_since (now, follower->read_at));
       follower->callbacks.store_lost (follower->context);
     }
+  /* A long poll may be lost long after the store answers again, so the next call is made at once.
+   */
+  if (follower->call_hold_time > 0)
+    {
+      schedule_call (follower, 0);
+      return;
+    }
   schedule_call (follower, follower->retry_pause);
   follower->retry_pause = MIN (follower->retry_pause * 2, MAX_RETRY_PAUSE);
 }
@@ -224,6 +231,12 @@
   follower->call = NULL;
 }
 
+void
+anvil_table_follower_set_hold_time (anvil_table_follower_t *follower, anvil_time_t hold_time)
+{
+  follower->hold_time = hold_time;
+}
+
 void
 anvil_table_follower_read_now (anvil_table_follower_t *follower)
 {
--- a/source/relay/table-follower.h
+++ b/source/relay/table-follower.h
@@ -46,6 +46,9 @@
                                                    const anvil_table_callbacks_t *callbacks,
                                                    void *context);
 
+/** anvil_table_follower_set_hold_time - replaces the hold time, from the next call on */
+void anvil_table_follower_set_hold_time (anvil_table_follower_t *follower, anvil_time_t hold_time);
+
 /** anvil_table_follower_read_now - abandons the call under way, which may never be answered, and
  * makes a new one */
 void anvil_table_follower_read_now (anvil_table_follower_t *follower);
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -170,7 +170,8 @@
   "\"bounds\":{" bounds "}}"
 #define BOUNDS                                                                                     \
   "\"graceS\":6,\"ttl_max_s\":5,\"retryBudgetRatio\":0.2,\"retryBudgetExtra\":56,"                 \
-  "\"budgetWindowS\":10,\"coldLoadFactor\":1.5,\"coldSlack\":5,\"maxShift\":0.15"
+  "\"budgetWindowS\":10,\"coldLoadFactor\":1.5,\"coldSlack\":5,\"maxShift\":0.15,"                 \
+  "\"stableWindowMs\":3000"
 
 static gboolean
 load_settings (const char *text, anvil_relay_settings_t *settings, GError **error)
@@ -199,6 +200,7 @@
   ck_assert_uint_eq (settings.store_endpoint.port, 8541);
   ck_assert_uint_eq (settings.n_seeds, 1);
   ck_assert_int_eq (settings.shutdown_timeout, 6 * ANVIL_SECOND);
+  ck_assert_int_eq (settings.resync_time, 3 * ANVIL_SECOND);
   ck_assert_double_eq (settings.limits.retry_extra, 56);
   anvil_relay_settings_clear (&settings);
 }
