Read and log the request limits that upstreams name

Nothing in an entry's log or metrics showed that an upstream names a limit of requests a second, so a limit that is exceeded couldn't be told from one that was never read. A response's Server-Limit is now parsed (a decimal number; the lowest of several; anything else says nothing), and taken only from a response to the request that was sent, with the upstream's marker or a rejection.

An entry logs when an upstream begins or ends to name a limit, and changes of it at most once a second, and counts such upstreams in anvil_limited_upstreams. No request is placed differently. The stand-in upstream names a limit on request.

--- a/include/anvil/header-names.h
+++ b/include/anvil/header-names.h
@@ -13,6 +13,8 @@
  * @response_marker: present in every response that an upstream itself generated; a success
  *   without it isn't trusted
  * @not_run: in a response: the upstream has not run the request
+ * @request_limit: in a response: requests a second that the upstream takes from all entries
+ * together
  * @load: the upstream's running and waiting requests and its slots
  */
 typedef struct
@@ -24,5 +26,6 @@
   const char *upstream_id;
   const char *response_marker;
   const char *not_run;
+  const char *request_limit;
   const char *load;
 } anvil_header_names_t;
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/relay-job.h"
+#include "relay/request-limit-table.h"
 #include "relay/route-split.h"
 #include "relay/warm-object-table.h"
 
@@ -69,6 +70,7 @@
   guint64 last_number;
   gboolean refusing_new;
   anvil_warm_object_table_t *warm_objects;
+  anvil_request_limit_table_t *request_limits;
   /* job_t by number. */
   GHashTable *jobs;
 };
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -30,6 +30,7 @@
   jobs->region = anvil_relay_settings_region (options->settings, options->settings->zone);
   jobs->split = anvil_route_split_new ();
   jobs->warm_objects = anvil_warm_object_table_new ();
+  jobs->request_limits = anvil_request_limit_table_new ();
   /* Starts at a random number, since holders may still have task numbers from before a restart. */
   jobs->last_number = ((guint64) g_random_int () << 32) | g_random_int ();
   jobs->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -64,6 +65,7 @@
   g_hash_table_unref (jobs->jobs);
   anvil_route_split_drop (jobs->split);
   anvil_warm_object_table_drop (jobs->warm_objects);
+  anvil_request_limit_table_drop (jobs->request_limits);
   anvil_routes_drop (jobs->routes);
   g_free (jobs);
 }
@@ -88,6 +90,18 @@
   jobs->refusing_new = TRUE;
 }
 
+void
+anvil_relay_jobs_upstream_ended (anvil_relay_jobs_t *jobs, guint64 upstream)
+{
+  anvil_request_limit_table_remove (jobs->request_limits, upstream);
+}
+
+guint
+anvil_relay_jobs_count_request_limits (const anvil_relay_jobs_t *jobs)
+{
+  return anvil_request_limit_table_count (jobs->request_limits);
+}
+
 guint
 anvil_relay_jobs_count (const anvil_relay_jobs_t *jobs)
 {
@@ -181,6 +195,8 @@
   job_t *job = context;
 
   job->attempt = NULL;
+  anvil_request_limit_table_record (job->jobs->request_limits, anvil_clock_now (), job->service,
+                                    job->upstream, job->upstream_id, &outcome->request_limit);
   report_run (job, outcome->result, outcome->duration, FALSE);
   if (outcome->result != ANVIL_RUN_ANSWERED)
     anvil_log (ANVIL_LOG_INFO, "request",
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -72,5 +72,12 @@
 /** anvil_relay_jobs_tick - repeats requests for slots that got no answer */
 void anvil_relay_jobs_tick (anvil_relay_jobs_t *jobs, anvil_time_t now);
 
+/** anvil_relay_jobs_upstream_ended - an upstream has left or restarted */
+void anvil_relay_jobs_upstream_ended (anvil_relay_jobs_t *jobs, guint64 upstream);
+
+/** anvil_relay_jobs_count_request_limits - number of upstreams that named a request limit in their
+ * last response to this entry */
+guint anvil_relay_jobs_count_request_limits (const anvil_relay_jobs_t *jobs);
+
 /** anvil_relay_jobs_count - number of jobs: requests that aren't answered yet */
 guint anvil_relay_jobs_count (const anvil_relay_jobs_t *jobs);
--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -54,6 +54,7 @@
  * @response_request_id: request id in the response, or NULL
  * @has_response_marker: the response carries the marker header
  * @not_run: the response says that the request has not run
+ * @request_limit: request limit that the response names
  * @has_content_encoding: the response has a Content-Encoding other than identity
  * @response_complete: the parser has reached the end of a response
  * @n_mismatched: responses to other requests so far
@@ -80,6 +81,7 @@
   char *response_upstream_id;
   gboolean has_response_marker;
   gboolean not_run;
+  anvil_request_limit_t request_limit;
   gboolean has_content_encoding;
   gboolean response_complete;
   guint n_mismatched;
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -39,18 +39,23 @@
                                             .status = status,
                                             .headers = attempt->headers,
                                             .body = attempt->body,
-                                            .duration = anvil_clock_now () - attempt->started_at };
+                                            .duration = anvil_clock_now () - attempt->started_at,
+                                            .request_limit = attempt->request_limit };
 
   if (status == STATUS_MISDIRECTED)
     {
       outcome.result = ANVIL_RUN_CONNECT_FAILED;
       outcome.misdirected = TRUE;
+      outcome.request_limit = (anvil_request_limit_t){ 0 };
       outcome.reason = "address belongs to another upstream";
     }
   else if (is_not_run_response (attempt, status))
     {
       outcome.result = ANVIL_RUN_SHED;
       outcome.reason = "upstream rejected the request without running it";
+      /* That a limit has ended is taken only from responses to requests that were run. */
+      if (outcome.request_limit.state == ANVIL_REQUEST_LIMIT_NONE)
+        outcome.request_limit = (anvil_request_limit_t){ 0 };
     }
   else if (!attempt->has_response_marker || attempt->has_content_encoding)
     {
@@ -98,6 +103,7 @@
   attempt->in_value = FALSE;
   attempt->has_response_marker = FALSE;
   attempt->not_run = FALSE;
+  attempt->request_limit = (anvil_request_limit_t){ .state = ANVIL_REQUEST_LIMIT_NONE };
   attempt->has_content_encoding = FALSE;
   attempt->response_complete = FALSE;
   g_clear_pointer (&attempt->response_request_id, g_free);
@@ -138,6 +144,8 @@
     attempt->has_response_marker = TRUE;
   else if (anvil_http_field_name_is (name, header_names->not_run))
     attempt->not_run = TRUE;
+  else if (anvil_http_field_name_is (name, header_names->request_limit))
+    anvil_request_limit_add_field (&attempt->request_limit, value);
   else if (anvil_http_field_name_is (name, "Content-Encoding"))
     attempt->has_content_encoding = !anvil_http_field_name_is (value, "identity");
   else if (anvil_http_field_name_is (name, "Connection"))
--- a/source/relay/relay-upstream.h
+++ b/source/relay/relay-upstream.h
@@ -6,6 +6,7 @@
 #include "anvil/clock.h"
 #include "anvil/dispatcher.h"
 #include "anvil/header-names.h"
+#include "anvil/request-limit.h"
 
 /*
  * Connections to upstreams, with one request at a time on each.
@@ -55,6 +56,7 @@
  * @headers: headers to forward, "Name: value\r\n" each
  * @body: body of the response
  * @duration: from the start of sending to the end of the response, microseconds
+ * @request_limit: what the response says about the upstream's request limit
  */
 typedef struct
 {
@@ -65,6 +67,7 @@
   const GString *headers;
   struct evbuffer *body;
   anvil_time_t duration;
+  anvil_request_limit_t request_limit;
 } anvil_relay_attempt_outcome_t;
 
 typedef void (*anvil_relay_attempt_cb_t) (void *context,
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -207,6 +207,8 @@
              upstream->draining, upstream->evacuated,
              MAX (upstream->cold_until - now, 0) / ANVIL_MS);
   anvil_slot_broker_update_upstream (relay->slot_broker, now, upstream, change);
+  if (change == ANVIL_REGISTRY_LEFT || change == ANVIL_REGISTRY_RESTARTED)
+    anvil_relay_jobs_upstream_ended (relay->jobs, upstream->key);
   if (change != ANVIL_REGISTRY_JOINED && !anvil_registry_usable (upstream))
     anvil_relay_upstream_pool_close_idle (relay->upstream_pool, upstream->key);
 }
@@ -470,6 +472,8 @@
                            anvil_registry_count (relay->registry));
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstreams_age_seconds", "",
                            age_seconds (read_at));
+  anvil_metrics_set_gauge (relay->metrics, "anvil_limited_upstreams", "",
+                           anvil_relay_jobs_count_request_limits (relay->jobs));
   anvil_metrics_set_gauge (relay->metrics, "anvil_requests_open", "",
                            anvil_relay_jobs_count (relay->jobs));
   anvil_metrics_set_gauge (relay->metrics, "anvil_caller_connections", "",
--- /dev/null
+++ b/source/relay/request-limit-table.c
@@ -0,0 +1,111 @@
+#include "relay/request-limit-table.h"
+
+#include "anvil/log.h"
+
+/* Changes of one upstream's limit are logged at most this often. */
+#define LOG_INTERVAL (1 * ANVIL_SECOND)
+
+typedef struct
+{
+  char *service;
+  char *upstream_id;
+  gdouble per_second;
+  anvil_time_t named_at;
+  anvil_time_t logged_at;
+} entry_t;
+
+struct anvil_request_limit_table
+{
+  /* entry_t by key of the upstream. */
+  GHashTable *entries;
+};
+
+static void
+entry_drop (gpointer data)
+{
+  entry_t *entry = data;
+
+  g_free (entry->service);
+  g_free (entry->upstream_id);
+  g_free (entry);
+}
+
+anvil_request_limit_table_t *
+anvil_request_limit_table_new (void)
+{
+  anvil_request_limit_table_t *table = g_new0 (anvil_request_limit_table_t, 1);
+
+  table->entries = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, entry_drop);
+  return table;
+}
+
+void
+anvil_request_limit_table_drop (anvil_request_limit_table_t *table)
+{
+  if (table == NULL)
+    return;
+  g_hash_table_unref (table->entries);
+  g_free (table);
+}
+
+static entry_t *
+add_entry (anvil_request_limit_table_t *table,
+           const char *service,
+           guint64 upstream,
+           const char *upstream_id)
+{
+  entry_t *entry = g_new0 (entry_t, 1);
+
+  entry->service = g_strdup (service);
+  entry->upstream_id = g_strdup (upstream_id);
+  entry->per_second = -1;
+  g_hash_table_insert (table->entries, g_memdup2 (&upstream, sizeof upstream), entry);
+  return entry;
+}
+
+void
+anvil_request_limit_table_record (anvil_request_limit_table_t *table,
+                                  anvil_time_t now,
+                                  const char *service,
+                                  guint64 upstream,
+                                  const char *upstream_id,
+                                  const anvil_request_limit_t *limit)
+{
+  entry_t *entry = g_hash_table_lookup (table->entries, &upstream);
+
+  if (limit->state == ANVIL_REQUEST_LIMIT_UNKNOWN)
+    return;
+  if (limit->state == ANVIL_REQUEST_LIMIT_NONE)
+    {
+      if (entry != NULL)
+        anvil_log (ANVIL_LOG_NOTICE, "limit",
+                   "upstream names no request limit any more upstream=%s service=%s", upstream_id,
+                   service);
+      g_hash_table_remove (table->entries, &upstream);
+      return;
+    }
+  if (entry == NULL)
+    entry = add_entry (table, service, upstream, upstream_id);
+  entry->named_at = now;
+  if (entry->per_second == limit->per_second)
+    return;
+  entry->per_second = limit->per_second;
+  if (entry->logged_at > 0 && now - entry->logged_at < LOG_INTERVAL)
+    return;
+  entry->logged_at = now;
+  anvil_log (ANVIL_LOG_NOTICE, "limit",
+             "upstream names a request limit upstream=%s service=%s per_second=%g", upstream_id,
+             service, limit->per_second);
+}
+
+void
+anvil_request_limit_table_remove (anvil_request_limit_table_t *table, guint64 upstream)
+{
+  g_hash_table_remove (table->entries, &upstream);
+}
+
+guint
+anvil_request_limit_table_count (const anvil_request_limit_table_t *table)
+{
+  return g_hash_table_size (table->entries);
+}
--- a/standins/anvil-registrant.c
+++ b/standins/anvil-registrant.c
@@ -17,7 +17,8 @@
  *     endless-head     a header without end, until the caller closes
  *     endless-body     a body without end, until the caller closes
  *   echo=headers     the response's body includes the headers of the request
- * GET /runs returns the number of runs by request ID: {"ID": COUNT}. SIGTERM starts a drain.
+ * GET /runs returns the number of runs by request ID: {"ID": COUNT}. POST /limit?value=TEXT makes
+ * it name a request limit in its responses, an empty TEXT ends that. SIGTERM starts a drain.
  * With --runs, lines are appended to a file: "start TIME -" when the process starts,
  * "run TIME ID" for each run, and "draining TIME -" when the store has accepted the row that
  * announces the drain. Times are in microseconds since 1970.
@@ -63,6 +64,7 @@
 
   set_header (request, "Request-Id", registrant_request_header (request, "Request-Id"));
   set_header (request, "Server-Load", load);
+  set_header (request, "Server-Limit", upstream->request_limit);
   evbuffer_add (body, text, strlen (text));
   evhttp_send_reply (request, status, NULL, body);
   evbuffer_free (body);
@@ -189,6 +191,21 @@
   json_decref (root);
 }
 
+static void
+on_set_limit (struct evhttp_request *request, upstream_t *upstream)
+{
+  const char *text = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
+  struct evkeyvalq query;
+  const char *value;
+
+  evhttp_parse_query_str (text != NULL ? text : "", &query);
+  value = evhttp_find_header (&query, "value");
+  g_free (upstream->request_limit);
+  upstream->request_limit = value != NULL && value[0] != '\0' ? g_strdup (value) : NULL;
+  evhttp_clear_headers (&query);
+  respond (upstream, request, HTTP_OK, "");
+}
+
 static registrant_job_t *
 job_new (upstream_t *upstream, struct evhttp_request *request)
 {
@@ -223,6 +240,11 @@
       on_get_runs (request, upstream);
       return;
     }
+  if (strcmp (path, "/limit") == 0)
+    {
+      on_set_limit (request, upstream);
+      return;
+    }
   set_header (request, "Instance-Id", upstream->settings[ID].text);
   if (expected != NULL && strcmp (expected, upstream->settings[ID].text) != 0)
     {
@@ -321,6 +343,7 @@
   g_hash_table_unref (upstream.run_counts);
   g_hash_table_unref (upstream.warm_objects);
   event_base_free (upstream.base);
+  g_free (upstream.request_limit);
   g_free (upstream.endpoint);
   g_free (host);
   return EXIT_SUCCESS;
--- a/standins/anvil-registrant.h
+++ b/standins/anvil-registrant.h
@@ -44,6 +44,8 @@
   GHashTable *run_counts;
   /* Set of objects that were requested before; a request for one takes WARM_MS. */
   GHashTable *warm_objects;
+  /* Server-Limit header of its responses, or NULL. */
+  char *request_limit;
   /* File that events are logged to, or NULL. */
   FILE *event_log;
 } upstream_t;
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -25,7 +25,8 @@
                                                    .object = "Affinity-Key",
                                                    .expected_upstream = "Expect-Instance",
                                                    .response_marker = "Server-Stamp",
-                                                   .not_run = "Not-Run" };
+                                                   .not_run = "Not-Run",
+                                                   .request_limit = "Server-Limit" };
 
 static struct event_base *base;
 static anvil_relay_upstream_pool_t *pool;
@@ -35,6 +36,7 @@
 static gboolean is_done;
 static anvil_run_result_t result;
 static guint status;
+static anvil_request_limit_t request_limit;
 static char *body_text;
 
 static void
@@ -43,6 +45,7 @@
   is_done = TRUE;
   result = outcome->result;
   status = outcome->status;
+  request_limit = outcome->request_limit;
   g_free (body_text);
   body_text = outcome->body == NULL ? NULL
                                     : g_strndup ((const char *) evbuffer_pullup (outcome->body, -1),
@@ -378,6 +381,54 @@
 }
 END_TEST
 
+typedef struct
+{
+  const char *response;
+  anvil_request_limit_state_t state;
+  gdouble per_second;
+} limit_case_t;
+
+#define LENGTH_0 "Content-Length: 0\r\n\r\n"
+#define LIMIT "Server-Limit: 7.5\r\n"
+#define HEAD_200 "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\n"
+#define HEAD_503 "HTTP/1.1 503 Unavailable\r\nRequest-Id: one\r\nNot-Run: 1\r\n"
+
+/* Only what the upstream itself says of this request counts, and only a run ends a limit. */
+START_TEST (test_request_limits_are_taken_from_responses_to_this_request)
+{
+  static const limit_case_t cases[] = {
+    { HEAD_200 LIMIT LENGTH_0, ANVIL_REQUEST_LIMIT_NAMED, 7.5 },
+    { HEAD_200 LENGTH_0, ANVIL_REQUEST_LIMIT_NONE, 0 },
+    { HEAD_200 "Server-Limit: many\r\n" LENGTH_0, ANVIL_REQUEST_LIMIT_UNKNOWN, 0 },
+    { HEAD_200 "server-limit: 9\r\n" LIMIT LENGTH_0, ANVIL_REQUEST_LIMIT_NAMED, 7.5 },
+    { HEAD_503 LIMIT LENGTH_0, ANVIL_REQUEST_LIMIT_NAMED, 7.5 },
+    { HEAD_503 LENGTH_0, ANVIL_REQUEST_LIMIT_UNKNOWN, 0 },
+    { "HTTP/1.1 421 Misdirected\r\nRequest-Id: one\r\nNot-Run: 1\r\n" LIMIT LENGTH_0,
+      ANVIL_REQUEST_LIMIT_UNKNOWN, 0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: one\r\n" LIMIT LENGTH_0, ANVIL_REQUEST_LIMIT_UNKNOWN, 0 },
+    { "HTTP/1.1 100 Continue\r\n" LIMIT "\r\n" HEAD_200 LENGTH_0, ANVIL_REQUEST_LIMIT_NONE, 0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\n" LIMIT LENGTH_0 HEAD_200
+          LENGTH_0,
+      ANVIL_REQUEST_LIMIT_NONE, 0 },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int fd;
+
+      start_attempt ();
+      fd = accept_request ();
+      send_response (fd, cases[i].response);
+      ck_assert_msg (request_limit.state == cases[i].state
+                         && request_limit.per_second == cases[i].per_second,
+                     "%s: state %d, %g", cases[i].response, (int) request_limit.state,
+                     request_limit.per_second);
+      anvil_relay_upstream_pool_close_idle (pool, 1);
+      close (fd);
+    }
+}
+END_TEST
+
 /* More than any response may have, and than the test may need until the entry gives up. */
 #define MAX_FLOOD_BYTES (64u << 20)
 #define HEAD "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\n"
@@ -511,6 +562,7 @@
   tcase_add_test (tests, test_a_connection_with_unread_bytes_is_not_used_again);
   tcase_add_test (tests, test_a_late_copy_is_not_the_response_to_the_next_request);
   tcase_add_test (tests, test_a_rejection_without_an_id_counts_only_on_a_new_connection);
+  tcase_add_test (tests, test_request_limits_are_taken_from_responses_to_this_request);
   tcase_add_test (tests, test_bytes_without_end_end_the_attempt);
   tcase_add_test (tests, test_the_longest_response_is_given_up_for_the_others);
   suite_add_tcase (suite, tests);
