Keep to the request limits that upstreams name

One holder granted every slot and seven entries sent the requests, so a limit kept by each entry alone would have been passed as well; the sum is known to the holder only.

Change: an entry reports what a response says with the end of its task. The holder keeps a token bucket for each limited upstream, at the rate named and one second deep. The upstream counts with the slots that its limit can keep busy, for estimates of waiting, for spreading objects, for refusals and the times to return. A response to a request that was granted before the limit was named doesn't end it. An upstream that others are better than gets a request every 2 s, at a limit of 0 every 4 s, since only a response tells of a change. Entries remember what they were told and tell a new holder; the upstream's restart or departure ends it. While a peer is silent that didn't announce its leaving, the holder uses three quarters, so that two holders together stay within one and a half times. A report without the new fields, of an entry of an older version, is accepted. anvil_held_limited counts limited upstreams by service.

Why it works: every request is a grant of the holder, and it grants at most the limit's rate and one second of it in any time; 5 times the limit in 4 s, where 6 times and 5 requests are allowed. A new holder starts with an empty bucket.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "anvil/node.h"
 #include "anvil/registry.h"
+#include "anvil/request-limit.h"
 #include "anvil/routes.h"
 
 /*
@@ -13,8 +14,9 @@
  * so it can enforce what applies to all entries together (slots, limits of cold
  * upstreams, the retry budget) and track which upstream is warm for which object:
  * an upstream that has recently handled a request for an object is faster on the
- * next one. While entries disagree on the holder, two holders may act at the same
- * time; each therefore uses at most half of the common limits.
+ * next one. An upstream may name a limit of requests a second in its responses, which
+ * is kept like that of a cold one, for as long as it does. While entries disagree on the holder,
+ * two holders may act at the same time; each therefore uses at most half of the common limits.
  *
  * The dispatcher has no sockets and no clock. Every call passes the current time,
  * and decisions are reported through the callbacks before the call returns.
@@ -145,12 +147,14 @@
  * anvil_run_report_t - how a granted task ended
  * @duration: from the first byte sent to the last received, microseconds; 0 if unknown
  * @still_running: the requester gave up, but the upstream may still be running it
+ * @request_limit: what the response says about the upstream's request limit
  */
 typedef struct
 {
   anvil_run_result_t result;
   anvil_time_t duration;
   gboolean still_running;
+  anvil_request_limit_t request_limit;
 } anvil_run_report_t;
 
 /**
@@ -198,6 +202,10 @@
 /** anvil_dispatcher_set_service - sets the limits of its cold upstreams */
 void anvil_dispatcher_set_service (anvil_dispatcher_t *dispatcher, const anvil_service_t *service);
 
+/** anvil_dispatcher_set_divided - whether another entry may hold the same services at this time,
+ * unreachable from here; request limits of upstreams are then shared with it */
+void anvil_dispatcher_set_divided (anvil_dispatcher_t *dispatcher, gboolean divided);
+
 /** anvil_dispatcher_set_region_rtt - sets the round trip between regions, microseconds */
 void anvil_dispatcher_set_region_rtt (anvil_dispatcher_t *dispatcher, anvil_time_t region_rtt);
 
@@ -260,6 +268,18 @@
                                     void (*visit) (void *context, guint64 object, guint64 upstream),
                                     void *context);
 
+/**
+ * anvil_dispatcher_add_request_limit - an upstream named a request limit to another entry
+ * @named_at: when it did, on this entry's clock
+ *
+ * Does nothing if a limit was named to this dispatcher later.
+ */
+void anvil_dispatcher_add_request_limit (anvil_dispatcher_t *dispatcher,
+                                         anvil_time_t now,
+                                         guint64 upstream,
+                                         gdouble per_second,
+                                         anvil_time_t named_at);
+
 /** anvil_dispatcher_cancel - removes a queued task; does nothing to a granted one */
 void anvil_dispatcher_cancel (anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_task_id_t id);
 
@@ -286,6 +306,7 @@
  * @slots: slots of the upstreams that accept requests
  * @running: granted tasks that have not finished
  * @waiting: queued tasks
+ * @limited: upstreams with a request limit
  */
 typedef struct
 {
@@ -293,6 +314,7 @@
   guint slots;
   guint running;
   guint waiting;
+  guint limited;
 } anvil_dispatcher_status_t;
 
 /** anvil_dispatcher_status - FALSE if the service is unknown to this dispatcher */
--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -148,6 +148,10 @@
                                   anvil_time_t now,
                                   const anvil_peer_t *peer);
 
+/** anvil_members_may_be_divided - whether a peer that answered before and was not shutting down
+ * doesn't answer now: it may be cut off from this entry, and act as a holder for others */
+gboolean anvil_members_may_be_divided (const anvil_members_t *members, anvil_time_t now);
+
 /**
  * anvil_members_holder - the entry that holds the slots of a service
  * @region: region with most of its slots, or NULL; an entry there is preferred
--- a/source/relay/relay-job-holder.c
+++ b/source/relay/relay-job-holder.c
@@ -55,11 +55,25 @@
   g_free (objects);
 }
 
+/* A new holder doesn't know which upstreams named a request limit to the last one. */
+static void
+send_request_limits (anvil_relay_jobs_t *jobs, const char *service, anvil_node_t holder)
+{
+  GArray *limits
+      = anvil_request_limit_table_list (jobs->request_limits, anvil_clock_now (), service);
+
+  anvil_slot_broker_send_request_limits (jobs->options.slot_broker, holder,
+                                         (const anvil_named_limit_t *) (gpointer) limits->data,
+                                         limits->len);
+  g_array_unref (limits);
+}
+
 void
 anvil_relay_jobs_holder_changed (anvil_relay_jobs_t *jobs, const char *service, anvil_node_t holder)
 {
   const holder_change_t change = { .service = service, .holder = holder };
 
+  send_request_limits (jobs, service, holder);
   send_warm_objects (jobs, service, holder);
   foreach_job (jobs, switch_holder, &change);
 }
@@ -86,7 +100,10 @@
       const char *service = anvil_routes_service_at (jobs->routes, i)->name;
 
       if (anvil_slot_broker_holder (jobs->options.slot_broker, service) == peer)
-        send_warm_objects (jobs, service, peer);
+        {
+          send_request_limits (jobs, service, peer);
+          send_warm_objects (jobs, service, peer);
+        }
     }
   foreach_job (jobs, resend_to_restarted_holder, &peer);
 }
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -131,13 +131,10 @@
 
 /* Releases the slot and tells its holder how it was used. */
 static void
-report_run (job_t *job, anvil_run_result_t result, anvil_time_t duration, gboolean still_running)
+report_run (job_t *job, const anvil_run_report_t *report)
 {
-  const anvil_run_report_t report
-      = { .result = result, .duration = duration, .still_running = still_running };
-
   anvil_slot_broker_run_finished (job->jobs->options.slot_broker, job->holder, job->task.id.number,
-                                  &report);
+                                  report);
 }
 
 static gboolean
@@ -168,7 +165,7 @@
       return;
     }
   job->may_have_run |= anvil_relay_attempt_cancel (g_steal_pointer (&job->attempt));
-  report_run (job, ANVIL_RUN_INTERRUPTED, 0, FALSE);
+  report_run (job, &(anvil_run_report_t){ .result = ANVIL_RUN_INTERRUPTED });
   job_fail (job, STATUS_GATEWAY_TIMEOUT, "no-answer-in-time", 0);
 }
 
@@ -197,7 +194,9 @@
   job->attempt = NULL;
   anvil_request_limit_table_record (job->jobs->request_limits, anvil_clock_now (), job->service,
                                     job->upstream, job->upstream_id, &outcome->request_limit);
-  report_run (job, outcome->result, outcome->duration, FALSE);
+  report_run (job, &(anvil_run_report_t){ .result = outcome->result,
+                                          .duration = outcome->duration,
+                                          .request_limit = outcome->request_limit });
   if (outcome->result != ANVIL_RUN_ANSWERED)
     anvil_log (ANVIL_LOG_INFO, "request",
                "attempt failed request=%s upstream=%s attempt=%u status=%u reason=\"%s\" "
@@ -401,7 +400,7 @@
   if (job->state == JOB_RUNNING)
     {
       anvil_relay_attempt_cancel (g_steal_pointer (&job->attempt));
-      report_run (job, ANVIL_RUN_UNUSED, 0, FALSE);
+      report_run (job, &(anvil_run_report_t){ .result = ANVIL_RUN_UNUSED });
     }
   else
     anvil_slot_broker_cancel (jobs->options.slot_broker, job->holder, job->task.id.number);
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -1,5 +1,6 @@
 #include "relay/relay-message.h"
 
+#include <math.h>
 #include <msgpack.h>
 #include <string.h>
 
@@ -85,6 +86,19 @@
   g_byte_array_unref (bytes);
 }
 
+static void
+pack_limits (msgpack_packer *packer, const anvil_relay_message_t *message)
+{
+  msgpack_pack_array (packer, message->n_limits);
+  for (guint i = 0; i < message->n_limits; i++)
+    {
+      msgpack_pack_array (packer, 3);
+      msgpack_pack_uint64 (packer, message->limits[i].upstream);
+      msgpack_pack_double (packer, message->limits[i].per_second);
+      msgpack_pack_int64 (packer, message->limits[i].age);
+    }
+}
+
 static void
 pack_body (msgpack_packer *packer, const anvil_relay_message_t *message)
 {
@@ -114,10 +128,12 @@
       msgpack_pack_uint64 (packer, message->refused.slots);
       return;
     case ANVIL_RELAY_FINISHED:
-      msgpack_pack_array (packer, 3);
+      msgpack_pack_array (packer, 5);
       msgpack_pack_uint64 (packer, message->report.result);
       msgpack_pack_int64 (packer, message->report.duration);
       msgpack_pack_uint64 (packer, message->report.still_running);
+      msgpack_pack_uint64 (packer, message->report.request_limit.state);
+      msgpack_pack_double (packer, message->report.request_limit.per_second);
       return;
     case ANVIL_RELAY_CANCEL:
     case ANVIL_RELAY_REQUEST_UPDATES:
@@ -138,6 +154,9 @@
       pack_text (packer, message->service);
       pack_warm_objects (packer, message);
       return;
+    case ANVIL_RELAY_REQUEST_LIMITS:
+      pack_limits (packer, message);
+      return;
     }
   g_assert_not_reached ();
 }
@@ -210,6 +229,20 @@
   return (anvil_time_t) read_number (reader, field, G_MAXINT64);
 }
 
+/* A finite number, 0 or more. */
+static gdouble
+read_rate (reader_t *reader, const char *field)
+{
+  const msgpack_object *object = read_item (reader, field, MSGPACK_OBJECT_FLOAT64);
+
+  if (object == NULL)
+    return 0;
+  if (isfinite (object->via.f64) && object->via.f64 >= 0)
+    return object->via.f64;
+  *reader->bad_field = field;
+  return 0;
+}
+
 static anvil_str_t
 read_text (reader_t *reader, const char *field)
 {
@@ -331,6 +364,38 @@
   message->rows = read_bytes (&body, "rows");
 }
 
+static void
+read_report (reader_t *outer, anvil_run_report_t *report)
+{
+  reader_t body = read_array (outer, "finished");
+
+  report->result = (anvil_run_result_t) read_number (&body, "result", ANVIL_RUN_UNUSED);
+  report->duration = read_time (&body, "duration");
+  report->still_running = read_number (&body, "still running", 1) != 0;
+  /* Entries of older versions don't send it. */
+  if (body.array == NULL || body.next == body.array->size)
+    return;
+  report->request_limit.state = (anvil_request_limit_state_t) read_number (
+      &body, "state of the request limit", ANVIL_REQUEST_LIMIT_NAMED);
+  report->request_limit.per_second = read_rate (&body, "request limit");
+}
+
+static void
+read_limits (reader_t *outer, anvil_relay_message_t *message)
+{
+  reader_t list = read_array (outer, "request limits");
+
+  message->n_limits = array_length (&list, "request limits", ANVIL_MAX_MESSAGE_REQUEST_LIMITS);
+  for (guint i = 0; i < message->n_limits; i++)
+    {
+      reader_t limit = read_array (&list, "request limit");
+
+      message->limits[i].upstream = read_number (&limit, "upstream", G_MAXUINT64);
+      message->limits[i].per_second = read_rate (&limit, "requests a second");
+      message->limits[i].age = read_time (&limit, "age");
+    }
+}
+
 static void
 read_body (reader_t *reader, anvil_relay_message_t *message)
 {
@@ -363,10 +428,7 @@
       message->refused.slots = (guint) read_number (&body, "slots", G_MAXUINT);
       return;
     case ANVIL_RELAY_FINISHED:
-      body = read_array (reader, "finished");
-      message->report.result = (anvil_run_result_t) read_number (&body, "result", ANVIL_RUN_UNUSED);
-      message->report.duration = read_time (&body, "duration");
-      message->report.still_running = read_number (&body, "still running", 1) != 0;
+      read_report (reader, &message->report);
       return;
     case ANVIL_RELAY_CANCEL:
     case ANVIL_RELAY_REQUEST_UPDATES:
@@ -377,6 +439,9 @@
     case ANVIL_RELAY_WARM_OBJECTS:
       read_warm_objects (reader, message);
       return;
+    case ANVIL_RELAY_REQUEST_LIMITS:
+      read_limits (reader, message);
+      return;
     }
   *reader->bad_field = "kind";
 }
@@ -401,7 +466,7 @@
     {
       reader.array = &root.via.array;
       message->kind
-          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_UPDATES);
+          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_REQUEST_LIMITS);
       message->number = read_number (&reader, "number", G_MAXUINT64);
       if (bad_field == NULL)
         read_body (&reader, message);
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -2,6 +2,7 @@
 
 #include "anvil/dispatcher.h"
 #include "anvil/members.h"
+#include "relay/request-limit-table.h"
 #include "relay/warm-object-table.h"
 
 /**
@@ -17,6 +18,7 @@
  * @ANVIL_RELAY_WARM_OBJECTS: which upstreams of a service are warm for which objects
  * @ANVIL_RELAY_REQUEST_UPDATES: subscribes to the updates of upstreams
  * @ANVIL_RELAY_UPDATES: updates of upstreams
+ * @ANVIL_RELAY_REQUEST_LIMITS: request limits that upstreams named to the sender
  */
 typedef enum
 {
@@ -31,6 +33,7 @@
   ANVIL_RELAY_WARM_OBJECTS,
   ANVIL_RELAY_REQUEST_UPDATES,
   ANVIL_RELAY_UPDATES,
+  ANVIL_RELAY_REQUEST_LIMITS,
 } anvil_relay_message_kind_t;
 
 /**
@@ -48,6 +51,8 @@
  * @service: warm objects: name of the service
  * @objects: warm objects: the list
  * @n_objects: warm objects: length of @objects
+ * @limits: request limits: the list
+ * @n_limits: request limits: length of @limits
  * @after_version: updates: version of the store after which they start
  * @age: updates: time since the sender read the store, microseconds
  * @store_ok_for: updates: for how long the store is known to have answered, microseconds; see
@@ -70,6 +75,8 @@
   anvil_str_t service;
   anvil_warm_object_t objects[ANVIL_MAX_MESSAGE_WARM_OBJECTS];
   guint n_objects;
+  anvil_named_limit_t limits[ANVIL_MAX_MESSAGE_REQUEST_LIMITS];
+  guint n_limits;
   guint64 after_version;
   anvil_time_t age;
   anvil_time_t store_ok_for;
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -441,6 +441,7 @@
       anvil_metrics_set_gauge (relay->metrics, "anvil_held_slots", labels, status.slots);
       anvil_metrics_set_gauge (relay->metrics, "anvil_held_running", labels, status.running);
       anvil_metrics_set_gauge (relay->metrics, "anvil_held_waiting", labels, status.waiting);
+      anvil_metrics_set_gauge (relay->metrics, "anvil_held_limited", labels, status.limited);
     }
   g_free (labels);
 }
--- a/source/relay/request-limit-table.c
+++ b/source/relay/request-limit-table.c
@@ -1,5 +1,7 @@
 #include "relay/request-limit-table.h"
 
+#include <string.h>
+
 #include "anvil/log.h"
 
 /* Changes of one upstream's limit are logged at most this often. */
@@ -104,6 +106,30 @@
   g_hash_table_remove (table->entries, &upstream);
 }
 
+GArray *
+anvil_request_limit_table_list (const anvil_request_limit_table_t *table,
+                                anvil_time_t now,
+                                const char *service)
+{
+  GArray *limits = g_array_new (FALSE, FALSE, sizeof (anvil_named_limit_t));
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->entries);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const entry_t *entry = value;
+      const anvil_named_limit_t limit = { .upstream = *(const guint64 *) key,
+                                          .per_second = entry->per_second,
+                                          .age = now - entry->named_at };
+
+      if (strcmp (entry->service, service) == 0)
+        g_array_append_val (limits, limit);
+    }
+  return limits;
+}
+
 guint
 anvil_request_limit_table_count (const anvil_request_limit_table_t *table)
 {
--- a/source/relay/slot-broker-internal.h
+++ b/source/relay/slot-broker-internal.h
@@ -56,6 +56,10 @@
                               anvil_str_t service,
                               const anvil_warm_object_t *objects,
                               guint n_objects);
+/* Adds request limits that another entry knows of. */
+void broker_add_request_limits (anvil_slot_broker_t *broker,
+                                const anvil_named_limit_t *limits,
+                                guint n_limits);
 void
 broker_send (anvil_slot_broker_t *broker, anvil_node_t to, const anvil_relay_message_t *message);
 
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -53,6 +53,18 @@
                                       objects[i].object, objects[i].upstream);
 }
 
+void
+broker_add_request_limits (anvil_slot_broker_t *broker,
+                           const anvil_named_limit_t *limits,
+                           guint n_limits)
+{
+  anvil_time_t now = anvil_clock_now ();
+
+  for (guint i = 0; i < n_limits; i++)
+    anvil_dispatcher_add_request_limit (broker->dispatcher, now, limits[i].upstream,
+                                        limits[i].per_second, now - MAX (limits[i].age, 0));
+}
+
 static void
 on_relay_message (void *context, anvil_node_t from, anvil_str_t bytes)
 {
@@ -103,6 +115,9 @@
     case ANVIL_RELAY_WARM_OBJECTS:
       broker_add_warm_objects (broker, message.service, message.objects, message.n_objects);
       return;
+    case ANVIL_RELAY_REQUEST_LIMITS:
+      broker_add_request_limits (broker, message.limits, message.n_limits);
+      return;
     }
 }
 
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -113,6 +113,8 @@
   region_rtt = anvil_members_inter_region_rtt (broker->members);
   if (region_rtt > 0)
     anvil_dispatcher_set_region_rtt (broker->dispatcher, region_rtt);
+  anvil_dispatcher_set_divided (broker->dispatcher,
+                                anvil_members_may_be_divided (broker->members, now));
   anvil_dispatcher_tick (broker->dispatcher, now);
 }
 
@@ -282,6 +284,30 @@
   g_free (message);
 }
 
+void
+anvil_slot_broker_send_request_limits (anvil_slot_broker_t *broker,
+                                       anvil_node_t holder,
+                                       const anvil_named_limit_t *limits,
+                                       guint n_limits)
+{
+  anvil_relay_message_t *message;
+
+  if (holder == broker->self)
+    {
+      broker_add_request_limits (broker, limits, n_limits);
+      return;
+    }
+  message = g_new0 (anvil_relay_message_t, 1);
+  message->kind = ANVIL_RELAY_REQUEST_LIMITS;
+  for (guint sent = 0; sent < n_limits; sent += message->n_limits)
+    {
+      message->n_limits = MIN (n_limits - sent, ANVIL_MAX_MESSAGE_REQUEST_LIMITS);
+      memcpy (message->limits, limits + sent, message->n_limits * sizeof *limits);
+      broker_send (broker, holder, message);
+    }
+  g_free (message);
+}
+
 typedef struct
 {
   anvil_warm_object_t *objects;
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -78,6 +78,13 @@
                                           const anvil_warm_object_t *objects,
                                           guint n_objects);
 
+/** anvil_slot_broker_send_request_limits - tells a new holder which upstreams named request limits
+ */
+void anvil_slot_broker_send_request_limits (anvil_slot_broker_t *broker,
+                                            anvil_node_t holder,
+                                            const anvil_named_limit_t *limits,
+                                            guint n_limits);
+
 /** anvil_slot_broker_list_warm_objects - what the upstreams of a service that this entry holds are
  * warm for; returns the number of objects */
 guint anvil_slot_broker_list_warm_objects (anvil_slot_broker_t *broker,
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -7,8 +7,9 @@
 /*
  * Modules of the dispatcher: dispatcher.c submits and ends tasks, dispatch-placing.c selects an
  * upstream for a task, dispatch-waiting.c a queued task for a free slot, dispatch-refusing.c the
- * tasks to refuse. dispatch-shift.c bounds how fast work moves to other regions. dispatch-warmth.c
- * tracks which upstreams are warm for which objects, dispatch-upstream.c which are ejected.
+ * tasks to refuse. dispatch-shift.c bounds how fast work moves to other regions, dispatch-limit.c
+ * how many requests an upstream gets that named a limit. dispatch-warmth.c tracks which upstreams
+ * are warm for which objects, dispatch-upstream.c which are ejected.
  */
 
 /* Most slots that are used of one upstream. */
@@ -91,6 +92,12 @@
  * @probing: it was ejected and has not responded since; gets one task at a time
  * @consecutive_ejections: ejections without a response between them; they become longer
  * @cold_limiter: limits requests while it is cold
+ * @run_time: mean of its own run times, of all kinds
+ * @is_limited: it named a request limit in its last response
+ * @request_limit: that limit, requests a second
+ * @limit_named_at: when a limit was last named to an entry; 0 for never
+ * @limit_used_at: when a slot of it was last granted while it is limited
+ * @request_bucket: limits requests while it is limited
  */
 struct upstream
 {
@@ -110,6 +117,12 @@
   gboolean probing;
   guint consecutive_ejections;
   anvil_bucket_t cold_limiter;
+  estimate_t run_time;
+  gboolean is_limited;
+  gdouble request_limit;
+  anvil_time_t limit_named_at;
+  anvil_time_t limit_used_at;
+  anvil_bucket_t request_bucket;
 };
 
 /**
@@ -150,6 +163,9 @@
  * @n_late: queued tasks that are late
  * @n_running: running tasks
  * @n_slots: slots of the upstreams that accept requests; see dispatch_update_slot_count()
+ * @usable_slots: the same, but counting only as many of a limited upstream as its limit can keep
+ *   busy
+ * @n_limited: its limited upstreams
  * @warm_run_time: run time on upstreams that are warm for the object, by kind
  * @cold_run_time: run time on other upstreams, by kind
  * @max_warm_objects: most objects that one upstream is expected to be warm for
@@ -169,6 +185,8 @@
   guint n_late;
   guint n_running;
   guint n_slots;
+  gdouble usable_slots;
+  guint n_limited;
   estimate_t warm_run_time[ANVIL_ROUTE_UPLOAD + 1];
   estimate_t cold_run_time[ANVIL_ROUTE_UPLOAD + 1];
   guint max_warm_objects;
@@ -183,6 +201,8 @@
   anvil_dispatcher_callbacks_t callbacks;
   void *context;
   anvil_time_t region_rtt;
+  /* Another entry may hold the same services at this time. */
+  gboolean divided;
   GHashTable *services;
   /* upstream_t by key; kept until their tasks have ended. */
   GHashTable *upstreams;
@@ -255,6 +275,29 @@
 anvil_time_t
 warmth_expected_run_time (const upstream_t *upstream, anvil_route_kind_t kind, gboolean warm);
 
+/* dispatch-limit.c */
+
+/* Whether the upstream's request limit allows one more request now. */
+gboolean limit_allows_request (upstream_t *upstream, anvil_time_t now);
+void limit_count_request (upstream_t *upstream, anvil_time_t now);
+/* Whether the upstream should get a request to learn of a change of its limit. */
+gboolean limit_probe_due (const upstream_t *upstream, anvil_time_t now);
+/* When it allows the next request; @now if it does already. */
+anvil_time_t limit_allows_at (const upstream_t *upstream, anvil_time_t now);
+/* Slots that its limit can keep busy. */
+gdouble limit_usable_slots (const upstream_t *upstream);
+/* Takes what a response says into account; its request was granted at @granted_at. */
+void limit_record_response (upstream_t *upstream,
+                            anvil_time_t now,
+                            anvil_time_t granted_at,
+                            const anvil_request_limit_t *limit);
+/* Takes a limit into account that was named to another entry at @named_at. */
+void limit_add_reported (upstream_t *upstream,
+                         anvil_time_t now,
+                         anvil_time_t named_at,
+                         gdouble per_second);
+void limit_clear (upstream_t *upstream);
+
 /* dispatch-placing.c */
 
 /**
@@ -276,8 +319,8 @@
 anvil_time_t placing_network_delay (const upstream_t *upstream, const task_t *task);
 placement_t
 placing_estimate (upstream_t *upstream, const task_t *task, anvil_time_t now, gboolean warm);
-/* Whether the upstream may become warm for one more object. */
-gboolean placing_cold_run_allowed (const upstream_t *upstream, const object_t *object);
+/* Whether one more upstream may become warm for the object. */
+gboolean placing_cold_run_allowed (const object_t *object);
 /* Best upstream with a free slot; none if it is better to wait for a warm one. */
 placement_t placing_best_immediate (task_t *task, anvil_time_t now);
 /* Best upstream that is warm for the object, whether or not it has a free slot. */
--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -39,6 +39,8 @@
 #define COLD_BURST 1.5
 /* Holders that may act for a service at the same time while entries disagree. */
 #define MAX_HOLDERS 2
+/* Slots of an upstream with the lowest request limit; only to divide by. */
+#define MIN_USABLE_SLOTS 0.001
 /* Part of the limit on shifts that one service may use: the mix of services changes too. */
 #define SHIFT_MARGIN 0.6
 
@@ -84,7 +86,7 @@
   if (running >= upstream->record.slots || !upstream->registered
       || !anvil_registry_usable (&upstream->record) || now < upstream->ejected_until)
     return FALSE;
-  if (upstream->probing && running > 0)
+  if ((upstream->probing && running > 0) || !limit_allows_request (upstream, now))
     return FALSE;
   if (now < upstream->record.cold_until)
     {
@@ -114,17 +116,18 @@
   return task->zone == upstream->zone ? 0 : kilobytes * ZONE_TRANSFER_COST_PER_KB;
 }
 
-/* When the next slot is expected to be free. */
+/* When the next slot is expected to be free and may be granted. */
 static anvil_time_t
 slot_free_at (const upstream_t *upstream, anvil_time_t now)
 {
+  anvil_time_t allowed_at = limit_allows_at (upstream, now);
   anvil_time_t first = G_MAXINT64;
 
   if (upstream->running->len < upstream->record.slots)
-    return now;
+    return allowed_at;
   for (guint i = 0; i < upstream->running->len; i++)
     first = MIN (first, ((task_t *) upstream->running->pdata[i])->expected_end);
-  return MAX (first, now);
+  return MAX (first, allowed_at);
 }
 
 placement_t
@@ -156,13 +159,19 @@
   return best->upstream == NULL || placement->cost < best->cost;
 }
 
+static gdouble
+usable_slots (const upstream_t *upstream)
+{
+  return MAX (limit_usable_slots (upstream), MIN_USABLE_SLOTS);
+}
+
 /* How long an upstream needs for the queued tasks of all objects that it is warm for. */
 static anvil_time_t
 backlog_delay (const upstream_t *upstream, const task_t *task)
 {
   gdouble run_time = (gdouble) warmth_expected_run_time (upstream, task->request.kind, TRUE);
 
-  return (anvil_time_t) (upstream->backlog * run_time / MAX (upstream->record.slots, 1u));
+  return (anvil_time_t) (upstream->backlog * run_time / usable_slots (upstream));
 }
 
 /* The best of the upstreams that are warm for the object; with @free_slot, of those that can start
@@ -215,22 +224,24 @@
   return (anvil_time_t) ((mixed >> 32) % TIE_BREAK_RANGE);
 }
 
-/* Number of warm upstreams that the demand for an object requires. */
-static guint
-required_upstreams (const object_t *object, const upstream_t *upstream)
+/* Whether the demand for an object exceeds what the upstreams that are warm for it should take. */
+static gboolean
+needs_more_upstreams (const object_t *object)
 {
-  return 1
-         + (guint) (warmth_demand (object) / (MAX_OBJECT_SHARE * (gdouble) upstream->record.slots));
+  gdouble slots = 0;
+
+  for (guint i = 0; i < object->upstreams->len; i++)
+    slots += limit_usable_slots (object->upstreams->pdata[i]);
+  return object->upstreams->len == 0 || warmth_demand (object) >= MAX_OBJECT_SHARE * slots;
 }
 
 gboolean
-placing_cold_run_allowed (const upstream_t *upstream, const object_t *object)
+placing_cold_run_allowed (const object_t *object)
 {
-  const service_t *service = upstream->service;
-  guint idle = service->n_slots > service->n_running ? service->n_slots - service->n_running : 0;
+  const service_t *service = object->service;
+  gdouble idle = service->usable_slots - service->n_running;
 
-  return object->upstreams->len < required_upstreams (object, upstream)
-         || (gdouble) idle > MIN_IDLE_SHARE * service->n_slots;
+  return needs_more_upstreams (object) || idle > MIN_IDLE_SHARE * service->usable_slots;
 }
 
 /* The best upstream with a free slot that isn't warm for the object. */
@@ -240,6 +251,8 @@
   const GPtrArray *upstreams = task->service->upstreams;
   placement_t best = { 0 };
 
+  if (!placing_cold_run_allowed (task->object))
+    return best;
   for (guint i = 0; i < upstreams->len; i++)
     {
       upstream_t *upstream = upstreams->pdata[i];
@@ -247,12 +260,11 @@
 
       if (!placing_slot_available (upstream, now) || !placing_allowed (upstream, task)
           || warmth_find (upstream, task->object) != NULL
-          || (local_only && upstream->region != task->region)
-          || !placing_cold_run_allowed (upstream, task->object))
+          || (local_only && upstream->region != task->region))
         continue;
       placement = placing_estimate (upstream, task, now, FALSE);
       placement.cost += tie_break (upstream, task->object)
-                        + (anvil_time_t) (upstream->warm_load / upstream->record.slots
+                        + (anvil_time_t) (upstream->warm_load / usable_slots (upstream)
                                           * (gdouble) warmth_expected_run_time (
                                               upstream, task->request.kind, TRUE));
       if (is_better (&placement, &best))
@@ -282,6 +294,23 @@
   return cold;
 }
 
+/* A limited upstream with a free slot that should get a request, or none. */
+static placement_t
+best_probe (task_t *task, anvil_time_t now)
+{
+  const GPtrArray *upstreams = task->service->upstreams;
+
+  for (guint i = 0; task->service->n_limited > 0 && i < upstreams->len; i++)
+    {
+      upstream_t *upstream = upstreams->pdata[i];
+
+      if (limit_probe_due (upstream, now) && placing_allowed (upstream, task)
+          && placing_slot_available (upstream, now))
+        return placing_estimate (upstream, task, now, FALSE);
+    }
+  return (placement_t){ 0 };
+}
+
 static gboolean
 is_remote (const placement_t *placement, const task_t *task)
 {
@@ -293,9 +322,12 @@
 {
   gdouble max_growth = task->service->dispatcher->limits.max_shift * SHIFT_MARGIN;
   placement_t wait_for;
-  placement_t best = best_immediate (task, now, FALSE, &wait_for);
+  placement_t best = best_probe (task, now);
   placement_t local;
 
+  if (best.upstream != NULL)
+    return best;
+  best = best_immediate (task, now, FALSE, &wait_for);
   if (!is_remote (best.upstream != NULL ? &best : &wait_for, task) || max_growth <= 0
       || shift_allows_remote (dispatch_shift_of (task), now, max_growth))
     return best;
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -51,8 +51,8 @@
 
   if (service->n_slots == 0)
     return 0;
-  return warmth_mean_run_time (service, task->request.kind, TRUE) * n_tasks
-         / (anvil_time_t) service->n_slots;
+  return (anvil_time_t) ((gdouble) warmth_mean_run_time (service, task->request.kind, TRUE)
+                         * n_tasks / service->usable_slots);
 }
 
 gboolean
@@ -70,7 +70,7 @@
 {
   const service_t *service = task->service;
 
-  if ((gdouble) service->n_late > MAX (MAX_LATE_SHARE * service->n_slots, MIN_LATE_TASKS))
+  if ((gdouble) service->n_late > MAX (MAX_LATE_SHARE * service->usable_slots, MIN_LATE_TASKS))
     return TRUE;
   return now + mean_run_time (task) + time_for_tasks (task, service->n_waiting)
          > task->request.deadline;
--- a/source/steer/dispatch-service.c
+++ b/source/steer/dispatch-service.c
@@ -62,6 +62,7 @@
   *status = (anvil_dispatcher_status_t){ .upstreams = service->upstreams->len,
                                          .slots = service->n_slots,
                                          .running = service->n_running,
-                                         .waiting = service->n_waiting };
+                                         .waiting = service->n_waiting,
+                                         .limited = service->n_limited };
   return TRUE;
 }
--- a/source/steer/dispatch-upstream.c
+++ b/source/steer/dispatch-upstream.c
@@ -31,12 +31,18 @@
 dispatch_update_slot_count (service_t *service)
 {
   service->n_slots = 0;
+  service->usable_slots = 0;
+  service->n_limited = 0;
   for (guint i = 0; i < service->upstreams->len; i++)
     {
       const upstream_t *upstream = service->upstreams->pdata[i];
 
       if (anvil_registry_usable (&upstream->record) && !upstream->probing)
-        service->n_slots += upstream->record.slots;
+        {
+          service->n_slots += upstream->record.slots;
+          service->usable_slots += limit_usable_slots (upstream);
+        }
+      service->n_limited += upstream->is_limited ? 1 : 0;
     }
 }
 
@@ -78,6 +84,8 @@
 dispatch_upstream_reset (upstream_t *upstream)
 {
   warmth_clear_upstream (upstream);
+  limit_clear (upstream);
+  upstream->run_time = (estimate_t){ 0 };
   upstream->run_time_ratio = 1;
   upstream->failure_rate = 0;
   upstream->consecutive_failures = 0;
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -209,8 +209,7 @@
         consider_object (&choice, object, TRUE);
       /* If the object's first run on this upstream is going on, wait for it to end: then it is
        * warm. */
-      else if (warmth_find (upstream, object) == NULL
-               && placing_cold_run_allowed (upstream, object))
+      else if (warmth_find (upstream, object) == NULL && placing_cold_run_allowed (object))
         consider_object (&choice, object, FALSE);
     }
   return choice.best;
--- a/source/steer/dispatch-warmth.c
+++ b/source/steer/dispatch-warmth.c
@@ -237,6 +237,7 @@
 
   add_sample (task->warm ? &service->warm_run_time[kind] : &service->cold_run_time[kind],
               run_time_us);
+  add_sample (&upstream->run_time, run_time_us);
   upstream->run_time_ratio += (ratio - upstream->run_time_ratio) * RUN_TIME_RATIO_WEIGHT;
   upstream->run_time_ratio
       = CLAMP (upstream->run_time_ratio, MIN_RUN_TIME_RATIO, MAX_RUN_TIME_RATIO);
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -107,6 +107,12 @@
   dispatcher->limits = *limits;
 }
 
+void
+anvil_dispatcher_set_divided (anvil_dispatcher_t *dispatcher, gboolean divided)
+{
+  dispatcher->divided = divided;
+}
+
 void
 anvil_dispatcher_set_region_rtt (anvil_dispatcher_t *dispatcher, anvil_time_t region_rtt)
 {
@@ -162,6 +168,7 @@
 grant (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task, upstream_t *upstream)
 {
   assign_slot (dispatcher, now, task, upstream, warmth_is_ready (upstream, task->object));
+  limit_count_request (upstream, now);
   notify_grant (dispatcher, task);
 }
 
@@ -344,6 +351,7 @@
     {
       warmth_record_result (task, now, report);
       dispatch_upstream_record_result (upstream, now, report->result);
+      limit_record_response (upstream, now, task->granted_at, &report->request_limit);
     }
   if (report->still_running)
     {
@@ -357,6 +365,19 @@
   drop_if_unused (dispatcher, upstream);
 }
 
+void
+anvil_dispatcher_add_request_limit (anvil_dispatcher_t *dispatcher,
+                                    anvil_time_t now,
+                                    guint64 key,
+                                    gdouble per_second,
+                                    anvil_time_t named_at)
+{
+  upstream_t *upstream = g_hash_table_lookup (dispatcher->upstreams, &key);
+
+  if (upstream != NULL && upstream->registered)
+    limit_add_reported (upstream, now, named_at, per_second);
+}
+
 /* Running tasks past their deadline, and queued ones to refuse. Collected first, since ending one
  * changes the table. */
 static GPtrArray *
@@ -413,6 +434,14 @@
   g_hash_table_iter_init (&iter, dispatcher->upstreams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     warmth_update_load (value);
+  g_hash_table_iter_init (&iter, dispatcher->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      service_t *service = value;
+
+      if (service->n_limited > 0)
+        dispatch_update_slot_count (service);
+    }
 }
 
 void
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -227,6 +227,20 @@
   return ((guint64) preferred << 63) | (cpu_class << 60) | (mixed >> 4);
 }
 
+gboolean
+anvil_members_may_be_divided (const anvil_members_t *members, anvil_time_t now)
+{
+  for (guint i = 0; i < members->peers->len; i++)
+    {
+      const anvil_peer_t *peer = members->peers->pdata[i];
+
+      if (peer->answered_at > 0 && !peer->info.leaving
+          && !anvil_members_reachable (members, now, peer))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 anvil_node_t
 anvil_members_holder (const anvil_members_t *members,
                       anvil_time_t now,
--- a/tests/helper-dispatch.c
+++ b/tests/helper-dispatch.c
@@ -44,6 +44,7 @@
   gboolean was_warm = use_object (sim, grant->upstream, task->task.object);
 
   task->granted = TRUE;
+  task->granted_at = sim->now;
   task->upstream = grant->upstream;
   task->warm = grant->warm;
   task->ends_at = sim->now + (was_warm || task->task.object == 0 ? sim->warm_run : sim->cold_run);
@@ -132,6 +133,79 @@
   g_free (id);
 }
 
+void
+sim_name_limit (dispatch_sim_t *sim, guint index, gdouble per_second)
+{
+  sim->request_limits[index]
+      = (anvil_request_limit_t){ .state = ANVIL_REQUEST_LIMIT_NAMED, .per_second = per_second };
+}
+
+void
+sim_end_limit (dispatch_sim_t *sim, guint index)
+{
+  sim->request_limits[index] = (anvil_request_limit_t){ .state = ANVIL_REQUEST_LIMIT_NONE };
+}
+
+guint
+sim_count_grants (dispatch_sim_t *sim, guint index, anvil_time_t since)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < sim->tasks->len; i++)
+    {
+      const sim_task_t *task = sim_task (sim, i);
+
+      n += task->granted && task->upstream == sim->keys[index] && task->granted_at >= since;
+    }
+  return n;
+}
+
+static gint
+compare_times (gconstpointer a, gconstpointer b)
+{
+  const anvil_time_t *x = a;
+  const anvil_time_t *y = b;
+
+  return *x < *y ? -1 : *x > *y;
+}
+
+guint
+sim_most_grants (dispatch_sim_t *sim, guint index, anvil_time_t since, anvil_time_t length)
+{
+  GArray *times = g_array_new (FALSE, FALSE, sizeof (anvil_time_t));
+  guint most = 0;
+
+  for (guint i = 0; i < sim->tasks->len; i++)
+    {
+      const sim_task_t *task = sim_task (sim, i);
+
+      if (task->granted && task->upstream == sim->keys[index] && task->granted_at >= since)
+        g_array_append_val (times, task->granted_at);
+    }
+  g_array_sort (times, compare_times);
+  for (guint first = 0, i = 0; i < times->len; i++)
+    {
+      while (g_array_index (times, anvil_time_t, i) - g_array_index (times, anvil_time_t, first)
+             > length)
+        first++;
+      most = MAX (most, i - first + 1);
+    }
+  g_array_unref (times);
+  return most;
+}
+
+/* What the response of the upstream that ran a task says. */
+static anvil_request_limit_t
+request_limit_of (const dispatch_sim_t *sim, const sim_task_t *task)
+{
+  for (guint i = 0; i < sim->n_upstreams; i++)
+    {
+      if (sim->keys[i] == task->upstream)
+        return sim->request_limits[i];
+    }
+  return (anvil_request_limit_t){ 0 };
+}
+
 sim_task_t *
 sim_task (dispatch_sim_t *sim, guint index)
 {
@@ -173,7 +247,8 @@
   sim_task_t *task = sim_task (sim, index);
   const anvil_run_report_t report
       = { .result = result,
-          .duration = result == ANVIL_RUN_ANSWERED ? sim->now - task->submitted_at : 0 };
+          .duration = result == ANVIL_RUN_ANSWERED ? sim->now - task->submitted_at : 0,
+          .request_limit = request_limit_of (sim, task) };
 
   task->done = TRUE;
   anvil_dispatcher_run_finished (sim->dispatcher, sim->now, task->task.id, &report);
@@ -191,6 +266,7 @@
       if (!task->granted || task->done || task->ends_at > sim->now)
         continue;
       cold = !task->warm;
+      report.request_limit = request_limit_of (sim, task);
       report.duration = cold ? sim->cold_run : sim->warm_run;
       task->done = TRUE;
       anvil_dispatcher_run_finished (sim->dispatcher, sim->now, task->task.id, &report);
--- a/tests/helper-dispatch.h
+++ b/tests/helper-dispatch.h
@@ -16,6 +16,7 @@
 {
   anvil_task_t task;
   anvil_time_t submitted_at;
+  anvil_time_t granted_at;
   anvil_time_t ends_at;
   guint64 upstream;
   gboolean granted;
@@ -46,6 +47,8 @@
   anvil_time_t timeout;
   guint n_upstreams;
   guint64 keys[MAX_SIM_UPSTREAMS];
+  /* What the responses of each upstream say of its request limit. */
+  anvil_request_limit_t request_limits[MAX_SIM_UPSTREAMS];
   /* Objects that each upstream is warm for, most recently used first: GQueue by key. */
   GHashTable *warm_objects;
   GArray *tasks;
@@ -61,6 +64,18 @@
 void
 sim_set_upstream (dispatch_sim_t *sim, guint index, gboolean draining, anvil_time_t cold_until);
 
+/** sim_name_limit - the upstream's responses name a limit from now on */
+void sim_name_limit (dispatch_sim_t *sim, guint index, gdouble per_second);
+
+/** sim_end_limit - the upstream's responses name no limit from now on */
+void sim_end_limit (dispatch_sim_t *sim, guint index);
+
+/** sim_count_grants - tasks granted to an upstream since a time */
+guint sim_count_grants (dispatch_sim_t *sim, guint index, anvil_time_t since);
+
+/** sim_most_grants - the most tasks granted to an upstream in any time of @length since @since */
+guint sim_most_grants (dispatch_sim_t *sim, guint index, anvil_time_t since, anvil_time_t length);
+
 /** sim_submit - submits a task for @object; returns its index */
 guint sim_submit (dispatch_sim_t *sim, guint64 object);
 
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -269,6 +269,23 @@
 }
 END_TEST
 
+START_TEST (test_a_silent_peer_that_was_not_leaving_may_act_for_others)
+{
+  anvil_member_info_t leaving = info ("west-b", 2);
+
+  anvil_members_add (members, now, 9);
+  now += 10 * ANVIL_SECOND;
+  ck_assert (!anvil_members_may_be_divided (members, now));
+  answer_ping (2, "west-b", 2);
+  ck_assert (!anvil_members_may_be_divided (members, now));
+  now += 10 * ANVIL_SECOND;
+  ck_assert (anvil_members_may_be_divided (members, now));
+  leaving.leaving = TRUE;
+  anvil_members_update_info (members, now, 2, &leaving);
+  ck_assert (!anvil_members_may_be_divided (members, now));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -290,6 +307,7 @@
   tcase_add_test (tests, test_next_holder_is_pinged_often_in_advance);
   tcase_add_test (tests, test_silent_peer_expires_and_can_be_added_again);
   tcase_add_test (tests, test_restart_of_a_peer_is_detected);
+  tcase_add_test (tests, test_a_silent_peer_that_was_not_leaving_may_act_for_others);
   tcase_add_test (tests, test_answer_counts_from_when_the_ping_was_sent);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -1,6 +1,7 @@
 /* Messages between entries: a packed message is unpacked unchanged, malformed ones are rejected. */
 
 #include <check.h>
+#include <math.h>
 #include <stdlib.h>
 
 #include "relay/relay-message.h"
@@ -51,12 +52,18 @@
                  .slots = 1 } },
   { .kind = ANVIL_RELAY_FINISHED,
     .number = 9,
-    .report = { .result = ANVIL_RUN_INTERRUPTED, .duration = 5, .still_running = TRUE } },
+    .report = { .result = ANVIL_RUN_INTERRUPTED,
+                .duration = 5,
+                .still_running = TRUE,
+                .request_limit = { .state = ANVIL_REQUEST_LIMIT_NAMED, .per_second = 7.5 } } },
   { .kind = ANVIL_RELAY_CANCEL, .number = 10 },
   { .kind = ANVIL_RELAY_WARM_OBJECTS,
     .service = { "photos", 6 },
     .objects = { { 1, 2 }, { G_MAXUINT64, 4 } },
     .n_objects = 2 },
+  { .kind = ANVIL_RELAY_REQUEST_LIMITS,
+    .limits = { { 1, 0.25, 5 }, { G_MAXUINT64, 1e300, 0 } },
+    .n_limits = 2 },
   { .kind = ANVIL_RELAY_UPDATES,
     .number = 11,
     .after_version = 10,
@@ -95,6 +102,37 @@
 }
 END_TEST
 
+/* As entries of an older version send it during a rolling update. */
+START_TEST (test_a_report_without_a_request_limit_is_accepted)
+{
+  static const char bytes[] = { '\x93', ANVIL_RELAY_FINISHED, 9, '\x93', ANVIL_RUN_FAILED, 5, 0 };
+  anvil_relay_message_t read;
+
+  ck_assert (anvil_relay_message_unpack ((anvil_str_t){ .data = bytes, .length = sizeof bytes },
+                                         &read, NULL));
+  ck_assert_int_eq (read.report.result, ANVIL_RUN_FAILED);
+  ck_assert_int_eq (read.report.request_limit.state, ANVIL_REQUEST_LIMIT_UNKNOWN);
+}
+END_TEST
+
+START_TEST (test_request_limits_below_zero_or_not_finite_are_rejected)
+{
+  static const gdouble rates[] = { -1, NAN, INFINITY };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (rates); i++)
+    {
+      const anvil_relay_message_t message
+          = { .kind = ANVIL_RELAY_REQUEST_LIMITS, .limits = { { 1, rates[i], 5 } }, .n_limits = 1 };
+      GByteArray *bytes = pack (&message);
+      anvil_relay_message_t read;
+
+      ck_assert (!anvil_relay_message_unpack (
+          (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
+      g_byte_array_unref (bytes);
+    }
+}
+END_TEST
+
 /* Truncated and corrupted messages are rejected or unpacked as other valid messages. */
 START_TEST (test_corrupted_messages_are_rejected_or_valid)
 {
@@ -155,6 +193,8 @@
   int failed;
 
   tcase_add_test (tests, test_every_kind_is_unpacked_as_it_was_packed);
+  tcase_add_test (tests, test_a_report_without_a_request_limit_is_accepted);
+  tcase_add_test (tests, test_request_limits_below_zero_or_not_finite_are_rejected);
   tcase_add_test (tests, test_corrupted_messages_are_rejected_or_valid);
   tcase_add_test (tests, test_warm_objects_are_unpacked_as_they_were_packed);
   suite_add_tcase (suite, tests);
