--- a/tests/test-relay-limit.c
+++ b/tests/test-relay-limit.c
@@ -17,7 +17,7 @@
 #define WINDOW (4 * ANVIL_SECOND)
 #define MAX_IN_WINDOW(per_second) ((guint) (1.5 * (per_second) *4 + 5))
 /* Until the entries have had responses that name the limit. */
-#define NAMING_US 1000000
+#define NAMING_US 1000000ul
 /* More than a window, with requests from its first to its last second. */
 #define LOAD_US 6000000
 
