Let upstreams name request limits in the soak

Checked: from 4 s after a limit was named, an upstream runs at most one and a half times what it allows and 5 requests more in any 4 s, counting the requests of entries without a fault. Limits are drawn from a generator of their own, so seeds without them keep their histories. test-soak plays seed 3 with limits.

--- a/standins/anvil-registrant.c
+++ b/standins/anvil-registrant.c
@@ -20,8 +20,9 @@
  * GET /runs returns the number of runs by request ID: {"ID": COUNT}. POST /limit?value=TEXT makes
  * it name a request limit in its responses, an empty TEXT ends that. SIGTERM starts a drain.
  * With --runs, lines are appended to a file: "start TIME -" when the process starts,
- * "run TIME ID" for each run, and "draining TIME -" when the store has accepted the row that
- * announces the drain. Times are in microseconds since 1970.
+ * "run TIME ID" for each run, "limit TIME TEXT" for each request to name a limit ("-" to end it),
+ * and "draining TIME -" when the store has accepted the row that announces the drain. Times are in
+ * microseconds since 1970.
  */
 
 #include <arpa/inet.h>
@@ -202,6 +203,8 @@
   value = evhttp_find_header (&query, "value");
   g_free (upstream->request_limit);
   upstream->request_limit = value != NULL && value[0] != '\0' ? g_strdup (value) : NULL;
+  registrant_log_event (upstream, "limit",
+                        upstream->request_limit != NULL ? upstream->request_limit : "-");
   evhttp_clear_headers (&query);
   respond (upstream, request, HTTP_OK, "");
 }
--- a/tests/soak/soak-checks.c
+++ b/tests/soak/soak-checks.c
@@ -74,6 +74,50 @@
   report_violation (soak, "drain", request, "its upstream had drained for more than 2.5 s");
 }
 
+/* Time in which the runs of a limited upstream are counted. */
+#define LIMIT_WINDOW (4 * ANVIL_SECOND)
+
+/**
+ * limit_check_t - the request limit of an upstream while its log is read
+ * @per_second: requests a second, negative if it names none
+ * @named_at: since when
+ * @times: runs since then that count, oldest first
+ */
+typedef struct
+{
+  gdouble per_second;
+  gint64 named_at;
+  GArray *times;
+} limit_check_t;
+
+/* Runs before a change of the limit don't count: it starts a new time to learn of it. */
+static void
+set_limit (limit_check_t *check, gint64 at, const char *value)
+{
+  gboolean names = strcmp (value, "-") != 0;
+
+  check->per_second = names ? g_ascii_strtod (value, NULL) : -1;
+  check->named_at = at;
+  g_array_set_size (check->times, 0);
+}
+
+/* Runs count from the time on at which every entry must know of the limit, unless their entry had a
+ * fault. */
+static void
+check_limit (soak_t *soak, limit_check_t *check, const char *id, gint64 at)
+{
+  const soak_request_t *request = find_request (soak, id);
+
+  if (request == NULL || check->per_second < 0 || at < check->named_at + FAULT_EFFECT_TIME
+      || !without_faults (soak->entries[request->entry].fault_times, at, at))
+    return;
+  g_array_append_val (check->times, at);
+  while (at - g_array_index (check->times, gint64, 0) > LIMIT_WINDOW)
+    g_array_remove_index (check->times, 0);
+  if (check->times->len > 1.5 * check->per_second * 4 + 5)
+    report_violation (soak, "request limit", request, "more runs in 4 s than its upstream takes");
+}
+
 /* Reads the log of runs of an upstream: lines of an event, its time and a request's id. */
 static void
 read_runs (run_counts_t *counts, const node_t *node)
@@ -81,9 +125,13 @@
   char *text = NULL;
   char **lines;
   gint64 draining_at = 0;
+  limit_check_t limit = { .per_second = -1, .times = g_array_new (FALSE, FALSE, sizeof (gint64)) };
 
   if (!g_file_get_contents (node->runs_path, &text, NULL, NULL))
-    return;
+    {
+      g_array_unref (limit.times);
+      return;
+    }
   lines = g_strsplit (text, "\n", -1);
   for (guint i = 0; lines[i] != NULL && lines[i][0] != '\0'; i++)
     {
@@ -94,17 +142,24 @@
       if (strcmp (fields[0], "draining") == 0)
         draining_at = at;
       else if (strcmp (fields[0], "start") == 0)
-        draining_at = 0;
+        {
+          draining_at = 0;
+          set_limit (&limit, at, "-");
+        }
+      else if (strcmp (fields[0], "limit") == 0)
+        set_limit (&limit, at, fields[2]);
       else
         {
           g_hash_table_insert (counts->runs, g_strdup (fields[2]), GUINT_TO_POINTER (count + 1));
           if (draining_at > 0)
             check_run_after_drain (counts->soak, fields[2], draining_at, at);
+          check_limit (counts->soak, &limit, fields[2], at);
         }
       g_strfreev (fields);
     }
   g_strfreev (lines);
   g_free (text);
+  g_array_unref (limit.times);
 }
 
 void
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -2,7 +2,7 @@
  * Soak test: runs entries, upstreams and a store as real processes, injects faults from outside,
  * and checks the platform's guarantees by the outcomes at callers and the runs on upstreams.
  *
- *   soak --seed N --seconds N [--entries N] [--upstreams N] [--rate N]
+ *   soak --seed N --seconds N [--entries N] [--upstreams N] [--rate N] [--limits 0|1]
  *
  * Prints a line for each violated guarantee (at most the first few) and one with totals; the exit
  * status is 1 if there was a violation.
@@ -26,6 +26,8 @@
 #define MAX_FAULT_INTERVAL_MS 1200
 #define MIN_FAULT_MS 200
 #define MAX_FAULT_MS 3500
+/* Time between two changes of request limits. */
+#define LIMIT_PERIOD_S 2
 /* Time without faults at the end, in which requests must be answered again. */
 #define RECOVERY_PHASE_S 10
 
@@ -216,6 +218,42 @@
   schedule_undo (soak, node, undo_proxy_fault);
 }
 
+static void
+name_request_limit (const node_t *node, const char *value)
+{
+  char *path = g_strdup_printf ("/limit?value=%s", value);
+
+  g_free (fleet_request (fleet_port (&node->upstream), "POST", path, "limit"));
+  g_free (path);
+}
+
+/* An upstream names a request limit, or ends it; none that can't answer because of a fault. Drawn
+ * from a generator of its own, so that seeds without limits keep their histories. */
+static void
+on_limit_timer (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  static const char *const limits[] = { "", "", "0", "0.5", "2", "5" };
+  soak_t *soak = data;
+  guint index = (guint) g_rand_int_range (soak->limit_random, 0, (gint32) soak->n_upstreams);
+  guint limit = (guint) g_rand_int_range (soak->limit_random, 0, G_N_ELEMENTS (limits));
+
+  if (soak->upstreams[index].fault_active)
+    return;
+  log_event (soak, limits[limit][0] != '\0' ? "upstream names a limit" : "upstream names no limit",
+             soak->upstreams[index].id);
+  name_request_limit (&soak->upstreams[index], limits[limit]);
+}
+
+static void
+end_request_limits (soak_t *soak)
+{
+  for (guint i = 0; i < soak->n_upstreams; i++)
+    {
+      if (!soak->upstreams[i].fault_active)
+        name_request_limit (&soak->upstreams[i], "");
+    }
+}
+
 static void
 inject_upstream_fault (soak_t *soak, node_t *node)
 {
@@ -374,8 +412,10 @@
 }
 
 static int
-run (soak_t *soak, guint seconds, gdouble rate)
+run (soak_t *soak, guint seconds, gdouble rate, gboolean with_limits)
 {
+  const struct timeval limit_period = { .tv_sec = LIMIT_PERIOD_S };
+  struct event *limit_timer = event_new (soak->base, -1, EV_PERSIST, on_limit_timer, soak);
   gint64 faults_ended_at;
 
   start_processes (soak);
@@ -383,11 +423,16 @@
                                      rate, 0.05);
   soak->fault_timer = evtimer_new (soak->base, on_fault_timer, soak);
   schedule_next_fault (soak);
+  if (with_limits)
+    event_add (limit_timer, &limit_period);
   run_for (soak, seconds);
   event_free (soak->fault_timer);
+  event_free (limit_timer);
   soak_callers_disable_faults (soak->callers);
   /* Active faults end by their timers. */
   run_for (soak, MAX_FAULT_MS / 1000 + 1);
+  if (with_limits)
+    end_request_limits (soak);
   faults_ended_at = anvil_clock_wall ();
   run_for (soak, RECOVERY_PHASE_S);
   soak_callers_stop (soak->callers);
@@ -432,6 +477,12 @@
       .default_value = "60",
       .minimum = 1,
       .maximum = 100000 },
+    { .name = "limits",
+      .kind = ANVIL_SETTING_INTEGER,
+      .help = "1 if upstreams name request limits",
+      .default_value = "0",
+      .minimum = 0,
+      .maximum = 1 },
   };
   anvil_settings_t settings
       = { .program = "soak", .items = items, .n_items = G_N_ELEMENTS (items) };
@@ -450,11 +501,13 @@
   for (guint i = 0; i < MAX_UPSTREAMS; i++)
     soak->upstreams[i].fault_times = g_array_new (FALSE, FALSE, sizeof (gint64));
   soak->random = g_rand_new_with_seed ((guint32) items[0].integer);
+  soak->limit_random = g_rand_new_with_seed ((guint32) items[0].integer);
   soak->n_entries = (guint) items[2].integer;
   soak->n_upstreams = (guint) items[3].integer;
-  status = run (soak, (guint) items[1].integer, (gdouble) items[4].integer);
+  status = run (soak, (guint) items[1].integer, (gdouble) items[4].integer, items[5].integer != 0);
   event_base_free (soak->base);
   g_rand_free (soak->random);
+  g_rand_free (soak->limit_random);
   g_array_unref (soak->store_fault_times);
   for (guint i = 0; i < MAX_ENTRIES; i++)
     g_array_unref (soak->entries[i].fault_times);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -28,6 +28,7 @@
 {
   struct event_base *base;
   GRand *random;
+  GRand *limit_random;
   fleet_t fleet;
   fault_proxy_t *store_proxy;
   char *store_endpoint;
--- a/tests/test-soak.c
+++ b/tests/test-soak.c
@@ -7,13 +7,18 @@
 #include <glib.h>
 
 /* A seed that found a violated guarantee is added here, with a comment on its cause. */
-static const int seeds[] = { 1, 11 };
+static const struct
+{
+  int seed;
+  int limits;
+} plays[] = { { 1, 0 }, { 11, 0 }, { 3, 1 } };
 
 START_TEST (test_guarantees_hold_under_faults)
 {
   const char *bin = g_getenv ("ANVIL_BIN");
-  char *command = g_strdup_printf ("%s/../soak/soak --seed %d --seconds 8",
-                                   bin != NULL ? bin : "build/release/bin", seeds[_i]);
+  char *command
+      = g_strdup_printf ("%s/../soak/soak --seed %d --limits %d --seconds 8",
+                         bin != NULL ? bin : "build/release/bin", plays[_i].seed, plays[_i].limits);
   char *output = NULL;
   int status = -1;
 
@@ -33,7 +38,7 @@
   int failed;
 
   tcase_set_timeout (tests, 180);
-  tcase_add_loop_test (tests, test_guarantees_hold_under_faults, 0, G_N_ELEMENTS (seeds));
+  tcase_add_loop_test (tests, test_guarantees_hold_under_faults, 0, G_N_ELEMENTS (plays));
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
