Bound the log lines of request limits

An upstream that names a limit in some responses only would have been logged with every change, twice for each response. Begins and ends are logged at most once a second for each upstream, at each entry and at the holder.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -14,9 +14,10 @@
  * so it can enforce what applies to all entries together (slots, limits of cold
  * upstreams, the retry budget) and track which upstream is warm for which object:
  * an upstream that has recently handled a request for an object is faster on the
- * next one. An upstream may name a limit of requests a second in its responses, which
- * is kept like that of a cold one, for as long as it does. While entries disagree on the holder,
- * two holders may act at the same time; each therefore uses at most half of the common limits.
+ * next one. An upstream may also name a request limit in its responses, which the
+ * holder keeps to for as long as it does. While entries disagree on the holder, two
+ * holders may act at the same time; each therefore uses at most half of the common
+ * limits, and of a request limit three quarters while it knows that this may be so.
  *
  * The dispatcher has no sockets and no clock. Every call passes the current time,
  * and decisions are reported through the callbacks before the call returns.
--- a/include/anvil/header-names.h
+++ b/include/anvil/header-names.h
@@ -13,8 +13,8 @@
  * @response_marker: present in every response that an upstream itself generated; a success
  *   without it isn't trusted
  * @not_run: in a response: the upstream has not run the request
- * @request_limit: in a response: requests a second that the upstream takes from all entries
- * together
+ * @request_limit: in a response: requests a second that the upstream takes from all entries, as a
+ *   decimal number
  * @load: the upstream's running and waiting requests and its slots
  */
 typedef struct
--- a/source/relay/request-limit-table.c
+++ b/source/relay/request-limit-table.c
@@ -7,12 +7,14 @@
 /* Changes of one upstream's limit are logged at most this often. */
 #define LOG_INTERVAL (1 * ANVIL_SECOND)
 
+/* Kept when the limit ends, until the upstream does, so that an upstream that names one in some
+ * responses only is logged no more often. */
 typedef struct
 {
   char *service;
   char *upstream_id;
-  gdouble per_second;
-  anvil_time_t named_at;
+  anvil_request_limit_t limit;
+  anvil_time_t recorded_at;
   anvil_time_t logged_at;
 } entry_t;
 
@@ -60,11 +62,26 @@
 
   entry->service = g_strdup (service);
   entry->upstream_id = g_strdup (upstream_id);
-  entry->per_second = -1;
   g_hash_table_insert (table->entries, g_memdup2 (&upstream, sizeof upstream), entry);
   return entry;
 }
 
+static void
+log_change (entry_t *entry, anvil_time_t now)
+{
+  if (entry->logged_at > 0 && now - entry->logged_at < LOG_INTERVAL)
+    return;
+  entry->logged_at = now;
+  if (entry->limit.state == ANVIL_REQUEST_LIMIT_NAMED)
+    anvil_log (ANVIL_LOG_NOTICE, "limit",
+               "upstream names a request limit upstream=%s service=%s per_second=%g",
+               entry->upstream_id, entry->service, entry->limit.per_second);
+  else
+    anvil_log (ANVIL_LOG_NOTICE, "limit",
+               "upstream names no request limit any more upstream=%s service=%s",
+               entry->upstream_id, entry->service);
+}
+
 void
 anvil_request_limit_table_record (anvil_request_limit_table_t *table,
                                   anvil_time_t now,
@@ -74,30 +91,18 @@
                                   const anvil_request_limit_t *limit)
 {
   entry_t *entry = g_hash_table_lookup (table->entries, &upstream);
+  gboolean changed;
 
-  if (limit->state == ANVIL_REQUEST_LIMIT_UNKNOWN)
+  if (limit->state == ANVIL_REQUEST_LIMIT_UNKNOWN
+      || (limit->state == ANVIL_REQUEST_LIMIT_NONE && entry == NULL))
     return;
-  if (limit->state == ANVIL_REQUEST_LIMIT_NONE)
-    {
-      if (entry != NULL)
-        anvil_log (ANVIL_LOG_NOTICE, "limit",
-                   "upstream names no request limit any more upstream=%s service=%s", upstream_id,
-                   service);
-      g_hash_table_remove (table->entries, &upstream);
-      return;
-    }
   if (entry == NULL)
     entry = add_entry (table, service, upstream, upstream_id);
-  entry->named_at = now;
-  if (entry->per_second == limit->per_second)
-    return;
-  entry->per_second = limit->per_second;
-  if (entry->logged_at > 0 && now - entry->logged_at < LOG_INTERVAL)
-    return;
-  entry->logged_at = now;
-  anvil_log (ANVIL_LOG_NOTICE, "limit",
-             "upstream names a request limit upstream=%s service=%s per_second=%g", upstream_id,
-             service, limit->per_second);
+  changed = entry->limit.state != limit->state || entry->limit.per_second != limit->per_second;
+  entry->limit = *limit;
+  entry->recorded_at = now;
+  if (changed)
+    log_change (entry, now);
 }
 
 void
@@ -121,10 +126,10 @@
     {
       const entry_t *entry = value;
       const anvil_named_limit_t limit = { .upstream = *(const guint64 *) key,
-                                          .per_second = entry->per_second,
-                                          .age = now - entry->named_at };
+                                          .per_second = entry->limit.per_second,
+                                          .age = now - entry->recorded_at };
 
-      if (strcmp (entry->service, service) == 0)
+      if (entry->limit.state == ANVIL_REQUEST_LIMIT_NAMED && strcmp (entry->service, service) == 0)
         g_array_append_val (limits, limit);
     }
   return limits;
@@ -133,5 +138,12 @@
 guint
 anvil_request_limit_table_count (const anvil_request_limit_table_t *table)
 {
-  return g_hash_table_size (table->entries);
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, table->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += ((const entry_t *) value)->limit.state == ANVIL_REQUEST_LIMIT_NAMED;
+  return n;
 }
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -97,6 +97,7 @@
  * @request_limit: that limit, requests a second
  * @limit_named_at: when a limit was last named to an entry; 0 for never
  * @limit_used_at: when a slot of it was last granted while it is limited
+ * @limit_logged_at: when a begin or end of a limit was last logged
  * @request_bucket: limits requests while it is limited
  */
 struct upstream
@@ -122,6 +123,7 @@
   gdouble request_limit;
   anvil_time_t limit_named_at;
   anvil_time_t limit_used_at;
+  anvil_time_t limit_logged_at;
   anvil_bucket_t request_bucket;
 };
 
--- a/source/steer/dispatch-limit.c
+++ b/source/steer/dispatch-limit.c
@@ -16,6 +16,8 @@
 /* A limited upstream gets a request after this time even if others are better, since only a
  * response tells that its limit has changed. */
 #define PROBE_INTERVAL (2 * ANVIL_SECOND)
+/* Begins and ends of one upstream's limit are logged at most this often. */
+#define LOG_INTERVAL (1 * ANVIL_SECOND)
 /* Size of the token bucket, as time at the limit's rate, and at least one request: demand varies
  * from one moment to the next. */
 #define BURST_TIME (1 * ANVIL_SECOND)
@@ -88,6 +90,16 @@
               request_rate (upstream) * run_time_us / (gdouble) ANVIL_SECOND);
 }
 
+/* Whether a change may be logged: an upstream may name a limit in some responses only. */
+static gboolean
+may_log (upstream_t *upstream, anvil_time_t now)
+{
+  if (upstream->limit_logged_at > 0 && now - upstream->limit_logged_at < LOG_INTERVAL)
+    return FALSE;
+  upstream->limit_logged_at = now;
+  return TRUE;
+}
+
 static void
 set_limit (upstream_t *upstream, anvil_time_t now, gdouble per_second)
 {
@@ -97,9 +109,10 @@
     {
       upstream->request_bucket = (anvil_bucket_t){ .refilled_at = now };
       upstream->limit_used_at = now;
-      anvil_log (ANVIL_LOG_NOTICE, "dispatch",
-                 "requests are limited upstream=%s service=%s per_second=%g", upstream->record.id,
-                 upstream->service->name, per_second);
+      if (may_log (upstream, now))
+        anvil_log (ANVIL_LOG_NOTICE, "dispatch",
+                   "requests are limited upstream=%s service=%s per_second=%g", upstream->record.id,
+                   upstream->service->name, per_second);
     }
   upstream->is_limited = TRUE;
   upstream->request_limit = per_second;
@@ -113,8 +126,6 @@
   if (!upstream->is_limited)
     return;
   upstream->is_limited = FALSE;
-  anvil_log (ANVIL_LOG_NOTICE, "dispatch", "requests are not limited any more upstream=%s",
-             upstream->record.id);
   if (upstream->registered)
     dispatch_update_slot_count (upstream->service);
 }
@@ -132,7 +143,12 @@
     }
   /* A request that was granted before the limit was named may have been answered before, too. */
   else if (limit->state == ANVIL_REQUEST_LIMIT_NONE && granted_at > upstream->limit_named_at)
-    limit_clear (upstream);
+    {
+      if (upstream->is_limited && may_log (upstream, now))
+        anvil_log (ANVIL_LOG_NOTICE, "dispatch", "requests are not limited any more upstream=%s",
+                   upstream->record.id);
+      limit_clear (upstream);
+    }
 }
 
 void
--- a/tests/test-request-limit-table.c
+++ b/tests/test-request-limit-table.c
@@ -55,6 +55,7 @@
 START_TEST (test_a_limit_ends_with_a_response_that_names_none_or_with_its_upstream)
 {
   const anvil_request_limit_t limit = named (5);
+  GArray *limits;
 
   record (ANVIL_SECOND, "photos", 1, &limit);
   record (ANVIL_SECOND, "photos", 2, &limit);
@@ -62,6 +63,9 @@
   ck_assert_uint_eq (anvil_request_limit_table_count (table), 2);
   record (ANVIL_SECOND, "photos", 1, &none);
   ck_assert_uint_eq (anvil_request_limit_table_count (table), 1);
+  limits = anvil_request_limit_table_list (table, ANVIL_SECOND, "photos");
+  ck_assert_uint_eq (limits->len, 1);
+  g_array_unref (limits);
   anvil_request_limit_table_remove (table, 2);
   anvil_request_limit_table_remove (table, 2);
   ck_assert_uint_eq (anvil_request_limit_table_count (table), 0);
