Decide whether a response closes its connection when it is written

Cause: anvil_relay_respond() added "Connection: close" when a response arrived, if its request was the last one of the connection at that moment. Behind an earlier request the response could not be written yet, the connection went on reading, and requests that arrived until then were passed on, and dropped when the marked response had been written.

Change: a response is held without the end of its headers, and closes its connection if, when it is written, the entry is shutting down and nothing else of the connection is unanswered, partly read or unparsed. No request can be behind a closing response any more, so the code that dropped them is gone.

--- a/source/relay/relay-caller-internal.h
+++ b/source/relay/relay-caller-internal.h
@@ -35,13 +35,18 @@
 /**
  * pending_response_t - a response in the order in which a connection has to write them
  * @request: the request, NULL once it was answered
- * @response: the response, NULL until then
- * @close: the connection closes after it
+ * @head: start line and headers without the empty line, NULL until the request was answered
+ * @body: the body, NULL until then
+ * @close: the connection closes after it in any case
+ *
+ * Whether a response is the last one of its connection is decided when it is written: until then
+ * more requests may arrive.
  */
 typedef struct
 {
   anvil_relay_request_t *request;
-  struct evbuffer *response;
+  struct evbuffer *head;
+  struct evbuffer *body;
   gboolean close;
 } pending_response_t;
 
--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -34,8 +34,10 @@
 {
   pending_response_t *pending = data;
 
-  if (pending->response != NULL)
-    evbuffer_free (pending->response);
+  if (pending->head != NULL)
+    evbuffer_free (pending->head);
+  if (pending->body != NULL)
+    evbuffer_free (pending->body);
   g_free (pending);
 }
 
@@ -123,34 +125,57 @@
   linger_if_flushed (connection);
 }
 
+static void
+count_unsent_bytes (anvil_relay_caller_connection_t *connection, gsize length)
+{
+  anvil_relay_callers_t *callers = connection->callers;
+
+  connection->unsent_bytes += length;
+  callers->unsent_bytes += length;
+  if (callers->unsent_bytes > callers->max_unsent_bytes)
+    event_active (callers->unsent_limit_event, EV_TIMEOUT, 0);
+}
+
+/* Whether the connection closes after its first pending response. During shutdown it does unless
+ * some of another request has arrived. */
+static gboolean
+closes_after_first (const anvil_relay_caller_connection_t *connection)
+{
+  const pending_response_t *first = connection->pending_responses.head->data;
+
+  return first->close
+         || (connection->callers->shutting_down && connection->pending_responses.length == 1
+             && connection->partial_request == NULL
+             && evbuffer_get_length (bufferevent_get_input (connection->stream)) == 0);
+}
+
+/* Writes the first pending response. Returns whether the connection closes after it. */
+static gboolean
+write_first_response (anvil_relay_caller_connection_t *connection)
+{
+  const gboolean close = closes_after_first (connection);
+  const anvil_str_t end = anvil_str (close ? "Connection: close\r\n\r\n" : "\r\n");
+  pending_response_t *pending = g_queue_pop_head (&connection->pending_responses);
+
+  evbuffer_add (pending->head, end.data, end.length);
+  count_unsent_bytes (connection, end.length);
+  bufferevent_write_buffer (connection->stream, pending->head);
+  bufferevent_write_buffer (connection->stream, pending->body);
+  pending_response_drop (pending);
+  return close;
+}
+
 /* Writes the responses whose predecessors have all been written. */
 static void
 write_ready_responses (anvil_relay_caller_connection_t *connection)
 {
-  pending_response_t *pending;
+  const pending_response_t *first;
 
-  while ((pending = g_queue_peek_head (&connection->pending_responses)) != NULL
-         && pending->response != NULL)
+  while ((first = g_queue_peek_head (&connection->pending_responses)) != NULL
+         && first->head != NULL)
     {
-      gboolean last = pending->close;
-
-      bufferevent_write_buffer (connection->stream, pending->response);
-      g_queue_pop_head (&connection->pending_responses);
-      pending_response_drop (pending);
-      if (!last)
+      if (!write_first_response (connection))
         continue;
-      /* Requests behind a "Connection: close" count as unread; the caller sends them again on
-       * another connection. */
-      while ((pending = g_queue_pop_head (&connection->pending_responses)) != NULL)
-        {
-          anvil_relay_request_t *request = pending->request;
-
-          pending_response_drop (pending);
-          if (request == NULL)
-            continue;
-          request->connection = NULL;
-          connection->callers->callbacks.disconnected (connection->callers->context, request);
-        }
       begin_closing (connection);
       return;
     }
@@ -178,14 +203,6 @@
   return NULL;
 }
 
-/* Later requests of the connection have been delivered already and need their responses. */
-static gboolean
-is_last_pending (const anvil_relay_caller_connection_t *connection,
-                 const pending_response_t *pending)
-{
-  return connection->pending_responses.tail->data == pending;
-}
-
 static const char *
 reason_phrase (guint status)
 {
@@ -207,21 +224,27 @@
   return status >= 200 && status != 204 && status != 304;
 }
 
-static struct evbuffer *
-format_response (
-    guint status, anvil_str_t headers, struct evbuffer *body, gboolean is_head, gboolean close)
+/* Stores a response until it can be written; takes the bytes of @body. */
+static void
+set_response (anvil_relay_caller_connection_t *connection,
+              pending_response_t *pending,
+              guint status,
+              anvil_str_t headers,
+              struct evbuffer *body,
+              gboolean is_head)
 {
-  struct evbuffer *out = evbuffer_new ();
   gsize length = body != NULL ? evbuffer_get_length (body) : 0;
 
-  evbuffer_add_printf (out, "HTTP/1.1 %u %s\r\n", status, reason_phrase (status));
-  evbuffer_add (out, headers.data, headers.length);
+  pending->head = evbuffer_new ();
+  pending->body = evbuffer_new ();
+  evbuffer_add_printf (pending->head, "HTTP/1.1 %u %s\r\n", status, reason_phrase (status));
+  evbuffer_add (pending->head, headers.data, headers.length);
   if (has_body (status))
-    evbuffer_add_printf (out, "Content-Length: %zu\r\n", length);
-  evbuffer_add_printf (out, close ? "Connection: close\r\n\r\n" : "\r\n");
+    evbuffer_add_printf (pending->head, "Content-Length: %zu\r\n", length);
   if (body != NULL && has_body (status) && !is_head)
-    evbuffer_add_buffer (out, body);
-  return out;
+    evbuffer_add_buffer (pending->body, body);
+  count_unsent_bytes (connection,
+                      evbuffer_get_length (pending->head) + evbuffer_get_length (pending->body));
 }
 
 /* The connection with most unsent bytes of responses. */
@@ -262,18 +285,6 @@
     }
 }
 
-static void
-count_unsent_bytes (anvil_relay_caller_connection_t *connection, const struct evbuffer *response)
-{
-  anvil_relay_callers_t *callers = connection->callers;
-  gsize length = evbuffer_get_length (response);
-
-  connection->unsent_bytes += length;
-  callers->unsent_bytes += length;
-  if (callers->unsent_bytes > callers->max_unsent_bytes)
-    event_active (callers->unsent_limit_event, EV_TIMEOUT, 0);
-}
-
 void
 anvil_relay_respond (anvil_relay_request_t *request,
                      guint status,
@@ -286,12 +297,9 @@
 
   if (pending != NULL)
     {
-      pending->close
-          = request->close_after_response
-            || (connection->callers->shutting_down && is_last_pending (connection, pending));
-      pending->response = format_response (status, headers, body, request->is_head, pending->close);
+      pending->close = request->close_after_response;
       pending->request = NULL;
-      count_unsent_bytes (connection, pending->response);
+      set_response (connection, pending, status, headers, body, request->is_head);
     }
   request_drop (request);
   if (pending != NULL)
@@ -306,8 +314,7 @@
   anvil_log (ANVIL_LOG_NOTICE, "caller", "request rejected status=%u header_bytes=%zu", status,
              connection->header_bytes);
   pending->close = TRUE;
-  pending->response = format_response (status, (anvil_str_t){ 0 }, NULL, FALSE, TRUE);
-  count_unsent_bytes (connection, pending->response);
+  set_response (connection, pending, status, (anvil_str_t){ 0 }, NULL, FALSE);
   g_queue_push_tail (&connection->pending_responses, pending);
   connection->closing = TRUE;
   event_del (connection->header_timer);
--- a/source/relay/relay-caller.h
+++ b/source/relay/relay-caller.h
@@ -60,7 +60,7 @@
  * @request: a complete request; needs exactly one anvil_relay_respond(), also if
  *   the caller disconnects
  * @disconnected: the response to an unanswered request can't be delivered any more, since the
- *   caller has disconnected or the connection closes before it
+ *   caller has disconnected
  * @limits: limits in force for callers' input; borrowed
  */
 typedef struct
@@ -100,8 +100,8 @@
 /** anvil_relay_callers_unsent_bytes - bytes of responses that callers have not read yet */
 gsize anvil_relay_callers_unsent_bytes (const anvil_relay_callers_t *callers);
 
-/** anvil_relay_callers_begin_shutdown - from now on a connection closes after its last pending
- * response */
+/** anvil_relay_callers_begin_shutdown - from now on a connection closes once all requests that have
+ * arrived on it are answered */
 void anvil_relay_callers_begin_shutdown (anvil_relay_callers_t *callers);
 
 /** anvil_relay_callers_count_busy - connections with a request or response in progress */
--- a/tests/test-relay-caller.c
+++ b/tests/test-relay-caller.c
@@ -151,10 +151,36 @@
   return 0;
 }
 
+/* Responds to an unanswered request, counted from the first that arrived. */
+static void
+respond_to (guint index, const char *headers)
+{
+  anvil_relay_respond (g_ptr_array_steal_index (requests, index), 200, anvil_str (headers), NULL);
+}
+
 static void
 respond_to_first (const char *headers)
 {
-  anvil_relay_respond (g_ptr_array_steal_index (requests, 0), 200, anvil_str (headers), NULL);
+  respond_to (0, headers);
+}
+
+/* Whether the responses whose "Answer" headers are given arrived in this order, and only the last
+ * one closes the connection. */
+static void
+assert_answers (const char *const *answers, gsize n)
+{
+  const char *position = received->str;
+
+  for (gsize i = 0; i < n; i++)
+    {
+      const char *next = strstr (position, answers[i]);
+
+      ck_assert_msg (next != NULL, "no %s in: %s", answers[i], received->str);
+      position = next;
+    }
+  ck_assert_ptr_eq (strstr (received->str, "Connection: close"),
+                    strstr (position, "Connection: close"));
+  ck_assert_ptr_nonnull (strstr (position, "Connection: close"));
 }
 
 START_TEST (test_idle_timeout_starts_with_the_last_response)
@@ -233,6 +259,58 @@
 }
 END_TEST
 
+/* Guards against requests that are run and lost: a response that waits for an earlier one was
+ * marked as the connection's last, and requests that arrived until it was written got no answer. */
+START_TEST (test_request_behind_a_ready_response_is_answered_during_shutdown)
+{
+  static const char *const answers[] = { "Answer: first", "Answer: second", "Answer: third" };
+
+  send_text (FIRST_REQUEST SECOND_REQUEST);
+  wait_for_requests (2);
+  anvil_relay_callers_begin_shutdown (callers);
+  respond_to (1, "Answer: second\r\n");
+  send_text (SECOND_REQUEST);
+  wait_for_requests (2);
+  respond_to_first ("Answer: first\r\n");
+  run_for (10 * ANVIL_MS);
+  ck_assert_msg (n_disconnected == 0, "a delivered request was reported as disconnected");
+  respond_to_first ("Answer: third\r\n");
+  wait_for_close ();
+  assert_answers (answers, G_N_ELEMENTS (answers));
+}
+END_TEST
+
+/* Guards against the same loss of a request whose second half arrives during shutdown, before or
+ * after the response ahead of it is written. */
+START_TEST (test_request_that_arrives_in_parts_is_answered_during_shutdown)
+{
+  static const char *const answers[] = { "Answer: first", "Answer: second", "Answer: third" };
+
+  for (guint late = 0; late < 2; late++)
+    {
+      tear_down ();
+      set_up ();
+      send_text (FIRST_REQUEST SECOND_REQUEST "GET /c HTTP/1.1\r\nHo");
+      wait_for_requests (2);
+      run_for (10 * ANVIL_MS);
+      anvil_relay_callers_begin_shutdown (callers);
+      respond_to (1, "Answer: second\r\n");
+      if (late)
+        respond_to_first ("Answer: first\r\n");
+      run_for (10 * ANVIL_MS);
+      send_text ("st: h\r\n\r\n");
+      wait_for_requests (late ? 1 : 2);
+      if (!late)
+        respond_to_first ("Answer: first\r\n");
+      run_for (10 * ANVIL_MS);
+      ck_assert_msg (n_disconnected == 0, "a delivered request was reported as disconnected");
+      respond_to_first ("Answer: third\r\n");
+      wait_for_close ();
+      assert_answers (answers, G_N_ELEMENTS (answers));
+    }
+}
+END_TEST
+
 /* Two responses are ready, and the caller reads none of them. */
 START_TEST (test_a_caller_that_does_not_read_is_disconnected_at_the_memory_limit)
 {
@@ -338,6 +416,8 @@
   tcase_add_test (tests, test_idle_connection_is_closed);
   tcase_add_test (tests, test_stalled_body_is_answered_with_408);
   tcase_add_test (tests, test_shutdown_answers_all_pipelined_requests);
+  tcase_add_test (tests, test_request_behind_a_ready_response_is_answered_during_shutdown);
+  tcase_add_test (tests, test_request_that_arrives_in_parts_is_answered_during_shutdown);
   tcase_add_test (tests, test_a_caller_that_does_not_read_is_disconnected_at_the_memory_limit);
   tcase_add_test (tests, test_unsent_bytes_are_counted_until_the_caller_has_read_them);
   tcase_add_test (tests, test_input_without_end_is_refused);
