Grant what all entries share only once the other entries are known

Cause: an entry that starts acted as the holder of each service until peers had answered its pings, each with a full bucket for each cold upstream, sized for two holders. The list of entries was read only after the own address had been written, so that this lasted as long as the store refused writes.

Change: an entry knows its peers once the list of entries was read and each peer has answered a ping or had 0.6 s to do so. Until then the dispatcher grants no slot of a cold or limited upstream and no retry; such tasks wait. Entries that know their peers come first when a holder is chosen. A new holder's buckets for cold upstreams start empty. The list is read once even if the own address can't be written. Peers that become reachable, and all when the own state changes, are pinged at once.

Stand-ins: anvil-store can refuse writes, anvil-registrant can report that it is cold.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -207,6 +207,23 @@
  * unreachable from here; request limits of upstreams are then shared with it */
 void anvil_dispatcher_set_divided (anvil_dispatcher_t *dispatcher, gboolean divided);
 
+/**
+ * anvil_dispatcher_set_knows_peers - whether it is known which other entries may grant slots
+ *
+ * While it isn't, nothing is granted that all entries share: no slot of a cold
+ * upstream or of one with a request limit, and no retry. Tasks for such upstreams
+ * wait. TRUE for a new dispatcher.
+ */
+void anvil_dispatcher_set_knows_peers (anvil_dispatcher_t *dispatcher,
+                                       anvil_time_t now,
+                                       gboolean knows_peers);
+
+/** anvil_dispatcher_hold_service - this entry has become the holder of a service: another one may
+ * have used the limits of its cold upstreams up to now */
+void anvil_dispatcher_hold_service (anvil_dispatcher_t *dispatcher,
+                                    anvil_time_t now,
+                                    anvil_str_t service);
+
 /** anvil_dispatcher_set_region_rtt - sets the round trip between regions, microseconds */
 void anvil_dispatcher_set_region_rtt (anvil_dispatcher_t *dispatcher, anvil_time_t region_rtt);
 
--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -28,6 +28,7 @@
  * @ready: it serves callers
  * @leaving: it is shutting down
  * @outdated: it can't learn of changes of upstreams, though other entries can
+ * @knows_peers: it knows which other entries there are; see anvil_members_update_known()
  */
 typedef struct
 {
@@ -41,6 +42,7 @@
   gboolean leaving;
   gboolean reads_store;
   gboolean outdated;
+  gboolean knows_peers;
 } anvil_member_info_t;
 
 /**
@@ -49,7 +51,8 @@
  * @info: its latest description; the texts are owned by anvil_members_t
  * @region: region of its zone, NULL while its zone is unknown
  * @answered_at: when the latest ping that it answered was sent, 0 for never
- * @pinged_at: when the latest ping was sent
+ * @pinged_at: when the latest ping was sent; 0 if the next one is due now
+ * @added_at: when it was added
  * @rtt: moving average of the round-trip time, microseconds; 0 for unknown
  * @store_ok_since: since when it knows the store to have answered, this entry's clock; 0 if it
  *   doesn't know whether it still does
@@ -63,6 +66,7 @@
   const char *region;
   anvil_time_t answered_at;
   anvil_time_t pinged_at;
+  anvil_time_t added_at;
   anvil_time_t rtt;
   anvil_time_t store_ok_since;
   anvil_time_t address_seen_at;
@@ -98,6 +102,31 @@
  * was seen again */
 void anvil_members_add (anvil_members_t *members, anvil_time_t now, anvil_node_t node);
 
+/** anvil_members_list_read - all peers in the store's list of entries have been added */
+void anvil_members_list_read (anvil_members_t *members);
+
+/**
+ * anvil_members_update_known - updates @knows_peers of this entry
+ *
+ * An entry that has just started doesn't know who else grants slots. It knows its
+ * peers once the store's list of entries was read, and each peer has answered a
+ * ping or has had ANVIL_MEMBERS_ANSWER_TIME to do so. It stays so.
+ *
+ * Return: TRUE if this call has set it.
+ */
+gboolean anvil_members_update_known (anvil_members_t *members, anvil_time_t now);
+
+/* Enough for a connection and a ping to a distant region, and for a peer that was started a
+ * moment later. A peer that is down takes this time. */
+#define ANVIL_MEMBERS_ANSWER_TIME (600 * ANVIL_MS)
+
+/** anvil_members_request_ping - the next ping to a peer is due now */
+void anvil_members_request_ping (anvil_members_t *members, anvil_node_t node);
+
+/** anvil_members_request_pings - the next pings to all peers that are pinged often are due now, so
+ * that they learn of a change of this entry */
+void anvil_members_request_pings (anvil_members_t *members);
+
 /** anvil_members_expired - whether a peer has not answered, and its address not been seen again,
  * for so long that it should be removed */
 gboolean anvil_members_expired (const anvil_peer_t *peer, anvil_time_t now);
@@ -157,7 +186,8 @@
  * @region: region with most of its slots, or NULL; an entry there is preferred
  *
  * The holder needs processor time for every request of the service, so within
- * that region the entries with the most of it come first.
+ * that region the entries with the most of it come first. Entries that don't know
+ * their peers yet come after all others.
  *
  * Return: the entry with the highest rank for @service among those that are
  * reachable, serve callers and aren't outdated; this entry if there is none.
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -27,7 +27,7 @@
 static void
 pack_info (msgpack_packer *packer, const anvil_member_info_t *info)
 {
-  msgpack_pack_array (packer, 10);
+  msgpack_pack_array (packer, 11);
   pack_text (packer, info->name);
   pack_text (packer, info->zone);
   msgpack_pack_uint64 (packer, info->incarnation);
@@ -38,6 +38,7 @@
   msgpack_pack_uint64 (packer, info->leaving);
   msgpack_pack_uint64 (packer, info->reads_store);
   msgpack_pack_uint64 (packer, info->outdated);
+  msgpack_pack_uint64 (packer, info->knows_peers);
 }
 
 static void
@@ -277,6 +278,9 @@
   info->leaving = read_number (&reader, "leaving", 1) != 0;
   info->reads_store = read_number (&reader, "reads store", 1) != 0;
   info->outdated = read_number (&reader, "outdated", 1) != 0;
+  /* Entries of older versions don't send it; they hold services from their start. */
+  info->knows_peers = reader.array == NULL || reader.next == reader.array->size
+                      || read_number (&reader, "knows peers", 1) != 0;
 }
 
 static guint
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -52,6 +52,7 @@
   struct event *tick;
   struct event *announce_timer;
   gboolean address_written;
+  gboolean entries_read;
   gboolean ready;
   gboolean shutting_down;
   anvil_time_t shutdown_started_at;
@@ -354,10 +355,13 @@
                    ANVIL_STR_ARGS (page->rows[i].key));
       g_free (text);
     }
-  schedule_announce (relay, ENTRY_PERIOD);
+  relay->entries_read = TRUE;
+  anvil_members_list_read (anvil_slot_broker_members (relay->slot_broker));
+  schedule_announce (relay, relay->address_written ? ENTRY_PERIOD : ENTRY_RETRY_PAUSE);
 }
 
-/* Read only after writing: of two entries that start together, at least one finds the other. */
+/* Read only after writing: of two entries that start together, at least one finds the other. If the
+ * store takes no writes, the list is read once all the same. */
 static void
 on_address_written (void *context, const GError *error)
 {
@@ -367,10 +371,13 @@
     {
       anvil_log (ANVIL_LOG_NOTICE, "relay", "cannot write own address reason=\"%s\"",
                  error->message);
-      schedule_announce (relay, ENTRY_RETRY_PAUSE);
-      return;
+      if (relay->entries_read)
+        {
+          schedule_announce (relay, ENTRY_RETRY_PAUSE);
+          return;
+        }
     }
-  relay->address_written = TRUE;
+  relay->address_written = error == NULL;
   anvil_store_read (relay->store, ENTRY_TABLE, NULL, on_entries_read, relay);
 }
 
@@ -465,6 +472,9 @@
   anvil_time_t routes_read_at = anvil_relay_watch_operators_read_at (relay->watch);
 
   anvil_metrics_set_gauge (relay->metrics, "anvil_ready", "", is_ready (relay));
+  anvil_metrics_set_gauge (
+      relay->metrics, "anvil_knows_peers", "",
+      anvil_members_self (anvil_slot_broker_members (relay->slot_broker))->knows_peers);
   anvil_metrics_set_gauge (relay->metrics, "anvil_routes_version", "",
                            routes != NULL ? (gdouble) anvil_routes_version (routes) : 0);
   anvil_metrics_set_gauge (relay->metrics, "anvil_routes_age_seconds", "",
--- a/source/relay/slot-broker-internal.h
+++ b/source/relay/slot-broker-internal.h
@@ -77,5 +77,8 @@
  * are pinged often. */
 void broker_update_regions (anvil_slot_broker_t *broker, anvil_time_t now);
 
+/* Lets the dispatcher grant what all entries share once this entry knows its peers. */
+void broker_update_known_peers (anvil_slot_broker_t *broker, anvil_time_t now);
+
 /* Reports the services whose holder has changed. */
 void broker_update_holders (anvil_slot_broker_t *broker, anvil_time_t now);
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -38,7 +38,14 @@
                                        .number = message->number,
                                        .info = *anvil_members_self (broker->members) };
 
-  anvil_members_update_info (broker->members, anvil_clock_now (), from, &message->info);
+  anvil_time_t now = anvil_clock_now ();
+  const anvil_peer_t *peer;
+
+  anvil_members_update_info (broker->members, now, from, &message->info);
+  peer = anvil_members_lookup (broker->members, from);
+  /* It can be reached again, or for the first time. */
+  if (peer != NULL && !anvil_members_reachable (broker->members, now, peer))
+    anvil_members_request_ping (broker->members, from);
   broker_send (broker, from, &pong);
 }
 
--- a/source/relay/slot-broker-peers.c
+++ b/source/relay/slot-broker-peers.c
@@ -155,6 +155,18 @@
   update_ping_set (broker, now);
 }
 
+void
+broker_update_known_peers (anvil_slot_broker_t *broker, anvil_time_t now)
+{
+  if (!anvil_members_update_known (broker->members, now))
+    return;
+  anvil_log (ANVIL_LOG_NOTICE, "broker", "the other entries are known entries=%u reachable=%u",
+             anvil_members_count (broker->members) + 1,
+             g_hash_table_size (broker->reachable_nodes) + 1);
+  anvil_dispatcher_set_knows_peers (broker->dispatcher, now, TRUE);
+  anvil_members_request_pings (broker->members);
+}
+
 void
 broker_update_holders (anvil_slot_broker_t *broker, anvil_time_t now)
 {
@@ -171,6 +183,8 @@
       if (holder == service->holder)
         continue;
       service->holder = holder;
+      if (holder == broker->self)
+        anvil_dispatcher_hold_service (broker->dispatcher, now, anvil_str (service->name));
       anvil_log (ANVIL_LOG_NOTICE, "broker", "holder of a service changed service=%s holder=%s",
                  service->name, anvil_slot_broker_vm_name (broker, holder));
       broker->callbacks.holder_changed (broker->context, service->name, holder);
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -109,6 +109,7 @@
       broker_remove_if_expired (broker, now, peer);
     }
   broker_update_regions (broker, now);
+  broker_update_known_peers (broker, now);
   broker_update_holders (broker, now);
   region_rtt = anvil_members_inter_region_rtt (broker->members);
   if (region_rtt > 0)
@@ -167,6 +168,7 @@
       return NULL;
     }
   broker->dispatcher = anvil_dispatcher_new (&settings->limits, &dispatcher_callbacks, broker);
+  anvil_dispatcher_set_knows_peers (broker->dispatcher, anvil_clock_now (), FALSE);
   broker->members = new_members (broker);
   broker->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_drop);
   broker->reachable_nodes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
@@ -421,8 +423,11 @@
 {
   anvil_member_info_t *info = anvil_members_self (broker->members);
 
+  if (ready == info->ready && leaving == info->leaving)
+    return;
   info->ready = ready;
   info->leaving = leaving;
+  anvil_members_request_pings (broker->members);
 }
 
 anvil_node_t
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -158,6 +158,7 @@
 /**
  * service_t - a service whose slots this dispatcher assigns
  * @profile: limits of cold upstreams
+ * @held_since: when this dispatcher's entry became the holder; 0 if it always was
  * @upstreams: registered upstream_t
  * @objects: object_t by hash
  * @waiting_objects: set of object_t with queued tasks
@@ -180,6 +181,7 @@
   char *name;
   anvil_dispatcher_t *dispatcher;
   anvil_service_t profile;
+  anvil_time_t held_since;
   GPtrArray *upstreams;
   GHashTable *objects;
   GHashTable *waiting_objects;
@@ -205,6 +207,8 @@
   anvil_time_t region_rtt;
   /* Another entry may hold the same services at this time. */
   gboolean divided;
+  /* It isn't known yet which other entries may grant slots. */
+  gboolean peers_unknown;
   GHashTable *services;
   /* upstream_t by key; kept until their tasks have ended. */
   GHashTable *upstreams;
--- a/source/steer/dispatch-limit.c
+++ b/source/steer/dispatch-limit.c
@@ -46,6 +46,8 @@
 {
   if (!upstream->is_limited)
     return TRUE;
+  if (upstream->service->dispatcher->peers_unknown)
+    return FALSE;
   anvil_bucket_refill (&upstream->request_bucket, now, request_rate (upstream), burst (upstream));
   return upstream->request_bucket.tokens >= 1;
 }
--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -78,6 +78,22 @@
   return MAX (MIN (capacity, share), 0);
 }
 
+/* Whether the limit that all entries keep to with a cold upstream allows one more request now. */
+static gboolean
+cold_limit_allows_request (upstream_t *upstream, anvil_time_t now)
+{
+  anvil_bucket_t *limiter = &upstream->cold_limiter;
+  anvil_time_t held_since = upstream->service->held_since;
+
+  if (upstream->service->dispatcher->peers_unknown)
+    return FALSE;
+  /* The previous holder may just have granted what this one has not used. */
+  if (limiter->refilled_at < held_since)
+    *limiter = (anvil_bucket_t){ .refilled_at = held_since };
+  anvil_bucket_refill (limiter, now, cold_rate (upstream), COLD_BURST);
+  return limiter->tokens >= 1;
+}
+
 gboolean
 placing_slot_available (upstream_t *upstream, anvil_time_t now)
 {
@@ -88,13 +104,7 @@
     return FALSE;
   if ((upstream->probing && running > 0) || !limit_allows_request (upstream, now))
     return FALSE;
-  if (now < upstream->record.cold_until)
-    {
-      anvil_bucket_refill (&upstream->cold_limiter, now, cold_rate (upstream), COLD_BURST);
-      if (upstream->cold_limiter.tokens < 1)
-        return FALSE;
-    }
-  return TRUE;
+  return now >= upstream->record.cold_until || cold_limit_allows_request (upstream, now);
 }
 
 anvil_time_t
--- a/source/steer/dispatch-retry.c
+++ b/source/steer/dispatch-retry.c
@@ -16,7 +16,8 @@
       anvil_retry_window_add_request (&task->service->retry_window, now, limits->retry_window);
       return TRUE;
     }
-  return anvil_retry_window_try_retry (&task->service->retry_window, now, limits->retry_window,
-                                       limits->retry_ratio * RETRY_SHARE,
-                                       limits->retry_extra * RETRY_SHARE);
+  return !dispatcher->peers_unknown
+         && anvil_retry_window_try_retry (&task->service->retry_window, now, limits->retry_window,
+                                          limits->retry_ratio * RETRY_SHARE,
+                                          limits->retry_extra * RETRY_SHARE);
 }
--- a/source/steer/dispatch-service.c
+++ b/source/steer/dispatch-service.c
@@ -48,6 +48,12 @@
   service->profile.name = service->name;
 }
 
+void
+anvil_dispatcher_hold_service (anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_str_t name)
+{
+  dispatch_get_service (dispatcher, name)->held_since = now;
+}
+
 gboolean
 anvil_dispatcher_status (const anvil_dispatcher_t *dispatcher,
                          anvil_str_t name,
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -113,6 +113,22 @@
   dispatcher->divided = divided;
 }
 
+void
+anvil_dispatcher_set_knows_peers (anvil_dispatcher_t *dispatcher,
+                                  anvil_time_t now,
+                                  gboolean knows_peers)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (knows_peers != dispatcher->peers_unknown)
+    return;
+  dispatcher->peers_unknown = !knows_peers;
+  g_hash_table_iter_init (&iter, dispatcher->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((service_t *) value)->held_since = now;
+}
+
 void
 anvil_dispatcher_set_region_rtt (anvil_dispatcher_t *dispatcher, anvil_time_t region_rtt)
 {
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -33,6 +33,7 @@
   void *context;
   /* anvil_peer_t in the order in which they were added. */
   GPtrArray *peers;
+  gboolean list_read;
   guint n_pinged_often;
   GHashTable *by_node;
 };
@@ -115,6 +116,7 @@
     {
       peer = g_new0 (anvil_peer_t, 1);
       peer->node = node;
+      peer->added_at = now;
       peer->pinged_often = TRUE;
       members->n_pinged_often++;
       g_ptr_array_add (members->peers, peer);
@@ -123,6 +125,49 @@
   peer->address_seen_at = now;
 }
 
+void
+anvil_members_list_read (anvil_members_t *members)
+{
+  members->list_read = TRUE;
+}
+
+gboolean
+anvil_members_update_known (anvil_members_t *members, anvil_time_t now)
+{
+  if (members->info.knows_peers || !members->list_read)
+    return FALSE;
+  for (guint i = 0; i < members->peers->len; i++)
+    {
+      const anvil_peer_t *peer = members->peers->pdata[i];
+
+      if (peer->answered_at == 0 && now - peer->added_at < ANVIL_MEMBERS_ANSWER_TIME)
+        return FALSE;
+    }
+  members->info.knows_peers = TRUE;
+  return TRUE;
+}
+
+void
+anvil_members_request_ping (anvil_members_t *members, anvil_node_t node)
+{
+  anvil_peer_t *peer = lookup (members, node);
+
+  if (peer != NULL)
+    peer->pinged_at = 0;
+}
+
+void
+anvil_members_request_pings (anvil_members_t *members)
+{
+  for (guint i = 0; i < members->peers->len; i++)
+    {
+      anvil_peer_t *peer = members->peers->pdata[i];
+
+      if (peer->pinged_often)
+        peer->pinged_at = 0;
+    }
+}
+
 gboolean
 anvil_members_expired (const anvil_peer_t *peer, anvil_time_t now)
 {
@@ -214,8 +259,9 @@
   return info->ready && !info->leaving && !info->outdated;
 }
 
-/* Rank of an entry for a service, computed alike at every entry: entries of the preferred region
- * come first, then those of a higher class of processor time, then a hash decides. */
+/* Rank of an entry for a service, computed alike at every entry: entries that know their peers come
+ * first, then those of the preferred region, then those of a higher class of processor time, then a
+ * hash decides. */
 static guint64
 rank (anvil_node_t node, const anvil_member_info_t *info, anvil_str_t service, gboolean preferred)
 {
@@ -224,7 +270,8 @@
       = anvil_str_hash ((anvil_str_t){ .data = (const char *) &seed, .length = sizeof seed });
   guint64 cpu_class = MIN (info->cpu_millicores / CPU_CLASS_MILLICORES, MAX_CPU_CLASS);
 
-  return ((guint64) preferred << 63) | (cpu_class << 60) | (mixed >> 4);
+  return ((guint64) info->knows_peers << 63) | ((guint64) preferred << 62) | (cpu_class << 59)
+         | (mixed >> 5);
 }
 
 gboolean
--- a/standins/anvil-registrant-report.c
+++ b/standins/anvil-registrant-report.c
@@ -143,13 +143,14 @@
 registrant_write_row (upstream_t *upstream, gboolean remove)
 {
   const anvil_setting_t *settings = upstream->settings;
+  gint64 cold_ms = upstream->started_at + settings[COLD_MS].integer - g_get_real_time () / 1000;
   json_t *value = json_pack (
-      "{s:s,s:I,s:{s:s,s:s,s:s,s:I},s:{s:s,s:i,s:i}}", "address",
+      "{s:s,s:I,s:{s:s,s:s,s:s,s:I},s:{s:s,s:i,s:I}}", "address",
       settings[ADVERTISE].text != NULL ? settings[ADVERTISE].text : upstream->endpoint, "born",
       (json_int_t) upstream->started_at, "info", "service", settings[SERVICE].text, "version", "v1",
       "zone", settings[ZONE].text, "slots", (json_int_t) settings[SLOTS].integer, "status", "state",
       upstream->draining ? "draining" : "ready", "sequence", (int) ++upstream->sequence,
-      "coldRemainingMs", 0);
+      "coldRemainingMs", (json_int_t) MAX (cold_ms, 0));
   char *text = json_dumps (value, JSON_COMPACT);
   char *encoded = g_base64_encode ((const guchar *) text, strlen (text));
   json_t *row
--- a/standins/anvil-registrant.h
+++ b/standins/anvil-registrant.h
@@ -24,6 +24,7 @@
   DRAIN_MS,
   ADVERTISE,
   RUNS,
+  COLD_MS,
   N_SETTINGS,
 };
 
--- a/standins/anvil-store.c
+++ b/standins/anvil-store.c
@@ -5,6 +5,7 @@
  *   busy     every call is rejected with status 503
  *   silent   calls get no response
  *   lose     transactions are processed, but get no response
+ *   refuse-writes  transactions are rejected with status 429
  *   compact  the history of changes is deleted, once
  *   none     ends the fault
  * and GET /follows?table=T, which returns how often changes of a table were read.
@@ -29,6 +30,7 @@
 #define MAX_POLL_WAIT_MS 30000
 #define STATUS_CONDITION_FAILED 412
 #define STATUS_GONE 410
+#define STATUS_TOO_MANY_REQUESTS 429
 
 typedef enum
 {
@@ -36,6 +38,7 @@
   FAULT_BUSY,
   FAULT_SILENT,
   FAULT_LOSE,
+  FAULT_REFUSE_WRITES,
 } fault_t;
 
 typedef struct
@@ -277,6 +280,11 @@
 
   if (apply_fault (store, request))
     return;
+  if (active_fault (store) == FAULT_REFUSE_WRITES)
+    {
+      respond (request, STATUS_TOO_MANY_REQUESTS, NULL);
+      return;
+    }
   root = json_loadb ((const char *) evbuffer_pullup (body, -1), length, 0, NULL);
   committed = store_rows_commit (store->rows, root);
   json_decref (root);
@@ -296,10 +304,11 @@
 
   parse_query (request, &query);
   kind = query_text (&query, "kind");
-  store->fault = strcmp (kind, "busy") == 0     ? FAULT_BUSY
-                 : strcmp (kind, "silent") == 0 ? FAULT_SILENT
-                 : strcmp (kind, "lose") == 0   ? FAULT_LOSE
-                                                : FAULT_NONE;
+  store->fault = strcmp (kind, "busy") == 0            ? FAULT_BUSY
+                 : strcmp (kind, "silent") == 0        ? FAULT_SILENT
+                 : strcmp (kind, "lose") == 0          ? FAULT_LOSE
+                 : strcmp (kind, "refuse-writes") == 0 ? FAULT_REFUSE_WRITES
+                                                       : FAULT_NONE;
   store->fault_ends_at
       = anvil_clock_now () + (anvil_time_t) query_number (&query, "for_ms") * ANVIL_MS;
   if (strcmp (kind, "compact") == 0)
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -169,6 +169,69 @@
 }
 END_TEST
 
+START_TEST (test_an_entry_knows_its_peers_once_it_has_heard_of_or_waited_for_each)
+{
+  answer_ping (2, "west-b", 1);
+  ck_assert (!anvil_members_update_known (members, now));
+  anvil_members_add (members, now, 3);
+  anvil_members_list_read (members);
+  now += ANVIL_MEMBERS_ANSWER_TIME - ANVIL_MS;
+  ck_assert (!anvil_members_update_known (members, now));
+  ck_assert (!anvil_members_self (members)->knows_peers);
+  now += ANVIL_MS;
+  ck_assert (anvil_members_update_known (members, now));
+  ck_assert (anvil_members_self (members)->knows_peers);
+  anvil_members_add (members, now, 4);
+  ck_assert (!anvil_members_update_known (members, now));
+  ck_assert (anvil_members_self (members)->knows_peers);
+}
+END_TEST
+
+START_TEST (test_an_entry_alone_in_the_list_knows_that_at_once)
+{
+  ck_assert (!anvil_members_update_known (members, now));
+  anvil_members_list_read (members);
+  ck_assert (anvil_members_update_known (members, now));
+}
+END_TEST
+
+/* Guards against entries that start together and all act as the holder of a service, each until it
+ * has heard of the others. */
+START_TEST (test_an_entry_that_does_not_know_its_peers_holds_nothing_beside_one_that_does)
+{
+  anvil_member_info_t peer = info ("east-a", 1);
+
+  peer.knows_peers = TRUE;
+  anvil_members_add (members, now, 3);
+  anvil_members_ping_answered (members, now, 3, &peer, now);
+  for (guint i = 0; i < 50; i++)
+    {
+      char *service = g_strdup_printf ("service-%u", i);
+
+      ck_assert_uint_eq (anvil_members_holder (members, now, anvil_str (service), "west"), 3);
+      g_free (service);
+    }
+  anvil_members_list_read (members);
+  ck_assert (anvil_members_update_known (members, now));
+  ck_assert_uint_eq (anvil_members_holder (members, now, anvil_str ("photos"), "west"), SELF);
+}
+END_TEST
+
+START_TEST (test_pings_can_be_requested_before_they_are_due)
+{
+  const anvil_peer_t *peer;
+
+  answer_ping (2, "west-b", 1);
+  peer = anvil_members_lookup (members, 2);
+  anvil_members_at (members, 0)->pinged_at = now;
+  anvil_members_request_ping (members, 2);
+  ck_assert_int_eq (peer->pinged_at, 0);
+  anvil_members_at (members, 0)->pinged_at = now;
+  anvil_members_request_pings (members);
+  ck_assert_int_eq (peer->pinged_at, 0);
+}
+END_TEST
+
 START_TEST (test_readers_of_the_store_come_in_turn_from_the_longest_on)
 {
   anvil_member_info_t reading = info ("west-b", 1);
@@ -302,6 +365,11 @@
   tcase_add_test (tests, test_entry_with_most_processor_time_is_holder);
   tcase_add_test (tests, test_peers_report_since_when_they_read_the_store);
   tcase_add_test (tests, test_an_outdated_entry_holds_no_service);
+  tcase_add_test (tests, test_an_entry_knows_its_peers_once_it_has_heard_of_or_waited_for_each);
+  tcase_add_test (tests, test_an_entry_alone_in_the_list_knows_that_at_once);
+  tcase_add_test (tests,
+                  test_an_entry_that_does_not_know_its_peers_holds_nothing_beside_one_that_does);
+  tcase_add_test (tests, test_pings_can_be_requested_before_they_are_due);
   tcase_add_test (tests, test_readers_of_the_store_come_in_turn_from_the_longest_on);
   tcase_add_test (tests, test_few_of_hundreds_of_peers_are_pinged_often);
   tcase_add_test (tests, test_next_holder_is_pinged_often_in_advance);
