Compare the zone of a grant with the evacuated zones

Cause: the holder, turned away by the store, learns of upstreams from a peer and of evacuations from nobody, and grants an upstream that has joined in the zone. An entry that knows of the evacuation looked the upstream up by its key, didn't know it yet, and used it as the holder had read the store later. The grant names the zone; it wasn't looked at.

Change: anvil_registry_reason_not_to_use() takes the zone of the grant.

--- a/include/anvil/registry.h
+++ b/include/anvil/registry.h
@@ -188,17 +188,20 @@
 /**
  * anvil_registry_reason_not_to_use - whether an upstream that another entry granted may be used
  * @key: the granted upstream
+ * @zone: its zone as the other entry knows it
  * @grant_version: anvil_registry_row_version() at the entry that granted it
  * @store_ok_for: for how long this entry or a peer has read the store without an interruption
  *
  * An upstream without a row here is new if the other entry's knowledge is newer.
  * Otherwise it has left, even if this process started later and never knew it,
  * unless its row may have expired in an outage of the store that has just ended.
+ * The other entry may not know of an evacuation, so the zone is checked here too.
  *
  * Return: why the upstream must not be used, for logs; NULL if it may be.
  */
 const char *anvil_registry_reason_not_to_use (const anvil_registry_t *registry,
                                               guint64 key,
+                                              anvil_str_t zone,
                                               guint64 grant_version,
                                               anvil_time_t store_ok_for);
 
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -342,7 +342,7 @@
       release_slot (jobs, from, number);
       return;
     }
-  reason = anvil_registry_reason_not_to_use (jobs->options.registry, grant->upstream,
+  reason = anvil_registry_reason_not_to_use (jobs->options.registry, grant->upstream, grant->zone,
                                              grant->row_version,
                                              jobs->options.store_ok_for (jobs->options.context));
   if (reason == NULL)
--- a/source/steer/registry.c
+++ b/source/steer/registry.c
@@ -417,9 +417,20 @@
   return digest;
 }
 
+static gboolean
+is_evacuated (const anvil_registry_t *registry, anvil_str_t zone)
+{
+  char *name = anvil_str_dup (zone);
+  gboolean evacuated = in_evacuated_zone (registry, name);
+
+  g_free (name);
+  return evacuated;
+}
+
 const char *
 anvil_registry_reason_not_to_use (const anvil_registry_t *registry,
                                   guint64 key,
+                                  anvil_str_t zone,
                                   guint64 grant_version,
                                   anvil_time_t store_ok_for)
 {
@@ -427,7 +438,7 @@
 
   if (upstream != NULL && upstream->draining)
     return "draining";
-  if (upstream != NULL && upstream->evacuated)
+  if ((upstream != NULL && upstream->evacuated) || is_evacuated (registry, zone))
     return "evacuated";
   if (upstream != NULL)
     return NULL;
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -187,17 +187,34 @@
 START_TEST (test_granted_upstream_without_a_row_is_judged_by_the_newer_read)
 {
   const guint64 gone = anvil_str_hash (anvil_str ("gone"));
+  const anvil_str_t zone = anvil_str ("west-a");
   const anvil_time_t settled = ANVIL_REGISTRY_REMOVAL_GRACE;
 
   anvil_registry_set_version (registry, 50);
-  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, gone, 49, settled));
-  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, gone, 50, settled));
+  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, gone, zone, 49, settled));
+  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, gone, zone, 50, settled));
   /* The other entry has read later, so the upstream is new. */
-  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, gone, 51, settled));
+  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, gone, zone, 51, settled));
   /* Its row may have expired in an outage and not be back yet. */
-  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, gone, 49, settled - 1));
+  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, gone, zone, 49, settled - 1));
+  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, anvil_str_hash (anvil_str ("a")),
+                                                        zone, 49, settled));
+}
+END_TEST
+
+/* Guards against requests to an evacuated zone on the word of an entry that knows a new upstream
+ * there, but not the evacuation. */
+START_TEST (test_granted_upstream_in_an_evacuated_zone_is_not_used_if_it_is_unknown)
+{
+  const guint64 new_key = anvil_str_hash (anvil_str ("new"));
+  const anvil_str_t zone = anvil_str ("west-b");
+
+  anvil_registry_set_evacuated (registry, 0, zone, TRUE, 0);
+  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, new_key, zone, 1, 0));
   ck_assert_ptr_null (
-      anvil_registry_reason_not_to_use (registry, anvil_str_hash (anvil_str ("a")), 49, settled));
+      anvil_registry_reason_not_to_use (registry, new_key, anvil_str ("west-a"), 1, 0));
+  anvil_registry_set_evacuated (registry, 0, zone, FALSE, 0);
+  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, new_key, zone, 1, 0));
 }
 END_TEST
 
@@ -271,6 +288,7 @@
   tcase_add_test (tests, test_granted_upstream_without_a_row_is_judged_by_the_newer_read);
   tcase_add_test (tests, test_row_of_an_upstream_is_as_new_as_the_last_read_unless_it_is_missing);
   tcase_add_test (tests, test_snapshot_removes_upstreams_that_are_not_in_it);
+  tcase_add_test (tests, test_granted_upstream_in_an_evacuated_zone_is_not_used_if_it_is_unknown);
   tcase_add_test (tests, test_zone_is_cold_after_an_evacuation);
   tcase_add_test (tests, test_upstream_that_joins_an_evacuated_zone_is_not_usable);
   suite_add_tcase (suite, tests);
