Tell entries that the store turns away which zones are evacuated

What callers saw: while the store turned the holder of a service away, its own callers' requests ran in an evacuated zone, and the grants in that zone that it made to others were refused by them, up to six times for a request.

Cause: an entry without the store gets updates of upstreams from a peer, but nothing of the operators' table, so a holder lacks the evacuations that its requesters know.

Change: updates name the evacuated zones and the version of the store at which they are known. The receiver takes them over if that is newer than its own read, and ignores what an older read says of zones. A new gauge, anvil_evacuated_zones, tells what an entry knows. Peers of older versions send and get updates without them.

--- a/source/relay/relay-feed.c
+++ b/source/relay/relay-feed.c
@@ -170,6 +170,7 @@
       message->store_ok_for = anvil_relay_watch_store_ok_for (feed->watch, anvil_clock_now ());
       message->grace_remaining = anvil_relay_watch_grace_remaining (feed->watch);
       message->digest = anvil_relay_watch_digest (feed->watch);
+      anvil_relay_watch_add_evacuations (feed->watch, message);
       message->rows = (anvil_str_t){ .data = (const char *) rows->data, .length = rows->len };
       anvil_slot_broker_send_updates (feed->slot_broker, peer, message);
     }
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -141,7 +141,7 @@
       msgpack_pack_nil (packer);
       return;
     case ANVIL_RELAY_UPDATES:
-      msgpack_pack_array (packer, 6);
+      msgpack_pack_array (packer, 8);
       msgpack_pack_uint64 (packer, message->after_version);
       msgpack_pack_int64 (packer, message->age);
       msgpack_pack_int64 (packer, message->store_ok_for);
@@ -149,6 +149,10 @@
       msgpack_pack_uint64 (packer, message->digest);
       msgpack_pack_bin (packer, message->rows.length);
       msgpack_pack_bin_body (packer, message->rows.data, message->rows.length);
+      msgpack_pack_uint64 (packer, message->operators_version);
+      msgpack_pack_array (packer, message->n_evacuated);
+      for (guint i = 0; i < message->n_evacuated; i++)
+        pack_text (packer, message->evacuated[i]);
       return;
     case ANVIL_RELAY_WARM_OBJECTS:
       msgpack_pack_array (packer, 2);
@@ -359,6 +363,7 @@
 read_updates (reader_t *outer, anvil_relay_message_t *message)
 {
   reader_t body = read_array (outer, "updates");
+  reader_t zones;
 
   message->after_version = read_number (&body, "after", G_MAXUINT64);
   message->age = read_time (&body, "age");
@@ -366,6 +371,14 @@
   message->grace_remaining = read_time (&body, "remaining grace");
   message->digest = read_number (&body, "digest", G_MAXUINT64);
   message->rows = read_bytes (&body, "rows");
+  /* Entries of older versions don't send the rest. */
+  if (body.array == NULL || body.next == body.array->size)
+    return;
+  message->operators_version = read_number (&body, "version of the operators' table", G_MAXUINT64);
+  zones = read_array (&body, "evacuated zones");
+  message->n_evacuated = array_length (&zones, "evacuated zones", ANVIL_MAX_MESSAGE_ZONES);
+  for (guint i = 0; i < message->n_evacuated; i++)
+    message->evacuated[i] = read_text (&zones, "evacuated zone");
 }
 
 static void
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -36,6 +36,9 @@
   ANVIL_RELAY_REQUEST_LIMITS,
 } anvil_relay_message_kind_t;
 
+/* Most evacuated zones that updates name. */
+#define ANVIL_MAX_MESSAGE_ZONES 64
+
 /**
  * anvil_relay_message_t - one message; texts point into the bytes it was unpacked from
  * @number: the requester's number of the task; for ping and pong, the ping's time on its sender's
@@ -61,6 +64,10 @@
  *   microseconds
  * @digest: updates: anvil_registry_digest() of the sender at @number
  * @rows: updates: packed rows, see relay/update-log.h
+ * @operators_version: updates: version of the store up to which the sender knows the operators'
+ *   table; 0 if it doesn't tell
+ * @evacuated: updates: the zones that are evacuated at that version
+ * @n_evacuated: updates: length of @evacuated
  */
 typedef struct
 {
@@ -83,6 +90,9 @@
   anvil_time_t grace_remaining;
   guint64 digest;
   anvil_str_t rows;
+  guint64 operators_version;
+  anvil_str_t evacuated[ANVIL_MAX_MESSAGE_ZONES];
+  guint n_evacuated;
 } anvil_relay_message_t;
 
 /** anvil_relay_message_pack - appends a message in msgpack to @out */
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -38,6 +38,8 @@
   /* Longest cold time of all services: upstreams of a zone may be cold this long once its
    * evacuation ends. */
   anvil_time_t max_cold_time;
+  /* Version of the store up to which the evacuated zones are known, from the store or a peer. */
+  guint64 operators_version;
   /* Evacuated zones, and those of them that the current full read has seen. */
   GHashTable *evacuated_zones;
   GHashTable *zones_seen;
@@ -104,6 +106,13 @@
     g_hash_table_remove (watch->evacuated_zones, zone);
 }
 
+/* Whether a peer has told of a newer state of the operators' table than the one being read. */
+static gboolean
+knows_newer_from_peer (const anvil_relay_watch_t *watch)
+{
+  return anvil_table_follower_version (watch->operator_follower) < watch->operators_version;
+}
+
 static void
 on_operator_row (void *context, const anvil_store_row_t *row)
 {
@@ -119,7 +128,8 @@
 
       if (!row->removed)
         g_hash_table_add (watch->zones_seen, g_strdup (zone));
-      set_evacuated (watch, zone, !row->removed);
+      if (!knows_newer_from_peer (watch))
+        set_evacuated (watch, zone, !row->removed);
     }
   g_free (key);
 }
@@ -132,21 +142,50 @@
   g_hash_table_remove_all (watch->zones_seen);
 }
 
-/* Ends the evacuation of zones whose row was missing in a full read. */
+/* Ends the evacuation of all zones but those in a set. */
 static void
-on_operator_full_read_finished (void *context)
+end_other_evacuations (anvil_relay_watch_t *watch, GHashTable *evacuated)
 {
-  anvil_relay_watch_t *watch = context;
   GList *zones = g_hash_table_get_keys (watch->evacuated_zones);
 
   for (GList *link = zones; link != NULL; link = link->next)
     {
-      if (!g_hash_table_contains (watch->zones_seen, link->data))
+      if (!g_hash_table_contains (evacuated, link->data))
         set_evacuated (watch, link->data, FALSE);
     }
   g_list_free (zones);
 }
 
+static void
+on_operator_full_read_finished (void *context)
+{
+  anvil_relay_watch_t *watch = context;
+
+  if (!knows_newer_from_peer (watch))
+    end_other_evacuations (watch, watch->zones_seen);
+}
+
+/* Takes over the evacuated zones that a peer knows, if it has read them later. */
+static void
+apply_peer_evacuations (anvil_relay_watch_t *watch, const anvil_relay_message_t *message)
+{
+  GHashTable *zones;
+
+  if (message->operators_version <= watch->operators_version)
+    return;
+  watch->operators_version = message->operators_version;
+  zones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < message->n_evacuated; i++)
+    {
+      char *zone = anvil_str_dup (message->evacuated[i]);
+
+      set_evacuated (watch, zone, TRUE);
+      g_hash_table_add (zones, zone);
+    }
+  end_other_evacuations (watch, zones);
+  g_hash_table_unref (zones);
+}
+
 /* Applies a row; returns TRUE if that changed the registry. */
 static gboolean
 apply_upstream (anvil_relay_watch_t *watch, const anvil_store_row_t *row)
@@ -224,6 +263,9 @@
 static void
 on_operator_read_up_to (void *context, guint64 version)
 {
+  anvil_relay_watch_t *watch = context;
+
+  watch->operators_version = MAX (watch->operators_version, version);
 }
 
 static void
@@ -382,6 +424,7 @@
   if (anvil_registry_store_recovered (watch->registry, now))
     anvil_table_follower_read_now (watch->operator_follower);
   anvil_registry_extend_grace (watch->registry, now + message->grace_remaining);
+  apply_peer_evacuations (watch, message);
   if (!anvil_updates_unpack (message->rows, on_peer_row, watch))
     {
       anvil_log (ANVIL_LOG_WARNING, "feed", "malformed updates from a peer bytes=%zu",
@@ -394,6 +437,26 @@
   return TRUE;
 }
 
+void
+anvil_relay_watch_add_evacuations (const anvil_relay_watch_t *watch, anvil_relay_message_t *message)
+{
+  GHashTableIter iter;
+  gpointer zone;
+
+  if (g_hash_table_size (watch->evacuated_zones) > ANVIL_MAX_MESSAGE_ZONES)
+    return;
+  message->operators_version = watch->operators_version;
+  g_hash_table_iter_init (&iter, watch->evacuated_zones);
+  while (g_hash_table_iter_next (&iter, &zone, NULL))
+    message->evacuated[message->n_evacuated++] = anvil_str (zone);
+}
+
+guint
+anvil_relay_watch_count_evacuated (const anvil_relay_watch_t *watch)
+{
+  return g_hash_table_size (watch->evacuated_zones);
+}
+
 guint64
 anvil_relay_watch_digest (const anvil_relay_watch_t *watch)
 {
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -66,7 +66,8 @@
 const anvil_update_log_t *anvil_relay_watch_update_log (const anvil_relay_watch_t *watch);
 
 /**
- * anvil_relay_watch_apply_updates - applies the updates that a peer sent
+ * anvil_relay_watch_apply_updates - applies the updates that a peer sent, and its evacuated zones
+ * if it has read the operators' table later
  * @message: ANVIL_RELAY_UPDATES
  * @read_at: when the peer read the store, on this entry's clock
  *
@@ -76,6 +77,12 @@
                                           const anvil_relay_message_t *message,
                                           anvil_time_t read_at);
 
+/** anvil_relay_watch_add_evacuations - adds the evacuated zones to updates for a peer, and the
+ * version at which they are known; @message borrows their names */
+void anvil_relay_watch_add_evacuations (const anvil_relay_watch_t *watch,
+                                        anvil_relay_message_t *message);
+guint anvil_relay_watch_count_evacuated (const anvil_relay_watch_t *watch);
+
 /** anvil_relay_watch_store_ok_for - for how long the store is known to have answered, microseconds;
  * see steer/read-span.h */
 anvil_time_t anvil_relay_watch_store_ok_for (const anvil_relay_watch_t *watch, anvil_time_t now);
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -479,6 +479,8 @@
                            routes != NULL ? (gdouble) anvil_routes_version (routes) : 0);
   anvil_metrics_set_gauge (relay->metrics, "anvil_routes_age_seconds", "",
                            age_seconds (routes_read_at > 0 ? routes_read_at : G_MAXINT64));
+  anvil_metrics_set_gauge (relay->metrics, "anvil_evacuated_zones", "",
+                           anvil_relay_watch_count_evacuated (relay->watch));
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstreams", "",
                            anvil_registry_count (relay->registry));
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstreams_age_seconds", "",
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -307,6 +307,12 @@
   return follower->ready;
 }
 
+guint64
+anvil_table_follower_version (const anvil_table_follower_t *follower)
+{
+  return follower->version;
+}
+
 anvil_time_t
 anvil_table_follower_read_at (const anvil_table_follower_t *follower)
 {
--- a/source/relay/table-follower.h
+++ b/source/relay/table-follower.h
@@ -69,6 +69,9 @@
 /** anvil_table_follower_ready - whether the whole table has been read once */
 gboolean anvil_table_follower_ready (const anvil_table_follower_t *follower);
 
+/** anvil_table_follower_version - version of the store that the rows being reported are read at */
+guint64 anvil_table_follower_version (const anvil_table_follower_t *follower);
+
 /** anvil_table_follower_read_at - when the last successful call was made, monotonic clock; 0 if
  * there was none */
 anvil_time_t anvil_table_follower_read_at (const anvil_table_follower_t *follower);
--- a/tests/test-relay-evacuation.c
+++ b/tests/test-relay-evacuation.c
@@ -130,6 +130,42 @@
 }
 END_TEST
 
+/* Guards against work that the holder grants in an evacuated zone: its own callers' requests reach
+ * that, and those of others bounce. */
+START_TEST (test_an_entry_without_the_store_learns_of_evacuations_from_its_peers)
+{
+  add_upstream_in_evacuated_zone ("zone-0");
+  g_usleep (NOTICE_EVACUATION_US);
+  ck_assert_uint_gt (count_responses_of_zone (entries[holder]), 0);
+  evacuate_while_holder_is_cut_off ();
+  g_usleep (NOTICE_EVACUATION_US);
+  ck_assert_uint_eq (count_responses_of_zone (entries[holder]), 0);
+  ck_assert_uint_eq (count_responses_of_zone (entries[(holder + 1) % N_ENTRIES]), 0);
+  ck_assert_int_eq (fleet_read_metric (entries[holder], "anvil_evacuated_zones"), 1);
+  fleet_put_row (&fleet, "op", "evacuate/" EVACUATED_ZONE, NULL);
+  g_usleep (2 * NOTICE_EVACUATION_US);
+  ck_assert_int_eq (fleet_read_metric (entries[holder], "anvil_evacuated_zones"), 0);
+  ck_assert_uint_gt (count_responses_of_zone (entries[holder]), 0);
+}
+END_TEST
+
+/* What a peer told is not undone by an older read of the store, and ends with a newer one. */
+START_TEST (test_an_entry_that_the_store_answers_again_knows_of_evacuations)
+{
+  add_upstream_in_evacuated_zone ("zone-0");
+  evacuate_while_holder_is_cut_off ();
+  g_usleep (NOTICE_EVACUATION_US);
+  kill (proxies[holder]->pid, SIGCONT);
+  g_usleep (NOTICE_EVACUATION_US);
+  ck_assert_uint_eq (count_responses_of_zone (entries[holder]), 0);
+  ck_assert_int_eq (fleet_read_metric (entries[holder], "anvil_evacuated_zones"), 1);
+  fleet_put_row (&fleet, "op", "evacuate/" EVACUATED_ZONE, NULL);
+  g_usleep (NOTICE_EVACUATION_US);
+  ck_assert_uint_gt (count_responses_of_zone (entries[holder]), 0);
+  ck_assert_int_eq (fleet_read_metric (entries[holder], "anvil_evacuated_zones"), 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -141,6 +177,8 @@
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 120);
   tcase_add_test (tests, test_an_upstream_that_joins_an_evacuated_zone_is_not_used);
+  tcase_add_test (tests, test_an_entry_without_the_store_learns_of_evacuations_from_its_peers);
+  tcase_add_test (tests, test_an_entry_that_the_store_answers_again_knows_of_evacuations);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -72,7 +72,10 @@
     .store_ok_for = 6,
     .grace_remaining = 7,
     .digest = G_MAXUINT64,
-    .rows = { "rows", 4 } },
+    .rows = { "rows", 4 },
+    .operators_version = 12,
+    .evacuated = { { "west-a", 6 }, { "east-a", 6 } },
+    .n_evacuated = 2 },
 };
 
 static GByteArray *
