--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -347,7 +347,7 @@
       guint32 address;
       guint16 port;
 
-      if (anvil_endpoint_parse (text, &address, &port))
+      if (anvil_endpoint_parse (text, &address, &port) && port != 0)
         anvil_members_add (anvil_slot_broker_members (relay->slot_broker), anvil_clock_now (),
                            anvil_node (address, port));
       else
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -97,17 +97,26 @@
 END_TEST
 
 static gboolean
-parse_upstream (const char *text, anvil_upstream_report_t *report, gpointer *storage)
+parse_upstream_with_id (const char *id,
+                        const char *text,
+                        anvil_upstream_report_t *report,
+                        gpointer *storage)
 {
   GError *error = NULL;
   gboolean valid
-      = anvil_adapter_parse_upstream (anvil_str ("i-1"), anvil_str (text), report, storage, &error);
+      = anvil_adapter_parse_upstream (anvil_str (id), anvil_str (text), report, storage, &error);
 
   ck_assert (valid == (error == NULL));
   g_clear_error (&error);
   return valid;
 }
 
+static gboolean
+parse_upstream (const char *text, anvil_upstream_report_t *report, gpointer *storage)
+{
+  return parse_upstream_with_id ("i-1", text, report, storage);
+}
+
 START_TEST (test_upstream_is_parsed)
 {
   anvil_upstream_report_t report;
@@ -162,6 +171,95 @@
 }
 END_TEST
 
+#define UPSTREAM(address, service, zone)                                                           \
+  "{\"address\":\"" address "\",\"info\":{\"service\":\"" service "\",\"zone\":\"" zone            \
+  "\",\"slots\":3},\"status\":{\"state\":\"ready\"}}"
+
+/* Guards against an id that ends the header that it is sent in. */
+START_TEST (test_upstream_ids_are_printable)
+{
+  static const char *const ids[] = {
+    "", " i-1", "i 1", "i-1\r\nHost: other", "i-1\n", "i\t1", "i-\x7f", "i-\xc3\xa9",
+  };
+  anvil_upstream_report_t report;
+  gpointer storage;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (ids); i++)
+    ck_assert_msg (
+        !parse_upstream_with_id (ids[i], UPSTREAM ("10.1.0.9:1", "p", "z"), &report, &storage),
+        "id %zu", i);
+  ck_assert (
+      parse_upstream_with_id ("i-7f_3:A.~", UPSTREAM ("10.1.0.9:1", "p", "z"), &report, &storage));
+  g_free (storage);
+}
+END_TEST
+
+/* Guards against upstreams that can't be reached, or that fill memory and logs. */
+START_TEST (test_upstreams_with_odd_addresses_and_names_are_rejected)
+{
+  static const char *const addresses[]
+      = { "10.1.0.9:0",  "10.1.0.9:65536", "10.1.0.9:-1",  "10.1.0.9:99999999999999999999",
+          "10.1.0.9:1x", "10.1.0.256:1",   "10.1.0.9:0x1", "[::1]:1" };
+  char *long_name = g_strnfill (256, 'x');
+  char *rows[] = { g_strdup_printf (UPSTREAM ("10.1.0.9:1", "%s", "z"), long_name),
+                   g_strdup_printf (UPSTREAM ("10.1.0.9:1", "p", "%s"), long_name) };
+  anvil_upstream_report_t report;
+  gpointer storage;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      char *row = g_strdup_printf (UPSTREAM ("%s", "p", "z"), addresses[i]);
+
+      ck_assert_msg (!parse_upstream (row, &report, &storage), "%s", row);
+      g_free (row);
+    }
+  for (gsize i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      ck_assert (!parse_upstream (rows[i], &report, &storage));
+      g_free (rows[i]);
+    }
+  long_name[255] = '\0';
+  rows[0] = g_strdup_printf (UPSTREAM ("10.1.0.9:65535", "%s", "z"), long_name);
+  ck_assert (parse_upstream (rows[0], &report, &storage));
+  g_free (storage);
+  g_free (rows[0]);
+  g_free (long_name);
+}
+END_TEST
+
+/* Guards against numbers and nesting that end the parser. */
+START_TEST (test_upstreams_with_odd_values_are_rejected)
+{
+  char *open = g_strnfill (100000, '[');
+  char *nested = g_strdup_printf ("{\"info\":%s", open);
+  static const char *const rows[] = {
+    "{\"address\":\"10.1.0.9:1\",\"info\":{\"service\":\"p\",\"zone\":\"z\","
+    "\"slots\":99999999999999999999},\"status\":{\"state\":\"ready\"}}",
+    "{\"address\":\"10.1.0.9:1\",\"info\":{\"service\":\"p\",\"zone\":\"z\","
+    "\"slots\":9223372036854775807},\"status\":{\"state\":\"ready\"}}",
+    "{\"address\":\"10.1.0.9:1\",\"born\":1e999,\"info\":{\"service\":\"p\",\"zone\":\"z\","
+    "\"slots\":3},\"status\":{\"state\":\"ready\"}}",
+    "{\"address\":\"10.1.0.9:1\",\"born\":-1,\"info\":{\"service\":\"p\",\"zone\":\"z\","
+    "\"slots\":3},\"status\":{\"state\":\"ready\"}}",
+    "{\"address\":\"10.1.0.9:1\",\"info\":{\"service\":\"p\\u0000q\",\"zone\":\"z\","
+    "\"slots\":3},\"status\":{\"state\":\"ready\"}}",
+    "{\"address\":\"10.1.0.9:1\",\"info\":{\"service\":\"\\ud800\",\"zone\":\"z\","
+    "\"slots\":3},\"status\":{\"state\":\"ready\"}}",
+    "{\"address\":\"10.1.0.9:1\",\"info\":{\"service\":\"p\",\"zone\":\"z\","
+    "\"slots\":3},\"status\":{\"state\":\"ready\",\"coldRemainingMs\":1e300}}",
+  };
+  anvil_upstream_report_t report;
+  gpointer storage;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (rows); i++)
+    ck_assert_msg (!parse_upstream (rows[i], &report, &storage), "row %zu", i);
+  ck_assert (!parse_upstream (nested, &report, &storage));
+  ck_assert (!parse_upstream (open, &report, &storage));
+  g_free (nested);
+  g_free (open);
+}
+END_TEST
+
 #define SETTINGS(bounds, store)                                                                    \
   "{\"nodeName\":\"e1\",\"zone\":\"west-a\",\"zones\":{\"west-a\":\"west\"},\"novel\":1,"          \
   "\"listen\":{\"front\":\"10.0.0.1:1\",\"ready\":\"10.0.0.1:2\",\"directory\":\"10.0.0.1:3\","    \
@@ -234,6 +332,9 @@
   tcase_add_test (tests, test_bad_configurations_are_rejected_with_field_and_reason);
   tcase_add_test (tests, test_upstream_is_parsed);
   tcase_add_test (tests, test_invalid_upstream_rows_are_rejected);
+  tcase_add_test (tests, test_upstream_ids_are_printable);
+  tcase_add_test (tests, test_upstreams_with_odd_addresses_and_names_are_rejected);
+  tcase_add_test (tests, test_upstreams_with_odd_values_are_rejected);
   tcase_add_test (tests, test_settings_are_parsed);
   tcase_add_test (tests, test_all_bad_settings_are_reported);
   suite_add_tcase (suite, tests);
