Cut log lines after 4 KB

What was seen from outside: a name of 40 kB in a row of the store makes a log line of 40 kB, for each read in which the row has changed.

Change: the text of a line is at most 4,096 bytes, the rest is replaced by "...".

--- a/include/anvil/log.h
+++ b/include/anvil/log.h
@@ -29,6 +29,9 @@
  */
 void anvil_log_to_stdout (void);
 
+/* Longest text of a line. */
+#define ANVIL_LOG_MAX_BYTES 4096
+
 /** anvil_log_flush - writes as many buffered lines as possible without blocking */
 void anvil_log_flush (void);
 
@@ -39,7 +42,8 @@
  * @format: a short sentence followed by key=value pairs
  *
  * The line is "<N>part: sentence key=value", where N is the syslog priority.
- * Control characters in the text are printed as '?', so that the text stays on one line.
+ * Control characters in the text are printed as '?', so that the text stays on one line. Text
+ * beyond ANVIL_LOG_MAX_BYTES is replaced by "...".
  */
 void anvil_log (anvil_log_level_t level, const char *part, const char *format, ...)
     G_GNUC_PRINTF (3, 4);
--- a/source/core/log.c
+++ b/source/core/log.c
@@ -8,6 +8,9 @@
 
 /* Limit on the text buffered for standard output. */
 #define MAX_BUFFERED_BYTES (256u << 10)
+/* Replaces the rest of a line that is too long: it may quote what others wrote, such as a row of
+ * the store. */
+#define CUT_MARK "..."
 
 static anvil_log_level_t threshold = ANVIL_LOG_NOTICE;
 /* Lines not yet written to standard output; NULL while lines go to standard error. */
@@ -99,6 +102,8 @@
   va_start (arguments, format);
   text = g_strdup_vprintf (format, arguments);
   va_end (arguments);
+  if (strlen (text) > ANVIL_LOG_MAX_BYTES)
+    strcpy (text + ANVIL_LOG_MAX_BYTES - strlen (CUT_MARK), CUT_MARK);
   for (char *c = text; *c != '\0'; c++)
     {
       if (g_ascii_iscntrl (*c))
--- a/tests/test-log.c
+++ b/tests/test-log.c
@@ -108,6 +108,37 @@
 }
 END_TEST
 
+/* Guards against lines as long as what they quote. */
+START_TEST (test_long_lines_are_cut)
+{
+  char *quoted = g_strnfill (40000, 'x');
+  char *text = g_malloc0 (100000);
+  gsize length = 0;
+  ssize_t n_read;
+  int pipe_fds[2];
+  pid_t pid;
+
+  ck_assert_int_eq (pipe (pipe_fds), 0);
+  pid = fork ();
+  if (pid == 0)
+    {
+      dup2 (pipe_fds[1], STDERR_FILENO);
+      anvil_log (ANVIL_LOG_NOTICE, "test", "row key=%s", quoted);
+      anvil_log (ANVIL_LOG_NOTICE, "test", "next");
+      _exit (0);
+    }
+  close (pipe_fds[1]);
+  while ((n_read = read (pipe_fds[0], text + length, 65536)) > 0)
+    length += (gsize) n_read;
+  waitpid (pid, NULL, 0);
+  close (pipe_fds[0]);
+  ck_assert_uint_eq (strchr (text, '\n') - text, strlen ("<5>test: ") + ANVIL_LOG_MAX_BYTES);
+  ck_assert_ptr_nonnull (strstr (text, "xxx...\n<5>test: next\n"));
+  g_free (text);
+  g_free (quoted);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -120,6 +151,7 @@
   tcase_add_test (tests, test_logging_does_not_block_when_nobody_reads);
   tcase_add_test (tests, test_number_of_dropped_lines_is_logged);
   tcase_add_test (tests, test_concurrent_reader_gets_every_line);
+  tcase_add_test (tests, test_long_lines_are_cut);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
