Read the whole table if its changes exceed one response

What operators of similar systems saw: machines that read the list of upstreams stopped following it after odd rows. Here that came with rows at the store's limit of size in great number: changes are read in one response, the client gives up one above 8 MB, and the follower repeated the same call for ever, as in an outage.

Evidence: test-relay-odd-rows, 300 rows of 48 KB beside traffic: an upstream that joined later was unknown for 20 s.

Change: a response that is too large is told apart, and for changes it means that the whole table is read, in pages of at most 1 MB, as when the store has discarded its history. The stand-in store pages too.

--- a/include/anvil/store.h
+++ b/include/anvil/store.h
@@ -50,9 +50,9 @@
 /**
  * anvil_store_read_cb_t - result of a read
  * @page: NULL on failure; borrowed
- * @error: ANVIL_ERROR_NOT_FOUND if the store no longer has the requested history
- *   and the table must be read completely; ANVIL_ERROR_UNAVAILABLE if the store
- *   did not respond or rejected the call
+ * @error: ANVIL_ERROR_NOT_FOUND if the store no longer has the requested history, or has more
+ *   changes than fit into a response, and the table must be read completely;
+ *   ANVIL_ERROR_UNAVAILABLE if the store did not respond or rejected the call
  */
 typedef void (*anvil_store_read_cb_t) (void *context,
                                        const anvil_store_page_t *page,
--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -31,6 +31,7 @@
  * @connection: connection that it uses, or NULL while queued
  * @request: request in progress, or NULL
  * @sent: whether any byte of the request may have been sent
+ * @too_large: the response was given up, as its body exceeds MAX_BODY_BYTES
  */
 struct call
 {
@@ -45,6 +46,7 @@
   connection_t *connection;
   struct evhttp_request *request;
   gboolean sent;
+  gboolean too_large;
 };
 
 struct anvil_http_pool
@@ -71,7 +73,8 @@
 static void
 call_finish (call_t *call, int status, struct evbuffer *body)
 {
-  const anvil_http_result_t result = { .sent = call->sent, .status = status, .body = body };
+  const anvil_http_result_t result
+      = { .sent = call->sent, .status = status, .too_large = call->too_large, .body = body };
   anvil_http_pool_t *pool = call->pool;
 
   if (call->connection != NULL)
@@ -93,6 +96,15 @@
   call_finish (call, status, status != 0 ? evhttp_request_get_input_buffer (request) : NULL);
 }
 
+/* Called before on_response(). */
+static void
+on_response_error (enum evhttp_request_error error, void *data)
+{
+  call_t *call = data;
+
+  call->too_large = error == EVREQ_HTTP_DATA_TOO_LONG;
+}
+
 static void
 on_timeout (evutil_socket_t unused_fd, short unused_what, void *data)
 {
@@ -154,6 +166,7 @@
   connection->call = call;
   call->connection = connection;
   call->request = request;
+  evhttp_request_set_error_cb (request, on_response_error);
   evhttp_add_header (headers, "Host", call->pool->host);
   evhttp_add_header (headers, "Content-Type", "application/json");
   evbuffer_add_buffer (evhttp_request_get_output_buffer (request), call->body);
--- a/source/net/http-pool.h
+++ b/source/net/http-pool.h
@@ -16,12 +16,14 @@
  * anvil_http_result_t - result of a call
  * @sent: whether any byte of the request may have been sent
  * @status: status of the response, 0 if no complete one was received
+ * @too_large: the body of the response exceeds the pool's limit, so @status is 0
  * @body: body of the response, or NULL; borrowed
  */
 typedef struct
 {
   gboolean sent;
   int status;
+  gboolean too_large;
   struct evbuffer *body;
 } anvil_http_result_t;
 
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -67,9 +67,9 @@
   if (g_error_matches (error, ANVIL_ERROR, ANVIL_ERROR_NOT_FOUND))
     {
       anvil_log (ANVIL_LOG_NOTICE, "store",
-                 "store has discarded the history, reading the whole table table=%s "
-                 "version=%" G_GUINT64_FORMAT,
-                 follower->table, follower->version);
+                 "changes can't be read, reading the whole table table=%s "
+                 "version=%" G_GUINT64_FORMAT " reason=\"%s\"",
+                 follower->table, follower->version, error->message);
       follower->needs_full_read = TRUE;
       g_clear_pointer (&follower->next_key, g_free);
       schedule_call (follower, 0);
--- a/standins/anvil-store-rows.c
+++ b/standins/anvil-store-rows.c
@@ -2,6 +2,10 @@
 
 #include <string.h>
 
+/* What one response to a read of a table holds at most. */
+#define MAX_PAGE_ROWS 500
+#define MAX_PAGE_BYTES (1u << 20)
+
 /**
  * change_t - a row as written by one transaction
  * @value: base64, NULL if the row was removed
@@ -159,10 +163,11 @@
 }
 
 json_t *
-store_rows_read (const store_rows_t *rows, const char *table, const char *from)
+store_rows_read (const store_rows_t *rows, const char *table, const char *from, gboolean *has_more)
 {
   GPtrArray *matching = g_ptr_array_new ();
   json_t *list = json_array ();
+  gsize bytes = 0;
   GHashTableIter iter;
   gpointer value;
 
@@ -175,8 +180,16 @@
         g_ptr_array_add (matching, row);
     }
   g_ptr_array_sort (matching, compare_keys);
-  for (guint i = 0; i < matching->len; i++)
-    json_array_append_new (list, change_to_json (matching->pdata[i]));
+  *has_more = FALSE;
+  for (guint i = 0; i < matching->len && !*has_more; i++)
+    {
+      const change_t *row = matching->pdata[i];
+
+      bytes += row->value != NULL ? strlen (row->value) : 0;
+      *has_more = i == MAX_PAGE_ROWS || (i > 0 && bytes > MAX_PAGE_BYTES);
+      if (!*has_more)
+        json_array_append_new (list, change_to_json (row));
+    }
   g_ptr_array_unref (matching);
   return list;
 }
--- a/standins/anvil-store-rows.h
+++ b/standins/anvil-store-rows.h
@@ -15,8 +15,10 @@
  * condition doesn't hold */
 gboolean store_rows_commit (store_rows_t *rows, json_t *transaction);
 
-/** store_rows_read - rows of a table whose keys are not less than @from, as a JSON array */
-json_t *store_rows_read (const store_rows_t *rows, const char *table, const char *from);
+/** store_rows_read - rows of a table whose keys are not less than @from, as a JSON array; @has_more
+ * tells whether there are more than a response may hold */
+json_t *
+store_rows_read (const store_rows_t *rows, const char *table, const char *from, gboolean *has_more);
 
 /** store_rows_changes - rows of a table that changed after @version, oldest first; NULL if
  * the history was compacted after @version */
--- a/standins/anvil-store.c
+++ b/standins/anvil-store.c
@@ -78,9 +78,9 @@
 }
 
 static json_t *
-page_to_json (const store_t *store, json_t *rows)
+page_to_json (const store_t *store, json_t *rows, gboolean has_more)
 {
-  return json_pack ("{s:o,s:b,s:I,s:I}", "rows", rows, "hasMore", 0, "rowVersion",
+  return json_pack ("{s:o,s:b,s:I,s:I}", "rows", rows, "hasMore", has_more, "rowVersion",
                     (json_int_t) store_rows_version (store->rows), "nowMs",
                     (json_int_t) (anvil_clock_now () / ANVIL_MS));
 }
@@ -128,7 +128,7 @@
 
   evhttp_connection_set_closecb (evhttp_request_get_connection (poll->request), NULL, NULL);
   respond (poll->request, changes != NULL ? HTTP_OK : STATUS_GONE,
-           changes != NULL ? page_to_json (store, changes) : NULL);
+           changes != NULL ? page_to_json (store, changes, FALSE) : NULL);
   g_ptr_array_remove_fast (store->long_polls, poll);
 }
 
@@ -190,13 +190,15 @@
 {
   store_t *store = data;
   struct evkeyvalq query;
+  gboolean has_more;
+  json_t *rows;
 
   if (apply_fault (store, request))
     return;
   parse_query (request, &query);
-  respond (request, HTTP_OK,
-           page_to_json (store, store_rows_read (store->rows, query_text (&query, "table"),
-                                                 query_text (&query, "from"))));
+  rows = store_rows_read (store->rows, query_text (&query, "table"), query_text (&query, "from"),
+                          &has_more);
+  respond (request, HTTP_OK, page_to_json (store, rows, has_more));
   evhttp_clear_headers (&query);
 }
 
@@ -265,7 +267,7 @@
       start_long_poll (store, request, query_text (&query, "table"), after, wait);
     }
   else
-    respond (request, HTTP_OK, page_to_json (store, changes));
+    respond (request, HTTP_OK, page_to_json (store, changes, FALSE));
   evhttp_clear_headers (&query);
 }
 
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -96,7 +96,7 @@
 static void
 wait_for_row (fleet_t *fleet, const char *table, const char *key)
 {
-  char *path = g_strdup_printf ("/-/rows-get?table=%s&part=", table);
+  char *path = g_strdup_printf ("/-/rows-get?table=%s&part=&from=%s", table, key);
   char *name = g_strdup_printf ("\"%s\"", key);
   anvil_time_t until = anvil_clock_now () + FLEET_TIMEOUT_S * ANVIL_SECOND;
   gboolean found = FALSE;
