Trust a rejection only where no copy of an earlier one can arrive

What operators of similar systems saw: a faulty upstream wrote an earlier rejection once more on a kept connection, and callers were told "not run" for requests that ran. Here the id of a response was compared, and one without an id counted only on a connection that had not been used before. Two ways were left: - A rejection without an id behind a response to another request, on a new connection. - A request that returns to an upstream that has rejected it, on the same connection: the copy bears its id. A request is kept away from the last four upstreams that failed it, so it can return only after five failed attempts.

The second was found by reading; that the dispatcher sends a request back was not shown by a run.

Change: a rejection without an id counts only as the first response of a connection. Once more attempts of a request have failed than upstreams can be excluded, it is sent on new connections.

--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -125,7 +125,10 @@
   anvil_task_t *task = &job->task;
 
   if (task->n_excluded == ANVIL_MAX_EXCLUDED_UPSTREAMS)
-    memmove (task->excluded, task->excluded + 1, (--task->n_excluded) * sizeof *task->excluded);
+    {
+      memmove (task->excluded, task->excluded + 1, (--task->n_excluded) * sizeof *task->excluded);
+      job->may_return = TRUE;
+    }
   task->excluded[task->n_excluded++] = upstream;
 }
 
@@ -285,6 +288,7 @@
                                                 .body = request->body,
                                                 .id = request->id,
                                                 .idempotent = is_idempotent (job),
+                                                .new_connection = job->may_return,
                                                 .timeout = job->task.deadline - now,
                                             },
                                             on_attempt_done, job);
--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -115,8 +115,8 @@
 
 /* Whether the parsed response is for this request. A response without a request id is accepted if
  * the request has no id either. It is also accepted if it says that the request has not run or that
- * another upstream has the address, but only on a new connection: on a used one it may be a late
- * copy of the response to an earlier request. */
+ * another upstream has the address, but only as the first response on a new connection: later it
+ * may be a copy of the response to an earlier request. */
 gboolean attempt_response_matches (const anvil_relay_attempt_t *attempt);
 
 /* Derives the outcome from a complete response to this request. */
--- a/source/relay/relay-upstream-pool.c
+++ b/source/relay/relay-upstream-pool.c
@@ -58,7 +58,7 @@
   upstream_connection_t *connection = connections != NULL ? g_queue_peek_head (connections) : NULL;
   anvil_time_t idle_for;
 
-  if (connection == NULL)
+  if (connection == NULL || request->new_connection)
     return NULL;
   idle_for = anvil_clock_now () - connection->idle_since;
   if (connection->address != request->address || connection->port != request->port
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -77,7 +77,7 @@
     return g_strcmp0 (attempt->response_request_id, attempt->request_id) == 0;
   if (attempt->request_id == NULL)
     return TRUE;
-  return !attempt->connection->reused
+  return !attempt->connection->reused && attempt->n_mismatched == 0
          && (attempt->not_run || attempt->parser.status_code == STATUS_MISDIRECTED);
 }
 
--- a/source/relay/relay-upstream.h
+++ b/source/relay/relay-upstream.h
@@ -30,6 +30,8 @@
  * @body: body; copied, so that it can be sent again
  * @id: request id, or NULL
  * @idempotent: it may run more than once, so it can use a connection that may turn out to be dead
+ * @new_connection: it is not sent on an idle connection. The upstream may have rejected it there
+ *   before, and write the rejection once more
  * @timeout: how long the upstream may take, microseconds
  */
 typedef struct
@@ -44,6 +46,7 @@
   struct evbuffer *body;
   const char *id;
   gboolean idempotent;
+  gboolean new_connection;
   anvil_time_t timeout;
 } anvil_relay_upstream_request_t;
 
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -81,7 +81,7 @@
 }
 
 static void
-start_attempt_for (const char *id)
+start_attempt_with (const char *id, gboolean new_connection)
 {
   GString *headers = g_string_new (NULL);
   struct evbuffer *body = evbuffer_new ();
@@ -95,6 +95,7 @@
                                                    .body = body,
                                                    .id = id,
                                                    .idempotent = TRUE,
+                                                   .new_connection = new_connection,
                                                    .timeout = WAIT_TIMEOUT };
 
   is_done = FALSE;
@@ -104,6 +105,12 @@
   evbuffer_free (body);
 }
 
+static void
+start_attempt_for (const char *id)
+{
+  start_attempt_with (id, FALSE);
+}
+
 static void
 start_attempt (void)
 {
@@ -381,6 +388,67 @@
 }
 END_TEST
 
+#define REJECTION_OF(id)                                                                           \
+  "HTTP/1.1 503 Unavailable\r\nRequest-Id: " id "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+/* Guards against a rejection that the upstream writes twice: if the request were sent on that
+ * connection again, the copy would say of a running request that it has not run. */
+START_TEST (test_a_rejected_request_that_returns_is_sent_on_a_new_connection)
+{
+  int used;
+  int fd;
+
+  start_attempt ();
+  used = accept_request ();
+  send_response (used, REJECTION_OF ("one"));
+  ck_assert_int_eq (result, ANVIL_RUN_SHED);
+  start_attempt_with ("one", TRUE);
+  fd = accept_request ();
+  send_response (fd, RESPONSE_TO ("one"));
+  ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+  close (fd);
+  close (used);
+}
+END_TEST
+
+START_TEST (test_another_request_is_sent_on_the_connection_of_a_rejected_one)
+{
+  int fd;
+
+  start_attempt ();
+  fd = accept_request ();
+  send_response (fd, REJECTION_OF ("one"));
+  start_attempt_for ("two");
+  wait_readable (fd);
+  ck_assert_int_eq (send (fd, REJECTION_OF ("one"), strlen (REJECTION_OF ("one")), MSG_NOSIGNAL),
+                    (ssize_t) strlen (REJECTION_OF ("one")));
+  send_response (fd, RESPONSE_TO ("two"));
+  ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+  ck_assert_str_eq (body_text, "two");
+  close (fd);
+}
+END_TEST
+
+/* Guards against the same where a response to another request shows that the connection carries
+ * what belongs elsewhere. */
+START_TEST (test_a_rejection_without_an_id_does_not_count_behind_a_response_to_another)
+{
+  static const char rejection[] = "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\n"
+                                  "Content-Length: 0\r\n\r\n";
+  int fd;
+
+  start_attempt ();
+  fd = accept_request ();
+  ck_assert_int_eq (send (fd, RESPONSE_TO ("two"), strlen (RESPONSE_TO ("two")), MSG_NOSIGNAL),
+                    (ssize_t) strlen (RESPONSE_TO ("two")));
+  ck_assert_int_eq (send (fd, rejection, strlen (rejection), MSG_NOSIGNAL),
+                    (ssize_t) strlen (rejection));
+  send_response (fd, RESPONSE_TO ("one"));
+  ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+  close (fd);
+}
+END_TEST
+
 typedef struct
 {
   const char *response;
@@ -562,6 +630,10 @@
   tcase_add_test (tests, test_a_connection_with_unread_bytes_is_not_used_again);
   tcase_add_test (tests, test_a_late_copy_is_not_the_response_to_the_next_request);
   tcase_add_test (tests, test_a_rejection_without_an_id_counts_only_on_a_new_connection);
+  tcase_add_test (tests, test_a_rejected_request_that_returns_is_sent_on_a_new_connection);
+  tcase_add_test (tests, test_another_request_is_sent_on_the_connection_of_a_rejected_one);
+  tcase_add_test (tests,
+                  test_a_rejection_without_an_id_does_not_count_behind_a_response_to_another);
   tcase_add_test (tests, test_request_limits_are_taken_from_responses_to_this_request);
   tcase_add_test (tests, test_bytes_without_end_end_the_attempt);
   tcase_add_test (tests, test_the_longest_response_is_given_up_for_the_others);
