End an attempt at a response to another request that has no length

What callers saw: where a faulty upstream wrote a rejection without an id once more, 49 of 120 requests ended 504 at their deadline (seen from outside; not traced there).

Cause, as far as a test shows it: such a response has no length either, so it ends with its connection only, and everything behind it, the response to the request too, is part of its body. The attempt waited for that until the deadline. That those 49 were of this kind isn't known.

Change: a head that isn't the response to this request and says no length ends the attempt at once.

--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -1,5 +1,6 @@
 #include "relay/relay-upstream-internal.h"
 
+#include <limits.h>
 #include <string.h>
 
 #include "relay/http-field.h"
@@ -187,12 +188,23 @@
   return 0;
 }
 
+/* Whether the response whose head was parsed ends only with its connection. */
+static gboolean
+has_no_length (const http_parser *parser)
+{
+  return (parser->flags & F_CHUNKED) == 0 && parser->content_length == ULLONG_MAX
+         && parser->status_code >= 200 && parser->status_code != 204 && parser->status_code != 304;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
   anvil_relay_attempt_t *attempt = parser->data;
 
   process_field (attempt);
+  /* The response to this request can't follow it. */
+  if (!attempt->is_head && has_no_length (parser) && !attempt_response_matches (attempt))
+    return -1;
   /* 1 tells the parser that the response to a HEAD request has no body. */
   return attempt->is_head ? 1 : 0;
 }
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -449,6 +449,31 @@
 }
 END_TEST
 
+/* Guards against requests that wait until their deadline: a response to another request that ends
+ * only with its connection contains all that follows. */
+START_TEST (test_a_response_to_another_request_without_length_ends_the_attempt)
+{
+  static const char *const heads[] = {
+    "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\n\r\n",
+    "HTTP/1.1 503 Unavailable\r\nRequest-Id: one\r\nNot-Run: 1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\n\r\n",
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      int fd = complete_first_request ();
+
+      start_attempt_for ("two");
+      wait_readable (fd);
+      ck_assert_int_eq (send (fd, heads[i], strlen (heads[i]), MSG_NOSIGNAL),
+                        (ssize_t) strlen (heads[i]));
+      send_response (fd, RESPONSE_TO ("two"));
+      ck_assert_int_eq (result, ANVIL_RUN_INTERRUPTED);
+      close (fd);
+    }
+}
+END_TEST
+
 typedef struct
 {
   const char *response;
@@ -634,6 +659,7 @@
   tcase_add_test (tests, test_another_request_is_sent_on_the_connection_of_a_rejected_one);
   tcase_add_test (tests,
                   test_a_rejection_without_an_id_does_not_count_behind_a_response_to_another);
+  tcase_add_test (tests, test_a_response_to_another_request_without_length_ends_the_attempt);
   tcase_add_test (tests, test_request_limits_are_taken_from_responses_to_this_request);
   tcase_add_test (tests, test_bytes_without_end_end_the_attempt);
   tcase_add_test (tests, test_the_longest_response_is_given_up_for_the_others);
