Cut the heads of eleven kinds of responses at every byte

A report from operators of similar systems: an upstream stopped in the middle of its response's head and closed, and callers got a 200 with an empty or short body. Here that isn't so: test_a_head_that_breaks_off_is_never_a_response cuts heads at every byte, by an orderly close and by a reset, also behind interim responses, in responses to HEAD, with status 204 and 304, without a length, and with bare line feeds.

--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -81,7 +81,7 @@
 }
 
 static void
-start_attempt_with (const char *id, gboolean new_connection)
+start_attempt_with (const char *id, const char *method, gboolean new_connection)
 {
   GString *headers = g_string_new (NULL);
   struct evbuffer *body = evbuffer_new ();
@@ -89,7 +89,7 @@
                                                    .upstream_id = "u1",
                                                    .address = INADDR_LOOPBACK,
                                                    .port = port,
-                                                   .method = "GET",
+                                                   .method = method,
                                                    .target = "/a",
                                                    .headers = headers,
                                                    .body = body,
@@ -108,7 +108,7 @@
 static void
 start_attempt_for (const char *id)
 {
-  start_attempt_with (id, FALSE);
+  start_attempt_with (id, "GET", FALSE);
 }
 
 static void
@@ -282,6 +282,49 @@
 }
 END_TEST
 
+#define CUT_HEAD "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\n"
+
+/* Guards against a success that is made of half of a head: the upstream stops in it and closes,
+ * also behind interim responses, and where a response has no body or lines end with a bare line
+ * feed. */
+START_TEST (test_a_head_that_breaks_off_is_never_a_response)
+{
+  static const struct
+  {
+    const char *method;
+    const char *head;
+  } cases[] = {
+    { "GET", CUT_HEAD "\r\n" },
+    { "GET", CUT_HEAD "Content-Length: 0\r\n\r\n" },
+    { "GET", "HTTP/1.1 100 Continue\r\n\r\n" CUT_HEAD "Content-Length: 0\r\n\r\n" },
+    { "GET",
+      "HTTP/1.1 103 Early Hints\r\nRequest-Id: one\r\nServer-Stamp: s\r\n\r\n" CUT_HEAD "\r\n" },
+    { "HEAD", CUT_HEAD "Content-Length: 400\r\n\r\n" },
+    { "HEAD", "HTTP/1.1 100 Continue\r\n\r\n" CUT_HEAD "\r\n" },
+    { "GET", "HTTP/1.1 204 No Content\r\nRequest-Id: one\r\nServer-Stamp: s\r\n\r\n" },
+    { "GET", "HTTP/1.1 304 Not Modified\r\nRequest-Id: one\r\nServer-Stamp: s\r\n\r\n" },
+    { "GET", "HTTP/1.1 200 OK\nRequest-Id: one\nServer-Stamp: s\nContent-Length: 0\n\n" },
+    { "GET", CUT_HEAD "Content-Length: 0\n\n" },
+    { "GET", CUT_HEAD "Transfer-Encoding: chunked\r\n\r\n" },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    for (gsize length = 0; length < strlen (cases[i].head); length++)
+      for (guint reset = 0; reset < 2; reset++)
+        {
+          int fd;
+
+          start_attempt_with ("one", cases[i].method, FALSE);
+          fd = accept_request ();
+          ck_assert_int_eq (send (fd, cases[i].head, length, MSG_NOSIGNAL), (ssize_t) length);
+          close_end (fd, reset != 0);
+          wait_until_done ();
+          ck_assert_msg (result == ANVIL_RUN_INTERRUPTED, "%zu: %zu bytes gave %d", i, length,
+                         (int) result);
+        }
+}
+END_TEST
+
 START_TEST (test_a_response_without_length_ends_with_an_orderly_close_only)
 {
   const char *response = "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\n\r\nbody";
@@ -402,7 +445,7 @@
   used = accept_request ();
   send_response (used, REJECTION_OF ("one"));
   ck_assert_int_eq (result, ANVIL_RUN_SHED);
-  start_attempt_with ("one", TRUE);
+  start_attempt_with ("one", "GET", TRUE);
   fd = accept_request ();
   send_response (fd, RESPONSE_TO ("one"));
   ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
@@ -651,6 +694,7 @@
   tcase_add_test (tests, test_bytes_that_have_arrived_are_noticed_before_they_are_read);
   tcase_add_test (tests, test_connection_close_of_upstream_is_orderly);
   tcase_add_test (tests, test_a_response_that_breaks_off_is_never_complete);
+  tcase_add_test (tests, test_a_head_that_breaks_off_is_never_a_response);
   tcase_add_test (tests, test_a_response_without_length_ends_with_an_orderly_close_only);
   tcase_add_test (tests, test_a_connection_with_unread_bytes_is_not_used_again);
   tcase_add_test (tests, test_a_late_copy_is_not_the_response_to_the_next_request);
