--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -119,6 +119,39 @@
 }
 END_TEST
 
+/* Removes the last items of the array that follows the kind and the number of a message. */
+static void
+remove_last_items (GByteArray *bytes, guint n_items, guint n_bytes)
+{
+  /* Behind the header of the outer array and two numbers below 128. */
+  bytes->data[3] = (guint8) (bytes->data[3] - n_items);
+  g_byte_array_set_size (bytes, bytes->len - n_bytes);
+}
+
+START_TEST (test_pings_and_updates_of_older_versions_are_accepted)
+{
+  const anvil_relay_message_t ping = { .kind = ANVIL_RELAY_PING, .number = 1 };
+  const anvil_relay_message_t updates
+      = { .kind = ANVIL_RELAY_UPDATES, .number = 1, .operators_version = 2 };
+  GByteArray *bytes = pack (&ping);
+  anvil_relay_message_t read;
+
+  remove_last_items (bytes, 1, 1);
+  ck_assert (anvil_relay_message_unpack (
+      (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
+  /* They hold services from their start. */
+  ck_assert (read.info.knows_peers);
+  g_byte_array_unref (bytes);
+  bytes = pack (&updates);
+  remove_last_items (bytes, 2, 2);
+  ck_assert (anvil_relay_message_unpack (
+      (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
+  ck_assert_uint_eq (read.operators_version, 0);
+  ck_assert_uint_eq (read.n_evacuated, 0);
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
 START_TEST (test_request_limits_below_zero_or_not_finite_are_rejected)
 {
   static const gdouble rates[] = { -1, NAN, INFINITY };
@@ -198,6 +231,7 @@
 
   tcase_add_test (tests, test_every_kind_is_unpacked_as_it_was_packed);
   tcase_add_test (tests, test_a_report_without_a_request_limit_is_accepted);
+  tcase_add_test (tests, test_pings_and_updates_of_older_versions_are_accepted);
   tcase_add_test (tests, test_request_limits_below_zero_or_not_finite_are_rejected);
   tcase_add_test (tests, test_corrupted_messages_are_rejected_or_valid);
   tcase_add_test (tests, test_warm_objects_are_unpacked_as_they_were_packed);
