Go on with requests that offer another protocol

Cause: http_parser stops at such a request and sets a flag, which parse_input() took for an error.

Change: the flag is cleared at the end of each head.

--- a/source/relay/relay-caller-read.c
+++ b/source/relay/relay-caller-read.c
@@ -181,6 +181,8 @@
       connection->error_status = STATUS_BAD_REQUEST;
       return -1;
     }
+  /* An offer of another protocol isn't taken up. The parser would stop behind this request. */
+  parser->upgrade = 0;
   evtimer_add (connection->body_timer, &body_time);
   anvil_http_field_foreach_token (listed_names, remove_hop_by_hop_field, connection);
   if ((parser->flags & F_CONTENTLENGTH) != 0
@@ -276,7 +278,7 @@
       callers->callbacks.request (callers->context, pending->request);
       return TRUE;
     }
-  if (parse_error == HPE_OK && !connection->parser.upgrade)
+  if (parse_error == HPE_OK)
     return TRUE;
   caller_connection_reject (connection, connection->error_status != 0 ? connection->error_status
                                                                       : STATUS_BAD_REQUEST);
--- a/tests/test-relay-caller.c
+++ b/tests/test-relay-caller.c
@@ -357,6 +357,40 @@
 }
 END_TEST
 
+#define OFFERS                                                                                     \
+  "Upgrade: h2c\r\nConnection: Upgrade, HTTP2-Settings\r\nHTTP2-Settings: AAMAAABk\r\n"            \
+  "Expect: 100-continue\r\nTE: trailers\r\n"
+
+/* Guards against proper requests that are answered 400: they offer another protocol, and the body
+ * or the next request comes in a later packet. */
+START_TEST (test_offers_of_other_protocols_are_not_taken_up)
+{
+  static const char text[]
+      = "POST /a HTTP/1.1\r\nHost: h\r\n" OFFERS "Content-Length: 4\r\n\r\nbody"
+        "GET /b HTTP/1.1\r\nHost: h\r\n" OFFERS "\r\n"
+        "POST /c HTTP/1.1\r\nHost: h\r\n" OFFERS
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+
+  for (gsize split = 1; split < strlen (text); split++)
+    {
+      tear_down ();
+      set_up ();
+      ck_assert_int_eq (send (caller, text, split, MSG_NOSIGNAL), (ssize_t) split);
+      run_for (2 * ANVIL_MS);
+      send_text (text + split);
+      wait_for_requests (3);
+      for (guint i = 0; i < requests->len; i++)
+        {
+          const anvil_relay_request_t *request = requests->pdata[i];
+
+          ck_assert_uint_eq (evbuffer_get_length (request->body), i == 1 ? 0 : 4);
+          ck_assert_ptr_null (strstr (request->headers->str, "Upgrade"));
+          ck_assert_ptr_null (strstr (request->headers->str, "HTTP2-Settings"));
+        }
+    }
+}
+END_TEST
+
 /* Bytes without end instead of a request, until the entry closes the connection. */
 START_TEST (test_input_without_end_is_refused)
 {
@@ -420,6 +454,7 @@
   tcase_add_test (tests, test_request_that_arrives_in_parts_is_answered_during_shutdown);
   tcase_add_test (tests, test_a_caller_that_does_not_read_is_disconnected_at_the_memory_limit);
   tcase_add_test (tests, test_unsent_bytes_are_counted_until_the_caller_has_read_them);
+  tcase_add_test (tests, test_offers_of_other_protocols_are_not_taken_up);
   tcase_add_test (tests, test_input_without_end_is_refused);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
