--- a/source/core/log.c
+++ b/source/core/log.c
@@ -103,7 +103,7 @@
   text = g_strdup_vprintf (format, arguments);
   va_end (arguments);
   if (strlen (text) > ANVIL_LOG_MAX_BYTES)
-    strcpy (text + ANVIL_LOG_MAX_BYTES - strlen (CUT_MARK), CUT_MARK);
+    memcpy (text + ANVIL_LOG_MAX_BYTES + 1 - sizeof CUT_MARK, CUT_MARK, sizeof CUT_MARK);
   for (char *c = text; *c != '\0'; c++)
     {
       if (g_ascii_iscntrl (*c))
--- a/tests/test-relay-evacuation.c
+++ b/tests/test-relay-evacuation.c
@@ -11,7 +11,7 @@
 /* Until an entry has noticed that the store doesn't answer it. */
 #define NOTICE_LOSS_US 2000000
 /* Until the other entries know of an evacuation. */
-#define NOTICE_EVACUATION_US 1000000
+#define NOTICE_EVACUATION_US 1000000ul
 /* Shorter than the time-out of a call to the store, and than the time between two reads. */
 #define UNREAD_US 700000
 
--- a/tests/test-relay-odd-rows.c
+++ b/tests/test-relay-odd-rows.c
@@ -9,7 +9,7 @@
 #define N_ENTRIES 2
 #define NESTING 20000
 /* The store's limit of a row's value. */
-#define ROW_BYTES 65536
+#define ROW_BYTES 65536ul
 #define N_LARGE_ROWS 300
 #define N_REQUESTS 5
 #define CHANGE_TIMEOUT (20 * ANVIL_SECOND)
