--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -449,6 +449,20 @@
   return value;
 }
 
+guint
+fleet_find_holder (const fleet_t *fleet, const char *service)
+{
+  char *metric = g_strdup_printf ("anvil_held_upstreams{service=\"%s\"}", service);
+  guint i = 0;
+
+  while (i < fleet->entries->len && fleet_read_metric (fleet->entries->pdata[i], metric) <= 0)
+    i++;
+  g_free (metric);
+  if (i == fleet->entries->len)
+    g_error ("no entry holds the service %s", service);
+  return i;
+}
+
 void
 fleet_wait_ready (const fleet_entry_t *entry)
 {
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -97,6 +97,10 @@
 /** fleet_read_metric - value of a metric without labels, or -1 */
 gint64 fleet_read_metric (const fleet_entry_t *entry, const char *name);
 
+/** fleet_find_holder - index of the entry that grants the slots of a service; fails the test if
+ * there is none */
+guint fleet_find_holder (const fleet_t *fleet, const char *service);
+
 /** fleet_wait_ready - waits until the entry's readiness check succeeds, and a moment longer */
 void fleet_wait_ready (const fleet_entry_t *entry);
 
--- a/tests/test-relay-drains.c
+++ b/tests/test-relay-drains.c
@@ -17,18 +17,6 @@
 static fleet_proxy_t *proxies[N_ENTRIES];
 static guint holder;
 
-static guint
-find_holder (void)
-{
-  for (guint i = 0; i < N_ENTRIES; i++)
-    {
-      if (fleet_read_metric (entries[i], "anvil_held_upstreams{service=\"photos\"}") > 0)
-        return i;
-    }
-  ck_abort_msg ("no entry holds the service");
-  return 0;
-}
-
 /* Entries with a connection to the store each, an upstream that stays, and one that leaves. The
  * latter writes its row only once, so that the test can remove it while it still serves. */
 static void
@@ -50,7 +38,7 @@
   for (guint i = 0; i < N_ENTRIES; i++)
     fleet_wait_ready (entries[i]);
   g_usleep (NOTICE_LOSS_US);
-  holder = find_holder ();
+  holder = fleet_find_holder (&fleet, "photos");
 }
 
 static void
--- a/tests/test-relay-evacuation.c
+++ b/tests/test-relay-evacuation.c
@@ -20,18 +20,6 @@
 static fleet_proxy_t *proxies[N_ENTRIES];
 static guint holder;
 
-static guint
-find_holder (void)
-{
-  for (guint i = 0; i < N_ENTRIES; i++)
-    {
-      if (fleet_read_metric (entries[i], "anvil_held_upstreams{service=\"photos\"}") > 0)
-        return i;
-    }
-  ck_abort_msg ("no entry holds the service");
-  return 0;
-}
-
 /* Entries with a connection to the store each, and an upstream with too few slots for all requests.
  */
 static void
@@ -54,7 +42,7 @@
   for (guint i = 0; i < N_ENTRIES; i++)
     fleet_wait_ready (entries[i]);
   g_usleep (NOTICE_LOSS_US);
-  holder = find_holder ();
+  holder = fleet_find_holder (&fleet, "photos");
 }
 
 static void
--- a/tests/test-relay-limit.c
+++ b/tests/test-relay-limit.c
@@ -194,19 +194,6 @@
   return n;
 }
 
-/* The entry that places the requests. */
-static guint
-find_holder (void)
-{
-  for (guint i = 0; i < N_ENTRIES; i++)
-    {
-      if (fleet_read_metric (entries[i], "anvil_held_upstreams{service=\"photos\"}") > 0)
-        return i;
-    }
-  ck_abort_msg ("no entry holds the service");
-  return 0;
-}
-
 static void
 restart_entry (guint index, int signal_number)
 {
@@ -245,7 +232,7 @@
   since = g_get_real_time ();
   for (guint i = 0; i < N_RESTARTS; i++)
     {
-      restart_entry (find_holder (), i == 0 ? SIGTERM : SIGKILL);
+      restart_entry (fleet_find_holder (&fleet, "photos"), i == 0 ? SIGTERM : SIGKILL);
       g_usleep (NAMING_US);
     }
   g_usleep (LOAD_US / 2);
