Log what the head of a failed response says, and whose status a caller got

"answered status=503 reason=upstream" named no upstream, "attempt failed status=503" not what the response said.

"attempt failed" now has marker, not_run, id and connection_reused, also for responses of 408, 421 and 429 that count as answers; the last line of a request has its upstream and the number of attempts, 0 if it was never sent; requests that end with the process are logged as "cut". A counter has the responses whose status says "not run" without the header that confirms it. The stand-in upstream can answer a run request with any status, and reject a request with any.

--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -9,6 +9,9 @@
  * relay-job-response.c responds to callers, relay-job-holder.c handles changes of holders. */
 
 #define STATUS_NOT_FOUND 404
+#define STATUS_REQUEST_TIMEOUT 408
+#define STATUS_MISDIRECTED 421
+#define STATUS_TOO_MANY_REQUESTS 429
 #define STATUS_BAD_GATEWAY 502
 #define STATUS_UNAVAILABLE 503
 #define STATUS_GATEWAY_TIMEOUT 504
@@ -33,6 +36,7 @@
  * @attempt: the exchange with the upstream, while the job is running
  * @timer: ends the job at its deadline
  * @n_deadline_extensions: how often the deadline was extended to read what has arrived
+ * @n_attempts: attempts so far, of any outcome
  * @unsent_attempts: attempts that failed before anything was sent
  * @may_return: more attempts have failed than upstreams can be excluded, so the request may be sent
  *   to one of them again
@@ -56,6 +60,7 @@
   anvil_relay_attempt_t *attempt;
   struct event *timer;
   guint n_deadline_extensions;
+  guint n_attempts;
   guint unsent_attempts;
   gboolean may_return;
   gboolean may_have_run;
@@ -102,10 +107,13 @@
 /* The text, or "-" for NULL, for log lines. */
 const char *text_or_dash (const char *text);
 
-/* Counts and logs the outcome of a request. */
+/* Whether a status promises the caller that its request has not run and never will. */
+gboolean job_status_is_promise (guint status);
+
+/* Counts and logs the outcome of a request. @job is its job, or NULL if it has none. */
 void job_record_outcome (anvil_relay_jobs_t *jobs,
                          const anvil_relay_request_t *request,
-                         const char *route,
+                         const job_t *job,
                          const char *outcome,
                          guint status,
                          const char *reason);
--- a/source/relay/relay-job-response.c
+++ b/source/relay/relay-job-response.c
@@ -7,10 +7,17 @@
   return text != NULL ? text : "-";
 }
 
+gboolean
+job_status_is_promise (guint status)
+{
+  return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED
+         || status == STATUS_TOO_MANY_REQUESTS || status == STATUS_UNAVAILABLE;
+}
+
 void
 job_record_outcome (anvil_relay_jobs_t *jobs,
                     const anvil_relay_request_t *request,
-                    const char *route,
+                    const job_t *job,
                     const char *outcome,
                     guint status,
                     const char *reason)
@@ -23,10 +30,11 @@
                                    (gdouble) took / (gdouble) ANVIL_SECOND);
   g_free (labels);
   anvil_log (ANVIL_LOG_INFO, "request",
-             "%s request=%s route=%s status=%u reason=%s took_ms=%" G_GINT64_FORMAT
-             " routes=%" G_GINT64_FORMAT,
-             outcome, text_or_dash (request->id), route, status, reason, took / ANVIL_MS,
-             jobs->routes != NULL ? anvil_routes_version (jobs->routes) : 0);
+             "%s request=%s route=%s status=%u reason=%s upstream=%s attempts=%u "
+             "took_ms=%" G_GINT64_FORMAT " routes=%" G_GINT64_FORMAT,
+             outcome, text_or_dash (request->id), job != NULL ? job->route : "-", status, reason,
+             job != NULL ? text_or_dash (job->upstream_id) : "-", job != NULL ? job->n_attempts : 0,
+             took / ANVIL_MS, jobs->routes != NULL ? anvil_routes_version (jobs->routes) : 0);
 }
 
 /* Sends a response that isn't an upstream's; it has no body. */
@@ -54,7 +62,7 @@
 {
   anvil_relay_jobs_t *jobs = job->jobs;
 
-  job_record_outcome (jobs, job->request, job->route, "refused", STATUS_UNAVAILABLE, reason);
+  job_record_outcome (jobs, job->request, job, "refused", STATUS_UNAVAILABLE, reason);
   respond_without_upstream (job->request, jobs->options.header_names, STATUS_UNAVAILABLE,
                             retry_after);
   job_remove (job);
@@ -66,7 +74,7 @@
 {
   anvil_relay_jobs_t *jobs = job->jobs;
 
-  job_record_outcome (jobs, job->request, job->route, "unknown", status, reason);
+  job_record_outcome (jobs, job->request, job, "unknown", status, reason);
   respond_without_upstream (job->request, jobs->options.header_names, status, 0);
   job_remove (job);
 }
@@ -74,7 +82,7 @@
 void
 job_pass_response (job_t *job, guint status, const GString *headers, struct evbuffer *body)
 {
-  job_record_outcome (job->jobs, job->request, job->route, "answered", status, "upstream");
+  job_record_outcome (job->jobs, job->request, job, "answered", status, "upstream");
   anvil_relay_respond (job->request, status,
                        (anvil_str_t){ .data = headers->str, .length = headers->len }, body);
   job_remove (job);
@@ -112,6 +120,6 @@
                     const char *reason,
                     anvil_time_t retry_after)
 {
-  job_record_outcome (jobs, request, "-", "refused", status, reason);
+  job_record_outcome (jobs, request, NULL, "refused", status, reason);
   respond_without_upstream (request, jobs->options.header_names, status, retry_after);
 }
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -59,6 +59,7 @@
 
       if (job->attempt != NULL)
         anvil_relay_attempt_cancel (job->attempt);
+      job_record_outcome (jobs, job->request, job, "cut", 0, "stopped");
       job->request->handler_data = NULL;
       job_drop (job);
     }
@@ -189,6 +190,23 @@
     job_fail (job, STATUS_BAD_GATEWAY, reason, NOT_READY_RETRY_AFTER);
 }
 
+static void
+record_failed_attempt (const job_t *job, const anvil_relay_attempt_outcome_t *outcome)
+{
+  const anvil_relay_response_t *response = &outcome->response;
+
+  anvil_log (ANVIL_LOG_INFO, "request",
+             "attempt failed request=%s upstream=%s attempt=%u status=%u marker=%d not_run=%d "
+             "id=%d connection_reused=%d reason=\"%s\" took_ms=%" G_GINT64_FORMAT,
+             text_or_dash (job->request->id), job->upstream_id, job->task.attempt, response->status,
+             response->has_marker, response->not_run, response->has_id, response->connection_reused,
+             text_or_dash (outcome->reason), outcome->duration / ANVIL_MS);
+  if (job_status_is_promise (response->status) && response->status != STATUS_MISDIRECTED
+      && !response->not_run)
+    anvil_metrics_add_counter (job->jobs->options.metrics, "anvil_unconfirmed_rejections_total", "",
+                               1);
+}
+
 static void
 on_attempt_done (void *context, const anvil_relay_attempt_outcome_t *outcome)
 {
@@ -200,12 +218,8 @@
   report_run (job, &(anvil_run_report_t){ .result = outcome->result,
                                           .duration = outcome->duration,
                                           .request_limit = outcome->request_limit });
-  if (outcome->result != ANVIL_RUN_ANSWERED)
-    anvil_log (ANVIL_LOG_INFO, "request",
-               "attempt failed request=%s upstream=%s attempt=%u status=%u reason=\"%s\" "
-               "took_ms=%" G_GINT64_FORMAT,
-               text_or_dash (job->request->id), job->upstream_id, job->task.attempt,
-               outcome->status, text_or_dash (outcome->reason), outcome->duration / ANVIL_MS);
+  if (outcome->result != ANVIL_RUN_ANSWERED || job_status_is_promise (outcome->response.status))
+    record_failed_attempt (job, outcome);
   if (outcome->result != ANVIL_RUN_ANSWERED)
     exclude_upstream (job, job->upstream);
   switch (outcome->result)
@@ -276,6 +290,7 @@
   job->upstream_id = anvil_str_dup (grant->upstream_id);
   job->upstream = grant->upstream;
   job->state = JOB_RUNNING;
+  job->n_attempts++;
   job->attempt = anvil_relay_attempt_start (jobs->options.upstream_pool,
                                             &(anvil_relay_upstream_request_t){
                                                 .upstream_key = grant->upstream,
@@ -408,7 +423,7 @@
     }
   else
     anvil_slot_broker_cancel (jobs->options.slot_broker, job->holder, job->task.id.number);
-  job_record_outcome (jobs, request, job->route, "left", 0, "caller-left");
+  job_record_outcome (jobs, request, job, "left", 0, "caller-left");
   anvil_relay_respond (request, STATUS_UNAVAILABLE, (anvil_str_t){ 0 }, NULL);
   job_remove (job);
 }
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -32,6 +32,16 @@
              || status == STATUS_BAD_REQUEST || status == STATUS_MISDIRECTED);
 }
 
+static anvil_relay_response_t
+describe_response (const anvil_relay_attempt_t *attempt)
+{
+  return (anvil_relay_response_t){ .status = attempt->parser.status_code,
+                                   .has_marker = attempt->has_response_marker,
+                                   .not_run = attempt->not_run,
+                                   .has_id = attempt->response_request_id != NULL,
+                                   .connection_reused = attempt->connection->reused };
+}
+
 anvil_relay_attempt_outcome_t
 attempt_classify_response (const anvil_relay_attempt_t *attempt)
 {
@@ -41,7 +51,8 @@
                                             .headers = attempt->headers,
                                             .body = attempt->body,
                                             .duration = anvil_clock_now () - attempt->started_at,
-                                            .request_limit = attempt->request_limit };
+                                            .request_limit = attempt->request_limit,
+                                            .response = describe_response (attempt) };
 
   if (status == STATUS_MISDIRECTED)
     {
@@ -63,7 +74,8 @@
       outcome = (anvil_relay_attempt_outcome_t){
         .result = ANVIL_RUN_INTERRUPTED,
         .reason = "response lacks the upstream's marker or has a content encoding",
-        .duration = outcome.duration
+        .duration = outcome.duration,
+        .response = outcome.response
       };
     }
   else if (status >= 500)
--- a/source/relay/relay-upstream.h
+++ b/source/relay/relay-upstream.h
@@ -50,6 +50,23 @@
   anvil_time_t timeout;
 } anvil_relay_upstream_request_t;
 
+/**
+ * anvil_relay_response_t - what the head of an upstream's response says, for logs
+ * @status: status code, 0 without a complete response
+ * @has_marker: it has the marker of upstreams' responses
+ * @not_run: it states that the request has not run
+ * @has_id: it has the id of the request
+ * @connection_reused: it arrived on a connection that had carried another response
+ */
+typedef struct
+{
+  guint status;
+  gboolean has_marker;
+  gboolean not_run;
+  gboolean has_id;
+  gboolean connection_reused;
+} anvil_relay_response_t;
+
 /**
  * anvil_relay_attempt_outcome_t - how an attempt ended; borrowed
  * @result: never ANVIL_RUN_UNUSED
@@ -60,6 +77,7 @@
  * @body: body of the response
  * @duration: from the start of sending to the end of the response, microseconds
  * @request_limit: what the response says about the upstream's request limit
+ * @response: the response that @result was derived from, usable or not
  */
 typedef struct
 {
@@ -71,6 +89,7 @@
   struct evbuffer *body;
   anvil_time_t duration;
   anvil_request_limit_t request_limit;
+  anvil_relay_response_t response;
 } anvil_relay_attempt_outcome_t;
 
 typedef void (*anvil_relay_attempt_cb_t) (void *context,
--- a/standins/anvil-registrant.c
+++ b/standins/anvil-registrant.c
@@ -11,11 +11,13 @@
  *     garbage          bytes that are not HTTP
  *     unsigned         no Server-Stamp header
  *     error            status 500
+ *     rejected         status 503 with Not-Run; the request isn't run
  *     unframed         body without Content-Length that ends with the connection
  *     stray            a response to another request comes first
  *     copies           the response comes twice
  *     endless-head     a header without end, until the caller closes
  *     endless-body     a body without end, until the caller closes
+ *   status=CODE      status of the response
  *   echo=headers     the response's body includes the headers of the request
  * GET /runs returns the number of runs by request ID: {"ID": COUNT}. POST /limit?value=TEXT makes
  * it name a request limit in its responses, an empty TEXT ends that. SIGTERM starts a drain.
@@ -111,7 +113,7 @@
   if (strcmp (job->fault, "error") == 0)
     {
       set_header (job->request, "Server-Stamp", "x");
-      respond (upstream, job->request, STATUS_ERROR, "failed");
+      respond (upstream, job->request, job->status, "failed");
     }
   else if (job->fault[0] != '\0' && strcmp (job->fault, "unsigned") != 0
            && strcmp (job->fault, "copies") != 0)
@@ -122,7 +124,7 @@
         registrant_send_copy (job->request, text);
       if (strcmp (job->fault, "unsigned") != 0)
         set_header (job->request, "Server-Stamp", upstream->settings[ID].text);
-      respond (upstream, job->request, HTTP_OK, text);
+      respond (upstream, job->request, job->status, text);
     }
   g_free (text);
   job_drop (job);
@@ -209,6 +211,14 @@
   respond (upstream, request, HTTP_OK, "");
 }
 
+static int
+default_status (const char *fault)
+{
+  if (strcmp (fault, "error") == 0)
+    return STATUS_ERROR;
+  return strcmp (fault, "rejected") == 0 ? HTTP_SERVUNAVAIL : HTTP_OK;
+}
+
 static registrant_job_t *
 job_new (upstream_t *upstream, struct evhttp_request *request)
 {
@@ -223,6 +233,11 @@
   evhttp_parse_query_str (text != NULL ? text : "", &query);
   value = evhttp_find_header (&query, "fault");
   job->fault = g_strdup (value != NULL ? value : "");
+  value = evhttp_find_header (&query, "status");
+  if (value != NULL)
+    job->status = atoi (value);
+  else
+    job->status = default_status (job->fault);
   value = evhttp_find_header (&query, "work");
   job->work_ms = value != NULL ? (guint) g_ascii_strtoull (value, NULL, 10) : 0;
   evhttp_clear_headers (&query);
@@ -262,6 +277,13 @@
       return;
     }
   job = job_new (upstream, request);
+  if (strcmp (job->fault, "rejected") == 0)
+    {
+      set_header (request, "Not-Run", "1");
+      respond (upstream, request, job->status, "");
+      job_drop (job);
+      return;
+    }
   evhttp_connection_set_closecb (connection, on_caller_disconnected, job);
   /* evhttp stops reading while a request is handled, and would not notice that the caller closes.
    */
--- a/standins/anvil-registrant.h
+++ b/standins/anvil-registrant.h
@@ -58,6 +58,8 @@
   struct event *timer;
   /* Kind of faulty response, "" for none. */
   char *fault;
+  /* Status of the response, unless the fault leaves it without one. */
+  int status;
   /* Duration of the run, 0 for the default. */
   guint work_ms;
 } registrant_job_t;
--- /dev/null
+++ b/tests/test-relay-promises.c
@@ -0,0 +1,164 @@
+/* Statuses that promise callers that their requests have not run and never will. */
+
+#include "helper-fleet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib/gstdio.h>
+
+#include "anvil/clock.h"
+
+/* 421 states by itself that the request was not run: another upstream has the address. */
+static const guint unconfirmed_statuses[] = { 408, 429, 503 };
+
+static fleet_t fleet;
+static fleet_entry_t *entry;
+
+static void
+set_up (void)
+{
+  fleet_open (&fleet);
+  fleet_add_upstream (&fleet, "u1", "photos", NULL);
+  fleet_add_upstream (&fleet, "u2", "photos", NULL);
+  fleet_configure (&fleet, NULL);
+  entry = fleet_add_entry (&fleet, "e1", "west-a");
+  fleet_wait_ready (entry);
+}
+
+static void
+tear_down (void)
+{
+  char *path = g_strdup_printf ("%s/%s.json.log", fleet.directory, entry->name);
+
+  g_unlink (path);
+  g_free (path);
+  fleet_close (&fleet);
+}
+
+static gboolean
+is_promise (guint status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/* Sends a request whose upstreams respond as @query says, and returns the response. */
+static char *
+request (const char *method, const char *prefix, const char *query, const char *id)
+{
+  char *path = g_strdup_printf ("%s1?%s", prefix, query);
+  char *response = fleet_request (entry->caller_port, method, path, id);
+
+  g_free (path);
+  return response;
+}
+
+/* Upstreams run the request and respond with each status that promises the opposite. */
+static void
+check_run_requests (const char *method, const char *prefix, const char *fault)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (unconfirmed_statuses); i++)
+    {
+      char *query = g_strdup_printf ("fault=%s&status=%u", fault, unconfirmed_statuses[i]);
+      char *id = g_strdup_printf ("run-%u", unconfirmed_statuses[i]);
+      char *response = request (method, prefix, query, id);
+      guint status = fleet_response_status (response);
+      guint runs = fleet_count_runs (&fleet, id);
+
+      ck_assert_uint_gt (runs, 0);
+      ck_assert_msg (!is_promise (status), "%s %s: %u although it ran %u times", method, query,
+                     status, runs);
+      /* The marker would say that the status is the upstream's. */
+      ck_assert_msg (strstr (response, "Server-Stamp") == NULL, "%s", response);
+      g_free (response);
+      g_free (query);
+      g_free (id);
+    }
+}
+
+START_TEST (test_a_promise_without_marker_is_not_passed_on)
+{
+  check_run_requests ("POST", "/pay/", "unsigned");
+}
+END_TEST
+
+static char *
+read_log (void)
+{
+  char *path = g_strdup_printf ("%s/%s.json.log", fleet.directory, entry->name);
+  char *text = NULL;
+
+  ck_assert (g_file_get_contents (path, &text, NULL, NULL));
+  g_free (path);
+  return text;
+}
+
+/* Waits until the log has a line that contains all of @parts, and fails if it never does. */
+static void
+wait_for_log_line (const char *const *parts)
+{
+  const anvil_time_t until = anvil_clock_now () + FLEET_TIMEOUT_S * ANVIL_SECOND;
+  gboolean found = FALSE;
+
+  while (!found && anvil_clock_now () < until)
+    {
+      char *text = read_log ();
+      char **lines = g_strsplit (text, "\n", -1);
+
+      for (guint i = 0; !found && lines[i] != NULL; i++)
+        {
+          guint n = 0;
+
+          while (parts[n] != NULL && strstr (lines[i], parts[n]) != NULL)
+            n++;
+          found = parts[n] == NULL;
+        }
+      g_strfreev (lines);
+      g_free (text);
+      g_usleep (20000);
+    }
+  ck_assert_msg (found, "no line has \"%s\" and what belongs to it", parts[0]);
+}
+
+START_TEST (test_the_log_tells_whose_status_a_caller_got)
+{
+  static const char *const unconfirmed[]
+      = { "attempt failed request=ran", "status=503", "marker=1", "not_run=0", "id=1", NULL };
+  static const char *const rejected[]
+      = { "attempt failed request=rejected", "status=503", "marker=0", "not_run=1", "id=1", NULL };
+  static const char *const refused[]
+      = { ": refused request=rejected", "status=503", "upstream=u", "attempts=2", NULL };
+  static const char *const not_sent[]
+      = { ": refused request=not-sent", "status=404", "upstream=-", "attempts=0", NULL };
+
+  g_free (request ("POST", "/pay/", "fault=error&status=503", "ran"));
+  g_free (request ("POST", "/pay/", "fault=rejected", "rejected"));
+  g_free (request ("GET", "/nowhere/", "", "not-sent"));
+  wait_for_log_line (unconfirmed);
+  wait_for_log_line (rejected);
+  wait_for_log_line (refused);
+  wait_for_log_line (not_sent);
+  ck_assert_int_eq (fleet_read_metric (entry, "anvil_unconfirmed_rejections_total"), 1);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("relay-promises");
+  TCase *tests = tcase_create ("relay-promises");
+  SRunner *runner;
+  int failed;
+
+  g_setenv ("ANVIL_FLEET_LOGS", "1", TRUE);
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, test_a_promise_without_marker_is_not_passed_on);
+  tcase_add_test (tests, test_the_log_tells_whose_status_a_caller_got);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
