--- a/tests/test-relay-promises.c
+++ b/tests/test-relay-promises.c
@@ -76,12 +76,41 @@
     }
 }
 
+START_TEST (test_an_unsafe_request_that_ran_is_not_answered_with_a_promise)
+{
+  check_run_requests ("POST", "/pay/", "error");
+}
+END_TEST
+
+START_TEST (test_a_safe_request_that_ran_is_not_answered_with_a_promise)
+{
+  check_run_requests ("GET", "/view/", "error");
+}
+END_TEST
+
 START_TEST (test_a_promise_without_marker_is_not_passed_on)
 {
   check_run_requests ("POST", "/pay/", "unsigned");
 }
 END_TEST
 
+START_TEST (test_a_request_that_all_upstreams_reject_is_refused_with_a_promise)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (unconfirmed_statuses); i++)
+    {
+      char *query = g_strdup_printf ("fault=rejected&status=%u", unconfirmed_statuses[i]);
+      char *id = g_strdup_printf ("rejected-%u", unconfirmed_statuses[i]);
+      char *response = request ("POST", "/pay/", query, id);
+
+      ck_assert_msg (fleet_response_status (response) == 503, "%s: %s", query, response);
+      ck_assert_uint_eq (fleet_count_runs (&fleet, id), 0);
+      g_free (response);
+      g_free (query);
+      g_free (id);
+    }
+}
+END_TEST
+
 static char *
 read_log (void)
 {
@@ -153,7 +182,10 @@
   g_setenv ("ANVIL_FLEET_LOGS", "1", TRUE);
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, test_an_unsafe_request_that_ran_is_not_answered_with_a_promise);
+  tcase_add_test (tests, test_a_safe_request_that_ran_is_not_answered_with_a_promise);
   tcase_add_test (tests, test_a_promise_without_marker_is_not_passed_on);
+  tcase_add_test (tests, test_a_request_that_all_upstreams_reject_is_refused_with_a_promise);
   tcase_add_test (tests, test_the_log_tells_whose_status_a_caller_got);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
