Define the status codes of the relay in one header

Four files defined them, two of them the same ones, and the next change asks in two layers whether a status promises that a request has not run. The function that answers it moves there, unchanged.

--- a/source/relay/relay-caller-read.c
+++ b/source/relay/relay-caller-read.c
@@ -3,14 +3,11 @@
 #include <string.h>
 
 #include "relay/http-field.h"
+#include "relay/http-status.h"
 
 /* A body must arrive within the caller's own timeout, but at least this time is allowed: large
  * uploads come over slow links. */
 #define MIN_BODY_TIME (30 * ANVIL_SECOND)
-#define STATUS_BAD_REQUEST 400
-#define STATUS_BODY_TOO_LARGE 413
-#define STATUS_UNAVAILABLE 503
-#define STATUS_HEADERS_TOO_LARGE 431
 
 const anvil_routes_limits_t *
 caller_limits (const anvil_relay_caller_connection_t *connection)
--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -9,11 +9,11 @@
 
 #include "anvil/error.h"
 #include "anvil/log.h"
+#include "relay/http-status.h"
 
 /* How long the caller may go on sending after the relay has shut down its side. Closing a socket
  * with unread input resets it, and the caller could lose the last response. */
 #define LINGER_TIMEOUT (1 * ANVIL_SECOND)
-#define STATUS_REQUEST_TIMEOUT 408
 
 static void
 request_drop (anvil_relay_request_t *request)
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/http-status.h"
 #include "relay/relay-job.h"
 #include "relay/request-limit-table.h"
 #include "relay/route-split.h"
@@ -8,14 +9,6 @@
 /* relay-job-new.c creates and frees jobs, relay-job.c requests slots, sends requests and retries,
  * relay-job-response.c responds to callers, relay-job-holder.c handles changes of holders. */
 
-#define STATUS_NOT_FOUND 404
-#define STATUS_REQUEST_TIMEOUT 408
-#define STATUS_MISDIRECTED 421
-#define STATUS_TOO_MANY_REQUESTS 429
-#define STATUS_BAD_GATEWAY 502
-#define STATUS_UNAVAILABLE 503
-#define STATUS_GATEWAY_TIMEOUT 504
-
 /**
  * job_state_t - progress of a job
  * @JOB_WAITING_FOR_SLOT: a slot was requested
@@ -107,9 +100,6 @@
 /* The text, or "-" for NULL, for log lines. */
 const char *text_or_dash (const char *text);
 
-/* Whether a status promises the caller that its request has not run and never will. */
-gboolean job_status_is_promise (guint status);
-
 /* Counts and logs the outcome of a request. @job is its job, or NULL if it has none. */
 void job_record_outcome (anvil_relay_jobs_t *jobs,
                          const anvil_relay_request_t *request,
--- a/source/relay/relay-job-response.c
+++ b/source/relay/relay-job-response.c
@@ -7,13 +7,6 @@
   return text != NULL ? text : "-";
 }
 
-gboolean
-job_status_is_promise (guint status)
-{
-  return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED
-         || status == STATUS_TOO_MANY_REQUESTS || status == STATUS_UNAVAILABLE;
-}
-
 void
 job_record_outcome (anvil_relay_jobs_t *jobs,
                     const anvil_relay_request_t *request,
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -201,7 +201,7 @@
              text_or_dash (job->request->id), job->upstream_id, job->task.attempt, response->status,
              response->has_marker, response->not_run, response->has_id, response->connection_reused,
              text_or_dash (outcome->reason), outcome->duration / ANVIL_MS);
-  if (job_status_is_promise (response->status) && response->status != STATUS_MISDIRECTED
+  if (anvil_http_status_is_promise (response->status) && response->status != STATUS_MISDIRECTED
       && !response->not_run)
     anvil_metrics_add_counter (job->jobs->options.metrics, "anvil_unconfirmed_rejections_total", "",
                                1);
@@ -218,7 +218,8 @@
   report_run (job, &(anvil_run_report_t){ .result = outcome->result,
                                           .duration = outcome->duration,
                                           .request_limit = outcome->request_limit });
-  if (outcome->result != ANVIL_RUN_ANSWERED || job_status_is_promise (outcome->response.status))
+  if (outcome->result != ANVIL_RUN_ANSWERED
+      || anvil_http_status_is_promise (outcome->response.status))
     record_failed_attempt (job, outcome);
   if (outcome->result != ANVIL_RUN_ANSWERED)
     exclude_upstream (job, job->upstream);
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "relay/http-field.h"
+#include "relay/http-status.h"
 
 /* Largest response body that is buffered; larger than any body that upstreams send today. */
 #define MAX_RESPONSE_BODY_BYTES (32u << 20)
@@ -15,11 +16,6 @@
  * request is sent while the upstream closes. */
 #define IDLE_TIMEOUT_MARGIN (1 * ANVIL_SECOND)
 
-#define STATUS_MISDIRECTED 421
-#define STATUS_TOO_MANY_REQUESTS 429
-#define STATUS_UNAVAILABLE 503
-#define STATUS_BAD_REQUEST 400
-
 /* Whether the response states that this very request has not run. */
 static gboolean
 is_not_run_response (const anvil_relay_attempt_t *attempt, guint status)
