Take 408 with the header that says "not run" as a rejection

A request that an upstream rejected with 408 ended 502, "may have run", so its caller could neither send it again nor be served by another upstream.

Cause: the list of statuses of rejections had 503, 429, 421 and 400, but not 408, which promises the same. It is the list of promises now, and 400.

--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -24,8 +24,7 @@
       && g_strcmp0 (attempt->response_request_id, attempt->request_id) != 0)
     return FALSE;
   return attempt->not_run
-         && (status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY_REQUESTS
-             || status == STATUS_BAD_REQUEST || status == STATUS_MISDIRECTED);
+         && (anvil_http_status_is_promise (status) || status == STATUS_BAD_REQUEST);
 }
 
 static anvil_relay_response_t
