Let upstreams of the soak run requests and answer with a promising status

The soak's upstreams answered 500 to every error, so no run of it could see that 408, 429 and 503 were passed on as promises; it also took 408 and 421 at callers for unknown outcomes. Errors have one of four statuses now, by the number of the request, which leaves the random sequence of each seed as it was, and callers count all four promises as refusals.

--- a/Makefile
+++ b/Makefile
@@ -94,7 +94,7 @@
 	@mkdir -p $(@D)
 	$(Q)$(CC) -fsanitize=fuzzer,address,undefined -o $@ $^ $(LDLIBS)
 
-$(BUILD)/soak/soak: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c)) $(patsubst %,$(BUILD)/tests/helper-%.o,fleet fault-proxy ports) $(LIBRARY)
+$(BUILD)/soak/soak: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c) source/relay/http-status.c) $(patsubst %,$(BUILD)/tests/helper-%.o,fleet fault-proxy ports) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
--- a/tests/soak/soak-callers.c
+++ b/tests/soak/soak-callers.c
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 
 #include "anvil/clock.h"
+#include "relay/http-status.h"
 
 #define HOST "shop.example"
 /* The route's time-out and some time for the network. */
@@ -78,7 +79,7 @@
 
   request->ended_at = anvil_clock_wall ();
   request->status = http != NULL ? (guint) evhttp_request_get_response_code (http) : 0;
-  if (request->status == 429 || request->status == 503)
+  if (anvil_http_status_is_promise (request->status))
     request->outcome = SOAK_REFUSED;
   else if (request->status == 200)
     {
@@ -147,6 +148,15 @@
   return faults[g_rand_int_range (callers->random, 0, G_N_ELEMENTS (faults))];
 }
 
+/* Status of an upstream's error. Requests with an error run, whatever the status promises. */
+static guint
+choose_error_status (const soak_callers_t *callers)
+{
+  static const guint statuses[] = { 500, 503, 429, 408 };
+
+  return statuses[callers->requests->len % G_N_ELEMENTS (statuses)];
+}
+
 static void
 send_request (soak_callers_t *callers)
 {
@@ -168,6 +178,13 @@
   call->request = request;
   call->target
       = g_strdup_printf ("/%s/%s?fault=%s", request->idempotent ? "view" : "pay", object, fault);
+  if (strcmp (fault, "error") == 0)
+    {
+      char *path = call->target;
+
+      call->target = g_strdup_printf ("%s&status=%u", path, choose_error_status (callers));
+      g_free (path);
+    }
   call->connection = take_connection (callers, request->entry);
   evhttp_add_header (headers, "Host", HOST);
   evhttp_add_header (headers, "Request-Id", request->id);
