Send no request during shutdown that the end of the process could cut off

Callers that went on using their connections after SIGTERM had requests passed on that were closed without an answer when the process ended, payments among them.

Cause: requests were accepted for 2.5 s after SIGTERM whatever they might take and whatever the grace was, and one that waited for a slot was sent at any later time. Whether it could still end was never asked.

From SIGTERM on, a request that must not run twice is sent only if its deadline lies before the stop; otherwise it is refused at once, truly not run, with 20 ms to come back, and so are those that wait for a slot. One that may be repeated is sent as long as requests are accepted, 2.5 s or half of the grace, and not afterwards. The check is where slots are requested, so retries and changes of a holder pass it too. A bound on the usual run time was weighed: it would refuse fewer, but a slow upstream would still cut payments off.

--- a/source/relay/relay-job-holder.c
+++ b/source/relay/relay-job-holder.c
@@ -6,11 +6,8 @@
  * messages. It is longer than a round trip between distant regions. */
 #define SLOT_REQUEST_TIMEOUT (300 * ANVIL_MS)
 
-typedef void (*visit_t) (job_t *job, gconstpointer data);
-
-/* Visits all jobs; the visitor may end a job. */
-static void
-foreach_job (anvil_relay_jobs_t *jobs, visit_t visit, gconstpointer data)
+void
+foreach_job (anvil_relay_jobs_t *jobs, job_visit_t visit, gconstpointer data)
 {
   GList *all = g_hash_table_get_values (jobs->jobs);
 
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -7,7 +7,11 @@
 #include "relay/warm-object-table.h"
 
 /* relay-job-new.c creates and frees jobs, relay-job.c requests slots, sends requests and retries,
- * relay-job-response.c responds to callers, relay-job-holder.c handles changes of holders. */
+ * relay-job-response.c responds to callers, relay-job-holder.c handles changes of holders,
+ * relay-job-shutdown.c ends jobs when the process stops. */
+
+/* During shutdown another entry can serve the caller at once. */
+#define SHUTDOWN_RETRY_AFTER (20 * ANVIL_MS)
 
 /**
  * job_state_t - progress of a job
@@ -69,6 +73,8 @@
   anvil_routes_t *routes;
   anvil_route_split_t *split;
   guint64 last_number;
+  /* When all jobs end, during shutdown; otherwise G_MAXINT64. */
+  anvil_time_t stop_at;
   gboolean refusing_new;
   anvil_warm_object_table_t *warm_objects;
   anvil_request_limit_table_t *request_limits;
@@ -91,9 +97,28 @@
 
 void job_on_deadline (evutil_socket_t unused_fd, short unused_what, void *data);
 
-/* Requests a slot from the service's holder. */
+/* Requests a slot from the service's holder, or ends the job if the request can't be sent any more
+ * during shutdown. */
 void job_request_slot (job_t *job);
 
+/* Whether the request may run more than once. */
+gboolean job_is_idempotent (const job_t *job);
+
+/* Whether the request may be sent to an upstream, which it may not during shutdown if it could be
+ * cut off. */
+gboolean job_may_be_sent (const job_t *job);
+
+/* Ends a job that waits for a slot, because the process stops. */
+void job_fail_for_shutdown (job_t *job);
+
+/* Ends the attempt of a running job. */
+void job_cancel_attempt (job_t *job);
+
+typedef void (*job_visit_t) (job_t *job, gconstpointer data);
+
+/* Visits all jobs; the visitor may end a job. */
+void foreach_job (anvil_relay_jobs_t *jobs, job_visit_t visit, gconstpointer data);
+
 /* Removes and frees a job whose request was answered. */
 void job_remove (job_t *job);
 
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -16,8 +16,6 @@
 #define DEADLINE_EXTENSION (1 * ANVIL_MS)
 #define MAX_DEADLINE_EXTENSIONS 20
 #define NOT_READY_RETRY_AFTER (500 * ANVIL_MS)
-/* During shutdown another entry can serve the caller at once. */
-#define SHUTDOWN_RETRY_AFTER (20 * ANVIL_MS)
 
 static void on_attempt_done (void *context, const anvil_relay_attempt_outcome_t *outcome);
 
@@ -28,6 +26,7 @@
 
   jobs->options = *options;
   jobs->region = anvil_relay_settings_region (options->settings, options->settings->zone);
+  jobs->stop_at = G_MAXINT64;
   jobs->split = anvil_route_split_new ();
   jobs->warm_objects = anvil_warm_object_table_new ();
   jobs->request_limits = anvil_request_limit_table_new ();
@@ -85,12 +84,6 @@
   return jobs->routes;
 }
 
-void
-anvil_relay_jobs_refuse_new (anvil_relay_jobs_t *jobs)
-{
-  jobs->refusing_new = TRUE;
-}
-
 void
 anvil_relay_jobs_upstream_ended (anvil_relay_jobs_t *jobs, guint64 upstream)
 {
@@ -114,6 +107,11 @@
 {
   anvil_relay_jobs_t *jobs = job->jobs;
 
+  if (!job_may_be_sent (job))
+    {
+      job_fail_for_shutdown (job);
+      return;
+    }
   job->state = JOB_WAITING_FOR_SLOT;
   job->holder = anvil_slot_broker_holder (jobs->options.slot_broker, job->service);
   job->slot_requested_at = anvil_clock_now ();
@@ -141,12 +139,19 @@
                                   report);
 }
 
-static gboolean
-is_idempotent (const job_t *job)
+gboolean
+job_is_idempotent (const job_t *job)
 {
   return job->task.kind == ANVIL_ROUTE_SAFE;
 }
 
+void
+job_cancel_attempt (job_t *job)
+{
+  job->may_have_run |= anvil_relay_attempt_cancel (g_steal_pointer (&job->attempt));
+  report_run (job, &(anvil_run_report_t){ .result = ANVIL_RUN_INTERRUPTED });
+}
+
 void
 job_on_deadline (evutil_socket_t unused_fd, short unused_what, void *data)
 {
@@ -168,8 +173,7 @@
       evtimer_add (job->timer, &extension);
       return;
     }
-  job->may_have_run |= anvil_relay_attempt_cancel (g_steal_pointer (&job->attempt));
-  report_run (job, &(anvil_run_report_t){ .result = ANVIL_RUN_INTERRUPTED });
+  job_cancel_attempt (job);
   job_fail (job, STATUS_GATEWAY_TIMEOUT, "no-answer-in-time", 0);
 }
 
@@ -232,7 +236,7 @@
       return;
     case ANVIL_RUN_FAILED:
       job->may_have_run = TRUE;
-      if (!is_idempotent (job) || !may_retry (job))
+      if (!job_is_idempotent (job) || !may_retry (job))
         {
           job_pass_response (job, outcome->status, outcome->headers, outcome->body);
           return;
@@ -252,7 +256,7 @@
     case ANVIL_RUN_INTERRUPTED:
     case ANVIL_RUN_UNUSED:
       job->may_have_run = TRUE;
-      if (!is_idempotent (job) || !may_retry (job))
+      if (!job_is_idempotent (job) || !may_retry (job))
         {
           job_fail (job, STATUS_BAD_GATEWAY, "upstream-broke-off", 0);
           return;
@@ -303,7 +307,7 @@
                                                 .headers = request->headers,
                                                 .body = request->body,
                                                 .id = request->id,
-                                                .idempotent = is_idempotent (job),
+                                                .idempotent = job_is_idempotent (job),
                                                 .new_connection = job->may_return,
                                                 .timeout = job->task.deadline - now,
                                             },
@@ -415,7 +419,7 @@
       return;
     }
   /* A request that must not run twice goes on, so that its slot stays in use until it ends. */
-  if (job->state == JOB_RUNNING && !is_idempotent (job))
+  if (job->state == JOB_RUNNING && !job_is_idempotent (job))
     return;
   if (job->state == JOB_RUNNING)
     {
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -45,7 +45,17 @@
 void anvil_relay_jobs_set_routes (anvil_relay_jobs_t *jobs, anvil_routes_t *routes);
 const anvil_routes_t *anvil_relay_jobs_routes (const anvil_relay_jobs_t *jobs);
 
-/** anvil_relay_jobs_refuse_new - refuses new requests from now on, during shutdown */
+/**
+ * anvil_relay_jobs_begin_shutdown - sends only requests from now on that won't be cut off
+ * @stop_at: when the process stops at the latest, monotonic clock
+ *
+ * Requests that may be repeated are still sent if their deadline lies behind @stop_at, since most
+ * end before it; others are refused.
+ */
+void anvil_relay_jobs_begin_shutdown (anvil_relay_jobs_t *jobs, anvil_time_t stop_at);
+
+/** anvil_relay_jobs_refuse_new - refuses new requests from now on, during shutdown, and those that
+ * wait for a slot and might not end before the stop */
 void anvil_relay_jobs_refuse_new (anvil_relay_jobs_t *jobs);
 
 /** anvil_relay_jobs_start - starts a job for a whole request */
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -14,8 +14,8 @@
 
 #define TICK_INTERVAL (50 * ANVIL_MS)
 /* Requests are accepted for this long after a shutdown has begun: peers learn of it by pings,
- * callers by look-ups, which they cache for two seconds. Later requests are refused, as their
- * responses might not be sent before the process is killed. */
+ * callers by look-ups, which they cache for two seconds. If the shutdown timeout is short, they are
+ * accepted for half of it. */
 #define LINGER_TIME (2500 * ANVIL_MS)
 /* The process stops this long before the shutdown timeout at the latest, to end in order. */
 #define STOP_MARGIN (300 * ANVIL_MS)
@@ -277,13 +277,15 @@
 static void
 stop_if_done (anvil_relay_t *relay, anvil_time_t now)
 {
-  anvil_time_t since = now - relay->shutdown_started_at;
+  const anvil_time_t timeout = relay->settings->shutdown_timeout;
+  const anvil_time_t since = now - relay->shutdown_started_at;
   gboolean done = anvil_relay_jobs_count (relay->jobs) == 0
                   && anvil_relay_callers_count_busy (relay->callers) == 0;
 
-  if (since >= LINGER_TIME)
-    anvil_relay_jobs_refuse_new (relay->jobs);
-  if (!(done && since >= LINGER_TIME) && since < relay->settings->shutdown_timeout - STOP_MARGIN)
+  if (since < MIN (LINGER_TIME, timeout / 2))
+    return;
+  anvil_relay_jobs_refuse_new (relay->jobs);
+  if (!done && since < timeout - STOP_MARGIN)
     return;
   anvil_log (done ? ANVIL_LOG_NOTICE : ANVIL_LOG_WARNING, "relay", "stopping requests=%u",
              anvil_relay_jobs_count (relay->jobs));
@@ -421,6 +423,8 @@
              anvil_relay_jobs_count (relay->jobs));
   anvil_slot_broker_set_state (relay->slot_broker, relay->ready, TRUE);
   anvil_relay_callers_begin_shutdown (relay->callers);
+  anvil_relay_jobs_begin_shutdown (
+      relay->jobs, relay->shutdown_started_at + relay->settings->shutdown_timeout - STOP_MARGIN);
   anvil_store_put (relay->store, ENTRY_TABLE, relay->settings->vm, NULL, on_address_removed, relay);
 }
 
