Answer what is unanswered when an entry stops

Requests that were at work 0.3 s before the end of the grace lost their connections without an answer; their callers had to guess whether the entry had read them.

Cause: the event loop ended there, and jobs were dropped with their callers.

They are given up 0.3 s before the end now: the attempt is cancelled and the caller gets 504, or an upstream's saved answer, or 503 if nothing was sent; the process ends when the answers are written, 0.1 s before the end at the latest. "giving up unanswered requests" logs their number, and each has its line with reason=stopped.

--- a/source/relay/relay-job-shutdown.c
+++ b/source/relay/relay-job-shutdown.c
@@ -38,3 +38,19 @@
   jobs->refusing_new = TRUE;
   foreach_job (jobs, refuse_if_it_may_not_be_sent, NULL);
 }
+
+static void
+end_job (job_t *job, gconstpointer unused)
+{
+  if (job->state == JOB_RUNNING)
+    job_cancel_attempt (job);
+  else
+    anvil_slot_broker_cancel (job->jobs->options.slot_broker, job->holder, job->task.id.number);
+  job_fail (job, STATUS_GATEWAY_TIMEOUT, "stopped", SHUTDOWN_RETRY_AFTER);
+}
+
+void
+anvil_relay_jobs_end (anvil_relay_jobs_t *jobs)
+{
+  foreach_job (jobs, end_job, NULL);
+}
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -47,7 +47,7 @@
 
 /**
  * anvil_relay_jobs_begin_shutdown - sends only requests from now on that won't be cut off
- * @stop_at: when the process stops at the latest, monotonic clock
+ * @stop_at: when anvil_relay_jobs_end() will be called, monotonic clock
  *
  * Requests that may be repeated are still sent if their deadline lies behind @stop_at, since most
  * end before it; others are refused.
@@ -58,6 +58,9 @@
  * wait for a slot and might not end before the stop */
 void anvil_relay_jobs_refuse_new (anvil_relay_jobs_t *jobs);
 
+/** anvil_relay_jobs_end - ends all jobs, and responds to their callers */
+void anvil_relay_jobs_end (anvil_relay_jobs_t *jobs);
+
 /** anvil_relay_jobs_start - starts a job for a whole request */
 void anvil_relay_jobs_start (anvil_relay_jobs_t *jobs, anvil_relay_request_t *request);
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -17,8 +17,11 @@
  * callers by look-ups, which they cache for two seconds. If the shutdown timeout is short, they are
  * accepted for half of it. */
 #define LINGER_TIME (2500 * ANVIL_MS)
-/* The process stops this long before the shutdown timeout at the latest, to end in order. */
+/* Requests that are unanswered this long before the shutdown timeout are given up. */
 #define STOP_MARGIN (300 * ANVIL_MS)
+/* The process ends this long before the shutdown timeout at the latest, also if responses were not
+ * written. */
+#define EXIT_MARGIN (100 * ANVIL_MS)
 #define MIN_SUSPENSION (500 * ANVIL_MS)
 /* Table of the entries' addresses, the pause after a failed call to it, and the time between two
  * reads: entries that lost each other in a long network partition find each other again. */
@@ -279,16 +282,22 @@
 {
   const anvil_time_t timeout = relay->settings->shutdown_timeout;
   const anvil_time_t since = now - relay->shutdown_started_at;
-  gboolean done = anvil_relay_jobs_count (relay->jobs) == 0
-                  && anvil_relay_callers_count_busy (relay->callers) == 0;
+  guint busy;
 
   if (since < MIN (LINGER_TIME, timeout / 2))
     return;
   anvil_relay_jobs_refuse_new (relay->jobs);
-  if (!done && since < timeout - STOP_MARGIN)
+  if (since >= timeout - STOP_MARGIN && anvil_relay_jobs_count (relay->jobs) > 0)
+    {
+      anvil_log (ANVIL_LOG_WARNING, "relay", "giving up unanswered requests requests=%u",
+                 anvil_relay_jobs_count (relay->jobs));
+      anvil_relay_jobs_end (relay->jobs);
+    }
+  busy = anvil_relay_callers_count_busy (relay->callers);
+  if (anvil_relay_jobs_count (relay->jobs) + busy > 0 && since < timeout - EXIT_MARGIN)
     return;
-  anvil_log (done ? ANVIL_LOG_NOTICE : ANVIL_LOG_WARNING, "relay", "stopping requests=%u",
-             anvil_relay_jobs_count (relay->jobs));
+  anvil_log (busy == 0 ? ANVIL_LOG_NOTICE : ANVIL_LOG_WARNING, "relay",
+             "stopping busy_connections=%u", busy);
   event_base_loopbreak (relay->base);
 }
 
