Tell an upstream that pauses reading from one that is lost

Uploads of 2 MB were answered 502 after 1.4 s while their upstreams worked on the first part and would have read on; the upstream found its connection reset.

Cause: TCP_USER_TIMEOUT, 0.9 s, ends a connection also while the peer's window is closed, though the peer acknowledges each probe.

Requests longer than 16 KB, which may fill the window, have a time-out as long as their time, and every 250 ms TCP_INFO tells whether bytes were retransmitted, or probes unanswered, without an acknowledgement for 0.9 s. Shorter ones are as before.

--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -33,6 +33,7 @@
  * @idle_timeout: how long it may stay idle
  * @idle_since: when its last response ended
  * @close_after_response: the upstream announced that it will close the connection
+ * @user_timeout_ms: TCP_USER_TIMEOUT that is set
  */
 struct upstream_connection
 {
@@ -46,11 +47,13 @@
   anvil_time_t idle_timeout;
   anvil_time_t idle_since;
   gboolean close_after_response;
+  unsigned int user_timeout_ms;
 };
 
 /**
  * anvil_relay_attempt - one request and its response
  * @request_bytes: size of the request on the wire
+ * @peer_timer: checks whether the upstream still acknowledges a long request, or NULL
  * @response_request_id: request id in the response, or NULL
  * @has_response_marker: the response carries the marker header
  * @not_run: the response says that the request has not run
@@ -70,6 +73,7 @@
   char *upstream_id;
   gboolean is_head;
   gsize request_bytes;
+  struct event *peer_timer;
   anvil_time_t started_at;
   http_parser parser;
   GString *field_name;
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -5,15 +5,23 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <linux/sockios.h>
+
 #include "anvil/log.h"
 
 /* Connect time-out: a few round trips between distant regions. */
 #define CONNECT_TIMEOUT (400 * ANVIL_MS)
-/* TCP_USER_TIMEOUT: a connection whose sent bytes stay unacknowledged for this long is dropped.
- * Covers several round trips and a lost packet. */
+/* A connection whose sent bytes stay unacknowledged for this long is dropped. Covers several round
+ * trips and a lost packet. */
 #define UNACKNOWLEDGED_TIMEOUT_MS 900
+/* Requests up to this size fit into any upstream's receive buffer. */
+#define MAX_SHORT_REQUEST_BYTES (16u << 10)
+#define PEER_CHECK_INTERVAL (250 * ANVIL_MS)
+/* Probes of a closed window that may stay without an answer; one or two may be lost. */
+#define MAX_UNANSWERED_PROBES 2
 /* TCP keep-alive, which detects a dead host while an upstream sends nothing because it is still
  * working: idle time and interval in seconds, and the number of probes. */
 #define KEEPALIVE_IDLE_S 1
@@ -59,6 +67,8 @@
 static void
 attempt_drop (anvil_relay_attempt_t *attempt)
 {
+  if (attempt->peer_timer != NULL)
+    event_free (attempt->peer_timer);
   g_free (attempt->request_id);
   g_free (attempt->upstream_id);
   g_string_free (attempt->field_name, TRUE);
@@ -246,13 +256,11 @@
 static void
 set_socket_options (evutil_socket_t fd)
 {
-  unsigned int timeout_ms = UNACKNOWLEDGED_TIMEOUT_MS;
   int on = 1;
   int idle_s = KEEPALIVE_IDLE_S;
   int probes = KEEPALIVE_PROBES;
 
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
   setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle_s, sizeof idle_s);
@@ -322,6 +330,78 @@
   return connection;
 }
 
+static void
+connection_set_user_timeout (upstream_connection_t *connection, unsigned int timeout_ms)
+{
+  evutil_socket_t fd = bufferevent_getfd (connection->stream);
+
+  if (connection->user_timeout_ms == timeout_ms)
+    return;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+  connection->user_timeout_ms = timeout_ms;
+}
+
+/* Whether the upstream has stopped acknowledging what is sent. One that doesn't read, so that its
+ * window is closed, still acknowledges each probe. */
+static gboolean
+is_peer_silent (const anvil_relay_attempt_t *attempt, const struct tcp_info *info)
+{
+  const anvil_time_t sending_for = anvil_clock_now () - attempt->started_at;
+
+  return (info->tcpi_retransmits > 0 || info->tcpi_probes > MAX_UNANSWERED_PROBES)
+         && info->tcpi_last_ack_recv >= UNACKNOWLEDGED_TIMEOUT_MS
+         && sending_for >= UNACKNOWLEDGED_TIMEOUT_MS * ANVIL_MS;
+}
+
+static gboolean
+is_request_acknowledged (const anvil_relay_attempt_t *attempt)
+{
+  struct bufferevent *stream = attempt->connection->stream;
+  int unacknowledged;
+
+  return evbuffer_get_length (bufferevent_get_output (stream)) == 0
+         && ioctl (bufferevent_getfd (stream), SIOCOUTQ, &unacknowledged) == 0
+         && unacknowledged == 0;
+}
+
+static void
+on_peer_timer (evutil_socket_t unused_fd, short unused_events, void *data)
+{
+  anvil_relay_attempt_t *attempt = data;
+  const struct timeval interval = anvil_time_to_timeval (PEER_CHECK_INTERVAL);
+  struct tcp_info info;
+  socklen_t length = sizeof info;
+
+  if (is_request_acknowledged (attempt))
+    connection_set_user_timeout (attempt->connection, UNACKNOWLEDGED_TIMEOUT_MS);
+  else if (getsockopt (bufferevent_getfd (attempt->connection->stream), IPPROTO_TCP, TCP_INFO,
+                       &info, &length)
+               == 0
+           && is_peer_silent (attempt, &info))
+    attempt_fail (attempt, ANVIL_RUN_INTERRUPTED, "upstream stopped acknowledging the request");
+  else
+    evtimer_add (attempt->peer_timer, &interval);
+}
+
+/* TCP_USER_TIMEOUT drops a connection also while the peer's window is closed, so it can't be short
+ * for a request that may fill the window: the upstream may read on later. */
+static void
+detect_silent_peer (anvil_relay_attempt_t *attempt, anvil_time_t timeout)
+{
+  upstream_connection_t *connection = attempt->connection;
+  const struct timeval interval = anvil_time_to_timeval (PEER_CHECK_INTERVAL);
+
+  if (attempt->request_bytes <= MAX_SHORT_REQUEST_BYTES)
+    {
+      connection_set_user_timeout (connection, UNACKNOWLEDGED_TIMEOUT_MS);
+      return;
+    }
+  connection_set_user_timeout (
+      connection, (unsigned int) CLAMP (timeout / ANVIL_MS, UNACKNOWLEDGED_TIMEOUT_MS, G_MAXINT));
+  attempt->peer_timer = evtimer_new (connection->pool->base, on_peer_timer, attempt);
+  evtimer_add (attempt->peer_timer, &interval);
+}
+
 static void
 write_request (anvil_relay_attempt_t *attempt, const anvil_relay_upstream_request_t *request)
 {
@@ -371,6 +451,7 @@
   attempt->connection->attempt = attempt;
   g_hash_table_add (pool->attempts, attempt);
   write_request (attempt, request);
+  detect_silent_peer (attempt, request->timeout);
   return attempt;
 }
 
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -81,10 +82,11 @@
 }
 
 static void
-start_attempt_with (const char *id, const char *method, gboolean new_connection)
+start_attempt_with_body (const char *id, const char *method, gboolean new_connection, gsize length)
 {
   GString *headers = g_string_new (NULL);
   struct evbuffer *body = evbuffer_new ();
+  char *filler = g_strnfill (length, 'x');
   const anvil_relay_upstream_request_t request = { .upstream_key = 1,
                                                    .upstream_id = "u1",
                                                    .address = INADDR_LOOPBACK,
@@ -98,6 +100,8 @@
                                                    .new_connection = new_connection,
                                                    .timeout = WAIT_TIMEOUT };
 
+  evbuffer_add (body, filler, length);
+  g_free (filler);
   is_done = FALSE;
   g_string_printf (headers, "Request-Id: %s\r\n", id);
   attempt = anvil_relay_attempt_start (pool, &request, attempt_callback, NULL);
@@ -105,6 +109,12 @@
   evbuffer_free (body);
 }
 
+static void
+start_attempt_with (const char *id, const char *method, gboolean new_connection)
+{
+  start_attempt_with_body (id, method, new_connection, 0);
+}
+
 static void
 start_attempt_for (const char *id)
 {
@@ -517,6 +527,93 @@
 }
 END_TEST
 
+#define UPLOAD_BYTES ((gsize) 2 << 20)
+/* An upstream may take this long before it reads on; longer than the time after which one that is
+ * silent must be noticed. */
+#define READ_PAUSE (2500 * ANVIL_MS)
+
+static int
+begin_upload (void)
+{
+  int fd;
+
+  start_attempt_with_body ("one", "POST", FALSE, UPLOAD_BYTES);
+  fd = accept_request ();
+  for (anvil_time_t until = anvil_clock_now () + 100 * ANVIL_MS; anvil_clock_now () < until;)
+    run_loop_once ();
+  return fd;
+}
+
+START_TEST (test_an_upstream_that_reads_an_upload_late_can_answer)
+{
+  char *bytes = g_malloc (UPLOAD_BYTES);
+  int fd = begin_upload ();
+  gsize received = 0;
+
+  for (anvil_time_t until = anvil_clock_now () + READ_PAUSE; anvil_clock_now () < until;)
+    {
+      run_loop_once ();
+      g_usleep (1000);
+      ck_assert_msg (!is_done, "ended with %d while its upstream paused", (int) result);
+    }
+  while (received < UPLOAD_BYTES - 4096)
+    {
+      ssize_t n;
+
+      wait_readable (fd);
+      n = recv (fd, bytes, UPLOAD_BYTES, 0);
+      ck_assert_int_gt (n, 0);
+      received += (gsize) n;
+    }
+  send_response (fd, RESPONSE_TO ("one"));
+  ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+  g_free (bytes);
+  close (fd);
+}
+END_TEST
+
+/* Drops all that arrives on a socket, as if its host were gone. */
+static void
+silence (int fd)
+{
+  struct sock_filter drop = { .code = BPF_RET | BPF_K, .k = 0 };
+  const struct sock_fprog program = { .len = 1, .filter = &drop };
+
+  ck_assert_int_eq (setsockopt (fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program), 0);
+}
+
+START_TEST (test_an_upstream_that_is_lost_during_an_upload_is_noticed)
+{
+  char bytes[65536];
+  anvil_time_t lost_at;
+  int fd = begin_upload ();
+
+  silence (fd);
+  lost_at = anvil_clock_now ();
+  /* Opens the window, so that bytes are sent which are never acknowledged. */
+  while (recv (fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0)
+    ;
+  wait_until_done ();
+  ck_assert_int_eq (result, ANVIL_RUN_INTERRUPTED);
+  ck_assert_int_lt (anvil_clock_now () - lost_at, WAIT_TIMEOUT / 2);
+  close (fd);
+}
+END_TEST
+
+START_TEST (test_an_upstream_that_is_lost_before_a_short_request_is_noticed)
+{
+  int fd = complete_first_request ();
+  anvil_time_t lost_at = anvil_clock_now ();
+
+  silence (fd);
+  start_attempt_for ("two");
+  wait_until_done ();
+  ck_assert_int_eq (result, ANVIL_RUN_INTERRUPTED);
+  ck_assert_int_lt (anvil_clock_now () - lost_at, WAIT_TIMEOUT / 2);
+  close (fd);
+}
+END_TEST
+
 typedef struct
 {
   const char *response;
@@ -704,6 +801,9 @@
   tcase_add_test (tests,
                   test_a_rejection_without_an_id_does_not_count_behind_a_response_to_another);
   tcase_add_test (tests, test_a_response_to_another_request_without_length_ends_the_attempt);
+  tcase_add_test (tests, test_an_upstream_that_reads_an_upload_late_can_answer);
+  tcase_add_test (tests, test_an_upstream_that_is_lost_during_an_upload_is_noticed);
+  tcase_add_test (tests, test_an_upstream_that_is_lost_before_a_short_request_is_noticed);
   tcase_add_test (tests, test_request_limits_are_taken_from_responses_to_this_request);
   tcase_add_test (tests, test_bytes_without_end_end_the_attempt);
   tcase_add_test (tests, test_the_longest_response_is_given_up_for_the_others);
