Hand the counts of the retry budget over to the next holder of a service

Upstreams got 134, 167 and 140 repeats in 10 s where 117 to 120 are allowed, while entries were restarted in turn: each new holder of a service counted from zero and spent its share of the budget anew.

An entry that counted attempts of a service now sends what it counted in the window to the service's current holder, and again while it counts on.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -3,6 +3,7 @@
 #include "anvil/node.h"
 #include "anvil/registry.h"
 #include "anvil/request-limit.h"
+#include "anvil/retry-counts.h"
 #include "anvil/routes.h"
 
 /*
@@ -299,6 +300,26 @@
                                          gdouble per_second,
                                          anvil_time_t named_at);
 
+/**
+ * anvil_dispatcher_list_retry_counts - attempts of a service that count for the retry budget
+ *
+ * The first item is what this dispatcher counted, with an origin of 0, unless that is nothing; the
+ * others are what anvil_dispatcher_add_retry_counts() added.
+ *
+ * Return: number of items, 0 if nothing was counted in the window.
+ */
+guint anvil_dispatcher_list_retry_counts (anvil_dispatcher_t *dispatcher,
+                                          anvil_time_t now,
+                                          anvil_str_t service,
+                                          anvil_retry_counts_t counts[ANVIL_MAX_RETRY_ORIGINS]);
+
+/** anvil_dispatcher_add_retry_counts - adds what another holder counted, in place of what is known
+ * of it unless that is newer; FALSE if it is left out, as there are too many holders */
+gboolean anvil_dispatcher_add_retry_counts (anvil_dispatcher_t *dispatcher,
+                                            anvil_time_t now,
+                                            anvil_str_t service,
+                                            const anvil_retry_counts_t *counts);
+
 /** anvil_dispatcher_cancel - removes a queued task; does nothing to a granted one */
 void anvil_dispatcher_cancel (anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_task_id_t id);
 
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -9,6 +9,8 @@
 
 /* Memory for the msgpack objects of one message. */
 #define ZONE_CHUNK_BYTES 2048
+/* Larger than any count of a second, and small enough that sums don't overflow. */
+#define MAX_RETRY_COUNT (1u << 24)
 
 static int
 append (void *data, const char *bytes, size_t length)
@@ -100,6 +102,30 @@
     }
 }
 
+static void
+pack_counts (msgpack_packer *packer, const guint32 *counts)
+{
+  msgpack_pack_array (packer, ANVIL_RETRY_COUNTED_BUCKETS);
+  for (guint i = 0; i < ANVIL_RETRY_COUNTED_BUCKETS; i++)
+    msgpack_pack_uint64 (packer, counts[i]);
+}
+
+static void
+pack_retry_counts (msgpack_packer *packer, const anvil_relay_message_t *message)
+{
+  msgpack_pack_array (packer, 2);
+  pack_text (packer, message->service);
+  msgpack_pack_array (packer, message->n_retry_counts);
+  for (guint i = 0; i < message->n_retry_counts; i++)
+    {
+      msgpack_pack_array (packer, 4);
+      msgpack_pack_uint64 (packer, message->retry_counts[i].origin);
+      msgpack_pack_uint64 (packer, message->retry_counts[i].n_attempts);
+      pack_counts (packer, message->retry_counts[i].requests);
+      pack_counts (packer, message->retry_counts[i].retries);
+    }
+}
+
 static void
 pack_body (msgpack_packer *packer, const anvil_relay_message_t *message)
 {
@@ -162,6 +188,9 @@
     case ANVIL_RELAY_REQUEST_LIMITS:
       pack_limits (packer, message);
       return;
+    case ANVIL_RELAY_RETRY_COUNTS:
+      pack_retry_counts (packer, message);
+      return;
     }
   g_assert_not_reached ();
 }
@@ -413,6 +442,35 @@
     }
 }
 
+static void
+read_counts (reader_t *outer, const char *field, guint32 *counts)
+{
+  reader_t list = read_array (outer, field);
+
+  for (guint i = 0; i < ANVIL_RETRY_COUNTED_BUCKETS; i++)
+    counts[i] = (guint32) read_number (&list, field, MAX_RETRY_COUNT);
+}
+
+static void
+read_retry_counts (reader_t *outer, anvil_relay_message_t *message)
+{
+  reader_t body = read_array (outer, "retry counts");
+  reader_t list;
+
+  message->service = read_text (&body, "service");
+  list = read_array (&body, "list of retry counts");
+  message->n_retry_counts = array_length (&list, "list of retry counts", ANVIL_MAX_RETRY_ORIGINS);
+  for (guint i = 0; i < message->n_retry_counts; i++)
+    {
+      reader_t item = read_array (&list, "retry counts of a holder");
+
+      message->retry_counts[i].origin = read_number (&item, "origin", G_MAXUINT64);
+      message->retry_counts[i].n_attempts = read_number (&item, "attempts", G_MAXUINT64);
+      read_counts (&item, "requests", message->retry_counts[i].requests);
+      read_counts (&item, "retries", message->retry_counts[i].retries);
+    }
+}
+
 static void
 read_body (reader_t *reader, anvil_relay_message_t *message)
 {
@@ -459,6 +517,9 @@
     case ANVIL_RELAY_REQUEST_LIMITS:
       read_limits (reader, message);
       return;
+    case ANVIL_RELAY_RETRY_COUNTS:
+      read_retry_counts (reader, message);
+      return;
     }
   *reader->bad_field = "kind";
 }
@@ -483,7 +544,7 @@
     {
       reader.array = &root.via.array;
       message->kind
-          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_REQUEST_LIMITS);
+          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_RETRY_COUNTS);
       message->number = read_number (&reader, "number", G_MAXUINT64);
       if (bad_field == NULL)
         read_body (&reader, message);
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -19,6 +19,7 @@
  * @ANVIL_RELAY_REQUEST_UPDATES: subscribes to the updates of upstreams
  * @ANVIL_RELAY_UPDATES: updates of upstreams
  * @ANVIL_RELAY_REQUEST_LIMITS: request limits that upstreams named to the sender
+ * @ANVIL_RELAY_RETRY_COUNTS: what holders of a service counted for its retry budget
  */
 typedef enum
 {
@@ -34,6 +35,7 @@
   ANVIL_RELAY_REQUEST_UPDATES,
   ANVIL_RELAY_UPDATES,
   ANVIL_RELAY_REQUEST_LIMITS,
+  ANVIL_RELAY_RETRY_COUNTS,
 } anvil_relay_message_kind_t;
 
 /* Most evacuated zones that updates name. */
@@ -51,11 +53,13 @@
  * @grant: grant: the slot
  * @refused: refuse: the reason
  * @report: finished: the result
- * @service: warm objects: name of the service
+ * @service: warm objects, retry counts: name of the service
  * @objects: warm objects: the list
  * @n_objects: warm objects: length of @objects
  * @limits: request limits: the list
  * @n_limits: request limits: length of @limits
+ * @retry_counts: retry counts: the list, an item for each holder
+ * @n_retry_counts: retry counts: length of @retry_counts
  * @after_version: updates: version of the store after which they start
  * @age: updates: time since the sender read the store, microseconds
  * @store_ok_for: updates: for how long the store is known to have answered, microseconds; see
@@ -84,6 +88,8 @@
   guint n_objects;
   anvil_named_limit_t limits[ANVIL_MAX_MESSAGE_REQUEST_LIMITS];
   guint n_limits;
+  anvil_retry_counts_t retry_counts[ANVIL_MAX_RETRY_ORIGINS];
+  guint n_retry_counts;
   guint64 after_version;
   anvil_time_t age;
   anvil_time_t store_ok_for;
--- a/source/relay/slot-broker-internal.h
+++ b/source/relay/slot-broker-internal.h
@@ -4,18 +4,23 @@
 #include "relay/slot-broker.h"
 
 /* slot-broker.c requests and grants slots, slot-broker-messages.c handles messages of peers,
- * slot-broker-peers.c tracks which peers are reachable and chooses holders. */
+ * slot-broker-peers.c tracks which peers are reachable and chooses holders, slot-broker-handover.c
+ * tells new holders what this entry has granted. */
 
 /**
  * service_t - a service and where its slots are requested
  * @region: region with most of its slots, or NULL; borrowed from the settings
  * @holder: entry that slots are requested from
+ * @retry_counts_sent_to: entry that was last sent the retry counts, or 0
+ * @n_attempts_sent: attempts that these counts covered
  */
 typedef struct
 {
   char *name;
   const char *region;
   anvil_node_t holder;
+  anvil_node_t retry_counts_sent_to;
+  guint64 n_attempts_sent;
 } service_t;
 
 /** local_decision_t - decision of this entry's own dispatcher, delivered by the event loop so that
@@ -80,5 +85,12 @@
 /* Lets the dispatcher grant what all entries share once this entry knows its peers. */
 void broker_update_known_peers (anvil_slot_broker_t *broker, anvil_time_t now);
 
+/* Sends what this entry counted for the retry budgets of services to their holders, if it was their
+ * holder before, and again while it still counts. */
+void broker_hand_over_retry_counts (anvil_slot_broker_t *broker, anvil_time_t now);
+
+/* Adds what other holders counted. */
+void broker_add_retry_counts (anvil_slot_broker_t *broker, const anvil_relay_message_t *message);
+
 /* Reports the services whose holder has changed. */
 void broker_update_holders (anvil_slot_broker_t *broker, anvil_time_t now);
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -125,6 +125,9 @@
     case ANVIL_RELAY_REQUEST_LIMITS:
       broker_add_request_limits (broker, message.limits, message.n_limits);
       return;
+    case ANVIL_RELAY_RETRY_COUNTS:
+      broker_add_retry_counts (broker, &message);
+      return;
     }
 }
 
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -111,6 +111,7 @@
   broker_update_regions (broker, now);
   broker_update_known_peers (broker, now);
   broker_update_holders (broker, now);
+  broker_hand_over_retry_counts (broker, now);
   region_rtt = anvil_members_inter_region_rtt (broker->members);
   if (region_rtt > 0)
     anvil_dispatcher_set_region_rtt (broker->dispatcher, region_rtt);
--- a/source/steer/dispatch-budget.h
+++ b/source/steer/dispatch-budget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "anvil/clock.h"
+#include "anvil/retry-counts.h"
 
 /**
  * anvil_bucket_t - a token bucket
@@ -23,39 +24,43 @@
   bucket->refilled_at = now;
 }
 
-/* Buckets into which the window of the retry budget is divided. */
-#define ANVIL_RETRY_WINDOW_BUCKETS 10
-
 /**
  * anvil_retry_window_t - requests and retries of one service in a sliding window
  * @requests: first attempts, by bucket
  * @retries: further attempts, by bucket
  * @bucket: number of the current bucket since time 0; its index is this number modulo the length of
  *   the arrays
- *
- * One bucket more than the window has is kept, since the current one is partial:
- * the sums never cover less than the window.
+ * @n_attempts: all that were ever counted
  */
 typedef struct
 {
-  guint requests[ANVIL_RETRY_WINDOW_BUCKETS + 1];
-  guint retries[ANVIL_RETRY_WINDOW_BUCKETS + 1];
+  guint32 requests[ANVIL_RETRY_COUNTED_BUCKETS];
+  guint32 retries[ANVIL_RETRY_COUNTED_BUCKETS];
   gint64 bucket;
+  guint64 n_attempts;
 } anvil_retry_window_t;
 
-/** anvil_retry_window_add_request - counts a first attempt */
-void anvil_retry_window_add_request (anvil_retry_window_t *window,
-                                     anvil_time_t now,
-                                     anvil_time_t length);
+/** anvil_retry_window_add - counts an attempt; @length is that of the window, microseconds */
+void anvil_retry_window_add (anvil_retry_window_t *window,
+                             anvil_time_t now,
+                             anvil_time_t length,
+                             gboolean is_retry);
 
-/**
- * anvil_retry_window_try_retry - counts a retry if the budget allows it
- * @length: length of the window, microseconds
- * @ratio: retries allowed for each request of the window
- * @extra: retries allowed in addition
- */
-gboolean anvil_retry_window_try_retry (anvil_retry_window_t *window,
-                                       anvil_time_t now,
-                                       anvil_time_t length,
-                                       gdouble ratio,
-                                       gdouble extra);
+/** anvil_retry_window_sum - adds what was counted in the window to @requests and @retries */
+void anvil_retry_window_sum (anvil_retry_window_t *window,
+                             anvil_time_t now,
+                             anvil_time_t length,
+                             guint *requests,
+                             guint *retries);
+
+/** anvil_retry_window_save - counts of the window, for another dispatcher; without an origin */
+void anvil_retry_window_save (anvil_retry_window_t *window,
+                              anvil_time_t now,
+                              anvil_time_t length,
+                              anvil_retry_counts_t *counts);
+
+/** anvil_retry_window_load - replaces the window by counts of another dispatcher */
+void anvil_retry_window_load (anvil_retry_window_t *window,
+                              anvil_time_t now,
+                              anvil_time_t length,
+                              const anvil_retry_counts_t *counts);
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -155,6 +155,16 @@
   anvil_time_t expected_end;
 };
 
+/**
+ * foreign_window_t - attempts that another holder counted
+ * @origin: incarnation of that holder
+ */
+typedef struct
+{
+  guint64 origin;
+  anvil_retry_window_t window;
+} foreign_window_t;
+
 /**
  * service_t - a service whose slots this dispatcher assigns
  * @profile: limits of cold upstreams
@@ -173,6 +183,7 @@
  * @cold_run_time: run time on other upstreams, by kind
  * @max_warm_objects: most objects that one upstream is expected to be warm for
  * @retry_window: requests and retries, for the retry budget
+ * @foreign_windows: the same of other holders, as they handed them over
  * @last_retry_at: latest time at which a refused caller was told to retry
  * @shifts: shift_window_t by id of the requesters' region
  */
@@ -195,6 +206,8 @@
   estimate_t cold_run_time[ANVIL_ROUTE_UPLOAD + 1];
   guint max_warm_objects;
   anvil_retry_window_t retry_window;
+  foreign_window_t foreign_windows[ANVIL_MAX_RETRY_ORIGINS - 1];
+  guint n_foreign_windows;
   anvil_time_t last_retry_at;
   GHashTable *shifts;
 };
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -453,14 +453,23 @@
 fleet_find_holder (const fleet_t *fleet, const char *service)
 {
   char *metric = g_strdup_printf ("anvil_held_upstreams{service=\"%s\"}", service);
-  guint i = 0;
+  const anvil_time_t until = anvil_clock_now () + FLEET_TIMEOUT_S * ANVIL_SECOND;
+  guint holder = fleet->entries->len;
 
-  while (i < fleet->entries->len && fleet_read_metric (fleet->entries->pdata[i], metric) <= 0)
-    i++;
+  while (holder == fleet->entries->len && anvil_clock_now () < until)
+    {
+      for (guint i = 0; i < fleet->entries->len && holder == fleet->entries->len; i++)
+        {
+          if (fleet_read_metric (fleet->entries->pdata[i], metric) > 0)
+            holder = i;
+        }
+      if (holder == fleet->entries->len)
+        g_usleep (ROW_POLL_US);
+    }
   g_free (metric);
-  if (i == fleet->entries->len)
+  if (holder == fleet->entries->len)
     g_error ("no entry holds the service %s", service);
-  return i;
+  return holder;
 }
 
 void
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -97,8 +97,8 @@
 /** fleet_read_metric - value of a metric without labels, or -1 */
 gint64 fleet_read_metric (const fleet_entry_t *entry, const char *name);
 
-/** fleet_find_holder - index of the entry that grants the slots of a service; fails the test if
- * there is none */
+/** fleet_find_holder - index of the entry that grants the slots of a service; waits until there is
+ * one, and fails the test if there never is */
 guint fleet_find_holder (const fleet_t *fleet, const char *service);
 
 /** fleet_wait_ready - waits until the entry's readiness check succeeds, and a moment longer */
