--- a/source/relay/relay-job-holder.c
+++ b/source/relay/relay-job-holder.c
@@ -7,7 +7,7 @@
 #define SLOT_REQUEST_TIMEOUT (300 * ANVIL_MS)
 
 void
-foreach_job (anvil_relay_jobs_t *jobs, job_visit_t visit, gconstpointer data)
+jobs_foreach (anvil_relay_jobs_t *jobs, job_visit_t visit, gconstpointer data)
 {
   GList *all = g_hash_table_get_values (jobs->jobs);
 
@@ -72,7 +72,7 @@
 
   send_request_limits (jobs, service, holder);
   send_warm_objects (jobs, service, holder);
-  foreach_job (jobs, switch_holder, &change);
+  jobs_foreach (jobs, switch_holder, &change);
 }
 
 static void
@@ -102,7 +102,7 @@
           send_warm_objects (jobs, service, peer);
         }
     }
-  foreach_job (jobs, resend_to_restarted_holder, &peer);
+  jobs_foreach (jobs, resend_to_restarted_holder, &peer);
 }
 
 static void
@@ -117,5 +117,5 @@
 void
 anvil_relay_jobs_tick (anvil_relay_jobs_t *jobs, anvil_time_t now)
 {
-  foreach_job (jobs, repeat_overdue_slot_request, &now);
+  jobs_foreach (jobs, repeat_overdue_slot_request, &now);
 }
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -117,7 +117,7 @@
 typedef void (*job_visit_t) (job_t *job, gconstpointer data);
 
 /* Visits all jobs; the visitor may end a job. */
-void foreach_job (anvil_relay_jobs_t *jobs, job_visit_t visit, gconstpointer data);
+void jobs_foreach (anvil_relay_jobs_t *jobs, job_visit_t visit, gconstpointer data);
 
 /* Removes and frees a job whose request was answered. */
 void job_remove (job_t *job);
--- a/source/relay/relay-job-shutdown.c
+++ b/source/relay/relay-job-shutdown.c
@@ -27,7 +27,7 @@
 anvil_relay_jobs_begin_shutdown (anvil_relay_jobs_t *jobs, anvil_time_t stop_at)
 {
   jobs->stop_at = stop_at;
-  foreach_job (jobs, refuse_if_it_may_not_be_sent, NULL);
+  jobs_foreach (jobs, refuse_if_it_may_not_be_sent, NULL);
 }
 
 void
@@ -36,7 +36,7 @@
   if (jobs->refusing_new)
     return;
   jobs->refusing_new = TRUE;
-  foreach_job (jobs, refuse_if_it_may_not_be_sent, NULL);
+  jobs_foreach (jobs, refuse_if_it_may_not_be_sent, NULL);
 }
 
 static void
@@ -52,5 +52,5 @@
 void
 anvil_relay_jobs_end (anvil_relay_jobs_t *jobs)
 {
-  foreach_job (jobs, end_job, NULL);
+  jobs_foreach (jobs, end_job, NULL);
 }
