--- a/tests/test-dispatch-holder.c
+++ b/tests/test-dispatch-holder.c
@@ -193,7 +193,7 @@
   guint added = 0;
 
   ck_assert (try_retry (&sim));
-  for (guint64 origin = 1; origin <= 2 * ANVIL_MAX_RETRY_ORIGINS; origin++)
+  for (guint64 origin = 1; origin <= (guint64) 2 * ANVIL_MAX_RETRY_ORIGINS; origin++)
     added += anvil_dispatcher_add_retry_counts (
         sim.dispatcher, sim.now, photos,
         &(anvil_retry_counts_t){ .origin = origin, .n_attempts = 1, .retries = { 1 } });
