Count the bytes of the link by user, and log what a configuration took to arrive

Cause of the change: an entry lagged behind with its configuration, and nothing told whether its link was full, how large the responses of the store were or how long they took, so that the hypotheses of the incident could not be told apart.

Each connection adds its bytes to the counts of its user: callers, upstreams, store, peers. They are metrics, and a log line in each second that uses 40 % of the link or more; the rate of the link comes from the settings. "configuration in force" names the size of its response, the time of the call and the time from its first byte to its last. No decision depends on any of it.

--- a/include/anvil/store.h
+++ b/include/anvil/store.h
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include "anvil/byte-counts.h"
 #include "anvil/clock.h"
 #include "anvil/header-names.h"
 #include "anvil/registry.h"
@@ -38,6 +39,8 @@
  * anvil_store_page_t - rows of one response
  * @version: newest version of the store; anvil_store_read_changes() continues from it
  * @has_more: the table has more rows, after the last key
+ * @bytes: size of the response's body
+ * @receive_time: from its first byte until its end, microseconds
  */
 typedef struct
 {
@@ -45,6 +48,8 @@
   guint n_rows;
   guint64 version;
   gboolean has_more;
+  gsize bytes;
+  anvil_time_t receive_time;
 } anvil_store_page_t;
 
 /**
@@ -94,6 +99,9 @@
                       anvil_store_put_cb_t done,
                       void *context);
 
+/** anvil_store_byte_counts - bytes received from and sent to the store so far */
+anvil_byte_counts_t anvil_store_byte_counts (const anvil_store_t *store);
+
 /**
  * anvil_adapter_t - names and formats of a deployment
  * @header_names: names of the exchanged headers
--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -32,6 +32,7 @@
  * @request: request in progress, or NULL
  * @sent: whether any byte of the request may have been sent
  * @too_large: the response was given up, as its body exceeds MAX_BODY_BYTES
+ * @first_byte_at: when the first byte of the response arrived; 0 before
  */
 struct call
 {
@@ -47,6 +48,7 @@
   struct evhttp_request *request;
   gboolean sent;
   gboolean too_large;
+  anvil_time_t first_byte_at;
 };
 
 struct anvil_http_pool
@@ -58,6 +60,7 @@
   connection_t connections[MAX_CONNECTIONS];
   GQueue queue;
   struct event *dispatch_event;
+  anvil_byte_counts_t byte_counts;
 };
 
 static void
@@ -73,8 +76,13 @@
 static void
 call_finish (call_t *call, int status, struct evbuffer *body)
 {
-  const anvil_http_result_t result
-      = { .sent = call->sent, .status = status, .too_large = call->too_large, .body = body };
+  const anvil_http_result_t result = {
+    .sent = call->sent,
+    .status = status,
+    .too_large = call->too_large,
+    .receive_time = call->first_byte_at > 0 ? anvil_clock_now () - call->first_byte_at : 0,
+    .body = body,
+  };
   anvil_http_pool_t *pool = call->pool;
 
   if (call->connection != NULL)
@@ -131,6 +139,15 @@
     connection->call->sent = TRUE;
 }
 
+static void
+on_input_changed (struct evbuffer *unused_buffer, const struct evbuffer_cb_info *info, void *data)
+{
+  connection_t *connection = data;
+
+  if (info->n_added > 0 && connection->call != NULL && connection->call->first_byte_at == 0)
+    connection->call->first_byte_at = anvil_clock_now ();
+}
+
 static void
 connection_open (connection_t *connection)
 {
@@ -143,6 +160,8 @@
   evhttp_connection_set_max_body_size (connection->evhttp, MAX_BODY_BYTES);
   stream = evhttp_connection_get_bufferevent (connection->evhttp);
   evbuffer_add_cb (bufferevent_get_output (stream), on_output_changed, connection);
+  evbuffer_add_cb (bufferevent_get_input (stream), on_input_changed, connection);
+  anvil_byte_counts_watch (&pool->byte_counts, stream);
 }
 
 static void
@@ -268,3 +287,9 @@
 {
   anvil_http_pool_call_within (pool, pool->timeout, command, uri, body, done, context);
 }
+
+const anvil_byte_counts_t *
+anvil_http_pool_byte_counts (const anvil_http_pool_t *pool)
+{
+  return &pool->byte_counts;
+}
--- a/source/net/http-pool.h
+++ b/source/net/http-pool.h
@@ -2,6 +2,7 @@
 
 #include <event2/http.h>
 
+#include "anvil/byte-counts.h"
 #include "anvil/clock.h"
 
 /**
@@ -17,6 +18,7 @@
  * @sent: whether any byte of the request may have been sent
  * @status: status of the response, 0 if no complete one was received
  * @too_large: the body of the response exceeds the pool's limit, so @status is 0
+ * @receive_time: from the first byte of the response until its end, microseconds
  * @body: body of the response, or NULL; borrowed
  */
 typedef struct
@@ -24,6 +26,7 @@
   gboolean sent;
   int status;
   gboolean too_large;
+  anvil_time_t receive_time;
   struct evbuffer *body;
 } anvil_http_result_t;
 
@@ -62,3 +65,6 @@
                                   struct evbuffer *body,
                                   anvil_http_result_cb_t done,
                                   void *context);
+
+/** anvil_http_pool_byte_counts - bytes received and sent by all connections so far */
+const anvil_byte_counts_t *anvil_http_pool_byte_counts (const anvil_http_pool_t *pool);
--- a/source/relay/relay-caller-internal.h
+++ b/source/relay/relay-caller-internal.h
@@ -30,6 +30,7 @@
   struct event *unsent_limit_event;
   gboolean shutting_down;
   GHashTable *connections;
+  anvil_byte_counts_t byte_counts;
 };
 
 /**
--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -429,6 +429,7 @@
   idle_timeout = anvil_time_to_timeval (caller_limits (connection)->idle_timeout);
   bufferevent_setcb (connection->stream, on_read, on_written, on_event, connection);
   evbuffer_add_cb (bufferevent_get_output (connection->stream), on_output_changed, connection);
+  anvil_byte_counts_watch (&callers->byte_counts, connection->stream);
   bufferevent_set_timeouts (connection->stream, NULL, &idle_timeout);
   evtimer_add (connection->idle_timer, &idle_timeout);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
@@ -548,6 +549,12 @@
   return g_hash_table_size (callers->connections);
 }
 
+const anvil_byte_counts_t *
+anvil_relay_callers_byte_counts (const anvil_relay_callers_t *callers)
+{
+  return &callers->byte_counts;
+}
+
 guint16
 anvil_relay_callers_port (const anvil_relay_callers_t *callers)
 {
--- a/source/relay/relay-caller.h
+++ b/source/relay/relay-caller.h
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 
+#include "anvil/byte-counts.h"
 #include "anvil/clock.h"
 #include "anvil/header-names.h"
 #include "anvil/routes.h"
@@ -108,6 +109,9 @@
 guint anvil_relay_callers_count_busy (const anvil_relay_callers_t *callers);
 guint anvil_relay_callers_count_connections (const anvil_relay_callers_t *callers);
 
+/** anvil_relay_callers_byte_counts - bytes received from and sent to callers so far */
+const anvil_byte_counts_t *anvil_relay_callers_byte_counts (const anvil_relay_callers_t *callers);
+
 /** anvil_relay_callers_port - port that it listens on; 0 on failure */
 guint16 anvil_relay_callers_port (const anvil_relay_callers_t *callers);
 
--- a/source/relay/relay-settings-diff.c
+++ b/source/relay/relay-settings-diff.c
@@ -48,6 +48,7 @@
 TEXT_FORMATTER (format_cpu, g_strdup_printf ("%umillicores", settings->cpu_millicores))
 TEXT_FORMATTER (format_memory, g_strdup_printf ("%zubytes", settings->memory_bytes))
 TEXT_FORMATTER (format_descriptors, g_strdup_printf ("%u", settings->max_descriptors))
+TEXT_FORMATTER (format_link, g_strdup_printf ("%" G_GUINT64_FORMAT "bit/s", settings->link_rate))
 TEXT_FORMATTER (format_retry_ratio, g_strdup_printf ("%g", settings->limits.retry_ratio))
 TEXT_FORMATTER (format_retry_extra, g_strdup_printf ("%g", settings->limits.retry_extra))
 TEXT_FORMATTER (format_retry_window,
@@ -89,6 +90,7 @@
   { "cpu", "choice of holders", FALSE, format_cpu },
   { "memory", "limits of bodies and responses", FALSE, format_memory },
   { "descriptors", "limit of callers' connections", FALSE, format_descriptors },
+  { "link", "log lines on the use of the link", FALSE, format_link },
   { "retry-ratio", "retries of all services", TRUE, format_retry_ratio },
   { "retry-extra", "retries of all services", TRUE, format_retry_extra },
   { "retry-window", "retries of all services", TRUE, format_retry_window },
--- a/source/relay/relay-settings.h
+++ b/source/relay/relay-settings.h
@@ -36,6 +36,7 @@
  * @cpu_millicores: CPU share of this process, thousandths of a core
  * @memory_bytes: memory limit of this process
  * @max_descriptors: limit of open file descriptors
+ * @link_rate: rate of this VM's network link, bits per second; 0 if it isn't known
  * @limits: limits that all entries together must keep
  */
 typedef struct
@@ -57,6 +58,7 @@
   guint cpu_millicores;
   gsize memory_bytes;
   guint max_descriptors;
+  guint64 link_rate;
   anvil_dispatcher_limits_t limits;
 } anvil_relay_settings_t;
 
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -323,6 +323,7 @@
       = bufferevent_socket_new (pool->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb (connection->stream, on_read, NULL, on_event, connection);
   bufferevent_set_timeouts (connection->stream, NULL, &timeout);
+  anvil_byte_counts_watch (&pool->counters.bytes, connection->stream);
   /* Errors are reported to the deferred event callback. */
   bufferevent_socket_connect (connection->stream, (struct sockaddr *) &remote, sizeof remote);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
--- a/source/relay/relay-upstream.h
+++ b/source/relay/relay-upstream.h
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 
+#include "anvil/byte-counts.h"
 #include "anvil/clock.h"
 #include "anvil/dispatcher.h"
 #include "anvil/header-names.h"
@@ -100,6 +101,7 @@
  * @connections_reused: attempts on connections that were idle
  * @mismatched_responses: discarded responses that carry the id of another request
  * @oversized_responses: responses given up since they or all together were too long
+ * @bytes: received from and sent to upstreams
  */
 typedef struct
 {
@@ -107,6 +109,7 @@
   guint64 connections_reused;
   guint64 mismatched_responses;
   guint64 oversized_responses;
+  anvil_byte_counts_t bytes;
 } anvil_relay_upstream_pool_counters_t;
 
 /**
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -48,6 +48,8 @@
 static void
 apply_config (anvil_relay_watch_t *watch, const anvil_store_row_t *row)
 {
+  const anvil_table_follower_last_response_t response
+      = anvil_table_follower_last_response (watch->operator_follower);
   GError *error = NULL;
   anvil_routes_t *routes;
 
@@ -85,8 +87,10 @@
     watch->max_cold_time
         = MAX (watch->max_cold_time, anvil_routes_service_at (routes, i)->cold_time);
   anvil_log (ANVIL_LOG_NOTICE, "config",
-             "configuration in force version=%" G_GINT64_FORMAT " routes=%u", watch->config_version,
-             anvil_routes_count (routes));
+             "configuration in force version=%" G_GINT64_FORMAT
+             " routes=%u bytes=%zu call_ms=%" G_GINT64_FORMAT " receive_ms=%" G_GINT64_FORMAT,
+             watch->config_version, anvil_routes_count (routes), response.bytes,
+             response.call_time / ANVIL_MS, response.receive_time / ANVIL_MS);
   watch->callbacks.routes (watch->context, routes);
   anvil_routes_drop (routes);
 }
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -5,6 +5,7 @@
 
 #include "anvil/log.h"
 #include "anvil/settings.h"
+#include "relay/link-usage.h"
 #include "relay/relay-aux-server.h"
 #include "relay/relay-feed.h"
 #include "relay/relay-job.h"
@@ -62,6 +63,7 @@
   /* CLOCK_BOOTTIME minus the monotonic clock, which grows by the time of each suspension. */
   anvil_time_t suspended_time;
   anvil_time_t resumed_at;
+  anvil_link_usage_t link_usage;
 };
 
 static gboolean
@@ -315,6 +317,20 @@
     anvil_registry_cancel_grace (relay->registry, now, now - ok_for);
 }
 
+static void
+update_link_usage (anvil_relay_t *relay, anvil_time_t now)
+{
+  const anvil_byte_counts_t totals[ANVIL_N_LINK_USERS] = {
+    [ANVIL_LINK_CALLERS] = *anvil_relay_callers_byte_counts (relay->callers),
+    [ANVIL_LINK_UPSTREAMS] = anvil_relay_upstream_pool_counters (relay->upstream_pool)->bytes,
+    [ANVIL_LINK_STORE] = anvil_store_byte_counts (relay->store),
+    [ANVIL_LINK_PEERS] = anvil_slot_broker_peer_bytes (relay->slot_broker),
+  };
+
+  if (anvil_link_usage_update (&relay->link_usage, now, totals))
+    anvil_link_usage_log (&relay->link_usage);
+}
+
 static void
 on_tick (evutil_socket_t unused_fd, short unused_what, void *data)
 {
@@ -322,6 +338,7 @@
   anvil_time_t now = anvil_clock_now ();
 
   detect_suspension (relay, now);
+  update_link_usage (relay, now);
   update_ready (relay);
   update_grace (relay, now);
   anvil_registry_tick (relay->registry, now);
@@ -474,6 +491,24 @@
                                : (gdouble) (anvil_clock_now () - read_at) / (gdouble) ANVIL_SECOND;
 }
 
+static void
+update_link_gauges (const anvil_relay_t *relay)
+{
+  for (guint user = 0; user < ANVIL_N_LINK_USERS; user++)
+    {
+      char *in = g_strdup_printf ("user=\"%s\",direction=\"in\"", anvil_link_user_name (user));
+      char *out = g_strdup_printf ("user=\"%s\",direction=\"out\"", anvil_link_user_name (user));
+
+      anvil_metrics_set_gauge (relay->metrics, "anvil_link_bytes", in,
+                               (gdouble) relay->link_usage.totals[user].in);
+      anvil_metrics_set_gauge (relay->metrics, "anvil_link_bytes", out,
+                               (gdouble) relay->link_usage.totals[user].out);
+      g_free (in);
+      g_free (out);
+    }
+  anvil_metrics_set_gauge (relay->metrics, "anvil_link_share", "", relay->link_usage.share);
+}
+
 static void
 update_gauges (void *context)
 {
@@ -517,6 +552,7 @@
                            (gdouble) pool->connections_opened);
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstream_answers_strayed", "",
                            (gdouble) pool->mismatched_responses);
+  update_link_gauges (relay);
   anvil_slot_broker_foreach_held_service (relay->slot_broker, update_service_gauges, relay);
 }
 
@@ -576,6 +612,7 @@
   relay->metrics = anvil_metrics_new ();
   relay->registry = anvil_registry_new (&registry_callbacks, relay);
   relay->suspended_time = total_suspended_time ();
+  relay->link_usage.rate = settings->link_rate;
   if (!open_modules (relay, error))
     {
       anvil_relay_close (relay);
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -466,6 +466,14 @@
   return peer != NULL && peer->info.name.data != NULL ? peer->info.name.data : "-";
 }
 
+anvil_byte_counts_t
+anvil_slot_broker_peer_bytes (const anvil_slot_broker_t *broker)
+{
+  const anvil_peers_counters_t *counters = anvil_peers_counters (broker->peers);
+
+  return (anvil_byte_counts_t){ .in = counters->bytes_in, .out = counters->bytes_out };
+}
+
 anvil_members_t *
 anvil_slot_broker_members (anvil_slot_broker_t *broker)
 {
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include "anvil/byte-counts.h"
 #include "anvil/members.h"
 #include "anvil/registry.h"
 #include "relay/relay-message.h"
@@ -139,6 +140,9 @@
 /** anvil_slot_broker_vm_name - name of an entry's VM for logs; borrowed until the next event */
 const char *anvil_slot_broker_vm_name (const anvil_slot_broker_t *broker, anvil_node_t node);
 
+/** anvil_slot_broker_peer_bytes - bytes of the frames received from and sent to peers so far */
+anvil_byte_counts_t anvil_slot_broker_peer_bytes (const anvil_slot_broker_t *broker);
+
 anvil_members_t *anvil_slot_broker_members (anvil_slot_broker_t *broker);
 const anvil_dispatcher_t *anvil_slot_broker_dispatcher (const anvil_slot_broker_t *broker);
 anvil_node_t anvil_slot_broker_self (const anvil_slot_broker_t *broker);
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -42,6 +42,7 @@
   /* How long the store may hold the call under way; 0 if it isn't a long poll. */
   anvil_time_t call_hold_time;
   anvil_time_t read_at;
+  anvil_table_follower_last_response_t last_response;
 };
 
 static void
@@ -100,12 +101,17 @@
 }
 
 static void
-on_success (anvil_table_follower_t *follower)
+on_success (anvil_table_follower_t *follower, const anvil_store_page_t *page)
 {
   anvil_time_t now = anvil_clock_now ();
   anvil_time_t last_read_at = follower->read_at;
 
   follower->read_at = follower->call_started_at;
+  follower->last_response = (anvil_table_follower_last_response_t){
+    .bytes = page->bytes,
+    .call_time = now - follower->call_started_at,
+    .receive_time = page->receive_time,
+  };
   if (!follower->store_lost)
     return;
   follower->store_lost = FALSE;
@@ -159,7 +165,7 @@
       on_failure (follower, error);
       return;
     }
-  on_success (follower);
+  on_success (follower, page);
   if (follower->next_key == NULL)
     {
       follower->version = page->version;
@@ -195,7 +201,7 @@
       on_failure (follower, error);
       return;
     }
-  on_success (follower);
+  on_success (follower, page);
   follower->version = MAX (follower->version, page->version);
   report_rows (follower, page);
   follower->callbacks.read_up_to (follower->context, follower->version);
@@ -324,3 +330,9 @@
 {
   return follower->store_lost;
 }
+
+anvil_table_follower_last_response_t
+anvil_table_follower_last_response (const anvil_table_follower_t *follower)
+{
+  return follower->last_response;
+}
--- a/source/relay/table-follower.h
+++ b/source/relay/table-follower.h
@@ -78,3 +78,15 @@
 
 /** anvil_table_follower_store_lost - whether the last call got no answer */
 gboolean anvil_table_follower_store_lost (const anvil_table_follower_t *follower);
+
+/** anvil_table_follower_last_response_t - the last response with rows, for logs */
+typedef struct
+{
+  gsize bytes;
+  /* From the call to the end of the response, and from the response's first byte on. */
+  anvil_time_t call_time;
+  anvil_time_t receive_time;
+} anvil_table_follower_last_response_t;
+
+anvil_table_follower_last_response_t
+anvil_table_follower_last_response (const anvil_table_follower_t *follower);
