--- a/tests/helper-fault-proxy.c
+++ b/tests/helper-fault-proxy.c
@@ -7,6 +7,11 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
+#include "anvil/clock.h"
+
+/* A slow link passes its bytes in this many portions a second. */
+#define PORTIONS_PER_SECOND 50
+
 /**
  * pair_t - a proxied connection
  * @ends: sockets to the client (0) and to the target (1)
@@ -28,6 +33,9 @@
   fault_proxy_kind_t fault;
   guint delay_ms;
   GHashTable *pairs;
+  /* Limit of what all clients together receive, or NULL. */
+  struct ev_token_bucket_cfg *rate;
+  struct bufferevent_rate_limit_group *clients;
 };
 
 static void
@@ -147,6 +155,8 @@
   pair->timers[0] = evtimer_new (proxy->base, on_client_delay, pair);
   pair->timers[1] = evtimer_new (proxy->base, on_target_delay, pair);
   g_hash_table_add (proxy->pairs, pair);
+  if (proxy->clients != NULL)
+    bufferevent_add_to_rate_limit_group (pair->ends[0], proxy->clients);
   bufferevent_socket_connect (pair->ends[1], (struct sockaddr *) &to, sizeof to);
   if (proxy->fault == FAULT_PROXY_RESET)
     {
@@ -195,6 +205,11 @@
   fault_proxy_reset_connections (proxy);
   evconnlistener_free (proxy->listener);
   g_hash_table_unref (proxy->pairs);
+  if (proxy->clients != NULL)
+    {
+      bufferevent_rate_limit_group_free (proxy->clients);
+      ev_token_bucket_cfg_free (proxy->rate);
+    }
   g_free (proxy);
 }
 
@@ -235,3 +250,15 @@
   else if (fault == FAULT_PROXY_NONE)
     forward_held_data (proxy);
 }
+
+void
+fault_proxy_set_rate (fault_proxy_t *proxy, guint bytes_per_second)
+{
+  const struct timeval portion = { .tv_usec = ANVIL_SECOND / PORTIONS_PER_SECOND };
+  const guint bytes = bytes_per_second / PORTIONS_PER_SECOND;
+
+  g_assert (proxy->clients == NULL);
+  proxy->rate
+      = ev_token_bucket_cfg_new (EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, bytes, bytes, &portion);
+  proxy->clients = bufferevent_rate_limit_group_new (proxy->base, proxy->rate);
+}
--- a/tests/helper-fault-proxy.h
+++ b/tests/helper-fault-proxy.h
@@ -37,5 +37,9 @@
 /** fault_proxy_set_fault - sets the current fault; @delay_ms is for FAULT_PROXY_DELAY */
 void fault_proxy_set_fault (fault_proxy_t *proxy, fault_proxy_kind_t fault, guint delay_ms);
 
+/** fault_proxy_set_rate - limits what all clients together receive from now on, bytes per second;
+ * call it before there are connections */
+void fault_proxy_set_rate (fault_proxy_t *proxy, guint bytes_per_second);
+
 /** fault_proxy_reset_connections - resets all open connections */
 void fault_proxy_reset_connections (fault_proxy_t *proxy);
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -133,20 +133,22 @@
 }
 
 static void
-run_proxy (guint16 target, int port_fd)
+run_proxy (guint16 target, guint bytes_per_second, int port_fd)
 {
   struct event_base *base = event_base_new ();
   fault_proxy_t *proxy = fault_proxy_open (base);
   guint16 port = fault_proxy_port (proxy);
 
   fault_proxy_set_target (proxy, target);
+  if (bytes_per_second > 0)
+    fault_proxy_set_rate (proxy, bytes_per_second);
   g_assert (write (port_fd, &port, sizeof port) == sizeof port);
   close (port_fd);
   event_base_dispatch (base);
 }
 
 fleet_proxy_t *
-fleet_add_store_proxy (fleet_t *fleet)
+fleet_add_store_proxy (fleet_t *fleet, guint bytes_per_second)
 {
   fleet_proxy_t *proxy = g_new0 (fleet_proxy_t, 1);
   guint16 port;
@@ -157,7 +159,7 @@
   if (proxy->pid == 0)
     {
       prctl (PR_SET_PDEATHSIG, SIGKILL);
-      run_proxy (fleet_port (&fleet->store), fds[1]);
+      run_proxy (fleet_port (&fleet->store), bytes_per_second, fds[1]);
       _exit (0);
     }
   close (fds[1]);
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -62,8 +62,8 @@
 fleet_add_upstream (fleet_t *fleet, const char *id, const char *service, const char *flags);
 
 /** fleet_add_store_proxy - starts a proxy to the store; @entry_store_endpoint can be set to its
- * endpoint before an entry is added */
-fleet_proxy_t *fleet_add_store_proxy (fleet_t *fleet);
+ * endpoint before an entry is added; @bytes_per_second limits what is read through it, 0 doesn't */
+fleet_proxy_t *fleet_add_store_proxy (fleet_t *fleet, guint bytes_per_second);
 
 /** fleet_add_entry - starts an entry in @zone ("west-a", "west-b" or "east-a") */
 fleet_entry_t *fleet_add_entry (fleet_t *fleet, const char *name, const char *zone);
--- a/tests/test-relay-drains.c
+++ b/tests/test-relay-drains.c
@@ -30,7 +30,7 @@
     {
       char *name = g_strdup_printf ("e%u", i);
 
-      proxies[i] = fleet_add_store_proxy (&fleet);
+      proxies[i] = fleet_add_store_proxy (&fleet, 0);
       fleet.entry_store_endpoint = proxies[i]->endpoint;
       entries[i] = fleet_add_entry (&fleet, name, "west-a");
       g_free (name);
