Let a call of the HTTP client last while its response arrives

What callers saw: 404 for routes that had been added, for as long as an entry needed several calls to read one large configuration.

Cause: the client gave a call up after a fixed time, whatever it had received by then, and its user repeated it from the start. A configuration that takes longer than the time-out at the rate of the link never arrives.

Change: the time-out applies until the response begins and to each pause in it. A response has to arrive at 16 KB/s or more in all, so that one that trickles ends.

--- a/include/anvil/store.h
+++ b/include/anvil/store.h
@@ -17,9 +17,9 @@
  * interface.
  */
 
-/* A call without a complete response has failed after this time, beyond the time for which the
+/* A call whose response has not begun has failed after this time, beyond the time for which the
  * store was allowed to delay the response: a few round trips between regions and some milliseconds
- * in the store. */
+ * in the store. So has one whose response pauses for as long. */
 #define ANVIL_STORE_CALL_TIMEOUT (900 * ANVIL_MS)
 
 /**
--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -9,6 +9,8 @@
 #define MAX_QUEUED_CALLS 1024
 #define MAX_HEADERS_BYTES (16u << 10)
 #define MAX_BODY_BYTES (8u << 20)
+/* A response that arrives more slowly is given up; the time-out comes on top. */
+#define MIN_RECEIVE_RATE (16u << 10)
 
 typedef struct call call_t;
 
@@ -34,6 +36,7 @@
  * @max_response_bytes: limit of the body of the response
  * @too_large: the response was given up, as its body exceeds that
  * @first_byte_at: when the first byte of the response arrived; 0 before
+ * @received_bytes: bytes of the response that have arrived
  */
 struct call
 {
@@ -51,6 +54,7 @@
   gboolean sent;
   gboolean too_large;
   anvil_time_t first_byte_at;
+  guint64 received_bytes;
 };
 
 struct anvil_http_pool
@@ -141,13 +145,25 @@
     connection->call->sent = TRUE;
 }
 
+/* A call that was given up while its response arrives would only be repeated, from the start. */
 static void
 on_input_changed (struct evbuffer *unused_buffer, const struct evbuffer_cb_info *info, void *data)
 {
   connection_t *connection = data;
+  call_t *call = connection->call;
+  anvil_time_t now = anvil_clock_now ();
+  anvil_time_t steady_until;
+  struct timeval time;
 
-  if (info->n_added > 0 && connection->call != NULL && connection->call->first_byte_at == 0)
-    connection->call->first_byte_at = anvil_clock_now ();
+  if (info->n_added == 0 || call == NULL)
+    return;
+  if (call->first_byte_at == 0)
+    call->first_byte_at = now;
+  call->received_bytes += info->n_added;
+  steady_until = call->first_byte_at
+                 + (anvil_time_t) (call->received_bytes * ANVIL_SECOND / MIN_RECEIVE_RATE);
+  time = anvil_time_to_timeval (MAX (MIN (now, steady_until) + call->pool->timeout - now, 0));
+  evtimer_add (call->timer, &time);
 }
 
 static void
--- a/source/net/http-pool.h
+++ b/source/net/http-pool.h
@@ -35,7 +35,9 @@
 /**
  * anvil_http_pool_open - creates a pool, which connects on the first call
  * @address: IPv4 in host order
- * @timeout: limit on the duration of a call, including its wait for a connection
+ * @timeout: limit on the time until a response begins, including the wait for a connection, and on
+ *   each pause in it. A response that arrives steadily may take longer in all, in proportion to its
+ *   size
  */
 anvil_http_pool_t *
 anvil_http_pool_open (struct event_base *base, guint32 address, guint16 port, anvil_time_t timeout);
@@ -44,7 +46,7 @@
 void anvil_http_pool_close (anvil_http_pool_t *pool);
 
 /**
- * anvil_http_pool_call - sends a request, within the pool's limit on the duration of a call
+ * anvil_http_pool_call - sends a request, within the pool's limits
  * @uri: path and query
  * @body: body, moved out of this buffer, or NULL
  * @done: called exactly once, never from inside this function
@@ -58,7 +60,7 @@
 
 /**
  * anvil_http_call_limits_t - limits of one call; 0 for those of the pool
- * @timeout: duration, microseconds
+ * @timeout: until the response begins, microseconds; the pauses in it have the limit of the pool
  * @response_bytes: body of the response. A longer one is given up as soon as its length is known
  */
 typedef struct
--- /dev/null
+++ b/tests/test-http-pool.c
@@ -0,0 +1,179 @@
+/* Time-outs of calls whose response arrives in parts. */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+
+#include "net/http-pool.h"
+
+#define TIMEOUT (400 * ANVIL_MS)
+#define PART_INTERVAL (100 * ANVIL_MS)
+#define PART_BYTES 10000u
+/* So that all parts take much longer than the time-out. */
+#define N_PARTS 12u
+/* Far above the time-out of a call, for machines that are busy. */
+#define END_TIMEOUT (10 * ANVIL_SECOND)
+
+/**
+ * server_t - sends a response of N_PARTS parts to each connection
+ * @parts_left: parts that were not sent yet
+ * @part_bytes: bytes of a part that are sent
+ * @last_part: the server stops sending when so many parts are left
+ */
+typedef struct
+{
+  struct evconnlistener *listener;
+  struct bufferevent *stream;
+  struct event *timer;
+  guint16 port;
+  guint parts_left;
+  guint part_bytes;
+  guint last_part;
+} server_t;
+
+static struct event_base *base;
+static server_t server;
+static anvil_http_pool_t *pool;
+static int status;
+static gsize body_bytes;
+static anvil_time_t receive_time;
+
+static void
+send_part (evutil_socket_t unused_fd, short unused_what, void *unused_data)
+{
+  const struct timeval interval = anvil_time_to_timeval (PART_INTERVAL);
+  static const char part[PART_BYTES];
+
+  if (server.parts_left == server.last_part)
+    return;
+  bufferevent_write (server.stream, part, server.part_bytes);
+  server.parts_left--;
+  evtimer_add (server.timer, &interval);
+}
+
+static void
+on_read (struct bufferevent *stream, void *unused_data)
+{
+  struct evbuffer *input = bufferevent_get_input (stream);
+
+  evbuffer_drain (input, evbuffer_get_length (input));
+  evbuffer_add_printf (bufferevent_get_output (stream),
+                       "HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n", N_PARTS * PART_BYTES);
+  send_part (-1, 0, NULL);
+}
+
+static void
+on_accept (struct evconnlistener *unused_listener,
+           evutil_socket_t fd,
+           struct sockaddr *unused_address,
+           int unused_length,
+           void *unused_data)
+{
+  server.stream = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb (server.stream, on_read, NULL, NULL, NULL);
+  bufferevent_enable (server.stream, EV_READ | EV_WRITE);
+}
+
+static void
+set_up (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t length = sizeof address;
+
+  base = event_base_new ();
+  server = (server_t){ .parts_left = N_PARTS, .part_bytes = PART_BYTES };
+  server.timer = evtimer_new (base, send_part, NULL);
+  server.listener = evconnlistener_new_bind (base, on_accept, NULL, LEV_OPT_CLOSE_ON_FREE, 1,
+                                             (struct sockaddr *) &address, sizeof address);
+  ck_assert_ptr_nonnull (server.listener);
+  ck_assert_int_eq (
+      getsockname (evconnlistener_get_fd (server.listener), (struct sockaddr *) &address, &length),
+      0);
+  pool = anvil_http_pool_open (base, INADDR_LOOPBACK, ntohs (address.sin_port), TIMEOUT);
+  status = -1;
+}
+
+static void
+tear_down (void)
+{
+  anvil_http_pool_close (pool);
+  if (server.stream != NULL)
+    bufferevent_free (server.stream);
+  event_free (server.timer);
+  evconnlistener_free (server.listener);
+  event_base_free (base);
+}
+
+static void
+on_result (void *context, const anvil_http_result_t *result)
+{
+  status = result->status;
+  body_bytes = result->body != NULL ? evbuffer_get_length (result->body) : 0;
+  receive_time = result->receive_time;
+  event_base_loopbreak (base);
+}
+
+static void
+call_server (void)
+{
+  const struct timeval end = anvil_time_to_timeval (END_TIMEOUT);
+
+  anvil_http_pool_call (pool, EVHTTP_REQ_GET, "/", NULL, on_result, NULL);
+  event_base_loopexit (base, &end);
+  event_base_dispatch (base);
+}
+
+START_TEST (test_a_response_that_takes_longer_than_the_timeout_is_received)
+{
+  call_server ();
+  ck_assert_int_eq (status, 200);
+  ck_assert_uint_eq (body_bytes, N_PARTS * PART_BYTES);
+  ck_assert_int_gt (receive_time, TIMEOUT);
+}
+END_TEST
+
+START_TEST (test_a_response_that_stops_arriving_fails)
+{
+  anvil_time_t started_at = anvil_clock_now ();
+
+  server.last_part = N_PARTS / 2;
+  call_server ();
+  ck_assert_int_eq (status, 0);
+  ck_assert_int_ge (anvil_clock_now () - started_at, N_PARTS / 2 * PART_INTERVAL);
+}
+END_TEST
+
+START_TEST (test_a_response_without_progress_fails)
+{
+  server.part_bytes = 1;
+  call_server ();
+  ck_assert_int_eq (status, 0);
+  ck_assert_uint_gt (server.parts_left, 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("http-pool");
+  TCase *tests = tcase_create ("http-pool");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, test_a_response_that_takes_longer_than_the_timeout_is_received);
+  tcase_add_test (tests, test_a_response_that_stops_arriving_fails);
+  tcase_add_test (tests, test_a_response_without_progress_fails);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
