--- a/tests/test-http-pool.c
+++ b/tests/test-http-pool.c
@@ -132,7 +132,7 @@
 {
   call_server ();
   ck_assert_int_eq (status, 200);
-  ck_assert_uint_eq (body_bytes, N_PARTS * PART_BYTES);
+  ck_assert_uint_eq (body_bytes, (gsize) N_PARTS * PART_BYTES);
   ck_assert_int_gt (receive_time, TIMEOUT);
 }
 END_TEST
