Give calls to the store more time after one has timed out

What callers saw: nothing of its own yet. An entry behind a store that takes more than 0.9 s until its response begins never reads a table: each call is given up and begun anew. On a full link round trips take as long.

Change: for 10 s after a call has timed out, calls have 1.8 s. Long polls are held for as much less, so that a lost one is noticed no later. "store answers again" says how many calls failed.

Evidence: test-table-follower, a store whose responses take 1.2 s is read with one call in vain; with the longer time-out taken out it is never read, seen red. A lost call is still repeated after 0.9 s.

--- a/include/anvil/store.h
+++ b/include/anvil/store.h
@@ -72,25 +72,39 @@
 /** anvil_store_close - calls in progress end with ANVIL_ERROR_UNAVAILABLE */
 void anvil_store_close (anvil_store_t *store);
 
+/**
+ * anvil_store_call_t - what a read may take; 0 for what is usual
+ * @timeout: until the response begins, and for each pause in it, microseconds; usually
+ *   ANVIL_STORE_CALL_TIMEOUT
+ * @hold_time: how long the store may delay its response until a row changes, in addition to that
+ * @max_bytes: limit of the response
+ */
+typedef struct
+{
+  anvil_time_t timeout;
+  anvil_time_t hold_time;
+  gsize max_bytes;
+} anvil_store_call_t;
+
 /** anvil_store_read - rows of @table whose key is greater than or equal to @from, in order; NULL
- * reads from the start */
+ * reads from the start; @limits may be NULL */
 void anvil_store_read (anvil_store_t *store,
                        const char *table,
                        const char *from,
+                       const anvil_store_call_t *limits,
                        anvil_store_read_cb_t done,
                        void *context);
 
 /**
  * anvil_store_read_changes - rows that changed after @version
- * @wait: how long the store may delay its response until a row changes, microseconds
- * @max_bytes: limit of the response, which has every change of a row, not only its last one. A
- *   longer one ends with ANVIL_ERROR_NOT_FOUND; 0 for the client's own limit
+ *
+ * The response has every change of a row, not only its last one. If it exceeds the limit of bytes,
+ * the call ends with ANVIL_ERROR_NOT_FOUND.
  */
 void anvil_store_read_changes (anvil_store_t *store,
                                const char *table,
                                guint64 version,
-                               anvil_time_t wait,
-                               gsize max_bytes,
+                               const anvil_store_call_t *limits,
                                anvil_store_read_cb_t done,
                                void *context);
 
--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -33,6 +33,7 @@
  * @connection: connection that it uses, or NULL while queued
  * @request: request in progress, or NULL
  * @sent: whether any byte of the request may have been sent
+ * @max_pause: limit of each pause in the response
  * @max_response_bytes: limit of the body of the response
  * @too_large: the response was given up, as its body exceeds that
  * @first_byte_at: when the first byte of the response arrived; 0 before
@@ -42,6 +43,7 @@
 {
   anvil_http_pool_t *pool;
   anvil_time_t timeout;
+  anvil_time_t max_pause;
   gsize max_response_bytes;
   enum evhttp_cmd_type command;
   char *uri;
@@ -162,7 +164,7 @@
   call->received_bytes += info->n_added;
   steady_until = call->first_byte_at
                  + (anvil_time_t) (call->received_bytes * ANVIL_SECOND / MIN_RECEIVE_RATE);
-  time = anvil_time_to_timeval (MAX (MIN (now, steady_until) + call->pool->timeout - now, 0));
+  time = anvil_time_to_timeval (MAX (MIN (now, steady_until) + call->max_pause - now, 0));
   evtimer_add (call->timer, &time);
 }
 
@@ -193,7 +195,7 @@
 {
   struct evhttp_request *request = evhttp_request_new (on_response, call);
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
-  const struct timeval timeout = anvil_time_to_timeval (call->timeout);
+  const struct timeval timeout = anvil_time_to_timeval (MAX (call->timeout, call->max_pause));
 
   if (connection->evhttp == NULL)
     connection_open (connection);
@@ -282,6 +284,7 @@
 
   call->pool = pool;
   call->timeout = timeout;
+  call->max_pause = limits->pause > 0 ? limits->pause : pool->timeout;
   call->max_response_bytes
       = limits->response_bytes > 0 ? MIN (limits->response_bytes, MAX_BODY_BYTES) : MAX_BODY_BYTES;
   call->command = command;
--- a/source/net/http-pool.h
+++ b/source/net/http-pool.h
@@ -60,12 +60,14 @@
 
 /**
  * anvil_http_call_limits_t - limits of one call; 0 for those of the pool
- * @timeout: until the response begins, microseconds; the pauses in it have the limit of the pool
+ * @timeout: until the response begins, microseconds
+ * @pause: each pause in the response, microseconds
  * @response_bytes: body of the response. A longer one is given up as soon as its length is known
  */
 typedef struct
 {
   anvil_time_t timeout;
+  anvil_time_t pause;
   gsize response_bytes;
 } anvil_http_call_limits_t;
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -406,7 +406,7 @@
         }
     }
   relay->address_written = error == NULL;
-  anvil_store_read (relay->store, ENTRY_TABLE, NULL, on_entries_read, relay);
+  anvil_store_read (relay->store, ENTRY_TABLE, NULL, NULL, on_entries_read, relay);
 }
 
 static void
@@ -423,7 +423,7 @@
       return;
     }
   if (relay->address_written)
-    anvil_store_read (relay->store, ENTRY_TABLE, NULL, on_entries_read, relay);
+    anvil_store_read (relay->store, ENTRY_TABLE, NULL, NULL, on_entries_read, relay);
   else
     anvil_store_put (relay->store, ENTRY_TABLE, relay->settings->vm, &value, on_address_written,
                      relay);
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -8,6 +8,10 @@
  * usual rate. */
 #define MIN_RETRY_PAUSE (200 * ANVIL_MS)
 #define MAX_RETRY_PAUSE (500 * ANVIL_MS)
+/* A call that has timed out may have been under way on a slow link, where it would time out again.
+ * For a while, calls may take longer. */
+#define SLOW_CALL_TIMEOUT (2 * ANVIL_STORE_CALL_TIMEOUT)
+#define SLOW_LINK_TIME (10 * ANVIL_SECOND)
 /* The store sends every change of a row since the last read, so after a while more than the whole
  * table, which is then read instead. A single change may exceed the table by this much. */
 #define CHANGES_SLACK_BYTES (64u << 10)
@@ -44,6 +48,10 @@
   anvil_time_t call_started_at;
   /* How long the store may hold the call under way; 0 if it isn't a long poll. */
   anvil_time_t call_hold_time;
+  anvil_time_t call_timeout;
+  anvil_time_t timed_out_at;
+  /* Calls that failed since the last successful one. */
+  guint failed_calls;
   anvil_time_t read_at;
   /* Size of the responses of the last full read, and of those of the current one so far. */
   gsize table_bytes;
@@ -82,6 +90,9 @@
       schedule_call (follower, 0);
       return;
     }
+  follower->failed_calls++;
+  if (now - follower->call_started_at >= follower->call_timeout)
+    follower->timed_out_at = now;
   if (!follower->store_lost)
     {
       follower->store_lost = TRUE;
@@ -121,10 +132,12 @@
   if (!follower->store_lost)
     return;
   follower->store_lost = FALSE;
-  anvil_log (
-      ANVIL_LOG_NOTICE, "store",
-      "store answers again table=%s took_ms=%" G_GINT64_FORMAT " unread_ms=%" G_GINT64_FORMAT,
-      follower->table, (now - follower->call_started_at) / ANVIL_MS, ms_since (now, last_read_at));
+  anvil_log (ANVIL_LOG_NOTICE, "store",
+             "store answers again table=%s took_ms=%" G_GINT64_FORMAT " unread_ms=%" G_GINT64_FORMAT
+             " failed_calls=%u",
+             follower->table, (now - follower->call_started_at) / ANVIL_MS,
+             ms_since (now, last_read_at), follower->failed_calls);
+  follower->failed_calls = 0;
   follower->callbacks.store_recovered (follower->context);
 }
 
@@ -218,25 +231,43 @@
 }
 
 static void
-on_call_timer (evutil_socket_t unused_fd, short unused_what, void *data)
+set_call_limits (anvil_table_follower_t *follower)
 {
-  anvil_table_follower_t *follower = data;
+  anvil_time_t now = anvil_clock_now ();
+  gboolean slow = follower->timed_out_at > 0 && now - follower->timed_out_at < SLOW_LINK_TIME;
 
+  follower->call_started_at = now;
+  follower->call_timeout = slow ? SLOW_CALL_TIMEOUT : ANVIL_STORE_CALL_TIMEOUT;
   /* While the store doesn't answer, calls aren't long polls: one that it accepted during the outage
    * would be found lost only seconds after the recovery. */
-  anvil_time_t hold_time = follower->store_lost ? 0 : follower->hold_time;
+  if (follower->needs_full_read || follower->store_lost)
+    follower->call_hold_time = 0;
+  else
+    /* A lost long poll has to be noticed as early as with the usual time-out. */
+    follower->call_hold_time
+        = MAX (follower->hold_time + ANVIL_STORE_CALL_TIMEOUT - follower->call_timeout, 0);
+}
+
+static void
+on_call_timer (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  anvil_table_follower_t *follower = data;
+  anvil_store_call_t limits;
 
-  follower->call_started_at = anvil_clock_now ();
-  follower->call_hold_time = follower->needs_full_read ? 0 : hold_time;
+  set_call_limits (follower);
+  limits = (anvil_store_call_t){ .timeout = follower->call_timeout,
+                                 .hold_time = follower->call_hold_time };
   follower->call = g_new0 (call_t, 1);
   follower->call->follower = follower;
   if (follower->needs_full_read)
-    anvil_store_read (follower->store, follower->table, follower->next_key, on_page,
-                      follower->call);
-  else
-    anvil_store_read_changes (follower->store, follower->table, follower->version, hold_time,
-                              follower->table_bytes + CHANGES_SLACK_BYTES, on_changes,
-                              follower->call);
+    {
+      anvil_store_read (follower->store, follower->table, follower->next_key, &limits, on_page,
+                        follower->call);
+      return;
+    }
+  limits.max_bytes = follower->table_bytes + CHANGES_SLACK_BYTES;
+  anvil_store_read_changes (follower->store, follower->table, follower->version, &limits,
+                            on_changes, follower->call);
 }
 
 static void
--- a/source/relay/warm-object-backup.c
+++ b/source/relay/warm-object-backup.c
@@ -124,5 +124,5 @@
 void
 anvil_warm_object_backup_restore (anvil_warm_object_backup_t *backup)
 {
-  anvil_store_read (backup->store, TABLE, NULL, on_read, backup->slot_broker);
+  anvil_store_read (backup->store, TABLE, NULL, NULL, on_read, backup->slot_broker);
 }
--- a/tests/test-store-client.c
+++ b/tests/test-store-client.c
@@ -80,7 +80,7 @@
   response = anvil_str (text);
   failed = TRUE;
   g_string_truncate (keys, 0);
-  anvil_store_read (store, "servers", NULL, on_read, NULL);
+  anvil_store_read (store, "servers", NULL, NULL, on_read, NULL);
   event_base_loopexit (base, &timeout);
   event_base_dispatch (base);
   g_free (text);
--- /dev/null
+++ b/tests/test-table-follower.c
@@ -0,0 +1,174 @@
+/* Follower of a table: calls that the store answers late, or never. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+
+#include "relay/table-follower.h"
+
+#define PERIOD (100 * ANVIL_MS)
+/* Longer than the usual time-out of a call. */
+#define SLOW_RESPONSE_TIME (1200 * ANVIL_MS)
+#define WAIT_TIMEOUT (20 * ANVIL_SECOND)
+
+static struct event_base *base;
+static struct evhttp *http;
+static anvil_store_t *store;
+static anvil_table_follower_t *follower;
+/* How late the store answers, and how many calls it never answers. */
+static anvil_time_t response_time;
+static guint calls_to_lose;
+static guint n_calls;
+static guint n_reads;
+static guint n_lost;
+static guint n_recovered;
+
+static void
+respond (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  static const char text[] = "{\"rows\":[],\"rowVersion\":7,\"hasMore\":false}";
+  struct evbuffer *body = evbuffer_new ();
+
+  evbuffer_add (body, text, strlen (text));
+  evhttp_send_reply (data, HTTP_OK, "OK", body);
+  evbuffer_free (body);
+}
+
+static void
+on_call (struct evhttp_request *request, void *unused_data)
+{
+  const struct timeval delay = anvil_time_to_timeval (response_time);
+
+  n_calls++;
+  if (calls_to_lose > 0)
+    calls_to_lose--;
+  else
+    event_base_once (base, -1, EV_TIMEOUT, respond, request, &delay);
+}
+
+static void
+ignore (void *unused_context)
+{
+}
+
+static void
+on_row (void *unused_context, const anvil_store_row_t *unused_row)
+{
+}
+
+static void
+on_lost (void *unused_context)
+{
+  n_lost++;
+}
+
+static void
+on_recovered (void *unused_context)
+{
+  n_recovered++;
+}
+
+static void
+on_read_up_to (void *unused_context, guint64 unused_version)
+{
+  n_reads++;
+  event_base_loopbreak (base);
+}
+
+static const anvil_table_callbacks_t callbacks = {
+  .full_read_started = ignore,
+  .row = on_row,
+  .full_read_finished = ignore,
+  .store_lost = on_lost,
+  .store_recovered = on_recovered,
+  .read_up_to = on_read_up_to,
+};
+
+static void
+set_up (void)
+{
+  struct evhttp_bound_socket *bound;
+  struct sockaddr_in address;
+  socklen_t length = sizeof address;
+
+  base = event_base_new ();
+  http = evhttp_new (base);
+  bound = evhttp_bind_socket_with_handle (http, "127.0.0.1", 0);
+  ck_assert_ptr_nonnull (bound);
+  ck_assert_int_eq (
+      getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *) &address, &length), 0);
+  evhttp_set_gencb (http, on_call, NULL);
+  store = anvil_store_open (base, INADDR_LOOPBACK, ntohs (address.sin_port));
+  follower = anvil_table_follower_open (base, store, "servers", 0, PERIOD, &callbacks, NULL);
+}
+
+static void
+tear_down (void)
+{
+  anvil_table_follower_close (follower);
+  anvil_store_close (store);
+  evhttp_free (http);
+  event_base_free (base);
+}
+
+/* Waits for the next read; FALSE if there is none. */
+static gboolean
+wait_for_read (void)
+{
+  const struct timeval timeout = anvil_time_to_timeval (WAIT_TIMEOUT);
+  guint before = n_reads;
+
+  event_base_loopexit (base, &timeout);
+  event_base_dispatch (base);
+  return n_reads > before;
+}
+
+START_TEST (test_a_store_whose_responses_exceed_the_timeout_is_read)
+{
+  response_time = SLOW_RESPONSE_TIME;
+  for (guint i = 0; i < 3; i++)
+    ck_assert (wait_for_read ());
+  /* Only the first call was in vain. */
+  ck_assert_uint_eq (n_calls, 4);
+  ck_assert_uint_eq (n_lost, 1);
+  ck_assert_uint_eq (n_recovered, 1);
+}
+END_TEST
+
+START_TEST (test_a_lost_call_is_repeated_after_the_usual_timeout)
+{
+  anvil_time_t started_at;
+
+  ck_assert (wait_for_read ());
+  calls_to_lose = 1;
+  started_at = anvil_clock_now ();
+  ck_assert (wait_for_read ());
+  ck_assert_uint_eq (n_lost, 1);
+  ck_assert_uint_eq (n_recovered, 1);
+  ck_assert_int_lt (anvil_clock_now () - started_at, 2 * ANVIL_STORE_CALL_TIMEOUT);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("table-follower");
+  TCase *tests = tcase_create ("table-follower");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, test_a_store_whose_responses_exceed_the_timeout_is_read);
+  tcase_add_test (tests, test_a_lost_call_is_repeated_after_the_usual_timeout);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
