Name entries with a busy link to fewer callers

Cause: callers choose at random among the entries that a look-up names, and nobody knows what an entry has left of its link.

Change: an entry measures the share of its link that it uses. Above 60 % it tells its peers, in the pings that exist, that it has room for a smaller part of the callers; below 40 % for a larger one. Look-ups name it to so many of them, chosen by the address of the caller, and always three entries or more if there are as many. Entries of older versions count as having room.

--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -29,6 +29,7 @@
  * @leaving: it is shutting down
  * @outdated: it can't learn of changes of upstreams, though other entries can
  * @knows_peers: it knows which other entries there are; see anvil_members_update_known()
+ * @caller_share: part of the callers of its region that it has room for, thousandths
  */
 typedef struct
 {
@@ -43,8 +44,12 @@
   gboolean reads_store;
   gboolean outdated;
   gboolean knows_peers;
+  guint caller_share;
 } anvil_member_info_t;
 
+/* Value of @caller_share of an entry that has room for any caller. */
+#define ANVIL_FULL_CALLER_SHARE 1000u
+
 /**
  * anvil_peer_t - another entry as this one sees it
  * @node: its address for peers
@@ -226,15 +231,18 @@
 /**
  * anvil_members_entries_for_caller - entries that a caller may use
  * @region: the caller's region, may be empty
+ * @caller: the caller's IPv4 address, host order
  * @nodes: result, address of each with its port for callers
  *
  * Only entries that are reachable and serve callers: those of the caller's
- * region if there are any, else those of all regions.
+ * region if there are any, else those of all regions. An entry with a smaller share of
+ * callers is told to fewer of them.
  *
  * Return: the number of entries written to @nodes.
  */
 guint anvil_members_entries_for_caller (const anvil_members_t *members,
                                         anvil_time_t now,
                                         anvil_str_t region,
+                                        guint32 caller,
                                         anvil_node_t *nodes,
                                         guint max_nodes);
--- a/source/relay/link-usage.h
+++ b/source/relay/link-usage.h
@@ -17,12 +17,16 @@
 } anvil_link_user_t;
 
 /**
- * anvil_link_usage_t - plain value; starts as zeroes but for @rate
+ * anvil_link_usage_t - plain value; starts as zeroes but for @rate and a full @caller_share
  * @rate: rate of the link in each direction, bits per second; 0 if it isn't known
  * @measured_at: end of the last period that was measured, monotonic clock; 0 before the first
  * @totals: bytes up to then
  * @period: bytes of that period
  * @share: share of the link that the busier direction used in it; 0 if @rate is 0
+ * @average: moving average of @share
+ * @caller_share: part of the callers that the link has room for, thousandths; see
+ *   anvil_member_info_t
+ * @adjusted_at: when @caller_share was changed last
  */
 typedef struct
 {
@@ -31,6 +35,9 @@
   anvil_byte_counts_t totals[ANVIL_N_LINK_USERS];
   anvil_byte_counts_t period[ANVIL_N_LINK_USERS];
   gdouble share;
+  gdouble average;
+  guint caller_share;
+  anvil_time_t adjusted_at;
 } anvil_link_usage_t;
 
 /** anvil_link_user_name - for logs and metrics */
--- a/source/relay/relay-aux-server.c
+++ b/source/relay/relay-aux-server.c
@@ -1,5 +1,6 @@
 #include "relay/relay-aux-server.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 #include <event2/buffer.h>
@@ -58,6 +59,18 @@
   return region;
 }
 
+static guint32
+get_caller_address (struct evhttp_request *request)
+{
+  struct in_addr address = { 0 };
+  char *text;
+  ev_uint16_t port;
+
+  evhttp_connection_get_peer (evhttp_request_get_connection (request), &text, &port);
+  inet_pton (AF_INET, text, &address);
+  return ntohl (address.s_addr);
+}
+
 static void
 on_lookup (struct evhttp_request *request, void *data)
 {
@@ -66,7 +79,7 @@
   anvil_node_t nodes[MAX_LOOKUP_ENTRIES];
   guint n_nodes = anvil_members_entries_for_caller (
       anvil_slot_broker_members (server->options.slot_broker), anvil_clock_now (),
-      anvil_str (region), nodes, MAX_LOOKUP_ENTRIES);
+      anvil_str (region), get_caller_address (request), nodes, MAX_LOOKUP_ENTRIES);
   GPtrArray *addresses = g_ptr_array_new_with_free_func (g_free);
   char *text;
 
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -29,7 +29,7 @@
 static void
 pack_info (msgpack_packer *packer, const anvil_member_info_t *info)
 {
-  msgpack_pack_array (packer, 11);
+  msgpack_pack_array (packer, 12);
   pack_text (packer, info->name);
   pack_text (packer, info->zone);
   msgpack_pack_uint64 (packer, info->incarnation);
@@ -41,6 +41,7 @@
   msgpack_pack_uint64 (packer, info->reads_store);
   msgpack_pack_uint64 (packer, info->outdated);
   msgpack_pack_uint64 (packer, info->knows_peers);
+  msgpack_pack_uint64 (packer, info->caller_share);
 }
 
 static void
@@ -314,6 +315,10 @@
   /* Entries of older versions don't send it; they hold services from their start. */
   info->knows_peers = reader.array == NULL || reader.next == reader.array->size
                       || read_number (&reader, "knows peers", 1) != 0;
+  /* Nor this. They have room for any caller. */
+  info->caller_share = reader.array == NULL || reader.next == reader.array->size
+                           ? ANVIL_FULL_CALLER_SHARE
+                           : (guint) read_number (&reader, "caller share", ANVIL_FULL_CALLER_SHARE);
 }
 
 static guint
--- a/source/relay/relay-settings-diff.c
+++ b/source/relay/relay-settings-diff.c
@@ -90,7 +90,7 @@
   { "cpu", "choice of holders", FALSE, format_cpu },
   { "memory", "limits of bodies and responses", FALSE, format_memory },
   { "descriptors", "limit of callers' connections", FALSE, format_descriptors },
-  { "link", "log lines on the use of the link", FALSE, format_link },
+  { "link", "share of the callers that are sent here", FALSE, format_link },
   { "retry-ratio", "retries of all services", TRUE, format_retry_ratio },
   { "retry-extra", "retries of all services", TRUE, format_retry_extra },
   { "retry-window", "retries of all services", TRUE, format_retry_window },
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -327,8 +327,11 @@
     [ANVIL_LINK_PEERS] = anvil_slot_broker_peer_bytes (relay->slot_broker),
   };
 
-  if (anvil_link_usage_update (&relay->link_usage, now, totals))
-    anvil_link_usage_log (&relay->link_usage);
+  if (!anvil_link_usage_update (&relay->link_usage, now, totals))
+    return;
+  anvil_link_usage_log (&relay->link_usage);
+  anvil_members_self (anvil_slot_broker_members (relay->slot_broker))->caller_share
+      = relay->link_usage.caller_share;
 }
 
 static void
@@ -507,6 +510,8 @@
       g_free (out);
     }
   anvil_metrics_set_gauge (relay->metrics, "anvil_link_share", "", relay->link_usage.share);
+  anvil_metrics_set_gauge (relay->metrics, "anvil_caller_share", "",
+                           relay->link_usage.caller_share / (gdouble) ANVIL_FULL_CALLER_SHARE);
 }
 
 static void
@@ -613,6 +618,7 @@
   relay->registry = anvil_registry_new (&registry_callbacks, relay);
   relay->suspended_time = total_suspended_time ();
   relay->link_usage.rate = settings->link_rate;
+  relay->link_usage.caller_share = ANVIL_FULL_CALLER_SHARE;
   if (!open_modules (relay, error))
     {
       anvil_relay_close (relay);
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -138,7 +138,8 @@
           .zone = anvil_str (settings->zone),
           .incarnation = ((guint64) g_random_int () << 32) | g_random_int (),
           .caller_port = settings->caller_endpoint.port,
-          .cpu_millicores = settings->cpu_millicores };
+          .cpu_millicores = settings->cpu_millicores,
+          .caller_share = ANVIL_FULL_CALLER_SHARE };
   anvil_members_t *members = anvil_members_new (broker->self, &info, region_of, broker);
 
   for (guint i = 0; i < settings->n_seeds; i++)
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "steer/caller-choice.h"
+
 /* Time between two pings to a peer that is pinged often: the minimum, the part for each such peer,
  * and the maximum. With up to 40 such peers an entry sends at most 40 pings a second. */
 #define MIN_PING_PERIOD (250 * ANVIL_MS)
@@ -460,31 +462,34 @@
   return members->peers->pdata[index];
 }
 
-static anvil_node_t
-caller_endpoint (anvil_node_t node, const anvil_member_info_t *info)
+static anvil_caller_candidate_t
+caller_candidate (anvil_node_t node, const anvil_member_info_t *info)
 {
-  return anvil_node (anvil_node_address (node), info->caller_port);
+  return (anvil_caller_candidate_t){
+    .node = anvil_node (anvil_node_address (node), info->caller_port),
+    .share = info->caller_share,
+  };
 }
 
 static guint
 serving_entries (const anvil_members_t *members,
                  anvil_time_t now,
                  const char *region,
-                 anvil_node_t *nodes,
-                 guint max_nodes)
+                 anvil_caller_candidate_t *candidates,
+                 guint max_candidates)
 {
   const char *own_region = members->region_of (members->context, members->info.zone.data);
   guint n = 0;
 
-  if (members->info.ready && !members->info.leaving && n < max_nodes
+  if (members->info.ready && !members->info.leaving && n < max_candidates
       && (region == NULL || g_strcmp0 (own_region, region) == 0))
-    nodes[n++] = caller_endpoint (members->self, &members->info);
-  for (guint i = 0; i < members->peers->len && n < max_nodes; i++)
+    candidates[n++] = caller_candidate (members->self, &members->info);
+  for (guint i = 0; i < members->peers->len && n < max_candidates; i++)
     {
       const anvil_peer_t *peer = members->peers->pdata[i];
 
       if (serves (members, now, peer) && (region == NULL || g_strcmp0 (peer->region, region) == 0))
-        nodes[n++] = caller_endpoint (peer->node, &peer->info);
+        candidates[n++] = caller_candidate (peer->node, &peer->info);
     }
   return n;
 }
@@ -493,12 +498,18 @@
 anvil_members_entries_for_caller (const anvil_members_t *members,
                                   anvil_time_t now,
                                   anvil_str_t region,
+                                  guint32 caller,
                                   anvil_node_t *nodes,
                                   guint max_nodes)
 {
+  anvil_caller_candidate_t *candidates = g_new0 (anvil_caller_candidate_t, max_nodes);
   char *name = anvil_str_dup (region);
-  guint n = serving_entries (members, now, name, nodes, max_nodes);
+  guint n = serving_entries (members, now, name, candidates, max_nodes);
 
+  if (n == 0)
+    n = serving_entries (members, now, NULL, candidates, max_nodes);
+  n = anvil_caller_choose (candidates, n, caller, nodes);
   g_free (name);
-  return n > 0 ? n : serving_entries (members, now, NULL, nodes, max_nodes);
+  g_free (candidates);
+  return n;
 }
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -57,7 +57,7 @@
 {
   anvil_node_t nodes[8];
 
-  return anvil_members_entries_for_caller (members, now, anvil_str (region), nodes, 8);
+  return anvil_members_entries_for_caller (members, now, anvil_str (region), 0, nodes, 8);
 }
 
 START_TEST (test_unreachable_peer_is_not_returned_to_callers)
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -17,7 +17,8 @@
               .store_ok_for = 3000000,
               .reads_store = TRUE,
               .outdated = TRUE,
-              .knows_peers = TRUE } },
+              .knows_peers = TRUE,
+              .caller_share = 640 } },
   { .kind = ANVIL_RELAY_REQUEST_SLOT,
     .number = 6,
     .task = { .service = { "photos", 6 },
@@ -141,6 +142,11 @@
   GByteArray *bytes = pack (&ping);
   anvil_relay_message_t read;
 
+  remove_last_items (bytes, 1, 1);
+  ck_assert (anvil_relay_message_unpack (
+      (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
+  ck_assert (!read.info.knows_peers);
+  ck_assert_uint_eq (read.info.caller_share, ANVIL_FULL_CALLER_SHARE);
   remove_last_items (bytes, 1, 1);
   ck_assert (anvil_relay_message_unpack (
       (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
