--- a/tests/test-link-usage.c
+++ b/tests/test-link-usage.c
@@ -61,7 +61,7 @@
 {
   static const guint delay_s = 2;
   anvil_byte_counts_t totals[ANVIL_N_LINK_USERS] = { { 0 } };
-  guint shares[64];
+  guint shares[64] = { 0 };
 
   anvil_link_usage_update (usage, START, totals);
   for (guint i = 0; i < seconds; i++)
