Choose nothing of no candidates without sorting them

test-caller-choice, sanitized: qsort() was called with NULL where no entry serves callers, which the C library tolerates and the standard does not.

--- a/source/steer/caller-choice.c
+++ b/source/steer/caller-choice.c
@@ -43,10 +43,13 @@
                      guint32 caller,
                      anvil_node_t *nodes)
 {
-  scored_t *scored = g_new0 (scored_t, n_candidates);
+  scored_t *scored;
   guint largest = 0;
   guint n = 0;
 
+  if (n_candidates == 0)
+    return 0;
+  scored = g_new0 (scored_t, n_candidates);
   for (guint i = 0; i < n_candidates; i++)
     largest = MAX (largest, candidates[i].share);
   for (guint i = 0; i < n_candidates; i++)
