Log who sent a failed response, and show what the process takes of its VM

"attempt failed" has responder, the upstream that the response names as its sender. New gauges: anvil_resident_bytes, anvil_descriptors, anvil_loop_delay_seconds, anvil_store_lost.

--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -201,9 +201,10 @@
 
   anvil_log (ANVIL_LOG_INFO, "request",
              "attempt failed request=%s upstream=%s attempt=%u status=%u marker=%d not_run=%d "
-             "id=%d connection_reused=%d reason=\"%s\" took_ms=%" G_GINT64_FORMAT,
+             "id=%d responder=%s connection_reused=%d reason=\"%s\" took_ms=%" G_GINT64_FORMAT,
              text_or_dash (job->request->id), job->upstream_id, job->task.attempt, response->status,
-             response->has_marker, response->not_run, response->has_id, response->connection_reused,
+             response->has_marker, response->not_run, response->has_id,
+             text_or_dash (response->upstream_id), response->connection_reused,
              text_or_dash (outcome->reason), outcome->duration / ANVIL_MS);
   if (anvil_http_status_is_promise (response->status) && response->status != STATUS_MISDIRECTED
       && !response->not_run)
--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -55,6 +55,7 @@
  * @request_bytes: size of the request on the wire
  * @peer_timer: checks whether the upstream still acknowledges a long request, or NULL
  * @response_request_id: request id in the response, or NULL
+ * @response_upstream_id: upstream that the response names as its sender, or NULL
  * @has_response_marker: the response carries the marker header
  * @not_run: the response says that the request has not run
  * @request_limit: request limit that the response names
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -34,7 +34,8 @@
                                    .has_marker = attempt->has_response_marker,
                                    .not_run = attempt->not_run,
                                    .has_id = attempt->response_request_id != NULL,
-                                   .connection_reused = attempt->connection->reused };
+                                   .connection_reused = attempt->connection->reused,
+                                   .upstream_id = attempt->response_upstream_id };
 }
 
 anvil_relay_attempt_outcome_t
@@ -153,6 +154,11 @@
       g_free (attempt->response_request_id);
       attempt->response_request_id = anvil_str_dup (value);
     }
+  else if (anvil_http_field_name_is (name, header_names->upstream_id))
+    {
+      g_free (attempt->response_upstream_id);
+      attempt->response_upstream_id = anvil_str_dup (value);
+    }
   else if (anvil_http_field_name_is (name, header_names->response_marker))
     attempt->has_response_marker = TRUE;
   else if (anvil_http_field_name_is (name, header_names->not_run))
--- a/source/relay/relay-upstream.h
+++ b/source/relay/relay-upstream.h
@@ -58,6 +58,7 @@
  * @not_run: it states that the request has not run
  * @has_id: it has the id of the request
  * @connection_reused: it arrived on a connection that had carried another response
+ * @upstream_id: id of the upstream that it names as its sender, or NULL; borrowed
  */
 typedef struct
 {
@@ -66,6 +67,7 @@
   gboolean not_run;
   gboolean has_id;
   gboolean connection_reused;
+  const char *upstream_id;
 } anvil_relay_response_t;
 
 /**
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -6,6 +6,7 @@
 #include "anvil/log.h"
 #include "anvil/settings.h"
 #include "relay/link-usage.h"
+#include "relay/process-usage.h"
 #include "relay/relay-aux-server.h"
 #include "relay/relay-feed.h"
 #include "relay/relay-job.h"
@@ -64,6 +65,7 @@
   anvil_time_t suspended_time;
   anvil_time_t resumed_at;
   anvil_link_usage_t link_usage;
+  anvil_process_usage_t process_usage;
 };
 
 static gboolean
@@ -341,6 +343,7 @@
   anvil_time_t now = anvil_clock_now ();
 
   detect_suspension (relay, now);
+  anvil_process_usage_tick (&relay->process_usage, now, TICK_INTERVAL);
   update_link_usage (relay, now);
   update_ready (relay);
   update_grace (relay, now);
@@ -538,6 +541,8 @@
                            anvil_registry_count (relay->registry));
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstreams_age_seconds", "",
                            age_seconds (read_at));
+  anvil_metrics_set_gauge (relay->metrics, "anvil_store_lost", "",
+                           anvil_relay_watch_store_lost (relay->watch));
   anvil_metrics_set_gauge (relay->metrics, "anvil_limited_upstreams", "",
                            anvil_relay_jobs_count_request_limits (relay->jobs));
   anvil_metrics_set_gauge (relay->metrics, "anvil_requests_open", "",
@@ -557,6 +562,7 @@
                            (gdouble) pool->connections_opened);
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstream_answers_strayed", "",
                            (gdouble) pool->mismatched_responses);
+  anvil_process_usage_update_metrics (&relay->process_usage, relay->metrics);
   update_link_gauges (relay);
   anvil_slot_broker_foreach_held_service (relay->slot_broker, update_service_gauges, relay);
 }
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -25,6 +25,7 @@
                                                    .timeout_ms = "Deadline-Ms",
                                                    .object = "Affinity-Key",
                                                    .expected_upstream = "Expect-Instance",
+                                                   .upstream_id = "Instance-Id",
                                                    .response_marker = "Server-Stamp",
                                                    .not_run = "Not-Run",
                                                    .request_limit = "Server-Limit" };
