Add failing tests of 421 answers to run requests, and of endless bytes

Callers: a request that an upstream runs and answers with 421 is run again elsewhere and refused; bytes without end at the port of look-ups, or from the store, take the memory or the callers' answers.

test-relay-promises has 421 among the statuses that promise; its comment that 421 states by itself that a request hasn't run was the fault. It also counts the runs of requests that must not run twice. Test-relay-upstream lists which responses are rejections. The soak's upstreams answer 421, too.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 TEST_NAMES = $(basename $(notdir $(wildcard tests/test-*.c)))
 BENCH_NAMES = $(basename $(notdir $(wildcard bench/bench-*.c)))
 
-standin_objects = $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/$(1).c standins/$(1)-*.c))
+standin_objects = $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/$(1).c standins/$(1)-*.c)) $(BUILD)/standins/endless.o
 
 PROGRAMS = $(BUILD)/bin/anvil-entry $(BUILD)/bin/anvil-relay \
   $(foreach name,$(TOOL_NAMES),$(if $(wildcard source/tools/$(name).c),$(BUILD)/bin/$(name))) \
@@ -75,7 +75,7 @@
 $(foreach name,$(STANDIN_NAMES),$(eval $(call link_rule,$(name),$(call standin_objects,$(name)))))
 
 # A test may reach the daemons' tasks, but not their mains.
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(filter-out %/anvil-relay.o,$(RELAY_OBJECTS)) $(HELPER_OBJECTS) $(FAKE_OBJECTS) $(WORLD_OBJECTS) $(TOOL_LIBRARY) $(LIBRARY)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(filter-out %/anvil-relay.o,$(RELAY_OBJECTS)) $(HELPER_OBJECTS) $(BUILD)/standins/endless.o $(FAKE_OBJECTS) $(WORLD_OBJECTS) $(TOOL_LIBRARY) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
--- a/standins/anvil-registrant-report.c
+++ b/standins/anvil-registrant-report.c
@@ -9,6 +9,7 @@
 
 #include "anvil/clock.h"
 #include "anvil/log.h"
+#include "endless.h"
 
 const char *
 registrant_request_header (struct evhttp_request *request, const char *name)
@@ -47,61 +48,24 @@
   evhttp_connection_free (connection);
 }
 
-/* Bytes that are sent at once, again and again. */
-#define FLOOD_PIECE_BYTES (16u << 10)
-
-static void
-on_flood_writable (evutil_socket_t fd, short unused_what, void *unused_data)
-{
-  char piece[FLOOD_PIECE_BYTES];
-
-  memset (piece, 'x', sizeof piece);
-  /* A failure means that the caller has closed; evhttp notices that and calls on_flood_ended(). */
-  if (send (fd, piece, sizeof piece, MSG_NOSIGNAL) < 0)
-    return;
-}
-
-static void
-on_flood_ended (struct evhttp_connection *connection, void *data)
-{
-  event_free (data);
-}
-
-/* Sends @start and then bytes without end, until the caller closes the connection. */
-static void
-send_without_end (struct evhttp_request *request, const char *start)
-{
-  struct evhttp_connection *connection = evhttp_request_get_connection (request);
-  evutil_socket_t fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
-  struct event *writable = event_new (evhttp_connection_get_base (connection), fd,
-                                      EV_WRITE | EV_PERSIST, on_flood_writable, NULL);
-
-  if (send (fd, start, strlen (start), MSG_NOSIGNAL) < 0)
-    anvil_log (ANVIL_LOG_INFO, "upstream", "caller disconnected");
-  evhttp_connection_set_closecb (connection, on_flood_ended, writable);
-  event_add (writable, NULL);
-}
+/* Before the name of a place of endless_messages. */
+#define ENDLESS_PREFIX "endless-"
 
 void
 registrant_send_faulty_response (const registrant_job_t *job, const char *text)
 {
   const char *id = registrant_request_header (job->request, "Request-Id");
-  char *head = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: x\r\n", id);
+  char *fields = g_strdup_printf ("Request-Id: %s\r\nServer-Stamp: x\r\n", id);
+  char *head = g_strdup_printf ("HTTP/1.1 200 OK\r\n%s", fields);
   char *response = NULL;
 
   if (strcmp (job->fault, "reset") == 0)
     send_raw_and_close (job->request, "", TRUE);
   else if (strcmp (job->fault, "truncate") == 0)
     response = g_strdup_printf ("%sContent-Length: 1000\r\n\r\n%s", head, text);
-  else if (strcmp (job->fault, "endless-head") == 0)
-    send_without_end (job->request, "HTTP/1.1 200 OK\r\nFiller: ");
-  else if (strcmp (job->fault, "endless-body") == 0)
-    {
-      char *start = g_strdup_printf ("%s\r\n", head);
-
-      send_without_end (job->request, start);
-      g_free (start);
-    }
+  else if (g_str_has_prefix (job->fault, ENDLESS_PREFIX)
+           && endless_find (job->fault + strlen (ENDLESS_PREFIX)) != NULL)
+    endless_respond (job->request, endless_find (job->fault + strlen (ENDLESS_PREFIX)), fields);
   else if (strcmp (job->fault, "unframed") == 0)
     response = g_strdup_printf ("%sConnection: close\r\n\r\n%s", head, text);
   else if (strcmp (job->fault, "stray") == 0)
@@ -114,6 +78,7 @@
     send_raw_and_close (job->request, response, FALSE);
   g_free (response);
   g_free (head);
+  g_free (fields);
 }
 
 void
--- a/standins/anvil-registrant.c
+++ b/standins/anvil-registrant.c
@@ -15,8 +15,7 @@
  *     unframed         body without Content-Length that ends with the connection
  *     stray            a response to another request comes first
  *     copies           the response comes twice
- *     endless-head     a header without end, until the caller closes
- *     endless-body     a body without end, until the caller closes
+ *     endless-PLACE    bytes without end, until the caller closes; PLACE as in endless.c
  *   status=CODE      status of the response
  *   echo=headers     the response's body includes the headers of the request
  * GET /runs returns the number of runs by request ID: {"ID": COUNT}. POST /limit?value=TEXT makes
--- a/standins/anvil-store.c
+++ b/standins/anvil-store.c
@@ -4,6 +4,7 @@
  * In addition to the store's calls, it serves POST /fault?kind=KIND&for_ms=N to inject a fault:
  *   busy     every call is rejected with status 503
  *   silent   calls get no response
+ *   endless-PLACE  responses go on without end; PLACE as in endless.c
  *   lose     transactions are processed, but get no response
  *   refuse-writes  transactions are rejected with status 429
  *   compact  the history of changes is deleted, once
@@ -26,7 +27,10 @@
 #include "anvil/clock.h"
 #include "anvil/log.h"
 #include "anvil/settings.h"
+#include "endless.h"
 
+/* Before the name of a place of endless_messages. */
+#define ENDLESS_PREFIX "endless-"
 #define MAX_POLL_WAIT_MS 30000
 #define STATUS_CONDITION_FAILED 412
 #define STATUS_GONE 410
@@ -39,6 +43,7 @@
   FAULT_SILENT,
   FAULT_LOSE,
   FAULT_REFUSE_WRITES,
+  FAULT_ENDLESS,
 } fault_t;
 
 typedef struct
@@ -51,6 +56,8 @@
   /* Numbers of reads of changes, by table. */
   GHashTable *change_reads;
   fault_t fault;
+  /* Place of FAULT_ENDLESS. */
+  const endless_message_t *endless;
   anvil_time_t fault_ends_at;
 } store_t;
 
@@ -105,6 +112,9 @@
     case FAULT_SILENT:
       /* evhttp frees the request when the caller times out and closes its connection. */
       return TRUE;
+    case FAULT_ENDLESS:
+      endless_respond (request, store->endless, "");
+      return TRUE;
     default:
       return FALSE;
     }
@@ -306,10 +316,14 @@
 
   parse_query (request, &query);
   kind = query_text (&query, "kind");
+  store->endless = g_str_has_prefix (kind, ENDLESS_PREFIX)
+                       ? endless_find (kind + strlen (ENDLESS_PREFIX))
+                       : NULL;
   store->fault = strcmp (kind, "busy") == 0            ? FAULT_BUSY
                  : strcmp (kind, "silent") == 0        ? FAULT_SILENT
                  : strcmp (kind, "lose") == 0          ? FAULT_LOSE
                  : strcmp (kind, "refuse-writes") == 0 ? FAULT_REFUSE_WRITES
+                 : store->endless != NULL              ? FAULT_ENDLESS
                                                        : FAULT_NONE;
   store->fault_ends_at
       = anvil_clock_now () + (anvil_time_t) query_number (&query, "for_ms") * ANVIL_MS;
--- a/tests/soak/soak-callers.c
+++ b/tests/soak/soak-callers.c
@@ -152,7 +152,7 @@
 static guint
 choose_error_status (const soak_callers_t *callers)
 {
-  static const guint statuses[] = { 500, 503, 429, 408 };
+  static const guint statuses[] = { 500, 503, 429, 408, 421 };
 
   return statuses[callers->requests->len % G_N_ELEMENTS (statuses)];
 }
--- a/tests/test-relay-promises.c
+++ b/tests/test-relay-promises.c
@@ -9,8 +9,7 @@
 
 #include "anvil/clock.h"
 
-/* 421 states by itself that the request was not run: another upstream has the address. */
-static const guint unconfirmed_statuses[] = { 408, 429, 503 };
+static const guint unconfirmed_statuses[] = { 408, 421, 429, 503 };
 
 static fleet_t fleet;
 static fleet_entry_t *entry;
@@ -66,6 +65,8 @@
       guint runs = fleet_count_runs (&fleet, id);
 
       ck_assert_uint_ge (runs, min_runs);
+      ck_assert_msg (strcmp (method, "POST") != 0 || runs == 1, "%s %s: it ran %u times", method,
+                     query, runs);
       ck_assert_msg (!is_promise (status), "%s %s: %u although it ran %u times", method, query,
                      status, runs);
       /* The marker would say that the status is the upstream's. */
@@ -111,6 +112,33 @@
 }
 END_TEST
 
+/* Upstreams that are used again show that they weren't taken for others at their address. */
+START_TEST (test_upstreams_that_answer_421_to_their_own_requests_stay_in_use)
+{
+  static const char *const faults[] = { "error", "unsigned" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      char *query = g_strdup_printf ("fault=%s&status=421", faults[i]);
+      char *response = request ("POST", "/pay/", query, faults[i]);
+
+      ck_assert_msg (fleet_response_status (response) == 502, "%s: %s", query, response);
+      ck_assert_uint_eq (fleet_count_runs (&fleet, faults[i]), 1);
+      g_free (response);
+      g_free (query);
+    }
+  for (guint i = 0; i < 4; i++)
+    {
+      char *id = g_strdup_printf ("after-%u", i);
+      char *response = request ("POST", "/pay/", "", id);
+
+      ck_assert_msg (fleet_response_status (response) == 200, "%s: %s", id, response);
+      g_free (response);
+      g_free (id);
+    }
+}
+END_TEST
+
 static char *
 read_log (void)
 {
@@ -151,8 +179,9 @@
 
 START_TEST (test_the_log_tells_whose_status_a_caller_got)
 {
-  static const char *const unconfirmed[]
-      = { "attempt failed request=ran", "status=503", "marker=1", "not_run=0", "id=1", NULL };
+  static const char *const unconfirmed[] = {
+    "attempt failed request=ran", "status=503", "marker=1", "not_run=0", "id=1", "responder=u", NULL
+  };
   static const char *const rejected[]
       = { "attempt failed request=rejected", "status=503", "marker=0", "not_run=1", "id=1", NULL };
   static const char *const refused[]
@@ -186,6 +215,7 @@
   tcase_add_test (tests, test_a_safe_request_that_ran_is_not_answered_with_a_promise);
   tcase_add_test (tests, test_a_promise_without_marker_is_not_passed_on);
   tcase_add_test (tests, test_a_request_that_all_upstreams_reject_is_refused_with_a_promise);
+  tcase_add_test (tests, test_upstreams_that_answer_421_to_their_own_requests_stay_in_use);
   tcase_add_test (tests, test_the_log_tells_whose_status_a_caller_got);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -40,6 +40,7 @@
 static guint status;
 static anvil_request_limit_t request_limit;
 static char *body_text;
+static char *headers_text;
 
 static void
 on_done (void *context, const anvil_relay_attempt_outcome_t *outcome)
@@ -48,6 +49,8 @@
   result = outcome->result;
   status = outcome->status;
   request_limit = outcome->request_limit;
+  g_free (headers_text);
+  headers_text = g_strdup (outcome->headers != NULL ? outcome->headers->str : "");
   g_free (body_text);
   body_text = outcome->body == NULL ? NULL
                                     : g_strndup ((const char *) evbuffer_pullup (outcome->body, -1),
@@ -80,6 +83,7 @@
   event_base_free (base);
   close (listener);
   g_clear_pointer (&body_text, g_free);
+  g_clear_pointer (&headers_text, g_free);
 }
 
 static void
@@ -503,6 +507,64 @@
 }
 END_TEST
 
+/* Guards against requests that run and are refused, or sent once more, since a response is taken
+ * for a rejection that its upstream didn't give. */
+START_TEST (test_only_a_confirmed_rejection_says_that_a_request_has_not_run)
+{
+  static const struct
+  {
+    const char *response;
+    anvil_run_result_t result;
+  } cases[] = {
+    { "HTTP/1.1 421 M\r\nInstance-Id: u2\r\n", ANVIL_RUN_CONNECT_FAILED },
+    { "HTTP/1.1 421 M\r\nInstance-Id: u2\r\nRequest-Id: one\r\n", ANVIL_RUN_CONNECT_FAILED },
+    { "HTTP/1.1 421 M\r\nNot-Run: 1\r\n", ANVIL_RUN_CONNECT_FAILED },
+    { "HTTP/1.1 421 M\r\nNot-Run: 1\r\nInstance-Id: u1\r\n", ANVIL_RUN_SHED },
+    { "HTTP/1.1 421 M\r\nRequest-Id: one\r\n", ANVIL_RUN_INTERRUPTED },
+    { "HTTP/1.1 421 M\r\nRequest-Id: one\r\nInstance-Id: u1\r\n", ANVIL_RUN_INTERRUPTED },
+    { "HTTP/1.1 421 M\r\nRequest-Id: one\r\nServer-Stamp: s\r\n", ANVIL_RUN_FAILED },
+    { "HTTP/1.1 421 M\r\nRequest-Id: one\r\nServer-Stamp: s\r\nInstance-Id: u1\r\n",
+      ANVIL_RUN_FAILED },
+    { "HTTP/1.1 421 M\r\nRequest-Id: one\r\nServer-Stamp: s\r\nInstance-Id: u2\r\n",
+      ANVIL_RUN_FAILED },
+    { "HTTP/1.1 503 U\r\nRequest-Id: one\r\nNot-Run: 1\r\n", ANVIL_RUN_SHED },
+    { "HTTP/1.1 503 U\r\nRequest-Id: one\r\nNot-Run: 1\r\nServer-Stamp: s\r\n", ANVIL_RUN_FAILED },
+    { "HTTP/1.1 503 U\r\nRequest-Id: one\r\nServer-Stamp: s\r\n", ANVIL_RUN_FAILED },
+    { "HTTP/1.1 400 B\r\nRequest-Id: one\r\nNot-Run: 1\r\nServer-Stamp: s\r\n",
+      ANVIL_RUN_ANSWERED },
+    { "HTTP/1.1 500 E\r\nRequest-Id: one\r\nNot-Run: 1\r\nServer-Stamp: s\r\n", ANVIL_RUN_FAILED },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *response = g_strconcat (cases[i].response, "Content-Length: 0\r\n\r\n", NULL);
+      int fd;
+
+      start_attempt ();
+      fd = accept_request ();
+      send_response (fd, response);
+      ck_assert_msg (result == cases[i].result, "%s: %d", response, result);
+      close (fd);
+      g_free (response);
+    }
+}
+END_TEST
+
+/* Guards against the same by a field behind the body, which isn't part of the head. */
+START_TEST (test_a_trailer_is_no_header)
+{
+  int fd;
+
+  start_attempt ();
+  fd = accept_request ();
+  send_response (fd, "HTTP/1.1 503 U\r\nRequest-Id: one\r\nServer-Stamp: s\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n0\r\nNot-Run: 1\r\nLast: x\r\n\r\n");
+  ck_assert_int_eq (result, ANVIL_RUN_FAILED);
+  ck_assert_ptr_null (strstr (headers_text, "Not-Run"));
+  close (fd);
+}
+END_TEST
+
 /* Guards against requests that wait until their deadline: a response to another request that ends
  * only with its connection contains all that follows. */
 START_TEST (test_a_response_to_another_request_without_length_ends_the_attempt)
@@ -802,6 +864,8 @@
   tcase_add_test (tests,
                   test_a_rejection_without_an_id_does_not_count_behind_a_response_to_another);
   tcase_add_test (tests, test_a_response_to_another_request_without_length_ends_the_attempt);
+  tcase_add_test (tests, test_only_a_confirmed_rejection_says_that_a_request_has_not_run);
+  tcase_add_test (tests, test_a_trailer_is_no_header);
   tcase_add_test (tests, test_an_upstream_that_reads_an_upload_late_can_answer);
   tcase_add_test (tests, test_an_upstream_that_is_lost_during_an_upload_is_noticed);
   tcase_add_test (tests, test_an_upstream_that_is_lost_before_a_short_request_is_noticed);
