Take 421 as a rejection only if it is confirmed

What callers saw: a request that an upstream runs and answers with 421 was sent to the next upstream, also if it must not run twice, and refused with 503 at last; then the service had no upstream left.

Cause: 421 counted as "another upstream has the address" whoever sent it, and "not run" was concluded from it.

Change: 421 is a rejection if it has Not-Run or names another upstream than the expected one as its sender. A response with the marker of a run is none, whatever else it says. An upstream counts as another one only by such a 421 that it didn't send itself; the request may go on elsewhere then.

--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -206,8 +206,8 @@
              response->has_marker, response->not_run, response->has_id,
              text_or_dash (response->upstream_id), response->connection_reused,
              text_or_dash (outcome->reason), outcome->duration / ANVIL_MS);
-  if (anvil_http_status_is_promise (response->status) && response->status != STATUS_MISDIRECTED
-      && !response->not_run)
+  if (anvil_http_status_is_promise (response->status) && outcome->result != ANVIL_RUN_SHED
+      && !outcome->misdirected)
     anvil_metrics_add_counter (job->jobs->options.metrics, "anvil_unconfirmed_rejections_total", "",
                                1);
 }
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -16,17 +16,37 @@
  * request is sent while the upstream closes. */
 #define IDLE_TIMEOUT_MARGIN (1 * ANVIL_SECOND)
 
-/* Whether the response states that this very request has not run. */
+/* Whether the response names another upstream as its sender than the expected one. */
+static gboolean
+is_from_another_upstream (const anvil_relay_attempt_t *attempt)
+{
+  return attempt->response_upstream_id != NULL
+         && strcmp (attempt->response_upstream_id, attempt->upstream_id) != 0;
+}
+
+/* Whether the response states that this very request has not run. A response with the marker is
+ * that of a run, whatever else it says. */
 static gboolean
 is_not_run_response (const anvil_relay_attempt_t *attempt, guint status)
 {
-  if (attempt->response_request_id != NULL
-      && g_strcmp0 (attempt->response_request_id, attempt->request_id) != 0)
+  if (attempt->has_response_marker
+      || (attempt->response_request_id != NULL
+          && g_strcmp0 (attempt->response_request_id, attempt->request_id) != 0))
     return FALSE;
+  if (status == STATUS_MISDIRECTED && is_from_another_upstream (attempt))
+    return TRUE;
   return attempt->not_run
          && (anvil_http_status_is_promise (status) || status == STATUS_BAD_REQUEST);
 }
 
+/* Whether the response states that another upstream has the address. */
+static gboolean
+is_misdirected_response (const anvil_relay_attempt_t *attempt, guint status)
+{
+  return status == STATUS_MISDIRECTED && is_not_run_response (attempt, status)
+         && (attempt->response_upstream_id == NULL || is_from_another_upstream (attempt));
+}
+
 static anvil_relay_response_t
 describe_response (const anvil_relay_attempt_t *attempt)
 {
@@ -50,7 +70,7 @@
                                             .request_limit = attempt->request_limit,
                                             .response = describe_response (attempt) };
 
-  if (status == STATUS_MISDIRECTED)
+  if (is_misdirected_response (attempt, status))
     {
       outcome.result = ANVIL_RUN_CONNECT_FAILED;
       outcome.misdirected = TRUE;
