Drop the trailers of upstreams' responses

Callers: fields behind a body in chunks were handled as fields of the head. One that says "not run" made a rejection of a response to a request that had run; the others were passed on among the headers, but for the last one.

Cause: http_parser reports trailers by the callbacks of header fields, and only the callers' side kept them apart. Found while looking for other ways by which a request that ran can be refused.

test_a_trailer_is_no_header: red before (taken as a rejection), passes now.

--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -54,6 +54,7 @@
  * anvil_relay_attempt - one request and its response
  * @request_bytes: size of the request on the wire
  * @peer_timer: checks whether the upstream still acknowledges a long request, or NULL
+ * @in_body: the head of the response has ended; later fields are trailers
  * @response_request_id: request id in the response, or NULL
  * @response_upstream_id: upstream that the response names as its sender, or NULL
  * @has_response_marker: the response carries the marker header
@@ -80,6 +81,7 @@
   GString *field_name;
   GString *field_value;
   gboolean in_value;
+  gboolean in_body;
   GString *headers;
   struct evbuffer *body;
   char *response_request_id;
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -135,6 +135,7 @@
 reset_response (anvil_relay_attempt_t *attempt)
 {
   attempt->in_value = FALSE;
+  attempt->in_body = FALSE;
   attempt->has_response_marker = FALSE;
   attempt->not_run = FALSE;
   attempt->request_limit = (anvil_request_limit_t){ .state = ANVIL_REQUEST_LIMIT_NONE };
@@ -209,6 +210,9 @@
 {
   anvil_relay_attempt_t *attempt = parser->data;
 
+  /* Trailers are dropped. */
+  if (attempt->in_body)
+    return 0;
   if (attempt->in_value)
     process_field (attempt);
   attempt->in_value = FALSE;
@@ -221,6 +225,8 @@
 {
   anvil_relay_attempt_t *attempt = parser->data;
 
+  if (attempt->in_body)
+    return 0;
   attempt->in_value = TRUE;
   g_string_append_len (attempt->field_value, at, (gssize) length);
   return 0;
@@ -240,6 +246,7 @@
   anvil_relay_attempt_t *attempt = parser->data;
 
   process_field (attempt);
+  attempt->in_body = TRUE;
   /* The response to this request can't follow it. */
   if (!attempt->is_head && has_no_length (parser) && !attempt_response_matches (attempt))
     return -1;
