Parse the store's responses with limits on all that arrives

Callers of an entry whose store sent the line or the extension of a chunk, chunks of one byte or 1xx heads without end were refused from 2.5 s on: the call counted as one whose response arrives, so it never ended, and what was read grew too old while the store didn't count as away. 1xx heads also took memory without end.

Cause: the client limited what evhttp counts, heads and bodies, and took any bytes for progress. Class: bytes and time that a peer takes before any account of them exists.

The client parses responses with http_parser, as the relay's connections do. Bytes outside of the body are limited by the rule that holds for upstreams' responses (http-framing.h, now in one place); only bytes of the body extend a call, at 16 KB/s or more and for 30 s at most. A failed call says why at debug level.

--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -1,43 +1,54 @@
 #include "net/http-pool.h"
 
 #include <arpa/inet.h>
+#include <http_parser.h>
+#include <string.h>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include "anvil/log.h"
+#include "net/http-framing.h"
+
 #define MAX_CONNECTIONS 4
 #define MAX_QUEUED_CALLS 1024
-#define MAX_HEADERS_BYTES (16u << 10)
 #define MAX_BODY_BYTES (8u << 20)
-/* A response that arrives more slowly is given up; the time-out comes on top. */
+/* A response whose body arrives more slowly is given up; the time-out comes on top. */
 #define MIN_RECEIVE_RATE (16u << 10)
+/* So is one that takes longer from its first byte on, whatever its rate. */
+#define MAX_RECEIVE_TIME (30 * ANVIL_SECOND)
 
 typedef struct call call_t;
 
 /**
  * connection_t - a connection of the pool
- * @evhttp: NULL until the first call and after a failure
+ * @stream: NULL until the first call and after a failure
  * @call: call in progress, or NULL
- * @broken: has failed; closed later, since evhttp doesn't allow that inside its callbacks
+ * @parser: parser of the response to @call
+ * @response_complete: the parser has reached the end of a response
+ * @framing_bytes: bytes of the response that belong to no body
+ * @body: body of the response so far
  */
 typedef struct
 {
   anvil_http_pool_t *pool;
-  struct evhttp_connection *evhttp;
+  struct bufferevent *stream;
   call_t *call;
-  gboolean broken;
+  http_parser parser;
+  gboolean response_complete;
+  guint64 framing_bytes;
+  struct evbuffer *body;
 } connection_t;
 
 /**
  * call_t - a call that is queued or in progress
  * @connection: connection that it uses, or NULL while queued
- * @request: request in progress, or NULL
  * @sent: whether any byte of the request may have been sent
  * @max_pause: limit of each pause in the response
  * @max_response_bytes: limit of the body of the response
  * @too_large: the response was given up, as its body exceeds that
  * @first_byte_at: when the first byte of the response arrived; 0 before
- * @received_bytes: bytes of the response that have arrived
  */
 struct call
 {
@@ -52,18 +63,16 @@
   void *context;
   struct event *timer;
   connection_t *connection;
-  struct evhttp_request *request;
   gboolean sent;
   gboolean too_large;
   anvil_time_t first_byte_at;
-  guint64 received_bytes;
 };
 
 struct anvil_http_pool
 {
   struct event_base *base;
+  struct sockaddr_in address;
   char host[INET_ADDRSTRLEN];
-  guint16 port;
   anvil_time_t timeout;
   connection_t connections[MAX_CONNECTIONS];
   GQueue queue;
@@ -101,24 +110,27 @@
 }
 
 static void
-on_response (struct evhttp_request *request, void *data)
+connection_close (connection_t *connection)
 {
-  call_t *call = data;
-  int status = request != NULL ? evhttp_request_get_response_code (request) : 0;
-
-  call->request = NULL;
-  if (status == 0)
-    call->connection->broken = TRUE;
-  call_finish (call, status, status != 0 ? evhttp_request_get_input_buffer (request) : NULL);
+  if (connection->stream != NULL)
+    bufferevent_free (connection->stream);
+  connection->stream = NULL;
+  evbuffer_drain (connection->body, evbuffer_get_length (connection->body));
 }
 
-/* Called before on_response(). */
+/* Ends the call of a connection that can't be used any more. */
 static void
-on_response_error (enum evhttp_request_error error, void *data)
+fail_call (connection_t *connection, const char *reason)
 {
-  call_t *call = data;
+  call_t *call = connection->call;
 
-  call->too_large = error == EVREQ_HTTP_DATA_TOO_LONG;
+  anvil_log (
+      ANVIL_LOG_DEBUG, "http",
+      "call failed uri=%s reason=\"%s\" sent=%d body_bytes=%zu framing_bytes=%" G_GUINT64_FORMAT,
+      call->uri, reason, call->sent, evbuffer_get_length (connection->body),
+      connection->framing_bytes);
+  connection_close (connection);
+  call_finish (call, 0, NULL);
 }
 
 static void
@@ -126,91 +138,261 @@
 {
   call_t *call = data;
 
-  if (call->request != NULL)
+  if (call->connection != NULL)
     {
-      call->connection->broken = TRUE;
-      evhttp_cancel_request (call->request);
+      fail_call (call->connection, "timed out");
+      return;
     }
-  else
-    g_queue_remove (&call->pool->queue, call);
+  g_queue_remove (&call->pool->queue, call);
   call_finish (call, 0, NULL);
 }
 
-/* evhttp adds the request to the output buffer only once it is connected, so a call whose
- * connection was refused counts as not sent. */
+/* Bytes that leave the output were written to the socket. */
 static void
 on_output_changed (struct evbuffer *unused_buffer, const struct evbuffer_cb_info *info, void *data)
 {
   connection_t *connection = data;
 
-  if (info->n_added > 0 && connection->call != NULL)
+  if (info->n_deleted > 0 && connection->call != NULL)
     connection->call->sent = TRUE;
 }
 
+static int
+on_message_begin (http_parser *parser)
+{
+  connection_t *connection = parser->data;
+
+  evbuffer_drain (connection->body, evbuffer_get_length (connection->body));
+  return 0;
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  const connection_t *connection = parser->data;
+  call_t *call = connection->call;
+
+  call->too_large
+      = (parser->flags & F_CONTENTLENGTH) != 0 && parser->content_length > call->max_response_bytes;
+  if (call->too_large)
+    return -1;
+  /* 1 tells the parser that the response to a HEAD request has no body. */
+  return call->command == EVHTTP_REQ_HEAD ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t length)
+{
+  connection_t *connection = parser->data;
+  call_t *call = connection->call;
+
+  call->too_large = evbuffer_get_length (connection->body) + length > call->max_response_bytes;
+  if (call->too_large)
+    return 1;
+  evbuffer_add (connection->body, at, length);
+  return 0;
+}
+
+static int
+on_message_complete (http_parser *parser)
+{
+  connection_t *connection = parser->data;
+
+  connection->response_complete = TRUE;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_message_begin = on_message_begin,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_message_complete,
+};
+
+/* Ends the call of a connection with its complete response. */
+static void
+complete_call (connection_t *connection)
+{
+  call_t *call = connection->call;
+  struct evbuffer *body = connection->body;
+
+  connection->body = evbuffer_new ();
+  if (!http_should_keep_alive (&connection->parser)
+      || evbuffer_get_length (bufferevent_get_input (connection->stream)) > 0
+      || evbuffer_get_length (bufferevent_get_output (connection->stream)) > 0)
+    connection_close (connection);
+  call_finish (call, connection->parser.status_code, body);
+  evbuffer_free (body);
+}
+
+/* Parses what has arrived. Returns FALSE if the call has ended. */
+static gboolean
+parse_input (connection_t *connection)
+{
+  struct evbuffer *input = bufferevent_get_input (connection->stream);
+  struct evbuffer_iovec chunk;
+
+  while (evbuffer_peek (input, -1, NULL, &chunk, 1) >= 1 && chunk.iov_len > 0)
+    {
+      gsize body_bytes = evbuffer_get_length (connection->body);
+      size_t parsed = http_parser_execute (&connection->parser, &parser_settings, chunk.iov_base,
+                                           chunk.iov_len);
+
+      evbuffer_drain (input, parsed);
+      connection->framing_bytes += parsed;
+      if (evbuffer_get_length (connection->body) > body_bytes)
+        connection->framing_bytes -= evbuffer_get_length (connection->body) - body_bytes;
+      if (connection->response_complete)
+        {
+          connection->response_complete = FALSE;
+          http_parser_pause (&connection->parser, 0);
+          if (connection->parser.status_code >= 200)
+            {
+              complete_call (connection);
+              return FALSE;
+            }
+        }
+      else if (HTTP_PARSER_ERRNO (&connection->parser) != HPE_OK || connection->parser.upgrade)
+        {
+          fail_call (connection,
+                     connection->call->too_large ? "response too large" : "malformed response");
+          return FALSE;
+        }
+      if (anvil_http_framing_is_excessive (connection->framing_bytes,
+                                           evbuffer_get_length (connection->body)))
+        {
+          fail_call (connection, "too many bytes outside of a body");
+          return FALSE;
+        }
+    }
+  return TRUE;
+}
+
 /* A call that was given up while its response arrives would only be repeated, from the start. */
 static void
-on_input_changed (struct evbuffer *unused_buffer, const struct evbuffer_cb_info *info, void *data)
+extend_timer (connection_t *connection)
 {
-  connection_t *connection = data;
   call_t *call = connection->call;
+  const guint64 body_bytes = evbuffer_get_length (connection->body);
+  const anvil_time_t steady_time
+      = MIN ((anvil_time_t) (body_bytes * ANVIL_SECOND / MIN_RECEIVE_RATE), MAX_RECEIVE_TIME);
   anvil_time_t now = anvil_clock_now ();
-  anvil_time_t steady_until;
   struct timeval time;
 
-  if (info->n_added == 0 || call == NULL)
-    return;
-  if (call->first_byte_at == 0)
-    call->first_byte_at = now;
-  call->received_bytes += info->n_added;
-  steady_until = call->first_byte_at
-                 + (anvil_time_t) (call->received_bytes * ANVIL_SECOND / MIN_RECEIVE_RATE);
-  time = anvil_time_to_timeval (MAX (MIN (now, steady_until) + call->max_pause - now, 0));
+  time = anvil_time_to_timeval (
+      MAX (MIN (now, call->first_byte_at + steady_time) + call->max_pause - now, 0));
   evtimer_add (call->timer, &time);
 }
 
+static void
+on_read (struct bufferevent *stream, void *data)
+{
+  connection_t *connection = data;
+
+  if (connection->call == NULL)
+    {
+      /* Unsolicited bytes: they belong to no call. */
+      connection_close (connection);
+      return;
+    }
+  if (connection->call->first_byte_at == 0)
+    connection->call->first_byte_at = anvil_clock_now ();
+  if (parse_input (connection))
+    extend_timer (connection);
+}
+
+/* The end of the stream may be the end of a response without a length. */
+static void
+on_eof (connection_t *connection)
+{
+  http_parser_execute (&connection->parser, &parser_settings, NULL, 0);
+  if (connection->response_complete && connection->parser.status_code >= 200)
+    complete_call (connection);
+  else
+    fail_call (connection, "connection closed before the end of the response");
+}
+
+static void
+on_event (struct bufferevent *stream, short events, void *data)
+{
+  connection_t *connection = data;
+
+  if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
+    return;
+  if (connection->call == NULL)
+    connection_close (connection);
+  else if ((events & BEV_EVENT_EOF) != 0)
+    on_eof (connection);
+  else
+    fail_call (connection, "connection failed");
+}
+
 static void
 connection_open (connection_t *connection)
 {
   anvil_http_pool_t *pool = connection->pool;
-  struct bufferevent *stream;
 
-  connection->evhttp = evhttp_connection_base_new (pool->base, NULL, pool->host, pool->port);
-  evhttp_connection_set_retries (connection->evhttp, 0);
-  evhttp_connection_set_max_headers_size (connection->evhttp, MAX_HEADERS_BYTES);
-  stream = evhttp_connection_get_bufferevent (connection->evhttp);
-  evbuffer_add_cb (bufferevent_get_output (stream), on_output_changed, connection);
-  evbuffer_add_cb (bufferevent_get_input (stream), on_input_changed, connection);
-  anvil_byte_counts_watch (&pool->byte_counts, stream);
+  connection->stream
+      = bufferevent_socket_new (pool->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  bufferevent_setcb (connection->stream, on_read, NULL, on_event, connection);
+  evbuffer_add_cb (bufferevent_get_output (connection->stream), on_output_changed, connection);
+  anvil_byte_counts_watch (&pool->byte_counts, connection->stream);
+  bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
+  /* Failures are reported to the deferred event callback. */
+  bufferevent_socket_connect (connection->stream, (struct sockaddr *) &pool->address,
+                              sizeof pool->address);
+}
+
+static const char *
+method_name (enum evhttp_cmd_type command)
+{
+  switch (command)
+    {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    default:
+      g_assert_not_reached ();
+    }
 }
 
 static void
-connection_close (connection_t *connection)
+write_request (connection_t *connection, call_t *call)
 {
-  connection->broken = FALSE;
-  g_clear_pointer (&connection->evhttp, evhttp_connection_free);
+  struct evbuffer *request = evbuffer_new ();
+  gsize length = evbuffer_get_length (call->body);
+
+  evbuffer_add_printf (request, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n",
+                       method_name (call->command), call->uri, call->pool->host);
+  if (length > 0 || call->command == EVHTTP_REQ_POST || call->command == EVHTTP_REQ_PUT)
+    evbuffer_add_printf (request, "Content-Length: %zu\r\n", length);
+  evbuffer_add (request, "\r\n", 2);
+  evbuffer_add_buffer (request, call->body);
+  bufferevent_write_buffer (connection->stream, request);
+  evbuffer_free (request);
 }
 
 static void
 call_start (connection_t *connection, call_t *call)
 {
-  struct evhttp_request *request = evhttp_request_new (on_response, call);
-  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
-  const struct timeval timeout = anvil_time_to_timeval (MAX (call->timeout, call->max_pause));
-
-  if (connection->evhttp == NULL)
-    connection_open (connection);
-  evhttp_connection_set_timeout_tv (connection->evhttp, &timeout);
-  evhttp_connection_set_max_body_size (connection->evhttp, (ev_ssize_t) call->max_response_bytes);
   g_assert (connection->call == NULL);
   connection->call = call;
   call->connection = connection;
-  call->request = request;
-  evhttp_request_set_error_cb (request, on_response_error);
-  evhttp_add_header (headers, "Host", call->pool->host);
-  evhttp_add_header (headers, "Content-Type", "application/json");
-  evbuffer_add_buffer (evhttp_request_get_output_buffer (request), call->body);
-  /* If this fails, it has already called on_response(). */
-  (void) evhttp_make_request (connection->evhttp, request, call->command, call->uri);
+  connection->response_complete = FALSE;
+  connection->framing_bytes = 0;
+  http_parser_init (&connection->parser, HTTP_RESPONSE);
+  connection->parser.data = connection;
+  if (connection->stream == NULL)
+    connection_open (connection);
+  write_request (connection, call);
 }
 
 /* Starts queued calls on free connections. */
@@ -219,16 +401,10 @@
 {
   anvil_http_pool_t *pool = data;
 
-  for (guint i = 0; i < MAX_CONNECTIONS; i++)
+  for (guint i = 0; i < MAX_CONNECTIONS && !g_queue_is_empty (&pool->queue); i++)
     {
-      connection_t *connection = &pool->connections[i];
-
-      if (connection->call != NULL)
-        continue;
-      if (connection->broken)
-        connection_close (connection);
-      if (!g_queue_is_empty (&pool->queue))
-        call_start (connection, g_queue_pop_head (&pool->queue));
+      if (pool->connections[i].call == NULL)
+        call_start (&pool->connections[i], g_queue_pop_head (&pool->queue));
     }
 }
 
@@ -236,15 +412,19 @@
 anvil_http_pool_open (struct event_base *base, guint32 address, guint16 port, anvil_time_t timeout)
 {
   anvil_http_pool_t *pool = g_new0 (anvil_http_pool_t, 1);
-  struct in_addr network = { .s_addr = htonl (address) };
 
   pool->base = base;
-  inet_ntop (AF_INET, &network, pool->host, sizeof pool->host);
-  pool->port = port;
+  pool->address = (struct sockaddr_in){ .sin_family = AF_INET,
+                                        .sin_port = htons (port),
+                                        .sin_addr.s_addr = htonl (address) };
+  inet_ntop (AF_INET, &pool->address.sin_addr, pool->host, sizeof pool->host);
   pool->timeout = timeout;
   pool->dispatch_event = event_new (base, -1, 0, dispatch_calls, pool);
   for (guint i = 0; i < MAX_CONNECTIONS; i++)
-    pool->connections[i].pool = pool;
+    {
+      pool->connections[i].pool = pool;
+      pool->connections[i].body = evbuffer_new ();
+    }
   return pool;
 }
 
@@ -258,8 +438,9 @@
       connection_t *connection = &pool->connections[i];
 
       if (connection->call != NULL)
-        on_timeout (-1, 0, connection->call);
+        fail_call (connection, "client closed");
       connection_close (connection);
+      evbuffer_free (connection->body);
     }
   while (!g_queue_is_empty (&pool->queue))
     call_finish (g_queue_pop_head (&pool->queue), 0, NULL);
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -3,15 +3,12 @@
 #include <limits.h>
 #include <string.h>
 
+#include "net/http-framing.h"
 #include "relay/http-field.h"
 #include "relay/http-status.h"
 
 /* Largest response body that is buffered; larger than any body that upstreams send today. */
 #define MAX_RESPONSE_BODY_BYTES (32u << 20)
-/* Bytes that may arrive outside of bodies: heads of interim and discarded responses too. A body in
- * chunks has more, up to this number for each byte of the body, which allows chunks of one byte. */
-#define MAX_FRAMING_BYTES (64u << 10)
-#define MAX_FRAMING_PER_BODY_BYTE 16
 /* Idle connections are closed this much earlier than the upstream's Keep-Alive time-out, so that no
  * request is sent while the upstream closes. */
 #define IDLE_TIMEOUT_MARGIN (1 * ANVIL_SECOND)
@@ -127,8 +124,7 @@
 gboolean
 attempt_has_excessive_framing (const anvil_relay_attempt_t *attempt)
 {
-  return attempt->framing_bytes
-         > MAX_FRAMING_BYTES + attempt->body_bytes * MAX_FRAMING_PER_BODY_BYTE;
+  return anvil_http_framing_is_excessive (attempt->framing_bytes, attempt->body_bytes);
 }
 
 static void
--- a/standins/endless.c
+++ b/standins/endless.c
@@ -10,7 +10,7 @@
 
 #define BLOCK_BYTES (16u << 10)
 
-const endless_message_t endless_messages[] = {
+const endless_message_t endless_messages[ENDLESS_N_MESSAGES + 1] = {
   { "header-lines", TRUE, "", "A: b\r\n" },
   { "head", TRUE, "Filler: ", "x" },
   { "no-http", FALSE, "", "x" },
--- a/standins/endless.h
+++ b/standins/endless.h
@@ -20,8 +20,9 @@
   const char *piece;
 } endless_message_t;
 
-/** endless_messages - all places; the last one has no name */
-extern const endless_message_t endless_messages[];
+/** endless_messages - all places; loop tests use them by index. The last item has no name */
+#define ENDLESS_N_MESSAGES 10
+extern const endless_message_t endless_messages[ENDLESS_N_MESSAGES + 1];
 
 /** endless_find - the place of a name, or NULL */
 const endless_message_t *endless_find (const char *name);
--- a/tests/test-http-pool.c
+++ b/tests/test-http-pool.c
@@ -2,6 +2,7 @@
 
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -9,6 +10,7 @@
 #include <netinet/in.h>
 
 #include "net/http-pool.h"
+#include "standins/endless.h"
 
 #define TIMEOUT (400 * ANVIL_MS)
 #define PART_INTERVAL (100 * ANVIL_MS)
@@ -17,11 +19,15 @@
 #define N_PARTS 12u
 /* Far above the time-out of a call, for machines that are busy. */
 #define END_TIMEOUT (10 * ANVIL_SECOND)
+/* What may arrive of a response without end: the limits of its head and body, for each byte of the
+ * body the framing of a chunk, and what is on its way. */
+#define MAX_ENDLESS_BYTES ((64u << 10) + 6 * N_PARTS * PART_BYTES + (1u << 20))
 
 /**
  * server_t - sends a response of N_PARTS parts to each connection
  * @parts_left: parts that were not sent yet
  * @part_bytes: bytes of a part that are sent
+ * @endless: the kind of a response that never ends, sent instead; or NULL
  * @last_part: the server stops sending when so many parts are left
  */
 typedef struct
@@ -33,6 +39,7 @@
   guint parts_left;
   guint part_bytes;
   guint last_part;
+  const endless_message_t *endless;
 } server_t;
 
 static struct event_base *base;
@@ -50,7 +57,16 @@
 
   if (server.parts_left == server.last_part)
     return;
-  bufferevent_write (server.stream, part, server.part_bytes);
+  if (server.endless != NULL)
+    {
+      gsize length;
+      char *block = endless_block (server.endless, &length);
+
+      bufferevent_write (server.stream, block, length);
+      g_free (block);
+    }
+  else
+    bufferevent_write (server.stream, part, server.part_bytes);
   server.parts_left--;
   evtimer_add (server.timer, &interval);
 }
@@ -61,6 +77,15 @@
   struct evbuffer *input = bufferevent_get_input (stream);
 
   evbuffer_drain (input, evbuffer_get_length (input));
+  if (server.endless != NULL)
+    {
+      char *start = endless_start (server.endless, "HTTP/1.1 200 OK\r\n", "");
+
+      bufferevent_write (server.stream, start, strlen (start));
+      g_free (start);
+      send_part (-1, 0, NULL);
+      return;
+    }
   evbuffer_add_printf (bufferevent_get_output (stream),
                        "HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n", N_PARTS * PART_BYTES);
   send_part (-1, 0, NULL);
@@ -122,8 +147,9 @@
 call_server (void)
 {
   const struct timeval end = anvil_time_to_timeval (END_TIMEOUT);
+  const anvil_http_call_limits_t limits = { .response_bytes = N_PARTS * PART_BYTES };
 
-  anvil_http_pool_call (pool, EVHTTP_REQ_GET, "/", NULL, on_result, NULL);
+  anvil_http_pool_call_within (pool, &limits, EVHTTP_REQ_GET, "/", NULL, on_result, NULL);
   event_base_loopexit (base, &end);
   event_base_dispatch (base);
 }
@@ -157,6 +183,21 @@
 }
 END_TEST
 
+/* Guards against calls that never end, and against responses that take memory without end. */
+START_TEST (test_a_response_without_end_fails)
+{
+  const endless_message_t *message = &endless_messages[_i];
+  const anvil_time_t started_at = anvil_clock_now ();
+
+  server.endless = message;
+  server.parts_left = G_MAXUINT;
+  call_server ();
+  ck_assert_msg (status == 0, "%s: %d", message->name, status);
+  ck_assert_msg (anvil_clock_now () - started_at < END_TIMEOUT, "%s", message->name);
+  ck_assert_uint_lt (anvil_http_pool_byte_counts (pool)->in, MAX_ENDLESS_BYTES);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -170,6 +211,7 @@
   tcase_add_test (tests, test_a_response_that_takes_longer_than_the_timeout_is_received);
   tcase_add_test (tests, test_a_response_that_stops_arriving_fails);
   tcase_add_test (tests, test_a_response_without_progress_fails);
+  tcase_add_loop_test (tests, test_a_response_without_end_fails, 0, ENDLESS_N_MESSAGES);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test-relay-endless.c
+++ b/tests/test-relay-endless.c
@@ -189,17 +189,6 @@
     }
 }
 
-/* Loop tests get the index of a place. */
-static guint
-count_places (void)
-{
-  guint n = 0;
-
-  while (endless_messages[n].name != NULL)
-    n++;
-  return n;
-}
-
 START_TEST (test_a_store_that_sends_without_end_harms_no_caller)
 {
   char *kind = g_strdup_printf ("endless-%s", endless_messages[_i].name);
@@ -302,18 +291,20 @@
 {
   Suite *suite = suite_create ("relay-endless");
   TCase *tests = tcase_create ("relay-endless");
-  const int n_places = (int) count_places ();
   SRunner *runner;
   int failed;
 
   raise_descriptor_limit ();
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 120);
-  tcase_add_loop_test (tests, test_a_store_that_sends_without_end_harms_no_caller, 0, n_places);
-  tcase_add_loop_test (tests, test_an_upstream_that_sends_without_end_harms_no_caller, 0, n_places);
+  tcase_add_loop_test (tests, test_a_store_that_sends_without_end_harms_no_caller, 0,
+                       ENDLESS_N_MESSAGES);
+  tcase_add_loop_test (tests, test_an_upstream_that_sends_without_end_harms_no_caller, 0,
+                       ENDLESS_N_MESSAGES);
   tcase_add_loop_test (tests, test_flooded_ports_for_lookups_readiness_and_metrics_harm_no_caller,
-                       0, n_places);
-  tcase_add_loop_test (tests, test_flooded_ports_for_callers_and_peers_harm_no_caller, 0, n_places);
+                       0, ENDLESS_N_MESSAGES);
+  tcase_add_loop_test (tests, test_flooded_ports_for_callers_and_peers_harm_no_caller, 0,
+                       ENDLESS_N_MESSAGES);
   tcase_add_loop_test (tests, test_idle_connections_leave_descriptors_to_callers, 0, N_PORTS);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
