Limit the links and the incomplete frames of peers by the settings

Anyone could open 1,024 links to the port of peers, whatever the settings say of descriptors, and hold on each a frame of up to 6 MB that never ends. Idle links kept other entries out for two minutes.

Cause: the limits were constants for a link, not for all of them together. Found while looking for the same cause elsewhere.

Links take a sixth of the descriptors at most, incomplete frames a sixteenth of the memory (two frames at least): above that the longest is closed. A new link takes the place of the oldest that has sent no hello; one without a hello is closed after 5 s.

--- a/include/anvil/peers.h
+++ b/include/anvil/peers.h
@@ -59,6 +59,14 @@
                                  GError **error);
 void anvil_peers_close (anvil_peers_t *peers);
 
+/**
+ * anvil_peers_set_limits - limits what other entries may take
+ * @max_links: links from other entries; beyond this, each new one takes the place of the oldest
+ *   one without a hello, or is closed
+ * @max_bytes: incomplete frames, in all; above it the link with the longest is closed
+ */
+void anvil_peers_set_limits (anvil_peers_t *peers, guint max_links, gsize max_bytes);
+
 /** anvil_peers_send - sends a message, or drops it if the peer is down or its queue is full */
 void anvil_peers_send (anvil_peers_t *peers, anvil_node_t to, const anvil_message_t *message);
 
--- a/source/net/peers-link.c
+++ b/source/net/peers-link.c
@@ -14,6 +14,8 @@
 #define LENGTH_PREFIX_BYTES 4
 /* Largest frame accepted before the peer's hello. */
 #define MAX_HELLO_BYTES 64u
+/* Time until the hello. */
+#define HELLO_TIMEOUT_SECONDS 5
 /* Receive timeout; the sender closes an idle link well before. */
 #define RECEIVE_TIMEOUT_SECONDS 120
 /* Limit on the time to connect, and on the time that sending may stall. */
@@ -23,7 +25,10 @@
 {
   struct bufferevent *bev;
   anvil_node_t node;
+  anvil_time_t opened_at;
   anvil_time_t last_queued_at;
+  /* Bytes of an incomplete frame that have arrived. */
+  gsize waiting_bytes;
   anvil_peer_link_callbacks_t callbacks;
   void *context;
   anvil_peers_counters_t *counters;
@@ -38,7 +43,10 @@
 void
 anvil_peer_link_set_node (anvil_peer_link_t *link, anvil_node_t node)
 {
+  const struct timeval receive_timeout = { .tv_sec = RECEIVE_TIMEOUT_SECONDS };
+
   link->node = node;
+  bufferevent_set_timeouts (link->bev, &receive_timeout, NULL);
 }
 
 anvil_time_t
@@ -47,6 +55,18 @@
   return link->last_queued_at;
 }
 
+anvil_time_t
+anvil_peer_link_opened_at (const anvil_peer_link_t *link)
+{
+  return link->opened_at;
+}
+
+gsize
+anvil_peer_link_waiting_bytes (const anvil_peer_link_t *link)
+{
+  return link->waiting_bytes;
+}
+
 void
 anvil_peer_link_close (anvil_peer_link_t *link)
 {
@@ -91,6 +111,17 @@
   return link->node != ANVIL_NO_NODE ? ANVIL_MAX_FRAME_BYTES : MAX_HELLO_BYTES;
 }
 
+/* Accounts for what is left in the input. */
+static void
+update_waiting_bytes (anvil_peer_link_t *link)
+{
+  const gsize before = link->waiting_bytes;
+
+  link->waiting_bytes = evbuffer_get_length (bufferevent_get_input (link->bev));
+  if (!link->callbacks.waiting (link->context, link, before, link->waiting_bytes))
+    report_and_close (link, FALSE);
+}
+
 static void
 on_read (struct bufferevent *bev, void *data)
 {
@@ -104,7 +135,10 @@
       gboolean keep_open;
 
       if (evbuffer_copyout (input, &prefix, sizeof prefix) < (ev_ssize_t) sizeof prefix)
-        return;
+        {
+          update_waiting_bytes (link);
+          return;
+        }
       bytes.length = ntohl (prefix);
       if (bytes.length > frame_limit (link))
         {
@@ -115,7 +149,10 @@
           return;
         }
       if (evbuffer_get_length (input) < LENGTH_PREFIX_BYTES + bytes.length)
-        return;
+        {
+          update_waiting_bytes (link);
+          return;
+        }
       evbuffer_drain (input, LENGTH_PREFIX_BYTES);
       bytes.data = (const char *) evbuffer_pullup (input, (ev_ssize_t) bytes.length);
       link->counters->bytes_in += LENGTH_PREFIX_BYTES + bytes.length;
@@ -156,6 +193,7 @@
   anvil_peer_link_t *link = g_new0 (anvil_peer_link_t, 1);
 
   link->bev = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  link->opened_at = anvil_clock_now ();
   link->callbacks = *callbacks;
   link->context = context;
   link->counters = counters;
@@ -179,11 +217,11 @@
                         anvil_peers_counters_t *counters)
 {
   anvil_peer_link_t *link = link_new (base, fd, callbacks, context, counters);
-  const struct timeval receive_timeout = { .tv_sec = RECEIVE_TIMEOUT_SECONDS };
+  const struct timeval hello_timeout = { .tv_sec = HELLO_TIMEOUT_SECONDS };
 
   bufferevent_setcb (link->bev, on_read, NULL, on_event, link);
   bufferevent_setwatermark (link->bev, EV_READ, 0, LENGTH_PREFIX_BYTES + ANVIL_MAX_FRAME_BYTES);
-  bufferevent_set_timeouts (link->bev, &receive_timeout, NULL);
+  bufferevent_set_timeouts (link->bev, &hello_timeout, NULL);
   bufferevent_enable (link->bev, EV_READ);
   return link;
 }
--- a/source/net/peers-link.h
+++ b/source/net/peers-link.h
@@ -18,11 +18,14 @@
 /**
  * anvil_peer_link_callbacks_t - events of a link
  * @frame: a valid frame was received; returns FALSE to close the link
+ * @waiting: the bytes of an incomplete frame that have arrived changed; returns FALSE to close the
+ *   link
  * @closed: the link was closed and is freed after this call; @bad_input if by invalid input
  */
 typedef struct
 {
   gboolean (*frame) (void *context, anvil_peer_link_t *link, const anvil_frame_t *frame);
+  gboolean (*waiting) (void *context, anvil_peer_link_t *link, gsize before, gsize bytes);
   void (*closed) (void *context, anvil_peer_link_t *link, gboolean bad_input);
 } anvil_peer_link_callbacks_t;
 
@@ -51,5 +54,11 @@
 anvil_node_t anvil_peer_link_node (const anvil_peer_link_t *link);
 void anvil_peer_link_set_node (anvil_peer_link_t *link, anvil_node_t node);
 
+/** anvil_peer_link_opened_at - when it was opened or accepted */
+anvil_time_t anvil_peer_link_opened_at (const anvil_peer_link_t *link);
+
+/** anvil_peer_link_waiting_bytes - bytes of an incomplete frame that have arrived */
+gsize anvil_peer_link_waiting_bytes (const anvil_peer_link_t *link);
+
 /** anvil_peer_link_last_queued_at - when a frame was last queued */
 anvil_time_t anvil_peer_link_last_queued_at (const anvil_peer_link_t *link);
--- a/source/net/peers.c
+++ b/source/net/peers.c
@@ -11,8 +11,9 @@
 #include "anvil/log.h"
 #include "peers-link.h"
 
-/* Limit on connections from other entries; also limits the memory for incomplete frames. */
+/* Usual limits on connections from other entries and on the memory for their incomplete frames. */
 #define MAX_ACCEPTED_LINKS 1024
+#define MAX_WAITING_BYTES (64u << 20)
 /* Delay before the next connection to a peer whose link failed. */
 #define RECONNECT_DELAY (100 * ANVIL_MS)
 /* An outgoing link is closed when nothing was sent for this long. */
@@ -35,6 +36,10 @@
   GHashTable *failures;
   /* Set of links. */
   GHashTable *accepted;
+  guint max_accepted;
+  /* Limit of the bytes of incomplete frames on them, and their current sum. */
+  gsize max_waiting_bytes;
+  gsize waiting_bytes;
   anvil_peers_counters_t counters;
 };
 
@@ -103,6 +108,49 @@
   anvil_peers_t *peers = context;
 
   g_hash_table_remove (peers->accepted, link);
+  peers->waiting_bytes -= anvil_peer_link_waiting_bytes (link);
+}
+
+static anvil_peer_link_t *
+link_with_longest_frame (const anvil_peers_t *peers)
+{
+  anvil_peer_link_t *longest = NULL;
+  GHashTableIter iter;
+  gpointer link;
+
+  g_hash_table_iter_init (&iter, peers->accepted);
+  while (g_hash_table_iter_next (&iter, &link, NULL))
+    {
+      if (longest == NULL
+          || anvil_peer_link_waiting_bytes (link) > anvil_peer_link_waiting_bytes (longest))
+        longest = link;
+    }
+  return longest;
+}
+
+/* Returns FALSE if @link itself has to be closed. */
+static gboolean
+on_waiting (void *context, anvil_peer_link_t *link, gsize before, gsize bytes)
+{
+  anvil_peers_t *peers = context;
+
+  peers->waiting_bytes += bytes - before;
+  while (peers->waiting_bytes > peers->max_waiting_bytes)
+    {
+      anvil_peer_link_t *longest = link_with_longest_frame (peers);
+
+      anvil_log (ANVIL_LOG_WARNING, "peers",
+                 "link closed, incomplete frames exceed their memory bytes=%zu all_bytes=%zu "
+                 "limit=%zu",
+                 anvil_peer_link_waiting_bytes (longest), peers->waiting_bytes,
+                 peers->max_waiting_bytes);
+      peers->counters.dropped++;
+      if (longest == link)
+        return FALSE;
+      on_accepted_closed (peers, longest, FALSE);
+      anvil_peer_link_close (longest);
+    }
+  return TRUE;
 }
 
 static void
@@ -127,10 +175,45 @@
 }
 
 static const anvil_peer_link_callbacks_t accepted_callbacks
-    = { .frame = on_frame, .closed = on_accepted_closed };
+    = { .frame = on_frame, .waiting = on_waiting, .closed = on_accepted_closed };
 static const anvil_peer_link_callbacks_t outgoing_callbacks
     = { .frame = NULL, .closed = on_outgoing_closed };
 
+static anvil_peer_link_t *
+oldest_link_without_hello (const anvil_peers_t *peers)
+{
+  anvil_peer_link_t *oldest = NULL;
+  GHashTableIter iter;
+  gpointer link;
+
+  g_hash_table_iter_init (&iter, peers->accepted);
+  while (g_hash_table_iter_next (&iter, &link, NULL))
+    {
+      if (anvil_peer_link_node (link) == ANVIL_NO_NODE
+          && (oldest == NULL
+              || anvil_peer_link_opened_at (link) < anvil_peer_link_opened_at (oldest)))
+        oldest = link;
+    }
+  return oldest;
+}
+
+/* Makes room for a link. Returns FALSE if there is none. */
+static gboolean
+make_room (anvil_peers_t *peers)
+{
+  anvil_peer_link_t *link;
+
+  if (g_hash_table_size (peers->accepted) < peers->max_accepted)
+    return TRUE;
+  peers->counters.dropped++;
+  link = oldest_link_without_hello (peers);
+  if (link == NULL)
+    return FALSE;
+  on_accepted_closed (peers, link, FALSE);
+  anvil_peer_link_close (link);
+  return TRUE;
+}
+
 static void
 on_accept (struct evconnlistener *listener,
            evutil_socket_t fd,
@@ -140,10 +223,9 @@
 {
   anvil_peers_t *peers = data;
 
-  if (g_hash_table_size (peers->accepted) >= MAX_ACCEPTED_LINKS)
+  if (!make_room (peers))
     {
       evutil_closesocket (fd);
-      peers->counters.dropped++;
       return;
     }
   g_hash_table_add (peers->accepted, anvil_peer_link_accept (peers->base, fd, &accepted_callbacks,
@@ -199,6 +281,8 @@
 
   peers->base = base;
   peers->node = node;
+  peers->max_accepted = MAX_ACCEPTED_LINKS;
+  peers->max_waiting_bytes = MAX_WAITING_BYTES;
   peers->callbacks = *callbacks;
   peers->context = context;
   peers->listener = evconnlistener_new_bind (
@@ -245,6 +329,13 @@
   g_free (peers);
 }
 
+void
+anvil_peers_set_limits (anvil_peers_t *peers, guint max_links, gsize max_bytes)
+{
+  peers->max_accepted = max_links;
+  peers->max_waiting_bytes = max_bytes;
+}
+
 static anvil_peer_link_t *
 get_or_open_link (anvil_peers_t *peers, anvil_node_t to)
 {
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -4,6 +4,11 @@
 
 #include "anvil/log.h"
 
+/* One in so many descriptors is for links from other entries, and one in so many bytes for their
+ * incomplete frames. */
+#define PEER_DESCRIPTORS_DIVISOR 6
+#define PEER_FRAMES_DIVISOR 16
+
 static const char *
 region_of (void *context, const char *zone)
 {
@@ -169,6 +174,9 @@
       g_free (broker);
       return NULL;
     }
+  anvil_peers_set_limits (
+      broker->peers, settings->max_descriptors / PEER_DESCRIPTORS_DIVISOR,
+      MAX (settings->memory_bytes / PEER_FRAMES_DIVISOR, (gsize) 2 * ANVIL_MAX_FRAME_BYTES));
   broker->dispatcher = anvil_dispatcher_new (&settings->limits, &dispatcher_callbacks, broker);
   anvil_dispatcher_set_knows_peers (broker->dispatcher, anvil_clock_now (), FALSE);
   broker->members = new_members (broker);
--- a/tests/test-peers.c
+++ b/tests/test-peers.c
@@ -284,6 +284,69 @@
 }
 END_TEST
 
+/* Lets what was sent arrive. */
+static void
+run_loop (struct event_base *base)
+{
+  for (anvil_time_t until = anvil_clock_now () + 50 * ANVIL_MS; anvil_clock_now () < until;)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+}
+
+/* Guards against frames that never end: each may take megabytes. */
+START_TEST (test_incomplete_frames_are_limited_together)
+{
+  static const char bytes[100000];
+  const guint32 prefix = htonl (sizeof bytes + 1);
+  struct event_base *base = event_base_new ();
+  endpoint_t *endpoint = endpoint_open (base, 0);
+  int fds[4];
+
+  anvil_peers_set_limits (endpoint->peers, 10, 3 * (sizeof bytes + sizeof prefix));
+  for (guint i = 0; i < G_N_ELEMENTS (fds); i++)
+    {
+      fds[i] = raw_connect (endpoint->node);
+      raw_send_hello (fds[i], ANVIL_PROTOCOL_VERSION);
+      raw_send (fds[i], &prefix, sizeof prefix);
+      raw_send (fds[i], bytes, sizeof bytes - i);
+      run_loop (base);
+    }
+  /* The first has the longest one. */
+  WAIT (base, raw_closed (fds[0]));
+  for (guint i = 1; i < G_N_ELEMENTS (fds); i++)
+    ck_assert (!raw_closed (fds[i]));
+  for (guint i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+  endpoint_close (endpoint);
+  event_base_free (base);
+}
+END_TEST
+
+/* Guards against connections that keep peers out. */
+START_TEST (test_a_new_link_displaces_the_oldest_without_a_hello)
+{
+  struct event_base *base = event_base_new ();
+  endpoint_t *endpoint = endpoint_open (base, 0);
+  int fds[4];
+
+  anvil_peers_set_limits (endpoint->peers, G_N_ELEMENTS (fds) - 1, ANVIL_MAX_FRAME_BYTES);
+  for (guint i = 0; i < G_N_ELEMENTS (fds); i++)
+    {
+      fds[i] = raw_connect (endpoint->node);
+      if (i == 0)
+        raw_send_hello (fds[i], ANVIL_PROTOCOL_VERSION);
+      run_loop (base);
+    }
+  WAIT (base, raw_closed (fds[1]));
+  ck_assert (!raw_closed (fds[0]));
+  ck_assert (!raw_closed (fds[2]));
+  ck_assert (!raw_closed (fds[3]));
+  for (guint i = 0; i < G_N_ELEMENTS (fds); i++)
+    close (fds[i]);
+  endpoint_close (endpoint);
+  event_base_free (base);
+}
+END_TEST
+
 START_TEST (test_queue_for_a_slow_reader_is_limited)
 {
   struct event_base *base = event_base_new ();
@@ -369,6 +432,8 @@
   tcase_add_test (tcase, test_invalid_input_closes_only_its_own_link);
   tcase_add_test (tcase, test_peer_of_another_version_is_rejected);
   tcase_add_test (tcase, test_incomplete_frame_does_not_delay_other_links);
+  tcase_add_test (tcase, test_incomplete_frames_are_limited_together);
+  tcase_add_test (tcase, test_a_new_link_displaces_the_oldest_without_a_hello);
   tcase_add_test (tcase, test_queue_for_a_slow_reader_is_limited);
   tcase_add_test (tcase, test_restarted_peer_is_reconnected);
   tcase_add_test (tcase, test_address_in_use_is_an_error);
