--- a/source/relay/relay-caller-internal.h
+++ b/source/relay/relay-caller-internal.h
@@ -16,16 +16,14 @@
 struct anvil_relay_callers
 {
   struct event_base *base;
-  const anvil_header_names_t *header_names;
+  anvil_relay_callers_options_t options;
   anvil_relay_caller_callbacks_t callbacks;
   void *context;
   struct evconnlistener *listener;
-  guint max_connections;
-  gsize max_buffered_bytes;
+  guint64 displaced_connections;
   /* Bytes of the bodies of all unanswered requests. */
   gsize buffered_bytes;
-  /* Limit of the responses that callers have not read yet, and their current sum. */
-  gsize max_unsent_bytes;
+  /* Bytes of the responses that callers have not read yet. */
   gsize unsent_bytes;
   struct event *unsent_limit_event;
   gboolean shutting_down;
--- a/source/relay/relay-caller-read.c
+++ b/source/relay/relay-caller-read.c
@@ -33,7 +33,7 @@
 static int
 process_field (anvil_relay_caller_connection_t *connection)
 {
-  const anvil_header_names_t *header_names = connection->callers->header_names;
+  const anvil_header_names_t *header_names = connection->callers->options.header_names;
   anvil_relay_request_t *request = connection->partial_request;
   anvil_str_t name = { .data = connection->field_name->str, .length = connection->field_name->len };
   anvil_str_t value
@@ -77,7 +77,7 @@
 remove_hop_by_hop_field (void *context, anvil_str_t name)
 {
   anvil_relay_caller_connection_t *connection = context;
-  const anvil_header_names_t *header_names = connection->callers->header_names;
+  const anvil_header_names_t *header_names = connection->callers->options.header_names;
 
   if (name.length > 0 && !anvil_http_field_name_is (name, "Host")
       && !anvil_http_field_name_is (name, header_names->request_id)
@@ -158,6 +158,15 @@
   return count_header_bytes (connection, length);
 }
 
+static anvil_time_t
+body_timeout (const anvil_relay_caller_connection_t *connection)
+{
+  const anvil_routes_limits_t *limits = caller_limits (connection);
+
+  return limits->max_body_bytes > 0 ? MAX (connection->partial_request->timeout, MIN_BODY_TIME)
+                                    : limits->header_timeout;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -170,9 +179,10 @@
   event_del (connection->header_timer);
   if (process_field (connection) != 0)
     return -1;
-  body_time = anvil_time_to_timeval (MAX (connection->partial_request->timeout, MIN_BODY_TIME));
+  body_time = anvil_time_to_timeval (body_timeout (connection));
   connection->in_trailers = TRUE;
-  if (parser->http_major != 1 || connection->partial_request->host == NULL
+  if (parser->http_major != 1
+      || (connection->partial_request->host == NULL && !connection->callers->options.host_optional)
       || parser->method == HTTP_CONNECT)
     {
       connection->error_status = STATUS_BAD_REQUEST;
@@ -202,7 +212,8 @@
       connection->error_status = STATUS_BODY_TOO_LARGE;
       return 1;
     }
-  if (connection->callers->buffered_bytes + length > connection->callers->max_buffered_bytes)
+  if (connection->callers->buffered_bytes + length
+      > connection->callers->options.max_buffered_bytes)
     {
       connection->error_status = STATUS_UNAVAILABLE;
       return 1;
--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -14,6 +14,8 @@
 /* How long the caller may go on sending after the relay has shut down its side. Closing a socket
  * with unread input resets it, and the caller could lose the last response. */
 #define LINGER_TIMEOUT (1 * ANVIL_SECOND)
+/* Connections that are closed for others are logged once in so many. */
+#define DISPLACED_PER_LOG_LINE 100
 
 static void
 request_drop (anvil_relay_request_t *request)
@@ -132,7 +134,7 @@
 
   connection->unsent_bytes += length;
   callers->unsent_bytes += length;
-  if (callers->unsent_bytes > callers->max_unsent_bytes)
+  if (callers->unsent_bytes > callers->options.max_unsent_bytes)
     event_active (callers->unsent_limit_event, EV_TIMEOUT, 0);
 }
 
@@ -273,14 +275,14 @@
 {
   anvil_relay_callers_t *callers = data;
 
-  while (callers->unsent_bytes > callers->max_unsent_bytes)
+  while (callers->unsent_bytes > callers->options.max_unsent_bytes)
     {
       anvil_relay_caller_connection_t *slowest = slowest_reader (callers);
 
       anvil_log (ANVIL_LOG_WARNING, "caller",
                  "connection closed, unsent responses exceed their memory bytes=%zu "
                  "all_bytes=%zu limit=%zu",
-                 slowest->unsent_bytes, callers->unsent_bytes, callers->max_unsent_bytes);
+                 slowest->unsent_bytes, callers->unsent_bytes, callers->options.max_unsent_bytes);
       on_disconnected (slowest);
     }
 }
@@ -390,6 +392,47 @@
   caller_connection_reject (data, STATUS_REQUEST_TIMEOUT);
 }
 
+/* The connection that has been idle longest, or NULL. */
+static anvil_relay_caller_connection_t *
+longest_idle (const anvil_relay_callers_t *callers)
+{
+  anvil_relay_caller_connection_t *longest = NULL;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, callers->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      anvil_relay_caller_connection_t *connection = key;
+
+      if (connection->partial_request == NULL && !has_pending_output (connection)
+          && (longest == NULL || connection->last_active_at < longest->last_active_at))
+        longest = connection;
+    }
+  return longest;
+}
+
+/* Makes room for a connection. Returns FALSE if there is none. */
+static gboolean
+make_room (anvil_relay_callers_t *callers)
+{
+  anvil_relay_caller_connection_t *idle;
+
+  if (g_hash_table_size (callers->connections) < callers->options.max_connections)
+    return TRUE;
+  idle = longest_idle (callers);
+  if (idle == NULL)
+    return FALSE;
+  if (callers->displaced_connections++ % DISPLACED_PER_LOG_LINE == 0)
+    anvil_log (ANVIL_LOG_WARNING, "caller",
+               "idle connection closed for a new one, limit of connections reached for=%s open=%u "
+               "idle_ms=%" G_GINT64_FORMAT " closed=%" G_GUINT64_FORMAT,
+               callers->options.name, g_hash_table_size (callers->connections),
+               (anvil_clock_now () - idle->last_active_at) / ANVIL_MS,
+               callers->displaced_connections);
+  connection_close (idle);
+  return TRUE;
+}
 static void
 on_accept (struct evconnlistener *listener,
            evutil_socket_t fd,
@@ -402,11 +445,11 @@
   struct timeval idle_timeout;
   int on = 1;
 
-  if (g_hash_table_size (callers->connections) >= callers->max_connections)
+  if (!make_room (callers))
     {
       anvil_log (ANVIL_LOG_WARNING, "caller",
-                 "connection closed, limit of connections reached open=%u",
-                 g_hash_table_size (callers->connections));
+                 "connection closed, limit of connections reached for=%s open=%u",
+                 callers->options.name, g_hash_table_size (callers->connections));
       evutil_closesocket (fd);
       return;
     }
@@ -444,27 +487,20 @@
 
 anvil_relay_callers_t *
 anvil_relay_callers_open (struct event_base *base,
-                          guint32 address,
-                          guint16 port,
-                          const anvil_header_names_t *header_names,
-                          guint max_connections,
-                          gsize max_buffered_bytes,
-                          gsize max_unsent_bytes,
+                          const anvil_relay_callers_options_t *options,
                           const anvil_relay_caller_callbacks_t *callbacks,
                           void *context,
                           GError **error)
 {
-  struct sockaddr_in local
-      = { .sin_family = AF_INET, .sin_port = htons (port), .sin_addr.s_addr = htonl (address) };
+  struct sockaddr_in local = { .sin_family = AF_INET,
+                               .sin_port = htons (options->port),
+                               .sin_addr.s_addr = htonl (options->address) };
   anvil_relay_callers_t *callers = g_new0 (anvil_relay_callers_t, 1);
 
   callers->base = base;
-  callers->header_names = header_names;
+  callers->options = *options;
   callers->callbacks = *callbacks;
   callers->context = context;
-  callers->max_connections = max_connections;
-  callers->max_buffered_bytes = max_buffered_bytes;
-  callers->max_unsent_bytes = max_unsent_bytes;
   callers->unsent_limit_event = event_new (base, -1, 0, on_unsent_limit, callers);
   callers->connections = g_hash_table_new (NULL, NULL);
   callers->listener = evconnlistener_new_bind (
@@ -472,8 +508,8 @@
       SOMAXCONN, (struct sockaddr *) &local, sizeof local);
   if (callers->listener == NULL)
     {
-      g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_IO, "can't listen for callers on port %u: %s",
-                   port, g_strerror (errno));
+      g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_IO, "can't listen on port %u for %s: %s",
+                   options->port, options->name, g_strerror (errno));
       event_free (callers->unsent_limit_event);
       g_hash_table_unref (callers->connections);
       g_free (callers);
@@ -549,6 +585,27 @@
   return g_hash_table_size (callers->connections);
 }
 
+guint64
+anvil_relay_callers_count_displaced (const anvil_relay_callers_t *callers)
+{
+  return callers->displaced_connections;
+}
+
+guint32
+anvil_relay_request_caller_address (const anvil_relay_request_t *request)
+{
+  struct sockaddr_in caller = { .sin_family = AF_UNSPEC };
+  socklen_t length = sizeof caller;
+
+  if (request->connection == NULL
+      || getpeername (bufferevent_getfd (request->connection->stream), (struct sockaddr *) &caller,
+                      &length)
+             != 0
+      || caller.sin_family != AF_INET)
+    return 0;
+  return ntohl (caller.sin_addr.s_addr);
+}
+
 const anvil_byte_counts_t *
 anvil_relay_callers_byte_counts (const anvil_relay_callers_t *callers)
 {
--- a/source/relay/relay-caller.h
+++ b/source/relay/relay-caller.h
@@ -72,21 +72,34 @@
 } anvil_relay_caller_callbacks_t;
 
 /**
- * anvil_relay_callers_open - listens for callers
+ * anvil_relay_callers_options_t - a listener and its limits
+ * @name: name in log lines
+ * @address: IPv4 in host order
+ * @port: TCP port; 0 for any
  * @header_names: names of the exchanged headers; borrowed
- * @max_connections: connections beyond this are closed at once
+ * @host_optional: requests without a Host header are accepted
+ * @max_connections: beyond this, each new connection takes the place of the one that has been idle
+ *   longest; if none is idle, it is closed at once
  * @max_buffered_bytes: bytes of request bodies in memory; a request that would exceed it is
  *   refused before it is read completely
  * @max_unsent_bytes: bytes of responses that callers have not read yet; above it the connection
  *   with most of them is closed
  */
+typedef struct
+{
+  const char *name;
+  guint32 address;
+  guint16 port;
+  const anvil_header_names_t *header_names;
+  gboolean host_optional;
+  guint max_connections;
+  gsize max_buffered_bytes;
+  gsize max_unsent_bytes;
+} anvil_relay_callers_options_t;
+
+/** anvil_relay_callers_open - listens for callers; @options are copied */
 anvil_relay_callers_t *anvil_relay_callers_open (struct event_base *base,
-                                                 guint32 address,
-                                                 guint16 port,
-                                                 const anvil_header_names_t *header_names,
-                                                 guint max_connections,
-                                                 gsize max_buffered_bytes,
-                                                 gsize max_unsent_bytes,
+                                                 const anvil_relay_callers_options_t *options,
                                                  const anvil_relay_caller_callbacks_t *callbacks,
                                                  void *context,
                                                  GError **error);
@@ -109,6 +122,14 @@
 guint anvil_relay_callers_count_busy (const anvil_relay_callers_t *callers);
 guint anvil_relay_callers_count_connections (const anvil_relay_callers_t *callers);
 
+/** anvil_relay_callers_count_displaced - connections that were closed for others, since the
+ * listener was opened */
+guint64 anvil_relay_callers_count_displaced (const anvil_relay_callers_t *callers);
+
+/** anvil_relay_request_caller_address - IPv4 of the caller in host order, 0 once it has
+ * disconnected */
+guint32 anvil_relay_request_caller_address (const anvil_relay_request_t *request);
+
 /** anvil_relay_callers_byte_counts - bytes received from and sent to callers so far */
 const anvil_byte_counts_t *anvil_relay_callers_byte_counts (const anvil_relay_callers_t *callers);
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -549,6 +549,8 @@
                            anvil_relay_jobs_count (relay->jobs));
   anvil_metrics_set_gauge (relay->metrics, "anvil_caller_connections", "",
                            anvil_relay_callers_count_connections (relay->callers));
+  anvil_metrics_set_gauge (relay->metrics, "anvil_displaced_connections", "for=\"callers\"",
+                           (gdouble) anvil_relay_callers_count_displaced (relay->callers));
   anvil_metrics_set_gauge (relay->metrics, "anvil_buffered_bytes", "",
                            (gdouble) anvil_relay_callers_buffered_bytes (relay->callers));
   anvil_metrics_set_gauge (relay->metrics, "anvil_unsent_response_bytes", "",
@@ -579,6 +581,14 @@
                                              .upstreams_read_at = upstreams_read_at,
                                              .store_ok_for = store_ok_for,
                                              .context = relay };
+  const anvil_relay_callers_options_t caller_options
+      = { .name = "callers",
+          .address = settings->caller_endpoint.address,
+          .port = settings->caller_endpoint.port,
+          .header_names = &relay->adapter->header_names,
+          .max_connections = settings->max_descriptors / CALLER_DESCRIPTORS_DIVISOR,
+          .max_buffered_bytes = settings->memory_bytes / BUFFERED_BODIES_DIVISOR,
+          .max_unsent_bytes = settings->memory_bytes / RESPONSES_DIVISOR };
   anvil_relay_aux_server_options_t server_options = { .settings = settings,
                                                       .adapter = relay->adapter,
                                                       .metrics = relay->metrics,
@@ -596,11 +606,8 @@
   job_options.slot_broker = relay->slot_broker;
   job_options.upstream_pool = relay->upstream_pool;
   relay->jobs = anvil_relay_jobs_new (&job_options);
-  relay->callers = anvil_relay_callers_open (
-      relay->base, settings->caller_endpoint.address, settings->caller_endpoint.port,
-      &relay->adapter->header_names, settings->max_descriptors / CALLER_DESCRIPTORS_DIVISOR,
-      settings->memory_bytes / BUFFERED_BODIES_DIVISOR, settings->memory_bytes / RESPONSES_DIVISOR,
-      &caller_callbacks, relay, error);
+  relay->callers
+      = anvil_relay_callers_open (relay->base, &caller_options, &caller_callbacks, relay, error);
   if (relay->callers == NULL)
     return FALSE;
   server_options.slot_broker = relay->slot_broker;
--- a/tests/test-relay-caller.c
+++ b/tests/test-relay-caller.c
@@ -17,6 +17,7 @@
 /* Longest wait for an expected event. */
 #define WAIT_TIMEOUT (20 * ANVIL_SECOND)
 #define IDLE_TIMEOUT (400 * ANVIL_MS)
+#define MAX_CONNECTIONS 10
 #define MAX_UNSENT_BYTES ((gsize) 1 << 20)
 #define FIRST_REQUEST "GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: one\r\n\r\n"
 #define SECOND_REQUEST "GET /b HTTP/1.1\r\nHost: h\r\nRequest-Id: two\r\n\r\n"
@@ -56,6 +57,13 @@
 static const anvil_relay_caller_callbacks_t callbacks
     = { .request = on_request, .disconnected = on_disconnected, .limits = get_limits };
 
+static const anvil_relay_callers_options_t options = { .name = "callers",
+                                                       .address = INADDR_LOOPBACK,
+                                                       .header_names = &header_names,
+                                                       .max_connections = MAX_CONNECTIONS,
+                                                       .max_buffered_bytes = 1 << 20,
+                                                       .max_unsent_bytes = MAX_UNSENT_BYTES };
+
 static void
 set_up (void)
 {
@@ -70,8 +78,7 @@
   requests = g_ptr_array_new ();
   received = g_string_new (NULL);
   n_disconnected = 0;
-  callers = anvil_relay_callers_open (base, INADDR_LOOPBACK, 0, &header_names, 10, 1 << 20,
-                                      MAX_UNSENT_BYTES, &callbacks, NULL, NULL);
+  callers = anvil_relay_callers_open (base, &options, &callbacks, NULL, NULL);
   ck_assert_ptr_nonnull (callers);
   address.sin_port = htons (anvil_relay_callers_port (callers));
   caller = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -363,6 +370,51 @@
 
 /* Guards against proper requests that are answered 400: they offer another protocol, and the body
  * or the next request comes in a later packet. */
+static int
+connect_another (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (anvil_relay_callers_port (callers)),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  ck_assert_int_eq (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
+  run_for (5 * ANVIL_MS);
+  return fd;
+}
+
+static gboolean
+is_closed (int fd)
+{
+  char byte;
+
+  return recv (fd, &byte, 1, MSG_DONTWAIT) == 0;
+}
+
+/* Guards against idle connections that keep new callers out. */
+START_TEST (test_a_new_connection_displaces_the_one_that_is_idle_longest)
+{
+  int others[MAX_CONNECTIONS];
+
+  limits.idle_timeout = WAIT_TIMEOUT;
+  send_text ("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  wait_for_requests (1);
+  for (guint i = 0; i < MAX_CONNECTIONS; i++)
+    others[i] = connect_another ();
+  ck_assert (is_closed (others[0]));
+  for (guint i = 1; i < MAX_CONNECTIONS; i++)
+    ck_assert (!is_closed (others[i]));
+  ck_assert_uint_eq (anvil_relay_callers_count_displaced (callers), 1);
+  ck_assert_uint_eq (anvil_relay_callers_count_connections (callers), MAX_CONNECTIONS);
+  /* The first connection waits for its response, so it isn't idle. */
+  respond_to_first ("");
+  run_for (5 * ANVIL_MS);
+  ck_assert_ptr_nonnull (strstr (received->str, "200 OK"));
+  for (guint i = 0; i < MAX_CONNECTIONS; i++)
+    close (others[i]);
+}
+END_TEST
+
 START_TEST (test_offers_of_other_protocols_are_not_taken_up)
 {
   static const char text[]
@@ -454,6 +506,7 @@
   tcase_add_test (tests, test_request_that_arrives_in_parts_is_answered_during_shutdown);
   tcase_add_test (tests, test_a_caller_that_does_not_read_is_disconnected_at_the_memory_limit);
   tcase_add_test (tests, test_unsent_bytes_are_counted_until_the_caller_has_read_them);
+  tcase_add_test (tests, test_a_new_connection_displaces_the_one_that_is_idle_longest);
   tcase_add_test (tests, test_offers_of_other_protocols_are_not_taken_up);
   tcase_add_test (tests, test_input_without_end_is_refused);
   suite_add_tcase (suite, tests);
