Count a call to the store as timed out by its own limit, not by the clock

What callers saw: nothing by itself. An entry behind a slow link gave up the next call to the store too early once more, so it learnt of changes later.

The follower compared its own clock with the limit, didn't take that for a time-out, and the next call had no more time either. The same comparison left out the hold time: a long poll whose connection closed after more than 0.9 s was taken for a time-out, and calls had 1.8 s for the next 10 s.

Change: the result of a call says that it timed out, and the store's client reports that as an error of its own.

--- a/include/anvil/error.h
+++ b/include/anvil/error.h
@@ -14,6 +14,8 @@
  * @ANVIL_ERROR_CONFLICT: a condition of the operation did not hold
  * @ANVIL_ERROR_NOT_FOUND: no object of that name
  * @ANVIL_ERROR_IO: a system call failed
+ * @ANVIL_ERROR_TIMED_OUT: the other side did not answer in time, or paused too long; the operation
+ *   may have taken effect
  */
 typedef enum
 {
@@ -23,6 +25,7 @@
   ANVIL_ERROR_CONFLICT,
   ANVIL_ERROR_NOT_FOUND,
   ANVIL_ERROR_IO,
+  ANVIL_ERROR_TIMED_OUT,
 } anvil_error_code_t;
 
 /** anvil_error_quark - the GError domain of all modules */
--- a/include/anvil/store.h
+++ b/include/anvil/store.h
@@ -57,7 +57,8 @@
  * @page: NULL on failure; borrowed
  * @error: ANVIL_ERROR_NOT_FOUND if the store no longer has the requested history, or has more
  *   changes than the limit of the response, and the table must be read completely;
- *   ANVIL_ERROR_UNAVAILABLE if the store did not respond or rejected the call
+ *   ANVIL_ERROR_TIMED_OUT if it did not respond in time; ANVIL_ERROR_UNAVAILABLE if its response
+ * was malformed, cut off, or rejected the call
  */
 typedef void (*anvil_store_read_cb_t) (void *context,
                                        const anvil_store_page_t *page,
--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <http_parser.h>
-#include <string.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -47,6 +46,7 @@
  * @sent: whether any byte of the request may have been sent
  * @max_pause: limit of each pause in the response
  * @max_response_bytes: limit of the body of the response
+ * @timed_out: it was given up because of its limits of time
  * @too_large: the response was given up, as its body exceeds that
  * @first_byte_at: when the first byte of the response arrived; 0 before
  */
@@ -64,6 +64,7 @@
   struct event *timer;
   connection_t *connection;
   gboolean sent;
+  gboolean timed_out;
   gboolean too_large;
   anvil_time_t first_byte_at;
 };
@@ -96,6 +97,7 @@
   const anvil_http_result_t result = {
     .sent = call->sent,
     .status = status,
+    .timed_out = call->timed_out,
     .too_large = call->too_large,
     .receive_time = call->first_byte_at > 0 ? anvil_clock_now () - call->first_byte_at : 0,
     .body = body,
@@ -138,6 +140,7 @@
 {
   call_t *call = data;
 
+  call->timed_out = TRUE;
   if (call->connection != NULL)
     {
       fail_call (call->connection, "timed out");
--- a/source/net/http-pool.h
+++ b/source/net/http-pool.h
@@ -17,6 +17,7 @@
  * anvil_http_result_t - result of a call
  * @sent: whether any byte of the request may have been sent
  * @status: status of the response, 0 if no complete one was received
+ * @timed_out: the call's limit of time or of a pause was reached, so @status is 0
  * @too_large: the body of the response exceeds the call's limit, so @status is 0
  * @receive_time: from the first byte of the response until its end, microseconds
  * @body: body of the response, or NULL; borrowed
@@ -25,6 +26,7 @@
 {
   gboolean sent;
   int status;
+  gboolean timed_out;
   gboolean too_large;
   anvil_time_t receive_time;
   struct evbuffer *body;
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -91,7 +91,7 @@
       return;
     }
   follower->failed_calls++;
-  if (now - follower->call_started_at >= follower->call_timeout)
+  if (g_error_matches (error, ANVIL_ERROR, ANVIL_ERROR_TIMED_OUT))
     follower->timed_out_at = now;
   if (!follower->store_lost)
     {
--- a/tests/test-table-follower.c
+++ b/tests/test-table-follower.c
@@ -14,6 +14,8 @@
 /* Longer than the usual time-out of a call. */
 #define SLOW_RESPONSE_TIME (1200 * ANVIL_MS)
 #define WAIT_TIMEOUT (20 * ANVIL_SECOND)
+/* By this the loop is late when it makes the first call. */
+#define LOOP_DELAY (50 * ANVIL_MS)
 
 static struct event_base *base;
 static struct evhttp *http;
@@ -22,6 +24,8 @@
 /* How late the store answers, and how many calls it never answers. */
 static anvil_time_t response_time;
 static guint calls_to_lose;
+/* How many calls the store holds for SLOW_RESPONSE_TIME, and then closes their connection. */
+static guint calls_to_break;
 static guint n_calls;
 static guint n_reads;
 static guint n_lost;
@@ -38,13 +42,25 @@
   evbuffer_free (body);
 }
 
+static void
+break_connection (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  evhttp_connection_free (evhttp_request_get_connection (data));
+}
+
 static void
 on_call (struct evhttp_request *request, void *unused_data)
 {
   const struct timeval delay = anvil_time_to_timeval (response_time);
+  const struct timeval hold_time = anvil_time_to_timeval (SLOW_RESPONSE_TIME);
 
   n_calls++;
-  if (calls_to_lose > 0)
+  if (calls_to_break > 0)
+    {
+      calls_to_break--;
+      event_base_once (base, -1, EV_TIMEOUT, break_connection, request, &hold_time);
+    }
+  else if (calls_to_lose > 0)
     calls_to_lose--;
   else
     event_base_once (base, -1, EV_TIMEOUT, respond, request, &delay);
@@ -88,9 +104,16 @@
   .read_up_to = on_read_up_to,
 };
 
+static void
+delay_loop (evutil_socket_t unused_fd, short unused_what, void *unused_data)
+{
+  g_usleep ((gulong) LOOP_DELAY);
+}
+
 static void
 set_up (void)
 {
+  const struct timeval now = { 0 };
   struct evhttp_bound_socket *bound;
   struct sockaddr_in address;
   socklen_t length = sizeof address;
@@ -103,6 +126,8 @@
       getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *) &address, &length), 0);
   evhttp_set_gencb (http, on_call, NULL);
   store = anvil_store_open (base, INADDR_LOOPBACK, ntohs (address.sin_port));
+  /* The loop reckons timers from the time at which it woke up, so the first call's ends early. */
+  event_base_once (base, -1, EV_TIMEOUT, delay_loop, NULL, &now);
   follower = anvil_table_follower_open (base, store, "servers", 0, PERIOD, &callbacks, NULL);
 }
 
@@ -153,6 +178,23 @@
 }
 END_TEST
 
+/* Else calls would have more time for a while, and a lost one would be noticed late. */
+START_TEST (test_a_connection_that_closes_after_the_timeout_is_no_timeout)
+{
+  anvil_time_t started_at;
+
+  anvil_table_follower_set_hold_time (follower, 2 * SLOW_RESPONSE_TIME);
+  ck_assert (wait_for_read ());
+  calls_to_break = 1;
+  calls_to_lose = 1;
+  started_at = anvil_clock_now ();
+  ck_assert (wait_for_read ());
+  ck_assert_uint_eq (n_calls, 4);
+  ck_assert_int_lt (anvil_clock_now () - started_at,
+                    SLOW_RESPONSE_TIME + 2 * ANVIL_STORE_CALL_TIMEOUT);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -165,6 +207,7 @@
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_a_store_whose_responses_exceed_the_timeout_is_read);
   tcase_add_test (tests, test_a_lost_call_is_repeated_after_the_usual_timeout);
+  tcase_add_test (tests, test_a_connection_that_closes_after_the_timeout_is_no_timeout);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
