Treat a store whose response comes too slowly as one that doesn't answer

Cause: requests are sent only if upstreams were read within 2.5 s, or if the store doesn't answer. While a response arrived, neither held: the read that would have been newer wasn't complete, and the call hadn't failed.

Change: 0.1 s before what was read becomes unusable, the store counts as lost, although the call goes on. The entry asks its peers for updates then, as in an outage, and what it knows stays in force if none has newer ones. After a pause of the process nothing changes: a call that begins then has its usual time before the store counts as lost.

New test of the follower: test_a_response_that_arrives_too_slowly_counts_as_a_lost_store.

--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -3,10 +3,8 @@
 #include <string.h>
 
 #include "anvil/log.h"
+#include "relay/relay-watch.h"
 
-/* While the store answers, requests are sent only if the registry was read within this time. It is
- * read once a second, but the process may have been suspended since. */
-#define MAX_REGISTRY_AGE (2500 * ANVIL_MS)
 /* Attempts per request that may fail before anything was sent; these don't count as attempts of the
  * route. */
 #define MAX_UNSENT_ATTEMPTS 6
@@ -273,7 +271,7 @@
 {
   anvil_time_t read_at = jobs->options.upstreams_read_at (jobs->options.context);
 
-  return read_at == G_MAXINT64 || anvil_clock_now () - read_at <= MAX_REGISTRY_AGE;
+  return read_at == G_MAXINT64 || anvil_clock_now () - read_at <= ANVIL_RELAY_MAX_REGISTRY_AGE;
 }
 
 /* Time since upstreams were read, -1 while the store doesn't answer. */
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -10,6 +10,9 @@
  * at once. A drain must be known within the 2.5 s of the platform's contract even if one call is
  * lost. */
 #define UPSTREAM_PERIOD (1000 * ANVIL_MS)
+/* An entry whose read isn't complete by then counts as cut off from the store before what it knows
+ * becomes unusable. */
+#define UPSTREAM_MAX_AGE (ANVIL_RELAY_MAX_REGISTRY_AGE - 100 * ANVIL_MS)
 /* How long the store may hold a call for changes of the operators' table, which are rare. */
 #define MIN_OPERATOR_HOLD_TIME (200 * ANVIL_MS)
 #define MAX_OPERATOR_HOLD_TIME (4 * ANVIL_SECOND)
@@ -354,6 +357,7 @@
                                    operator_hold_time (resync_time), 0, &operator_callbacks, watch);
   watch->upstream_follower = anvil_table_follower_open (
       base, store, adapter->upstream_table, 0, UPSTREAM_PERIOD, &upstream_callbacks, watch);
+  anvil_table_follower_set_max_age (watch->upstream_follower, UPSTREAM_MAX_AGE);
   return watch;
 }
 
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -9,6 +9,10 @@
  * keeps the registry up to date.
  */
 
+/* While the store answers, requests are sent only if the registry was read within this time. It is
+ * read once a second, but the process may have been suspended since. */
+#define ANVIL_RELAY_MAX_REGISTRY_AGE (2500 * ANVIL_MS)
+
 typedef struct anvil_relay_watch anvil_relay_watch_t;
 
 /**
@@ -92,7 +96,7 @@
 anvil_time_t anvil_relay_watch_grace_remaining (const anvil_relay_watch_t *watch);
 
 /** anvil_relay_watch_upstreams_read_at - when upstreams were last read; G_MAXINT64 while the store
- * doesn't answer */
+ * doesn't answer, or not in time */
 anvil_time_t anvil_relay_watch_upstreams_read_at (const anvil_relay_watch_t *watch);
 
 /** anvil_relay_watch_operators_read_at - when the configuration and the evacuated zones were last
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -37,6 +37,9 @@
   anvil_table_callbacks_t callbacks;
   void *context;
   struct event *call_timer;
+  /* Ends when what was read is older than max_age while a call is under way. */
+  anvil_time_t max_age;
+  struct event *age_timer;
   /* Version of the store that the next changes are read from. During a full read it is that of the
    * first page, since rows may change while later pages are read. */
   guint64 version;
@@ -75,10 +78,27 @@
 }
 
 static void
-on_failure (anvil_table_follower_t *follower, const GError *error)
+lose_store (anvil_table_follower_t *follower, const char *reason)
 {
   anvil_time_t now = anvil_clock_now ();
 
+  if (follower->store_lost)
+    return;
+  follower->store_lost = TRUE;
+  follower->retry_pause = MIN_RETRY_PAUSE;
+  anvil_log (ANVIL_LOG_WARNING, "store",
+             "store does not answer table=%s version=%" G_GUINT64_FORMAT
+             " reason=\"%s\" waited_ms=%" G_GINT64_FORMAT " hold_ms=%" G_GINT64_FORMAT
+             " unread_ms=%" G_GINT64_FORMAT,
+             follower->table, follower->version, reason,
+             (now - follower->call_started_at) / ANVIL_MS, follower->call_hold_time / ANVIL_MS,
+             ms_since (now, follower->read_at));
+  follower->callbacks.store_lost (follower->context);
+}
+
+static void
+on_failure (anvil_table_follower_t *follower, const GError *error)
+{
   if (g_error_matches (error, ANVIL_ERROR, ANVIL_ERROR_NOT_FOUND))
     {
       anvil_log (ANVIL_LOG_NOTICE, "store",
@@ -92,20 +112,8 @@
     }
   follower->failed_calls++;
   if (g_error_matches (error, ANVIL_ERROR, ANVIL_ERROR_TIMED_OUT))
-    follower->timed_out_at = now;
-  if (!follower->store_lost)
-    {
-      follower->store_lost = TRUE;
-      follower->retry_pause = MIN_RETRY_PAUSE;
-      anvil_log (ANVIL_LOG_WARNING, "store",
-                 "store does not answer table=%s version=%" G_GUINT64_FORMAT
-                 " reason=\"%s\" waited_ms=%" G_GINT64_FORMAT " hold_ms=%" G_GINT64_FORMAT
-                 " unread_ms=%" G_GINT64_FORMAT,
-                 follower->table, follower->version, error->message,
-                 (now - follower->call_started_at) / ANVIL_MS, follower->call_hold_time / ANVIL_MS,
-                 ms_since (now, follower->read_at));
-      follower->callbacks.store_lost (follower->context);
-    }
+    follower->timed_out_at = anvil_clock_now ();
+  lose_store (follower, error->message);
   /* A long poll may be lost long after the store answers again, so the next call is made at once.
    */
   if (follower->call_hold_time > 0)
@@ -167,7 +175,10 @@
   anvil_table_follower_t *follower = call->follower;
 
   if (follower != NULL)
-    follower->call = NULL;
+    {
+      follower->call = NULL;
+      evtimer_del (follower->age_timer);
+    }
   g_free (call);
   return follower;
 }
@@ -248,6 +259,25 @@
         = MAX (follower->hold_time + ANVIL_STORE_CALL_TIMEOUT - follower->call_timeout, 0);
 }
 
+/* After a pause of the process, what was read is old at once; the call that follows gets its time.
+ */
+static void
+schedule_age_timer (anvil_table_follower_t *follower)
+{
+  anvil_time_t age = follower->call_started_at - follower->read_at;
+  const struct timeval time
+      = anvil_time_to_timeval (MAX (follower->max_age - age, ANVIL_STORE_CALL_TIMEOUT));
+
+  if (follower->max_age > 0 && follower->read_at > 0)
+    evtimer_add (follower->age_timer, &time);
+}
+
+static void
+on_age_timer (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  lose_store (data, "what was read is too old, and the response is not complete");
+}
+
 static void
 on_call_timer (evutil_socket_t unused_fd, short unused_what, void *data)
 {
@@ -255,6 +285,7 @@
   anvil_store_call_t limits;
 
   set_call_limits (follower);
+  schedule_age_timer (follower);
   limits = (anvil_store_call_t){ .timeout = follower->call_timeout,
                                  .hold_time = follower->call_hold_time };
   follower->call = g_new0 (call_t, 1);
@@ -276,6 +307,7 @@
   if (follower->call != NULL)
     follower->call->follower = NULL;
   follower->call = NULL;
+  evtimer_del (follower->age_timer);
 }
 
 void
@@ -284,6 +316,12 @@
   follower->hold_time = hold_time;
 }
 
+void
+anvil_table_follower_set_max_age (anvil_table_follower_t *follower, anvil_time_t max_age)
+{
+  follower->max_age = max_age;
+}
+
 void
 anvil_table_follower_read_now (anvil_table_follower_t *follower)
 {
@@ -333,6 +371,7 @@
   follower->context = context;
   follower->needs_full_read = TRUE;
   follower->call_timer = evtimer_new (base, on_call_timer, follower);
+  follower->age_timer = evtimer_new (base, on_age_timer, follower);
   schedule_call (follower, 0);
   return follower;
 }
@@ -344,6 +383,7 @@
     return;
   abandon_call (follower);
   event_free (follower->call_timer);
+  event_free (follower->age_timer);
   g_free (follower->next_key);
   g_free (follower);
 }
--- a/source/relay/table-follower.h
+++ b/source/relay/table-follower.h
@@ -17,7 +17,7 @@
  * @full_read_started: the rows of the whole table follow
  * @row: a row, or the tombstone of one that was removed
  * @full_read_finished: the whole table has been read
- * @store_lost: the store stopped answering
+ * @store_lost: the store stopped answering, or answers too slowly
  * @store_recovered: the store answers again; called before the rows of its response
  * @read_up_to: all rows up to @version have been reported
  */
@@ -49,6 +49,11 @@
 /** anvil_table_follower_set_hold_time - replaces the hold time, from the next call on */
 void anvil_table_follower_set_hold_time (anvil_table_follower_t *follower, anvil_time_t hold_time);
 
+/** anvil_table_follower_set_max_age - the store counts as lost while a call is under way and the
+ * last successful one was made this long ago, microseconds; the call goes on. 0: never, which is
+ * usual */
+void anvil_table_follower_set_max_age (anvil_table_follower_t *follower, anvil_time_t max_age);
+
 /** anvil_table_follower_read_now - abandons the call under way, which may never be answered, and
  * makes a new one */
 void anvil_table_follower_read_now (anvil_table_follower_t *follower);
@@ -76,7 +81,7 @@
  * there was none */
 anvil_time_t anvil_table_follower_read_at (const anvil_table_follower_t *follower);
 
-/** anvil_table_follower_store_lost - whether the last call got no answer */
+/** anvil_table_follower_store_lost - whether the last call got no answer, or none in time */
 gboolean anvil_table_follower_store_lost (const anvil_table_follower_t *follower);
 
 /** anvil_table_follower_last_response_t - the last response with rows, for logs */
--- a/tests/test-relay-endless.c
+++ b/tests/test-relay-endless.c
@@ -25,6 +25,8 @@
 #define STORE_PLAY_TIME (4 * ANVIL_SECOND)
 #define PLAY_TIME (1500 * ANVIL_MS)
 #define MIN_REQUESTS 100u
+/* Until entries that have just started read for each other. */
+#define PEERS_TIME_US 3000000
 #define SLOW_BYTES_PER_SECOND 200000
 #define REQUEST_INTERVAL_US 5000
 /* One in so many answers may be lost. */
@@ -201,13 +203,20 @@
 }
 END_TEST
 
-/* The bytes come steadily, but so slowly that the limit of a response is far. */
+/* The bytes come steadily, but so slowly that the limit of a response is far. Alone, and with peers
+ * that receive what one of them reads. */
 START_TEST (test_a_store_that_sends_slowly_without_end_harms_no_caller)
 {
+  static const char *const peers[] = { "e3", "e4" };
+
   fleet.entry_store_endpoint = fleet_add_store_proxy (&fleet, SLOW_BYTES_PER_SECOND)->endpoint;
   fleet_kill_entry (entry, SIGKILL);
   entry = fleet_add_entry (&fleet, "e2", "west-a");
   fleet_wait_ready (entry);
+  for (gint i = 0; i < _i; i++)
+    fleet_wait_ready (fleet_add_entry (&fleet, peers[i], "west-a"));
+  if (_i > 0)
+    g_usleep (PEERS_TIME_US);
   fleet_set_store_fault (&fleet, "endless-body", 600000);
   check_callers_are_served ("slow endless-body", 2 * STORE_PLAY_TIME);
 }
@@ -333,7 +342,7 @@
   tcase_set_timeout (tests, 120);
   tcase_add_loop_test (tests, test_a_store_that_sends_without_end_harms_no_caller, 0,
                        ENDLESS_N_MESSAGES);
-  tcase_add_test (tests, test_a_store_that_sends_slowly_without_end_harms_no_caller);
+  tcase_add_loop_test (tests, test_a_store_that_sends_slowly_without_end_harms_no_caller, 0, 3);
   tcase_add_test (tests, test_a_body_that_its_killed_upstream_leaves_unfinished_is_not_whole);
   tcase_add_loop_test (tests, test_an_upstream_that_sends_without_end_harms_no_caller, 0,
                        ENDLESS_N_MESSAGES);
--- a/tests/test-table-follower.c
+++ b/tests/test-table-follower.c
@@ -17,6 +17,11 @@
 /* By this the loop is late when it makes the first call. */
 #define LOOP_DELAY (50 * ANVIL_MS)
 
+#define MAX_AGE (1000 * ANVIL_MS)
+#define SLOW_BODY_TIME (2 * ANVIL_SECOND)
+#define SLOW_CHUNK_BYTES 1400
+#define SLOW_CHUNK_PERIOD (50 * ANVIL_MS)
+
 static struct event_base *base;
 static struct evhttp *http;
 static anvil_store_t *store;
@@ -26,18 +31,43 @@
 static guint calls_to_lose;
 /* How many calls the store holds for SLOW_RESPONSE_TIME, and then closes their connection. */
 static guint calls_to_break;
+/* How many calls are answered by bytes that come steadily for SLOW_BODY_TIME. */
+static guint calls_to_answer_slowly;
+static anvil_time_t slow_body_ends_at;
+static anvil_time_t lost_at;
 static guint n_calls;
 static guint n_reads;
 static guint n_lost;
 static guint n_recovered;
 
+static const char empty_page[] = "{\"rows\":[],\"rowVersion\":7,\"hasMore\":false}";
+
+/* Spaces, which JSON may have before its text, and in the end the text. */
+static void
+send_slow_chunk (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  const struct timeval pause = anvil_time_to_timeval (SLOW_CHUNK_PERIOD);
+  gboolean last = anvil_clock_now () >= slow_body_ends_at;
+  struct evbuffer *chunk = evbuffer_new ();
+
+  if (last)
+    evbuffer_add (chunk, empty_page, strlen (empty_page));
+  else
+    evbuffer_add_printf (chunk, "%*s", SLOW_CHUNK_BYTES, "");
+  evhttp_send_reply_chunk (data, chunk);
+  evbuffer_free (chunk);
+  if (last)
+    evhttp_send_reply_end (data);
+  else
+    event_base_once (base, -1, EV_TIMEOUT, send_slow_chunk, data, &pause);
+}
+
 static void
 respond (evutil_socket_t unused_fd, short unused_what, void *data)
 {
-  static const char text[] = "{\"rows\":[],\"rowVersion\":7,\"hasMore\":false}";
   struct evbuffer *body = evbuffer_new ();
 
-  evbuffer_add (body, text, strlen (text));
+  evbuffer_add (body, empty_page, strlen (empty_page));
   evhttp_send_reply (data, HTTP_OK, "OK", body);
   evbuffer_free (body);
 }
@@ -60,6 +90,13 @@
       calls_to_break--;
       event_base_once (base, -1, EV_TIMEOUT, break_connection, request, &hold_time);
     }
+  else if (calls_to_answer_slowly > 0)
+    {
+      calls_to_answer_slowly--;
+      slow_body_ends_at = anvil_clock_now () + SLOW_BODY_TIME;
+      evhttp_send_reply_start (request, HTTP_OK, "OK");
+      send_slow_chunk (-1, 0, request);
+    }
   else if (calls_to_lose > 0)
     calls_to_lose--;
   else
@@ -80,6 +117,7 @@
 on_lost (void *unused_context)
 {
   n_lost++;
+  lost_at = anvil_clock_now ();
 }
 
 static void
@@ -195,6 +233,25 @@
 }
 END_TEST
 
+/* Else what was read would be too old to be used, although nothing newer can be read in time. */
+START_TEST (test_a_response_that_arrives_too_slowly_counts_as_a_lost_store)
+{
+  anvil_time_t read_at;
+
+  anvil_table_follower_set_max_age (follower, MAX_AGE);
+  ck_assert (wait_for_read ());
+  read_at = anvil_table_follower_read_at (follower);
+  calls_to_answer_slowly = 1;
+  ck_assert (wait_for_read ());
+  /* The call went on, and its response was read. */
+  ck_assert_uint_eq (n_calls, 2);
+  ck_assert_uint_eq (n_lost, 1);
+  ck_assert_uint_eq (n_recovered, 1);
+  ck_assert_int_gt (lost_at - read_at, ANVIL_STORE_CALL_TIMEOUT);
+  ck_assert_int_lt (lost_at - read_at, SLOW_BODY_TIME);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -208,6 +265,7 @@
   tcase_add_test (tests, test_a_store_whose_responses_exceed_the_timeout_is_read);
   tcase_add_test (tests, test_a_lost_call_is_repeated_after_the_usual_timeout);
   tcase_add_test (tests, test_a_connection_that_closes_after_the_timeout_is_no_timeout);
+  tcase_add_test (tests, test_a_response_that_arrives_too_slowly_counts_as_a_lost_store);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
