Limit the memory of failed responses that wait for a retry

Cause: the body of a failed response is kept until the retry has ended, up to 32 MB each, and stood in no sum.

Change: one sixteenth of the memory is for them; beyond it the longest is dropped. The retries go on; a caller whose saved response was dropped gets 502 if none succeeds, as the request may have run. A gauge and a counter.

--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -73,6 +73,8 @@
   anvil_routes_t *routes;
   anvil_route_split_t *split;
   guint64 last_number;
+  /* Bytes in the bodies of all saved responses. */
+  gsize saved_bytes;
   /* When all jobs end, during shutdown; otherwise G_MAXINT64. */
   anvil_time_t stop_at;
   gboolean refusing_new;
@@ -141,8 +143,10 @@
  * upstream if there is one, otherwise a response that says whether the request may have run. */
 void job_fail (job_t *job, guint status, const char *reason, anvil_time_t retry_after);
 
-/* Saves an upstream's failure response, which is passed on if no retry succeeds. */
+/* Saves an upstream's failure response, which is passed on if no retry succeeds. It may be dropped
+ * while it waits, see anvil_relay_jobs_options_t. */
 void job_save_response (job_t *job, const anvil_relay_attempt_outcome_t *outcome);
+void job_drop_saved_response (job_t *job);
 
 /* Refuses a request that has no job. */
 void job_refuse_request (anvil_relay_jobs_t *jobs,
--- a/source/relay/relay-job-new.c
+++ b/source/relay/relay-job-new.c
@@ -14,10 +14,7 @@
   g_free (job->service);
   g_free (job->route);
   g_free (job->upstream_id);
-  if (job->saved_headers != NULL)
-    g_string_free (job->saved_headers, TRUE);
-  if (job->saved_body != NULL)
-    evbuffer_free (job->saved_body);
+  job_drop_saved_response (job);
   g_free (job);
 }
 
--- a/source/relay/relay-job-response.c
+++ b/source/relay/relay-job-response.c
@@ -86,11 +86,23 @@
   job_remove (job);
 }
 
+/* The body becomes the caller's. */
+static void
+pass_saved_response (job_t *job)
+{
+  struct evbuffer *body = evbuffer_new ();
+
+  job->jobs->saved_bytes -= evbuffer_get_length (job->saved_body);
+  evbuffer_add_buffer (body, job->saved_body);
+  job_pass_response (job, job->saved_status, job->saved_headers, body);
+  evbuffer_free (body);
+}
+
 void
 job_fail (job_t *job, guint status, const char *reason, anvil_time_t retry_after)
 {
   if (job->saved_status != 0)
-    job_pass_response (job, job->saved_status, job->saved_headers, job->saved_body);
+    pass_saved_response (job);
   else if (job->may_have_run)
     respond_unknown (job, status, reason);
   else
@@ -98,17 +110,68 @@
 }
 
 void
-job_save_response (job_t *job, const anvil_relay_attempt_outcome_t *outcome)
+job_drop_saved_response (job_t *job)
 {
   if (job->saved_status == 0)
+    return;
+  job->jobs->saved_bytes -= evbuffer_get_length (job->saved_body);
+  job->saved_status = 0;
+  g_string_free (g_steal_pointer (&job->saved_headers), TRUE);
+  evbuffer_free (g_steal_pointer (&job->saved_body));
+}
+
+/* The job whose saved response is the longest, or NULL. */
+static job_t *
+job_with_longest_saved_response (const anvil_relay_jobs_t *jobs)
+{
+  job_t *longest = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, jobs->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      job->saved_headers = g_string_new (NULL);
-      job->saved_body = evbuffer_new ();
+      job_t *job = value;
+
+      if (job->saved_status != 0
+          && (longest == NULL
+              || evbuffer_get_length (job->saved_body) > evbuffer_get_length (longest->saved_body)))
+        longest = job;
     }
+  return longest;
+}
+
+/* Drops the longest saved responses while all together exceed the limit. Their callers get another
+ * answer if no retry succeeds, but the retries go on. */
+static void
+enforce_saved_limit (anvil_relay_jobs_t *jobs)
+{
+  while (jobs->saved_bytes > jobs->options.max_saved_bytes)
+    {
+      job_t *job = job_with_longest_saved_response (jobs);
+
+      anvil_log (ANVIL_LOG_WARNING, "request",
+                 "failed response dropped, those that wait for a retry exceed their memory "
+                 "request=%s upstream=%s bytes=%zu all_bytes=%zu limit=%zu",
+                 text_or_dash (job->request->id), job->upstream_id,
+                 evbuffer_get_length (job->saved_body), jobs->saved_bytes,
+                 jobs->options.max_saved_bytes);
+      anvil_metrics_add_counter (jobs->options.metrics, "anvil_dropped_saved_responses_total", "",
+                                 1);
+      job_drop_saved_response (job);
+    }
+}
+
+void
+job_save_response (job_t *job, const anvil_relay_attempt_outcome_t *outcome)
+{
+  job_drop_saved_response (job);
   job->saved_status = outcome->status;
-  g_string_assign (job->saved_headers, outcome->headers->str);
-  evbuffer_drain (job->saved_body, evbuffer_get_length (job->saved_body));
+  job->saved_headers = g_string_new_len (outcome->headers->str, (gssize) outcome->headers->len);
+  job->saved_body = evbuffer_new ();
   evbuffer_add_buffer (job->saved_body, outcome->body);
+  job->jobs->saved_bytes += evbuffer_get_length (job->saved_body);
+  enforce_saved_limit (job->jobs);
 }
 
 void
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -94,6 +94,12 @@
   return anvil_request_limit_table_count (jobs->request_limits);
 }
 
+gsize
+anvil_relay_jobs_saved_bytes (const anvil_relay_jobs_t *jobs)
+{
+  return jobs->saved_bytes;
+}
+
 guint
 anvil_relay_jobs_count (const anvil_relay_jobs_t *jobs)
 {
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -19,6 +19,8 @@
  * anvil_relay_jobs_options_t - what jobs depend on; all borrowed
  * @upstreams_read_at: when upstreams were last read, monotonic clock; G_MAXINT64 while the store
  *   doesn't answer, when requests are sent on the basis of the last read, however old
+ * @max_saved_bytes: limit of the bodies of all failed responses that wait for a retry; above it the
+ *   longest is dropped
  * @store_ok_for: for how long this entry or a peer has read upstreams from the store without an
  *   interruption, microseconds
  */
@@ -31,6 +33,7 @@
   anvil_slot_broker_t *slot_broker;
   anvil_relay_upstream_pool_t *upstream_pool;
   anvil_metrics_t *metrics;
+  gsize max_saved_bytes;
   anvil_time_t (*upstreams_read_at) (void *context);
   anvil_time_t (*store_ok_for) (void *context);
   void *context;
@@ -92,5 +95,8 @@
  * last response to this entry */
 guint anvil_relay_jobs_count_request_limits (const anvil_relay_jobs_t *jobs);
 
+/** anvil_relay_jobs_saved_bytes - bytes in the bodies of failed responses that wait for a retry */
+gsize anvil_relay_jobs_saved_bytes (const anvil_relay_jobs_t *jobs);
+
 /** anvil_relay_jobs_count - number of jobs: requests that aren't answered yet */
 guint anvil_relay_jobs_count (const anvil_relay_jobs_t *jobs);
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -37,6 +37,8 @@
 /* One in so many bytes is for responses that are being received, and as many for those that callers
  * have not read yet. */
 #define RESPONSES_DIVISOR 8
+/* One in so many bytes is for failed responses that wait for a retry. */
+#define SAVED_RESPONSES_DIVISOR 16
 
 struct anvil_relay
 {
@@ -558,6 +560,8 @@
   anvil_metrics_set_gauge (
       relay->metrics, "anvil_buffered_response_bytes", "",
       (gdouble) anvil_relay_upstream_pool_buffered_bytes (relay->upstream_pool));
+  anvil_metrics_set_gauge (relay->metrics, "anvil_saved_response_bytes", "",
+                           (gdouble) anvil_relay_jobs_saved_bytes (relay->jobs));
   anvil_metrics_set_gauge (relay->metrics, "anvil_oversized_responses", "",
                            (gdouble) pool->oversized_responses);
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstream_connections_opened", "",
@@ -573,14 +577,16 @@
 open_modules (anvil_relay_t *relay, GError **error)
 {
   const anvil_relay_settings_t *settings = relay->settings;
-  anvil_relay_jobs_options_t job_options = { .base = relay->base,
-                                             .settings = settings,
-                                             .header_names = &relay->adapter->header_names,
-                                             .registry = relay->registry,
-                                             .metrics = relay->metrics,
-                                             .upstreams_read_at = upstreams_read_at,
-                                             .store_ok_for = store_ok_for,
-                                             .context = relay };
+  anvil_relay_jobs_options_t job_options
+      = { .base = relay->base,
+          .settings = settings,
+          .header_names = &relay->adapter->header_names,
+          .registry = relay->registry,
+          .metrics = relay->metrics,
+          .max_saved_bytes = settings->memory_bytes / SAVED_RESPONSES_DIVISOR,
+          .upstreams_read_at = upstreams_read_at,
+          .store_ok_for = store_ok_for,
+          .context = relay };
   const anvil_relay_callers_options_t caller_options
       = { .name = "callers",
           .address = settings->caller_endpoint.address,
--- a/standins/anvil-registrant.c
+++ b/standins/anvil-registrant.c
@@ -17,6 +17,7 @@
  *     copies           the response comes twice
  *     endless-PLACE    bytes without end, until the caller closes; PLACE as in endless.c
  *   status=CODE      status of the response
+ *   size=BYTES       length of the body, with fault=error
  *   echo=headers     the response's body includes the headers of the request
  * GET /runs returns the number of runs by request ID: {"ID": COUNT}. POST /limit?value=TEXT makes
  * it name a request limit in its responses, an empty TEXT ends that. SIGTERM starts a drain.
@@ -112,7 +113,9 @@
   if (strcmp (job->fault, "error") == 0)
     {
       set_header (job->request, "Server-Stamp", "x");
-      respond (upstream, job->request, job->status, "failed");
+      g_free (text);
+      text = job->size > 0 ? g_strnfill (job->size, 'x') : g_strdup ("failed");
+      respond (upstream, job->request, job->status, text);
     }
   else if (job->fault[0] != '\0' && strcmp (job->fault, "unsigned") != 0
            && strcmp (job->fault, "copies") != 0)
@@ -239,6 +242,8 @@
     job->status = default_status (job->fault);
   value = evhttp_find_header (&query, "work");
   job->work_ms = value != NULL ? (guint) g_ascii_strtoull (value, NULL, 10) : 0;
+  value = evhttp_find_header (&query, "size");
+  job->size = value != NULL ? (gsize) g_ascii_strtoull (value, NULL, 10) : 0;
   evhttp_clear_headers (&query);
   return job;
 }
--- a/standins/anvil-registrant.h
+++ b/standins/anvil-registrant.h
@@ -62,6 +62,7 @@
   int status;
   /* Duration of the run, 0 for the default. */
   guint work_ms;
+  gsize size;
 } registrant_job_t;
 
 const char *registrant_request_header (struct evhttp_request *request, const char *name);
--- a/tests/test-relay-endless.c
+++ b/tests/test-relay-endless.c
@@ -21,6 +21,8 @@
 #define MAX_DESCRIPTORS (1024 - 200)
 #define N_IDLE_CONNECTIONS 1100
 #define N_FAULTY_PEERS 6
+#define N_RETRIED_REQUESTS 80
+#define RETRIED_REQUEST_INTERVAL_US 20000
 /* Long enough for the calls to the store to time out, and for what was read to be too old. */
 #define STORE_PLAY_TIME (4 * ANVIL_SECOND)
 #define PLAY_TIME (1500 * ANVIL_MS)
@@ -258,6 +260,45 @@
 }
 END_TEST
 
+/* Repeats a request from many callers, which begin one after the other. */
+static void
+run_callers (const char *path)
+{
+  for (guint i = 0; i < N_RETRIED_REQUESTS; i++)
+    {
+      if (fork () != 0)
+        continue;
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      g_usleep (i * RETRIED_REQUEST_INTERVAL_US);
+      for (;;)
+        g_free (fleet_request (entry->caller_port, "GET", path, "faulty"));
+    }
+  for (;;)
+    pause ();
+}
+
+/* Failed responses are kept until a retry has ended. */
+START_TEST (test_large_failed_responses_that_wait_for_a_retry_harm_no_caller)
+{
+  fleet_add_upstream (&fleet, "u3", "other", "--slots 100");
+  fleet_add_upstream (&fleet, "u4", "other", "--slots 100");
+  fleet_configure (&fleet,
+                   "{\"resourceKind\":\"routes\",\"metadata\":{\"name\":\"large\"},\"spec\":{"
+                   "\"host\":\"" FLEET_HOST "\",\"prefix\":\"/large/\",\"kind\":\"safe\","
+                   "\"timeoutMs\":3000,\"targetLatencyMs\":2000,\"priority\":1,"
+                   "\"service\":\"other\",\"maxAttempts\":3,\"sticky\":false,"
+                   "\"allowedRegions\":[]}}");
+  g_usleep (FLEET_RESYNC_TIME);
+  flooders[0] = fork ();
+  if (flooders[0] == 0)
+    {
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      run_callers ("/large/1?fault=error&size=9000000&work=1400");
+    }
+  check_callers_are_served ("saved responses", STORE_PLAY_TIME);
+}
+END_TEST
+
 START_TEST (test_flooded_ports_for_lookups_readiness_and_metrics_harm_no_caller)
 {
   const endless_message_t *message = &endless_messages[_i];
@@ -332,6 +373,7 @@
 {
   Suite *suite = suite_create ("relay-endless");
   TCase *tests = tcase_create ("relay-endless");
+  TCase *retries = tcase_create ("relay-endless-retries");
   SRunner *runner;
   int failed;
 
@@ -351,7 +393,11 @@
   tcase_add_loop_test (tests, test_flooded_ports_for_callers_and_peers_harm_no_caller, 0,
                        ENDLESS_N_MESSAGES);
   tcase_add_loop_test (tests, test_idle_connections_leave_descriptors_to_callers, 0, N_PORTS);
+  tcase_add_checked_fixture (retries, set_up, tear_down);
+  tcase_set_timeout (retries, 120);
+  tcase_add_test (retries, test_large_failed_responses_that_wait_for_a_retry_harm_no_caller);
   suite_add_tcase (suite, tests);
+  suite_add_tcase (suite, retries);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
