--- a/include/anvil/store.h
+++ b/include/anvil/store.h
@@ -57,8 +57,8 @@
  * @page: NULL on failure; borrowed
  * @error: ANVIL_ERROR_NOT_FOUND if the store no longer has the requested history, or has more
  *   changes than the limit of the response, and the table must be read completely;
- *   ANVIL_ERROR_TIMED_OUT if it did not respond in time; ANVIL_ERROR_UNAVAILABLE if its response
- * was malformed, cut off, or rejected the call
+ *   ANVIL_ERROR_TIMED_OUT if it did not respond in time; ANVIL_ERROR_UNAVAILABLE if it was not
+ *   reached, rejected the call, or sent a response that is malformed or cut off
  */
 typedef void (*anvil_store_read_cb_t) (void *context,
                                        const anvil_store_page_t *page,
--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -53,7 +53,6 @@
 struct call
 {
   anvil_http_pool_t *pool;
-  anvil_time_t timeout;
   anvil_time_t max_pause;
   gsize max_response_bytes;
   enum evhttp_cmd_type command;
@@ -140,13 +139,14 @@
 {
   call_t *call = data;
 
-  call->timed_out = TRUE;
   if (call->connection != NULL)
     {
+      call->timed_out = TRUE;
       fail_call (call->connection, "timed out");
       return;
     }
-  g_queue_remove (&call->pool->queue, call);
+  /* A call that found the queue full isn't in it. */
+  call->timed_out = g_queue_remove (&call->pool->queue, call);
   call_finish (call, 0, NULL);
 }
 
@@ -467,7 +467,6 @@
   call_t *call = g_new0 (call_t, 1);
 
   call->pool = pool;
-  call->timeout = timeout;
   call->max_pause = limits->pause > 0 ? limits->pause : pool->timeout;
   call->max_response_bytes
       = limits->response_bytes > 0 ? MIN (limits->response_bytes, MAX_BODY_BYTES) : MAX_BODY_BYTES;
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -37,7 +37,7 @@
   anvil_table_callbacks_t callbacks;
   void *context;
   struct event *call_timer;
-  /* Ends when what was read is older than max_age while a call is under way. */
+  /* Fires when what was read is older than max_age while a call is under way. */
   anvil_time_t max_age;
   struct event *age_timer;
   /* Version of the store that the next changes are read from. During a full read it is that of the
--- a/tests/test-relay-endless.c
+++ b/tests/test-relay-endless.c
@@ -269,7 +269,7 @@
       if (fork () != 0)
         continue;
       prctl (PR_SET_PDEATHSIG, SIGKILL);
-      g_usleep (i * RETRIED_REQUEST_INTERVAL_US);
+      g_usleep ((gulong) i * RETRIED_REQUEST_INTERVAL_US);
       for (;;)
         g_free (fleet_request (entry->caller_port, "GET", path, "faulty"));
     }
