--- a/tests/test-relay-endless.c
+++ b/tests/test-relay-endless.c
@@ -215,7 +215,7 @@
   fleet_kill_entry (entry, SIGKILL);
   entry = fleet_add_entry (&fleet, "e2", "west-a");
   fleet_wait_ready (entry);
-  for (gint i = 0; i < _i; i++)
+  for (gsize i = 0; i < MIN ((gsize) _i, G_N_ELEMENTS (peers)); i++)
     fleet_wait_ready (fleet_add_entry (&fleet, peers[i], "west-a"));
   if (_i > 0)
     g_usleep (PEERS_TIME_US);
