Find the largest of a table in one place

Peers' links (by incomplete frame, by wait for a hello), callers' connections (by unsent bytes, by idle time), upstreams' responses and saved responses each had a loop of their own over a table for the item that gives way. They now state what they measure, and anvil_find_largest() has the loop. Which item is chosen stays as it was. A missing empty line in relay-caller.c is added.

--- a/source/net/peers.c
+++ b/source/net/peers.c
@@ -8,6 +8,7 @@
 #include <event2/listener.h>
 
 #include "anvil/error.h"
+#include "anvil/largest.h"
 #include "anvil/log.h"
 #include "peers-link.h"
 
@@ -111,21 +112,10 @@
   peers->waiting_bytes -= anvil_peer_link_waiting_bytes (link);
 }
 
-static anvil_peer_link_t *
-link_with_longest_frame (const anvil_peers_t *peers)
+static gint64
+measure_waiting_bytes (gconstpointer link)
 {
-  anvil_peer_link_t *longest = NULL;
-  GHashTableIter iter;
-  gpointer link;
-
-  g_hash_table_iter_init (&iter, peers->accepted);
-  while (g_hash_table_iter_next (&iter, &link, NULL))
-    {
-      if (longest == NULL
-          || anvil_peer_link_waiting_bytes (link) > anvil_peer_link_waiting_bytes (longest))
-        longest = link;
-    }
-  return longest;
+  return (gint64) anvil_peer_link_waiting_bytes (link);
 }
 
 /* Returns FALSE if @link itself has to be closed. */
@@ -137,7 +127,7 @@
   peers->waiting_bytes += bytes - before;
   while (peers->waiting_bytes > peers->max_waiting_bytes)
     {
-      anvil_peer_link_t *longest = link_with_longest_frame (peers);
+      anvil_peer_link_t *longest = anvil_find_largest (peers->accepted, measure_waiting_bytes);
 
       anvil_log (ANVIL_LOG_WARNING, "peers",
                  "link closed, incomplete frames exceed their memory bytes=%zu all_bytes=%zu "
@@ -179,22 +169,13 @@
 static const anvil_peer_link_callbacks_t outgoing_callbacks
     = { .frame = NULL, .closed = on_outgoing_closed };
 
-static anvil_peer_link_t *
-oldest_link_without_hello (const anvil_peers_t *peers)
+/* The oldest links without a hello count most, those with one not at all. */
+static gint64
+measure_wait_for_hello (gconstpointer link)
 {
-  anvil_peer_link_t *oldest = NULL;
-  GHashTableIter iter;
-  gpointer link;
-
-  g_hash_table_iter_init (&iter, peers->accepted);
-  while (g_hash_table_iter_next (&iter, &link, NULL))
-    {
-      if (anvil_peer_link_node (link) == ANVIL_NO_NODE
-          && (oldest == NULL
-              || anvil_peer_link_opened_at (link) < anvil_peer_link_opened_at (oldest)))
-        oldest = link;
-    }
-  return oldest;
+  return anvil_peer_link_node (link) == ANVIL_NO_NODE
+             ? G_MAXINT64 - anvil_peer_link_opened_at (link)
+             : -1;
 }
 
 /* Makes room for a link. Returns FALSE if there is none. */
@@ -206,7 +187,7 @@
   if (g_hash_table_size (peers->accepted) < peers->max_accepted)
     return TRUE;
   peers->counters.dropped++;
-  link = oldest_link_without_hello (peers);
+  link = anvil_find_largest (peers->accepted, measure_wait_for_hello);
   if (link == NULL)
     return FALSE;
   on_accepted_closed (peers, link, FALSE);
--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include "anvil/error.h"
+#include "anvil/largest.h"
 #include "anvil/log.h"
 #include "relay/http-status.h"
 
@@ -249,23 +250,12 @@
                       evbuffer_get_length (pending->head) + evbuffer_get_length (pending->body));
 }
 
-/* The connection with most unsent bytes of responses. */
-static anvil_relay_caller_connection_t *
-slowest_reader (const anvil_relay_callers_t *callers)
+static gint64
+measure_unsent_bytes (gconstpointer value)
 {
-  anvil_relay_caller_connection_t *slowest = NULL;
-  GHashTableIter iter;
-  gpointer key;
-
-  g_hash_table_iter_init (&iter, callers->connections);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      anvil_relay_caller_connection_t *connection = key;
+  const anvil_relay_caller_connection_t *connection = value;
 
-      if (slowest == NULL || connection->unsent_bytes > slowest->unsent_bytes)
-        slowest = connection;
-    }
-  return slowest;
+  return (gint64) connection->unsent_bytes;
 }
 
 /* Closes the connections of callers that don't read while all unsent responses exceed the limit.
@@ -277,7 +267,8 @@
 
   while (callers->unsent_bytes > callers->options.max_unsent_bytes)
     {
-      anvil_relay_caller_connection_t *slowest = slowest_reader (callers);
+      anvil_relay_caller_connection_t *slowest
+          = anvil_find_largest (callers->connections, measure_unsent_bytes);
 
       anvil_log (ANVIL_LOG_WARNING, "caller",
                  "connection closed, unsent responses exceed their memory bytes=%zu "
@@ -392,24 +383,15 @@
   caller_connection_reject (data, STATUS_REQUEST_TIMEOUT);
 }
 
-/* The connection that has been idle longest, or NULL. */
-static anvil_relay_caller_connection_t *
-longest_idle (const anvil_relay_callers_t *callers)
+/* Connections that have been idle longest count most, those in use not at all. */
+static gint64
+measure_idle_time (gconstpointer value)
 {
-  anvil_relay_caller_connection_t *longest = NULL;
-  GHashTableIter iter;
-  gpointer key;
+  const anvil_relay_caller_connection_t *connection = value;
 
-  g_hash_table_iter_init (&iter, callers->connections);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      anvil_relay_caller_connection_t *connection = key;
-
-      if (connection->partial_request == NULL && !has_pending_output (connection)
-          && (longest == NULL || connection->last_active_at < longest->last_active_at))
-        longest = connection;
-    }
-  return longest;
+  return connection->partial_request == NULL && !has_pending_output (connection)
+             ? G_MAXINT64 - connection->last_active_at
+             : -1;
 }
 
 /* Makes room for a connection. Returns FALSE if there is none. */
@@ -420,7 +402,7 @@
 
   if (g_hash_table_size (callers->connections) < callers->options.max_connections)
     return TRUE;
-  idle = longest_idle (callers);
+  idle = anvil_find_largest (callers->connections, measure_idle_time);
   if (idle == NULL)
     return FALSE;
   if (callers->displaced_connections++ % DISPLACED_PER_LOG_LINE == 0)
@@ -433,6 +415,7 @@
   connection_close (idle);
   return TRUE;
 }
+
 static void
 on_accept (struct evconnlistener *listener,
            evutil_socket_t fd,
--- a/source/relay/relay-job-response.c
+++ b/source/relay/relay-job-response.c
@@ -1,3 +1,4 @@
+#include "anvil/largest.h"
 #include "anvil/log.h"
 #include "relay/relay-job-internal.h"
 
@@ -120,25 +121,12 @@
   evbuffer_free (g_steal_pointer (&job->saved_body));
 }
 
-/* The job whose saved response is the longest, or NULL. */
-static job_t *
-job_with_longest_saved_response (const anvil_relay_jobs_t *jobs)
+static gint64
+measure_saved_response (gconstpointer value)
 {
-  job_t *longest = NULL;
-  GHashTableIter iter;
-  gpointer value;
+  const job_t *job = value;
 
-  g_hash_table_iter_init (&iter, jobs->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      job_t *job = value;
-
-      if (job->saved_status != 0
-          && (longest == NULL
-              || evbuffer_get_length (job->saved_body) > evbuffer_get_length (longest->saved_body)))
-        longest = job;
-    }
-  return longest;
+  return job->saved_status != 0 ? (gint64) evbuffer_get_length (job->saved_body) : -1;
 }
 
 /* Drops the longest saved responses while all together exceed the limit. Their callers get another
@@ -148,7 +136,7 @@
 {
   while (jobs->saved_bytes > jobs->options.max_saved_bytes)
     {
-      job_t *job = job_with_longest_saved_response (jobs);
+      job_t *job = anvil_find_largest (jobs->jobs, measure_saved_response);
 
       anvil_log (ANVIL_LOG_WARNING, "request",
                  "failed response dropped, those that wait for a retry exceed their memory "
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -10,6 +10,7 @@
 
 #include <linux/sockios.h>
 
+#include "anvil/largest.h"
 #include "anvil/log.h"
 
 /* Connect time-out: a few round trips between distant regions. */
@@ -157,24 +158,12 @@
   return FALSE;
 }
 
-/* The attempt with the longest body, or NULL. */
-static anvil_relay_attempt_t *
-largest_attempt (const anvil_relay_upstream_pool_t *pool)
+static gint64
+measure_body (gconstpointer value)
 {
-  anvil_relay_attempt_t *largest = NULL;
-  GHashTableIter iter;
-  gpointer key;
+  const anvil_relay_attempt_t *attempt = value;
 
-  g_hash_table_iter_init (&iter, pool->attempts);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      anvil_relay_attempt_t *attempt = key;
-
-      if (largest == NULL
-          || evbuffer_get_length (attempt->body) > evbuffer_get_length (largest->body))
-        largest = attempt;
-    }
-  return largest;
+  return (gint64) evbuffer_get_length (attempt->body);
 }
 
 /* Gives up the longest responses while all together exceed the limit. It is an upstream that sends
@@ -184,7 +173,7 @@
 {
   while (pool->buffered_bytes > pool->max_buffered_bytes)
     {
-      anvil_relay_attempt_t *attempt = largest_attempt (pool);
+      anvil_relay_attempt_t *attempt = anvil_find_largest (pool->attempts, measure_body);
 
       anvil_log (ANVIL_LOG_WARNING, "upstream",
                  "response given up, responses exceed their memory upstream=%s request=%s "
