Know the prefix of endless faults in one place, and move a comment back

Two stand-ins had the prefix of "endless-NAME" faults and the look-up behind it; endless_find_fault() has both now. No test changes what it checks.

--- a/standins/anvil-registrant-report.c
+++ b/standins/anvil-registrant-report.c
@@ -48,9 +48,6 @@
   evhttp_connection_free (connection);
 }
 
-/* Before the name of a place of endless_messages. */
-#define ENDLESS_PREFIX "endless-"
-
 void
 registrant_send_faulty_response (const registrant_job_t *job, const char *text)
 {
@@ -63,9 +60,8 @@
     send_raw_and_close (job->request, "", TRUE);
   else if (strcmp (job->fault, "truncate") == 0)
     response = g_strdup_printf ("%sContent-Length: 1000\r\n\r\n%s", head, text);
-  else if (g_str_has_prefix (job->fault, ENDLESS_PREFIX)
-           && endless_find (job->fault + strlen (ENDLESS_PREFIX)) != NULL)
-    endless_respond (job->request, endless_find (job->fault + strlen (ENDLESS_PREFIX)), fields);
+  else if (endless_find_fault (job->fault) != NULL)
+    endless_respond (job->request, endless_find_fault (job->fault), fields);
   else if (strcmp (job->fault, "unframed") == 0)
     response = g_strdup_printf ("%sConnection: close\r\n\r\n%s", head, text);
   else if (strcmp (job->fault, "stray") == 0)
--- a/standins/anvil-store.c
+++ b/standins/anvil-store.c
@@ -29,8 +29,6 @@
 #include "anvil/settings.h"
 #include "endless.h"
 
-/* Before the name of a place of endless_messages. */
-#define ENDLESS_PREFIX "endless-"
 #define MAX_POLL_WAIT_MS 30000
 #define STATUS_CONDITION_FAILED 412
 #define STATUS_GONE 410
@@ -316,9 +314,7 @@
 
   parse_query (request, &query);
   kind = query_text (&query, "kind");
-  store->endless = g_str_has_prefix (kind, ENDLESS_PREFIX)
-                       ? endless_find (kind + strlen (ENDLESS_PREFIX))
-                       : NULL;
+  store->endless = endless_find_fault (kind);
   store->fault = strcmp (kind, "busy") == 0            ? FAULT_BUSY
                  : strcmp (kind, "silent") == 0        ? FAULT_SILENT
                  : strcmp (kind, "lose") == 0          ? FAULT_LOSE
--- a/standins/endless.c
+++ b/standins/endless.c
@@ -9,6 +9,8 @@
 #include "anvil/log.h"
 
 #define BLOCK_BYTES (16u << 10)
+/* Before the name of a place. */
+#define FAULT_PREFIX "endless-"
 
 const endless_message_t endless_messages[ENDLESS_N_MESSAGES + 1] = {
   { "header-lines", TRUE, "", "A: b\r\n" },
@@ -25,11 +27,13 @@
 };
 
 const endless_message_t *
-endless_find (const char *name)
+endless_find_fault (const char *fault)
 {
+  if (!g_str_has_prefix (fault, FAULT_PREFIX))
+    return NULL;
   for (const endless_message_t *message = endless_messages; message->name != NULL; message++)
     {
-      if (strcmp (message->name, name) == 0)
+      if (strcmp (message->name, fault + strlen (FAULT_PREFIX)) == 0)
         return message;
     }
   return NULL;
--- a/standins/endless.h
+++ b/standins/endless.h
@@ -24,8 +24,8 @@
 #define ENDLESS_N_MESSAGES 10
 extern const endless_message_t endless_messages[ENDLESS_N_MESSAGES + 1];
 
-/** endless_find - the place of a name, or NULL */
-const endless_message_t *endless_find (const char *name);
+/** endless_find_fault - the message of a fault "endless-NAME" of a stand-in, or NULL */
+const endless_message_t *endless_find_fault (const char *fault);
 
 /** endless_start - bytes before the repeated ones; @start_line and @fields end with a line break.
  * Free it with g_free() */
--- a/tests/test-relay-caller.c
+++ b/tests/test-relay-caller.c
@@ -368,8 +368,6 @@
   "Upgrade: h2c\r\nConnection: Upgrade, HTTP2-Settings\r\nHTTP2-Settings: AAMAAABk\r\n"            \
   "Expect: 100-continue\r\nTE: trailers\r\n"
 
-/* Guards against proper requests that are answered 400: they offer another protocol, and the body
- * or the next request comes in a later packet. */
 static int
 connect_another (void)
 {
@@ -415,6 +413,8 @@
 }
 END_TEST
 
+/* Guards against proper requests that are answered 400: they offer another protocol, and the body
+ * or the next request comes in a later packet. */
 START_TEST (test_offers_of_other_protocols_are_not_taken_up)
 {
   static const char text[]
