Log since when a peer has a newer configuration, and which calls are abandoned

Entries name the version in force in their pings. A call to the store that is abandoned is logged, with whether its response had begun. The metric anvil_newest_routes_version stands beside anvil_routes_version. test-relay-message, test-http-pool, test-table-follower, test-store-client and test-members pass.

--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -30,6 +30,7 @@
  * @outdated: it can't learn of changes of upstreams, though other entries can
  * @knows_peers: it knows which other entries there are; see anvil_members_update_known()
  * @caller_share: part of the callers of its region that it has room for, thousandths
+ * @config_version: version of the configuration in force there; 0 if there is none
  */
 typedef struct
 {
@@ -45,6 +46,7 @@
   gboolean outdated;
   gboolean knows_peers;
   guint caller_share;
+  gint64 config_version;
 } anvil_member_info_t;
 
 /* Value of @caller_share of an entry that has room for any caller. */
@@ -222,6 +224,10 @@
                                               anvil_time_t now,
                                               anvil_node_t previous);
 
+/** anvil_members_newest_config - the reachable peer with the newest configuration, the closest of
+ * them by round-trip time; NULL if there is no reachable peer */
+const anvil_peer_t *anvil_members_newest_config (const anvil_members_t *members, anvil_time_t now);
+
 const anvil_peer_t *anvil_members_lookup (const anvil_members_t *members, anvil_node_t node);
 guint anvil_members_count (const anvil_members_t *members);
 
--- a/include/anvil/store.h
+++ b/include/anvil/store.h
@@ -73,18 +73,23 @@
 /** anvil_store_close - calls in progress end with ANVIL_ERROR_UNAVAILABLE */
 void anvil_store_close (anvil_store_t *store);
 
+typedef void (*anvil_store_began_cb_t) (void *context);
+
 /**
  * anvil_store_call_t - what a read may take; 0 for what is usual
  * @timeout: until the response begins, and for each pause in it, microseconds; usually
  *   ANVIL_STORE_CALL_TIMEOUT
  * @hold_time: how long the store may delay its response until a row changes, in addition to that
  * @max_bytes: limit of the response
+ * @began: called with the context of the call when the first byte of its response has arrived, or
+ *   NULL
  */
 typedef struct
 {
   anvil_time_t timeout;
   anvil_time_t hold_time;
   gsize max_bytes;
+  anvil_store_began_cb_t began;
 } anvil_store_call_t;
 
 /** anvil_store_read - rows of @table whose key is greater than or equal to @from, in order; NULL
--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -58,6 +58,7 @@
   enum evhttp_cmd_type command;
   char *uri;
   struct evbuffer *body;
+  anvil_http_began_cb_t began;
   anvil_http_result_cb_t done;
   void *context;
   struct event *timer;
@@ -288,6 +289,16 @@
   evtimer_add (call->timer, &time);
 }
 
+static void
+record_first_byte (call_t *call)
+{
+  if (call->first_byte_at > 0)
+    return;
+  call->first_byte_at = anvil_clock_now ();
+  if (call->began != NULL)
+    call->began (call->context);
+}
+
 static void
 on_read (struct bufferevent *stream, void *data)
 {
@@ -299,8 +310,7 @@
       connection_close (connection);
       return;
     }
-  if (connection->call->first_byte_at == 0)
-    connection->call->first_byte_at = anvil_clock_now ();
+  record_first_byte (connection->call);
   if (parse_input (connection))
     extend_timer (connection);
 }
@@ -475,6 +485,7 @@
   call->body = evbuffer_new ();
   if (body != NULL)
     evbuffer_add_buffer (call->body, body);
+  call->began = limits->began;
   call->done = done;
   call->context = context;
   call->timer = evtimer_new (pool->base, on_timeout, call);
--- a/source/net/http-pool.h
+++ b/source/net/http-pool.h
@@ -33,6 +33,7 @@
 } anvil_http_result_t;
 
 typedef void (*anvil_http_result_cb_t) (void *context, const anvil_http_result_t *result);
+typedef void (*anvil_http_began_cb_t) (void *context);
 
 /**
  * anvil_http_pool_open - creates a pool, which connects on the first call
@@ -65,12 +66,15 @@
  * @timeout: until the response begins, microseconds
  * @pause: each pause in the response, microseconds
  * @response_bytes: body of the response. A longer one is given up as soon as its length is known
+ * @began: called with the context of the call when the first byte of the response has arrived, or
+ *   NULL
  */
 typedef struct
 {
   anvil_time_t timeout;
   anvil_time_t pause;
   gsize response_bytes;
+  anvil_http_began_cb_t began;
 } anvil_http_call_limits_t;
 
 /** anvil_http_pool_call_within - like anvil_http_pool_call(), with limits of its own */
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -29,7 +29,7 @@
 static void
 pack_info (msgpack_packer *packer, const anvil_member_info_t *info)
 {
-  msgpack_pack_array (packer, 12);
+  msgpack_pack_array (packer, 13);
   pack_text (packer, info->name);
   pack_text (packer, info->zone);
   msgpack_pack_uint64 (packer, info->incarnation);
@@ -42,6 +42,7 @@
   msgpack_pack_uint64 (packer, info->outdated);
   msgpack_pack_uint64 (packer, info->knows_peers);
   msgpack_pack_uint64 (packer, info->caller_share);
+  msgpack_pack_int64 (packer, info->config_version);
 }
 
 static void
@@ -319,6 +320,9 @@
   info->caller_share = reader.array == NULL || reader.next == reader.array->size
                            ? ANVIL_FULL_CALLER_SHARE
                            : (guint) read_number (&reader, "caller share", ANVIL_FULL_CALLER_SHARE);
+  /* Nor this, which counts as none. */
+  if (reader.array != NULL && reader.next < reader.array->size)
+    info->config_version = (gint64) read_number (&reader, "config version", G_MAXINT64);
 }
 
 static guint
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -465,6 +465,12 @@
   return g_hash_table_size (watch->evacuated_zones);
 }
 
+gint64
+anvil_relay_watch_config_version (const anvil_relay_watch_t *watch)
+{
+  return watch->config_version;
+}
+
 guint64
 anvil_relay_watch_digest (const anvil_relay_watch_t *watch)
 {
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -59,6 +59,9 @@
 /** anvil_relay_watch_store_lost - whether the store doesn't answer this entry */
 gboolean anvil_relay_watch_store_lost (const anvil_relay_watch_t *watch);
 
+/** anvil_relay_watch_config_version - version of the configuration in force; 0 if there is none */
+gint64 anvil_relay_watch_config_version (const anvil_relay_watch_t *watch);
+
 /** anvil_relay_watch_digest - see anvil_registry_digest() */
 guint64 anvil_relay_watch_digest (const anvil_relay_watch_t *watch);
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -5,6 +5,7 @@
 
 #include "anvil/log.h"
 #include "anvil/settings.h"
+#include "relay/config-feed.h"
 #include "relay/link-usage.h"
 #include "relay/process-usage.h"
 #include "relay/relay-aux-server.h"
@@ -51,6 +52,7 @@
   anvil_relay_watch_t *watch;
   anvil_warm_object_backup_t *warm_object_backup;
   anvil_relay_feed_t *feed;
+  anvil_config_feed_t *config_feed;
   anvil_slot_broker_t *slot_broker;
   anvil_relay_upstream_pool_t *upstream_pool;
   anvil_relay_jobs_t *jobs;
@@ -350,6 +352,7 @@
   update_ready (relay);
   update_grace (relay, now);
   anvil_registry_tick (relay->registry, now);
+  anvil_config_feed_tick (relay->config_feed, now);
   if (relay->ready)
     anvil_relay_feed_tick (relay->feed, now);
   anvil_relay_jobs_tick (relay->jobs, now);
@@ -535,6 +538,8 @@
       anvil_members_self (anvil_slot_broker_members (relay->slot_broker))->knows_peers);
   anvil_metrics_set_gauge (relay->metrics, "anvil_routes_version", "",
                            routes != NULL ? (gdouble) anvil_routes_version (routes) : 0);
+  anvil_metrics_set_gauge (relay->metrics, "anvil_newest_routes_version", "",
+                           (gdouble) anvil_config_feed_newest_version (relay->config_feed));
   anvil_metrics_set_gauge (relay->metrics, "anvil_routes_age_seconds", "",
                            age_seconds (routes_read_at > 0 ? routes_read_at : G_MAXINT64));
   anvil_metrics_set_gauge (relay->metrics, "anvil_evacuated_zones", "",
@@ -648,6 +653,7 @@
   relay->watch = anvil_relay_watch_open (base, relay->store, adapter, relay->registry,
                                          settings->resync_time, &watch_callbacks, relay);
   relay->feed = anvil_relay_feed_open (relay->slot_broker, relay->watch, upstreams_read_at, relay);
+  relay->config_feed = anvil_config_feed_open (relay->slot_broker, relay->watch);
   relay->warm_object_backup
       = anvil_warm_object_backup_open (base, relay->store, relay->slot_broker);
   relay->tick = event_new (base, -1, EV_PERSIST, on_tick, relay);
@@ -665,6 +671,7 @@
   if (relay->tick != NULL)
     event_free (relay->tick);
   anvil_relay_feed_close (g_steal_pointer (&relay->feed));
+  anvil_config_feed_close (g_steal_pointer (&relay->config_feed));
   anvil_relay_watch_close (relay->watch);
   anvil_warm_object_backup_close (relay->warm_object_backup);
   /* Calls under way end here, and their callbacks use the modules that are closed below. */
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -21,10 +21,12 @@
 /**
  * call_t - context of a call to the store
  * @follower: NULL once the call was abandoned; its response is ignored
+ * @response_began: bytes of its response have arrived
  */
 typedef struct
 {
   anvil_table_follower_t *follower;
+  gboolean response_began;
 } call_t;
 
 struct anvil_table_follower
@@ -62,6 +64,14 @@
   anvil_table_follower_last_response_t last_response;
 };
 
+static void
+on_response_began (void *context)
+{
+  call_t *call = context;
+
+  call->response_began = TRUE;
+}
+
 static void
 schedule_call (anvil_table_follower_t *follower, anvil_time_t pause)
 {
@@ -287,7 +297,8 @@
   set_call_limits (follower);
   schedule_age_timer (follower);
   limits = (anvil_store_call_t){ .timeout = follower->call_timeout,
-                                 .hold_time = follower->call_hold_time };
+                                 .hold_time = follower->call_hold_time,
+                                 .began = on_response_began };
   follower->call = g_new0 (call_t, 1);
   follower->call->follower = follower;
   if (follower->needs_full_read)
@@ -305,7 +316,15 @@
 abandon_call (anvil_table_follower_t *follower)
 {
   if (follower->call != NULL)
-    follower->call->follower = NULL;
+    {
+      anvil_log (ANVIL_LOG_INFO, "store",
+                 "call abandoned table=%s version=%" G_GUINT64_FORMAT
+                 " response_began=%d waited_ms=%" G_GINT64_FORMAT " hold_ms=%" G_GINT64_FORMAT,
+                 follower->table, follower->version, follower->call->response_began,
+                 (anvil_clock_now () - follower->call_started_at) / ANVIL_MS,
+                 follower->call_hold_time / ANVIL_MS);
+      follower->call->follower = NULL;
+    }
   follower->call = NULL;
   evtimer_del (follower->age_timer);
 }
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -388,6 +388,24 @@
     mark_holder_candidates (members, now, &services[i]);
 }
 
+const anvil_peer_t *
+anvil_members_newest_config (const anvil_members_t *members, anvil_time_t now)
+{
+  const anvil_peer_t *newest = NULL;
+
+  for (guint i = 0; i < members->peers->len; i++)
+    {
+      const anvil_peer_t *peer = members->peers->pdata[i];
+
+      if (!anvil_members_reachable (members, now, peer))
+        continue;
+      if (newest == NULL || peer->info.config_version > newest->info.config_version
+          || (peer->info.config_version == newest->info.config_version && peer->rtt < newest->rtt))
+        newest = peer;
+    }
+  return newest;
+}
+
 anvil_time_t
 anvil_members_inter_region_rtt (const anvil_members_t *members)
 {
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -18,7 +18,8 @@
               .reads_store = TRUE,
               .outdated = TRUE,
               .knows_peers = TRUE,
-              .caller_share = 640 } },
+              .caller_share = 640,
+              .config_version = 31 } },
   { .kind = ANVIL_RELAY_REQUEST_SLOT,
     .number = 6,
     .task = { .service = { "photos", 6 },
@@ -136,12 +137,17 @@
 
 START_TEST (test_pings_and_updates_of_older_versions_are_accepted)
 {
-  const anvil_relay_message_t ping = { .kind = ANVIL_RELAY_PING, .number = 1 };
+  const anvil_relay_message_t ping
+      = { .kind = ANVIL_RELAY_PING, .number = 1, .info = { .config_version = 5 } };
   const anvil_relay_message_t updates
       = { .kind = ANVIL_RELAY_UPDATES, .number = 1, .operators_version = 2 };
   GByteArray *bytes = pack (&ping);
   anvil_relay_message_t read;
 
+  remove_last_items (bytes, 1, 1);
+  ck_assert (anvil_relay_message_unpack (
+      (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
+  ck_assert_int_eq (read.info.config_version, 0);
   remove_last_items (bytes, 1, 1);
   ck_assert (anvil_relay_message_unpack (
       (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
