Keep a call to the store whose response arrives when the store is read anew

Callers: a confirmed change of the configuration came into force seconds late at an entry whose link was full (CONFIG). Cause: when an entry noticed by its upstreams that the store was back, it abandoned the call for the operators' table and began it anew, whatever had arrived of the response. That is meant for a long poll that the store took and never answers. Change: only a long poll without any byte of a response is replaced; a call that isn't held ends by its own time-out. test-table-follower, test_a_response_that_arrives_is_not_requested_again: 2 calls before, 1 now. test_a_long_poll_without_a_response_is_replaced is new and was green before: it guards what the function is for.

--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -341,19 +341,28 @@
   follower->max_age = max_age;
 }
 
-void
-anvil_table_follower_read_now (anvil_table_follower_t *follower)
+static void
+restart_call (anvil_table_follower_t *follower)
 {
   abandon_call (follower);
   schedule_call (follower, 0);
 }
 
+void
+anvil_table_follower_read_now (anvil_table_follower_t *follower)
+{
+  /* Its response would have to arrive once more, from the start. */
+  if (follower->call != NULL && (follower->call->response_began || follower->call_hold_time == 0))
+    return;
+  restart_call (follower);
+}
+
 void
 anvil_table_follower_read_all (anvil_table_follower_t *follower)
 {
   follower->needs_full_read = TRUE;
   g_clear_pointer (&follower->next_key, g_free);
-  anvil_table_follower_read_now (follower);
+  restart_call (follower);
 }
 
 void
@@ -368,7 +377,7 @@
 {
   follower->version = MAX (follower->version, version);
   follower->store_lost = FALSE;
-  anvil_table_follower_read_now (follower);
+  restart_call (follower);
 }
 
 anvil_table_follower_t *
--- a/source/relay/table-follower.h
+++ b/source/relay/table-follower.h
@@ -54,8 +54,9 @@
  * usual */
 void anvil_table_follower_set_max_age (anvil_table_follower_t *follower, anvil_time_t max_age);
 
-/** anvil_table_follower_read_now - abandons the call under way, which may never be answered, and
- * makes a new one */
+/** anvil_table_follower_read_now - makes a call now, in place of a long poll under way, which may
+ * never be answered; a call whose response arrives goes on, and so does one that isn't a long poll
+ */
 void anvil_table_follower_read_now (anvil_table_follower_t *follower);
 
 /** anvil_table_follower_read_all - reads the whole table with the next call, which it makes now */
--- a/tests/test-table-follower.c
+++ b/tests/test-table-follower.c
@@ -252,6 +252,43 @@
 }
 END_TEST
 
+static void
+read_now (evutil_socket_t unused_fd, short unused_what, void *unused_data)
+{
+  anvil_table_follower_read_now (follower);
+}
+
+START_TEST (test_a_response_that_arrives_is_not_requested_again)
+{
+  ck_assert (wait_for_read ());
+  calls_to_answer_slowly = 1;
+  n_calls = 0;
+  for (guint i = 1; i <= 3; i++)
+    {
+      const struct timeval time = anvil_time_to_timeval (i * SLOW_BODY_TIME / 4);
+
+      event_base_once (base, -1, EV_TIMEOUT, read_now, NULL, &time);
+    }
+  ck_assert (wait_for_read ());
+  ck_assert_uint_eq (n_calls, 1);
+}
+END_TEST
+
+START_TEST (test_a_long_poll_without_a_response_is_replaced)
+{
+  const struct timeval later = anvil_time_to_timeval (2 * PERIOD);
+  anvil_time_t started_at;
+
+  ck_assert (wait_for_read ());
+  anvil_table_follower_set_hold_time (follower, 2 * SLOW_RESPONSE_TIME);
+  calls_to_lose = 1;
+  started_at = anvil_clock_now ();
+  event_base_once (base, -1, EV_TIMEOUT, read_now, NULL, &later);
+  ck_assert (wait_for_read ());
+  ck_assert_int_lt (anvil_clock_now () - started_at, ANVIL_STORE_CALL_TIMEOUT);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -266,6 +303,8 @@
   tcase_add_test (tests, test_a_lost_call_is_repeated_after_the_usual_timeout);
   tcase_add_test (tests, test_a_connection_that_closes_after_the_timeout_is_no_timeout);
   tcase_add_test (tests, test_a_response_that_arrives_too_slowly_counts_as_a_lost_store);
+  tcase_add_test (tests, test_a_response_that_arrives_is_not_requested_again);
+  tcase_add_test (tests, test_a_long_poll_without_a_response_is_replaced);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
