Send changes of the configuration from entry to entry

Callers: a confirmed change came into force seconds late at single entries (CONFIG), and at entries that the store turned away not before it answered them again, while their peers had it all the time. Cause: every entry learned of a configuration only by a call of its own, and received it whole. What had to arrive grew with the number of routes, not with the change, and whatever took time from that one transfer made the entry late. Change: the reader of a region sends the difference to the others as soon as it has read a change; they ask the store once a second, from the version that they were told. An entry that hears of a newer version in a ping requests the changes from that peer. Changes that are too large, or start at an unknown version, are read from the store. The evacuated zones come along, so that nothing of the table is skipped.

--- a/source/relay/config-feed.c
+++ b/source/relay/config-feed.c
@@ -1,11 +1,18 @@
 #include "relay/config-feed.h"
 
 #include "anvil/log.h"
+#include "relay/relay-feed.h"
+
+/* The region's reader sends changes as soon as it has read them. A peer that has told of a newer
+ * configuration is asked for them only if they haven't come by then, and again after as long. */
+#define REQUEST_DELAY (150 * ANVIL_MS)
 
 /**
  * anvil_config_feed_t - the newest version that a peer named
  * @heard_version: the version; 0 if no peer named a newer one than is in force here
  * @heard_at: when it, or one before it that isn't in force here either, was heard of first
+ * @requested_at: when changes were requested last
+ * @sent_versions: version that each peer was sent last, gint64 by node
  */
 struct anvil_config_feed
 {
@@ -13,6 +20,8 @@
   anvil_relay_watch_t *watch;
   gint64 heard_version;
   anvil_time_t heard_at;
+  anvil_time_t requested_at;
+  GHashTable *sent_versions;
 };
 
 anvil_config_feed_t *
@@ -22,12 +31,16 @@
 
   feed->slot_broker = broker;
   feed->watch = watch;
+  feed->sent_versions = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   return feed;
 }
 
 void
 anvil_config_feed_close (anvil_config_feed_t *feed)
 {
+  if (feed == NULL)
+    return;
+  g_hash_table_unref (feed->sent_versions);
   g_free (feed);
 }
 
@@ -64,6 +77,30 @@
   feed->heard_version = 0;
 }
 
+static void
+request_changes (anvil_config_feed_t *feed, anvil_time_t now, anvil_node_t peer)
+{
+  const anvil_relay_message_t message
+      = { .kind = ANVIL_RELAY_REQUEST_CONFIG,
+          .number = (guint64) anvil_relay_watch_config_version (feed->watch) };
+
+  feed->requested_at = now;
+  anvil_slot_broker_send (feed->slot_broker, peer, &message);
+}
+
+/* Entries that the region's reader tells of changes ask the store less, and for nothing that they
+ * know already. */
+static void
+update_poll (anvil_config_feed_t *feed)
+{
+  anvil_node_t reader
+      = anvil_slot_broker_first_in_region (feed->slot_broker, ANVIL_RELAY_READER_NAME);
+
+  anvil_relay_watch_poll_operators (feed->watch,
+                                    reader == anvil_slot_broker_self (feed->slot_broker)
+                                        || !anvil_relay_watch_ready (feed->watch));
+}
+
 void
 anvil_config_feed_tick (anvil_config_feed_t *feed, anvil_time_t now)
 {
@@ -71,9 +108,79 @@
   const anvil_peer_t *peer = anvil_members_newest_config (members, now);
 
   anvil_members_self (members)->config_version = anvil_relay_watch_config_version (feed->watch);
+  update_poll (feed);
   end_if_in_force (feed, now);
-  if (peer != NULL)
-    hear_version (feed, now, peer->node, peer->info.config_version);
+  if (peer == NULL)
+    return;
+  hear_version (feed, now, peer->node, peer->info.config_version);
+  if (feed->heard_version > 0 && now - MAX (feed->heard_at, feed->requested_at) >= REQUEST_DELAY)
+    request_changes (feed, now, peer->node);
+}
+
+static void
+send_changes (anvil_config_feed_t *feed, anvil_node_t peer, gint64 since)
+{
+  const gint64 version = anvil_relay_watch_config_version (feed->watch);
+  anvil_relay_message_t *message = g_new0 (anvil_relay_message_t, 1);
+  GByteArray *changes = g_byte_array_new ();
+
+  anvil_relay_watch_add_config (feed->watch, since, changes, message);
+  anvil_slot_broker_send (feed->slot_broker, peer, message);
+  g_hash_table_insert (feed->sent_versions, g_memdup2 (&peer, sizeof peer),
+                       g_memdup2 (&version, sizeof version));
+  g_byte_array_unref (changes);
+  g_free (message);
+}
+
+void
+anvil_config_feed_publish (anvil_config_feed_t *feed)
+{
+  const anvil_time_t now = anvil_clock_now ();
+  anvil_members_t *members = anvil_slot_broker_members (feed->slot_broker);
+  const char *region = anvil_slot_broker_region (feed->slot_broker);
+
+  if (anvil_slot_broker_first_in_region (feed->slot_broker, ANVIL_RELAY_READER_NAME)
+      != anvil_slot_broker_self (feed->slot_broker))
+    return;
+  /* Peers come and go. */
+  if (g_hash_table_size (feed->sent_versions) > 2 * anvil_members_count (members))
+    g_hash_table_remove_all (feed->sent_versions);
+  for (guint i = 0; i < anvil_members_count (members); i++)
+    {
+      const anvil_peer_t *peer = anvil_members_at (members, i);
+      const gint64 *sent = g_hash_table_lookup (feed->sent_versions, &peer->node);
+      /* A peer that missed the last one notices, and requests what it lacks. */
+      gint64 since = MAX (peer->info.config_version, sent != NULL ? *sent : 0);
+
+      if (g_strcmp0 (peer->region, region) == 0 && anvil_members_reachable (members, now, peer)
+          && since < anvil_relay_watch_config_version (feed->watch))
+        send_changes (feed, peer->node, since);
+    }
+}
+
+void
+anvil_config_feed_requested (anvil_config_feed_t *feed, anvil_node_t peer, gint64 since)
+{
+  if (since < anvil_relay_watch_config_version (feed->watch))
+    send_changes (feed, peer, since);
+}
+
+void
+anvil_config_feed_receive (anvil_config_feed_t *feed,
+                           anvil_node_t peer,
+                           const anvil_relay_message_t *message)
+{
+  const anvil_time_t now = anvil_clock_now ();
+  const char *name = anvil_slot_broker_vm_name (feed->slot_broker, peer);
+
+  if (anvil_relay_watch_apply_config (feed->watch, message, name))
+    return;
+  hear_version (feed, now, peer, (gint64) message->number);
+  /* Changes from another version than the one in force here were meant for it. */
+  if (message->rows.length > 0 && now - feed->requested_at >= REQUEST_DELAY)
+    request_changes (feed, now, peer);
+  else if (message->rows.length == 0)
+    anvil_relay_watch_read_operators (feed->watch);
 }
 
 gint64
--- a/source/relay/relay-feed.c
+++ b/source/relay/relay-feed.c
@@ -2,8 +2,6 @@
 
 #include "anvil/log.h"
 
-/* Readers are ranked by this name, as holders are by the name of their service. */
-#define READER_NAME "upstreams"
 /* A subscription is renewed this often, which also requests updates that were lost. */
 #define SUBSCRIBE_PERIOD (1 * ANVIL_SECOND)
 /* A subscriber that hasn't renewed its subscription for this long is removed. */
@@ -79,7 +77,8 @@
 choose_reader (const anvil_relay_feed_t *feed, anvil_time_t now)
 {
   const anvil_members_t *members = anvil_slot_broker_members (feed->slot_broker);
-  anvil_node_t first = anvil_slot_broker_first_in_region (feed->slot_broker, READER_NAME);
+  anvil_node_t first
+      = anvil_slot_broker_first_in_region (feed->slot_broker, ANVIL_RELAY_READER_NAME);
   anvil_node_t next;
 
   if (!anvil_relay_watch_store_lost (feed->watch))
@@ -113,6 +112,16 @@
              anvil_relay_watch_upstream_version (feed->watch));
 }
 
+static void
+request_updates (anvil_relay_feed_t *feed)
+{
+  const anvil_relay_message_t message
+      = { .kind = ANVIL_RELAY_REQUEST_UPDATES,
+          .number = anvil_relay_watch_upstream_version (feed->watch) };
+
+  anvil_slot_broker_send (feed->slot_broker, feed->reader, &message);
+}
+
 void
 anvil_relay_feed_tick (anvil_relay_feed_t *feed, anvil_time_t now)
 {
@@ -137,8 +146,7 @@
   if (now - feed->subscribed_at < SUBSCRIBE_PERIOD || !anvil_relay_watch_ready (feed->watch))
     return;
   feed->subscribed_at = now;
-  anvil_slot_broker_request_updates (feed->slot_broker, reader,
-                                     anvil_relay_watch_upstream_version (feed->watch));
+  request_updates (feed);
 }
 
 /* Whether this entry reads the store itself, and has read it lately. @age is set if it does. */
@@ -172,7 +180,7 @@
       message->digest = anvil_relay_watch_digest (feed->watch);
       anvil_relay_watch_add_evacuations (feed->watch, message);
       message->rows = (anvil_str_t){ .data = (const char *) rows->data, .length = rows->len };
-      anvil_slot_broker_send_updates (feed->slot_broker, peer, message);
+      anvil_slot_broker_send (feed->slot_broker, peer, message);
     }
   g_free (message);
   g_byte_array_unref (rows);
--- a/source/relay/relay-feed.h
+++ b/source/relay/relay-feed.h
@@ -22,6 +22,9 @@
 
 typedef struct anvil_relay_feed anvil_relay_feed_t;
 
+/* Readers are ranked by this name, as holders are by the name of their service. */
+#define ANVIL_RELAY_READER_NAME "upstreams"
+
 /**
  * anvil_relay_feed_open - every entry reads the store itself at first
  * @upstreams_read_at: when the upstreams that this entry knows were read; see
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -128,6 +128,15 @@
     }
 }
 
+static void
+pack_evacuated (msgpack_packer *packer, const anvil_relay_message_t *message)
+{
+  msgpack_pack_uint64 (packer, message->operators_version);
+  msgpack_pack_array (packer, message->n_evacuated);
+  for (guint i = 0; i < message->n_evacuated; i++)
+    pack_text (packer, message->evacuated[i]);
+}
+
 static void
 pack_body (msgpack_packer *packer, const anvil_relay_message_t *message)
 {
@@ -166,6 +175,7 @@
       return;
     case ANVIL_RELAY_CANCEL:
     case ANVIL_RELAY_REQUEST_UPDATES:
+    case ANVIL_RELAY_REQUEST_CONFIG:
       msgpack_pack_nil (packer);
       return;
     case ANVIL_RELAY_UPDATES:
@@ -177,10 +187,14 @@
       msgpack_pack_uint64 (packer, message->digest);
       msgpack_pack_bin (packer, message->rows.length);
       msgpack_pack_bin_body (packer, message->rows.data, message->rows.length);
-      msgpack_pack_uint64 (packer, message->operators_version);
-      msgpack_pack_array (packer, message->n_evacuated);
-      for (guint i = 0; i < message->n_evacuated; i++)
-        pack_text (packer, message->evacuated[i]);
+      pack_evacuated (packer, message);
+      return;
+    case ANVIL_RELAY_CONFIG:
+      msgpack_pack_array (packer, 4);
+      msgpack_pack_uint64 (packer, message->read_version);
+      msgpack_pack_bin (packer, message->rows.length);
+      msgpack_pack_bin_body (packer, message->rows.data, message->rows.length);
+      pack_evacuated (packer, message);
       return;
     case ANVIL_RELAY_WARM_OBJECTS:
       msgpack_pack_array (packer, 2);
@@ -397,11 +411,32 @@
                                                   message->objects, ANVIL_MAX_MESSAGE_WARM_OBJECTS);
 }
 
+static void
+read_evacuated (reader_t *body, anvil_relay_message_t *message)
+{
+  reader_t zones;
+
+  message->operators_version = read_number (body, "version of the operators' table", G_MAXUINT64);
+  zones = read_array (body, "evacuated zones");
+  message->n_evacuated = array_length (&zones, "evacuated zones", ANVIL_MAX_MESSAGE_ZONES);
+  for (guint i = 0; i < message->n_evacuated; i++)
+    message->evacuated[i] = read_text (&zones, "evacuated zone");
+}
+
+static void
+read_config (reader_t *outer, anvil_relay_message_t *message)
+{
+  reader_t body = read_array (outer, "configuration");
+
+  message->read_version = read_number (&body, "version of the table", G_MAXUINT64);
+  message->rows = read_bytes (&body, "changes of the configuration");
+  read_evacuated (&body, message);
+}
+
 static void
 read_updates (reader_t *outer, anvil_relay_message_t *message)
 {
   reader_t body = read_array (outer, "updates");
-  reader_t zones;
 
   message->after_version = read_number (&body, "after", G_MAXUINT64);
   message->age = read_time (&body, "age");
@@ -412,11 +447,7 @@
   /* Entries of older versions don't send the rest. */
   if (body.array == NULL || body.next == body.array->size)
     return;
-  message->operators_version = read_number (&body, "version of the operators' table", G_MAXUINT64);
-  zones = read_array (&body, "evacuated zones");
-  message->n_evacuated = array_length (&zones, "evacuated zones", ANVIL_MAX_MESSAGE_ZONES);
-  for (guint i = 0; i < message->n_evacuated; i++)
-    message->evacuated[i] = read_text (&zones, "evacuated zone");
+  read_evacuated (&body, message);
 }
 
 static void
@@ -516,10 +547,14 @@
       return;
     case ANVIL_RELAY_CANCEL:
     case ANVIL_RELAY_REQUEST_UPDATES:
+    case ANVIL_RELAY_REQUEST_CONFIG:
       return;
     case ANVIL_RELAY_UPDATES:
       read_updates (reader, message);
       return;
+    case ANVIL_RELAY_CONFIG:
+      read_config (reader, message);
+      return;
     case ANVIL_RELAY_WARM_OBJECTS:
       read_warm_objects (reader, message);
       return;
@@ -553,7 +588,7 @@
     {
       reader.array = &root.via.array;
       message->kind
-          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_RETRY_COUNTS);
+          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_CONFIG);
       message->number = read_number (&reader, "number", G_MAXUINT64);
       if (bad_field == NULL)
         read_body (&reader, message);
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -20,6 +20,8 @@
  * @ANVIL_RELAY_UPDATES: updates of upstreams
  * @ANVIL_RELAY_REQUEST_LIMITS: request limits that upstreams named to the sender
  * @ANVIL_RELAY_RETRY_COUNTS: what holders of a service counted for its retry budget
+ * @ANVIL_RELAY_REQUEST_CONFIG: requests the changes of the configuration
+ * @ANVIL_RELAY_CONFIG: changes of the configuration, and the evacuated zones
  */
 typedef enum
 {
@@ -36,6 +38,8 @@
   ANVIL_RELAY_UPDATES,
   ANVIL_RELAY_REQUEST_LIMITS,
   ANVIL_RELAY_RETRY_COUNTS,
+  ANVIL_RELAY_REQUEST_CONFIG,
+  ANVIL_RELAY_CONFIG,
 } anvil_relay_message_kind_t;
 
 /* Most evacuated zones that updates name. */
@@ -45,7 +49,8 @@
  * anvil_relay_message_t - one message; texts point into the bytes it was unpacked from
  * @number: the requester's number of the task; for ping and pong, the ping's time on its sender's
  *   clock; for updates, the version of the store up to which the sender has read; for a request for
- *   updates, the version that its sender has
+ *   updates, the version that its sender has; for the configuration, its version in force at the
+ *   sender
  * @info: ping, pong: the sender
  * @task: request slot, adopt: the task; @task.target and @task.deadline are the remaining times,
  *   microseconds, since clocks differ between processes
@@ -67,11 +72,14 @@
  * @grace_remaining: updates: how much longer the registry waits for a missing row to come back,
  *   microseconds
  * @digest: updates: anvil_registry_digest() of the sender at @number
- * @rows: updates: packed rows, see relay/update-log.h
- * @operators_version: updates: version of the store up to which the sender knows the operators'
- *   table; 0 if it doesn't tell
- * @evacuated: updates: the zones that are evacuated at that version
- * @n_evacuated: updates: length of @evacuated
+ * @rows: updates: packed rows, see relay/update-log.h; configuration: packed changes, see
+ *   relay/config-log.h, empty if they are too large or not known
+ * @operators_version: updates, configuration: version of the store up to which the sender knows
+ *   the evacuated zones; 0 if it doesn't tell
+ * @evacuated: updates, configuration: the zones that are evacuated at that version
+ * @n_evacuated: updates, configuration: length of @evacuated
+ * @read_version: configuration: version of the store up to which the sender knows the whole table
+ *   of the operators; 0 if it doesn't
  */
 typedef struct
 {
@@ -99,6 +107,7 @@
   guint64 operators_version;
   anvil_str_t evacuated[ANVIL_MAX_MESSAGE_ZONES];
   guint n_evacuated;
+  guint64 read_version;
 } anvil_relay_message_t;
 
 /** anvil_relay_message_pack - appends a message in msgpack to @out */
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "anvil/log.h"
+#include "relay/config-in-force.h"
 #include "relay/table-follower.h"
 #include "steer/read-span.h"
 
@@ -16,6 +17,8 @@
 /* How long the store may hold a call for changes of the operators' table, which are rare. */
 #define MIN_OPERATOR_HOLD_TIME (200 * ANVIL_MS)
 #define MAX_OPERATOR_HOLD_TIME (4 * ANVIL_SECOND)
+/* Pause between calls that the store doesn't hold. */
+#define OPERATOR_PERIOD (1 * ANVIL_SECOND)
 
 struct anvil_relay_watch
 {
@@ -36,11 +39,12 @@
   gboolean from_peer;
   /* When the peer read them, on this entry's clock. */
   anvil_time_t peer_read_at;
-  gboolean has_routes;
-  gint64 config_version;
-  /* Longest cold time of all services: upstreams of a zone may be cold this long once its
-   * evacuation ends. */
-  anvil_time_t max_cold_time;
+  anvil_config_in_force_t *config;
+  /* A configuration was put in force by the response being reported. */
+  gboolean config_read;
+  /* The store may hold calls for changes of the operators' table. */
+  gboolean may_hold;
+  anvil_time_t resync_time;
   /* Version of the store up to which the evacuated zones are known, from the store or a peer. */
   guint64 operators_version;
   /* Evacuated zones, and those of them that the current full read has seen. */
@@ -49,53 +53,21 @@
 };
 
 static void
-apply_config (anvil_relay_watch_t *watch, const anvil_store_row_t *row)
+on_config_changed (void *context, anvil_routes_t *routes)
+{
+  anvil_relay_watch_t *watch = context;
+
+  watch->callbacks.routes (watch->context, routes);
+}
+
+static void
+apply_config_row (anvil_relay_watch_t *watch, const anvil_store_row_t *row)
 {
   const anvil_table_follower_last_response_t response
       = anvil_table_follower_last_response (watch->operator_follower);
-  GError *error = NULL;
-  anvil_routes_t *routes;
 
-  if (row->removed)
-    {
-      anvil_log (ANVIL_LOG_WARNING, "config",
-                 "configuration was removed, keeping the one in force version=%" G_GINT64_FORMAT,
-                 watch->config_version);
-      return;
-    }
-  routes = watch->adapter->parse_routes (row->value, &error);
-  if (routes == NULL)
-    {
-      anvil_log (ANVIL_LOG_ERROR, "config",
-                 "configuration is invalid, keeping the one in force version=%" G_GINT64_FORMAT
-                 " reason=\"%s\"",
-                 watch->config_version, error->message);
-      g_error_free (error);
-      return;
-    }
-  if (watch->has_routes && anvil_routes_version (routes) <= watch->config_version)
-    {
-      if (anvil_routes_version (routes) < watch->config_version)
-        anvil_log (ANVIL_LOG_WARNING, "config",
-                   "older configuration ignored version=%" G_GINT64_FORMAT
-                   " in_force=%" G_GINT64_FORMAT,
-                   anvil_routes_version (routes), watch->config_version);
-      anvil_routes_drop (routes);
-      return;
-    }
-  watch->has_routes = TRUE;
-  watch->config_version = anvil_routes_version (routes);
-  watch->max_cold_time = 0;
-  for (guint i = 0; i < anvil_routes_count_services (routes); i++)
-    watch->max_cold_time
-        = MAX (watch->max_cold_time, anvil_routes_service_at (routes, i)->cold_time);
-  anvil_log (ANVIL_LOG_NOTICE, "config",
-             "configuration in force version=%" G_GINT64_FORMAT
-             " routes=%u bytes=%zu call_ms=%" G_GINT64_FORMAT " receive_ms=%" G_GINT64_FORMAT,
-             watch->config_version, anvil_routes_count (routes), response.bytes,
-             response.call_time / ANVIL_MS, response.receive_time / ANVIL_MS);
-  watch->callbacks.routes (watch->context, routes);
-  anvil_routes_drop (routes);
+  if (anvil_config_in_force_apply_row (watch->config, row, &response))
+    watch->config_read = TRUE;
 }
 
 static void
@@ -107,8 +79,9 @@
              evacuated ? "zone is evacuated" : "zone is back in use", zone);
   if (evacuated)
     g_hash_table_add (watch->evacuated_zones, g_strdup (zone));
+  /* Once its evacuation ends, the upstreams of a zone may be cold for this long. */
   anvil_registry_set_evacuated (watch->registry, anvil_clock_now (), anvil_str (zone), evacuated,
-                                watch->max_cold_time);
+                                anvil_config_in_force_max_cold_time (watch->config));
   if (!evacuated)
     g_hash_table_remove (watch->evacuated_zones, zone);
 }
@@ -128,7 +101,7 @@
   char *key = anvil_str_dup (row->key);
 
   if (strcmp (key, watch->adapter->config_key) == 0)
-    apply_config (watch, row);
+    apply_config_row (watch, row);
   else if (g_str_has_prefix (key, prefix))
     {
       const char *zone = key + strlen (prefix);
@@ -273,6 +246,9 @@
   anvil_relay_watch_t *watch = context;
 
   watch->operators_version = MAX (watch->operators_version, version);
+  if (watch->config_read)
+    watch->callbacks.config_read (watch->context);
+  watch->config_read = FALSE;
 }
 
 static void
@@ -328,10 +304,36 @@
                 MAX_OPERATOR_HOLD_TIME);
 }
 
+static void
+update_hold_time (anvil_relay_watch_t *watch)
+{
+  anvil_table_follower_set_hold_time (
+      watch->operator_follower, watch->may_hold ? operator_hold_time (watch->resync_time) : 0);
+}
+
 void
 anvil_relay_watch_set_resync_time (anvil_relay_watch_t *watch, anvil_time_t resync_time)
 {
-  anvil_table_follower_set_hold_time (watch->operator_follower, operator_hold_time (resync_time));
+  watch->resync_time = resync_time;
+  update_hold_time (watch);
+}
+
+void
+anvil_relay_watch_poll_operators (anvil_relay_watch_t *watch, gboolean may_hold)
+{
+  if (may_hold == watch->may_hold)
+    return;
+  watch->may_hold = may_hold;
+  update_hold_time (watch);
+  /* Until now changes were told by a peer. */
+  if (may_hold)
+    anvil_table_follower_read_now (watch->operator_follower);
+}
+
+void
+anvil_relay_watch_read_operators (anvil_relay_watch_t *watch)
+{
+  anvil_table_follower_read_now (watch->operator_follower);
 }
 
 anvil_relay_watch_t *
@@ -352,9 +354,12 @@
   watch->evacuated_zones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   watch->zones_seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   watch->update_log = anvil_update_log_new ();
-  watch->operator_follower
-      = anvil_table_follower_open (base, store, adapter->operator_table,
-                                   operator_hold_time (resync_time), 0, &operator_callbacks, watch);
+  watch->config = anvil_config_in_force_new (adapter, on_config_changed, watch);
+  watch->may_hold = TRUE;
+  watch->resync_time = resync_time;
+  watch->operator_follower = anvil_table_follower_open (
+      base, store, adapter->operator_table, operator_hold_time (resync_time), OPERATOR_PERIOD,
+      &operator_callbacks, watch);
   watch->upstream_follower = anvil_table_follower_open (
       base, store, adapter->upstream_table, 0, UPSTREAM_PERIOD, &upstream_callbacks, watch);
   anvil_table_follower_set_max_age (watch->upstream_follower, UPSTREAM_MAX_AGE);
@@ -371,13 +376,15 @@
   g_hash_table_unref (watch->evacuated_zones);
   g_hash_table_unref (watch->zones_seen);
   anvil_update_log_drop (watch->update_log);
+  anvil_config_in_force_drop (watch->config);
   g_free (watch);
 }
 
 gboolean
 anvil_relay_watch_ready (const anvil_relay_watch_t *watch)
 {
-  return watch->has_routes && anvil_table_follower_ready (watch->upstream_follower);
+  return anvil_config_in_force_exists (watch->config)
+         && anvil_table_follower_ready (watch->upstream_follower);
 }
 
 void
@@ -459,6 +466,38 @@
     message->evacuated[message->n_evacuated++] = anvil_str (zone);
 }
 
+void
+anvil_relay_watch_add_config (const anvil_relay_watch_t *watch,
+                              gint64 since,
+                              GByteArray *changes,
+                              anvil_relay_message_t *message)
+{
+  message->kind = ANVIL_RELAY_CONFIG;
+  message->number = (guint64) anvil_relay_watch_config_version (watch);
+  if (anvil_config_in_force_changes_since (watch->config, since, changes))
+    message->rows = (anvil_str_t){ .data = (const char *) changes->data, .length = changes->len };
+  message->read_version = anvil_table_follower_known_version (watch->operator_follower);
+  anvil_relay_watch_add_evacuations (watch, message);
+}
+
+gboolean
+anvil_relay_watch_apply_config (anvil_relay_watch_t *watch,
+                                const anvil_relay_message_t *message,
+                                const char *from)
+{
+  const anvil_time_t unread_time = anvil_clock_now () - anvil_relay_watch_operators_read_at (watch);
+
+  if (!anvil_config_in_force_exists (watch->config)
+      || !anvil_config_in_force_apply_changes (watch->config, message->rows, from, unread_time)
+      || anvil_relay_watch_config_version (watch) < (gint64) message->number)
+    return FALSE;
+  apply_peer_evacuations (watch, message);
+  /* The peer may not have told its evacuated zones. */
+  if (message->read_version <= watch->operators_version)
+    anvil_table_follower_skip_to (watch->operator_follower, message->read_version);
+  return TRUE;
+}
+
 guint
 anvil_relay_watch_count_evacuated (const anvil_relay_watch_t *watch)
 {
@@ -468,7 +507,7 @@
 gint64
 anvil_relay_watch_config_version (const anvil_relay_watch_t *watch)
 {
-  return watch->config_version;
+  return anvil_config_in_force_version (watch->config);
 }
 
 guint64
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -19,11 +19,13 @@
  * anvil_relay_watch_callbacks_t - what changed
  * @routes: a newer configuration, validated; borrowed
  * @upstreams_read: changes of upstreams were read from the store
+ * @config_read: a newer configuration was read from the store, with all of its table
  */
 typedef struct
 {
   void (*routes) (void *context, anvil_routes_t *routes);
   void (*upstreams_read) (void *context);
+  void (*config_read) (void *context);
 } anvil_relay_watch_callbacks_t;
 
 /** anvil_relay_watch_open - starts to read the store and to update @registry; @resync_time as in
@@ -84,6 +86,36 @@
                                           const anvil_relay_message_t *message,
                                           anvil_time_t read_at);
 
+/** anvil_relay_watch_poll_operators - whether the store may hold calls for changes of the
+ * operators' table, or is asked once a second, which is enough for an entry that learns of changes
+ * from a peer */
+void anvil_relay_watch_poll_operators (anvil_relay_watch_t *watch, gboolean may_hold);
+
+/** anvil_relay_watch_read_operators - reads the operators' table now, since it has changed */
+void anvil_relay_watch_read_operators (anvil_relay_watch_t *watch);
+
+/**
+ * anvil_relay_watch_add_config - fills in a message of the kind ANVIL_RELAY_CONFIG
+ * @since: version that the peer has
+ * @changes: an empty array, which @message borrows
+ */
+void anvil_relay_watch_add_config (const anvil_relay_watch_t *watch,
+                                   gint64 since,
+                                   GByteArray *changes,
+                                   anvil_relay_message_t *message);
+
+/**
+ * anvil_relay_watch_apply_config - puts the configuration that a peer sent in force
+ * @message: ANVIL_RELAY_CONFIG
+ * @from: name of the peer's VM, for logs
+ *
+ * Return: FALSE if an older version is in force afterwards: the changes start at another version,
+ * are missing, or damaged.
+ */
+gboolean anvil_relay_watch_apply_config (anvil_relay_watch_t *watch,
+                                         const anvil_relay_message_t *message,
+                                         const char *from);
+
 /** anvil_relay_watch_add_evacuations - adds the evacuated zones to updates for a peer, and the
  * version at which they are known; @message borrows their names */
 void anvil_relay_watch_add_evacuations (const anvil_relay_watch_t *watch,
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -155,6 +155,24 @@
     anvil_relay_feed_receive (relay->feed, peer, message);
 }
 
+static void
+on_config_requested (void *context, anvil_node_t peer, gint64 version)
+{
+  anvil_relay_t *relay = context;
+
+  if (relay->config_feed != NULL)
+    anvil_config_feed_requested (relay->config_feed, peer, version);
+}
+
+static void
+on_config_received (void *context, anvil_node_t peer, const anvil_relay_message_t *message)
+{
+  anvil_relay_t *relay = context;
+
+  if (relay->config_feed != NULL)
+    anvil_config_feed_receive (relay->config_feed, peer, message);
+}
+
 static const anvil_slot_broker_callbacks_t broker_callbacks = {
   .granted = on_granted,
   .refused = on_refused,
@@ -162,6 +180,8 @@
   .peer_restarted = on_peer_restarted,
   .updates_requested = on_updates_requested,
   .updates_received = on_updates_received,
+  .config_requested = on_config_requested,
+  .config_received = on_config_received,
 };
 
 static void
@@ -245,8 +265,20 @@
     anvil_relay_feed_publish (relay->feed);
 }
 
-static const anvil_relay_watch_callbacks_t watch_callbacks
-    = { .routes = on_routes, .upstreams_read = on_upstreams_read };
+static void
+on_config_read (void *context)
+{
+  anvil_relay_t *relay = context;
+
+  if (relay->config_feed != NULL)
+    anvil_config_feed_publish (relay->config_feed);
+}
+
+static const anvil_relay_watch_callbacks_t watch_callbacks = {
+  .routes = on_routes,
+  .upstreams_read = on_upstreams_read,
+  .config_read = on_config_read,
+};
 
 static anvil_time_t
 total_suspended_time (void)
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -119,6 +119,12 @@
     case ANVIL_RELAY_UPDATES:
       broker->callbacks.updates_received (broker->context, from, &message);
       return;
+    case ANVIL_RELAY_REQUEST_CONFIG:
+      broker->callbacks.config_requested (broker->context, from, (gint64) message.number);
+      return;
+    case ANVIL_RELAY_CONFIG:
+      broker->callbacks.config_received (broker->context, from, &message);
+      return;
     case ANVIL_RELAY_WARM_OBJECTS:
       broker_add_warm_objects (broker, message.service, message.objects, message.n_objects);
       return;
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -440,27 +440,23 @@
   anvil_members_request_pings (broker->members);
 }
 
-anvil_node_t
-anvil_slot_broker_first_in_region (const anvil_slot_broker_t *broker, const char *name)
+const char *
+anvil_slot_broker_region (const anvil_slot_broker_t *broker)
 {
-  return anvil_members_holder (broker->members, anvil_clock_now (), anvil_str (name),
-                               region_of ((void *) broker, broker->settings->zone));
+  return anvil_relay_settings_region (broker->settings, broker->settings->zone);
 }
 
-void
-anvil_slot_broker_request_updates (anvil_slot_broker_t *broker,
-                                   anvil_node_t reader,
-                                   guint64 version)
+anvil_node_t
+anvil_slot_broker_first_in_region (const anvil_slot_broker_t *broker, const char *name)
 {
-  const anvil_relay_message_t message = { .kind = ANVIL_RELAY_REQUEST_UPDATES, .number = version };
-
-  broker_send (broker, reader, &message);
+  return anvil_members_holder (broker->members, anvil_clock_now (), anvil_str (name),
+                               anvil_slot_broker_region (broker));
 }
 
 void
-anvil_slot_broker_send_updates (anvil_slot_broker_t *broker,
-                                anvil_node_t peer,
-                                const anvil_relay_message_t *message)
+anvil_slot_broker_send (anvil_slot_broker_t *broker,
+                        anvil_node_t peer,
+                        const anvil_relay_message_t *message)
 {
   broker_send (broker, peer, message);
 }
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -30,6 +30,8 @@
  * @peer_restarted: a peer's process has restarted and lost all requests for slots
  * @updates_requested: a peer requests the updates of upstreams after @version
  * @updates_received: a peer sent updates of upstreams; borrowed
+ * @config_requested: a peer requests the changes of the configuration after @version
+ * @config_received: a peer sent changes of the configuration; borrowed
  */
 typedef struct
 {
@@ -45,6 +47,8 @@
   void (*peer_restarted) (void *context, anvil_node_t peer);
   void (*updates_requested) (void *context, anvil_node_t peer, guint64 version);
   void (*updates_received) (void *context, anvil_node_t peer, const anvil_relay_message_t *message);
+  void (*config_requested) (void *context, anvil_node_t peer, gint64 version);
+  void (*config_received) (void *context, anvil_node_t peer, const anvil_relay_message_t *message);
 } anvil_slot_broker_callbacks_t;
 
 /** anvil_slot_broker_open - listens for peers */
@@ -124,18 +128,19 @@
 /** anvil_slot_broker_set_state - sets what peers are told of this entry; see anvil_member_info_t */
 void anvil_slot_broker_set_state (anvil_slot_broker_t *broker, gboolean ready, gboolean leaving);
 
+/** anvil_slot_broker_region - this entry's region, NULL if it isn't known */
+const char *anvil_slot_broker_region (const anvil_slot_broker_t *broker);
+
 /** anvil_slot_broker_first_in_region - the entry of this entry's region that ranks first for @name
  */
 anvil_node_t anvil_slot_broker_first_in_region (const anvil_slot_broker_t *broker,
                                                 const char *name);
 
-/** anvil_slot_broker_request_updates, anvil_slot_broker_send_updates - see anvil_relay_feed_t */
-void anvil_slot_broker_request_updates (anvil_slot_broker_t *broker,
-                                        anvil_node_t reader,
-                                        guint64 version);
-void anvil_slot_broker_send_updates (anvil_slot_broker_t *broker,
-                                     anvil_node_t peer,
-                                     const anvil_relay_message_t *message);
+/** anvil_slot_broker_send - sends a message to a peer; see anvil_relay_feed_t, anvil_config_feed_t
+ */
+void anvil_slot_broker_send (anvil_slot_broker_t *broker,
+                             anvil_node_t peer,
+                             const anvil_relay_message_t *message);
 
 /** anvil_slot_broker_vm_name - name of an entry's VM for logs; borrowed until the next event */
 const char *anvil_slot_broker_vm_name (const anvil_slot_broker_t *broker, anvil_node_t node);
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -245,8 +245,12 @@
       return;
     }
   on_success (follower, page);
-  follower->version = MAX (follower->version, page->version);
-  report_rows (follower, page);
+  /* Rows that are older than what has become known from elsewhere meanwhile would undo it. */
+  if (page->version >= follower->version)
+    {
+      follower->version = page->version;
+      report_rows (follower, page);
+    }
   follower->callbacks.read_up_to (follower->context, follower->version);
   schedule_call (follower, follower->hold_time > 0 ? MIN_CALL_PAUSE : follower->period);
 }
@@ -380,6 +384,19 @@
   restart_call (follower);
 }
 
+void
+anvil_table_follower_skip_to (anvil_table_follower_t *follower, guint64 version)
+{
+  if (anvil_table_follower_known_version (follower) > 0)
+    follower->version = MAX (follower->version, version);
+}
+
+guint64
+anvil_table_follower_known_version (const anvil_table_follower_t *follower)
+{
+  return follower->ready && !follower->needs_full_read ? follower->version : 0;
+}
+
 anvil_table_follower_t *
 anvil_table_follower_open (struct event_base *base,
                            anvil_store_t *store,
--- a/source/relay/table-follower.h
+++ b/source/relay/table-follower.h
@@ -36,7 +36,7 @@
  * @table: name of the table; borrowed
  * @hold_time: how long the store may hold a call until something changes, microseconds; 0 reads
  *   changes every @period
- * @period: pause between two calls, microseconds
+ * @period: pause between two calls that the store doesn't hold, microseconds
  */
 anvil_table_follower_t *anvil_table_follower_open (struct event_base *base,
                                                    anvil_store_t *store,
@@ -69,6 +69,14 @@
  * elsewhere, so the store counts as answering until a call fails */
 void anvil_table_follower_resume (anvil_table_follower_t *follower, guint64 version);
 
+/** anvil_table_follower_skip_to - the rows up to @version are known from elsewhere; the next
+ * changes are read from there. Has no effect before the whole table has been read */
+void anvil_table_follower_skip_to (anvil_table_follower_t *follower, guint64 version);
+
+/** anvil_table_follower_known_version - version of the store up to which all rows are known; 0 if
+ * the whole table has to be read */
+guint64 anvil_table_follower_known_version (const anvil_table_follower_t *follower);
+
 /** anvil_table_follower_close - may be called with a call under way; no callback runs any more */
 void anvil_table_follower_close (anvil_table_follower_t *follower);
 
--- /dev/null
+++ b/tests/test-relay-config-peers.c
@@ -0,0 +1,120 @@
+/* An entry that can't get a configuration from the store in time gets it from its peers. */
+
+#include "helper-fleet.h"
+
+#include <stdlib.h>
+
+#include "anvil/clock.h"
+
+/* The configuration takes five seconds of the link. */
+#define LINK_BYTES_PER_SECOND 150000
+#define N_ROUTES 1600
+/* The least configApplyMs of a deployment. */
+#define APPLY_TIME (2500 * ANVIL_MS)
+#define LOAD_TIMEOUT (30 * ANVIL_SECOND)
+#define POLL_US 20000
+
+static fleet_t fleet;
+static fleet_proxy_t *proxy;
+static fleet_entry_t *peer;
+static fleet_entry_t *entry;
+
+static void
+open_fleet (guint bytes_per_second)
+{
+  fleet_open (&fleet);
+  fleet_add_upstream (&fleet, "west", "photos", NULL);
+  fleet_configure (&fleet, NULL);
+  peer = fleet_add_entry (&fleet, "e0", "west-a");
+  proxy = fleet_add_store_proxy (&fleet, bytes_per_second);
+  fleet.entry_store_endpoint = proxy->endpoint;
+  entry = fleet_add_entry (&fleet, "e1", "west-b");
+  fleet_wait_ready (peer);
+  fleet_wait_ready (entry);
+}
+
+static void
+tear_down (void)
+{
+  fleet_close (&fleet);
+}
+
+static void
+configure_routes (guint n, const char *service)
+{
+  GString *routes = g_string_new (NULL);
+
+  for (guint i = 0; i < n; i++)
+    g_string_append_printf (
+        routes,
+        "%s{\"resourceKind\":\"routes\",\"metadata\":{\"name\":\"more-%u\"},\"spec\":{\"host\":"
+        "\"" FLEET_HOST "\",\"prefix\":\"/more-%u/\",\"kind\":\"safe\",\"timeoutMs\":1500,"
+        "\"targetLatencyMs\":600,\"priority\":1,\"service\":\"%s\",\"maxAttempts\":3,"
+        "\"sticky\":true,\"allowedRegions\":[]}}",
+        i > 0 ? "," : "", i, i, i + 1 < n ? "photos" : service);
+  fleet_configure (&fleet, routes->str);
+  g_string_free (routes, TRUE);
+}
+
+static gboolean
+wait_for_version (const fleet_entry_t *waiting, anvil_time_t timeout)
+{
+  anvil_time_t until = anvil_clock_now () + timeout;
+
+  while (fleet_read_metric (waiting, "anvil_routes_version") != fleet.version)
+    {
+      if (anvil_clock_now () > until)
+        return FALSE;
+      g_usleep (POLL_US);
+    }
+  return TRUE;
+}
+
+START_TEST (test_a_change_of_a_large_configuration_is_in_force_in_time_behind_a_slow_link)
+{
+  open_fleet (LINK_BYTES_PER_SECOND);
+  configure_routes (N_ROUTES, "photos");
+  ck_assert (wait_for_version (entry, LOAD_TIMEOUT));
+  for (guint i = 0; i < 4; i++)
+    {
+      configure_routes (N_ROUTES, i % 2 == 0 ? "other" : "photos");
+      ck_assert (wait_for_version (entry, APPLY_TIME));
+    }
+}
+END_TEST
+
+START_TEST (test_a_configuration_is_in_force_in_time_where_the_store_does_not_answer)
+{
+  open_fleet (0);
+  configure_routes (5, "photos");
+  ck_assert (wait_for_version (entry, APPLY_TIME));
+  kill (proxy->pid, SIGSTOP);
+  for (guint i = 0; i < 4; i++)
+    {
+      configure_routes (6 + i, "photos");
+      ck_assert (wait_for_version (entry, APPLY_TIME));
+    }
+  kill (proxy->pid, SIGCONT);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("relay-config-peers");
+  TCase *tests = tcase_create ("relay-config-peers");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (tests, NULL, tear_down);
+  tcase_set_timeout (tests, 90);
+  tcase_add_test (tests,
+                  test_a_change_of_a_large_configuration_is_in_force_in_time_behind_a_slow_link);
+  tcase_add_test (tests, test_a_configuration_is_in_force_in_time_where_the_store_does_not_answer);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
