Answer 503, not 404, for a route that a newer configuration may have

Cause: the age of the configuration decided nothing; upstreams that are known to be too old are not used. Change: while a peer is known to have a newer configuration, a request without a route is refused with 503 and Retry-After: it has not run, and may be sent again. test-relay-config-peers, test_a_route_that_only_a_peer_has_is_not_answered_with_404: 404 before, 503 now, 200 once the entry has the configuration; a route that none has gets 404 again.

--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -459,7 +459,10 @@
   if (query != NULL)
     path.length = (gsize) (query - request->target);
   route = anvil_routes_match (jobs->routes, anvil_str (request->host), path);
-  if (route == NULL)
+  if (route == NULL && jobs->options.lacks_routes (jobs->options.context))
+    job_refuse_request (jobs, request, STATUS_UNAVAILABLE, "outdated-configuration",
+                        NOT_READY_RETRY_AFTER);
+  else if (route == NULL)
     job_refuse_request (jobs, request, STATUS_NOT_FOUND, "no-route", 0);
   else
     job_request_slot (job_new (jobs, request, route));
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -23,6 +23,8 @@
  *   longest is dropped
  * @store_ok_for: for how long this entry or a peer has read upstreams from the store without an
  *   interruption, microseconds
+ * @lacks_routes: whether a peer has a newer configuration than this entry, which may have more
+ *   routes
  */
 typedef struct
 {
@@ -36,6 +38,7 @@
   gsize max_saved_bytes;
   anvil_time_t (*upstreams_read_at) (void *context);
   anvil_time_t (*store_ok_for) (void *context);
+  gboolean (*lacks_routes) (void *context);
   void *context;
 } anvil_relay_jobs_options_t;
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -102,6 +102,15 @@
               peer_since > 0 ? now - peer_since : 0);
 }
 
+static gboolean
+lacks_routes (void *context)
+{
+  const anvil_relay_t *relay = context;
+
+  return anvil_config_feed_newest_version (relay->config_feed)
+         > anvil_relay_watch_config_version (relay->watch);
+}
+
 static void
 on_granted (void *context, guint64 number, anvil_node_t from, const anvil_slot_grant_t *grant)
 {
@@ -623,6 +632,7 @@
           .max_saved_bytes = settings->memory_bytes / SAVED_RESPONSES_DIVISOR,
           .upstreams_read_at = upstreams_read_at,
           .store_ok_for = store_ok_for,
+          .lacks_routes = lacks_routes,
           .context = relay };
   const anvil_relay_callers_options_t caller_options
       = { .name = "callers",
--- a/tests/test-relay-config-peers.c
+++ b/tests/test-relay-config-peers.c
@@ -1,4 +1,5 @@
-/* An entry that can't get a configuration from the store in time gets it from its peers. */
+/* An entry that can't get a configuration from the store in time gets it from its peers, or knows
+ * that it lacks it. */
 
 #include "helper-fleet.h"
 
@@ -98,6 +99,35 @@
 }
 END_TEST
 
+START_TEST (test_a_route_that_only_a_peer_has_is_not_answered_with_404)
+{
+  char *response;
+
+  open_fleet (0);
+  response = fleet_request (entry->caller_port, "GET", "/more-7/1", "before");
+  ck_assert_uint_eq (fleet_response_status (response), 404);
+  g_free (response);
+  kill (proxy->pid, SIGSTOP);
+  /* More than a peer sends as changes. */
+  configure_routes (N_ROUTES, "photos");
+  ck_assert (wait_for_version (peer, APPLY_TIME));
+  g_usleep (APPLY_TIME);
+  ck_assert_int_ne (fleet_read_metric (entry, "anvil_routes_version"), fleet.version);
+  response = fleet_request (entry->caller_port, "GET", "/more-7/1", "after");
+  ck_assert_msg (fleet_response_status (response) == 503, "%s", response);
+  ck_assert_msg (strstr (response, "Retry-After: ") != NULL, "%s", response);
+  g_free (response);
+  kill (proxy->pid, SIGCONT);
+  ck_assert (wait_for_version (entry, FLEET_RESYNC_TIME));
+  response = fleet_request (entry->caller_port, "GET", "/more-7/1", "again");
+  ck_assert_msg (fleet_response_status (response) == 200, "%s", response);
+  g_free (response);
+  response = fleet_request (entry->caller_port, "GET", "/nowhere/1", "unknown");
+  ck_assert_msg (fleet_response_status (response) == 404, "%s", response);
+  g_free (response);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -111,6 +141,7 @@
   tcase_add_test (tests,
                   test_a_change_of_a_large_configuration_is_in_force_in_time_behind_a_slow_link);
   tcase_add_test (tests, test_a_configuration_is_in_force_in_time_where_the_store_does_not_answer);
+  tcase_add_test (tests, test_a_route_that_only_a_peer_has_is_not_answered_with_404);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
