Split requests by weight from the first request on

Cause: each entry began with random credits between 0 and the weight of each service, so the service with most weight got its first requests, and every new configuration made all entries begin anew, also if it didn't change the weights. Change: a service is picked for the next request with the probability of its weight, the first time as well, and the position of a route outlives a configuration. test-route-split: 10 of 22 checks red before, 22 green now; test-routes, which bounds the share of one entry, is unchanged and green.

--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -73,7 +73,7 @@
 {
   anvil_routes_drop (jobs->routes);
   jobs->routes = anvil_routes_keep (routes);
-  anvil_route_split_reset (jobs->split);
+  anvil_route_split_limit (jobs->split, anvil_routes_count (routes));
 }
 
 const anvil_routes_t *
--- a/source/relay/route-split.c
+++ b/source/relay/route-split.c
@@ -1,16 +1,19 @@
 #include "relay/route-split.h"
 
-/** credits_t - credit of each service of a route: requests that it is owed, times the sum of
- * weights */
+/**
+ * position_t - where a route stands
+ * @due: for each service the share of a request that it is owed, of those that go to it or to a
+ *   service behind it
+ */
 typedef struct
 {
-  gint64 due[ANVIL_MAX_ROUTE_SERVICES];
-} credits_t;
+  gdouble due[ANVIL_MAX_ROUTE_SERVICES];
+} position_t;
 
 struct anvil_route_split
 {
-  /* credits_t by name of the route. */
-  GHashTable *routes;
+  /* position_t by name of the route. */
+  GHashTable *positions;
 };
 
 anvil_route_split_t *
@@ -18,7 +21,7 @@
 {
   anvil_route_split_t *split = g_new0 (anvil_route_split_t, 1);
 
-  split->routes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  split->positions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return split;
 }
 
@@ -27,51 +30,59 @@
 {
   if (split == NULL)
     return;
-  g_hash_table_unref (split->routes);
+  g_hash_table_unref (split->positions);
   g_free (split);
 }
 
 void
-anvil_route_split_reset (anvil_route_split_t *split)
+anvil_route_split_limit (anvil_route_split_t *split, guint n_routes)
 {
-  g_hash_table_remove_all (split->routes);
+  if (g_hash_table_size (split->positions) > 2 * n_routes)
+    g_hash_table_remove_all (split->positions);
 }
 
-/* Credits start at random values, so that entries with few requests don't all start with the same
- * service. */
-static credits_t *
-credits_of (anvil_route_split_t *split, const anvil_route_t *route)
+/* Services are owed a random part of a request at first. If all entries began alike, the service
+ * with most weight would get the first requests of each. */
+static position_t *
+position_of (anvil_route_split_t *split, const anvil_route_t *route)
 {
-  credits_t *credits = g_hash_table_lookup (split->routes, route->name);
+  position_t *position = g_hash_table_lookup (split->positions, route->name);
 
-  if (credits != NULL)
-    return credits;
-  credits = g_new0 (credits_t, 1);
-  for (guint i = 0; i < route->n_services; i++)
-    credits->due[i] = g_random_int_range (0, (gint32) route->services[i].weight + 1);
-  g_hash_table_insert (split->routes, g_strdup (route->name), credits);
-  return credits;
+  if (position != NULL)
+    return position;
+  position = g_new0 (position_t, 1);
+  for (guint i = 0; i < ANVIL_MAX_ROUTE_SERVICES; i++)
+    position->due[i] = g_random_double ();
+  g_hash_table_insert (split->positions, g_strdup (route->name), position);
+  return position;
 }
 
 guint
 anvil_route_split_next (anvil_route_split_t *split, const anvil_route_t *route)
 {
-  credits_t *credits;
-  gint64 total = 0;
-  guint best = G_MAXUINT;
+  position_t *position;
+  guint64 remaining = 0;
+  guint last = 0;
 
   if (route->n_services <= 1)
     return 0;
-  credits = credits_of (split, route);
+  position = position_of (split, route);
   for (guint i = 0; i < route->n_services; i++)
+    remaining += route->services[i].weight;
+  for (guint i = 0; i < route->n_services && remaining > 0; i++)
     {
-      if (route->services[i].weight == 0)
+      const guint weight = route->services[i].weight;
+
+      if (weight == 0)
         continue;
-      credits->due[i] += route->services[i].weight;
-      total += route->services[i].weight;
-      if (best == G_MAXUINT || credits->due[i] > credits->due[best])
-        best = i;
+      last = i;
+      position->due[i] += (gdouble) weight / (gdouble) remaining;
+      if (position->due[i] >= 1)
+        {
+          position->due[i] -= 1;
+          return i;
+        }
+      remaining -= weight;
     }
-  credits->due[best] -= total;
-  return best;
+  return last;
 }
