--- a/tests/test-table-follower.c
+++ b/tests/test-table-follower.c
@@ -39,8 +39,12 @@
 static guint n_reads;
 static guint n_lost;
 static guint n_recovered;
+static guint n_rows;
+static const char *page;
 
 static const char empty_page[] = "{\"rows\":[],\"rowVersion\":7,\"hasMore\":false}";
+static const char page_with_row[]
+    = "{\"rows\":[{\"key\":\"a\",\"value\":\"\"}],\"rowVersion\":9,\"hasMore\":false}";
 
 /* Spaces, which JSON may have before its text, and in the end the text. */
 static void
@@ -67,7 +71,7 @@
 {
   struct evbuffer *body = evbuffer_new ();
 
-  evbuffer_add (body, empty_page, strlen (empty_page));
+  evbuffer_add (body, page, strlen (page));
   evhttp_send_reply (data, HTTP_OK, "OK", body);
   evbuffer_free (body);
 }
@@ -111,6 +115,7 @@
 static void
 on_row (void *unused_context, const anvil_store_row_t *unused_row)
 {
+  n_rows++;
 }
 
 static void
@@ -156,6 +161,7 @@
   struct sockaddr_in address;
   socklen_t length = sizeof address;
 
+  page = empty_page;
   base = event_base_new ();
   http = evhttp_new (base);
   bound = evhttp_bind_socket_with_handle (http, "127.0.0.1", 0);
@@ -289,6 +295,31 @@
 }
 END_TEST
 
+START_TEST (test_rows_older_than_what_is_known_are_not_reported)
+{
+  ck_assert (wait_for_read ());
+  ck_assert_uint_eq (anvil_table_follower_known_version (follower), 7);
+  page = page_with_row;
+  anvil_table_follower_skip_to (follower, 10);
+  ck_assert (wait_for_read ());
+  ck_assert_uint_eq (n_rows, 0);
+  ck_assert_uint_eq (anvil_table_follower_known_version (follower), 10);
+  anvil_table_follower_skip_to (follower, 8);
+  ck_assert_uint_eq (anvil_table_follower_known_version (follower), 10);
+}
+END_TEST
+
+START_TEST (test_nothing_is_skipped_before_the_table_has_been_read)
+{
+  page = page_with_row;
+  anvil_table_follower_skip_to (follower, 10);
+  ck_assert_uint_eq (anvil_table_follower_known_version (follower), 0);
+  ck_assert (wait_for_read ());
+  ck_assert_uint_eq (n_rows, 1);
+  ck_assert_uint_eq (anvil_table_follower_known_version (follower), 9);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -305,6 +336,8 @@
   tcase_add_test (tests, test_a_response_that_arrives_too_slowly_counts_as_a_lost_store);
   tcase_add_test (tests, test_a_response_that_arrives_is_not_requested_again);
   tcase_add_test (tests, test_a_long_poll_without_a_response_is_replaced);
+  tcase_add_test (tests, test_rows_older_than_what_is_known_are_not_reported);
+  tcase_add_test (tests, test_nothing_is_skipped_before_the_table_has_been_read);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
