Send a whole configuration to an entry that the store does not answer

Callers: an entry that the store turned away when a configuration grew by many routes stayed behind until the store answered it again, and refused requests for routes that it lacked. Cause: changes of more than 32 KB aren't kept, and every later change starts at a version that such an entry doesn't have. Change: an entry that the store doesn't answer may be sent the whole, up to 1 MB, once in two seconds.

--- a/source/relay/config-feed.c
+++ b/source/relay/config-feed.c
@@ -6,12 +6,17 @@
 /* The region's reader sends changes as soon as it has read them. A peer that has told of a newer
  * configuration is asked for them only if they haven't come by then, and again after as long. */
 #define REQUEST_DELAY (150 * ANVIL_MS)
+/* A whole configuration takes time on a slow link, and isn't requested again meanwhile. */
+#define WHOLE_REQUEST_DELAY (2 * ANVIL_SECOND)
+/* Limit of a whole configuration that is sent; a larger one comes from the store. */
+#define MAX_WHOLE_BYTES (1u << 20)
 
 /**
  * anvil_config_feed_t - the newest version that a peer named
  * @heard_version: the version; 0 if no peer named a newer one than is in force here
  * @heard_at: when it, or one before it that isn't in force here either, was heard of first
  * @requested_at: when changes were requested last
+ * @whole_requested_at: when the whole was
  * @sent_versions: version that each peer was sent last, gint64 by node
  */
 struct anvil_config_feed
@@ -21,6 +26,7 @@
   gint64 heard_version;
   anvil_time_t heard_at;
   anvil_time_t requested_at;
+  anvil_time_t whole_requested_at;
   GHashTable *sent_versions;
 };
 
@@ -82,9 +88,13 @@
 {
   const anvil_relay_message_t message
       = { .kind = ANVIL_RELAY_REQUEST_CONFIG,
-          .number = (guint64) anvil_relay_watch_config_version (feed->watch) };
+          .number = (guint64) anvil_relay_watch_config_version (feed->watch),
+          .whole = anvil_relay_watch_operators_lost (feed->watch)
+                   && now - feed->whole_requested_at >= WHOLE_REQUEST_DELAY };
 
   feed->requested_at = now;
+  if (message.whole)
+    feed->whole_requested_at = now;
   anvil_slot_broker_send (feed->slot_broker, peer, &message);
 }
 
@@ -118,13 +128,13 @@
 }
 
 static void
-send_changes (anvil_config_feed_t *feed, anvil_node_t peer, gint64 since)
+send_changes (anvil_config_feed_t *feed, anvil_node_t peer, gint64 since, gsize max_whole_bytes)
 {
   const gint64 version = anvil_relay_watch_config_version (feed->watch);
   anvil_relay_message_t *message = g_new0 (anvil_relay_message_t, 1);
   GByteArray *changes = g_byte_array_new ();
 
-  anvil_relay_watch_add_config (feed->watch, since, changes, message);
+  anvil_relay_watch_add_config (feed->watch, since, max_whole_bytes, changes, message);
   anvil_slot_broker_send (feed->slot_broker, peer, message);
   g_hash_table_insert (feed->sent_versions, g_memdup2 (&peer, sizeof peer),
                        g_memdup2 (&version, sizeof version));
@@ -154,15 +164,18 @@
 
       if (g_strcmp0 (peer->region, region) == 0 && anvil_members_reachable (members, now, peer)
           && since < anvil_relay_watch_config_version (feed->watch))
-        send_changes (feed, peer->node, since);
+        send_changes (feed, peer->node, since, 0);
     }
 }
 
 void
-anvil_config_feed_requested (anvil_config_feed_t *feed, anvil_node_t peer, gint64 since)
+anvil_config_feed_requested (anvil_config_feed_t *feed,
+                             anvil_node_t peer,
+                             gint64 since,
+                             gboolean whole)
 {
   if (since < anvil_relay_watch_config_version (feed->watch))
-    send_changes (feed, peer, since);
+    send_changes (feed, peer, since, whole ? MAX_WHOLE_BYTES : 0);
 }
 
 void
--- a/source/relay/config-feed.h
+++ b/source/relay/config-feed.h
@@ -10,8 +10,8 @@
  * region (see relay/relay-feed.h) has the store hold a call until there is a change. It sends the
  * difference to the others at once; they ask the store once a second, for nothing if they have it.
  * Entries tell each other the version that they have in force; one that hears of a newer version
- * requests the changes from that peer, whether or not the store answers it. If they are too large,
- * or the peer doesn't know the version that they would start at, it reads the store.
+ * requests the changes from that peer. If they are too large, or the peer doesn't know the version
+ * that they would start at, it reads the store, or requests the whole if the store doesn't answer.
  */
 
 typedef struct anvil_config_feed anvil_config_feed_t;
@@ -30,8 +30,12 @@
  * entry has read a newer configuration from the store */
 void anvil_config_feed_publish (anvil_config_feed_t *feed);
 
-/** anvil_config_feed_requested - a peer, which has version @since in force, requests changes */
-void anvil_config_feed_requested (anvil_config_feed_t *feed, anvil_node_t peer, gint64 since);
+/** anvil_config_feed_requested - a peer, which has version @since in force, requests changes, or
+ * the whole if they aren't known */
+void anvil_config_feed_requested (anvil_config_feed_t *feed,
+                                  anvil_node_t peer,
+                                  gint64 since,
+                                  gboolean whole);
 
 /** anvil_config_feed_receive - puts what a peer sent in force */
 void anvil_config_feed_receive (anvil_config_feed_t *feed,
--- a/source/relay/config-in-force.c
+++ b/source/relay/config-in-force.c
@@ -55,31 +55,31 @@
   return config->max_cold_time;
 }
 
-/* NULL if the configuration is invalid, or not newer than the one in force. */
-static anvil_routes_t *
-parse_newer (const anvil_config_in_force_t *config, anvil_str_t text)
+/* FALSE if the configuration is invalid, or not newer than the one in force. */
+static gboolean
+parse_newer (const anvil_config_in_force_t *config, anvil_str_t text, anvil_routes_t **routes)
 {
   GError *error = NULL;
-  anvil_routes_t *routes = config->adapter->parse_routes (text, &error);
 
-  if (routes == NULL)
+  *routes = config->adapter->parse_routes (text, &error);
+  if (*routes == NULL)
     {
       anvil_log (ANVIL_LOG_ERROR, "config",
                  "configuration is invalid, keeping the one in force version=%" G_GINT64_FORMAT
                  " reason=\"%s\"",
                  config->version, error->message);
       g_error_free (error);
-      return NULL;
+      return FALSE;
     }
-  if (!config->exists || anvil_routes_version (routes) > config->version)
-    return routes;
-  if (anvil_routes_version (routes) < config->version)
+  if (!config->exists || anvil_routes_version (*routes) > config->version)
+    return TRUE;
+  if (anvil_routes_version (*routes) < config->version)
     anvil_log (ANVIL_LOG_WARNING, "config",
                "older configuration ignored version=%" G_GINT64_FORMAT
                " in_force=%" G_GINT64_FORMAT,
-               anvil_routes_version (routes), config->version);
-  anvil_routes_drop (routes);
-  return NULL;
+               anvil_routes_version (*routes), config->version);
+  anvil_routes_drop (*routes);
+  return FALSE;
 }
 
 /* Takes over @routes; @delta as in anvil_config_log_set(). */
@@ -114,8 +114,7 @@
                  config->version);
       return FALSE;
     }
-  routes = parse_newer (config, row->value);
-  if (routes == NULL)
+  if (!parse_newer (config, row->value, &routes))
     return FALSE;
   anvil_log (ANVIL_LOG_NOTICE, "config",
              "configuration in force version=%" G_GINT64_FORMAT
@@ -136,22 +135,24 @@
   GByteArray *bytes = anvil_config_log_apply (config->log, change);
   anvil_routes_t *routes;
   anvil_str_t text;
+  gboolean newer;
 
   if (bytes == NULL)
     return FALSE;
   text = (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len };
-  routes = parse_newer (config, text);
-  if (routes != NULL)
+  newer = parse_newer (config, text, &routes);
+  if (newer)
     {
       anvil_log (ANVIL_LOG_NOTICE, "config",
                  "configuration in force version=%" G_GINT64_FORMAT
                  " from=%s routes=%u bytes=%zu unread_ms=%" G_GINT64_FORMAT,
                  anvil_routes_version (routes), from, anvil_routes_count (routes),
                  change->delta.length, unread_time / ANVIL_MS);
-      put_in_force (config, routes, text, change->delta);
+      put_in_force (config, routes, text,
+                    change->from_version > 0 ? change->delta : (anvil_str_t){ 0 });
     }
   g_byte_array_unref (bytes);
-  return routes != NULL;
+  return newer;
 }
 
 gboolean
@@ -179,3 +180,11 @@
 {
   return anvil_config_log_changes_since (config->log, version, out);
 }
+
+void
+anvil_config_in_force_pack_whole (const anvil_config_in_force_t *config,
+                                  gsize max_bytes,
+                                  GByteArray *out)
+{
+  anvil_config_log_pack_whole (config->log, max_bytes, out);
+}
--- a/source/relay/config-in-force.h
+++ b/source/relay/config-in-force.h
@@ -52,6 +52,11 @@
                                               const char *from,
                                               anvil_time_t unread_time);
 
+/** anvil_config_in_force_pack_whole - see anvil_config_log_pack_whole() */
+void anvil_config_in_force_pack_whole (const anvil_config_in_force_t *config,
+                                       gsize max_bytes,
+                                       GByteArray *out);
+
 /** anvil_config_in_force_changes_since - see anvil_config_log_changes_since() */
 gboolean anvil_config_in_force_changes_since (const anvil_config_in_force_t *config,
                                               gint64 version,
--- a/source/relay/config-log.c
+++ b/source/relay/config-log.c
@@ -136,6 +136,19 @@
   return TRUE;
 }
 
+void
+anvil_config_log_pack_whole (const anvil_config_log_t *log, gsize max_bytes, GByteArray *out)
+{
+  change_t whole = { .to_version = log->version };
+
+  if (log->text->len > max_bytes)
+    return;
+  whole.delta = g_byte_array_new ();
+  anvil_text_delta_make ((anvil_str_t){ 0 }, current_text (log), whole.delta);
+  pack_change (&whole, out);
+  g_byte_array_unref (whole.delta);
+}
+
 gboolean
 anvil_config_change_unpack (anvil_str_t *changes, anvil_config_change_t *change)
 {
@@ -161,10 +174,14 @@
 GByteArray *
 anvil_config_log_apply (const anvil_config_log_t *log, const anvil_config_change_t *change)
 {
+  const gboolean whole = change->from_version == 0;
+  anvil_str_t from = { 0 };
   GByteArray *text = g_byte_array_new ();
 
-  if (change->from_version == log->version
-      && anvil_text_delta_apply (current_text (log), change->delta, MAX_TEXT_BYTES, text))
+  if (!whole)
+    from = current_text (log);
+  if ((whole || change->from_version == log->version)
+      && anvil_text_delta_apply (from, change->delta, MAX_TEXT_BYTES, text))
     return text;
   g_byte_array_unref (text);
   return NULL;
--- a/source/relay/config-log.h
+++ b/source/relay/config-log.h
@@ -31,9 +31,13 @@
 gboolean
 anvil_config_log_changes_since (const anvil_config_log_t *log, gint64 version, GByteArray *out);
 
+/** anvil_config_log_pack_whole - appends a change that applies to any version: the whole text, or
+ * nothing if it is longer than @max_bytes */
+void anvil_config_log_pack_whole (const anvil_config_log_t *log, gsize max_bytes, GByteArray *out);
+
 /**
  * anvil_config_change_t - one item of packed changes
- * @from_version: version that it applies to
+ * @from_version: version that it applies to; 0 for any
  * @to_version: version that it results in
  * @delta: see relay/text-delta.h
  */
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -175,9 +175,12 @@
       return;
     case ANVIL_RELAY_CANCEL:
     case ANVIL_RELAY_REQUEST_UPDATES:
-    case ANVIL_RELAY_REQUEST_CONFIG:
       msgpack_pack_nil (packer);
       return;
+    case ANVIL_RELAY_REQUEST_CONFIG:
+      msgpack_pack_array (packer, 1);
+      msgpack_pack_uint64 (packer, message->whole);
+      return;
     case ANVIL_RELAY_UPDATES:
       msgpack_pack_array (packer, 8);
       msgpack_pack_uint64 (packer, message->after_version);
@@ -547,7 +550,10 @@
       return;
     case ANVIL_RELAY_CANCEL:
     case ANVIL_RELAY_REQUEST_UPDATES:
+      return;
     case ANVIL_RELAY_REQUEST_CONFIG:
+      body = read_array (reader, "request of the configuration");
+      message->whole = read_number (&body, "whole", 1) != 0;
       return;
     case ANVIL_RELAY_UPDATES:
       read_updates (reader, message);
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -78,6 +78,8 @@
  *   the evacuated zones; 0 if it doesn't tell
  * @evacuated: updates, configuration: the zones that are evacuated at that version
  * @n_evacuated: updates, configuration: length of @evacuated
+ * @whole: request of the configuration: it may be sent whole, as the store doesn't answer the
+ * sender
  * @read_version: configuration: version of the store up to which the sender knows the whole table
  *   of the operators; 0 if it doesn't
  */
@@ -108,6 +110,7 @@
   anvil_str_t evacuated[ANVIL_MAX_MESSAGE_ZONES];
   guint n_evacuated;
   guint64 read_version;
+  gboolean whole;
 } anvil_relay_message_t;
 
 /** anvil_relay_message_pack - appends a message in msgpack to @out */
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -330,6 +330,12 @@
     anvil_table_follower_read_now (watch->operator_follower);
 }
 
+gboolean
+anvil_relay_watch_operators_lost (const anvil_relay_watch_t *watch)
+{
+  return anvil_table_follower_store_lost (watch->operator_follower);
+}
+
 void
 anvil_relay_watch_read_operators (anvil_relay_watch_t *watch)
 {
@@ -469,13 +475,15 @@
 void
 anvil_relay_watch_add_config (const anvil_relay_watch_t *watch,
                               gint64 since,
+                              gsize max_whole_bytes,
                               GByteArray *changes,
                               anvil_relay_message_t *message)
 {
   message->kind = ANVIL_RELAY_CONFIG;
   message->number = (guint64) anvil_relay_watch_config_version (watch);
-  if (anvil_config_in_force_changes_since (watch->config, since, changes))
-    message->rows = (anvil_str_t){ .data = (const char *) changes->data, .length = changes->len };
+  if (!anvil_config_in_force_changes_since (watch->config, since, changes) && max_whole_bytes > 0)
+    anvil_config_in_force_pack_whole (watch->config, max_whole_bytes, changes);
+  message->rows = (anvil_str_t){ .data = (const char *) changes->data, .length = changes->len };
   message->read_version = anvil_table_follower_known_version (watch->operator_follower);
   anvil_relay_watch_add_evacuations (watch, message);
 }
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -91,16 +91,23 @@
  * from a peer */
 void anvil_relay_watch_poll_operators (anvil_relay_watch_t *watch, gboolean may_hold);
 
+/** anvil_relay_watch_operators_lost - whether the store doesn't answer calls for the operators'
+ * table
+ */
+gboolean anvil_relay_watch_operators_lost (const anvil_relay_watch_t *watch);
+
 /** anvil_relay_watch_read_operators - reads the operators' table now, since it has changed */
 void anvil_relay_watch_read_operators (anvil_relay_watch_t *watch);
 
 /**
  * anvil_relay_watch_add_config - fills in a message of the kind ANVIL_RELAY_CONFIG
  * @since: version that the peer has
+ * @max_whole_bytes: limit of the whole text, which is sent if the changes aren't known
  * @changes: an empty array, which @message borrows
  */
 void anvil_relay_watch_add_config (const anvil_relay_watch_t *watch,
                                    gint64 since,
+                                   gsize max_whole_bytes,
                                    GByteArray *changes,
                                    anvil_relay_message_t *message);
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -165,12 +165,12 @@
 }
 
 static void
-on_config_requested (void *context, anvil_node_t peer, gint64 version)
+on_config_requested (void *context, anvil_node_t peer, gint64 version, gboolean whole)
 {
   anvil_relay_t *relay = context;
 
   if (relay->config_feed != NULL)
-    anvil_config_feed_requested (relay->config_feed, peer, version);
+    anvil_config_feed_requested (relay->config_feed, peer, version, whole);
 }
 
 static void
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -120,7 +120,8 @@
       broker->callbacks.updates_received (broker->context, from, &message);
       return;
     case ANVIL_RELAY_REQUEST_CONFIG:
-      broker->callbacks.config_requested (broker->context, from, (gint64) message.number);
+      broker->callbacks.config_requested (broker->context, from, (gint64) message.number,
+                                          message.whole);
       return;
     case ANVIL_RELAY_CONFIG:
       broker->callbacks.config_received (broker->context, from, &message);
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -30,7 +30,8 @@
  * @peer_restarted: a peer's process has restarted and lost all requests for slots
  * @updates_requested: a peer requests the updates of upstreams after @version
  * @updates_received: a peer sent updates of upstreams; borrowed
- * @config_requested: a peer requests the changes of the configuration after @version
+ * @config_requested: a peer requests the changes of the configuration after @version, or @whole if
+ *   they aren't known
  * @config_received: a peer sent changes of the configuration; borrowed
  */
 typedef struct
@@ -47,7 +48,7 @@
   void (*peer_restarted) (void *context, anvil_node_t peer);
   void (*updates_requested) (void *context, anvil_node_t peer, guint64 version);
   void (*updates_received) (void *context, anvil_node_t peer, const anvil_relay_message_t *message);
-  void (*config_requested) (void *context, anvil_node_t peer, gint64 version);
+  void (*config_requested) (void *context, anvil_node_t peer, gint64 version, gboolean whole);
   void (*config_received) (void *context, anvil_node_t peer, const anvil_relay_message_t *message);
 } anvil_slot_broker_callbacks_t;
 
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -53,6 +53,8 @@
   anvil_time_t call_started_at;
   /* How long the store may hold the call under way; 0 if it isn't a long poll. */
   anvil_time_t call_hold_time;
+  /* The next call isn't a long poll. */
+  gboolean answer_at_once;
   anvil_time_t call_timeout;
   anvil_time_t timed_out_at;
   /* Calls that failed since the last successful one. */
@@ -265,12 +267,13 @@
   follower->call_timeout = slow ? SLOW_CALL_TIMEOUT : ANVIL_STORE_CALL_TIMEOUT;
   /* While the store doesn't answer, calls aren't long polls: one that it accepted during the outage
    * would be found lost only seconds after the recovery. */
-  if (follower->needs_full_read || follower->store_lost)
+  if (follower->needs_full_read || follower->store_lost || follower->answer_at_once)
     follower->call_hold_time = 0;
   else
     /* A lost long poll has to be noticed as early as with the usual time-out. */
     follower->call_hold_time
         = MAX (follower->hold_time + ANVIL_STORE_CALL_TIMEOUT - follower->call_timeout, 0);
+  follower->answer_at_once = FALSE;
 }
 
 /* After a pause of the process, what was read is old at once; the call that follows gets its time.
@@ -358,6 +361,8 @@
   /* Its response would have to arrive once more, from the start. */
   if (follower->call != NULL && (follower->call->response_began || follower->call_hold_time == 0))
     return;
+  /* Whether the store answers shows sooner if it doesn't hold the call. */
+  follower->answer_at_once = TRUE;
   restart_call (follower);
 }
 
--- a/tests/test-config-log.c
+++ b/tests/test-config-log.c
@@ -2,6 +2,7 @@
 
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "relay/config-log.h"
 
@@ -148,6 +149,34 @@
 }
 END_TEST
 
+START_TEST (test_the_whole_applies_to_any_version)
+{
+  GByteArray *changes = g_byte_array_new ();
+  anvil_config_change_t change;
+  anvil_str_t rest;
+  GByteArray *text;
+  char *expected = text_of (9);
+
+  set_version (sender, 9);
+  set_version (receiver, 2);
+  anvil_config_log_pack_whole (sender, strlen (expected) - 1, changes);
+  ck_assert_uint_eq (changes->len, 0);
+  anvil_config_log_pack_whole (sender, strlen (expected), changes);
+  rest = (anvil_str_t){ .data = (const char *) changes->data, .length = changes->len };
+  ck_assert (anvil_config_change_unpack (&rest, &change));
+  ck_assert_int_eq (change.from_version, 0);
+  ck_assert_int_eq (change.to_version, 9);
+  text = anvil_config_log_apply (receiver, &change);
+  ck_assert_ptr_nonnull (text);
+  ck_assert (
+      anvil_str_equal ((anvil_str_t){ .data = (const char *) text->data, .length = text->len },
+                       anvil_str (expected)));
+  g_byte_array_unref (text);
+  g_byte_array_unref (changes);
+  g_free (expected);
+}
+END_TEST
+
 START_TEST (test_malformed_changes_are_rejected)
 {
   GByteArray *changes = g_byte_array_new ();
@@ -179,6 +208,7 @@
   tcase_add_test (tests, test_what_a_peer_received_it_can_pass_on);
   tcase_add_test (tests, test_an_unknown_version_is_told);
   tcase_add_test (tests, test_the_changes_that_are_kept_are_bounded);
+  tcase_add_test (tests, test_the_whole_applies_to_any_version);
   tcase_add_test (tests, test_malformed_changes_are_rejected);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
--- a/tests/test-relay-config-peers.c
+++ b/tests/test-relay-config-peers.c
@@ -10,6 +10,8 @@
 /* The configuration takes five seconds of the link. */
 #define LINK_BYTES_PER_SECOND 150000
 #define N_ROUTES 1600
+/* More than a peer sends. */
+#define N_TOO_MANY_ROUTES 6000
 /* The least configApplyMs of a deployment. */
 #define APPLY_TIME (2500 * ANVIL_MS)
 #define LOAD_TIMEOUT (30 * ANVIL_SECOND)
@@ -99,6 +101,18 @@
 }
 END_TEST
 
+START_TEST (test_a_configuration_that_grows_is_in_force_where_the_store_does_not_answer)
+{
+  open_fleet (0);
+  kill (proxy->pid, SIGSTOP);
+  configure_routes (N_ROUTES, "photos");
+  ck_assert (wait_for_version (entry, APPLY_TIME));
+  configure_routes (N_ROUTES, "other");
+  ck_assert (wait_for_version (entry, APPLY_TIME));
+  kill (proxy->pid, SIGCONT);
+}
+END_TEST
+
 START_TEST (test_a_route_that_only_a_peer_has_is_not_answered_with_404)
 {
   char *response;
@@ -108,8 +122,7 @@
   ck_assert_uint_eq (fleet_response_status (response), 404);
   g_free (response);
   kill (proxy->pid, SIGSTOP);
-  /* More than a peer sends as changes. */
-  configure_routes (N_ROUTES, "photos");
+  configure_routes (N_TOO_MANY_ROUTES, "photos");
   ck_assert (wait_for_version (peer, APPLY_TIME));
   g_usleep (APPLY_TIME);
   ck_assert_int_ne (fleet_read_metric (entry, "anvil_routes_version"), fleet.version);
@@ -141,6 +154,8 @@
   tcase_add_test (tests,
                   test_a_change_of_a_large_configuration_is_in_force_in_time_behind_a_slow_link);
   tcase_add_test (tests, test_a_configuration_is_in_force_in_time_where_the_store_does_not_answer);
+  tcase_add_test (tests,
+                  test_a_configuration_that_grows_is_in_force_where_the_store_does_not_answer);
   tcase_add_test (tests, test_a_route_that_only_a_peer_has_is_not_answered_with_404);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -53,7 +53,7 @@
                  .waiting = 3,
                  .running = 2,
                  .slots = 1 } },
-  { .kind = ANVIL_RELAY_REQUEST_CONFIG, .number = 31 },
+  { .kind = ANVIL_RELAY_REQUEST_CONFIG, .number = 31, .whole = TRUE },
   { .kind = ANVIL_RELAY_CONFIG,
     .number = 33,
     .read_version = 412,
