--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -79,7 +79,7 @@
  * @evacuated: updates, configuration: the zones that are evacuated at that version
  * @n_evacuated: updates, configuration: length of @evacuated
  * @whole: request of the configuration: it may be sent whole, as the store doesn't answer the
- * sender
+ *   sender
  * @read_version: configuration: version of the store up to which the sender knows the whole table
  *   of the operators; 0 if it doesn't
  */
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -91,9 +91,7 @@
  * from a peer */
 void anvil_relay_watch_poll_operators (anvil_relay_watch_t *watch, gboolean may_hold);
 
-/** anvil_relay_watch_operators_lost - whether the store doesn't answer calls for the operators'
- * table
- */
+/** anvil_relay_watch_operators_lost - whether calls for the operators' table aren't answered */
 gboolean anvil_relay_watch_operators_lost (const anvil_relay_watch_t *watch);
 
 /** anvil_relay_watch_read_operators - reads the operators' table now, since it has changed */
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -380,6 +380,23 @@
   return done;
 }
 
+void
+fleet_configure_routes (fleet_t *fleet, guint n, const char *last_service)
+{
+  GString *routes = g_string_new (NULL);
+
+  for (guint i = 0; i < n; i++)
+    g_string_append_printf (
+        routes,
+        "%s{\"resourceKind\":\"routes\",\"metadata\":{\"name\":\"more-%u\"},\"spec\":{\"host\":"
+        "\"" FLEET_HOST "\",\"prefix\":\"/more-%u/\",\"kind\":\"safe\",\"timeoutMs\":1500,"
+        "\"targetLatencyMs\":600,\"priority\":1,\"service\":\"%s\",\"maxAttempts\":3,"
+        "\"sticky\":true,\"allowedRegions\":[]}}",
+        i > 0 ? "," : "", i, i, i + 1 < n ? "photos" : last_service);
+  fleet_configure (fleet, routes->str);
+  g_string_free (routes, TRUE);
+}
+
 void
 fleet_put_row (fleet_t *fleet, const char *table, const char *key, const char *value)
 {
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -78,6 +78,10 @@
  * to "photos", both with a timeout of 1500 ms, and the resources in @more, JSON or NULL */
 void fleet_configure (fleet_t *fleet, const char *more);
 
+/** fleet_configure_routes - like fleet_configure(), with @n more routes (safe), /more-0/ and so on,
+ * to "photos", but for the last one, which goes to @last_service */
+void fleet_configure_routes (fleet_t *fleet, guint n, const char *last_service);
+
 /** fleet_configure_raw - writes @text as the configuration */
 void fleet_configure_raw (fleet_t *fleet, const char *text);
 
--- a/tests/test-config-log.c
+++ b/tests/test-config-log.c
@@ -66,39 +66,41 @@
   return known;
 }
 
-/* Applies a change to the next version of the sender, to see what text the receiver has. */
+/* Checks that the first of packed changes leads from the receiver's text to that of a version. */
 static void
-check_same_text (gint64 version)
+check_first_change (const GByteArray *changes, gint64 from_version, gint64 to_version)
 {
-  GByteArray *changes = g_byte_array_new ();
+  anvil_str_t rest = { .data = (const char *) changes->data, .length = changes->len };
+  char *expected = text_of (to_version);
   anvil_config_change_t change;
-  anvil_str_t rest;
   GByteArray *text;
-  char *expected = text_of (version + 1);
 
-  set_version (sender, version + 1);
-  ck_assert (anvil_config_log_changes_since (sender, version, changes));
-  rest = (anvil_str_t){ .data = (const char *) changes->data, .length = changes->len };
   ck_assert (anvil_config_change_unpack (&rest, &change));
+  ck_assert_int_eq (change.from_version, from_version);
+  ck_assert_int_eq (change.to_version, to_version);
   text = anvil_config_log_apply (receiver, &change);
   ck_assert_ptr_nonnull (text);
   ck_assert (
       anvil_str_equal ((anvil_str_t){ .data = (const char *) text->data, .length = text->len },
                        anvil_str (expected)));
   g_byte_array_unref (text);
-  g_byte_array_unref (changes);
   g_free (expected);
 }
 
 START_TEST (test_a_peer_that_missed_versions_catches_up)
 {
+  GByteArray *changes = g_byte_array_new ();
+
   set_version (sender, 3);
   set_version (receiver, 3);
   for (gint64 version = 5; version < 20; version += 2)
     set_version (sender, version);
   ck_assert (catch_up (3));
   ck_assert (catch_up (19));
-  check_same_text (19);
+  set_version (sender, 20);
+  ck_assert (anvil_config_log_changes_since (sender, 19, changes));
+  check_first_change (changes, 19, 20);
+  g_byte_array_unref (changes);
 }
 END_TEST
 
@@ -152,28 +154,16 @@
 START_TEST (test_the_whole_applies_to_any_version)
 {
   GByteArray *changes = g_byte_array_new ();
-  anvil_config_change_t change;
-  anvil_str_t rest;
-  GByteArray *text;
-  char *expected = text_of (9);
+  char *text = text_of (9);
 
   set_version (sender, 9);
   set_version (receiver, 2);
-  anvil_config_log_pack_whole (sender, strlen (expected) - 1, changes);
+  anvil_config_log_pack_whole (sender, strlen (text) - 1, changes);
   ck_assert_uint_eq (changes->len, 0);
-  anvil_config_log_pack_whole (sender, strlen (expected), changes);
-  rest = (anvil_str_t){ .data = (const char *) changes->data, .length = changes->len };
-  ck_assert (anvil_config_change_unpack (&rest, &change));
-  ck_assert_int_eq (change.from_version, 0);
-  ck_assert_int_eq (change.to_version, 9);
-  text = anvil_config_log_apply (receiver, &change);
-  ck_assert_ptr_nonnull (text);
-  ck_assert (
-      anvil_str_equal ((anvil_str_t){ .data = (const char *) text->data, .length = text->len },
-                       anvil_str (expected)));
-  g_byte_array_unref (text);
+  anvil_config_log_pack_whole (sender, strlen (text), changes);
+  check_first_change (changes, 0, 9);
   g_byte_array_unref (changes);
-  g_free (expected);
+  g_free (text);
 }
 END_TEST
 
--- a/tests/test-relay-config-peers.c
+++ b/tests/test-relay-config-peers.c
@@ -42,23 +42,6 @@
   fleet_close (&fleet);
 }
 
-static void
-configure_routes (guint n, const char *service)
-{
-  GString *routes = g_string_new (NULL);
-
-  for (guint i = 0; i < n; i++)
-    g_string_append_printf (
-        routes,
-        "%s{\"resourceKind\":\"routes\",\"metadata\":{\"name\":\"more-%u\"},\"spec\":{\"host\":"
-        "\"" FLEET_HOST "\",\"prefix\":\"/more-%u/\",\"kind\":\"safe\",\"timeoutMs\":1500,"
-        "\"targetLatencyMs\":600,\"priority\":1,\"service\":\"%s\",\"maxAttempts\":3,"
-        "\"sticky\":true,\"allowedRegions\":[]}}",
-        i > 0 ? "," : "", i, i, i + 1 < n ? "photos" : service);
-  fleet_configure (&fleet, routes->str);
-  g_string_free (routes, TRUE);
-}
-
 static gboolean
 wait_for_version (const fleet_entry_t *waiting, anvil_time_t timeout)
 {
@@ -76,11 +59,11 @@
 START_TEST (test_a_change_of_a_large_configuration_is_in_force_in_time_behind_a_slow_link)
 {
   open_fleet (LINK_BYTES_PER_SECOND);
-  configure_routes (N_ROUTES, "photos");
+  fleet_configure_routes (&fleet, N_ROUTES, "photos");
   ck_assert (wait_for_version (entry, LOAD_TIMEOUT));
   for (guint i = 0; i < 4; i++)
     {
-      configure_routes (N_ROUTES, i % 2 == 0 ? "other" : "photos");
+      fleet_configure_routes (&fleet, N_ROUTES, i % 2 == 0 ? "other" : "photos");
       ck_assert (wait_for_version (entry, APPLY_TIME));
     }
 }
@@ -89,12 +72,12 @@
 START_TEST (test_a_configuration_is_in_force_in_time_where_the_store_does_not_answer)
 {
   open_fleet (0);
-  configure_routes (5, "photos");
+  fleet_configure_routes (&fleet, 5, "photos");
   ck_assert (wait_for_version (entry, APPLY_TIME));
   kill (proxy->pid, SIGSTOP);
   for (guint i = 0; i < 4; i++)
     {
-      configure_routes (6 + i, "photos");
+      fleet_configure_routes (&fleet, 6 + i, "photos");
       ck_assert (wait_for_version (entry, APPLY_TIME));
     }
   kill (proxy->pid, SIGCONT);
@@ -105,9 +88,9 @@
 {
   open_fleet (0);
   kill (proxy->pid, SIGSTOP);
-  configure_routes (N_ROUTES, "photos");
+  fleet_configure_routes (&fleet, N_ROUTES, "photos");
   ck_assert (wait_for_version (entry, APPLY_TIME));
-  configure_routes (N_ROUTES, "other");
+  fleet_configure_routes (&fleet, N_ROUTES, "other");
   ck_assert (wait_for_version (entry, APPLY_TIME));
   kill (proxy->pid, SIGCONT);
 }
@@ -122,7 +105,7 @@
   ck_assert_uint_eq (fleet_response_status (response), 404);
   g_free (response);
   kill (proxy->pid, SIGSTOP);
-  configure_routes (N_TOO_MANY_ROUTES, "photos");
+  fleet_configure_routes (&fleet, N_TOO_MANY_ROUTES, "photos");
   ck_assert (wait_for_version (peer, APPLY_TIME));
   g_usleep (APPLY_TIME);
   ck_assert_int_ne (fleet_read_metric (entry, "anvil_routes_version"), fleet.version);
--- a/tests/test-relay-slow-link.c
+++ b/tests/test-relay-slow-link.c
@@ -43,23 +43,6 @@
   fleet_close (&fleet);
 }
 
-static void
-configure_many_routes (guint n)
-{
-  GString *routes = g_string_new (NULL);
-
-  for (guint i = 0; i < n; i++)
-    g_string_append_printf (
-        routes,
-        "%s{\"resourceKind\":\"routes\",\"metadata\":{\"name\":\"more-%u\"},\"spec\":{\"host\":"
-        "\"" FLEET_HOST "\",\"prefix\":\"/more-%u/\",\"kind\":\"safe\",\"timeoutMs\":1500,"
-        "\"targetLatencyMs\":600,\"priority\":1,\"service\":\"photos\",\"maxAttempts\":3,"
-        "\"sticky\":true,\"allowedRegions\":[]}}",
-        i > 0 ? "," : "", i, i);
-  fleet_configure (&fleet, routes->str);
-  g_string_free (routes, TRUE);
-}
-
 static void
 put_other_upstreams (void)
 {
@@ -106,7 +89,7 @@
 {
   kill (proxy->pid, SIGSTOP);
   for (guint i = 0; i < N_MISSED_VERSIONS; i++)
-    configure_many_routes (N_ROUTES);
+    fleet_configure_routes (&fleet, N_ROUTES, "photos");
   end_outage_and_wait ();
   ck_assert_int_eq (fleet_read_metric (entry, "anvil_routes_version"), fleet.version);
 }
@@ -114,7 +97,7 @@
 
 START_TEST (test_a_configuration_that_takes_longer_than_a_call_is_in_force_in_time)
 {
-  configure_many_routes (N_LARGE_ROUTES);
+  fleet_configure_routes (&fleet, N_LARGE_ROUTES, "photos");
   g_usleep (FLEET_RESYNC_TIME);
   ck_assert_int_eq (fleet_read_metric (entry, "anvil_routes_version"), fleet.version);
 }
