Log what upstreams say of themselves, and which ids a connection has carried

Change: "attempt failed" says whether its connection had carried the id before, "sent" whether the granted upstream is excluded, and a new line names each head of a response with Server-Leaving, or with Retry-After on 503. What is read is logged and changes nothing else.

--- a/include/anvil/header-names.h
+++ b/include/anvil/header-names.h
@@ -15,6 +15,7 @@
  * @not_run: in a response: the upstream has not run the request
  * @request_limit: in a response: requests a second that the upstream takes from all entries, as a
  *   decimal number
+ * @leaving: in a response: "1" if the upstream is about to end
  * @load: the upstream's running and waiting requests and its slots
  */
 typedef struct
@@ -27,5 +28,6 @@
   const char *response_marker;
   const char *not_run;
   const char *request_limit;
+  const char *leaving;
   const char *load;
 } anvil_header_names_t;
--- a/include/anvil/str.h
+++ b/include/anvil/str.h
@@ -36,3 +36,7 @@
 
 /** anvil_str_hash - 64-bit hash (XXH3), the same on every machine */
 guint64 anvil_str_hash (anvil_str_t s);
+
+/** anvil_str_parse_decimal - parses digits with at most one decimal point between or behind them,
+ * surrounded by blanks; FALSE for anything else */
+gboolean anvil_str_parse_decimal (anvil_str_t text, gdouble *number);
--- a/source/core/str.c
+++ b/source/core/str.c
@@ -3,6 +3,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Longest text of a number; a double has no more significant digits. */
+#define MAX_DIGITS 40
+
 anvil_str_t
 anvil_str (const char *text)
 {
@@ -37,3 +40,33 @@
 {
   return XXH3_64bits (s.data, s.length);
 }
+
+static gboolean
+is_blank (char character)
+{
+  return character == ' ' || character == '\t';
+}
+
+gboolean
+anvil_str_parse_decimal (anvil_str_t text, gdouble *number)
+{
+  char digits[MAX_DIGITS + 1];
+  guint n_points = 0;
+
+  while (text.length > 0 && is_blank (text.data[0]))
+    text = (anvil_str_t){ .data = text.data + 1, .length = text.length - 1 };
+  while (text.length > 0 && is_blank (text.data[text.length - 1]))
+    text.length--;
+  if (text.length == 0 || text.length > MAX_DIGITS || !g_ascii_isdigit (text.data[0]))
+    return FALSE;
+  for (gsize i = 0; i < text.length; i++)
+    {
+      n_points += text.data[i] == '.';
+      if (n_points > 1 || (text.data[i] != '.' && !g_ascii_isdigit (text.data[i])))
+        return FALSE;
+    }
+  memcpy (digits, text.data, text.length);
+  digits[text.length] = '\0';
+  *number = g_ascii_strtod (digits, NULL);
+  return TRUE;
+}
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -205,17 +205,30 @@
 
   anvil_log (ANVIL_LOG_INFO, "request",
              "attempt failed request=%s upstream=%s attempt=%u status=%u marker=%d not_run=%d "
-             "id=%d responder=%s connection_reused=%d reason=\"%s\" took_ms=%" G_GINT64_FORMAT,
+             "id=%d responder=%s connection_reused=%d id_repeated=%d reason=\"%s\" "
+             "took_ms=%" G_GINT64_FORMAT,
              text_or_dash (job->request->id), job->upstream_id, job->task.attempt, response->status,
              response->has_marker, response->not_run, response->has_id,
              text_or_dash (response->upstream_id), response->connection_reused,
-             text_or_dash (outcome->reason), outcome->duration / ANVIL_MS);
+             response->id_repeated, text_or_dash (outcome->reason), outcome->duration / ANVIL_MS);
   if (anvil_http_status_is_promise (response->status) && outcome->result != ANVIL_RUN_SHED
       && !outcome->misdirected)
     anvil_metrics_add_counter (job->jobs->options.metrics, "anvil_unconfirmed_rejections_total", "",
                                1);
 }
 
+static void
+on_announced (void *context, const anvil_announcement_t *announcement)
+{
+  const job_t *job = context;
+
+  anvil_log (ANVIL_LOG_INFO, "request",
+             "upstream says something of itself request=%s upstream=%s service=%s leaving=%d "
+             "pause_ms=%" G_GINT64_FORMAT,
+             text_or_dash (job->request->id), job->upstream_id, job->service, announcement->leaving,
+             announcement->pause / ANVIL_MS);
+}
+
 static void
 on_attempt_done (void *context, const anvil_relay_attempt_outcome_t *outcome)
 {
@@ -289,6 +302,17 @@
   return read_at == G_MAXINT64 ? -1 : (now - read_at) / ANVIL_MS;
 }
 
+static gboolean
+is_excluded (const anvil_task_t *task, guint64 upstream)
+{
+  for (guint i = 0; i < task->n_excluded; i++)
+    {
+      if (task->excluded[i] == upstream)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 start_attempt (job_t *job, const anvil_slot_grant_t *grant)
 {
@@ -315,18 +339,19 @@
                                                 .idempotent = job_is_idempotent (job),
                                                 .new_connection = job->may_return,
                                                 .timeout = job->task.deadline - now,
+                                                .announced = on_announced,
                                             },
                                             on_attempt_done, job);
   anvil_log (ANVIL_LOG_INFO, "request",
              "sent request=%s route=%s service=%s object=%" G_GINT64_MODIFIER
-             "x holder=%s upstream=%s zone=%.*s warm=%d attempt=%u "
+             "x holder=%s upstream=%s zone=%.*s warm=%d attempt=%u excluded=%d "
              "waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
              " registry_age_ms=%" G_GINT64_FORMAT,
              text_or_dash (request->id), job->route, job->service, job->task.object,
              anvil_slot_broker_vm_name (jobs->options.slot_broker, job->holder), job->upstream_id,
              ANVIL_STR_ARGS (grant->zone), grant->warm, job->task.attempt,
-             (now - request->received_at) / ANVIL_MS, (job->task.deadline - now) / ANVIL_MS,
-             registry_age_ms (jobs, now));
+             is_excluded (&job->task, grant->upstream), (now - request->received_at) / ANVIL_MS,
+             (job->task.deadline - now) / ANVIL_MS, registry_age_ms (jobs, now));
 }
 
 static job_t *
--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -11,6 +11,9 @@
 
 typedef struct upstream_connection upstream_connection_t;
 
+/* Most requests that one connection carries. */
+#define MAX_CONNECTION_REQUESTS 64
+
 struct anvil_relay_upstream_pool
 {
   struct event_base *base;
@@ -30,6 +33,8 @@
 /**
  * upstream_connection - one connection to an upstream
  * @attempt: attempt that uses it, or NULL while it is idle
+ * @id_hashes: hashes of the ids of the requests that it has carried, 0 for a request without one
+ * @n_requests: number of these requests
  * @idle_timeout: how long it may stay idle
  * @idle_since: when its last response ended
  * @close_after_response: the upstream announced that it will close the connection
@@ -44,6 +49,8 @@
   struct bufferevent *stream;
   anvil_relay_attempt_t *attempt;
   gboolean reused;
+  guint64 id_hashes[MAX_CONNECTION_REQUESTS];
+  guint n_requests;
   anvil_time_t idle_timeout;
   anvil_time_t idle_since;
   gboolean close_after_response;
@@ -54,12 +61,14 @@
  * anvil_relay_attempt - one request and its response
  * @request_bytes: size of the request on the wire
  * @peer_timer: checks whether the upstream still acknowledges a long request, or NULL
+ * @id_repeated: the connection had carried a request with the same id before
  * @in_body: the head of the response has ended; later fields are trailers
  * @response_request_id: request id in the response, or NULL
  * @response_upstream_id: upstream that the response names as its sender, or NULL
  * @has_response_marker: the response carries the marker header
  * @not_run: the response says that the request has not run
  * @request_limit: request limit that the response names
+ * @announcement: what the response says of its upstream
  * @has_content_encoding: the response has a Content-Encoding other than identity
  * @response_complete: the parser has reached the end of a response
  * @n_mismatched: responses to other requests so far
@@ -70,10 +79,12 @@
 {
   upstream_connection_t *connection;
   anvil_relay_attempt_cb_t done;
+  anvil_relay_announced_cb_t announced;
   void *context;
   char *request_id;
   char *upstream_id;
   gboolean is_head;
+  gboolean id_repeated;
   gsize request_bytes;
   struct event *peer_timer;
   anvil_time_t started_at;
@@ -89,6 +100,7 @@
   gboolean has_response_marker;
   gboolean not_run;
   anvil_request_limit_t request_limit;
+  anvil_announcement_t announcement;
   gboolean has_content_encoding;
   gboolean response_complete;
   guint n_mismatched;
@@ -110,6 +122,12 @@
 upstream_connection_t *pool_take_idle (anvil_relay_upstream_pool_t *pool,
                                        const anvil_relay_upstream_request_t *request);
 
+/* Whether a connection has carried a request with this id, or with none if it is NULL. */
+gboolean upstream_connection_has_carried (const upstream_connection_t *connection,
+                                          const char *request_id);
+
+void upstream_connection_add_request (upstream_connection_t *connection, const char *request_id);
+
 /* Parses bytes of a response, or the end of the stream if @length is 0. Returns the number of bytes
  * consumed; stops after each complete response. */
 size_t attempt_parse (anvil_relay_attempt_t *attempt, const char *bytes, size_t length);
--- a/source/relay/relay-upstream-pool.c
+++ b/source/relay/relay-upstream-pool.c
@@ -50,6 +50,32 @@
          || (readable.fd >= 0 && poll (&readable, 1, 0) > 0);
 }
 
+static guint64
+hash_request_id (const char *request_id)
+{
+  return request_id != NULL ? anvil_str_hash (anvil_str (request_id)) : 0;
+}
+
+gboolean
+upstream_connection_has_carried (const upstream_connection_t *connection, const char *request_id)
+{
+  const guint64 hash = hash_request_id (request_id);
+
+  for (guint i = 0; i < MIN (connection->n_requests, MAX_CONNECTION_REQUESTS); i++)
+    {
+      if (connection->id_hashes[i] == hash)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+upstream_connection_add_request (upstream_connection_t *connection, const char *request_id)
+{
+  connection->id_hashes[connection->n_requests++ % MAX_CONNECTION_REQUESTS]
+      = hash_request_id (request_id);
+}
+
 /* Returns an idle connection that may carry the request, or NULL. */
 upstream_connection_t *
 pool_take_idle (anvil_relay_upstream_pool_t *pool, const anvil_relay_upstream_request_t *request)
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -3,6 +3,7 @@
 #include <limits.h>
 #include <string.h>
 
+#include "anvil/log.h"
 #include "net/http-framing.h"
 #include "relay/http-field.h"
 #include "relay/http-status.h"
@@ -52,6 +53,7 @@
                                    .not_run = attempt->not_run,
                                    .has_id = attempt->response_request_id != NULL,
                                    .connection_reused = attempt->connection->reused,
+                                   .id_repeated = attempt->id_repeated,
                                    .upstream_id = attempt->response_upstream_id };
 }
 
@@ -135,6 +137,7 @@
   attempt->has_response_marker = FALSE;
   attempt->not_run = FALSE;
   attempt->request_limit = (anvil_request_limit_t){ .state = ANVIL_REQUEST_LIMIT_NONE };
+  attempt->announcement = (anvil_announcement_t){ 0 };
   attempt->has_content_encoding = FALSE;
   attempt->response_complete = FALSE;
   g_clear_pointer (&attempt->response_request_id, g_free);
@@ -157,6 +160,19 @@
   connection->idle_timeout = MAX (seconds * ANVIL_SECOND - IDLE_TIMEOUT_MARGIN, 0);
 }
 
+static void
+process_retry_after (anvil_relay_attempt_t *attempt, anvil_str_t value)
+{
+  anvil_time_t pause;
+
+  if (anvil_announcement_parse_pause (value, &pause))
+    attempt->announcement.pause = MAX (attempt->announcement.pause, pause);
+  else
+    anvil_log (ANVIL_LOG_INFO, "upstream",
+               "Retry-After is not a number of seconds, ignored upstream=%s request=%s",
+               attempt->upstream_id, attempt->request_id != NULL ? attempt->request_id : "-");
+}
+
 static void
 process_field (anvil_relay_attempt_t *attempt)
 {
@@ -182,6 +198,10 @@
     attempt->not_run = TRUE;
   else if (anvil_http_field_name_is (name, header_names->request_limit))
     anvil_request_limit_add_field (&attempt->request_limit, value);
+  else if (anvil_http_field_name_is (name, header_names->leaving))
+    attempt->announcement.leaving |= anvil_str_equal (value, anvil_str ("1"));
+  else if (anvil_http_field_name_is (name, "Retry-After"))
+    process_retry_after (attempt, value);
   else if (anvil_http_field_name_is (name, "Content-Encoding"))
     attempt->has_content_encoding = !anvil_http_field_name_is (value, "identity");
   else if (anvil_http_field_name_is (name, "Connection"))
@@ -236,6 +256,28 @@
          && parser->status_code >= 200 && parser->status_code != 204 && parser->status_code != 304;
 }
 
+/* Whether the head that was parsed is the upstream's own: it answers this request, and an upstream
+ * that got it has written it. */
+static gboolean
+is_upstreams_own_response (const anvil_relay_attempt_t *attempt)
+{
+  guint status = attempt->parser.status_code;
+
+  return attempt_response_matches (attempt) && !is_from_another_upstream (attempt)
+         && status != STATUS_MISDIRECTED
+         && (attempt->has_response_marker || attempt->not_run || status < 200);
+}
+
+static void
+announce (anvil_relay_attempt_t *attempt)
+{
+  if (attempt->parser.status_code != STATUS_UNAVAILABLE)
+    attempt->announcement.pause = 0;
+  if ((attempt->announcement.leaving || attempt->announcement.pause > 0)
+      && attempt->announced != NULL && is_upstreams_own_response (attempt))
+    attempt->announced (attempt->context, &attempt->announcement);
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -243,6 +285,7 @@
 
   process_field (attempt);
   attempt->in_body = TRUE;
+  announce (attempt);
   /* The response to this request can't follow it. */
   if (!attempt->is_head && has_no_length (parser) && !attempt_response_matches (attempt))
     return -1;
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -424,6 +424,7 @@
   anvil_relay_attempt_t *attempt = g_new0 (anvil_relay_attempt_t, 1);
 
   attempt->done = done;
+  attempt->announced = request->announced;
   attempt->context = context;
   attempt->request_id = g_strdup (request->id);
   attempt->upstream_id = g_strdup (request->upstream_id);
@@ -439,6 +440,8 @@
   if (attempt->connection == NULL)
     attempt->connection = connection_open (pool, request);
   attempt->connection->attempt = attempt;
+  attempt->id_repeated = upstream_connection_has_carried (attempt->connection, request->id);
+  upstream_connection_add_request (attempt->connection, request->id);
   g_hash_table_add (pool->attempts, attempt);
   write_request (attempt, request);
   detect_silent_peer (attempt, request->timeout);
--- a/source/relay/relay-upstream.h
+++ b/source/relay/relay-upstream.h
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 
+#include "anvil/announcement.h"
 #include "anvil/byte-counts.h"
 #include "anvil/clock.h"
 #include "anvil/dispatcher.h"
@@ -19,6 +20,12 @@
 typedef struct anvil_relay_upstream_pool anvil_relay_upstream_pool_t;
 typedef struct anvil_relay_attempt anvil_relay_attempt_t;
 
+/* Called when the head of a response to the request has arrived in which the upstream says
+ * something of itself; not from inside a function of this module, and before the attempt's
+ * callback. The rest of the response may never arrive. The attempt must not be cancelled here. */
+typedef void (*anvil_relay_announced_cb_t) (void *context,
+                                            const anvil_announcement_t *announcement);
+
 /**
  * anvil_relay_upstream_request_t - a request for an upstream; everything is borrowed
  * @upstream_key: key of the upstream; idle connections are found by it
@@ -34,6 +41,7 @@
  * @new_connection: it is not sent on an idle connection. The upstream may have rejected it there
  *   before, and write the rejection once more
  * @timeout: how long the upstream may take, microseconds
+ * @announced: called with the context of the attempt; or NULL
  */
 typedef struct
 {
@@ -49,6 +57,7 @@
   gboolean idempotent;
   gboolean new_connection;
   anvil_time_t timeout;
+  anvil_relay_announced_cb_t announced;
 } anvil_relay_upstream_request_t;
 
 /**
@@ -58,6 +67,7 @@
  * @not_run: it states that the request has not run
  * @has_id: it has the id of the request
  * @connection_reused: it arrived on a connection that had carried another response
+ * @id_repeated: the connection had carried a request with the same id before
  * @upstream_id: id of the upstream that it names as its sender, or NULL; borrowed
  */
 typedef struct
@@ -67,6 +77,7 @@
   gboolean not_run;
   gboolean has_id;
   gboolean connection_reused;
+  gboolean id_repeated;
   const char *upstream_id;
 } anvil_relay_response_t;
 
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -28,7 +28,8 @@
                                                    .upstream_id = "Instance-Id",
                                                    .response_marker = "Server-Stamp",
                                                    .not_run = "Not-Run",
-                                                   .request_limit = "Server-Limit" };
+                                                   .request_limit = "Server-Limit",
+                                                   .leaving = "Server-Leaving" };
 
 static struct event_base *base;
 static anvil_relay_upstream_pool_t *pool;
