--- a/standins/anvil-registrant-report.c
+++ b/standins/anvil-registrant-report.c
@@ -17,18 +17,37 @@
   return evhttp_find_header (evhttp_request_get_input_headers (request), name);
 }
 
-void
-registrant_send_copy (struct evhttp_request *request, const char *text)
+/* Sends bytes past evhttp, which leaves the connection as it is. */
+static void
+send_raw (struct evhttp_request *request, const char *bytes)
 {
   struct evhttp_connection *connection = evhttp_request_get_connection (request);
   evutil_socket_t fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
+
+  if (send (fd, bytes, strlen (bytes), MSG_NOSIGNAL) < 0)
+    anvil_log (ANVIL_LOG_INFO, "upstream", "caller disconnected");
+}
+
+void
+registrant_send_copy (struct evhttp_request *request, const char *text)
+{
   char *response
       = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: x\r\n"
                          "Content-Length: %zu\r\n\r\n%s",
                          registrant_request_header (request, "Request-Id"), strlen (text), text);
 
-  if (send (fd, response, strlen (response), MSG_NOSIGNAL) < 0)
-    anvil_log (ANVIL_LOG_INFO, "upstream", "caller disconnected");
+  send_raw (request, response);
+  g_free (response);
+}
+
+void
+registrant_send_copy_of_refusal (struct evhttp_request *request)
+{
+  char *response = g_strdup_printf ("HTTP/1.1 503 Unavailable\r\nRequest-Id: %s\r\nNot-Run: 1\r\n"
+                                    "Content-Length: 0\r\n\r\n",
+                                    registrant_request_header (request, "Request-Id"));
+
+  send_raw (request, response);
   g_free (response);
 }
 
--- a/standins/anvil-registrant.c
+++ b/standins/anvil-registrant.c
@@ -12,6 +12,8 @@
  *     unsigned         no Server-Stamp header
  *     error            status 500
  *     rejected         status 503 with Not-Run; the request isn't run
+ *     refused-once     status 503 with Not-Run the first time; if it comes again on the same
+ *                      connection, a copy of that comes before the response of the run
  *     unframed         body without Content-Length that ends with the connection
  *     stray            a response to another request comes first
  *     copies           the response comes twice
@@ -20,9 +22,14 @@
  *   size=BYTES       length of the body, with fault=error
  *   echo=headers     the response's body includes the headers of the request
  * GET /runs returns the number of runs by request ID: {"ID": COUNT}. POST /limit?value=TEXT makes
- * it name a request limit in its responses, an empty TEXT ends that. SIGTERM starts a drain.
+ * it name a request limit in its responses, an empty TEXT ends that. POST /leaving?value=1 makes it
+ * say in its responses that it leaves, whatever its row says; an empty value ends that. POST
+ * /retry-after?value=TEXT makes it refuse all requests with that Retry-After, until the value is
+ * empty. SIGTERM starts a drain.
  * With --runs, lines are appended to a file: "start TIME -" when the process starts,
  * "run TIME ID" for each run, "limit TIME TEXT" for each request to name a limit ("-" to end it),
+ * "leaving TIME TEXT" and "retry-after TIME TEXT" alike, "refused TIME ID" for each request that it
+ * refuses with a Retry-After,
  * and "draining TIME -" when the store has accepted the row that announces the drain. Times are in
  * microseconds since 1970.
  */
@@ -68,6 +75,7 @@
   set_header (request, "Request-Id", registrant_request_header (request, "Request-Id"));
   set_header (request, "Server-Load", load);
   set_header (request, "Server-Limit", upstream->request_limit);
+  set_header (request, "Server-Leaving", upstream->leaving);
   evbuffer_add (body, text, strlen (text));
   evhttp_send_reply (request, status, NULL, body);
   evbuffer_free (body);
@@ -196,23 +204,40 @@
   json_decref (root);
 }
 
+/* Sets one of the texts that later responses carry. */
 static void
-on_set_limit (struct evhttp_request *request, upstream_t *upstream)
+on_set_text (struct evhttp_request *request, upstream_t *upstream, const char *event, char **text)
 {
-  const char *text = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
+  const char *query_text = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
   struct evkeyvalq query;
   const char *value;
 
-  evhttp_parse_query_str (text != NULL ? text : "", &query);
+  evhttp_parse_query_str (query_text != NULL ? query_text : "", &query);
   value = evhttp_find_header (&query, "value");
-  g_free (upstream->request_limit);
-  upstream->request_limit = value != NULL && value[0] != '\0' ? g_strdup (value) : NULL;
-  registrant_log_event (upstream, "limit",
-                        upstream->request_limit != NULL ? upstream->request_limit : "-");
+  g_free (*text);
+  *text = value != NULL && value[0] != '\0' ? g_strdup (value) : NULL;
+  registrant_log_event (upstream, event, *text != NULL ? *text : "-");
   evhttp_clear_headers (&query);
   respond (upstream, request, HTTP_OK, "");
 }
 
+/* Handles a request that controls the stand-in. Returns FALSE if it is another one. */
+static gboolean
+on_control (struct evhttp_request *request, upstream_t *upstream, const char *path)
+{
+  if (strcmp (path, "/runs") == 0)
+    on_get_runs (request, upstream);
+  else if (strcmp (path, "/limit") == 0)
+    on_set_text (request, upstream, "limit", &upstream->request_limit);
+  else if (strcmp (path, "/leaving") == 0)
+    on_set_text (request, upstream, "leaving", &upstream->leaving);
+  else if (strcmp (path, "/retry-after") == 0)
+    on_set_text (request, upstream, "retry-after", &upstream->retry_after);
+  else
+    return FALSE;
+  return TRUE;
+}
+
 static int
 default_status (const char *fault)
 {
@@ -248,6 +273,36 @@
   return job;
 }
 
+static void
+refuse (upstream_t *upstream, struct evhttp_request *request, int status)
+{
+  set_header (request, "Not-Run", "1");
+  respond (upstream, request, status, "");
+}
+
+/* Whether the request is to be refused because it comes for the first time. If it was refused on
+ * this connection before, a copy of that is written. */
+static gboolean
+is_refused_once (registrant_job_t *job)
+{
+  const char *id = registrant_request_header (job->request, "Request-Id");
+  gpointer connection = evhttp_request_get_connection (job->request);
+  gpointer refused_on;
+
+  if (strcmp (job->fault, "refused-once") != 0)
+    return FALSE;
+  job->fault[0] = '\0';
+  if (!g_hash_table_lookup_extended (job->upstream->refused_ids, id, NULL, &refused_on))
+    {
+      g_hash_table_insert (job->upstream->refused_ids, g_strdup (id), connection);
+      job->status = HTTP_SERVUNAVAIL;
+      return TRUE;
+    }
+  if (refused_on == connection)
+    registrant_send_copy_of_refusal (job->request);
+  return FALSE;
+}
+
 static void
 on_request (struct evhttp_request *request, void *data)
 {
@@ -257,16 +312,8 @@
   struct evhttp_connection *connection = evhttp_request_get_connection (request);
   registrant_job_t *job;
 
-  if (strcmp (path, "/runs") == 0)
-    {
-      on_get_runs (request, upstream);
-      return;
-    }
-  if (strcmp (path, "/limit") == 0)
-    {
-      on_set_limit (request, upstream);
-      return;
-    }
+  if (on_control (request, upstream, path))
+    return;
   set_header (request, "Instance-Id", upstream->settings[ID].text);
   if (expected != NULL && strcmp (expected, upstream->settings[ID].text) != 0)
     {
@@ -276,15 +323,20 @@
   if (registrant_request_header (request, "Request-Id") == NULL
       || upstream->waiting.length >= upstream->settings[QUEUE].integer)
     {
-      set_header (request, "Not-Run", "1");
-      respond (upstream, request, HTTP_SERVUNAVAIL, "");
+      refuse (upstream, request, HTTP_SERVUNAVAIL);
+      return;
+    }
+  if (upstream->retry_after != NULL)
+    {
+      registrant_log_event (upstream, "refused", registrant_request_header (request, "Request-Id"));
+      set_header (request, "Retry-After", upstream->retry_after);
+      refuse (upstream, request, HTTP_SERVUNAVAIL);
       return;
     }
   job = job_new (upstream, request);
-  if (strcmp (job->fault, "rejected") == 0)
+  if (strcmp (job->fault, "rejected") == 0 || is_refused_once (job))
     {
-      set_header (request, "Not-Run", "1");
-      respond (upstream, request, job->status, "");
+      refuse (upstream, request, job->status);
       job_drop (job);
       return;
     }
@@ -331,6 +383,7 @@
           .base = event_base_new (),
           .started_at = anvil_clock_wall () / ANVIL_MS,
           .run_counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+          .refused_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
           .warm_objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL) };
   const struct timeval heartbeat
       = { .tv_sec = settings[HEARTBEAT_MS].integer / 1000,
@@ -372,7 +425,10 @@
   g_hash_table_unref (upstream.run_counts);
   g_hash_table_unref (upstream.warm_objects);
   event_base_free (upstream.base);
+  g_hash_table_unref (upstream.refused_ids);
   g_free (upstream.request_limit);
+  g_free (upstream.leaving);
+  g_free (upstream.retry_after);
   g_free (upstream.endpoint);
   g_free (host);
   return EXIT_SUCCESS;
--- a/standins/anvil-registrant.h
+++ b/standins/anvil-registrant.h
@@ -45,8 +45,14 @@
   GHashTable *run_counts;
   /* Set of objects that were requested before; a request for one takes WARM_MS. */
   GHashTable *warm_objects;
-  /* Server-Limit header of its responses, or NULL. */
+  /* Connections on which requests with the fault "refused-once" were refused, by request ID; only
+   * compared. */
+  GHashTable *refused_ids;
+  /* Server-Limit and Server-Leaving headers of its responses, or NULL. */
   char *request_limit;
+  char *leaving;
+  /* Retry-After header with which it refuses all requests, or NULL. */
+  char *retry_after;
   /* File that events are logged to, or NULL. */
   FILE *event_log;
 } upstream_t;
@@ -73,6 +79,8 @@
 /* Sends a response past evhttp, which leaves the connection as it is. */
 void registrant_send_copy (struct evhttp_request *request, const char *text);
 
+void registrant_send_copy_of_refusal (struct evhttp_request *request);
+
 /* Logs an event. Each line is written at once, so that a killed process leaves no partial line. */
 void registrant_log_event (upstream_t *upstream, const char *event, const char *id);
 
--- a/tests/test-relay-promises.c
+++ b/tests/test-relay-promises.c
@@ -112,6 +112,29 @@
 }
 END_TEST
 
+/* A caller sends a refused request again under its id; the upstream that runs it then writes a copy
+ * of its refusal first. */
+START_TEST (test_a_copy_of_a_refusal_is_not_passed_on_for_a_request_that_runs)
+{
+  for (guint i = 0; i < 20; i++)
+    {
+      char *id = g_strdup_printf ("again-%u", i);
+      guint status = 503;
+
+      for (guint n = 0; n < 5 && status == 503 && fleet_count_runs (&fleet, id) == 0; n++)
+        {
+          char *response = request ("POST", "/pay/", "fault=refused-once", id);
+
+          status = fleet_response_status (response);
+          g_free (response);
+        }
+      ck_assert_uint_eq (fleet_count_runs (&fleet, id), 1);
+      ck_assert_msg (!is_promise (status), "%s: %u although it ran", id, status);
+      g_free (id);
+    }
+}
+END_TEST
+
 /* Upstreams that are used again show that they weren't taken for others at their address. */
 START_TEST (test_upstreams_that_answer_421_to_their_own_requests_stay_in_use)
 {
@@ -215,6 +238,7 @@
   tcase_add_test (tests, test_a_safe_request_that_ran_is_not_answered_with_a_promise);
   tcase_add_test (tests, test_a_promise_without_marker_is_not_passed_on);
   tcase_add_test (tests, test_a_request_that_all_upstreams_reject_is_refused_with_a_promise);
+  tcase_add_test (tests, test_a_copy_of_a_refusal_is_not_passed_on_for_a_request_that_runs);
   tcase_add_test (tests, test_upstreams_that_answer_421_to_their_own_requests_stay_in_use);
   tcase_add_test (tests, test_the_log_tells_whose_status_a_caller_got);
   suite_add_tcase (suite, tests);
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -109,7 +109,8 @@
   evbuffer_add (body, filler, length);
   g_free (filler);
   is_done = FALSE;
-  g_string_printf (headers, "Request-Id: %s\r\n", id);
+  if (id != NULL)
+    g_string_printf (headers, "Request-Id: %s\r\n", id);
   attempt = anvil_relay_attempt_start (pool, &request, attempt_callback, NULL);
   g_string_free (headers, TRUE);
   evbuffer_free (body);
@@ -470,6 +471,50 @@
 }
 END_TEST
 
+/* Guards against the copy of a refusal that arrives when its request is under way again: nothing in
+ * the copy tells whether it answers the first or the second time. */
+START_TEST (test_a_request_that_comes_again_is_not_sent_on_the_connection_that_carried_it)
+{
+  static const char *const first_responses[] = { REJECTION_OF ("one"), RESPONSE_TO ("one") };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (first_responses); i++)
+    {
+      int used;
+      int fd;
+
+      start_attempt ();
+      used = accept_request ();
+      send_response (used, first_responses[i]);
+      start_attempt_for ("one");
+      fd = accept_request ();
+      send_response (fd, RESPONSE_TO ("one"));
+      ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+      close (fd);
+      close (used);
+    }
+}
+END_TEST
+
+START_TEST (test_requests_without_an_id_are_sent_on_connections_of_their_own)
+{
+  static const char rejection[]
+      = "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  int used;
+  int fd;
+
+  start_attempt_for (NULL);
+  used = accept_request ();
+  send_response (used, rejection);
+  ck_assert_int_eq (result, ANVIL_RUN_SHED);
+  start_attempt_for (NULL);
+  fd = accept_request ();
+  send_response (fd, "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n");
+  ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+  close (fd);
+  close (used);
+}
+END_TEST
+
 START_TEST (test_another_request_is_sent_on_the_connection_of_a_rejected_one)
 {
   int fd;
@@ -861,6 +906,9 @@
   tcase_add_test (tests, test_a_late_copy_is_not_the_response_to_the_next_request);
   tcase_add_test (tests, test_a_rejection_without_an_id_counts_only_on_a_new_connection);
   tcase_add_test (tests, test_a_rejected_request_that_returns_is_sent_on_a_new_connection);
+  tcase_add_test (tests,
+                  test_a_request_that_comes_again_is_not_sent_on_the_connection_that_carried_it);
+  tcase_add_test (tests, test_requests_without_an_id_are_sent_on_connections_of_their_own);
   tcase_add_test (tests, test_another_request_is_sent_on_the_connection_of_a_rejected_one);
   tcase_add_test (tests,
                   test_a_rejection_without_an_id_does_not_count_behind_a_response_to_another);
