Never send a request on a connection that has carried its id

What callers saw: 503, a promise that a request has not run, for requests that ran; unsafe requests also ran at a second upstream.

Cause: an upstream may write the copy of a refusal where the next response is due. It bears the id of the refused request. If that request was under way again on the same connection, the copy was taken for its answer. Requests without an id took any response without one.

Change: a connection keeps the hashes of the ids that it has carried and takes none of them again; it is closed after 64 requests. A request without an id gets a connection of its own. This replaces the flag for requests that may return to an upstream, which covered only a request that had used up its exclusions, not one that its caller or a late grant brings back. id_repeated leaves the log, as it can't be true any more.

--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -35,8 +35,6 @@
  * @n_deadline_extensions: how often the deadline was extended to read what has arrived
  * @n_attempts: attempts so far, of any outcome
  * @unsent_attempts: attempts that failed before anything was sent
- * @may_return: more attempts have failed than upstreams can be excluded, so the request may be sent
- *   to one of them again
  * @may_have_run: an upstream may have run the request
  * @saved_status: status of an upstream's failure response, which is passed on if no retry succeeds;
  *   or 0
@@ -59,7 +57,6 @@
   guint n_deadline_extensions;
   guint n_attempts;
   guint unsent_attempts;
-  gboolean may_return;
   gboolean may_have_run;
   guint saved_status;
   GString *saved_headers;
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -128,10 +128,7 @@
   anvil_task_t *task = &job->task;
 
   if (task->n_excluded == ANVIL_MAX_EXCLUDED_UPSTREAMS)
-    {
-      memmove (task->excluded, task->excluded + 1, (--task->n_excluded) * sizeof *task->excluded);
-      job->may_return = TRUE;
-    }
+    memmove (task->excluded, task->excluded + 1, (--task->n_excluded) * sizeof *task->excluded);
   task->excluded[task->n_excluded++] = upstream;
 }
 
@@ -205,12 +202,12 @@
 
   anvil_log (ANVIL_LOG_INFO, "request",
              "attempt failed request=%s upstream=%s attempt=%u status=%u marker=%d not_run=%d "
-             "id=%d responder=%s connection_reused=%d id_repeated=%d reason=\"%s\" "
+             "id=%d responder=%s connection_reused=%d reason=\"%s\" "
              "took_ms=%" G_GINT64_FORMAT,
              text_or_dash (job->request->id), job->upstream_id, job->task.attempt, response->status,
              response->has_marker, response->not_run, response->has_id,
              text_or_dash (response->upstream_id), response->connection_reused,
-             response->id_repeated, text_or_dash (outcome->reason), outcome->duration / ANVIL_MS);
+             text_or_dash (outcome->reason), outcome->duration / ANVIL_MS);
   if (anvil_http_status_is_promise (response->status) && outcome->result != ANVIL_RUN_SHED
       && !outcome->misdirected)
     anvil_metrics_add_counter (job->jobs->options.metrics, "anvil_unconfirmed_rejections_total", "",
@@ -337,7 +334,6 @@
                                                 .body = request->body,
                                                 .id = request->id,
                                                 .idempotent = job_is_idempotent (job),
-                                                .new_connection = job->may_return,
                                                 .timeout = job->task.deadline - now,
                                                 .announced = on_announced,
                                             },
--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -11,7 +11,7 @@
 
 typedef struct upstream_connection upstream_connection_t;
 
-/* Most requests that one connection carries. */
+/* A connection that has carried so many requests is closed, since it keeps their ids. */
 #define MAX_CONNECTION_REQUESTS 64
 
 struct anvil_relay_upstream_pool
@@ -33,7 +33,8 @@
 /**
  * upstream_connection - one connection to an upstream
  * @attempt: attempt that uses it, or NULL while it is idle
- * @id_hashes: hashes of the ids of the requests that it has carried, 0 for a request without one
+ * @id_hashes: hashes of the ids of the requests that it has carried; of an empty text for one
+ * without an id
  * @n_requests: number of these requests
  * @idle_timeout: how long it may stay idle
  * @idle_since: when its last response ended
@@ -61,7 +62,6 @@
  * anvil_relay_attempt - one request and its response
  * @request_bytes: size of the request on the wire
  * @peer_timer: checks whether the upstream still acknowledges a long request, or NULL
- * @id_repeated: the connection had carried a request with the same id before
  * @in_body: the head of the response has ended; later fields are trailers
  * @response_request_id: request id in the response, or NULL
  * @response_upstream_id: upstream that the response names as its sender, or NULL
@@ -84,7 +84,6 @@
   char *request_id;
   char *upstream_id;
   gboolean is_head;
-  gboolean id_repeated;
   gsize request_bytes;
   struct event *peer_timer;
   anvil_time_t started_at;
@@ -122,7 +121,8 @@
 upstream_connection_t *pool_take_idle (anvil_relay_upstream_pool_t *pool,
                                        const anvil_relay_upstream_request_t *request);
 
-/* Whether a connection has carried a request with this id, or with none if it is NULL. */
+/* Whether a connection has carried a request with this id. An upstream may write a response to it
+ * again, late, and nothing in that tells for which of two requests with one id it is. */
 gboolean upstream_connection_has_carried (const upstream_connection_t *connection,
                                           const char *request_id);
 
--- a/source/relay/relay-upstream-pool.c
+++ b/source/relay/relay-upstream-pool.c
@@ -50,18 +50,12 @@
          || (readable.fd >= 0 && poll (&readable, 1, 0) > 0);
 }
 
-static guint64
-hash_request_id (const char *request_id)
-{
-  return request_id != NULL ? anvil_str_hash (anvil_str (request_id)) : 0;
-}
-
 gboolean
 upstream_connection_has_carried (const upstream_connection_t *connection, const char *request_id)
 {
-  const guint64 hash = hash_request_id (request_id);
+  const guint64 hash = anvil_str_hash (anvil_str (request_id));
 
-  for (guint i = 0; i < MIN (connection->n_requests, MAX_CONNECTION_REQUESTS); i++)
+  for (guint i = 0; i < connection->n_requests; i++)
     {
       if (connection->id_hashes[i] == hash)
         return TRUE;
@@ -72,8 +66,7 @@
 void
 upstream_connection_add_request (upstream_connection_t *connection, const char *request_id)
 {
-  connection->id_hashes[connection->n_requests++ % MAX_CONNECTION_REQUESTS]
-      = hash_request_id (request_id);
+  connection->id_hashes[connection->n_requests++] = anvil_str_hash (anvil_str (request_id));
 }
 
 /* Returns an idle connection that may carry the request, or NULL. */
@@ -84,7 +77,8 @@
   upstream_connection_t *connection = connections != NULL ? g_queue_peek_head (connections) : NULL;
   anvil_time_t idle_for;
 
-  if (connection == NULL || request->new_connection)
+  if (connection == NULL || request->id == NULL
+      || upstream_connection_has_carried (connection, request->id))
     return NULL;
   idle_for = anvil_clock_now () - connection->idle_since;
   if (connection->address != request->address || connection->port != request->port
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -53,7 +53,6 @@
                                    .not_run = attempt->not_run,
                                    .has_id = attempt->response_request_id != NULL,
                                    .connection_reused = attempt->connection->reused,
-                                   .id_repeated = attempt->id_repeated,
                                    .upstream_id = attempt->response_upstream_id };
 }
 
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -117,7 +117,8 @@
 {
   upstream_connection_t *connection = attempt->connection;
   anvil_relay_attempt_outcome_t outcome = attempt_classify_response (attempt);
-  gboolean reusable = keep_alive && !connection->close_after_response && attempt->n_mismatched == 0
+  gboolean reusable = keep_alive && connection->n_requests < MAX_CONNECTION_REQUESTS
+                      && !connection->close_after_response && attempt->n_mismatched == 0
                       && connection->idle_timeout > 0 && outcome.result != ANVIL_RUN_INTERRUPTED
                       && !outcome.misdirected
                       && evbuffer_get_length (bufferevent_get_input (connection->stream)) == 0
@@ -440,7 +441,6 @@
   if (attempt->connection == NULL)
     attempt->connection = connection_open (pool, request);
   attempt->connection->attempt = attempt;
-  attempt->id_repeated = upstream_connection_has_carried (attempt->connection, request->id);
   upstream_connection_add_request (attempt->connection, request->id);
   g_hash_table_add (pool->attempts, attempt);
   write_request (attempt, request);
--- a/source/relay/relay-upstream.h
+++ b/source/relay/relay-upstream.h
@@ -14,7 +14,8 @@
  * Connections to upstreams, with one request at a time on each.
  *
  * A connection is reused only after a complete response that carries the id of
- * its request and has nothing behind it. This module never retries a request.
+ * its request and has nothing behind it, and never for an id that it has carried
+ * before. This module never retries a request.
  */
 
 typedef struct anvil_relay_upstream_pool anvil_relay_upstream_pool_t;
@@ -36,10 +37,9 @@
  * @target: path and query
  * @headers: "Name: value\r\n" each, as the caller sent them
  * @body: body; copied, so that it can be sent again
- * @id: request id, or NULL
+ * @id: request id; NULL for a request without one, which is sent on a new connection, since its
+ *   response can't be told from others
  * @idempotent: it may run more than once, so it can use a connection that may turn out to be dead
- * @new_connection: it is not sent on an idle connection. The upstream may have rejected it there
- *   before, and write the rejection once more
  * @timeout: how long the upstream may take, microseconds
  * @announced: called with the context of the attempt; or NULL
  */
@@ -55,7 +55,6 @@
   struct evbuffer *body;
   const char *id;
   gboolean idempotent;
-  gboolean new_connection;
   anvil_time_t timeout;
   anvil_relay_announced_cb_t announced;
 } anvil_relay_upstream_request_t;
@@ -67,7 +66,6 @@
  * @not_run: it states that the request has not run
  * @has_id: it has the id of the request
  * @connection_reused: it arrived on a connection that had carried another response
- * @id_repeated: the connection had carried a request with the same id before
  * @upstream_id: id of the upstream that it names as its sender, or NULL; borrowed
  */
 typedef struct
@@ -77,7 +75,6 @@
   gboolean not_run;
   gboolean has_id;
   gboolean connection_reused;
-  gboolean id_repeated;
   const char *upstream_id;
 } anvil_relay_response_t;
 
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -88,7 +88,7 @@
 }
 
 static void
-start_attempt_with_body (const char *id, const char *method, gboolean new_connection, gsize length)
+start_attempt_with_body (const char *id, const char *method, gsize length)
 {
   GString *headers = g_string_new (NULL);
   struct evbuffer *body = evbuffer_new ();
@@ -103,7 +103,6 @@
                                                    .body = body,
                                                    .id = id,
                                                    .idempotent = TRUE,
-                                                   .new_connection = new_connection,
                                                    .timeout = WAIT_TIMEOUT };
 
   evbuffer_add (body, filler, length);
@@ -117,15 +116,15 @@
 }
 
 static void
-start_attempt_with (const char *id, const char *method, gboolean new_connection)
+start_attempt_with (const char *id, const char *method)
 {
-  start_attempt_with_body (id, method, new_connection, 0);
+  start_attempt_with_body (id, method, 0);
 }
 
 static void
 start_attempt_for (const char *id)
 {
-  start_attempt_with (id, "GET", FALSE);
+  start_attempt_with (id, "GET");
 }
 
 static void
@@ -331,7 +330,7 @@
         {
           int fd;
 
-          start_attempt_with ("one", cases[i].method, FALSE);
+          start_attempt_with ("one", cases[i].method);
           fd = accept_request ();
           ck_assert_int_eq (send (fd, cases[i].head, length, MSG_NOSIGNAL), (ssize_t) length);
           close_end (fd, reset != 0);
@@ -462,7 +461,7 @@
   used = accept_request ();
   send_response (used, REJECTION_OF ("one"));
   ck_assert_int_eq (result, ANVIL_RUN_SHED);
-  start_attempt_with ("one", "GET", TRUE);
+  start_attempt_for ("one");
   fd = accept_request ();
   send_response (fd, RESPONSE_TO ("one"));
   ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
@@ -495,6 +494,39 @@
 }
 END_TEST
 
+/* A connection keeps the ids that it has carried, so it can't be used for ever. */
+START_TEST (test_a_connection_is_closed_after_a_bounded_number_of_requests)
+{
+  const guint more_than_any = 1000;
+  struct pollfd poll_fd = { .events = POLLIN };
+  char bytes[4096];
+  guint n = 1;
+
+  poll_fd.fd = complete_first_request ();
+  for (; n < more_than_any; n++)
+    {
+      char *id = g_strdup_printf ("id-%u", n);
+      char *response = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
+                                        "Content-Length: 0\r\n\r\n",
+                                        id);
+
+      start_attempt_for (id);
+      wait_readable (poll_fd.fd);
+      if (recv (poll_fd.fd, bytes, sizeof bytes, 0) > 0)
+        send_response (poll_fd.fd, response);
+      else
+        anvil_relay_attempt_cancel (g_steal_pointer (&attempt));
+      g_free (response);
+      g_free (id);
+      if (attempt == NULL)
+        break;
+    }
+  ck_assert_uint_gt (n, 1);
+  ck_assert_uint_lt (n, more_than_any);
+  close (poll_fd.fd);
+}
+END_TEST
+
 START_TEST (test_requests_without_an_id_are_sent_on_connections_of_their_own)
 {
   static const char rejection[]
@@ -646,7 +678,7 @@
 {
   int fd;
 
-  start_attempt_with_body ("one", "POST", FALSE, UPLOAD_BYTES);
+  start_attempt_with_body ("one", "POST", UPLOAD_BYTES);
   fd = accept_request ();
   for (anvil_time_t until = anvil_clock_now () + 100 * ANVIL_MS; anvil_clock_now () < until;)
     run_loop_once ();
@@ -908,6 +940,7 @@
   tcase_add_test (tests, test_a_rejected_request_that_returns_is_sent_on_a_new_connection);
   tcase_add_test (tests,
                   test_a_request_that_comes_again_is_not_sent_on_the_connection_that_carried_it);
+  tcase_add_test (tests, test_a_connection_is_closed_after_a_bounded_number_of_requests);
   tcase_add_test (tests, test_requests_without_an_id_are_sent_on_connections_of_their_own);
   tcase_add_test (tests, test_another_request_is_sent_on_the_connection_of_a_rejected_one);
   tcase_add_test (tests,
