Number each slot request of its own, so that a late grant is not taken for a later one

What callers saw: a request that an upstream had refused came back to that upstream, on the connection of the refusal, where the copy of the refusal answered it: 503 for a request that ran.

Cause: a grant, a refusal, a report and a cancellation named a request by a number that it kept over all its attempts. A slot that is requested twice, 300 ms apart or from two holders, is granted twice. If the first attempt had ended when the second grant came, the grant was taken for that of the next attempt, whose exclusions it did not know. The report of the first run then freed the slot of the second.

Change: each slot request has a number of its own; the repetition of one that is overdue keeps it. A grant that nobody waits for is returned under its number. Nothing changes in the messages.

--- a/source/relay/relay-job-holder.c
+++ b/source/relay/relay-job-holder.c
@@ -111,7 +111,7 @@
   const anvil_time_t *now = data;
 
   if (job->state == JOB_WAITING_FOR_SLOT && *now - job->slot_requested_at >= SLOT_REQUEST_TIMEOUT)
-    job_request_slot (job);
+    job_repeat_slot_request (job);
 }
 
 void
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -26,8 +26,10 @@
 
 /**
  * job_t - a caller's request that isn't answered yet
- * @task: what a slot is requested for; its texts are owned by the job or by the settings
- * @holder: entry that the slot was requested from, then the one that granted it
+ * @task: what a slot is requested for; its texts are owned by the job or by the settings. Its
+ * number is another one for each slot request, so that no grant, refusal or report is taken for
+ * that of a later request
+ * @holder: entry that the slot was requested from
  * @slot_requested_at: when the slot was requested last
  * @upstream_id: upstream that the request was sent to last
  * @attempt: the exchange with the upstream, while the job is running
@@ -100,6 +102,9 @@
  * during shutdown. */
 void job_request_slot (job_t *job);
 
+/* Sends the last slot request again, since it or its answer may have been lost. */
+void job_repeat_slot_request (job_t *job);
+
 /* Whether the request may run more than once. */
 gboolean job_is_idempotent (const job_t *job);
 
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -106,20 +106,36 @@
   return g_hash_table_size (jobs->jobs);
 }
 
-void
-job_request_slot (job_t *job)
+/* Messages about earlier slot requests of the job don't find it from now on. */
+static void
+renew_number (job_t *job)
 {
-  anvil_relay_jobs_t *jobs = job->jobs;
+  GHashTable *table = job->jobs->jobs;
+
+  g_hash_table_remove (table, &job->task.id.number);
+  job->task.id.number = ++job->jobs->last_number;
+  g_hash_table_insert (table, &job->task.id.number, job);
+}
 
+void
+job_repeat_slot_request (job_t *job)
+{
   if (!job_may_be_sent (job))
     {
       job_fail_for_shutdown (job);
       return;
     }
-  job->state = JOB_WAITING_FOR_SLOT;
-  job->holder = anvil_slot_broker_holder (jobs->options.slot_broker, job->service);
   job->slot_requested_at = anvil_clock_now ();
-  anvil_slot_broker_request_slot (jobs->options.slot_broker, job->holder, &job->task);
+  anvil_slot_broker_request_slot (job->jobs->options.slot_broker, job->holder, &job->task);
+}
+
+void
+job_request_slot (job_t *job)
+{
+  renew_number (job);
+  job->state = JOB_WAITING_FOR_SLOT;
+  job->holder = anvil_slot_broker_holder (job->jobs->options.slot_broker, job->service);
+  job_repeat_slot_request (job);
 }
 
 static void
@@ -299,17 +315,6 @@
   return read_at == G_MAXINT64 ? -1 : (now - read_at) / ANVIL_MS;
 }
 
-static gboolean
-is_excluded (const anvil_task_t *task, guint64 upstream)
-{
-  for (guint i = 0; i < task->n_excluded; i++)
-    {
-      if (task->excluded[i] == upstream)
-        return TRUE;
-    }
-  return FALSE;
-}
-
 static void
 start_attempt (job_t *job, const anvil_slot_grant_t *grant)
 {
@@ -340,14 +345,14 @@
                                             on_attempt_done, job);
   anvil_log (ANVIL_LOG_INFO, "request",
              "sent request=%s route=%s service=%s object=%" G_GINT64_MODIFIER
-             "x holder=%s upstream=%s zone=%.*s warm=%d attempt=%u excluded=%d "
+             "x holder=%s upstream=%s zone=%.*s warm=%d attempt=%u "
              "waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
              " registry_age_ms=%" G_GINT64_FORMAT,
              text_or_dash (request->id), job->route, job->service, job->task.object,
              anvil_slot_broker_vm_name (jobs->options.slot_broker, job->holder), job->upstream_id,
              ANVIL_STR_ARGS (grant->zone), grant->warm, job->task.attempt,
-             is_excluded (&job->task, grant->upstream), (now - request->received_at) / ANVIL_MS,
-             (job->task.deadline - now) / ANVIL_MS, registry_age_ms (jobs, now));
+             (now - request->received_at) / ANVIL_MS, (job->task.deadline - now) / ANVIL_MS,
+             registry_age_ms (jobs, now));
 }
 
 static job_t *
@@ -380,16 +385,17 @@
     }
   if (job->state != JOB_WAITING_FOR_SLOT)
     {
-      /* A slot that was requested twice is granted twice. */
+      /* A holder repeats its grant if the slot was requested twice, and a former one may still send
+       * its own. */
       if (from != job->holder)
         release_slot (jobs, from, number);
       return;
     }
-  job->holder = from;
   if (!registry_is_fresh (jobs))
     {
       /* The tick requests a slot again; until then the registry may have been read. */
       release_slot (jobs, from, number);
+      renew_number (job);
       return;
     }
   reason = anvil_registry_reason_not_to_use (jobs->options.registry, grant->upstream, grant->zone,
@@ -418,8 +424,7 @@
 {
   job_t *job = lookup (jobs, number);
 
-  /* Ignores refusals of a previous holder: the current one may have free slots. */
-  if (job == NULL || job->state != JOB_WAITING_FOR_SLOT || from != job->holder)
+  if (job == NULL || job->state != JOB_WAITING_FOR_SLOT)
     return;
   anvil_log (
       ANVIL_LOG_INFO, "request",
