Send nothing more to an upstream that says that it leaves

What callers saw: nothing; upstreams saw requests long after they had said in their answers that they leave (DRAIN), from each of the entries that had passed that on.

Cause: what an upstream says of itself was passed on and forgotten. An entry knew of a drain only from the store, and the row may say "ready" until the end.

Change: the registry keeps which process of an upstream leaves, from the arrival of the head that says so. It stays unusable whatever its row says, also while that is missing, until a process with a later start uses its id, or its row returns from draining to ready. The entry tells the holder of the service at once, and each new holder; it returns a grant of such an upstream, and tells its holder again, as that message may have been lost. Grants name the start of the upstream's process, so that a new one at the same id is used at once.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -112,6 +112,7 @@
  * @zone: availability zone of the upstream; borrowed
  * @address: IPv4 in host order
  * @port: TCP port
+ * @started_at: start of its process, see anvil_upstream_report_t; 0 if unknown
  * @warm: the upstream is expected to be warm for the object
  * @row_version: anvil_registry_row_version() at the holder; set by the slot broker
  */
@@ -122,6 +123,7 @@
   anvil_str_t zone;
   guint32 address;
   guint16 port;
+  gint64 started_at;
   gboolean warm;
   guint64 row_version;
 } anvil_slot_grant_t;
--- a/include/anvil/registry.h
+++ b/include/anvil/registry.h
@@ -43,6 +43,7 @@
  * @cold_until: when it stops being cold, monotonic clock
  * @reported_at: when its last report was applied, monotonic clock
  * @evacuated: its zone is evacuated
+ * @leaving: it said in a response that it is about to end
  * @removal_pending: its row is gone, but may come back since the store was unreachable
  * @removal_at: when an upstream with @removal_pending is removed, monotonic clock
  */
@@ -60,6 +61,7 @@
   anvil_time_t reported_at;
   gint64 started_at;
   gboolean evacuated;
+  gboolean leaving;
   gboolean removal_pending;
   anvil_time_t removal_at;
 } anvil_registered_upstream_t;
@@ -106,7 +108,7 @@
  * Takes effect at once, unless the store was unreachable until recently: rows of
  * live upstreams then have expired too and are written again. In that case the
  * upstream stays usable until ANVIL_REGISTRY_REMOVAL_GRACE has passed since the
- * store recovered. A draining upstream is always removed at once.
+ * store recovered. An upstream that drains or leaves is always removed at once.
  *
  * Return: whether the upstream was registered.
  */
@@ -158,6 +160,35 @@
                                    gboolean evacuated,
                                    anvil_time_t cold_time);
 
+/**
+ * anvil_registry_set_leaving - an upstream said in a response that it is about to end
+ * @key: the upstream; it need not be registered
+ * @started_at: start of the process that said so, see anvil_upstream_report_t; 0 if unknown
+ *
+ * It stays unusable whatever its row says, until a process with a later start uses its id, or its
+ * row has said that it drains and says that it is ready again. Responses without the word don't end
+ * that: they arrive in any order.
+ *
+ * Return: FALSE if it was known, or if the registry knows a process with a later start.
+ */
+gboolean anvil_registry_set_leaving (anvil_registry_t *registry,
+                                     anvil_time_t now,
+                                     guint64 key,
+                                     const char *service,
+                                     gint64 started_at);
+
+/** anvil_registry_count_leaving - upstreams that said that they leave, registered or not */
+guint anvil_registry_count_leaving (const anvil_registry_t *registry);
+
+typedef void (*anvil_registry_visit_leaving_t) (void *context, guint64 key, gint64 started_at);
+
+/** anvil_registry_foreach_leaving - visits the upstreams of a service that said that they leave,
+ * registered or not */
+void anvil_registry_foreach_leaving (const anvil_registry_t *registry,
+                                     const char *service,
+                                     anvil_registry_visit_leaving_t visit,
+                                     void *context);
+
 /** anvil_registry_usable - whether new requests may be sent to it */
 gboolean anvil_registry_usable (const anvil_registered_upstream_t *upstream);
 
@@ -189,6 +220,7 @@
  * anvil_registry_reason_not_to_use - whether an upstream that another entry granted may be used
  * @key: the granted upstream
  * @zone: its zone as the other entry knows it
+ * @started_at: start of its process as the other entry knows it; 0 if it doesn't
  * @grant_version: anvil_registry_row_version() at the entry that granted it
  * @store_ok_for: for how long this entry or a peer has read the store without an interruption
  *
@@ -202,6 +234,7 @@
 const char *anvil_registry_reason_not_to_use (const anvil_registry_t *registry,
                                               guint64 key,
                                               anvil_str_t zone,
+                                              gint64 started_at,
                                               guint64 grant_version,
                                               anvil_time_t store_ok_for);
 
--- a/source/relay/relay-job-holder.c
+++ b/source/relay/relay-job-holder.c
@@ -65,11 +65,33 @@
   g_array_unref (limits);
 }
 
+static void
+append_leaving (void *context, guint64 key, gint64 started_at)
+{
+  const anvil_named_announcement_t item
+      = { .upstream = key, .started_at = started_at, .announcement = { .leaving = TRUE } };
+
+  g_array_append_val ((GArray *) context, item);
+}
+
+void
+jobs_send_announcements (anvil_relay_jobs_t *jobs, const char *service, anvil_node_t holder)
+{
+  GArray *items = g_array_new (FALSE, FALSE, sizeof (anvil_named_announcement_t));
+
+  anvil_registry_foreach_leaving (jobs->options.registry, service, append_leaving, items);
+  anvil_slot_broker_send_announcements (jobs->options.slot_broker, holder, service,
+                                        (const anvil_named_announcement_t *) (gpointer) items->data,
+                                        items->len);
+  g_array_unref (items);
+}
+
 void
 anvil_relay_jobs_holder_changed (anvil_relay_jobs_t *jobs, const char *service, anvil_node_t holder)
 {
   const holder_change_t change = { .service = service, .holder = holder };
 
+  jobs_send_announcements (jobs, service, holder);
   send_request_limits (jobs, service, holder);
   send_warm_objects (jobs, service, holder);
   jobs_foreach (jobs, switch_holder, &change);
@@ -98,6 +120,7 @@
 
       if (anvil_slot_broker_holder (jobs->options.slot_broker, service) == peer)
         {
+          jobs_send_announcements (jobs, service, peer);
           send_request_limits (jobs, service, peer);
           send_warm_objects (jobs, service, peer);
         }
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -31,7 +31,9 @@
  * that of a later request
  * @holder: entry that the slot was requested from
  * @slot_requested_at: when the slot was requested last
- * @upstream_id: upstream that the request was sent to last
+ * @upstream: key of the upstream that the request was sent to last
+ * @upstream_id: its id
+ * @upstream_started_at: start of its process as its grant named it
  * @attempt: the exchange with the upstream, while the job is running
  * @timer: ends the job at its deadline
  * @n_deadline_extensions: how often the deadline was extended to read what has arrived
@@ -54,6 +56,7 @@
   anvil_time_t slot_requested_at;
   guint64 upstream;
   char *upstream_id;
+  gint64 upstream_started_at;
   anvil_relay_attempt_t *attempt;
   struct event *timer;
   guint n_deadline_extensions;
@@ -105,6 +108,9 @@
 /* Sends the last slot request again, since it or its answer may have been lost. */
 void job_repeat_slot_request (job_t *job);
 
+/* Tells a holder all that upstreams of a service said of themselves. */
+void jobs_send_announcements (anvil_relay_jobs_t *jobs, const char *service, anvil_node_t holder);
+
 /* Whether the request may run more than once. */
 gboolean job_is_idempotent (const job_t *job);
 
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -234,12 +234,23 @@
 on_announced (void *context, const anvil_announcement_t *announcement)
 {
   const job_t *job = context;
-
-  anvil_log (ANVIL_LOG_INFO, "request",
-             "upstream says something of itself request=%s upstream=%s service=%s leaving=%d "
-             "pause_ms=%" G_GINT64_FORMAT,
-             text_or_dash (job->request->id), job->upstream_id, job->service, announcement->leaving,
-             announcement->pause / ANVIL_MS);
+  const anvil_relay_jobs_options_t *options = &job->jobs->options;
+  const anvil_named_announcement_t item = { .upstream = job->upstream,
+                                            .started_at = job->upstream_started_at,
+                                            .announcement = *announcement };
+
+  if (!announcement->leaving
+      || !options->upstream_leaving (options->context, job->service, job->upstream,
+                                     job->upstream_started_at))
+    return;
+  anvil_log (ANVIL_LOG_NOTICE, "request",
+             "upstream says that it leaves upstream=%s service=%s request=%s "
+             "started_at=%" G_GINT64_FORMAT,
+             job->upstream_id, job->service, text_or_dash (job->request->id),
+             job->upstream_started_at);
+  anvil_slot_broker_send_announcements (
+      options->slot_broker, anvil_slot_broker_holder (options->slot_broker, job->service),
+      job->service, &item, 1);
 }
 
 static void
@@ -325,6 +336,7 @@
   g_free (job->upstream_id);
   job->upstream_id = anvil_str_dup (grant->upstream_id);
   job->upstream = grant->upstream;
+  job->upstream_started_at = grant->started_at;
   job->state = JOB_RUNNING;
   job->n_attempts++;
   job->attempt = anvil_relay_attempt_start (jobs->options.upstream_pool,
@@ -399,7 +411,7 @@
       return;
     }
   reason = anvil_registry_reason_not_to_use (jobs->options.registry, grant->upstream, grant->zone,
-                                             grant->row_version,
+                                             grant->started_at, grant->row_version,
                                              jobs->options.store_ok_for (jobs->options.context));
   if (reason == NULL)
     {
@@ -411,6 +423,8 @@
              " holder_version=%" G_GUINT64_FORMAT,
              text_or_dash (job->request->id), ANVIL_STR_ARGS (grant->upstream_id), reason,
              anvil_registry_version (jobs->options.registry), grant->row_version);
+  /* The holder may not have received what was known here. */
+  jobs_send_announcements (jobs, job->service, from);
   release_slot (jobs, from, number);
   exclude_upstream (job, grant->upstream);
   retry_unsent (job, "no-upstream");
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -23,6 +23,8 @@
  *   longest is dropped
  * @store_ok_for: for how long this entry or a peer has read upstreams from the store without an
  *   interruption, microseconds
+ * @upstream_leaving: an upstream said that it leaves; @started_at as in
+ *   anvil_registry_set_leaving(). Returns FALSE if that was known
  * @lacks_routes: whether a peer has a newer configuration than this entry, which may have more
  *   routes
  */
@@ -38,6 +40,10 @@
   gsize max_saved_bytes;
   anvil_time_t (*upstreams_read_at) (void *context);
   anvil_time_t (*store_ok_for) (void *context);
+  gboolean (*upstream_leaving) (void *context,
+                                const char *service,
+                                guint64 upstream,
+                                gint64 started_at);
   gboolean (*lacks_routes) (void *context);
   void *context;
 } anvil_relay_jobs_options_t;
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -70,7 +70,7 @@
 static void
 pack_grant (msgpack_packer *packer, const anvil_slot_grant_t *grant)
 {
-  msgpack_pack_array (packer, 7);
+  msgpack_pack_array (packer, 8);
   msgpack_pack_uint64 (packer, grant->upstream);
   pack_text (packer, grant->upstream_id);
   pack_text (packer, grant->zone);
@@ -78,6 +78,7 @@
   msgpack_pack_uint64 (packer, grant->port);
   msgpack_pack_uint64 (packer, grant->warm);
   msgpack_pack_uint64 (packer, grant->row_version);
+  msgpack_pack_int64 (packer, grant->started_at);
 }
 
 static void
@@ -104,6 +105,24 @@
     }
 }
 
+static void
+pack_announcements (msgpack_packer *packer, const anvil_relay_message_t *message)
+{
+  msgpack_pack_array (packer, 2);
+  pack_text (packer, message->service);
+  msgpack_pack_array (packer, message->n_announcements);
+  for (guint i = 0; i < message->n_announcements; i++)
+    {
+      const anvil_named_announcement_t *item = &message->announcements[i];
+
+      msgpack_pack_array (packer, 4);
+      msgpack_pack_uint64 (packer, item->upstream);
+      msgpack_pack_int64 (packer, item->started_at);
+      msgpack_pack_uint64 (packer, item->announcement.leaving);
+      msgpack_pack_int64 (packer, item->announcement.pause);
+    }
+}
+
 static void
 pack_counts (msgpack_packer *packer, const guint32 *counts)
 {
@@ -210,6 +229,9 @@
     case ANVIL_RELAY_RETRY_COUNTS:
       pack_retry_counts (packer, message);
       return;
+    case ANVIL_RELAY_ANNOUNCEMENTS:
+      pack_announcements (packer, message);
+      return;
     }
   g_assert_not_reached ();
 }
@@ -392,6 +414,9 @@
   grant->port = (guint16) read_number (&reader, "port", G_MAXUINT16);
   grant->warm = read_number (&reader, "warm", 1) != 0;
   grant->row_version = read_number (&reader, "row version", G_MAXUINT64);
+  /* Entries of older versions don't send it. */
+  if (reader.array != NULL && reader.next < reader.array->size)
+    grant->started_at = read_time (&reader, "start");
 }
 
 static anvil_str_t
@@ -485,6 +510,29 @@
     }
 }
 
+static void
+read_announcements (reader_t *outer, anvil_relay_message_t *message)
+{
+  reader_t body = read_array (outer, "announcements");
+  reader_t list;
+
+  message->service = read_text (&body, "service");
+  list = read_array (&body, "list of announcements");
+  message->n_announcements
+      = array_length (&list, "list of announcements", ANVIL_MAX_MESSAGE_ANNOUNCEMENTS);
+  for (guint i = 0; i < message->n_announcements; i++)
+    {
+      reader_t item = read_array (&list, "announcement");
+      anvil_named_announcement_t *announcement = &message->announcements[i];
+
+      announcement->upstream = read_number (&item, "upstream", G_MAXUINT64);
+      announcement->started_at = read_time (&item, "start");
+      announcement->announcement.leaving = read_number (&item, "leaving", 1) != 0;
+      announcement->announcement.pause
+          = (anvil_time_t) read_number (&item, "pause", ANVIL_MAX_PAUSE);
+    }
+}
+
 static void
 read_counts (reader_t *outer, const char *field, guint32 *counts)
 {
@@ -570,6 +618,9 @@
     case ANVIL_RELAY_RETRY_COUNTS:
       read_retry_counts (reader, message);
       return;
+    case ANVIL_RELAY_ANNOUNCEMENTS:
+      read_announcements (reader, message);
+      return;
     }
   *reader->bad_field = "kind";
 }
@@ -594,7 +645,7 @@
     {
       reader.array = &root.via.array;
       message->kind
-          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_CONFIG);
+          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_ANNOUNCEMENTS);
       message->number = read_number (&reader, "number", G_MAXUINT64);
       if (bad_field == NULL)
         read_body (&reader, message);
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "anvil/announcement.h"
 #include "anvil/dispatcher.h"
 #include "anvil/members.h"
 #include "relay/request-limit-table.h"
@@ -22,6 +23,7 @@
  * @ANVIL_RELAY_RETRY_COUNTS: what holders of a service counted for its retry budget
  * @ANVIL_RELAY_REQUEST_CONFIG: requests the changes of the configuration
  * @ANVIL_RELAY_CONFIG: changes of the configuration, and the evacuated zones
+ * @ANVIL_RELAY_ANNOUNCEMENTS: what upstreams of a service said of themselves to the sender
  */
 typedef enum
 {
@@ -40,6 +42,7 @@
   ANVIL_RELAY_RETRY_COUNTS,
   ANVIL_RELAY_REQUEST_CONFIG,
   ANVIL_RELAY_CONFIG,
+  ANVIL_RELAY_ANNOUNCEMENTS,
 } anvil_relay_message_kind_t;
 
 /* Most evacuated zones that updates name. */
@@ -58,11 +61,13 @@
  * @grant: grant: the slot
  * @refused: refuse: the reason
  * @report: finished: the result
- * @service: warm objects, retry counts: name of the service
+ * @service: warm objects, retry counts, announcements: name of the service
  * @objects: warm objects: the list
  * @n_objects: warm objects: length of @objects
  * @limits: request limits: the list
  * @n_limits: request limits: length of @limits
+ * @announcements: announcements: the list
+ * @n_announcements: announcements: length of @announcements
  * @retry_counts: retry counts: the list, an item for each holder
  * @n_retry_counts: retry counts: length of @retry_counts
  * @after_version: updates: version of the store after which they start
@@ -98,6 +103,8 @@
   guint n_objects;
   anvil_named_limit_t limits[ANVIL_MAX_MESSAGE_REQUEST_LIMITS];
   guint n_limits;
+  anvil_named_announcement_t announcements[ANVIL_MAX_MESSAGE_ANNOUNCEMENTS];
+  guint n_announcements;
   anvil_retry_counts_t retry_counts[ANVIL_MAX_RETRY_ORIGINS];
   guint n_retry_counts;
   guint64 after_version;
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -120,7 +120,7 @@
   gboolean reusable = keep_alive && connection->n_requests < MAX_CONNECTION_REQUESTS
                       && !connection->close_after_response && attempt->n_mismatched == 0
                       && connection->idle_timeout > 0 && outcome.result != ANVIL_RUN_INTERRUPTED
-                      && !outcome.misdirected
+                      && !outcome.misdirected && !attempt->announcement.leaving
                       && evbuffer_get_length (bufferevent_get_input (connection->stream)) == 0
                       && evbuffer_get_length (bufferevent_get_output (connection->stream)) == 0;
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -182,6 +182,30 @@
     anvil_config_feed_receive (relay->config_feed, peer, message);
 }
 
+static gboolean
+on_upstream_leaving (void *context, const char *service, guint64 upstream, gint64 started_at)
+{
+  anvil_relay_t *relay = context;
+
+  return anvil_registry_set_leaving (relay->registry, anvil_clock_now (), upstream, service,
+                                     started_at);
+}
+
+static void
+on_announcements_received (void *context, anvil_node_t peer, const anvil_relay_message_t *message)
+{
+  char *service = anvil_str_dup (message->service);
+
+  for (guint i = 0; i < message->n_announcements; i++)
+    {
+      const anvil_named_announcement_t *item = &message->announcements[i];
+
+      if (item->announcement.leaving)
+        on_upstream_leaving (context, service, item->upstream, item->started_at);
+    }
+  g_free (service);
+}
+
 static const anvil_slot_broker_callbacks_t broker_callbacks = {
   .granted = on_granted,
   .refused = on_refused,
@@ -191,6 +215,7 @@
   .updates_received = on_updates_received,
   .config_requested = on_config_requested,
   .config_received = on_config_received,
+  .announcements_received = on_announcements_received,
 };
 
 static void
@@ -242,10 +267,10 @@
   anvil_relay_t *relay = context;
 
   anvil_log (ANVIL_LOG_INFO, "registry",
-             "%s upstream=%s service=%s zone=%s slots=%u draining=%d evacuated=%d "
+             "%s upstream=%s service=%s zone=%s slots=%u draining=%d leaving=%d evacuated=%d "
              "cold_ms=%" G_GINT64_FORMAT,
              names[change], upstream->id, upstream->service, upstream->zone, upstream->slots,
-             upstream->draining, upstream->evacuated,
+             upstream->draining, upstream->leaving, upstream->evacuated,
              MAX (upstream->cold_until - now, 0) / ANVIL_MS);
   anvil_slot_broker_update_upstream (relay->slot_broker, now, upstream, change);
   if (change == ANVIL_REGISTRY_LEFT || change == ANVIL_REGISTRY_RESTARTED)
@@ -593,6 +618,8 @@
                            anvil_relay_watch_store_lost (relay->watch));
   anvil_metrics_set_gauge (relay->metrics, "anvil_limited_upstreams", "",
                            anvil_relay_jobs_count_request_limits (relay->jobs));
+  anvil_metrics_set_gauge (relay->metrics, "anvil_leaving_upstreams", "",
+                           anvil_registry_count_leaving (relay->registry));
   anvil_metrics_set_gauge (relay->metrics, "anvil_requests_open", "",
                            anvil_relay_jobs_count (relay->jobs));
   anvil_metrics_set_gauge (relay->metrics, "anvil_caller_connections", "",
@@ -632,6 +659,7 @@
           .max_saved_bytes = settings->memory_bytes / SAVED_RESPONSES_DIVISOR,
           .upstreams_read_at = upstreams_read_at,
           .store_ok_for = store_ok_for,
+          .upstream_leaving = on_upstream_leaving,
           .lacks_routes = lacks_routes,
           .context = relay };
   const anvil_relay_callers_options_t caller_options
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -135,6 +135,9 @@
     case ANVIL_RELAY_RETRY_COUNTS:
       broker_add_retry_counts (broker, &message);
       return;
+    case ANVIL_RELAY_ANNOUNCEMENTS:
+      broker->callbacks.announcements_received (broker->context, from, &message);
+      return;
     }
 }
 
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -320,6 +320,30 @@
   g_free (message);
 }
 
+void
+anvil_slot_broker_send_announcements (anvil_slot_broker_t *broker,
+                                      anvil_node_t holder,
+                                      const char *service,
+                                      const anvil_named_announcement_t *announcements,
+                                      guint n_announcements)
+{
+  anvil_relay_message_t *message;
+
+  if (holder == broker->self)
+    return;
+  message = g_new0 (anvil_relay_message_t, 1);
+  message->kind = ANVIL_RELAY_ANNOUNCEMENTS;
+  message->service = anvil_str (service);
+  for (guint sent = 0; sent < n_announcements; sent += message->n_announcements)
+    {
+      message->n_announcements = MIN (n_announcements - sent, ANVIL_MAX_MESSAGE_ANNOUNCEMENTS);
+      memcpy (message->announcements, announcements + sent,
+              message->n_announcements * sizeof *announcements);
+      broker_send (broker, holder, message);
+    }
+  g_free (message);
+}
+
 typedef struct
 {
   anvil_warm_object_t *objects;
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -33,6 +33,7 @@
  * @config_requested: a peer requests the changes of the configuration after @version, or @whole if
  *   they aren't known
  * @config_received: a peer sent changes of the configuration; borrowed
+ * @announcements_received: upstreams said something of themselves to a peer; borrowed
  */
 typedef struct
 {
@@ -50,6 +51,9 @@
   void (*updates_received) (void *context, anvil_node_t peer, const anvil_relay_message_t *message);
   void (*config_requested) (void *context, anvil_node_t peer, gint64 version, gboolean whole);
   void (*config_received) (void *context, anvil_node_t peer, const anvil_relay_message_t *message);
+  void (*announcements_received) (void *context,
+                                  anvil_node_t peer,
+                                  const anvil_relay_message_t *message);
 } anvil_slot_broker_callbacks_t;
 
 /** anvil_slot_broker_open - listens for peers */
@@ -91,6 +95,14 @@
                                             const anvil_named_limit_t *limits,
                                             guint n_limits);
 
+/** anvil_slot_broker_send_announcements - tells a holder what upstreams of a service said of
+ * themselves to this entry; does nothing if this entry is the holder */
+void anvil_slot_broker_send_announcements (anvil_slot_broker_t *broker,
+                                           anvil_node_t holder,
+                                           const char *service,
+                                           const anvil_named_announcement_t *announcements,
+                                           guint n_announcements);
+
 /** anvil_slot_broker_list_warm_objects - what the upstreams of a service that this entry holds are
  * warm for; returns the number of objects */
 guint anvil_slot_broker_list_warm_objects (anvil_slot_broker_t *broker,
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -175,6 +175,7 @@
                                        .zone = anvil_str (upstream->record.zone),
                                        .address = upstream->record.address,
                                        .port = upstream->record.port,
+                                       .started_at = upstream->record.started_at,
                                        .warm = task->warm };
 
   dispatcher->callbacks.grant (dispatcher->context, task->request.id, &granted);
--- a/source/steer/registry.c
+++ b/source/steer/registry.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "steer/leaving-set.h"
+
 /* Keys of removed upstreams are kept so that a grant from a peer that hasn't seen the removal yet
  * is not used. Grants are used within seconds, so all keys are dropped at this number. */
 #define MAX_REMOVED_KEYS 4096
@@ -26,6 +28,7 @@
   GHashTable *removed_keys;
   /* Names of evacuated zones. */
   GHashTable *evacuated_zones;
+  leaving_set_t *leaving;
   /* Version of the store's table up to which all rows are known. */
   guint64 version;
   gboolean store_lost;
@@ -56,6 +59,7 @@
   registry->entries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, entry_free);
   registry->removed_keys = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   registry->evacuated_zones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  registry->leaving = leaving_set_new ();
   return registry;
 }
 
@@ -67,6 +71,7 @@
   g_hash_table_unref (registry->entries);
   g_hash_table_unref (registry->removed_keys);
   g_hash_table_unref (registry->evacuated_zones);
+  leaving_set_drop (registry->leaving);
   g_free (registry);
 }
 
@@ -96,6 +101,19 @@
   return TRUE;
 }
 
+/* Takes a row into account for what the upstream said: a process with a later start has not said
+ * it, and one whose row returns from draining to ready stays after all. */
+static void
+update_leaving (anvil_registry_t *registry,
+                anvil_registered_upstream_t *upstream,
+                const anvil_upstream_report_t *report)
+{
+  if (upstream->draining && !report->draining && upstream->started_at == report->started_at)
+    leaving_set_remove (registry->leaving, upstream->key);
+  leaving_set_process_seen (registry->leaving, upstream->key, report->started_at);
+  upstream->leaving = leaving_set_contains (registry->leaving, upstream->key, report->started_at);
+}
+
 /* Updates an upstream from a report; TRUE if anything changed. */
 static gboolean
 update (anvil_registry_t *registry,
@@ -113,6 +131,7 @@
   changed |= upstream->address != report->address || upstream->port != report->port
              || upstream->slots != report->slots || upstream->draining != report->draining;
   changed |= (cold_until > now) != (upstream->cold_until > now);
+  update_leaving (registry, upstream, report);
   upstream->address = report->address;
   upstream->port = report->port;
   upstream->slots = report->slots;
@@ -183,12 +202,13 @@
   entry_free (entry);
 }
 
-/* Removes an entry, or defers that if its row may have expired while the store was lost. A draining
- * upstream was about to leave, so its row is gone because it has left. */
+/* Removes an entry, or defers that if its row may have expired while the store was lost. The row of
+ * an upstream that was about to leave is gone because it has left. */
 static void
 remove_or_defer (anvil_registry_t *registry, anvil_time_t now, entry_t *entry)
 {
-  if (entry->upstream.draining || (!registry->store_lost && now >= registry->grace_ends))
+  if (entry->upstream.draining || entry->upstream.leaving
+      || (!registry->store_lost && now >= registry->grace_ends))
     {
       remove_now (registry, now, entry);
       return;
@@ -359,10 +379,48 @@
   g_free (name);
 }
 
+gboolean
+anvil_registry_set_leaving (anvil_registry_t *registry,
+                            anvil_time_t now,
+                            guint64 key,
+                            const char *service,
+                            gint64 started_at)
+{
+  entry_t *entry = g_hash_table_lookup (registry->entries, &key);
+
+  if (entry != NULL && started_at == 0)
+    started_at = entry->upstream.started_at;
+  if (entry != NULL && started_at < entry->upstream.started_at)
+    return FALSE;
+  if (!leaving_set_add (registry->leaving, key, service, started_at))
+    return FALSE;
+  if (entry != NULL)
+    {
+      entry->upstream.leaving = TRUE;
+      notify (registry, now, entry, ANVIL_REGISTRY_CHANGED);
+    }
+  return TRUE;
+}
+
+guint
+anvil_registry_count_leaving (const anvil_registry_t *registry)
+{
+  return leaving_set_count (registry->leaving);
+}
+
+void
+anvil_registry_foreach_leaving (const anvil_registry_t *registry,
+                                const char *service,
+                                anvil_registry_visit_leaving_t visit,
+                                void *context)
+{
+  leaving_set_foreach (registry->leaving, service, visit, context);
+}
+
 gboolean
 anvil_registry_usable (const anvil_registered_upstream_t *upstream)
 {
-  return !upstream->draining && !upstream->evacuated;
+  return !upstream->draining && !upstream->leaving && !upstream->evacuated;
 }
 
 const anvil_registered_upstream_t *
@@ -431,6 +489,7 @@
 anvil_registry_reason_not_to_use (const anvil_registry_t *registry,
                                   guint64 key,
                                   anvil_str_t zone,
+                                  gint64 started_at,
                                   guint64 grant_version,
                                   anvil_time_t store_ok_for)
 {
@@ -438,6 +497,9 @@
 
   if (upstream != NULL && upstream->draining)
     return "draining";
+  if (leaving_set_contains (registry->leaving, key,
+                            upstream != NULL ? MAX (upstream->started_at, started_at) : started_at))
+    return "leaving";
   if ((upstream != NULL && upstream->evacuated) || is_evacuated (registry, zone))
     return "evacuated";
   if (upstream != NULL)
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -320,6 +320,35 @@
                                                   : 0;
 }
 
+guint
+fleet_count_responses_of (const fleet_entry_t *entry, const char *id, guint n)
+{
+  char *stamp = g_strdup_printf ("Server-Stamp: %s\r\n", id);
+  int *fds = g_new (int, n);
+  guint n_found = 0;
+
+  for (guint i = 0; i < n; i++)
+    {
+      fds[i] = fleet_connect (entry->caller_port);
+      fleet_send (fds[i],
+                  "GET /view/1?work=100 HTTP/1.1\r\nHost: " FLEET_HOST
+                  "\r\nRequest-Id: request-%u\r\n\r\n",
+                  i);
+    }
+  for (guint i = 0; i < n; i++)
+    {
+      char *response = fleet_read_response (fds[i]);
+
+      ck_assert_msg (fleet_response_status (response) == 200, "%s", response);
+      n_found += strstr (response, stamp) != NULL;
+      g_free (response);
+      close (fds[i]);
+    }
+  g_free (stamp);
+  g_free (fds);
+  return n_found;
+}
+
 const char *
 fleet_response_body (const char *response)
 {
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -121,6 +121,10 @@
 /** fleet_request - sends one request on a new connection and returns the response */
 char *fleet_request (guint16 port, const char *method, const char *path, const char *id);
 
+/** fleet_count_responses_of - sends @n requests at the same time and returns how many of them the
+ * upstream @id ran; fails the test if one isn't answered with 200 */
+guint fleet_count_responses_of (const fleet_entry_t *entry, const char *id, guint n);
+
 /** fleet_response_status - status of a response, 0 if it isn't one */
 guint fleet_response_status (const char *response);
 
--- a/tests/test-registry-sources.c
+++ b/tests/test-registry-sources.c
@@ -239,7 +239,7 @@
 {
   guint64 key = anvil_str_hash (anvil_str (upstream->id));
   const char *reason = anvil_registry_reason_not_to_use (
-      requester->registry, key, anvil_str ("west-a"),
+      requester->registry, key, anvil_str ("west-a"), 0,
       anvil_registry_row_version (holder->registry, key), store_ok_for (requester));
   guint64 known = anvil_registry_version (requester->registry);
 
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -191,14 +191,14 @@
   const anvil_time_t settled = ANVIL_REGISTRY_REMOVAL_GRACE;
 
   anvil_registry_set_version (registry, 50);
-  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, gone, zone, 49, settled));
-  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, gone, zone, 50, settled));
+  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, gone, zone, 0, 49, settled));
+  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, gone, zone, 0, 50, settled));
   /* The other entry has read later, so the upstream is new. */
-  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, gone, zone, 51, settled));
+  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, gone, zone, 0, 51, settled));
   /* Its row may have expired in an outage and not be back yet. */
-  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, gone, zone, 49, settled - 1));
+  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, gone, zone, 0, 49, settled - 1));
   ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, anvil_str_hash (anvil_str ("a")),
-                                                        zone, 49, settled));
+                                                        zone, 0, 49, settled));
 }
 END_TEST
 
@@ -210,11 +210,11 @@
   const anvil_str_t zone = anvil_str ("west-b");
 
   anvil_registry_set_evacuated (registry, 0, zone, TRUE, 0);
-  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, new_key, zone, 1, 0));
+  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, new_key, zone, 0, 1, 0));
   ck_assert_ptr_null (
-      anvil_registry_reason_not_to_use (registry, new_key, anvil_str ("west-a"), 1, 0));
+      anvil_registry_reason_not_to_use (registry, new_key, anvil_str ("west-a"), 0, 1, 0));
   anvil_registry_set_evacuated (registry, 0, zone, FALSE, 0);
-  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, new_key, zone, 1, 0));
+  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, new_key, zone, 0, 1, 0));
 }
 END_TEST
 
@@ -267,6 +267,109 @@
 }
 END_TEST
 
+static gboolean
+is_usable (const char *id)
+{
+  const anvil_registered_upstream_t *upstream = lookup (registry, id);
+
+  return upstream != NULL && anvil_registry_usable (upstream);
+}
+
+static void
+apply (gint64 started_at, gboolean draining)
+{
+  anvil_upstream_report_t row = report ("a");
+
+  row.started_at = started_at;
+  row.draining = draining;
+  anvil_registry_apply (registry, ANVIL_SECOND, &row);
+}
+
+static gboolean
+set_leaving (gint64 started_at)
+{
+  return anvil_registry_set_leaving (registry, ANVIL_SECOND, anvil_str_hash (anvil_str ("a")),
+                                     "photos", started_at);
+}
+
+START_TEST (test_an_upstream_that_says_that_it_leaves_stays_unusable)
+{
+  ck_assert (set_leaving (1000));
+  ck_assert (!set_leaving (1000));
+  ck_assert_uint_eq (changes.changed, 1);
+  ck_assert (!is_usable ("a"));
+  /* Its row, a whole read, and a row that is gone and comes back say that it is ready. */
+  apply (1000, FALSE);
+  ck_assert (!is_usable ("a"));
+  anvil_registry_begin_snapshot (registry);
+  apply (1000, FALSE);
+  anvil_registry_end_snapshot (registry, ANVIL_SECOND);
+  ck_assert (!is_usable ("a"));
+  anvil_registry_remove (registry, ANVIL_SECOND, anvil_str ("a"));
+  apply (1000, FALSE);
+  ck_assert (!is_usable ("a"));
+}
+END_TEST
+
+START_TEST (test_a_later_start_does_not_inherit_that_an_upstream_leaves)
+{
+  ck_assert (set_leaving (1000));
+  apply (999, FALSE);
+  ck_assert (!is_usable ("a"));
+  apply (1001, FALSE);
+  ck_assert (is_usable ("a"));
+  /* A response of the former process arrives late. */
+  ck_assert (!set_leaving (1000));
+  ck_assert (is_usable ("a"));
+}
+END_TEST
+
+START_TEST (test_an_upstream_whose_row_returns_from_draining_stays)
+{
+  ck_assert (set_leaving (1000));
+  apply (1000, TRUE);
+  ck_assert (!is_usable ("a"));
+  apply (1000, FALSE);
+  ck_assert (is_usable ("a"));
+}
+END_TEST
+
+START_TEST (test_an_upstream_that_left_is_removed_at_once_after_an_outage)
+{
+  ck_assert (set_leaving (1000));
+  anvil_registry_store_lost (registry, ANVIL_SECOND);
+  anvil_registry_store_recovered (registry, 10 * ANVIL_SECOND);
+  anvil_registry_remove (registry, 10 * ANVIL_SECOND, anvil_str ("a"));
+  ck_assert_ptr_null (lookup (registry, "a"));
+}
+END_TEST
+
+/* The upstream may be known to the holder only. */
+START_TEST (test_a_grant_of_an_upstream_that_leaves_is_not_used)
+{
+  const guint64 key = anvil_str_hash (anvil_str ("new"));
+  const anvil_str_t zone = anvil_str ("west-a");
+
+  ck_assert (anvil_registry_set_leaving (registry, ANVIL_SECOND, key, "photos", 1000));
+  ck_assert_uint_eq (anvil_registry_count_leaving (registry), 1);
+  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, key, zone, 1000, 1, 0));
+  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, key, zone, 0, 1, 0));
+  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, key, zone, 1001, 1, 0));
+}
+END_TEST
+
+START_TEST (test_the_number_of_upstreams_that_leave_is_bounded)
+{
+  const guint more_than_kept = 10000;
+
+  for (guint64 key = 1; key <= more_than_kept; key++)
+    anvil_registry_set_leaving (registry, ANVIL_SECOND, key, "photos", 1000);
+  ck_assert_uint_lt (anvil_registry_count_leaving (registry), more_than_kept);
+  ck_assert_ptr_nonnull (anvil_registry_reason_not_to_use (registry, more_than_kept,
+                                                           anvil_str ("west-a"), 1000, 1, 0));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -291,6 +394,12 @@
   tcase_add_test (tests, test_granted_upstream_in_an_evacuated_zone_is_not_used_if_it_is_unknown);
   tcase_add_test (tests, test_zone_is_cold_after_an_evacuation);
   tcase_add_test (tests, test_upstream_that_joins_an_evacuated_zone_is_not_usable);
+  tcase_add_test (tests, test_an_upstream_that_says_that_it_leaves_stays_unusable);
+  tcase_add_test (tests, test_a_later_start_does_not_inherit_that_an_upstream_leaves);
+  tcase_add_test (tests, test_an_upstream_whose_row_returns_from_draining_stays);
+  tcase_add_test (tests, test_an_upstream_that_left_is_removed_at_once_after_an_outage);
+  tcase_add_test (tests, test_a_grant_of_an_upstream_that_leaves_is_not_used);
+  tcase_add_test (tests, test_the_number_of_upstreams_that_leave_is_bounded);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/tests/test-relay-drains.c
+++ b/tests/test-relay-drains.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 
 #define N_ENTRIES 3
+/* More than one upstream has slots. */
 #define N_REQUESTS 9
 /* Until an entry has noticed that the store doesn't answer it. */
 #define NOTICE_LOSS_US 2000000
@@ -55,36 +56,6 @@
   fleet_put_row (&fleet, "servers", "leaves", NULL);
 }
 
-/* Sends requests at the same time, more than one upstream has slots; returns how many of them @id
- * ran. */
-static guint
-count_responses_of (const char *id, const fleet_entry_t *entry)
-{
-  char *stamp = g_strdup_printf ("Server-Stamp: %s\r\n", id);
-  int fds[N_REQUESTS];
-  guint n = 0;
-
-  for (guint i = 0; i < N_REQUESTS; i++)
-    {
-      fds[i] = fleet_connect (entry->caller_port);
-      fleet_send (fds[i],
-                  "GET /view/1?work=100 HTTP/1.1\r\nHost: " FLEET_HOST
-                  "\r\nRequest-Id: request-%u\r\n\r\n",
-                  i);
-    }
-  for (guint i = 0; i < N_REQUESTS; i++)
-    {
-      char *response = fleet_read_response (fds[i]);
-
-      ck_assert_msg (fleet_response_status (response) == 200, "%s", response);
-      n += strstr (response, stamp) != NULL;
-      g_free (response);
-      close (fds[i]);
-    }
-  g_free (stamp);
-  return n;
-}
-
 /* The restarted entry never knew the upstream, and the holder doesn't know that it left. */
 START_TEST (test_a_restarted_entry_does_not_use_an_upstream_that_left)
 {
@@ -95,7 +66,7 @@
   fleet_start_entry (&fleet, restarted);
   fleet_wait_ready (restarted);
   g_usleep (MAX_DRAIN_DELAY_US);
-  ck_assert_uint_eq (count_responses_of ("leaves", restarted), 0);
+  ck_assert_uint_eq (fleet_count_responses_of (restarted, "leaves", N_REQUESTS), 0);
 }
 END_TEST
 
@@ -103,7 +74,7 @@
 {
   remove_upstream_while_holder_is_cut_off ();
   g_usleep (MAX_DRAIN_DELAY_US);
-  ck_assert_uint_eq (count_responses_of ("leaves", entries[holder]), 0);
+  ck_assert_uint_eq (fleet_count_responses_of (entries[holder], "leaves", N_REQUESTS), 0);
 }
 END_TEST
 
@@ -117,7 +88,7 @@
   g_usleep (NOTICE_LOSS_US);
   fleet_add_upstream (&fleet, "new", "photos", NULL);
   g_usleep (MAX_DRAIN_DELAY_US);
-  ck_assert_uint_gt (count_responses_of ("new", entries[holder]), 0);
+  ck_assert_uint_gt (fleet_count_responses_of (entries[holder], "new", N_REQUESTS), 0);
 }
 END_TEST
 
