Keep to the pause that an upstream asks for with Retry-After

Cause: Retry-After of an upstream's 503 was not read.

A pause holds for the entry that was refused only: the upstream may have room for the requests of others, which get its slots. Queued tasks of a paused entry don't hide those of others. A request that all pauses of the upstreams it may use outlast is refused at once, and told to return when the first one ends; the returns are spread over 2 s.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -32,6 +32,7 @@
  * @ANVIL_TASK_NO_ROOM: too many tasks are waiting for it to finish in time
  * @ANVIL_TASK_NO_RETRY: the retry budget of the service is exhausted
  * @ANVIL_TASK_LATE: it was queued and can no longer finish in time
+ * @ANVIL_TASK_PAUSED: all upstreams that it may use want no requests of its entry for too long
  */
 typedef enum
 {
@@ -39,6 +40,7 @@
   ANVIL_TASK_NO_ROOM,
   ANVIL_TASK_NO_RETRY,
   ANVIL_TASK_LATE,
+  ANVIL_TASK_PAUSED,
 } anvil_task_refusal_reason_t;
 
 /** anvil_task_refusal_reason_name - the reason as used in logs and metrics */
@@ -302,6 +304,22 @@
                                          gdouble per_second,
                                          anvil_time_t named_at);
 
+/**
+ * anvil_dispatcher_pause_upstream - an upstream wants no requests of an entry for a time
+ * @started_at: start of the process that said so, see anvil_upstream_report_t; 0 if unknown
+ * @requester: that entry
+ * @until: end of the pause on this entry's clock; a shorter pause doesn't end a longer one
+ *
+ * The slots of the upstream stay those of other entries. A task that could only wait for the end of
+ * pauses beyond its deadline is refused at once.
+ */
+void anvil_dispatcher_pause_upstream (anvil_dispatcher_t *dispatcher,
+                                      anvil_time_t now,
+                                      guint64 upstream,
+                                      gint64 started_at,
+                                      anvil_node_t requester,
+                                      anvil_time_t until);
+
 /**
  * anvil_dispatcher_list_retry_counts - attempts of a service that count for the retry budget
  *
--- a/source/relay/relay-job-holder.c
+++ b/source/relay/relay-job-holder.c
@@ -80,6 +80,7 @@
   GArray *items = g_array_new (FALSE, FALSE, sizeof (anvil_named_announcement_t));
 
   anvil_registry_foreach_leaving (jobs->options.registry, service, append_leaving, items);
+  anvil_pause_table_append (jobs->pauses, anvil_clock_now (), service, items);
   anvil_slot_broker_send_announcements (jobs->options.slot_broker, holder, service,
                                         (const anvil_named_announcement_t *) (gpointer) items->data,
                                         items->len);
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/http-status.h"
+#include "relay/pause-table.h"
 #include "relay/relay-job.h"
 #include "relay/request-limit-table.h"
 #include "relay/route-split.h"
@@ -82,6 +83,7 @@
   gboolean refusing_new;
   anvil_warm_object_table_t *warm_objects;
   anvil_request_limit_table_t *request_limits;
+  anvil_pause_table_t *pauses;
   /* job_t by number. */
   GHashTable *jobs;
 };
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -28,6 +28,7 @@
   jobs->split = anvil_route_split_new ();
   jobs->warm_objects = anvil_warm_object_table_new ();
   jobs->request_limits = anvil_request_limit_table_new ();
+  jobs->pauses = anvil_pause_table_new ();
   /* Starts at a random number, since holders may still have task numbers from before a restart. */
   jobs->last_number = ((guint64) g_random_int () << 32) | g_random_int ();
   jobs->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -64,6 +65,7 @@
   anvil_route_split_drop (jobs->split);
   anvil_warm_object_table_drop (jobs->warm_objects);
   anvil_request_limit_table_drop (jobs->request_limits);
+  anvil_pause_table_drop (jobs->pauses);
   anvil_routes_drop (jobs->routes);
   g_free (jobs);
 }
@@ -94,6 +96,12 @@
   return anvil_request_limit_table_count (jobs->request_limits);
 }
 
+guint
+anvil_relay_jobs_count_pauses (const anvil_relay_jobs_t *jobs)
+{
+  return anvil_pause_table_count (jobs->pauses, anvil_clock_now ());
+}
+
 gsize
 anvil_relay_jobs_saved_bytes (const anvil_relay_jobs_t *jobs)
 {
@@ -230,27 +238,41 @@
                                1);
 }
 
+/* Keeps what the upstream said; FALSE if all of it was known. */
+static gboolean
+keep_announcement (job_t *job, const anvil_announcement_t *announcement)
+{
+  const anvil_relay_jobs_options_t *options = &job->jobs->options;
+  const anvil_time_t now = anvil_clock_now ();
+  gboolean is_new = FALSE;
+
+  if (announcement->leaving)
+    is_new = options->upstream_leaving (options->context, job->service, job->upstream,
+                                        job->upstream_started_at);
+  if (announcement->pause > 0)
+    is_new |= anvil_pause_table_add (job->jobs->pauses, now, job->service, job->upstream,
+                                     job->upstream_started_at, now + announcement->pause);
+  return is_new;
+}
+
 static void
 on_announced (void *context, const anvil_announcement_t *announcement)
 {
-  const job_t *job = context;
-  const anvil_relay_jobs_options_t *options = &job->jobs->options;
+  job_t *job = context;
+  anvil_slot_broker_t *broker = job->jobs->options.slot_broker;
   const anvil_named_announcement_t item = { .upstream = job->upstream,
                                             .started_at = job->upstream_started_at,
                                             .announcement = *announcement };
 
-  if (!announcement->leaving
-      || !options->upstream_leaving (options->context, job->service, job->upstream,
-                                     job->upstream_started_at))
+  if (!keep_announcement (job, announcement))
     return;
   anvil_log (ANVIL_LOG_NOTICE, "request",
-             "upstream says that it leaves upstream=%s service=%s request=%s "
-             "started_at=%" G_GINT64_FORMAT,
-             job->upstream_id, job->service, text_or_dash (job->request->id),
-             job->upstream_started_at);
-  anvil_slot_broker_send_announcements (
-      options->slot_broker, anvil_slot_broker_holder (options->slot_broker, job->service),
-      job->service, &item, 1);
+             "upstream wants no more requests upstream=%s service=%s leaving=%d "
+             "pause_ms=%" G_GINT64_FORMAT " request=%s started_at=%" G_GINT64_FORMAT,
+             job->upstream_id, job->service, announcement->leaving, announcement->pause / ANVIL_MS,
+             text_or_dash (job->request->id), job->upstream_started_at);
+  anvil_slot_broker_send_announcements (broker, anvil_slot_broker_holder (broker, job->service),
+                                        job->service, &item, 1);
 }
 
 static void
@@ -381,6 +403,20 @@
   anvil_slot_broker_run_finished (jobs->options.slot_broker, holder, number, &unused);
 }
 
+static const char *
+reason_not_to_use (const anvil_relay_jobs_t *jobs, const anvil_slot_grant_t *grant)
+{
+  const anvil_relay_jobs_options_t *options = &jobs->options;
+
+  if (anvil_pause_table_remaining (jobs->pauses, anvil_clock_now (), grant->upstream,
+                                   grant->started_at)
+      > 0)
+    return "paused";
+  return anvil_registry_reason_not_to_use (options->registry, grant->upstream, grant->zone,
+                                           grant->started_at, grant->row_version,
+                                           options->store_ok_for (options->context));
+}
+
 void
 anvil_relay_jobs_granted (anvil_relay_jobs_t *jobs,
                           guint64 number,
@@ -410,9 +446,7 @@
       renew_number (job);
       return;
     }
-  reason = anvil_registry_reason_not_to_use (jobs->options.registry, grant->upstream, grant->zone,
-                                             grant->started_at, grant->row_version,
-                                             jobs->options.store_ok_for (jobs->options.context));
+  reason = reason_not_to_use (jobs, grant);
   if (reason == NULL)
     {
       start_attempt (job, grant);
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -104,6 +104,9 @@
  * last response to this entry */
 guint anvil_relay_jobs_count_request_limits (const anvil_relay_jobs_t *jobs);
 
+/** anvil_relay_jobs_count_pauses - number of upstreams that want no requests of this entry now */
+guint anvil_relay_jobs_count_pauses (const anvil_relay_jobs_t *jobs);
+
 /** anvil_relay_jobs_saved_bytes - bytes in the bodies of failed responses that wait for a retry */
 gsize anvil_relay_jobs_saved_bytes (const anvil_relay_jobs_t *jobs);
 
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -587,7 +587,7 @@
     case ANVIL_RELAY_REFUSE:
       body = read_array (reader, "refuse");
       message->refused.reason
-          = (anvil_task_refusal_reason_t) read_number (&body, "reason", ANVIL_TASK_LATE);
+          = (anvil_task_refusal_reason_t) read_number (&body, "reason", ANVIL_TASK_PAUSED);
       message->refused.retry_after = read_time (&body, "retry after");
       message->refused.waiting = (guint) read_number (&body, "waiting", G_MAXUINT);
       message->refused.running = (guint) read_number (&body, "running", G_MAXUINT);
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -620,6 +620,8 @@
                            anvil_relay_jobs_count_request_limits (relay->jobs));
   anvil_metrics_set_gauge (relay->metrics, "anvil_leaving_upstreams", "",
                            anvil_registry_count_leaving (relay->registry));
+  anvil_metrics_set_gauge (relay->metrics, "anvil_paused_upstreams", "",
+                           anvil_relay_jobs_count_pauses (relay->jobs));
   anvil_metrics_set_gauge (relay->metrics, "anvil_requests_open", "",
                            anvil_relay_jobs_count (relay->jobs));
   anvil_metrics_set_gauge (relay->metrics, "anvil_caller_connections", "",
--- a/source/relay/slot-broker-internal.h
+++ b/source/relay/slot-broker-internal.h
@@ -65,6 +65,11 @@
 void broker_add_request_limits (anvil_slot_broker_t *broker,
                                 const anvil_named_limit_t *limits,
                                 guint n_limits);
+/* Adds the pauses that upstreams asked an entry for. */
+void broker_add_pauses (anvil_slot_broker_t *broker,
+                        anvil_node_t requester,
+                        const anvil_named_announcement_t *announcements,
+                        guint n_announcements);
 void
 broker_send (anvil_slot_broker_t *broker, anvil_node_t to, const anvil_relay_message_t *message);
 
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -72,6 +72,24 @@
                                         limits[i].per_second, now - MAX (limits[i].age, 0));
 }
 
+void
+broker_add_pauses (anvil_slot_broker_t *broker,
+                   anvil_node_t requester,
+                   const anvil_named_announcement_t *announcements,
+                   guint n_announcements)
+{
+  const anvil_time_t now = anvil_clock_now ();
+
+  for (guint i = 0; i < n_announcements; i++)
+    {
+      const anvil_named_announcement_t *item = &announcements[i];
+
+      if (item->announcement.pause > 0)
+        anvil_dispatcher_pause_upstream (broker->dispatcher, now, item->upstream, item->started_at,
+                                         requester, now + item->announcement.pause);
+    }
+}
+
 static void
 on_relay_message (void *context, anvil_node_t from, anvil_str_t bytes)
 {
@@ -136,6 +154,7 @@
       broker_add_retry_counts (broker, &message);
       return;
     case ANVIL_RELAY_ANNOUNCEMENTS:
+      broker_add_pauses (broker, from, message.announcements, message.n_announcements);
       broker->callbacks.announcements_received (broker->context, from, &message);
       return;
     }
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -330,7 +330,10 @@
   anvil_relay_message_t *message;
 
   if (holder == broker->self)
-    return;
+    {
+      broker_add_pauses (broker, broker->self, announcements, n_announcements);
+      return;
+    }
   message = g_new0 (anvil_relay_message_t, 1);
   message->kind = ANVIL_RELAY_ANNOUNCEMENTS;
   message->service = anvil_str (service);
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -33,7 +33,8 @@
  * @config_requested: a peer requests the changes of the configuration after @version, or @whole if
  *   they aren't known
  * @config_received: a peer sent changes of the configuration; borrowed
- * @announcements_received: upstreams said something of themselves to a peer; borrowed
+ * @announcements_received: upstreams said something of themselves to a peer; borrowed. The broker
+ *   has already taken pauses into account
  */
 typedef struct
 {
@@ -95,8 +96,8 @@
                                             const anvil_named_limit_t *limits,
                                             guint n_limits);
 
-/** anvil_slot_broker_send_announcements - tells a holder what upstreams of a service said of
- * themselves to this entry; does nothing if this entry is the holder */
+/** anvil_slot_broker_send_announcements - tells a holder, which may be this entry, what upstreams
+ * of a service said of themselves to this entry */
 void anvil_slot_broker_send_announcements (anvil_slot_broker_t *broker,
                                            anvil_node_t holder,
                                            const char *service,
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -8,7 +8,8 @@
  * Modules of the dispatcher: dispatcher.c submits and ends tasks, dispatch-placing.c selects an
  * upstream for a task, dispatch-waiting.c a queued task for a free slot, dispatch-refusing.c the
  * tasks to refuse. dispatch-shift.c bounds how fast work moves to other regions, dispatch-limit.c
- * how many requests an upstream gets that named a limit. dispatch-warmth.c tracks which upstreams
+ * how many requests an upstream gets that named a limit, dispatch-pause.c from whom it wants none
+ * for a time. dispatch-warmth.c tracks which upstreams
  * are warm for which objects, dispatch-upstream.c which are ejected.
  */
 
@@ -99,6 +100,7 @@
  * @limit_used_at: when a slot of it was last granted while it is limited
  * @limit_logged_at: when a begin or end of a limit was last logged
  * @request_bucket: limits requests while it is limited
+ * @pauses: anvil_time_t by the entry from which it wants no requests until then; NULL for none
  */
 struct upstream
 {
@@ -125,6 +127,7 @@
   anvil_time_t limit_used_at;
   anvil_time_t limit_logged_at;
   anvil_bucket_t request_bucket;
+  GHashTable *pauses;
 };
 
 /**
@@ -185,6 +188,8 @@
  * @retry_window: requests and retries, for the retry budget
  * @foreign_windows: the same of other holders, as they handed them over
  * @last_retry_at: latest time at which a refused caller was told to retry
+ * @last_return_at: latest time at which a caller was told to retry that was refused because of
+ *   pauses
  * @shifts: shift_window_t by id of the requesters' region
  */
 struct service
@@ -209,6 +214,7 @@
   foreign_window_t foreign_windows[ANVIL_MAX_RETRY_ORIGINS - 1];
   guint n_foreign_windows;
   anvil_time_t last_retry_at;
+  anvil_time_t last_return_at;
   GHashTable *shifts;
 };
 
@@ -230,6 +236,8 @@
   /* Ids of regions and zones by name. */
   GHashTable *name_ids;
   anvil_time_t loads_updated_at;
+  /* When the last of all pauses ends. */
+  anvil_time_t pauses_end;
 };
 
 /* Id of a region or zone, 1 or more; compared instead of the name. */
@@ -317,6 +325,18 @@
                          gdouble per_second);
 void limit_clear (upstream_t *upstream);
 
+/* dispatch-pause.c */
+
+/* Whether the upstream wants no requests of the task's entry at this time. */
+gboolean pause_applies (const upstream_t *upstream, const task_t *task, anvil_time_t now);
+/* Whether the task can't be served in time, because all upstreams that it may use want no requests
+ * of its entry for too long. */
+gboolean pause_outlasts (const task_t *task, anvil_time_t now);
+/* Time after which the caller of such a task should retry: when the first of these pauses has
+ * ended, microseconds. */
+anvil_time_t pause_retry_after (const task_t *task, anvil_time_t now);
+void pause_clear (upstream_t *upstream);
+
 /* dispatch-placing.c */
 
 /**
--- /dev/null
+++ b/source/steer/dispatch-pause.c
@@ -0,0 +1,104 @@
+/*
+ * Keeps to the pauses that upstreams ask for.
+ *
+ * An upstream that turns requests away may ask the entry that sent them for a
+ * pause. It holds for that entry only: the upstream may still have room for the
+ * requests of others, which then get its slots.
+ */
+
+#include "steer/dispatch-internal.h"
+
+/* Callers that are told to return when a pause ends are spread over at most this time. */
+#define MAX_RETURN_SPREAD (2 * ANVIL_SECOND)
+
+static anvil_time_t
+pause_end (const upstream_t *upstream, anvil_node_t requester)
+{
+  const anvil_time_t *end
+      = upstream->pauses != NULL ? g_hash_table_lookup (upstream->pauses, &requester) : NULL;
+
+  return end != NULL ? *end : 0;
+}
+
+gboolean
+pause_applies (const upstream_t *upstream, const task_t *task, anvil_time_t now)
+{
+  return pause_end (upstream, task->request.id.requester) > now;
+}
+
+static gboolean
+has_ended (gpointer unused_key, gpointer value, gpointer data)
+{
+  return *(const anvil_time_t *) value <= *(const anvil_time_t *) data;
+}
+
+void
+anvil_dispatcher_pause_upstream (anvil_dispatcher_t *dispatcher,
+                                 anvil_time_t now,
+                                 guint64 key,
+                                 gint64 started_at,
+                                 anvil_node_t requester,
+                                 anvil_time_t until)
+{
+  upstream_t *upstream = g_hash_table_lookup (dispatcher->upstreams, &key);
+
+  if (upstream == NULL || (started_at != 0 && started_at < upstream->record.started_at))
+    return;
+  if (upstream->pauses == NULL)
+    upstream->pauses = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  g_hash_table_foreach_remove (upstream->pauses, has_ended, &now);
+  if (until > MAX (now, pause_end (upstream, requester)))
+    g_hash_table_insert (upstream->pauses, g_memdup2 (&requester, sizeof requester),
+                         g_memdup2 (&until, sizeof until));
+  dispatcher->pauses_end = MAX (dispatcher->pauses_end, until);
+}
+
+void
+pause_clear (upstream_t *upstream)
+{
+  g_clear_pointer (&upstream->pauses, g_hash_table_unref);
+}
+
+/* When the first upstream that the task may use ends its pause; 0 if one wants requests now, or if
+ * there is none. */
+static anvil_time_t
+first_end (const task_t *task, anvil_time_t now)
+{
+  const GPtrArray *upstreams = task->service->upstreams;
+  anvil_time_t first = G_MAXINT64;
+
+  if (task->service->dispatcher->pauses_end <= now)
+    return 0;
+  for (guint i = 0; i < upstreams->len; i++)
+    {
+      const upstream_t *upstream = upstreams->pdata[i];
+
+      if (!anvil_registry_usable (&upstream->record) || !placing_allowed (upstream, task))
+        continue;
+      if (!pause_applies (upstream, task, now))
+        return 0;
+      first = MIN (first, pause_end (upstream, task->request.id.requester));
+    }
+  return first < G_MAXINT64 ? first : 0;
+}
+
+gboolean
+pause_outlasts (const task_t *task, anvil_time_t now)
+{
+  anvil_time_t end = first_end (task, now);
+
+  return end > 0 && refusing_misses_deadline (task, end);
+}
+
+anvil_time_t
+pause_retry_after (const task_t *task, anvil_time_t now)
+{
+  service_t *service = task->service;
+  const anvil_time_t end = first_end (task, now);
+  anvil_time_t run_time = warmth_mean_run_time (service, task->request.kind, TRUE);
+
+  service->last_return_at
+      = MAX (service->last_return_at, end) + run_time / MAX (service->n_slots, 1);
+  service->last_return_at = MIN (service->last_return_at, end + MAX_RETURN_SPREAD);
+  return service->last_return_at - now;
+}
--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -198,6 +198,7 @@
       placement_t placement;
 
       if (!upstream->registered || !placing_allowed (upstream, task)
+          || pause_applies (upstream, task, now)
           || (local_only && upstream->region != task->region))
         continue;
       if (free_slot
@@ -269,7 +270,7 @@
       placement_t placement;
 
       if (!placing_slot_available (upstream, now) || !placing_allowed (upstream, task)
-          || warmth_find (upstream, task->object) != NULL
+          || pause_applies (upstream, task, now) || warmth_find (upstream, task->object) != NULL
           || (local_only && upstream->region != task->region))
         continue;
       placement = placing_estimate (upstream, task, now, FALSE);
@@ -315,7 +316,7 @@
       upstream_t *upstream = upstreams->pdata[i];
 
       if (limit_probe_due (upstream, now) && placing_allowed (upstream, task)
-          && placing_slot_available (upstream, now))
+          && !pause_applies (upstream, task, now) && placing_slot_available (upstream, now))
         return placing_estimate (upstream, task, now, FALSE);
     }
   return (placement_t){ 0 };
--- a/source/steer/dispatch-upstream.c
+++ b/source/steer/dispatch-upstream.c
@@ -24,6 +24,7 @@
   g_free (upstream->record.zone);
   g_ptr_array_unref (upstream->running);
   g_array_unref (upstream->warm_entries);
+  pause_clear (upstream);
   g_free (upstream);
 }
 
@@ -85,6 +86,7 @@
 {
   warmth_clear_upstream (upstream);
   limit_clear (upstream);
+  pause_clear (upstream);
   upstream->run_time = (estimate_t){ 0 };
   upstream->run_time_ratio = 1;
   upstream->failure_rate = 0;
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -169,7 +169,8 @@
   return TRUE;
 }
 
-/* Considers the oldest task that can finish on time, and the newest late one. */
+/* Considers the oldest task that can finish on time, and the newest late one. Tasks of entries from
+ * which the upstream wants no requests are passed over, so that they don't hide those of others. */
 static void
 consider_object (choice_t *choice, object_t *object, gboolean warm)
 {
@@ -179,6 +180,8 @@
   for (GList *link = object->on_time.head; link != NULL && n_examined < MAX_EXAMINED_TASKS;
        link = link->next)
     {
+      if (pause_applies (choice->upstream, link->data, choice->now))
+        continue;
       n_examined++;
       if (consider (choice, link->data, warm))
         break;
@@ -187,6 +190,8 @@
   for (GList *link = object->late.tail; link != NULL && n_examined < MAX_EXAMINED_TASKS;
        link = link->prev)
     {
+      if (pause_applies (choice->upstream, link->data, choice->now))
+        continue;
       n_examined++;
       if (consider (choice, link->data, warm))
         break;
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -198,11 +198,13 @@
 {
   anvil_task_id_t id = task->request.id;
   const service_t *service = task->service;
-  const anvil_task_refusal_info_t refused = { .reason = reason,
-                                              .retry_after = refusing_retry_after (task, now),
-                                              .waiting = service->n_waiting,
-                                              .running = service->n_running,
-                                              .slots = service->n_slots };
+  const anvil_task_refusal_info_t refused
+      = { .reason = reason,
+          .retry_after = reason == ANVIL_TASK_PAUSED ? pause_retry_after (task, now)
+                                                     : refusing_retry_after (task, now),
+          .waiting = service->n_waiting,
+          .running = service->n_running,
+          .slots = service->n_slots };
 
   remove_task (dispatcher, task);
   dispatcher->callbacks.refuse (dispatcher->context, id, &refused);
@@ -309,6 +311,8 @@
     grant (dispatcher, now, task, placement.upstream);
   else if (task->service->n_slots == 0)
     refuse (dispatcher, now, task, ANVIL_TASK_NO_UPSTREAM);
+  else if (pause_outlasts (task, now))
+    refuse (dispatcher, now, task, ANVIL_TASK_PAUSED);
   else if (refusing_on_arrival (task, now))
     refuse (dispatcher, now, task, ANVIL_TASK_NO_ROOM);
   else
@@ -410,7 +414,7 @@
       task_t *task = value;
 
       if (task->upstream != NULL ? now > task->request.deadline + DEADLINE_GRACE
-                                 : refusing_while_waiting (task, now))
+                                 : pause_outlasts (task, now) || refusing_while_waiting (task, now))
         g_ptr_array_add (found, task);
     }
   return found;
@@ -434,7 +438,8 @@
           continue;
         }
       waiting_remove (task);
-      refuse (dispatcher, now, task, ANVIL_TASK_LATE);
+      refuse (dispatcher, now, task,
+              pause_outlasts (task, now) ? ANVIL_TASK_PAUSED : ANVIL_TASK_LATE);
     }
   g_ptr_array_unref (overdue);
 }
--- a/tests/helper-dispatch.c
+++ b/tests/helper-dispatch.c
@@ -222,7 +222,9 @@
   task = sim_task (sim, index);
   task->submitted_at = sim->now;
   task->task = *request;
-  task->task.id = (anvil_task_id_t){ .requester = REQUESTER, .number = index };
+  task->task.id = (anvil_task_id_t){ .requester = request->id.requester != 0 ? request->id.requester
+                                                                             : REQUESTER,
+                                     .number = index };
   task->task.target = sim->now + sim->target;
   task->task.deadline = sim->now + sim->timeout;
   anvil_dispatcher_submit (sim->dispatcher, sim->now, &task->task);
--- a/tests/helper-dispatch.h
+++ b/tests/helper-dispatch.h
@@ -79,7 +79,8 @@
 /** sim_submit - submits a task for @object; returns its index */
 guint sim_submit (dispatch_sim_t *sim, guint64 object);
 
-/** sim_submit_task - submits a task with another id, target and deadline; returns its index */
+/** sim_submit_task - submits a task with another number, target and deadline; returns its index.
+ * Its requester is kept unless it is 0 */
 guint sim_submit_task (dispatch_sim_t *sim, const anvil_task_t *task);
 sim_task_t *sim_task (dispatch_sim_t *sim, guint index);
 void sim_finish (dispatch_sim_t *sim, guint index, anvil_run_result_t result);
--- /dev/null
+++ b/tests/test-dispatch-pause.c
@@ -0,0 +1,181 @@
+/* Pauses that upstreams ask single entries for: who gets their slots, and what becomes of requests
+ * that no upstream wants in time. */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include "helper-dispatch.h"
+
+#define PAUSED_ENTRY ((anvil_node_t) 5)
+#define OTHER_ENTRY ((anvil_node_t) 6)
+#define LONG_PAUSE (10 * ANVIL_SECOND)
+#define SHORT_PAUSE (400 * ANVIL_MS)
+
+static dispatch_sim_t sim;
+
+static void
+set_up (void)
+{
+  sim_open (&sim);
+  sim_add_upstream (&sim, "west", "west-a", 2);
+}
+
+static void
+tear_down (void)
+{
+  sim_close (&sim);
+}
+
+static void
+pause_upstream (guint index, anvil_time_t pause)
+{
+  anvil_dispatcher_pause_upstream (sim.dispatcher, sim.now, sim.keys[index], 0, PAUSED_ENTRY,
+                                   sim.now + pause);
+}
+
+static const sim_task_t *
+submit_from (anvil_node_t requester)
+{
+  const anvil_task_t task = { .id = { .requester = requester },
+                              .service = anvil_str ("photos"),
+                              .region = anvil_str ("west"),
+                              .zone = anvil_str ("west-a"),
+                              .attempt = 1 };
+
+  return sim_task (&sim, sim_submit_task (&sim, &task));
+}
+
+START_TEST (test_a_paused_upstream_gets_requests_of_other_entries_only)
+{
+  pause_upstream (0, LONG_PAUSE);
+  ck_assert (submit_from (OTHER_ENTRY)->granted);
+  ck_assert (!submit_from (PAUSED_ENTRY)->granted);
+}
+END_TEST
+
+START_TEST (test_requests_of_a_paused_entry_go_to_the_other_upstreams)
+{
+  const guint64 other = sim_add_upstream (&sim, "west", "west-a", 2);
+
+  pause_upstream (0, LONG_PAUSE);
+  for (guint i = 0; i < 2; i++)
+    ck_assert_uint_eq (submit_from (PAUSED_ENTRY)->upstream, other);
+}
+END_TEST
+
+START_TEST (test_a_request_that_all_pauses_outlast_is_refused_at_once)
+{
+  const sim_task_t *task;
+
+  pause_upstream (0, LONG_PAUSE);
+  task = submit_from (PAUSED_ENTRY);
+  ck_assert (task->refused);
+  ck_assert_int_eq (task->refused_at, task->submitted_at);
+  ck_assert_int_eq (task->reason, ANVIL_TASK_PAUSED);
+  ck_assert_int_ge (task->retry_after, LONG_PAUSE);
+  ck_assert_int_le (task->retry_after, LONG_PAUSE + 2 * ANVIL_SECOND);
+}
+END_TEST
+
+START_TEST (test_the_callers_of_refused_requests_return_when_the_first_pause_ends)
+{
+  anvil_time_t last = 0;
+
+  sim_add_upstream (&sim, "west", "west-a", 2);
+  pause_upstream (0, 2 * LONG_PAUSE);
+  pause_upstream (1, LONG_PAUSE);
+  for (guint i = 0; i < 20; i++)
+    {
+      const sim_task_t *task = submit_from (PAUSED_ENTRY);
+
+      ck_assert (task->refused);
+      ck_assert_int_ge (task->retry_after, LONG_PAUSE);
+      ck_assert_int_lt (task->retry_after, 2 * LONG_PAUSE);
+      ck_assert_int_ge (task->retry_after, last);
+      last = task->retry_after;
+    }
+  ck_assert_int_gt (last, LONG_PAUSE);
+}
+END_TEST
+
+START_TEST (test_a_request_waits_for_a_pause_that_ends_in_time)
+{
+  const anvil_time_t until = sim.now + SHORT_PAUSE;
+  guint index;
+
+  pause_upstream (0, SHORT_PAUSE);
+  submit_from (PAUSED_ENTRY);
+  index = sim.tasks->len - 1;
+  sim_run (&sim, SHORT_PAUSE + 2 * ANVIL_DISPATCHER_TICK_INTERVAL);
+  ck_assert (sim_task (&sim, index)->granted);
+  ck_assert_int_ge (sim_task (&sim, index)->granted_at, until);
+}
+END_TEST
+
+START_TEST (test_a_queued_request_is_refused_when_a_long_pause_begins)
+{
+  guint index;
+
+  for (guint i = 0; i < 2; i++)
+    submit_from (OTHER_ENTRY);
+  submit_from (PAUSED_ENTRY);
+  index = sim.tasks->len - 1;
+  ck_assert (!sim_task (&sim, index)->granted && !sim_task (&sim, index)->refused);
+  pause_upstream (0, LONG_PAUSE);
+  sim_run (&sim, 2 * ANVIL_DISPATCHER_TICK_INTERVAL);
+  ck_assert (sim_task (&sim, index)->refused);
+  ck_assert_int_eq (sim_task (&sim, index)->reason, ANVIL_TASK_PAUSED);
+}
+END_TEST
+
+/* More tasks of the paused entry are queued than are examined for a free slot. */
+START_TEST (test_queued_requests_of_a_paused_entry_do_not_hide_those_of_others)
+{
+  const anvil_time_t pause = 1200 * ANVIL_MS;
+  guint index;
+
+  pause_upstream (0, pause);
+  for (guint i = 0; i < 2; i++)
+    submit_from (OTHER_ENTRY);
+  for (guint i = 0; i < 8; i++)
+    submit_from (PAUSED_ENTRY);
+  submit_from (OTHER_ENTRY);
+  index = sim.tasks->len - 1;
+  sim_run (&sim, sim.cold_run + 2 * ANVIL_DISPATCHER_TICK_INTERVAL);
+  ck_assert (sim_task (&sim, index)->granted);
+}
+END_TEST
+
+START_TEST (test_a_shorter_pause_does_not_end_a_longer_one)
+{
+  pause_upstream (0, LONG_PAUSE);
+  pause_upstream (0, SHORT_PAUSE);
+  sim_run (&sim, 2 * SHORT_PAUSE);
+  ck_assert (submit_from (PAUSED_ENTRY)->refused);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("dispatch-pause");
+  TCase *tests = tcase_create ("dispatch-pause");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_add_test (tests, test_a_paused_upstream_gets_requests_of_other_entries_only);
+  tcase_add_test (tests, test_requests_of_a_paused_entry_go_to_the_other_upstreams);
+  tcase_add_test (tests, test_a_request_that_all_pauses_outlast_is_refused_at_once);
+  tcase_add_test (tests, test_the_callers_of_refused_requests_return_when_the_first_pause_ends);
+  tcase_add_test (tests, test_a_request_waits_for_a_pause_that_ends_in_time);
+  tcase_add_test (tests, test_a_queued_request_is_refused_when_a_long_pause_begins);
+  tcase_add_test (tests, test_queued_requests_of_a_paused_entry_do_not_hide_those_of_others);
+  tcase_add_test (tests, test_a_shorter_pause_does_not_end_a_longer_one);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -59,6 +59,15 @@
 }
 
 static anvil_relay_attempt_cb_t attempt_callback = on_done;
+static anvil_announcement_t announced;
+static guint n_announced;
+
+static void
+on_announced (void *context, const anvil_announcement_t *announcement)
+{
+  n_announced++;
+  announced = *announcement;
+}
 
 static void
 set_up (void)
@@ -103,7 +112,8 @@
                                                    .body = body,
                                                    .id = id,
                                                    .idempotent = TRUE,
-                                                   .timeout = WAIT_TIMEOUT };
+                                                   .timeout = WAIT_TIMEOUT,
+                                                   .announced = on_announced };
 
   evbuffer_add (body, filler, length);
   g_free (filler);
@@ -755,6 +765,78 @@
 }
 END_TEST
 
+#define LEAVING "Server-Leaving: 1\r\n"
+#define PAUSE "Retry-After: 3\r\n"
+#define OWN "Request-Id: one\r\nServer-Stamp: s\r\n"
+#define NO_BODY "Content-Length: 0\r\n\r\n"
+
+/* What an upstream says of itself counts from the head of its own response to the request on. */
+START_TEST (test_what_an_upstream_says_of_itself_is_taken_from_its_own_responses)
+{
+  static const struct
+  {
+    const char *head;
+    gboolean leaving;
+    anvil_time_t pause;
+  } cases[] = {
+    { "HTTP/1.1 200 OK\r\n" OWN LEAVING "Content-Length: 10\r\n\r\n", TRUE, 0 },
+    { "HTTP/1.1 500 X\r\n" OWN LEAVING "Content-Length: 10\r\n\r\n", TRUE, 0 },
+    { "HTTP/1.1 103 X\r\nRequest-Id: one\r\n" LEAVING "\r\n", TRUE, 0 },
+    { "HTTP/1.1 503 X\r\nRequest-Id: one\r\nNot-Run: 1\r\n" LEAVING PAUSE
+      "Content-Length: 10\r\n\r\n",
+      TRUE, 3 * ANVIL_SECOND },
+    { "HTTP/1.1 503 X\r\n" OWN PAUSE "Content-Length: 10\r\n\r\n", FALSE, 3 * ANVIL_SECOND },
+    { "HTTP/1.1 503 X\r\n" OWN "Retry-After: 1\r\n" PAUSE "Content-Length: 10\r\n\r\n", FALSE,
+      3 * ANVIL_SECOND },
+    { "HTTP/1.1 429 X\r\n" OWN PAUSE "Content-Length: 10\r\n\r\n", FALSE, 0 },
+    { "HTTP/1.1 503 X\r\n" OWN "Retry-After: soon\r\nContent-Length: 10\r\n\r\n", FALSE, 0 },
+    { "HTTP/1.1 200 OK\r\n" OWN "Server-Leaving: 0\r\nContent-Length: 10\r\n\r\n", FALSE, 0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: one\r\n" LEAVING "Content-Length: 10\r\n\r\n", FALSE, 0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: two\r\nServer-Stamp: s\r\n" LEAVING NO_BODY, FALSE, 0 },
+    { "HTTP/1.1 200 OK\r\n" OWN "Instance-Id: u2\r\n" LEAVING "Content-Length: 10\r\n\r\n", FALSE,
+      0 },
+    { "HTTP/1.1 421 X\r\nRequest-Id: one\r\nNot-Run: 1\r\n" LEAVING "Content-Length: 10\r\n\r\n",
+      FALSE, 0 },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int fd;
+
+      announced = (anvil_announcement_t){ 0 };
+      n_announced = 0;
+      start_attempt ();
+      fd = accept_request ();
+      ck_assert_int_eq (send (fd, cases[i].head, strlen (cases[i].head), MSG_NOSIGNAL),
+                        (ssize_t) strlen (cases[i].head));
+      for (guint n = 0; n < 20; n++)
+        {
+          run_loop_once ();
+          g_usleep (1000);
+        }
+      ck_assert_msg (announced.leaving == cases[i].leaving, "%s", cases[i].head);
+      ck_assert_msg (announced.pause == cases[i].pause, "%s", cases[i].head);
+      ck_assert_uint_eq (n_announced, cases[i].leaving || cases[i].pause > 0 ? 1 : 0);
+      if (!is_done)
+        anvil_relay_attempt_cancel (attempt);
+      close (fd);
+    }
+}
+END_TEST
+
+START_TEST (test_the_connection_to_an_upstream_that_leaves_is_closed)
+{
+  int fd;
+
+  start_attempt ();
+  fd = accept_request ();
+  send_response (fd, "HTTP/1.1 200 OK\r\n" OWN LEAVING NO_BODY);
+  ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+  ck_assert_int_eq (receive_close (fd), 0);
+  close (fd);
+}
+END_TEST
+
 typedef struct
 {
   const char *response;
@@ -954,6 +1036,8 @@
   tcase_add_test (tests, test_request_limits_are_taken_from_responses_to_this_request);
   tcase_add_test (tests, test_bytes_without_end_end_the_attempt);
   tcase_add_test (tests, test_the_longest_response_is_given_up_for_the_others);
+  tcase_add_test (tests, test_what_an_upstream_says_of_itself_is_taken_from_its_own_responses);
+  tcase_add_test (tests, test_the_connection_to_an_upstream_that_leaves_is_closed);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
