Read the store oneself once what the region's reader sends is old

What callers saw: requests at an upstream that had left, by an entry without the store (the listed test of test-relay-drains, 1 in 100 plays beside busy processes); requests would be refused from 2.5 to 2.7 s after the last read.

Cause: a reader that the store stops answering goes on answering renewals with its last read until that is 1.5 s old. A subscriber counts its silence from such an answer, so it read the store itself 2.7 s after that read, and then no entry had read throughout.

Change: a subscriber whose knowledge is older than 1.9 s reads the store itself, also if its reader still answers.

Evidence: test_entries_whose_reader_is_cut_off_read_the_store_in_time cuts each entry off in turn; the others' knowledge is 2.50 s old in 3 of 3 plays before, younger in 3 of 3 after.

--- a/source/relay/relay-feed.c
+++ b/source/relay/relay-feed.c
@@ -11,6 +11,10 @@
 #define READER_TIMEOUT (1300 * ANVIL_MS)
 /* A reader sends no updates if its last read is older than this. */
 #define MAX_UPDATE_AGE (1500 * ANVIL_MS)
+/* A subscriber reads the store itself once what it received is older than this. A reader that the
+ * store has stopped answering sends its last read until that is MAX_UPDATE_AGE old, and one call
+ * more must fit into the 2.5 s. */
+#define MAX_RECEIVED_AGE (1900 * ANVIL_MS)
 /* An entry that receives upstreams from nowhere is outdated after this time. All entries notice an
  * outage of the store within it, and then none claims to read the store. */
 #define OUTDATED_AFTER (3 * ANVIL_SECOND)
@@ -143,6 +147,8 @@
     }
   if (feed->subscribed && now - feed->received_at > READER_TIMEOUT)
     set_subscribed (feed, FALSE, "the reader is silent");
+  else if (feed->subscribed && now - feed->upstreams_read_at (feed->context) > MAX_RECEIVED_AGE)
+    set_subscribed (feed, FALSE, "what the reader sends is old");
   if (now - feed->subscribed_at < SUBSCRIBE_PERIOD || !anvil_relay_watch_ready (feed->watch))
     return;
   feed->subscribed_at = now;
--- a/tests/test-relay-drains.c
+++ b/tests/test-relay-drains.c
@@ -4,6 +4,9 @@
 #include "helper-fleet.h"
 
 #include <stdlib.h>
+#include <string.h>
+
+#include "anvil/clock.h"
 
 #define N_ENTRIES 3
 /* More than one upstream has slots. */
@@ -92,6 +95,46 @@
 }
 END_TEST
 
+static gdouble
+upstreams_age_s (const fleet_entry_t *entry)
+{
+  char *response = fleet_request (entry->metrics_port, "GET", "/metrics", "age");
+  const char *line = strstr (response, "\nanvil_upstreams_age_seconds ");
+  gdouble age;
+
+  ck_assert_ptr_nonnull (line);
+  age = g_ascii_strtod (line + strlen ("\nanvil_upstreams_age_seconds "), NULL);
+  g_free (response);
+  return age;
+}
+
+/* The reader of the region is one of the entries. Its last read must not keep the others from
+ * reading the store in time. */
+START_TEST (test_entries_whose_reader_is_cut_off_read_the_store_in_time)
+{
+  for (guint cut = 0; cut < N_ENTRIES; cut++)
+    {
+      const anvil_time_t until = anvil_clock_now () + 4 * ANVIL_SECOND;
+
+      kill (proxies[cut]->pid, SIGSTOP);
+      while (anvil_clock_now () < until)
+        {
+          for (guint i = 0; i < N_ENTRIES; i++)
+            {
+              const gdouble age = i != cut ? upstreams_age_s (entries[i]) : 0;
+
+              ck_assert_msg (age < MAX_DRAIN_DELAY_US / 1e6,
+                             "entry %u knows upstreams as of %.2f s ago, %u is cut off", i, age,
+                             cut);
+            }
+          g_usleep (10000);
+        }
+      kill (proxies[cut]->pid, SIGCONT);
+      g_usleep (NOTICE_LOSS_US);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -106,6 +149,7 @@
   tcase_add_test (tests,
                   test_an_entry_without_the_store_learns_from_its_peers_that_an_upstream_left);
   tcase_add_test (tests, test_an_entry_that_the_store_answers_again_knows_of_new_upstreams);
+  tcase_add_test (tests, test_entries_whose_reader_is_cut_off_read_the_store_in_time);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
