Play upstreams that say that they leave in random orders of what tells entries of upstreams

What callers saw: nothing; the random histories of registries knew no upstream that leaves, and none that starts again under its id.

Cause: those orders of events were tested by case only.

Change: test-registry-sources has upstreams that start again, in outages too, and that say that they leave while their row says anything. One entry hears it in the response to a request on a holder's grant, and tells the holder in messages half of which are lost, as it does when it returns a grant. No entry that heard it or was told uses or grants that process again, whatever its row, a whole read or a peer says, or while the row is missing; the next process of the id is used and granted. The test has a name for both, and asserts all that it did.

--- a/tests/test-registry-sources.c
+++ b/tests/test-registry-sources.c
@@ -3,10 +3,15 @@
  * its changes, updates of peers, and grants of holders, with restarts of entries, entries that
  * the store doesn't answer, and outages of the store in which rows of live upstreams expire. No
  * source brings back an upstream that a newer one removed.
+ *
+ * Upstreams say in responses that they leave, which one entry hears and tells a holder in messages
+ * that may be lost. An entry that has heard it never uses that process again, and uses the next
+ * one.
  */
 
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "anvil/registry.h"
 #include "relay/update-log.h"
@@ -25,14 +30,20 @@
 
 /**
  * upstream_t - an upstream and its row
+ * @row: value of its row, its state and the start of its process
+ * @started_at: start of its process
+ * @leaving: the process says in its responses that it leaves
  * @left_at: version at which the row was removed for good, 0 while it lives
  * @changed_at: version of the last change of the row
  */
 typedef struct
 {
   char id[16];
+  char row[32];
   gboolean row_exists;
   gboolean draining;
+  gint64 started_at;
+  gboolean leaving;
   guint64 left_at;
   guint64 changed_at;
 } upstream_t;
@@ -43,6 +54,7 @@
  * @changed_at: when the process started, or its way to the store was cut or restored
  * @needs_full_read: it knew something else than its reader
  * @subscribed_until: it takes a peer's updates instead of reading the store
+ * @heard: by upstream, start of the process that it heard or was told to leave, 0 for none
  */
 typedef struct
 {
@@ -54,6 +66,7 @@
   gboolean started;
   gboolean needs_full_read;
   anvil_time_t subscribed_until;
+  gint64 heard[N_UPSTREAMS];
 } entry_t;
 
 static GRand *random_source;
@@ -61,6 +74,10 @@
 static guint64 version;
 static upstream_t upstreams[N_UPSTREAMS];
 static guint n_generations;
+static gint64 last_start;
+/* Responses that said it, and starts of processes at the id of one that had. */
+static guint n_heard;
+static guint n_followed;
 static entry_t entries[N_ENTRIES];
 static gboolean store_down;
 static anvil_time_t store_back_at;
@@ -84,10 +101,24 @@
 static void
 start_upstream (upstream_t *upstream)
 {
-  *upstream = (upstream_t){ .row_exists = TRUE, .changed_at = ++version };
+  *upstream
+      = (upstream_t){ .row_exists = TRUE, .started_at = ++last_start, .changed_at = ++version };
   g_snprintf (upstream->id, sizeof upstream->id, "u%u", n_generations++);
 }
 
+/* Starts a process at the same id; its row is written in the outage of a store too, but read after
+ * it only. */
+static void
+restart_upstream (upstream_t *upstream)
+{
+  n_followed += upstream->leaving;
+  upstream->row_exists = TRUE;
+  upstream->draining = FALSE;
+  upstream->leaving = FALSE;
+  upstream->started_at = ++last_start;
+  upstream->changed_at = ++version;
+}
+
 static void
 start_entry (entry_t *entry)
 {
@@ -99,23 +130,29 @@
 }
 
 static anvil_store_row_t
-row_of (const upstream_t *upstream)
+row_of (upstream_t *upstream)
 {
+  g_snprintf (upstream->row, sizeof upstream->row, "%s %" G_GINT64_FORMAT,
+              upstream->draining ? "draining" : "ready", upstream->started_at);
   return (anvil_store_row_t){ .key = anvil_str (upstream->id),
-                              .value = anvil_str (upstream->draining ? "draining" : "ready"),
+                              .value = anvil_str (upstream->row),
                               .removed = !upstream->row_exists };
 }
 
 static gboolean
 apply_row (entry_t *entry, const anvil_store_row_t *row)
 {
+  char *value = anvil_str_dup (row->value);
+  const char *started_at = strchr (value, ' ');
   const anvil_upstream_report_t report
       = { .id = row->key,
           .service = anvil_str ("photos"),
           .zone = anvil_str ("west-a"),
           .slots = 3,
-          .draining = anvil_str_equal (row->value, anvil_str ("draining")) };
+          .draining = g_str_has_prefix (value, "draining"),
+          .started_at = started_at != NULL ? g_ascii_strtoll (started_at, NULL, 10) : 0 };
 
+  g_free (value);
   if (row->removed)
     return anvil_registry_remove (entry->registry, now, row->key);
   return anvil_registry_apply (entry->registry, now, &report);
@@ -234,19 +271,36 @@
          && now - entry->changed_at >= STABLE_TIME;
 }
 
+/* Why an entry doesn't use the holder's grant of an upstream; NULL if it does. */
+static const char *
+reason_not_to_use (const entry_t *requester,
+                   const entry_t *holder,
+                   const anvil_registered_upstream_t *granted)
+{
+  return anvil_registry_reason_not_to_use (
+      requester->registry, granted->key, anvil_str ("west-a"), granted->started_at,
+      anvil_registry_row_version (holder->registry, granted->key), store_ok_for (requester));
+}
+
+static const anvil_registered_upstream_t *
+lookup (const entry_t *entry, const upstream_t *upstream)
+{
+  return anvil_registry_lookup (entry->registry, anvil_str_hash (anvil_str (upstream->id)));
+}
+
 static void
-check_grant (const entry_t *holder, const entry_t *requester, const upstream_t *upstream)
+check_grant (const entry_t *holder, const entry_t *requester, guint index)
 {
-  guint64 key = anvil_str_hash (anvil_str (upstream->id));
-  const char *reason = anvil_registry_reason_not_to_use (
-      requester->registry, key, anvil_str ("west-a"), 0,
-      anvil_registry_row_version (holder->registry, key), store_ok_for (requester));
+  const upstream_t *upstream = &upstreams[index];
+  const anvil_registered_upstream_t *granted = lookup (holder, upstream);
   guint64 known = anvil_registry_version (requester->registry);
-
-  const anvil_registered_upstream_t *granted = anvil_registry_lookup (holder->registry, key);
+  const char *reason;
 
   if (granted == NULL || !anvil_registry_usable (granted))
     return;
+  reason = reason_not_to_use (requester, holder, granted);
+  if (requester->heard[index] == upstream->started_at)
+    ck_assert_msg (reason != NULL, "%s leaves and is used", upstream->id);
   /* As in relay-job.c: nothing is sent on old knowledge while the store answers. */
   if (now - requester->reads.until > ANVIL_MAX_READ_GAP)
     return;
@@ -254,18 +308,86 @@
     ck_assert_msg (reason != NULL,
                    "%s left at %" G_GUINT64_FORMAT " and is used at %" G_GUINT64_FORMAT,
                    upstream->id, upstream->left_at, known);
-  if (upstream->left_at == 0 && upstream->row_exists && !upstream->draining
+  if (upstream->left_at == 0 && upstream->row_exists && !upstream->draining && !upstream->leaving
       && known >= upstream->changed_at && is_stable (requester))
     ck_assert_msg (reason == NULL, "%s lives and isn't used: %s", upstream->id, reason);
 }
 
+/* What an entry knows as a holder. */
+static void
+check_knowledge (const entry_t *entry, guint index)
+{
+  const upstream_t *upstream = &upstreams[index];
+  const anvil_registered_upstream_t *known = lookup (entry, upstream);
+
+  if (known == NULL)
+    return;
+  if (entry->heard[index] == upstream->started_at)
+    ck_assert_msg (!anvil_registry_usable (known), "%s leaves and is granted", upstream->id);
+  if (upstream->left_at == 0 && upstream->row_exists && !upstream->draining && !upstream->leaving
+      && anvil_registry_version (entry->registry) >= upstream->changed_at && is_stable (entry))
+    ck_assert_msg (anvil_registry_usable (known), "%s lives and isn't granted", upstream->id);
+}
+
+static void
+set_leaving (entry_t *entry, guint index, gint64 started_at)
+{
+  const upstream_t *upstream = &upstreams[index];
+
+  anvil_registry_set_leaving (entry->registry, now, anvil_str_hash (anvil_str (upstream->id)),
+                              "photos", started_at);
+  entry->heard[index] = MAX (entry->heard[index], started_at);
+}
+
+static void
+tell_one (void *context, guint64 key, gint64 started_at)
+{
+  for (guint i = 0; i < N_UPSTREAMS; i++)
+    {
+      if (anvil_str_hash (anvil_str (upstreams[i].id)) == key)
+        set_leaving (context, i, started_at);
+    }
+}
+
+static void
+tell (const entry_t *from, entry_t *to)
+{
+  if (from != to && draw (2) == 0)
+    anvil_registry_foreach_leaving (from->registry, "photos", tell_one, to);
+}
+
+/* The holder grants an upstream, and the requester uses it or tells why it doesn't. */
+static void
+use_grant (entry_t *holder, entry_t *requester, guint index)
+{
+  const upstream_t *upstream = &upstreams[index];
+  const anvil_registered_upstream_t *granted = lookup (holder, upstream);
+
+  if (granted == NULL || !anvil_registry_usable (granted))
+    return;
+  if (reason_not_to_use (requester, holder, granted) != NULL)
+    tell (requester, holder);
+  /* A response names no start, so only a holder that knows the row tells the entry whose it is. */
+  else if (upstream->leaving && upstream->left_at == 0
+           && granted->started_at == upstream->started_at)
+    {
+      n_heard++;
+      set_leaving (requester, index, granted->started_at);
+      tell (requester, holder);
+    }
+}
+
 static void
 change_upstream (upstream_t *upstream)
 {
   if (store_down)
     return;
   if (upstream->left_at != 0)
-    start_upstream (upstream);
+    {
+      start_upstream (upstream);
+      for (guint i = 0; i < N_ENTRIES; i++)
+        entries[i].heard[upstream - upstreams] = 0;
+    }
   else if (!upstream->draining && draw (2) == 0)
     {
       upstream->draining = TRUE;
@@ -327,6 +449,7 @@
 {
   entry_t *entry = &entries[draw (N_ENTRIES)];
   entry_t *other = &entries[draw (N_ENTRIES)];
+  upstream_t *upstream = &upstreams[draw (N_UPSTREAMS)];
 
   now += STEP;
   return_rows ();
@@ -345,7 +468,15 @@
     case 3:
     case 4:
     case 5:
-      change_upstream (&upstreams[draw (N_UPSTREAMS)]);
+      change_upstream (upstream);
+      break;
+    case 6:
+      if (upstream->left_at == 0)
+        restart_upstream (upstream);
+      break;
+    case 7:
+    case 8:
+      upstream->leaving = TRUE;
       break;
     default:
       break;
@@ -357,13 +488,16 @@
     }
   if (entry != other)
     receive_updates (entry, other);
+  use_grant (other, entry, draw (N_UPSTREAMS));
   tick ();
   for (guint i = 0; i < N_ENTRIES * N_ENTRIES; i++)
     for (guint j = 0; j < N_UPSTREAMS; j++)
-      check_grant (&entries[i / N_ENTRIES], &entries[i % N_ENTRIES], &upstreams[j]);
+      check_grant (&entries[i / N_ENTRIES], &entries[i % N_ENTRIES], j);
+  for (guint i = 0; i < N_ENTRIES * N_UPSTREAMS; i++)
+    check_knowledge (&entries[i / N_UPSTREAMS], i % N_UPSTREAMS);
 }
 
-START_TEST (test_no_source_brings_back_an_upstream_that_a_newer_one_removed)
+START_TEST (test_no_source_brings_back_an_upstream_that_was_removed_or_leaves)
 {
   random_source = g_rand_new_with_seed ((guint32) _i);
   now = 100 * ANVIL_SECOND;
@@ -379,6 +513,8 @@
       anvil_update_log_drop (entries[i].log);
     }
   g_rand_free (random_source);
+  ck_assert_uint_gt (n_heard, 0);
+  ck_assert_uint_gt (n_followed, 0);
 }
 END_TEST
 
@@ -391,7 +527,7 @@
   int failed;
 
   tcase_set_timeout (tests, 120);
-  tcase_add_loop_test (tests, test_no_source_brings_back_an_upstream_that_a_newer_one_removed, 0,
+  tcase_add_loop_test (tests, test_no_source_brings_back_an_upstream_that_was_removed_or_leaves, 0,
                        40);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
