Test that a holder learns from a returned grant that an upstream leaves

What callers saw: nothing.

Cause: that a holder which has not received the message grants such an upstream, and is told with the returned grant, was in no test; nor that the word of another upstream at its address, or the word of an earlier one at an address, counts for nobody else.

Change: test-relay-job-grants lets the grant of another entry name an upstream that has said that it leaves. The entry tells it again, sends nothing, and the request is answered 200 by the other upstream. A 421 of another instance with the header marks nobody. test-registry has another service at the address. No logic changes.

--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -324,6 +324,24 @@
 }
 END_TEST
 
+START_TEST (test_another_service_at_an_address_does_not_inherit_that_an_upstream_leaves)
+{
+  const anvil_registered_upstream_t *former = lookup (registry, "a");
+  anvil_upstream_report_t row = report ("b");
+
+  row.service = anvil_str ("videos");
+  row.address = former->address;
+  row.port = former->port;
+  row.started_at = former->started_at;
+  ck_assert (set_leaving (0));
+  anvil_registry_remove (registry, ANVIL_SECOND, anvil_str ("a"));
+  anvil_registry_apply (registry, ANVIL_SECOND, &row);
+  ck_assert (is_usable ("b"));
+  ck_assert_ptr_null (anvil_registry_reason_not_to_use (registry, anvil_str_hash (anvil_str ("b")),
+                                                        row.zone, row.started_at, 1, 0));
+}
+END_TEST
+
 START_TEST (test_an_upstream_whose_row_returns_from_draining_stays)
 {
   ck_assert (set_leaving (1000));
@@ -396,6 +414,8 @@
   tcase_add_test (tests, test_upstream_that_joins_an_evacuated_zone_is_not_usable);
   tcase_add_test (tests, test_an_upstream_that_says_that_it_leaves_stays_unusable);
   tcase_add_test (tests, test_a_later_start_does_not_inherit_that_an_upstream_leaves);
+  tcase_add_test (tests,
+                  test_another_service_at_an_address_does_not_inherit_that_an_upstream_leaves);
   tcase_add_test (tests, test_an_upstream_whose_row_returns_from_draining_stays);
   tcase_add_test (tests, test_an_upstream_that_left_is_removed_at_once_after_an_outage);
   tcase_add_test (tests, test_a_grant_of_an_upstream_that_leaves_is_not_used);
--- a/tests/test-relay-job-grants.c
+++ b/tests/test-relay-job-grants.c
@@ -23,6 +23,15 @@
 #define REFUSAL                                                                                    \
   "HTTP/1.1 503 Unavailable\r\nRequest-Id: one\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 #define SUCCESS "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n"
+#define LEAVING_SUCCESS                                                                            \
+  "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\nServer-Leaving: 1\r\n"                 \
+  "Content-Length: 0\r\n\r\n"
+#define SECOND_SUCCESS                                                                             \
+  "HTTP/1.1 200 OK\r\nRequest-Id: two\r\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n"
+#define MISDIRECTED                                                                                \
+  "HTTP/1.1 421 Misdirected\r\nRequest-Id: one\r\nInstance-Id: other\r\nNot-Run: 1\r\n"            \
+  "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+#define STARTED_AT 1000
 
 static const anvil_header_names_t header_names = { .request_id = "Request-Id",
                                                    .timeout_ms = "Deadline-Ms",
@@ -171,6 +180,26 @@
   ck_assert (is_readable (fd));
 }
 
+static gboolean
+on_upstream_leaving (void *context, const char *service, guint64 upstream, gint64 started_at)
+{
+  return anvil_registry_set_leaving (registry, anvil_clock_now (), upstream, service, started_at);
+}
+
+static void
+on_announcements_received (void *context, anvil_node_t peer, const anvil_relay_message_t *message)
+{
+  g_array_append_vals (context, message->announcements, message->n_announcements);
+}
+
+/* Another entry's broker, which keeps what it is told of upstreams. */
+static const anvil_slot_broker_callbacks_t other_broker_callbacks
+    = { .granted = on_granted,
+        .refused = on_refused,
+        .holder_changed = on_holder_changed,
+        .peer_restarted = on_peer_restarted,
+        .announcements_received = on_announcements_received };
+
 static void
 wait_for_grants (guint n)
 {
@@ -244,7 +273,7 @@
                                      .zone = anvil_str ("west-a"),
                                      .address = INADDR_LOOPBACK,
                                      .slots = 1,
-                                     .started_at = 1000 };
+                                     .started_at = STARTED_AT };
 
   listeners[index] = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   ck_assert_int_eq (bind (listeners[index], (struct sockaddr *) &address, sizeof address), 0);
@@ -292,6 +321,7 @@
                                          .max_saved_bytes = 1 << 20,
                                          .upstreams_read_at = never_old,
                                          .store_ok_for = always_ok,
+                                         .upstream_leaving = on_upstream_leaving,
                                          .lacks_routes = lacks_nothing };
 
   settings = (anvil_relay_settings_t){
@@ -409,6 +439,91 @@
 }
 END_TEST
 
+/* Expects a response with the status on the caller's connection. */
+static void
+expect_response (const char *status_line)
+{
+  char bytes[4096] = "";
+
+  wait_readable (caller);
+  ck_assert_int_gt (recv (caller, bytes, sizeof bytes - 1, 0), 0);
+  ck_assert_msg (g_str_has_prefix (bytes, status_line), "%s", bytes);
+}
+
+/* The other entry has not been told, so its grant names the upstream that leaves. */
+START_TEST (test_a_holder_that_does_not_know_that_an_upstream_leaves_is_told_with_its_grant)
+{
+  anvil_relay_settings_t other_settings = settings;
+  GArray *told = g_array_new (FALSE, FALSE, sizeof (anvil_named_announcement_t));
+  const anvil_named_announcement_t *item;
+  anvil_slot_broker_t *other_broker;
+  const anvil_time_t until = anvil_clock_now () + WAIT_TIMEOUT;
+  kept_grant_t late;
+  int leaves;
+  int stays;
+
+  other_settings.vm = "e2";
+  other_settings.peer_endpoint.port = reserve_port ();
+  other_broker = anvil_slot_broker_open (base, &other_settings, registry, &other_broker_callbacks,
+                                         told, NULL);
+  ck_assert_ptr_nonnull (other_broker);
+  wait_for_grants (1);
+  deliver (kept_grant (0));
+  leaves = accept_request (granted_upstream (kept_grant (0)));
+  send_text (leaves, LEAVING_SUCCESS);
+  expect_response ("HTTP/1.1 200 ");
+  ck_assert_uint_eq (anvil_registry_count_leaving (registry), 1);
+  send_text (caller, "POST /a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: two\r\n"
+                     "Content-Length: 0\r\n\r\n");
+  wait_for_grants (2);
+  ck_assert_uint_ne (kept_grant (1)->grant.upstream, kept_grant (0)->grant.upstream);
+  anvil_slot_broker_run_finished (broker, kept_grant (1)->from, kept_grant (1)->number,
+                                  &(anvil_run_report_t){ .result = ANVIL_RUN_UNUSED });
+  late = *kept_grant (0);
+  late.number = kept_grant (1)->number;
+  late.from = anvil_node (INADDR_LOOPBACK, other_settings.peer_endpoint.port);
+  deliver (&late);
+  wait_for_grants (3);
+  while (told->len == 0 && anvil_clock_now () < until)
+    run_for (0);
+  ck_assert_uint_eq (told->len, 1);
+  item = &g_array_index (told, anvil_named_announcement_t, 0);
+  ck_assert_uint_eq (item->upstream, late.grant.upstream);
+  ck_assert_int_eq (item->started_at, STARTED_AT);
+  ck_assert (item->announcement.leaving);
+  ck_assert_uint_ne (kept_grant (2)->grant.upstream, late.grant.upstream);
+  deliver (kept_grant (2));
+  stays = accept_request (granted_upstream (kept_grant (2)));
+  ck_assert (!is_readable (listeners[granted_upstream (&late)]));
+  send_text (stays, SECOND_SUCCESS);
+  expect_response ("HTTP/1.1 200 ");
+  anvil_slot_broker_close (other_broker);
+  g_array_unref (told);
+  close (leaves);
+  close (stays);
+}
+END_TEST
+
+START_TEST (test_a_421_of_another_upstream_does_not_say_that_the_expected_one_leaves)
+{
+  int misdirected;
+  int other;
+
+  wait_for_grants (1);
+  deliver (kept_grant (0));
+  misdirected = accept_request (granted_upstream (kept_grant (0)));
+  send_text (misdirected, MISDIRECTED);
+  wait_for_grants (2);
+  ck_assert_uint_eq (anvil_registry_count_leaving (registry), 0);
+  deliver (kept_grant (1));
+  other = accept_request (granted_upstream (kept_grant (1)));
+  send_text (other, SUCCESS);
+  expect_response ("HTTP/1.1 200 ");
+  close (misdirected);
+  close (other);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -422,6 +537,9 @@
   tcase_add_test (tests,
                   test_a_late_grant_does_not_return_a_request_to_the_upstream_that_refused_it);
   tcase_add_test (tests, test_a_late_grant_that_is_returned_frees_no_slot_of_a_later_attempt);
+  tcase_add_test (tests,
+                  test_a_holder_that_does_not_know_that_an_upstream_leaves_is_told_with_its_grant);
+  tcase_add_test (tests, test_a_421_of_another_upstream_does_not_say_that_the_expected_one_leaves);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
