--- /dev/null
+++ b/source/steer/registry-removal.c
@@ -0,0 +1,173 @@
+/*
+ * Removes upstreams whose rows are gone.
+ *
+ * While the store is unreachable, rows of live upstreams expire as well. After an
+ * outage, removals are therefore deferred until these rows have had time to return.
+ */
+
+#include "steer/registry-internal.h"
+
+/* Keys of removed upstreams are kept so that a grant from a peer that hasn't seen the removal yet
+ * is not used. Grants are used within seconds, so all keys are dropped at this number. */
+#define MAX_REMOVED_KEYS 4096
+
+static void
+add_removed_key (anvil_registry_t *registry, guint64 key)
+{
+  if (g_hash_table_size (registry->removed_keys) >= MAX_REMOVED_KEYS)
+    g_hash_table_remove_all (registry->removed_keys);
+  g_hash_table_add (registry->removed_keys, g_memdup2 (&key, sizeof key));
+}
+
+static void
+remove_now (anvil_registry_t *registry, anvil_time_t now, registry_entry_t *entry)
+{
+  guint64 key = entry->upstream.key;
+
+  add_removed_key (registry, key);
+  g_hash_table_steal (registry->entries, &key);
+  registry_notify (registry, now, entry, ANVIL_REGISTRY_LEFT);
+  registry_entry_drop (entry);
+}
+
+/* Removes an entry, or defers that if its row may have expired while the store was lost. The row of
+ * an upstream that was about to leave is gone because it has left. */
+static void
+remove_or_defer (anvil_registry_t *registry, anvil_time_t now, registry_entry_t *entry)
+{
+  if (entry->upstream.draining || entry->upstream.leaving
+      || (!registry->store_lost && now >= registry->grace_ends))
+    {
+      remove_now (registry, now, entry);
+      return;
+    }
+  if (entry->upstream.removal_pending)
+    return;
+  entry->upstream.removal_pending = TRUE;
+  entry->upstream.removal_at
+      = registry->store_lost ? now + ANVIL_REGISTRY_REMOVAL_GRACE : registry->grace_ends;
+}
+
+gboolean
+anvil_registry_remove (anvil_registry_t *registry, anvil_time_t now, anvil_str_t id)
+{
+  guint64 key = anvil_str_hash (id);
+  registry_entry_t *entry = g_hash_table_lookup (registry->entries, &key);
+
+  if (entry == NULL)
+    return FALSE;
+  remove_or_defer (registry, now, entry);
+  return TRUE;
+}
+
+void
+anvil_registry_begin_snapshot (anvil_registry_t *registry)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, registry->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((registry_entry_t *) value)->in_snapshot = FALSE;
+}
+
+/* Collects entries before they are removed, since a removal changes the table. */
+static GPtrArray *
+collect (anvil_registry_t *registry,
+         gboolean (*matches) (const registry_entry_t *, anvil_time_t),
+         anvil_time_t now)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, registry->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (matches (value, now))
+        g_ptr_array_add (found, value);
+    }
+  return found;
+}
+
+static gboolean
+missed_by_snapshot (const registry_entry_t *entry, anvil_time_t now)
+{
+  return !entry->in_snapshot;
+}
+
+static gboolean
+removal_due (const registry_entry_t *entry, anvil_time_t now)
+{
+  return entry->upstream.removal_pending && now >= entry->upstream.removal_at;
+}
+
+void
+anvil_registry_end_snapshot (anvil_registry_t *registry, anvil_time_t now)
+{
+  GPtrArray *missing = collect (registry, missed_by_snapshot, now);
+
+  for (guint i = 0; i < missing->len; i++)
+    remove_or_defer (registry, now, missing->pdata[i]);
+  g_ptr_array_unref (missing);
+}
+
+void
+anvil_registry_store_lost (anvil_registry_t *registry, anvil_time_t since)
+{
+  if (!registry->store_lost)
+    registry->store_reached_at = since;
+  registry->store_lost = TRUE;
+}
+
+gboolean
+anvil_registry_store_recovered (anvil_registry_t *registry, anvil_time_t now)
+{
+  if (!registry->store_lost)
+    return FALSE;
+  registry->store_lost = FALSE;
+  registry->grace_ends = now + ANVIL_REGISTRY_REMOVAL_GRACE;
+  return TRUE;
+}
+
+anvil_time_t
+anvil_registry_grace_remaining (const anvil_registry_t *registry, anvil_time_t now)
+{
+  return MAX (registry->grace_ends - now, 0);
+}
+
+void
+anvil_registry_extend_grace (anvil_registry_t *registry, anvil_time_t until)
+{
+  registry->grace_ends = MAX (registry->grace_ends, until);
+}
+
+void
+anvil_registry_cancel_grace (anvil_registry_t *registry, anvil_time_t now, anvil_time_t since)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  gboolean no_outage = since <= registry->store_reached_at;
+  gboolean rows_are_back = now - since >= ANVIL_REGISTRY_REMOVAL_GRACE;
+
+  if (registry->store_lost || now >= registry->grace_ends || !(no_outage || rows_are_back))
+    return;
+  registry->grace_ends = now;
+  g_hash_table_iter_init (&iter, registry->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((registry_entry_t *) value)->upstream.removal_at = now;
+}
+
+void
+anvil_registry_tick (anvil_registry_t *registry, anvil_time_t now)
+{
+  GPtrArray *due;
+
+  if (registry->store_lost)
+    return;
+  due = collect (registry, removal_due, now);
+  for (guint i = 0; i < due->len; i++)
+    remove_now (registry, now, due->pdata[i]);
+  g_ptr_array_unref (due);
+}
--- a/source/steer/registry.c
+++ b/source/steer/registry.c
@@ -1,47 +1,11 @@
-#include "anvil/registry.h"
+#include "steer/registry-internal.h"
 
 #include <string.h>
 
-#include "steer/leaving-set.h"
-
-/* Keys of removed upstreams are kept so that a grant from a peer that hasn't seen the removal yet
- * is not used. Grants are used within seconds, so all keys are dropped at this number. */
-#define MAX_REMOVED_KEYS 4096
-
-/**
- * entry_t - an upstream and state private to the registry
- * @in_snapshot: seen in the snapshot that is being read
- */
-typedef struct
-{
-  anvil_registered_upstream_t upstream;
-  gboolean in_snapshot;
-} entry_t;
-
-struct anvil_registry
-{
-  anvil_registry_callbacks_t callbacks;
-  void *context;
-  /* entry_t by key. */
-  GHashTable *entries;
-  /* Keys of removed upstreams. */
-  GHashTable *removed_keys;
-  /* Names of evacuated zones. */
-  GHashTable *evacuated_zones;
-  leaving_set_t *leaving;
-  /* Version of the store's table up to which all rows are known. */
-  guint64 version;
-  gboolean store_lost;
-  /* When the store was last reached before it was lost. */
-  anvil_time_t store_reached_at;
-  /* Removals before this time are deferred; 0 if the store was never lost. */
-  anvil_time_t grace_ends;
-};
-
-static void
-entry_free (gpointer data)
+void
+registry_entry_drop (gpointer data)
 {
-  entry_t *entry = data;
+  registry_entry_t *entry = data;
 
   g_free (entry->upstream.id);
   g_free (entry->upstream.service);
@@ -56,7 +20,8 @@
 
   registry->callbacks = *callbacks;
   registry->context = context;
-  registry->entries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, entry_free);
+  registry->entries
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, registry_entry_drop);
   registry->removed_keys = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   registry->evacuated_zones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   registry->leaving = leaving_set_new ();
@@ -75,11 +40,11 @@
   g_free (registry);
 }
 
-static void
-notify (anvil_registry_t *registry,
-        anvil_time_t now,
-        const entry_t *entry,
-        anvil_registry_change_t change)
+void
+registry_notify (anvil_registry_t *registry,
+                 anvil_time_t now,
+                 const registry_entry_t *entry,
+                 anvil_registry_change_t change)
 {
   registry->callbacks.changed (registry->context, now, &entry->upstream, change);
 }
@@ -118,7 +83,7 @@
 static gboolean
 update (anvil_registry_t *registry,
         anvil_time_t now,
-        entry_t *entry,
+        registry_entry_t *entry,
         const anvil_upstream_report_t *report)
 {
   anvil_registered_upstream_t *upstream = &entry->upstream;
@@ -144,10 +109,10 @@
   return changed || was_pending || was_usable != anvil_registry_usable (upstream);
 }
 
-static entry_t *
+static registry_entry_t *
 insert (anvil_registry_t *registry, guint64 key, anvil_str_t id)
 {
-  entry_t *entry = g_new0 (entry_t, 1);
+  registry_entry_t *entry = g_new0 (registry_entry_t, 1);
 
   entry->upstream.key = key;
   entry->upstream.id = anvil_str_dup (id);
@@ -162,7 +127,7 @@
                       const anvil_upstream_report_t *report)
 {
   guint64 key = anvil_str_hash (report->id);
-  entry_t *entry = g_hash_table_lookup (registry->entries, &key);
+  registry_entry_t *entry = g_hash_table_lookup (registry->entries, &key);
   gboolean restarted;
 
   if (entry == NULL)
@@ -170,7 +135,7 @@
       entry = insert (registry, key, report->id);
       entry->in_snapshot = TRUE;
       update (registry, now, entry, report);
-      notify (registry, now, entry, ANVIL_REGISTRY_JOINED);
+      registry_notify (registry, now, entry, ANVIL_REGISTRY_JOINED);
       return TRUE;
     }
   entry->in_snapshot = TRUE;
@@ -179,171 +144,11 @@
     entry->upstream.cold_until = 0;
   if (!update (registry, now, entry, report) && !restarted)
     return FALSE;
-  notify (registry, now, entry, restarted ? ANVIL_REGISTRY_RESTARTED : ANVIL_REGISTRY_CHANGED);
-  return TRUE;
-}
-
-static void
-add_removed_key (anvil_registry_t *registry, guint64 key)
-{
-  if (g_hash_table_size (registry->removed_keys) >= MAX_REMOVED_KEYS)
-    g_hash_table_remove_all (registry->removed_keys);
-  g_hash_table_add (registry->removed_keys, g_memdup2 (&key, sizeof key));
-}
-
-static void
-remove_now (anvil_registry_t *registry, anvil_time_t now, entry_t *entry)
-{
-  guint64 key = entry->upstream.key;
-
-  add_removed_key (registry, key);
-  g_hash_table_steal (registry->entries, &key);
-  notify (registry, now, entry, ANVIL_REGISTRY_LEFT);
-  entry_free (entry);
-}
-
-/* Removes an entry, or defers that if its row may have expired while the store was lost. The row of
- * an upstream that was about to leave is gone because it has left. */
-static void
-remove_or_defer (anvil_registry_t *registry, anvil_time_t now, entry_t *entry)
-{
-  if (entry->upstream.draining || entry->upstream.leaving
-      || (!registry->store_lost && now >= registry->grace_ends))
-    {
-      remove_now (registry, now, entry);
-      return;
-    }
-  if (entry->upstream.removal_pending)
-    return;
-  entry->upstream.removal_pending = TRUE;
-  entry->upstream.removal_at
-      = registry->store_lost ? now + ANVIL_REGISTRY_REMOVAL_GRACE : registry->grace_ends;
-}
-
-gboolean
-anvil_registry_remove (anvil_registry_t *registry, anvil_time_t now, anvil_str_t id)
-{
-  guint64 key = anvil_str_hash (id);
-  entry_t *entry = g_hash_table_lookup (registry->entries, &key);
-
-  if (entry == NULL)
-    return FALSE;
-  remove_or_defer (registry, now, entry);
-  return TRUE;
-}
-
-void
-anvil_registry_begin_snapshot (anvil_registry_t *registry)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, registry->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((entry_t *) value)->in_snapshot = FALSE;
-}
-
-/* Collects entries before they are removed, since a removal changes the table. */
-static GPtrArray *
-collect (anvil_registry_t *registry,
-         gboolean (*matches) (const entry_t *, anvil_time_t),
-         anvil_time_t now)
-{
-  GPtrArray *found = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, registry->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      if (matches (value, now))
-        g_ptr_array_add (found, value);
-    }
-  return found;
-}
-
-static gboolean
-missed_by_snapshot (const entry_t *entry, anvil_time_t now)
-{
-  return !entry->in_snapshot;
-}
-
-static gboolean
-removal_due (const entry_t *entry, anvil_time_t now)
-{
-  return entry->upstream.removal_pending && now >= entry->upstream.removal_at;
-}
-
-void
-anvil_registry_end_snapshot (anvil_registry_t *registry, anvil_time_t now)
-{
-  GPtrArray *missing = collect (registry, missed_by_snapshot, now);
-
-  for (guint i = 0; i < missing->len; i++)
-    remove_or_defer (registry, now, missing->pdata[i]);
-  g_ptr_array_unref (missing);
-}
-
-void
-anvil_registry_store_lost (anvil_registry_t *registry, anvil_time_t since)
-{
-  if (!registry->store_lost)
-    registry->store_reached_at = since;
-  registry->store_lost = TRUE;
-}
-
-gboolean
-anvil_registry_store_recovered (anvil_registry_t *registry, anvil_time_t now)
-{
-  if (!registry->store_lost)
-    return FALSE;
-  registry->store_lost = FALSE;
-  registry->grace_ends = now + ANVIL_REGISTRY_REMOVAL_GRACE;
+  registry_notify (registry, now, entry,
+                   restarted ? ANVIL_REGISTRY_RESTARTED : ANVIL_REGISTRY_CHANGED);
   return TRUE;
 }
 
-anvil_time_t
-anvil_registry_grace_remaining (const anvil_registry_t *registry, anvil_time_t now)
-{
-  return MAX (registry->grace_ends - now, 0);
-}
-
-void
-anvil_registry_extend_grace (anvil_registry_t *registry, anvil_time_t until)
-{
-  registry->grace_ends = MAX (registry->grace_ends, until);
-}
-
-void
-anvil_registry_cancel_grace (anvil_registry_t *registry, anvil_time_t now, anvil_time_t since)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  gboolean no_outage = since <= registry->store_reached_at;
-  gboolean rows_are_back = now - since >= ANVIL_REGISTRY_REMOVAL_GRACE;
-
-  if (registry->store_lost || now >= registry->grace_ends || !(no_outage || rows_are_back))
-    return;
-  registry->grace_ends = now;
-  g_hash_table_iter_init (&iter, registry->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((entry_t *) value)->upstream.removal_at = now;
-}
-
-void
-anvil_registry_tick (anvil_registry_t *registry, anvil_time_t now)
-{
-  GPtrArray *due;
-
-  if (registry->store_lost)
-    return;
-  due = collect (registry, removal_due, now);
-  for (guint i = 0; i < due->len; i++)
-    remove_now (registry, now, due->pdata[i]);
-  g_ptr_array_unref (due);
-}
-
 void
 anvil_registry_set_evacuated (anvil_registry_t *registry,
                               anvil_time_t now,
@@ -367,14 +172,14 @@
   g_hash_table_iter_init (&iter, registry->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      entry_t *entry = value;
+      registry_entry_t *entry = value;
 
       if (strcmp (entry->upstream.zone, name) != 0)
         continue;
       entry->upstream.evacuated = evacuated;
       if (!evacuated)
         entry->upstream.cold_until = MAX (entry->upstream.cold_until, now + cold_time);
-      notify (registry, now, entry, ANVIL_REGISTRY_CHANGED);
+      registry_notify (registry, now, entry, ANVIL_REGISTRY_CHANGED);
     }
   g_free (name);
 }
@@ -386,7 +191,7 @@
                             const char *service,
                             gint64 started_at)
 {
-  entry_t *entry = g_hash_table_lookup (registry->entries, &key);
+  registry_entry_t *entry = g_hash_table_lookup (registry->entries, &key);
 
   if (entry != NULL && started_at == 0)
     started_at = entry->upstream.started_at;
@@ -397,7 +202,7 @@
   if (entry != NULL)
     {
       entry->upstream.leaving = TRUE;
-      notify (registry, now, entry, ANVIL_REGISTRY_CHANGED);
+      registry_notify (registry, now, entry, ANVIL_REGISTRY_CHANGED);
     }
   return TRUE;
 }
@@ -426,7 +231,7 @@
 const anvil_registered_upstream_t *
 anvil_registry_lookup (const anvil_registry_t *registry, guint64 key)
 {
-  const entry_t *entry = g_hash_table_lookup (registry->entries, &key);
+  const registry_entry_t *entry = g_hash_table_lookup (registry->entries, &key);
 
   return entry != NULL ? &entry->upstream : NULL;
 }
@@ -467,7 +272,7 @@
   g_hash_table_iter_init (&iter, registry->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const anvil_registered_upstream_t *upstream = &((const entry_t *) value)->upstream;
+      const anvil_registered_upstream_t *upstream = &((const registry_entry_t *) value)->upstream;
 
       if (!upstream->removal_pending)
         digest ^= (upstream->key + upstream->draining) * G_GUINT64_CONSTANT (0x9E3779B97F4A7C15);
@@ -527,5 +332,5 @@
 
   g_hash_table_iter_init (&iter, registry->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    visit (context, &((entry_t *) value)->upstream);
+    visit (context, &((registry_entry_t *) value)->upstream);
 }
