Keep the pause of a process when a late response of an earlier one arrives

What callers saw: nothing known; found by reading. Possible: requests in the pause that an upstream asked for, after it had started again.

Cause: an entry's table of pauses replaced what it had by any pause that ends later, also by one of an earlier process at the id, whose pause the later process doesn't inherit. The later one's was then lost.

Change: a pause of an earlier process is dropped while one of a later process holds, as the registry and the dispatcher do with leaving and with pauses.

Evidence: test-pause-table with the new test 4 of 5 before, 5 of 5 after; test-relay-pauses 6 of 6.

--- a/source/relay/pause-table.c
+++ b/source/relay/pause-table.c
@@ -72,9 +72,12 @@
 {
   entry_t *entry;
 
+  g_hash_table_foreach_remove (table->entries, has_ended, &now);
+  entry = g_hash_table_lookup (table->entries, &upstream);
+  if (entry != NULL && started_at != 0 && started_at < entry->started_at)
+    return FALSE;
   if (now + anvil_pause_table_remaining (table, now, upstream, started_at) >= until)
     return FALSE;
-  g_hash_table_foreach_remove (table->entries, has_ended, &now);
   entry = g_new0 (entry_t, 1);
   *entry = (entry_t){ .service = g_strdup (service), .started_at = started_at, .until = until };
   g_hash_table_replace (table->entries, g_memdup2 (&upstream, sizeof upstream), entry);
