anvil-entry: take no response that doesn't name its attempt for the answer

What callers saw: the response to another request. A late copy on a kept connection was passed on as the answer to the next request; the copy of a refusal made the entry send a request that must not run twice once more, while the first upstream ran it.

Cause: a response of an upstream named no request. anvil-entry took what came first on a connection for the answer to what it had sent last.

Change: each attempt has a number of its own, sent as Anvil-Attempt-Id, which the upstream repeats as a header. A response with another one is no answer, nor is one without it on a connection that has carried another request: the request may have run. A connection is kept only after a response that named its attempt. The stand-in repeats the header.

Cost: none for upstreams that repeat it. For others each request opens a connection, a round trip more; not measured. evhttp ends a request with its first response, so one that meets a copy is told 502 and doesn't wait for its own.

test_request_is_not_retried_after_a_reused_connection_closes needs a kept connection, so its upstream now repeats the header; its checks are unchanged.

--- a/source/entry/request-task.c
+++ b/source/entry/request-task.c
@@ -212,6 +212,7 @@
   int status = evhttp_request_get_response_code (response);
 
   anvil_headers_copy_end_to_end (response_headers, headers);
+  evhttp_remove_header (headers, ANVIL_ATTEMPT_ID);
   evhttp_remove_header (headers, "Anvil-Outcome");
   evhttp_add_header (headers, "Anvil-Outcome", "answered");
   if (is_head && length != NULL)
--- a/source/entry/upstream-attempt.c
+++ b/source/entry/upstream-attempt.c
@@ -11,6 +11,9 @@
  * attempt. */
 #define MIN_EVHTTP_TIMEOUT (1 * ANVIL_MS)
 
+/* Length of a 64-bit number in hexadecimal. */
+#define ATTEMPT_ID_LENGTH 16
+
 struct anvil_attempt
 {
   anvil_upstream_pool_t *pool;
@@ -19,6 +22,7 @@
   struct event *timer;
   anvil_upstream_request_t target;
   char *uri;
+  char id[ATTEMPT_ID_LENGTH + 1];
   anvil_attempt_cb_t done;
   void *context;
   gboolean starting;
@@ -46,6 +50,29 @@
          && strcasecmp (evhttp_find_header (headers, "Transfer-Encoding"), "chunked") == 0;
 }
 
+static gboolean
+names_attempt (const anvil_attempt_t *attempt, struct evhttp_request *response)
+{
+  const struct evkeyvalq *headers = evhttp_request_get_input_headers (response);
+
+  return anvil_headers_count (headers, ANVIL_ATTEMPT_ID) == 1
+         && strcmp (evhttp_find_header (headers, ANVIL_ATTEMPT_ID), attempt->id) == 0;
+}
+
+/*
+ * Whether the response answers this request. One that names no attempt may be
+ * a late copy, except on a connection that has carried no other request.
+ */
+static gboolean
+is_own_response (const anvil_attempt_t *attempt, struct evhttp_request *response)
+{
+  const struct evkeyvalq *headers = evhttp_request_get_input_headers (response);
+
+  if (anvil_headers_count (headers, ANVIL_ATTEMPT_ID) > 0)
+    return names_attempt (attempt, response);
+  return anvil_upstream_connection_is_new (attempt->connection);
+}
+
 static anvil_attempt_result_t
 classify (const anvil_attempt_t *attempt, struct evhttp_request *response)
 {
@@ -54,7 +81,7 @@
   if (response == NULL || evhttp_request_get_response_code (response) == 0)
     return anvil_upstream_connection_maybe_sent (attempt->connection) ? ANVIL_ATTEMPT_UNKNOWN
                                                                       : ANVIL_ATTEMPT_NOT_RUN;
-  if (!is_complete (attempt, response))
+  if (!is_complete (attempt, response) || !is_own_response (attempt, response))
     return ANVIL_ATTEMPT_UNKNOWN;
   if (evhttp_request_get_response_code (response) != HTTP_SERVUNAVAIL)
     return ANVIL_ATTEMPT_ANSWERED;
@@ -73,7 +100,7 @@
   const char *connection;
 
   if (response == NULL || evhttp_request_get_response_code (response) == 0
-      || !is_complete (attempt, response))
+      || !is_complete (attempt, response) || !names_attempt (attempt, response))
     return FALSE;
   connection = evhttp_find_header (evhttp_request_get_input_headers (response), "Connection");
   if (connection != NULL && strcasecmp (connection, "close") == 0)
@@ -156,6 +183,8 @@
   attempt->pool = pool;
   attempt->target = *target;
   attempt->uri = g_strdup (target->uri);
+  g_snprintf (attempt->id, sizeof attempt->id, "%" G_GINT64_MODIFIER "x",
+              anvil_upstream_pool_next_attempt (pool));
   attempt->done = done;
   attempt->context = context;
   attempt->request = evhttp_request_new (on_response, attempt);
@@ -173,11 +202,14 @@
 anvil_attempt_start (anvil_attempt_t *attempt)
 {
   const anvil_upstream_request_t *target = &attempt->target;
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (attempt->request);
   anvil_time_t time_left = MAX (target->deadline - anvil_clock_now (), 0);
   anvil_time_t connect_timeout = MIN (time_left, UPSTREAM_CONNECT_TIMEOUT);
   struct timeval timeout
       = { .tv_sec = connect_timeout / ANVIL_SECOND, .tv_usec = connect_timeout % ANVIL_SECOND };
 
+  evhttp_remove_header (headers, ANVIL_ATTEMPT_ID);
+  evhttp_add_header (headers, ANVIL_ATTEMPT_ID, attempt->id);
   attempt->connection = anvil_upstream_pool_acquire (attempt->pool, target->address, target->port);
   anvil_upstream_connection_prepare (attempt->connection, MAX (time_left, MIN_EVHTTP_TIMEOUT),
                                      target->pace_bytes_per_s);
--- a/source/entry/upstream-attempt.h
+++ b/source/entry/upstream-attempt.h
@@ -22,6 +22,9 @@
   gint64 pace_bytes_per_s;
 } anvil_upstream_request_t;
 
+/** ANVIL_ATTEMPT_ID - header that names the attempt; an upstream repeats it in its response */
+#define ANVIL_ATTEMPT_ID "Anvil-Attempt-Id"
+
 /** anvil_attempt_t - a request to an upstream in progress; it is sent at most once */
 typedef struct anvil_attempt anvil_attempt_t;
 
--- a/source/entry/upstream-connection.c
+++ b/source/entry/upstream-connection.c
@@ -20,6 +20,7 @@
   struct ev_token_bucket_cfg *rate_limit;
   guint64 key;
   gboolean maybe_sent;
+  guint n_requests;
   anvil_time_t idle_since;
 };
 
@@ -122,6 +123,13 @@
   if (pace_bytes_per_s > 0 || connection->rate_limit != NULL)
     set_rate_limit (connection, pace_bytes_per_s);
   connection->maybe_sent = FALSE;
+  connection->n_requests++;
+}
+
+gboolean
+anvil_upstream_connection_is_new (const anvil_upstream_connection_t *connection)
+{
+  return connection->n_requests <= 1;
 }
 
 struct evhttp_connection *
--- a/source/entry/upstream-connection.h
+++ b/source/entry/upstream-connection.h
@@ -41,6 +41,9 @@
                                         anvil_time_t timeout,
                                         gint64 pace_bytes_per_s);
 
+/** anvil_upstream_connection_is_new - whether it has carried no request before the one prepared */
+gboolean anvil_upstream_connection_is_new (const anvil_upstream_connection_t *connection);
+
 struct evhttp_connection *
 anvil_upstream_connection_http (const anvil_upstream_connection_t *connection);
 
--- a/source/entry/upstream-pool.c
+++ b/source/entry/upstream-pool.c
@@ -15,6 +15,7 @@
   gssize max_header_bytes;
   gssize max_body_bytes;
   guint32 local_address;
+  guint64 last_attempt;
   /* GQueue of idle connections by address and port, the most recently used first. */
   GHashTable *idle;
 };
@@ -82,6 +83,12 @@
   return pool->base;
 }
 
+guint64
+anvil_upstream_pool_next_attempt (anvil_upstream_pool_t *pool)
+{
+  return ++pool->last_attempt;
+}
+
 anvil_upstream_connection_t *
 anvil_upstream_pool_acquire (anvil_upstream_pool_t *pool, guint32 address, guint16 port)
 {
--- a/source/entry/upstream-pool.h
+++ b/source/entry/upstream-pool.h
@@ -24,6 +24,9 @@
 
 struct event_base *anvil_upstream_pool_base (const anvil_upstream_pool_t *pool);
 
+/** anvil_upstream_pool_next_attempt - a number that names one attempt of this process */
+guint64 anvil_upstream_pool_next_attempt (anvil_upstream_pool_t *pool);
+
 /** anvil_upstream_pool_acquire - returns an idle connection or a new one */
 anvil_upstream_connection_t *
 anvil_upstream_pool_acquire (anvil_upstream_pool_t *pool, guint32 address, guint16 port);
--- a/standins/anvil-upstream-job.c
+++ b/standins/anvil-upstream-job.c
@@ -144,6 +144,15 @@
     evbuffer_add (body, filler, MIN (sizeof filler - 1, length - evbuffer_get_length (body)));
 }
 
+static void
+repeat_attempt_id (const upstream_job_t *job)
+{
+  const char *id = request_header (job, "Anvil-Attempt-Id");
+
+  if (id != NULL)
+    evhttp_add_header (evhttp_request_get_output_headers (job->request), "Anvil-Attempt-Id", id);
+}
+
 static void
 send_response (upstream_job_t *job)
 {
@@ -186,6 +195,7 @@
       return;
     }
   upstream_connection_set_idle (job->server, evhttp_request_get_connection (request));
+  repeat_attempt_id (job);
   if (ran && draw_fault (job, job->server->faults.close_percent))
     drop_connection (request);
   else if (job->is_load_request)
--- a/tests/test-entry-request.c
+++ b/tests/test-entry-request.c
@@ -200,14 +200,54 @@
 }
 END_TEST
 
+/* The value of the header that names the attempt, as the upstream got it. */
+static char *
+attempt_id (const char *request)
+{
+  const char *start = strstr (request, "Anvil-Attempt-Id: ");
+
+  if (start == NULL)
+    return g_strdup ("-");
+  start += strlen ("Anvil-Attempt-Id: ");
+  return g_strndup (start, strcspn (start, "\r"));
+}
+
+/* Answers 200 with @body and, unless it is NULL, the id of an attempt. */
+static void
+send_ok (rig_t *rig, int upstream, const char *id, const char *body)
+{
+  char *line = id != NULL ? g_strdup_printf ("Anvil-Attempt-Id: %s\r\n", id) : g_strdup ("");
+  char *response = g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n%s", line,
+                                    strlen (body), body);
+
+  rig_send (rig, upstream, response);
+  g_free (response);
+  g_free (line);
+}
+
+static exchange_t
+start_booking (rig_t *rig, char **id)
+{
+  exchange_t exchange = { .caller = rig_connect (rig) };
+  char *text;
+
+  rig_send (rig, exchange.caller, POST_BOOKING);
+  exchange.upstream = rig_accept (rig, RIG_BOOKING);
+  text = rig_read_message (rig, exchange.upstream);
+  *id = attempt_id (text);
+  g_free (text);
+  return exchange;
+}
+
 START_TEST (test_request_is_not_retried_after_a_reused_connection_closes)
 {
   rig_t *rig = rig_open (NULL);
-  exchange_t first = start_exchange (rig, POST_BOOKING, RIG_BOOKING);
+  char *id;
+  exchange_t first = start_booking (rig, &id);
   int caller = rig_connect (rig);
   char *text;
 
-  rig_send (rig, first.upstream, OK ("2", "ok"));
+  send_ok (rig, first.upstream, id, "ok");
   check_response (rig, first.caller, "HTTP/1.1 200", "answered");
   rig_send (rig, caller, POST_BOOKING);
   text = rig_read_message (rig, first.upstream);
@@ -219,6 +259,7 @@
   ck_assert_uint_eq (anvil_steer_counters (rig->steer)->dispatched, 2);
   close (caller);
   close_exchange (&first);
+  g_free (id);
   rig_close (rig);
 }
 END_TEST
@@ -324,6 +365,79 @@
 }
 END_TEST
 
+START_TEST (test_a_late_copy_is_not_taken_for_the_response_to_the_next_request)
+{
+  static const char *const copies[]
+      = { "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nfirst",
+          "HTTP/1.1 503 No\r\n%sAnvil-Upstream: shed\r\nContent-Length: 0\r\n\r\n" };
+  const gboolean named = _i % 2 == 0;
+  rig_t *rig = rig_open (NULL);
+  char *id;
+  exchange_t first = start_booking (rig, &id);
+  int caller = rig_connect (rig);
+  char *line = g_strdup_printf ("Anvil-Attempt-Id: %s\r\n", id);
+  char *copy = g_strdup_printf (copies[_i / 2], named ? line : "");
+  int upstream;
+
+  send_ok (rig, first.upstream, id, "first");
+  check_response (rig, first.caller, "HTTP/1.1 200", "answered");
+  rig_send (rig, caller, POST_BOOKING);
+  RIG_WAIT (rig, rig_readable (first.upstream) || rig_connection_pending (rig, RIG_BOOKING));
+  upstream = rig_readable (first.upstream) ? first.upstream : rig_accept (rig, RIG_BOOKING);
+  g_free (rig_read_message (rig, upstream));
+  rig_send (rig, upstream, copy);
+  check_response (rig, caller, "HTTP/1.1 502", "unknown");
+  ck_assert (!rig_connection_pending (rig, RIG_BOOKING));
+  close (caller);
+  close_exchange (&first);
+  g_free (copy);
+  g_free (line);
+  g_free (id);
+  rig_close (rig);
+}
+END_TEST
+
+START_TEST (test_a_connection_is_used_again_only_if_its_responses_name_their_requests)
+{
+  static const struct
+  {
+    const char *id;
+    const char *status;
+    const char *outcome;
+    gboolean reused;
+  } cases[] = {
+    { "", "HTTP/1.1 200", "answered", TRUE },
+    { NULL, "HTTP/1.1 200", "answered", FALSE },
+    { "other", "HTTP/1.1 502", "unknown", FALSE },
+  };
+  rig_t *rig = rig_open (NULL);
+  char *id;
+  exchange_t first = start_booking (rig, &id);
+  int caller = rig_connect (rig);
+  const char *named = cases[_i].id != NULL && *cases[_i].id == '\0' ? id : cases[_i].id;
+
+  send_ok (rig, first.upstream, named, "first");
+  check_response (rig, first.caller, cases[_i].status, cases[_i].outcome);
+  rig_send (rig, caller, POST_BOOKING);
+  if (cases[_i].reused)
+    {
+      char *text = rig_read_message (rig, first.upstream);
+
+      RIG_ASSERT_CONTAINS (text, "\r\n\r\nbook");
+      g_free (text);
+    }
+  else
+    {
+      close (rig_accept (rig, RIG_BOOKING));
+      ck_assert (rig_peer_closed (first.upstream));
+    }
+  close (caller);
+  close_exchange (&first);
+  g_free (id);
+  rig_close (rig);
+}
+END_TEST
+
 START_TEST (test_responses_out_of_order_reach_their_callers)
 {
   rig_t *rig = rig_open (NULL);
@@ -473,6 +587,10 @@
   tcase_add_loop_test (tcase, test_upstream_header_decides_the_meaning_of_a_503, 0, 3);
   tcase_add_test (tcase, test_late_response_is_dropped);
   tcase_add_test (tcase, test_surplus_response_is_dropped);
+  tcase_add_loop_test (tcase, test_a_late_copy_is_not_taken_for_the_response_to_the_next_request, 0,
+                       4);
+  tcase_add_loop_test (
+      tcase, test_a_connection_is_used_again_only_if_its_responses_name_their_requests, 0, 3);
   tcase_add_test (tcase, test_responses_out_of_order_reach_their_callers);
   tcase_add_test (tcase, test_disconnect_cancels_only_idempotent_requests);
   tcase_add_test (tcase, test_queued_request_of_a_disconnected_caller_is_not_run);
