Test copies of all refusals, in chunks, cut at every byte and on other connections

Seen from outside was a copy of 503 with a length, whole. Not played: copies of 429, 400 and 421, in chunks with a foreign id in the trailer, cut at every byte, that break off, with the id of another request on a kept connection, and with the request's own id on the connection that it was sent on first, also after others were sent there.

No fault found.

--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -575,6 +575,150 @@
 }
 END_TEST
 
+/* Refusals as an upstream writes them a second time; %s is the id. */
+static const char *const refusals[] = {
+  "HTTP/1.1 503 U\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull",
+  "HTTP/1.1 429 T\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 400 B\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 421 M\r\nRequest-Id: %s\r\nInstance-Id: u2\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 421 M\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 503 U\r\nRequest-Id: %s\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+  "2\r\nfu\r\n2;x=y\r\nll\r\n0\r\nRequest-Id: two\r\n\r\n",
+};
+
+static char *
+refusal_of (guint index, const char *id)
+{
+  GString *text = g_string_new (refusals[index]);
+
+  g_string_replace (text, "%s", id, 1);
+  return g_string_free (text, FALSE);
+}
+
+static void
+send_part (int fd, const char *bytes, gsize length)
+{
+  ck_assert_int_eq (send (fd, bytes, length, MSG_NOSIGNAL), (ssize_t) length);
+  for (guint i = 0; i < 10; i++)
+    run_loop_once ();
+}
+
+START_TEST (test_the_copy_of_a_refusal_never_ends_another_request_of_its_connection)
+{
+  char *copy = refusal_of ((guint) _i, "one");
+
+  for (gsize first_part = 1; first_part <= strlen (copy); first_part++)
+    {
+      int fd = complete_first_request ();
+
+      start_attempt_for ("two");
+      wait_readable (fd);
+      send_part (fd, copy, first_part);
+      ck_assert_msg (!is_done, "%s: ended after %zu bytes", copy, first_part);
+      send_part (fd, copy + first_part, strlen (copy) - first_part);
+      ck_assert_msg (!is_done, "%s: cut at %zu bytes", copy, first_part);
+      send_response (fd, RESPONSE_TO ("two"));
+      ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+      ck_assert_str_eq (body_text, "two");
+      close (fd);
+    }
+  g_free (copy);
+}
+END_TEST
+
+START_TEST (test_the_copy_of_a_refusal_that_breaks_off_is_not_a_refusal)
+{
+  char *copy = refusal_of ((guint) _i, "one");
+
+  for (gsize length = 1; length <= strlen (copy); length++)
+    {
+      int fd = complete_first_request ();
+
+      start_attempt_for ("two");
+      wait_readable (fd);
+      send_part (fd, copy, length);
+      close_end (fd, length % 2 == 0);
+      wait_until_done ();
+      ck_assert_msg (result == ANVIL_RUN_INTERRUPTED, "%s: %d after %zu bytes", copy, result,
+                     length);
+    }
+  g_free (copy);
+}
+END_TEST
+
+/* The first attempt ends with a refusal that is cut in two; its copy comes when the request is
+ * under way again, on the connection of the first attempt. */
+START_TEST (test_the_copy_of_a_refusal_never_ends_the_next_attempt_of_its_request)
+{
+  char *refusal = refusal_of ((guint) _i, "one");
+
+  for (gsize first_part = 1; first_part < strlen (refusal); first_part++)
+    {
+      int used;
+      int fd;
+
+      start_attempt ();
+      used = accept_request ();
+      send_part (used, refusal, first_part);
+      send_response (used, refusal + first_part);
+      ck_assert_msg (result == ANVIL_RUN_SHED || result == ANVIL_RUN_CONNECT_FAILED, "%s: %d",
+                     refusal, result);
+      start_attempt ();
+      fd = accept_request ();
+      /* The entry may have closed the connection. */
+      (void) !send (used, refusal, strlen (refusal), MSG_NOSIGNAL);
+      for (guint i = 0; i < 10; i++)
+        run_loop_once ();
+      ck_assert (!is_done);
+      send_response (fd, RESPONSE_TO ("one"));
+      ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+      ck_assert_str_eq (body_text, "one");
+      anvil_relay_upstream_pool_close_idle (pool, 1);
+      close (fd);
+      close (used);
+    }
+  g_free (refusal);
+}
+END_TEST
+
+/* Also if other requests were sent on that connection in between. */
+START_TEST (test_a_connection_keeps_the_ids_of_all_its_requests)
+{
+  int used;
+  int fd;
+
+  start_attempt ();
+  used = accept_request ();
+  send_response (used, REJECTION_OF ("one"));
+  for (guint i = 0; i < 5; i++)
+    {
+      char *id = g_strdup_printf ("id-%u", i);
+      char *response = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
+                                        "Content-Length: 0\r\n\r\n",
+                                        id);
+      char bytes[4096];
+
+      start_attempt_for (id);
+      wait_readable (used);
+      ck_assert_int_gt (recv (used, bytes, sizeof bytes, 0), 0);
+      send_response (used, response);
+      g_free (response);
+      g_free (id);
+    }
+  start_attempt ();
+  fd = accept_request ();
+  ck_assert_int_eq (send (used, REJECTION_OF ("one"), strlen (REJECTION_OF ("one")), MSG_NOSIGNAL),
+                    (ssize_t) strlen (REJECTION_OF ("one")));
+  for (guint i = 0; i < 10; i++)
+    run_loop_once ();
+  ck_assert (!is_done);
+  send_response (fd, RESPONSE_TO ("one"));
+  ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+  close (fd);
+  close (used);
+}
+END_TEST
+
 /* Guards against the same where a response to another request shows that the connection carries
  * what belongs elsewhere. */
 START_TEST (test_a_rejection_without_an_id_does_not_count_behind_a_response_to_another)
@@ -1025,6 +1169,14 @@
   tcase_add_test (tests, test_a_connection_is_closed_after_a_bounded_number_of_requests);
   tcase_add_test (tests, test_requests_without_an_id_are_sent_on_connections_of_their_own);
   tcase_add_test (tests, test_another_request_is_sent_on_the_connection_of_a_rejected_one);
+  tcase_add_loop_test (tests,
+                       test_the_copy_of_a_refusal_never_ends_another_request_of_its_connection, 0,
+                       G_N_ELEMENTS (refusals));
+  tcase_add_loop_test (tests, test_the_copy_of_a_refusal_that_breaks_off_is_not_a_refusal, 0,
+                       G_N_ELEMENTS (refusals));
+  tcase_add_loop_test (tests, test_the_copy_of_a_refusal_never_ends_the_next_attempt_of_its_request,
+                       0, G_N_ELEMENTS (refusals));
+  tcase_add_test (tests, test_a_connection_keeps_the_ids_of_all_its_requests);
   tcase_add_test (tests,
                   test_a_rejection_without_an_id_does_not_count_behind_a_response_to_another);
   tcase_add_test (tests, test_a_response_to_another_request_without_length_ends_the_attempt);
