Notice that a peer has restarted also when its ping comes before its answer

What callers saw: nothing traced to it. An entry that missed a holder's restart didn't tell the new process of its running requests, of request limits and pauses, nor request again what waited.

Cause: a restart is an answer from another process than the last answer. What was compared with was the peer's description, which any ping of it replaces, and a new process pings as soon as it has started. So a fact about answers was taken from a message that is none.

Change: the process that answered last is kept apart from the description.

--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -58,6 +58,7 @@
  * @info: its latest description; the texts are owned by anvil_members_t
  * @region: region of its zone, NULL while its zone is unknown
  * @answered_at: when the latest ping that it answered was sent, 0 for never
+ * @answered_incarnation: its process that answered that ping
  * @pinged_at: when the latest ping was sent; 0 if the next one is due now
  * @added_at: when it was added
  * @rtt: moving average of the round-trip time, microseconds; 0 for unknown
@@ -72,6 +73,7 @@
   anvil_member_info_t info;
   const char *region;
   anvil_time_t answered_at;
+  guint64 answered_incarnation;
   anvil_time_t pinged_at;
   anvil_time_t added_at;
   anvil_time_t rtt;
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -217,9 +217,10 @@
 
   if (peer == NULL || rtt < 0)
     return FALSE;
-  restarted = peer->answered_at > 0 && peer->info.incarnation != info->incarnation;
+  restarted = peer->answered_at > 0 && peer->answered_incarnation != info->incarnation;
   anvil_members_update_info (members, now, node, info);
   peer->answered_at = MAX (peer->answered_at, sent_at);
+  peer->answered_incarnation = info->incarnation;
   /* Counted back from the arrival of the answer, so that transit time never makes it longer. */
   peer->store_ok_since = info->store_ok_for > 0 ? now - info->store_ok_for : 0;
   peer->rtt = peer->rtt == 0 ? rtt : peer->rtt + (rtt - peer->rtt) / RTT_WEIGHT_DIVISOR;
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -320,6 +320,20 @@
 }
 END_TEST
 
+/* The new process pings as soon as it has started, so its ping mostly comes first. */
+START_TEST (test_restart_of_a_peer_is_detected_behind_its_own_ping)
+{
+  const anvil_member_info_t restarted = info ("west-b", 2);
+
+  answer_ping (2, "west-b", 1);
+  anvil_members_update_info (members, now, 2, &restarted);
+  now += 10 * ANVIL_MS;
+  ck_assert (answer_ping (2, "west-b", 2));
+  now += 10 * ANVIL_MS;
+  ck_assert (!answer_ping (2, "west-b", 2));
+}
+END_TEST
+
 START_TEST (test_answer_counts_from_when_the_ping_was_sent)
 {
   const anvil_member_info_t peer_info = info ("west-b", 1);
@@ -375,6 +389,7 @@
   tcase_add_test (tests, test_next_holder_is_pinged_often_in_advance);
   tcase_add_test (tests, test_silent_peer_expires_and_can_be_added_again);
   tcase_add_test (tests, test_restart_of_a_peer_is_detected);
+  tcase_add_test (tests, test_restart_of_a_peer_is_detected_behind_its_own_ping);
   tcase_add_test (tests, test_a_silent_peer_that_was_not_leaving_may_act_for_others);
   tcase_add_test (tests, test_answer_counts_from_when_the_ping_was_sent);
   suite_add_tcase (suite, tests);
