Ignore the answer of a peer to an earlier ping than the last one that it answered

What callers saw: nothing traced to it. An entry that was suspended while a peer restarted reads what the former process had sent behind what the new one sent: it then took the new process for restarted twice more, forgot its waiting requests, and believed the former one's account of its readiness, configuration and store until the next answer.

Cause: a pong says which ping it answers, and that was used for the round trip only.

Change: a pong of a ping older than the last one answered changes nothing.

--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -215,11 +215,12 @@
   anvil_time_t rtt = now - sent_at;
   gboolean restarted;
 
-  if (peer == NULL || rtt < 0)
+  /* A former process may have sent an answer that arrives behind one of the present process. */
+  if (peer == NULL || rtt < 0 || sent_at < peer->answered_at)
     return FALSE;
   restarted = peer->answered_at > 0 && peer->answered_incarnation != info->incarnation;
   anvil_members_update_info (members, now, node, info);
-  peer->answered_at = MAX (peer->answered_at, sent_at);
+  peer->answered_at = sent_at;
   peer->answered_incarnation = info->incarnation;
   /* Counted back from the arrival of the answer, so that transit time never makes it longer. */
   peer->store_ok_since = info->store_ok_for > 0 ? now - info->store_ok_for : 0;
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -334,6 +334,30 @@
 }
 END_TEST
 
+/* A process that was suspended reads the bytes of a peer's former connection after those of the new
+ * one. */
+START_TEST (test_the_answer_to_an_earlier_ping_changes_nothing)
+{
+  anvil_member_info_t former = info ("west-b", 1);
+  const anvil_peer_t *peer;
+
+  answer_ping (2, "west-b", 1);
+  now += ANVIL_SECOND;
+  ck_assert (answer_ping (2, "west-b", 2));
+  former.leaving = TRUE;
+  former.store_ok_for = ANVIL_SECOND;
+  former.config_version = 7;
+  ck_assert (!anvil_members_ping_answered (members, now, 2, &former, now - ANVIL_SECOND));
+  peer = anvil_members_lookup (members, 2);
+  ck_assert_uint_eq (peer->info.incarnation, 2);
+  ck_assert_int_eq (peer->info.config_version, 0);
+  ck_assert_int_eq (peer->store_ok_since, 0);
+  ck_assert (!peer->info.leaving);
+  now += 10 * ANVIL_MS;
+  ck_assert (!answer_ping (2, "west-b", 2));
+}
+END_TEST
+
 START_TEST (test_answer_counts_from_when_the_ping_was_sent)
 {
   const anvil_member_info_t peer_info = info ("west-b", 1);
@@ -390,6 +414,7 @@
   tcase_add_test (tests, test_silent_peer_expires_and_can_be_added_again);
   tcase_add_test (tests, test_restart_of_a_peer_is_detected);
   tcase_add_test (tests, test_restart_of_a_peer_is_detected_behind_its_own_ping);
+  tcase_add_test (tests, test_the_answer_to_an_earlier_ping_changes_nothing);
   tcase_add_test (tests, test_a_silent_peer_that_was_not_leaving_may_act_for_others);
   tcase_add_test (tests, test_answer_counts_from_when_the_ping_was_sent);
   suite_add_tcase (suite, tests);
