Log each arrival and copy at the stand-in upstream, and tell its connections apart by number

What callers saw: nothing; this is of the stand-in.

It told the connection of a refusal by the address of evhttp's object, which a later connection may get after it is freed: a copy on such a connection would be one that no upstream writes (read, not seen).

Change: "arrived" for each request with an id that isn't answered with 421, "copied" for each copy of a refusal, the upstream's id in "start"; connections are numbered as they are accepted.

--- a/standins/anvil-registrant.c
+++ b/standins/anvil-registrant.c
@@ -26,12 +26,12 @@
  * say in its responses that it leaves, whatever its row says; an empty value ends that. POST
  * /retry-after?value=TEXT makes it refuse all requests with that Retry-After, until the value is
  * empty. SIGTERM starts a drain.
- * With --runs, lines are appended to a file: "start TIME -" when the process starts,
- * "run TIME ID" for each run, "limit TIME TEXT" for each request to name a limit ("-" to end it),
- * "leaving TIME TEXT" and "retry-after TIME TEXT" alike, "refused TIME ID" for each request that it
- * refuses with a Retry-After,
- * and "draining TIME -" when the store has accepted the row that announces the drain. Times are in
- * microseconds since 1970.
+ * With --runs, lines are appended to a file: "start TIME UPSTREAM" when the process
+ * starts, "run TIME ID" for each run, "limit TIME TEXT" for each request to name a limit ("-" to
+ * end it), "leaving TIME TEXT" and "retry-after TIME TEXT" alike, "arrived TIME ID" for each
+ * request that isn't answered with 421, "refused TIME ID" for each request that it refuses with a
+ * Retry-After, "copied TIME ID" for each copy of a refusal, and "draining TIME -" when the store
+ * has accepted the row that announces the drain. Times are in microseconds since 1970.
  */
 
 #include <arpa/inet.h>
@@ -286,7 +286,9 @@
 is_refused_once (registrant_job_t *job)
 {
   const char *id = registrant_request_header (job->request, "Request-Id");
-  gpointer connection = evhttp_request_get_connection (job->request);
+  struct bufferevent *stream
+      = evhttp_connection_get_bufferevent (evhttp_request_get_connection (job->request));
+  gpointer connection = g_hash_table_lookup (job->upstream->connections, stream);
   gpointer refused_on;
 
   if (strcmp (job->fault, "refused-once") != 0)
@@ -299,10 +301,24 @@
       return TRUE;
     }
   if (refused_on == connection)
-    registrant_send_copy_of_refusal (job->request);
+    {
+      registrant_log_event (job->upstream, "copied", id);
+      registrant_send_copy_of_refusal (job->request);
+    }
   return FALSE;
 }
 
+/* Numbers a new connection. Another one may get the address of one that was freed. */
+static struct bufferevent *
+on_connection (struct event_base *base, void *data)
+{
+  upstream_t *upstream = data;
+  struct bufferevent *stream = bufferevent_socket_new (base, -1, 0);
+
+  g_hash_table_insert (upstream->connections, stream, GUINT_TO_POINTER (++upstream->n_connections));
+  return stream;
+}
+
 static void
 on_request (struct evhttp_request *request, void *data)
 {
@@ -320,6 +336,8 @@
       respond (upstream, request, STATUS_MISDIRECTED, "");
       return;
     }
+  if (registrant_request_header (request, "Request-Id") != NULL)
+    registrant_log_event (upstream, "arrived", registrant_request_header (request, "Request-Id"));
   if (registrant_request_header (request, "Request-Id") == NULL
       || upstream->waiting.length >= upstream->settings[QUEUE].integer)
     {
@@ -383,6 +401,7 @@
           .base = event_base_new (),
           .started_at = anvil_clock_wall () / ANVIL_MS,
           .run_counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+          .connections = g_hash_table_new (NULL, NULL),
           .refused_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
           .warm_objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL) };
   const struct timeval heartbeat
@@ -399,6 +418,7 @@
 
   *strrchr (host, ':') = '\0';
   g_queue_init (&upstream.waiting);
+  evhttp_set_bevcb (http, on_connection, &upstream);
   evhttp_set_gencb (http, on_request, &upstream);
   bound = evhttp_bind_socket_with_handle (http, host, settings[LISTEN].port);
   if (bound == NULL)
@@ -410,7 +430,7 @@
   upstream.endpoint = anvil_endpoint_format (settings[LISTEN].address, ntohs (local.sin_port));
   if (settings[RUNS].text != NULL)
     upstream.event_log = fopen (settings[RUNS].text, "a");
-  registrant_log_event (&upstream, "start", "-");
+  registrant_log_event (&upstream, "start", settings[ID].text);
   upstream.store_pool = anvil_http_pool_open (upstream.base, settings[STORE].address,
                                               settings[STORE].port, STORE_TIMEOUT);
   evsignal_add (terminate, NULL);
@@ -425,6 +445,7 @@
   g_hash_table_unref (upstream.run_counts);
   g_hash_table_unref (upstream.warm_objects);
   event_base_free (upstream.base);
+  g_hash_table_unref (upstream.connections);
   g_hash_table_unref (upstream.refused_ids);
   g_free (upstream.request_limit);
   g_free (upstream.leaving);
--- a/standins/anvil-registrant.h
+++ b/standins/anvil-registrant.h
@@ -45,8 +45,11 @@
   GHashTable *run_counts;
   /* Set of objects that were requested before; a request for one takes WARM_MS. */
   GHashTable *warm_objects;
-  /* Connections on which requests with the fault "refused-once" were refused, by request ID; only
-   * compared. */
+  /* Numbers of connections by their bufferevent. */
+  GHashTable *connections;
+  guint n_connections;
+  /* Numbers of the connections on which requests with the fault "refused-once" were refused, by
+   * request ID. */
   GHashTable *refused_ids;
   /* Server-Limit and Server-Leaving headers of its responses, or NULL. */
   char *request_limit;
