Refuse a request at once that may use none of its service's upstreams

What callers saw: a request that the only upstream had refused, or had failed, was held for half of the time between its target and its deadline, and then refused as late.

Cause: the holder refused on arrival when the service had no upstream, but not when all of them were excluded or in regions that the route doesn't allow. Such a task was queued, and no slot could be granted to it.

Change: it is refused with "no-upstream", on arrival and when its last upstream drains while it waits. On arrival this comes before the retry budget, from which it takes nothing, since nothing is sent. Without any upstream, queued tasks still wait for the next one to register.

--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -383,10 +383,14 @@
 
 /* Whether a task would miss its deadline even if it started now. */
 gboolean refusing_misses_deadline (const task_t *task, anvil_time_t now);
+/* Whether the service has upstreams, but none that the task may use: those are excluded, or in
+ * other regions. */
+gboolean refusing_lacks_upstream (const task_t *task);
 /* Whether a new task is refused instead of queued. */
 gboolean refusing_on_arrival (task_t *task, anvil_time_t now);
-/* Whether a queued task is refused. */
-gboolean refusing_while_waiting (task_t *task, anvil_time_t now);
+/* Whether a queued task is refused, and why. */
+gboolean
+refusing_while_waiting (task_t *task, anvil_time_t now, anvil_task_refusal_reason_t *reason);
 /* Whether a late task has been queued for too long after its target. */
 gboolean refusing_late_too_long (const task_t *task, anvil_time_t now);
 /* Whether a task that will miss its target is refused: too many late tasks are queued, or it would
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -43,6 +43,22 @@
   return now + mean_run_time (task) > task->request.deadline;
 }
 
+gboolean
+refusing_lacks_upstream (const task_t *task)
+{
+  const GPtrArray *upstreams = task->service->upstreams;
+
+  for (guint i = 0; i < upstreams->len; i++)
+    {
+      const upstream_t *upstream = upstreams->pdata[i];
+
+      if (anvil_registry_usable (&upstream->record) && placing_allowed (upstream, task))
+        return FALSE;
+    }
+  /* Without any, queued tasks wait for the next one to register. */
+  return task->service->n_slots > 0;
+}
+
 /* How long all slots of the service together need for @n_tasks. */
 static anvil_time_t
 time_for_tasks (const task_t *task, guint n_tasks)
@@ -125,8 +141,8 @@
   return names[reason];
 }
 
-gboolean
-refusing_while_waiting (task_t *task, anvil_time_t now)
+static gboolean
+is_too_late (task_t *task, anvil_time_t now)
 {
   if (!task->is_late)
     waiting_move_late (task->object, now);
@@ -137,3 +153,17 @@
   task->admitted_late = TRUE;
   return refusing_late_task (task, now);
 }
+
+gboolean
+refusing_while_waiting (task_t *task, anvil_time_t now, anvil_task_refusal_reason_t *reason)
+{
+  if (refusing_lacks_upstream (task))
+    *reason = ANVIL_TASK_NO_UPSTREAM;
+  else if (pause_outlasts (task, now))
+    *reason = ANVIL_TASK_PAUSED;
+  else if (is_too_late (task, now))
+    *reason = ANVIL_TASK_LATE;
+  else
+    return FALSE;
+  return TRUE;
+}
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -300,6 +300,12 @@
       return;
     }
   task = task_new (dispatcher, now, request);
+  /* Nothing is sent, so this takes no retry from the budget. */
+  if (refusing_lacks_upstream (task))
+    {
+      refuse (dispatcher, now, task, ANVIL_TASK_NO_UPSTREAM);
+      return;
+    }
   if (!dispatch_count_attempt (dispatcher, now, task))
     {
       refuse (dispatcher, now, task, ANVIL_TASK_NO_RETRY);
@@ -399,23 +405,30 @@
     limit_add_reported (upstream, now, named_at, per_second);
 }
 
+typedef struct
+{
+  task_t *task;
+  anvil_task_refusal_reason_t reason;
+} overdue_t;
+
 /* Running tasks past their deadline, and queued ones to refuse. Collected first, since ending one
  * changes the table. */
-static GPtrArray *
+static GArray *
 overdue_tasks (anvil_dispatcher_t *dispatcher, anvil_time_t now)
 {
-  GPtrArray *found = g_ptr_array_new ();
+  GArray *found = g_array_new (FALSE, FALSE, sizeof (overdue_t));
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, dispatcher->tasks);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      task_t *task = value;
+      overdue_t overdue = { .task = value };
 
-      if (task->upstream != NULL ? now > task->request.deadline + DEADLINE_GRACE
-                                 : pause_outlasts (task, now) || refusing_while_waiting (task, now))
-        g_ptr_array_add (found, task);
+      if (overdue.task->upstream != NULL
+              ? now > overdue.task->request.deadline + DEADLINE_GRACE
+              : refusing_while_waiting (overdue.task, now, &overdue.reason))
+        g_array_append_val (found, overdue);
     }
   return found;
 }
@@ -423,11 +436,11 @@
 static void
 end_overdue (anvil_dispatcher_t *dispatcher, anvil_time_t now)
 {
-  GPtrArray *overdue = overdue_tasks (dispatcher, now);
+  GArray *overdue = overdue_tasks (dispatcher, now);
 
   for (guint i = 0; i < overdue->len; i++)
     {
-      task_t *task = overdue->pdata[i];
+      task_t *task = g_array_index (overdue, overdue_t, i).task;
 
       if (task->upstream != NULL)
         {
@@ -438,10 +451,9 @@
           continue;
         }
       waiting_remove (task);
-      refuse (dispatcher, now, task,
-              pause_outlasts (task, now) ? ANVIL_TASK_PAUSED : ANVIL_TASK_LATE);
+      refuse (dispatcher, now, task, g_array_index (overdue, overdue_t, i).reason);
     }
-  g_ptr_array_unref (overdue);
+  g_array_unref (overdue);
 }
 
 static void
--- a/tests/test-dispatch-pause.c
+++ b/tests/test-dispatch-pause.c
@@ -33,6 +33,21 @@
                                    sim.now + pause);
 }
 
+/* A repeat of a request that failed on an upstream. */
+static const sim_task_t *
+submit_repeat (guint64 failed_on)
+{
+  const anvil_task_t task = { .id = { .requester = PAUSED_ENTRY },
+                              .service = anvil_str ("photos"),
+                              .region = anvil_str ("west"),
+                              .zone = anvil_str ("west-a"),
+                              .attempt = 2,
+                              .excluded = { failed_on },
+                              .n_excluded = 1 };
+
+  return sim_task (&sim, sim_submit_task (&sim, &task));
+}
+
 static const sim_task_t *
 submit_from (anvil_node_t requester)
 {
@@ -155,6 +170,43 @@
 }
 END_TEST
 
+START_TEST (test_a_repeat_that_may_use_no_upstream_is_refused_at_once)
+{
+  const sim_task_t *task = submit_repeat (sim.keys[0]);
+
+  ck_assert (task->refused);
+  ck_assert_int_eq (task->refused_at, task->submitted_at);
+  ck_assert_int_eq (task->reason, ANVIL_TASK_NO_UPSTREAM);
+  ck_assert_int_lt (task->retry_after, ANVIL_SECOND);
+}
+END_TEST
+
+START_TEST (test_a_queued_repeat_is_refused_when_its_last_upstream_drains)
+{
+  guint index;
+
+  sim_add_upstream (&sim, "west", "west-a", 1);
+  for (guint i = 0; i < 3; i++)
+    submit_from (OTHER_ENTRY);
+  submit_repeat (sim.keys[0]);
+  index = sim.tasks->len - 1;
+  ck_assert (!sim_task (&sim, index)->granted && !sim_task (&sim, index)->refused);
+  sim_set_upstream (&sim, 1, TRUE, 0);
+  sim_run (&sim, 2 * ANVIL_DISPATCHER_TICK_INTERVAL);
+  ck_assert (sim_task (&sim, index)->refused);
+  ck_assert_int_eq (sim_task (&sim, index)->reason, ANVIL_TASK_NO_UPSTREAM);
+}
+END_TEST
+
+START_TEST (test_repeats_that_may_use_no_upstream_take_nothing_from_the_retry_budget)
+{
+  for (guint i = 0; i < 60; i++)
+    ck_assert (submit_repeat (sim.keys[0])->refused);
+  sim_add_upstream (&sim, "west", "west-a", 1);
+  ck_assert (submit_repeat (sim.keys[0])->granted);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -172,6 +224,9 @@
   tcase_add_test (tests, test_a_queued_request_is_refused_when_a_long_pause_begins);
   tcase_add_test (tests, test_queued_requests_of_a_paused_entry_do_not_hide_those_of_others);
   tcase_add_test (tests, test_a_shorter_pause_does_not_end_a_longer_one);
+  tcase_add_test (tests, test_a_repeat_that_may_use_no_upstream_is_refused_at_once);
+  tcase_add_test (tests, test_a_queued_repeat_is_refused_when_its_last_upstream_drains);
+  tcase_add_test (tests, test_repeats_that_may_use_no_upstream_take_nothing_from_the_retry_budget);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
