Tell refused callers to return when an upstream wants requests again

What callers saw: a request that the only upstream had refused with Retry-After: 10 was answered 503 with a Retry-After of 0.3 s, in the pause. A request that had failed on one upstream, while another one paused, was told to wait for the end of that pause, though its caller could have used the first one at once.

Cause: only refusals with the reason "paused" looked at pauses, and they left out the upstreams on which this request had failed. The caller's next request excludes none of them.

Change: all refusals look at the pauses of the upstreams that the route allows, whatever the request excludes; without a pause they say what they said.

Evidence: two cases more in test-dispatch-pause, 13 of 13; on the sources before it 11 of 13: Retry-After 0.275 s in a pause of 10 s, and 10.09 s beside an upstream without one.

--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -332,8 +332,8 @@
 /* Whether the task can't be served in time, because all upstreams that it may use want no requests
  * of its entry for too long. */
 gboolean pause_outlasts (const task_t *task, anvil_time_t now);
-/* Time after which the caller of such a task should retry: when the first of these pauses has
- * ended, microseconds. */
+/* Time until the first upstream wants requests of the task's caller again, microseconds; 0 if one
+ * does now, or if none may serve them. The caller's next request excludes none of them. */
 anvil_time_t pause_retry_after (const task_t *task, anvil_time_t now);
 void pause_clear (upstream_t *upstream);
 
@@ -353,6 +353,9 @@
   anvil_time_t cost;
 } placement_t;
 
+/* Whether the route of the task allows the upstream's region. */
+gboolean placing_region_allowed (const upstream_t *upstream, const task_t *task);
+/* The same, and the task hasn't failed on the upstream. */
 gboolean placing_allowed (const upstream_t *upstream, const task_t *task);
 gboolean placing_slot_available (upstream_t *upstream, anvil_time_t now);
 anvil_time_t placing_network_delay (const upstream_t *upstream, const task_t *task);
--- a/source/steer/dispatch-pause.c
+++ b/source/steer/dispatch-pause.c
@@ -59,44 +59,46 @@
   g_clear_pointer (&upstream->pauses, g_hash_table_unref);
 }
 
-/* When the first upstream that the task may use ends its pause; 0 if one wants requests now, or if
- * there is none. */
+/* When the first upstream that @allowed lets the task use wants it: @now if one does already,
+ * G_MAXINT64 if there is none. */
 static anvil_time_t
-first_end (const task_t *task, anvil_time_t now)
+first_wanted_at (const task_t *task,
+                 anvil_time_t now,
+                 gboolean (*allowed) (const upstream_t *upstream, const task_t *task))
 {
   const GPtrArray *upstreams = task->service->upstreams;
   anvil_time_t first = G_MAXINT64;
 
-  if (task->service->dispatcher->pauses_end <= now)
-    return 0;
-  for (guint i = 0; i < upstreams->len; i++)
+  for (guint i = 0; i < upstreams->len && first > now; i++)
     {
       const upstream_t *upstream = upstreams->pdata[i];
 
-      if (!anvil_registry_usable (&upstream->record) || !placing_allowed (upstream, task))
-        continue;
-      if (!pause_applies (upstream, task, now))
-        return 0;
-      first = MIN (first, pause_end (upstream, task->request.id.requester));
+      if (anvil_registry_usable (&upstream->record) && allowed (upstream, task))
+        first = MIN (first, MAX (pause_end (upstream, task->request.id.requester), now));
     }
-  return first < G_MAXINT64 ? first : 0;
+  return first;
 }
 
 gboolean
 pause_outlasts (const task_t *task, anvil_time_t now)
 {
-  anvil_time_t end = first_end (task, now);
+  anvil_time_t end;
 
-  return end > 0 && refusing_misses_deadline (task, end);
+  if (task->service->dispatcher->pauses_end <= now)
+    return FALSE;
+  end = first_wanted_at (task, now, placing_allowed);
+  return end > now && end < G_MAXINT64 && refusing_misses_deadline (task, end);
 }
 
 anvil_time_t
 pause_retry_after (const task_t *task, anvil_time_t now)
 {
   service_t *service = task->service;
-  const anvil_time_t end = first_end (task, now);
-  anvil_time_t run_time = warmth_mean_run_time (service, task->request.kind, TRUE);
+  const anvil_time_t end = first_wanted_at (task, now, placing_region_allowed);
+  const anvil_time_t run_time = warmth_mean_run_time (service, task->request.kind, TRUE);
 
+  if (end <= now || end == G_MAXINT64)
+    return 0;
   service->last_return_at
       = MAX (service->last_return_at, end) + run_time / MAX (service->n_slots, 1);
   service->last_return_at = MIN (service->last_return_at, end + MAX_RETURN_SPREAD);
--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -44,8 +44,8 @@
 /* Part of the limit on shifts that one service may use: the mix of services changes too. */
 #define SHIFT_MARGIN 0.6
 
-static gboolean
-region_allowed (const upstream_t *upstream, const task_t *task)
+gboolean
+placing_region_allowed (const upstream_t *upstream, const task_t *task)
 {
   for (guint i = 0; i < task->request.n_regions; i++)
     {
@@ -63,7 +63,7 @@
       if (task->request.excluded[i] == upstream->record.key)
         return FALSE;
     }
-  return region_allowed (upstream, task);
+  return placing_region_allowed (upstream, task);
 }
 
 /* Most requests a second that this dispatcher grants to a cold upstream: at most its share of the
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -121,7 +121,10 @@
 {
   service_t *service = task->service;
   anvil_time_t first = now + MIN_RETRY_AFTER + time_for_tasks (task, service->n_waiting);
+  anvil_time_t pause = pause_retry_after (task, now);
 
+  if (pause > 0)
+    return pause;
   if (service->n_slots == 0)
     return NO_UPSTREAM_RETRY_AFTER;
   service->last_retry_at = MAX (service->last_retry_at, first) + time_for_tasks (task, 1);
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -198,13 +198,11 @@
 {
   anvil_task_id_t id = task->request.id;
   const service_t *service = task->service;
-  const anvil_task_refusal_info_t refused
-      = { .reason = reason,
-          .retry_after = reason == ANVIL_TASK_PAUSED ? pause_retry_after (task, now)
-                                                     : refusing_retry_after (task, now),
-          .waiting = service->n_waiting,
-          .running = service->n_running,
-          .slots = service->n_slots };
+  const anvil_task_refusal_info_t refused = { .reason = reason,
+                                              .retry_after = refusing_retry_after (task, now),
+                                              .waiting = service->n_waiting,
+                                              .running = service->n_running,
+                                              .slots = service->n_slots };
 
   remove_task (dispatcher, task);
   dispatcher->callbacks.refuse (dispatcher->context, id, &refused);
--- a/tests/test-dispatch-pause.c
+++ b/tests/test-dispatch-pause.c
@@ -207,6 +207,32 @@
 }
 END_TEST
 
+START_TEST (test_the_caller_of_a_repeat_returns_when_the_pause_of_its_upstream_ends)
+{
+  const sim_task_t *task;
+
+  pause_upstream (0, LONG_PAUSE);
+  task = submit_repeat (sim.keys[0]);
+  ck_assert (task->refused);
+  ck_assert_int_ge (task->retry_after, LONG_PAUSE);
+  ck_assert_int_le (task->retry_after, LONG_PAUSE + 2 * ANVIL_SECOND);
+}
+END_TEST
+
+/* Its next request may use the upstream on which this one failed. */
+START_TEST (test_the_caller_of_a_repeat_returns_soon_if_its_first_upstream_does_not_pause)
+{
+  const sim_task_t *task;
+
+  sim_add_upstream (&sim, "west", "west-a", 2);
+  pause_upstream (1, LONG_PAUSE);
+  task = submit_repeat (sim.keys[0]);
+  ck_assert (task->refused);
+  ck_assert_int_eq (task->reason, ANVIL_TASK_PAUSED);
+  ck_assert_int_lt (task->retry_after, ANVIL_SECOND);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -227,6 +253,9 @@
   tcase_add_test (tests, test_a_repeat_that_may_use_no_upstream_is_refused_at_once);
   tcase_add_test (tests, test_a_queued_repeat_is_refused_when_its_last_upstream_drains);
   tcase_add_test (tests, test_repeats_that_may_use_no_upstream_take_nothing_from_the_retry_budget);
+  tcase_add_test (tests, test_the_caller_of_a_repeat_returns_when_the_pause_of_its_upstream_ends);
+  tcase_add_test (tests,
+                  test_the_caller_of_a_repeat_returns_soon_if_its_first_upstream_does_not_pause);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
