Spread the returns of callers also when many are refused in a pause

What callers saw: of 200 requests of two entries that one upstream had asked for pauses of 10 and 20 s, 100 were told to return at the same microsecond.

Cause: the spread was kept as the time of the last return, cut off 2 s after the end of the pause. With more callers than the slots run in 2 s, and with pauses of several entries that end at different times, all further callers got the end of the spread.

Change: what is kept is the distance from the end of the pause; past 2 s it begins again.

--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -188,8 +188,8 @@
  * @retry_window: requests and retries, for the retry budget
  * @foreign_windows: the same of other holders, as they handed them over
  * @last_retry_at: latest time at which a refused caller was told to retry
- * @last_return_at: latest time at which a caller was told to retry that was refused because of
- *   pauses
+ * @return_offset: how long after the end of a pause the last caller was told to retry that was
+ *   refused in one
  * @shifts: shift_window_t by id of the requesters' region
  */
 struct service
@@ -214,7 +214,7 @@
   foreign_window_t foreign_windows[ANVIL_MAX_RETRY_ORIGINS - 1];
   guint n_foreign_windows;
   anvil_time_t last_retry_at;
-  anvil_time_t last_return_at;
+  anvil_time_t return_offset;
   GHashTable *shifts;
 };
 
--- a/source/steer/dispatch-pause.c
+++ b/source/steer/dispatch-pause.c
@@ -99,8 +99,7 @@
 
   if (end <= now || end == G_MAXINT64)
     return 0;
-  service->last_return_at
-      = MAX (service->last_return_at, end) + run_time / MAX (service->n_slots, 1);
-  service->last_return_at = MIN (service->last_return_at, end + MAX_RETURN_SPREAD);
-  return service->last_return_at - now;
+  service->return_offset += run_time / MAX (service->n_slots, 1);
+  service->return_offset %= MAX_RETURN_SPREAD;
+  return end - now + service->return_offset;
 }
--- a/tests/test-dispatch-pause.c
+++ b/tests/test-dispatch-pause.c
@@ -233,6 +233,31 @@
 }
 END_TEST
 
+/* More requests are refused than the slots could run in the time of the spread. */
+START_TEST (test_the_returns_of_many_callers_are_spread)
+{
+  GHashTable *times = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  const guint n_requests = 200;
+  guint most = 0;
+
+  pause_upstream (0, LONG_PAUSE);
+  anvil_dispatcher_pause_upstream (sim.dispatcher, sim.now, sim.keys[0], 0, OTHER_ENTRY,
+                                   sim.now + 2 * LONG_PAUSE);
+  for (guint i = 0; i < n_requests; i++)
+    {
+      const sim_task_t *task = submit_from (i % 2 == 0 ? PAUSED_ENTRY : OTHER_ENTRY);
+      const anvil_time_t returns_at = task->submitted_at + task->retry_after;
+      guint n = 1 + GPOINTER_TO_UINT (g_hash_table_lookup (times, &returns_at));
+
+      g_hash_table_replace (times, g_memdup2 (&returns_at, sizeof returns_at),
+                            GUINT_TO_POINTER (n));
+      most = MAX (most, n);
+    }
+  ck_assert_uint_le (most, n_requests / 10);
+  g_hash_table_unref (times);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -256,6 +281,7 @@
   tcase_add_test (tests, test_the_caller_of_a_repeat_returns_when_the_pause_of_its_upstream_ends);
   tcase_add_test (tests,
                   test_the_caller_of_a_repeat_returns_soon_if_its_first_upstream_does_not_pause);
+  tcase_add_test (tests, test_the_returns_of_many_callers_are_spread);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
