Run a request elsewhere while the upstreams that are warm for it pause

What callers saw: requests of an entry waited, and were refused as late, for an object whose only warm upstream paused for the entry or had just refused the request, while up to a fifth of the slots were idle.

Cause: another upstream may become warm for an object only if its demand needs that or while more than a fifth of the slots are idle. Both count upstreams that the task may not use.

Change: a task that may use none of the upstreams that are warm for its object may run on any other one, at once and when a slot becomes free.

Evidence: two cases more in test-dispatch-pause, 16 of 16; on the sources before it 14 of 16. test-dispatcher 25 of 25, test-dispatch-limit 11 of 11, test-dispatch-holder 8 of 8.

--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -361,8 +361,8 @@
 anvil_time_t placing_network_delay (const upstream_t *upstream, const task_t *task);
 placement_t
 placing_estimate (upstream_t *upstream, const task_t *task, anvil_time_t now, gboolean warm);
-/* Whether one more upstream may become warm for the object. */
-gboolean placing_cold_run_allowed (const object_t *object);
+/* Whether one more upstream may become warm for the task's object. */
+gboolean placing_cold_run_allowed (const task_t *task, anvil_time_t now);
 /* Best upstream with a free slot; none if it is better to wait for a warm one. */
 placement_t placing_best_immediate (task_t *task, anvil_time_t now);
 /* Best upstream that is warm for the object, whether or not it has a free slot. */
--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -246,13 +246,31 @@
   return object->upstreams->len == 0 || warmth_demand (object) >= MAX_OBJECT_SHARE * slots;
 }
 
+/* Whether the task may run on an upstream that is warm for its object, now or later. */
+static gboolean
+has_warm_upstream (const task_t *task, anvil_time_t now)
+{
+  const GPtrArray *upstreams = task->object->upstreams;
+
+  for (guint i = 0; i < upstreams->len; i++)
+    {
+      const upstream_t *upstream = upstreams->pdata[i];
+
+      if (anvil_registry_usable (&upstream->record) && placing_allowed (upstream, task)
+          && !pause_applies (upstream, task, now))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 gboolean
-placing_cold_run_allowed (const object_t *object)
+placing_cold_run_allowed (const task_t *task, anvil_time_t now)
 {
-  const service_t *service = object->service;
+  const service_t *service = task->service;
   gdouble idle = service->usable_slots - service->n_running;
 
-  return needs_more_upstreams (object) || idle > MIN_IDLE_SHARE * service->usable_slots;
+  return needs_more_upstreams (task->object) || idle > MIN_IDLE_SHARE * service->usable_slots
+         || !has_warm_upstream (task, now);
 }
 
 /* The best upstream with a free slot that isn't warm for the object. */
@@ -262,7 +280,7 @@
   const GPtrArray *upstreams = task->service->upstreams;
   placement_t best = { 0 };
 
-  if (!placing_cold_run_allowed (task->object))
+  if (!placing_cold_run_allowed (task, now))
     return best;
   for (guint i = 0; i < upstreams->len; i++)
     {
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -133,7 +133,7 @@
   placement_t placement;
   gboolean on_time;
 
-  if (!placing_allowed (upstream, task))
+  if (!placing_allowed (upstream, task) || (!warm && !placing_cold_run_allowed (task, now)))
     return FALSE;
   placement = placing_estimate (upstream, task, now, warm);
   if (placement.finish > task->request.deadline
@@ -214,7 +214,7 @@
         consider_object (&choice, object, TRUE);
       /* If the object's first run on this upstream is going on, wait for it to end: then it is
        * warm. */
-      else if (warmth_find (upstream, object) == NULL && placing_cold_run_allowed (object))
+      else if (warmth_find (upstream, object) == NULL)
         consider_object (&choice, object, FALSE);
     }
   return choice.best;
--- a/tests/test-dispatch-pause.c
+++ b/tests/test-dispatch-pause.c
@@ -48,16 +48,23 @@
   return sim_task (&sim, sim_submit_task (&sim, &task));
 }
 
-static const sim_task_t *
-submit_from (anvil_node_t requester)
+static guint
+submit_object (anvil_node_t requester, guint64 object)
 {
   const anvil_task_t task = { .id = { .requester = requester },
                               .service = anvil_str ("photos"),
                               .region = anvil_str ("west"),
                               .zone = anvil_str ("west-a"),
+                              .object = object,
                               .attempt = 1 };
 
-  return sim_task (&sim, sim_submit_task (&sim, &task));
+  return sim_submit_task (&sim, &task);
+}
+
+static const sim_task_t *
+submit_from (anvil_node_t requester)
+{
+  return sim_task (&sim, submit_object (requester, 0));
 }
 
 START_TEST (test_a_paused_upstream_gets_requests_of_other_entries_only)
@@ -258,6 +265,59 @@
 }
 END_TEST
 
+/* Two upstreams with few idle slots, of which one is warm for the object and pauses. Returns the
+ * index of the other one. */
+static guint
+occupy_most_slots (guint64 object)
+{
+  guint warm;
+
+  sim_add_upstream (&sim, "west", "west-a", 3);
+  sim_set_upstream (&sim, 0, FALSE, 0);
+  warm = sim_task (&sim, submit_object (OTHER_ENTRY, object))->upstream == sim.keys[0] ? 0 : 1;
+  sim_run (&sim, sim.cold_run + ANVIL_DISPATCHER_TICK_INTERVAL);
+  pause_upstream (warm, LONG_PAUSE);
+  for (guint i = 0; i < 2; i++)
+    ck_assert_uint_eq (submit_from (PAUSED_ENTRY)->upstream, sim.keys[1 - warm]);
+  anvil_dispatcher_pause_upstream (sim.dispatcher, sim.now, sim.keys[1 - warm], 0, OTHER_ENTRY,
+                                   sim.now + LONG_PAUSE);
+  for (guint i = 0; i < 3; i++)
+    ck_assert_uint_eq (submit_from (OTHER_ENTRY)->upstream, sim.keys[warm]);
+  return 1 - warm;
+}
+
+START_TEST (test_a_request_runs_elsewhere_while_the_upstream_that_is_warm_for_it_pauses)
+{
+  const guint other = occupy_most_slots (1);
+  const sim_task_t *task = sim_task (&sim, submit_object (PAUSED_ENTRY, 1));
+
+  ck_assert (task->granted);
+  ck_assert_uint_eq (task->upstream, sim.keys[other]);
+}
+END_TEST
+
+START_TEST (test_a_queued_request_runs_elsewhere_while_the_upstream_that_is_warm_for_it_pauses)
+{
+  const guint other = occupy_most_slots (1);
+  guint index;
+
+  ck_assert_uint_eq (submit_from (PAUSED_ENTRY)->upstream, sim.keys[other]);
+  index = submit_object (PAUSED_ENTRY, 1);
+  ck_assert (!sim_task (&sim, index)->granted && !sim_task (&sim, index)->refused);
+  /* A slot of the other upstream becomes free; those of the warm one stay in use. */
+  for (guint i = 0; i < sim.tasks->len; i++)
+    {
+      if (sim_task (&sim, i)->upstream == sim.keys[other] && !sim_task (&sim, i)->done)
+        {
+          sim_finish (&sim, i, ANVIL_RUN_ANSWERED);
+          break;
+        }
+    }
+  ck_assert (sim_task (&sim, index)->granted);
+  ck_assert_uint_eq (sim_task (&sim, index)->upstream, sim.keys[other]);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -282,6 +342,10 @@
   tcase_add_test (tests,
                   test_the_caller_of_a_repeat_returns_soon_if_its_first_upstream_does_not_pause);
   tcase_add_test (tests, test_the_returns_of_many_callers_are_spread);
+  tcase_add_test (tests,
+                  test_a_request_runs_elsewhere_while_the_upstream_that_is_warm_for_it_pauses);
+  tcase_add_test (
+      tests, test_a_queued_request_runs_elsewhere_while_the_upstream_that_is_warm_for_it_pauses);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
