Keep the pause of an upstream's process when an earlier process answers late

What callers saw: nothing yet; the upstream would have got requests in a pause.

Cause: an entry keeps one pause for an upstream. A refusal of the earlier process that arrived after one of its successor, and named a longer pause, replaced that of the successor, which an earlier process's pause doesn't bind.

Change: while the pause of a later process holds, one of an earlier process is ignored.

--- a/source/relay/pause-table.c
+++ b/source/relay/pause-table.c
@@ -70,8 +70,10 @@
                        gint64 started_at,
                        anvil_time_t until)
 {
-  entry_t *entry;
+  entry_t *entry = g_hash_table_lookup (table->entries, &upstream);
 
+  if (entry != NULL && entry->until > now && started_at != 0 && started_at < entry->started_at)
+    return FALSE;
   if (now + anvil_pause_table_remaining (table, now, upstream, started_at) >= until)
     return FALSE;
   g_hash_table_foreach_remove (table->entries, has_ended, &now);
--- a/source/relay/pause-table.h
+++ b/source/relay/pause-table.h
@@ -17,7 +17,7 @@
  * anvil_pause_table_add - an upstream wants no requests until a time
  * @started_at: start of its process, Unix milliseconds; 0 if unknown
  *
- * Return: FALSE if that was known, or a longer pause of the process is.
+ * Return: FALSE if that was known, or a longer pause of the process is, or one of a later process.
  */
 gboolean anvil_pause_table_add (anvil_pause_table_t *table,
                                 anvil_time_t now,
--- a/tests/test-pause-table.c
+++ b/tests/test-pause-table.c
@@ -53,6 +53,15 @@
 }
 END_TEST
 
+/* The last response of the earlier process arrives after the first one of its successor. */
+START_TEST (test_a_pause_of_an_earlier_start_does_not_replace_that_of_a_later_one)
+{
+  ck_assert (anvil_pause_table_add (table, NOW, "photos", 1, 1001, UNTIL));
+  ck_assert (!anvil_pause_table_add (table, NOW, "photos", 1, 1000, UNTIL + 1));
+  ck_assert_int_eq (anvil_pause_table_remaining (table, NOW, 1, 1001), UNTIL - NOW);
+}
+END_TEST
+
 START_TEST (test_pauses_of_a_service_are_listed_with_what_remains)
 {
   GArray *items = g_array_new (FALSE, FALSE, sizeof (anvil_named_announcement_t));
@@ -84,6 +93,7 @@
   tcase_add_test (tests, test_a_pause_holds_until_its_end);
   tcase_add_test (tests, test_a_shorter_pause_does_not_end_a_longer_one);
   tcase_add_test (tests, test_a_later_start_does_not_inherit_a_pause);
+  tcase_add_test (tests, test_a_pause_of_an_earlier_start_does_not_replace_that_of_a_later_one);
   tcase_add_test (tests, test_pauses_of_a_service_are_listed_with_what_remains);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
