--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -188,8 +188,8 @@
  * @retry_window: requests and retries, for the retry budget
  * @foreign_windows: the same of other holders, as they handed them over
  * @last_retry_at: latest time at which a refused caller was told to retry
- * @last_return_at: latest time at which a caller was told to retry that was refused because of
- *   pauses
+ * @return_offset: how long after the end of a pause the last caller was told to retry that was
+ *   refused in one
  * @shifts: shift_window_t by id of the requesters' region
  */
 struct service
@@ -214,7 +214,7 @@
   foreign_window_t foreign_windows[ANVIL_MAX_RETRY_ORIGINS - 1];
   guint n_foreign_windows;
   anvil_time_t last_retry_at;
-  anvil_time_t last_return_at;
+  anvil_time_t return_offset;
   GHashTable *shifts;
 };
 
@@ -332,8 +332,8 @@
 /* Whether the task can't be served in time, because all upstreams that it may use want no requests
  * of its entry for too long. */
 gboolean pause_outlasts (const task_t *task, anvil_time_t now);
-/* Time after which the caller of such a task should retry: when the first of these pauses has
- * ended, microseconds. */
+/* Time until the first upstream wants requests of the task's caller again, microseconds; 0 if one
+ * does now, or if none may serve them. The caller's next request excludes none of them. */
 anvil_time_t pause_retry_after (const task_t *task, anvil_time_t now);
 void pause_clear (upstream_t *upstream);
 
@@ -353,13 +353,16 @@
   anvil_time_t cost;
 } placement_t;
 
+/* Whether the route of the task allows the upstream's region. */
+gboolean placing_region_allowed (const upstream_t *upstream, const task_t *task);
+/* The same, and the task hasn't failed on the upstream. */
 gboolean placing_allowed (const upstream_t *upstream, const task_t *task);
 gboolean placing_slot_available (upstream_t *upstream, anvil_time_t now);
 anvil_time_t placing_network_delay (const upstream_t *upstream, const task_t *task);
 placement_t
 placing_estimate (upstream_t *upstream, const task_t *task, anvil_time_t now, gboolean warm);
-/* Whether one more upstream may become warm for the object. */
-gboolean placing_cold_run_allowed (const object_t *object);
+/* Whether one more upstream may become warm for the task's object. */
+gboolean placing_cold_run_allowed (const task_t *task, anvil_time_t now);
 /* Best upstream with a free slot; none if it is better to wait for a warm one. */
 placement_t placing_best_immediate (task_t *task, anvil_time_t now);
 /* Best upstream that is warm for the object, whether or not it has a free slot. */
@@ -383,10 +386,14 @@
 
 /* Whether a task would miss its deadline even if it started now. */
 gboolean refusing_misses_deadline (const task_t *task, anvil_time_t now);
+/* Whether the service has upstreams, but none that the task may use: those are excluded, or in
+ * other regions. */
+gboolean refusing_lacks_upstream (const task_t *task);
 /* Whether a new task is refused instead of queued. */
 gboolean refusing_on_arrival (task_t *task, anvil_time_t now);
-/* Whether a queued task is refused. */
-gboolean refusing_while_waiting (task_t *task, anvil_time_t now);
+/* Whether a queued task is refused, and why. */
+gboolean
+refusing_while_waiting (task_t *task, anvil_time_t now, anvil_task_refusal_reason_t *reason);
 /* Whether a late task has been queued for too long after its target. */
 gboolean refusing_late_too_long (const task_t *task, anvil_time_t now);
 /* Whether a task that will miss its target is refused: too many late tasks are queued, or it would
