Understand that an upstream leaves also with blanks behind the value

What callers saw: nothing; an upstream whose Server-Leaving has a trailing blank got requests on and on, while the entry passed the header on.

Cause: the value was compared as it came, unlike those of Server-Limit and Retry-After.

Change: it is read as a number, as they are. Found in review.

Evidence: the case with a blank of test-relay-upstream, red before, green after.

--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -159,6 +159,14 @@
   connection->idle_timeout = MAX (seconds * ANVIL_SECOND - IDLE_TIMEOUT_MARGIN, 0);
 }
 
+static gboolean
+says_leaving (anvil_str_t value)
+{
+  gdouble number;
+
+  return anvil_str_parse_decimal (value, &number) && number == 1;
+}
+
 static void
 process_retry_after (anvil_relay_attempt_t *attempt, anvil_str_t value)
 {
@@ -198,7 +206,7 @@
   else if (anvil_http_field_name_is (name, header_names->request_limit))
     anvil_request_limit_add_field (&attempt->request_limit, value);
   else if (anvil_http_field_name_is (name, header_names->leaving))
-    attempt->announcement.leaving |= anvil_str_equal (value, anvil_str ("1"));
+    attempt->announcement.leaving |= says_leaving (value);
   else if (anvil_http_field_name_is (name, "Retry-After"))
     process_retry_after (attempt, value);
   else if (anvil_http_field_name_is (name, "Content-Encoding"))
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -924,6 +924,7 @@
     anvil_time_t pause;
   } cases[] = {
     { "HTTP/1.1 200 OK\r\n" OWN LEAVING "Content-Length: 10\r\n\r\n", TRUE, 0 },
+    { "HTTP/1.1 200 OK\r\n" OWN "Server-Leaving: 1 \r\nContent-Length: 10\r\n\r\n", TRUE, 0 },
     { "HTTP/1.1 500 X\r\n" OWN LEAVING "Content-Length: 10\r\n\r\n", TRUE, 0 },
     { "HTTP/1.1 103 X\r\nRequest-Id: one\r\n" LEAVING "\r\n", TRUE, 0 },
     { "HTTP/1.1 503 X\r\nRequest-Id: one\r\nNot-Run: 1\r\n" LEAVING PAUSE
