Forget upstreams that left, and tell their processes apart when clocks are set back

What callers saw: nothing; found in review, shown in the unit. A process that started earlier by its own clock than one that had said that it leaves was never used. Upstreams that had left were kept until 4,096 others had said so, and then one could be dropped that still leaves. An upstream that stays after all was unusable again when an entry that had missed its drain told the holder, and no row ended that.

Cause: processes were ordered by their start alone, though rows are read in the order in which they were written; nothing ended what was kept; what a peer tells counted like what was heard.

Change: behind a row of the process that leaves, a row with any other start is that of another process. An upstream is forgotten a minute after its row is gone, and the bound drops those first. That an upstream stays is kept, and a peer's word doesn't undo it; its own does. test_a_later_start_does_not_inherit_that_an_upstream_leaves checked that a start of 999 behind a row of 1000 leaves too, as an older row; such a row can't be read behind it. The older row that can be, behind a grant of a holder that knows more, has a test of its own.

--- a/include/anvil/registry.h
+++ b/include/anvil/registry.h
@@ -164,10 +164,12 @@
  * anvil_registry_set_leaving - an upstream said in a response that it is about to end
  * @key: the upstream; it need not be registered
  * @started_at: start of the process that said so, see anvil_upstream_report_t; 0 if unknown
+ * @from_peer: it said so to another entry
  *
- * It stays unusable whatever its row says, until a process with a later start uses its id, or its
- * row has said that it drains and says that it is ready again. Responses without the word don't end
- * that: they arrive in any order.
+ * It stays unusable whatever its row says, until a row of another process with its id is read, or
+ * its row has said that it drains and says that it is ready again; what a peer says later doesn't
+ * undo the latter. Responses without the word don't end it: they arrive in any order. It is
+ * forgotten a minute after the row is gone.
  *
  * Return: FALSE if it was known, or if the registry knows a process with a later start.
  */
@@ -175,7 +177,8 @@
                                      anvil_time_t now,
                                      guint64 key,
                                      const char *service,
-                                     gint64 started_at);
+                                     gint64 started_at,
+                                     gboolean from_peer);
 
 /** anvil_registry_count_leaving - upstreams that said that they leave, registered or not */
 guint anvil_registry_count_leaving (const anvil_registry_t *registry);
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -188,12 +188,13 @@
   anvil_relay_t *relay = context;
 
   return anvil_registry_set_leaving (relay->registry, anvil_clock_now (), upstream, service,
-                                     started_at);
+                                     started_at, FALSE);
 }
 
 static void
 on_announcements_received (void *context, anvil_node_t peer, const anvil_relay_message_t *message)
 {
+  anvil_relay_t *relay = context;
   char *service = anvil_str_dup (message->service);
 
   for (guint i = 0; i < message->n_announcements; i++)
@@ -201,7 +202,8 @@
       const anvil_named_announcement_t *item = &message->announcements[i];
 
       if (item->announcement.leaving)
-        on_upstream_leaving (context, service, item->upstream, item->started_at);
+        anvil_registry_set_leaving (relay->registry, anvil_clock_now (), item->upstream, service,
+                                    item->started_at, TRUE);
     }
   g_free (service);
 }
--- a/source/steer/leaving-set.c
+++ b/source/steer/leaving-set.c
@@ -2,18 +2,27 @@
 
 #include <string.h>
 
-/* Upstreams that leave end within seconds to minutes, so older ones are of no use. */
+/* Most upstreams that are kept. */
 #define MAX_LEAVING 4096
+/* An upstream without a row is forgotten after this time. Rows that expired in an outage of the
+ * store return within seconds of its end, and upstreams serve for some time after they leave. */
+#define KEPT_WITHOUT_ROW (60 * ANVIL_SECOND)
 
 /**
  * entry_t - an upstream that leaves
  * @started_at: start of its process; 0 while it is unknown
+ * @row_read: a row of its process was read
+ * @row_gone_at: since when it has no row; 0 while it has one
+ * @stays: it stays after all
  */
 typedef struct
 {
   guint64 key;
   char *service;
   gint64 started_at;
+  gboolean row_read;
+  anvil_time_t row_gone_at;
+  gboolean stays;
 } entry_t;
 
 struct leaving_set
@@ -53,8 +62,8 @@
   g_free (set);
 }
 
-void
-leaving_set_remove (leaving_set_t *set, guint64 key)
+static void
+remove_entry (leaving_set_t *set, guint64 key)
 {
   entry_t *entry = g_hash_table_lookup (set->entries, &key);
 
@@ -64,16 +73,56 @@
   g_hash_table_remove (set->entries, &key);
 }
 
+static gboolean
+is_outdated (const entry_t *entry, anvil_time_t now)
+{
+  return entry->row_gone_at != 0 && now - entry->row_gone_at > KEPT_WITHOUT_ROW;
+}
+
+/* Removes the outdated entries, and one more if the set is full. */
+static void
+make_room (leaving_set_t *set, anvil_time_t now)
+{
+  entry_t *oldest = NULL;
+  GList *next;
+
+  for (GList *link = set->order.head; link != NULL; link = next)
+    {
+      entry_t *entry = link->data;
+
+      next = link->next;
+      if (is_outdated (entry, now))
+        remove_entry (set, entry->key);
+      else if (oldest == NULL
+               || (entry->row_gone_at != 0
+                   && (oldest->row_gone_at == 0 || entry->row_gone_at < oldest->row_gone_at)))
+        oldest = entry;
+    }
+  if (set->order.length >= MAX_LEAVING)
+    remove_entry (set, oldest->key);
+}
+
+/* Whether a process that started at @started_at is the one of the entry, or an earlier one. */
+static gboolean
+is_same_process (const entry_t *entry, gint64 started_at)
+{
+  return entry->started_at == 0 || started_at == 0 || started_at <= entry->started_at;
+}
+
 gboolean
-leaving_set_add (leaving_set_t *set, guint64 key, const char *service, gint64 started_at)
+leaving_set_add (leaving_set_t *set,
+                 anvil_time_t now,
+                 guint64 key,
+                 const char *service,
+                 gint64 started_at,
+                 gboolean from_peer)
 {
-  entry_t *entry;
+  entry_t *entry = g_hash_table_lookup (set->entries, &key);
 
-  if (leaving_set_contains (set, key, started_at))
+  if (entry != NULL && is_same_process (entry, started_at) && (!entry->stays || from_peer))
     return FALSE;
-  leaving_set_remove (set, key);
-  if (set->order.length >= MAX_LEAVING)
-    leaving_set_remove (set, ((entry_t *) g_queue_peek_head (&set->order))->key);
+  remove_entry (set, key);
+  make_room (set, now);
   entry = g_new0 (entry_t, 1);
   *entry = (entry_t){ .key = key, .service = g_strdup (service), .started_at = started_at };
   g_hash_table_insert (set->entries, &entry->key, entry);
@@ -86,12 +135,11 @@
 {
   const entry_t *entry = g_hash_table_lookup (set->entries, &key);
 
-  return entry != NULL
-         && (entry->started_at == 0 || started_at == 0 || started_at <= entry->started_at);
+  return entry != NULL && !entry->stays && is_same_process (entry, started_at);
 }
 
 void
-leaving_set_process_seen (leaving_set_t *set, guint64 key, gint64 started_at)
+leaving_set_row_read (leaving_set_t *set, anvil_time_t now, guint64 key, gint64 started_at)
 {
   entry_t *entry = g_hash_table_lookup (set->entries, &key);
 
@@ -99,14 +147,42 @@
     return;
   if (entry->started_at == 0)
     entry->started_at = started_at;
-  else if (started_at > entry->started_at)
-    leaving_set_remove (set, key);
+  if (is_outdated (entry, now) || !is_same_process (entry, started_at)
+      || (entry->row_read && started_at != entry->started_at))
+    {
+      remove_entry (set, key);
+      return;
+    }
+  entry->row_read |= started_at == entry->started_at;
+  entry->row_gone_at = 0;
+}
+
+void
+leaving_set_row_gone (leaving_set_t *set, anvil_time_t now, guint64 key)
+{
+  entry_t *entry = g_hash_table_lookup (set->entries, &key);
+
+  if (entry != NULL)
+    entry->row_gone_at = now;
+}
+
+void
+leaving_set_stays (leaving_set_t *set, guint64 key)
+{
+  entry_t *entry = g_hash_table_lookup (set->entries, &key);
+
+  if (entry != NULL)
+    entry->stays = TRUE;
 }
 
 guint
 leaving_set_count (const leaving_set_t *set)
 {
-  return set->order.length;
+  guint n = 0;
+
+  for (const GList *link = set->order.head; link != NULL; link = link->next)
+    n += !((const entry_t *) link->data)->stays;
+  return n;
 }
 
 void
@@ -119,7 +195,7 @@
     {
       const entry_t *entry = link->data;
 
-      if (strcmp (entry->service, service) == 0)
+      if (!entry->stays && strcmp (entry->service, service) == 0)
         visit (context, entry->key, entry->started_at);
     }
 }
--- a/source/steer/registry-removal.c
+++ b/source/steer/registry-removal.c
@@ -25,6 +25,7 @@
   guint64 key = entry->upstream.key;
 
   add_removed_key (registry, key);
+  leaving_set_row_gone (registry->leaving, now, key);
   g_hash_table_steal (registry->entries, &key);
   registry_notify (registry, now, entry, ANVIL_REGISTRY_LEFT);
   registry_entry_drop (entry);
--- a/source/steer/registry.c
+++ b/source/steer/registry.c
@@ -66,16 +66,17 @@
   return TRUE;
 }
 
-/* Takes a row into account for what the upstream said: a process with a later start has not said
- * it, and one whose row returns from draining to ready stays after all. */
+/* Takes a row into account for what the upstream said: another process has not said it, and one
+ * whose row returns from draining to ready stays after all. */
 static void
 update_leaving (anvil_registry_t *registry,
+                anvil_time_t now,
                 anvil_registered_upstream_t *upstream,
                 const anvil_upstream_report_t *report)
 {
   if (upstream->draining && !report->draining && upstream->started_at == report->started_at)
-    leaving_set_remove (registry->leaving, upstream->key);
-  leaving_set_process_seen (registry->leaving, upstream->key, report->started_at);
+    leaving_set_stays (registry->leaving, upstream->key);
+  leaving_set_row_read (registry->leaving, now, upstream->key, report->started_at);
   upstream->leaving = leaving_set_contains (registry->leaving, upstream->key, report->started_at);
 }
 
@@ -96,7 +97,7 @@
   changed |= upstream->address != report->address || upstream->port != report->port
              || upstream->slots != report->slots || upstream->draining != report->draining;
   changed |= (cold_until > now) != (upstream->cold_until > now);
-  update_leaving (registry, upstream, report);
+  update_leaving (registry, now, upstream, report);
   upstream->address = report->address;
   upstream->port = report->port;
   upstream->slots = report->slots;
@@ -189,7 +190,8 @@
                             anvil_time_t now,
                             guint64 key,
                             const char *service,
-                            gint64 started_at)
+                            gint64 started_at,
+                            gboolean from_peer)
 {
   registry_entry_t *entry = g_hash_table_lookup (registry->entries, &key);
 
@@ -197,13 +199,16 @@
     started_at = entry->upstream.started_at;
   if (entry != NULL && started_at < entry->upstream.started_at)
     return FALSE;
-  if (!leaving_set_add (registry->leaving, key, service, started_at))
+  if (!leaving_set_add (registry->leaving, now, key, service, started_at, from_peer))
     return FALSE;
-  if (entry != NULL)
+  if (entry == NULL)
     {
-      entry->upstream.leaving = TRUE;
-      registry_notify (registry, now, entry, ANVIL_REGISTRY_CHANGED);
+      leaving_set_row_gone (registry->leaving, now, key);
+      return TRUE;
     }
+  leaving_set_row_read (registry->leaving, now, key, entry->upstream.started_at);
+  entry->upstream.leaving = TRUE;
+  registry_notify (registry, now, entry, ANVIL_REGISTRY_CHANGED);
   return TRUE;
 }
 
