Parenthesise a refusal that is written in two strings, so that the tests pass the lint

Cause: clang-tidy takes two adjacent strings in a list for a missing comma (bugprone-suspicious-missing-comma), so scripts/lint-sources ended with 124 on.

Change: parentheses; the text, and what the tests check, are the same.

Evidence: scripts/lint-sources ends with 0; test-relay-upstream 46 of 46.

--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -582,8 +582,8 @@
   "HTTP/1.1 400 B\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
   "HTTP/1.1 421 M\r\nRequest-Id: %s\r\nInstance-Id: u2\r\nContent-Length: 0\r\n\r\n",
   "HTTP/1.1 421 M\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
-  "HTTP/1.1 503 U\r\nRequest-Id: %s\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-  "2\r\nfu\r\n2;x=y\r\nll\r\n0\r\nRequest-Id: two\r\n\r\n",
+  ("HTTP/1.1 503 U\r\nRequest-Id: %s\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+   "2\r\nfu\r\n2;x=y\r\nll\r\n0\r\nRequest-Id: two\r\n\r\n"),
 };
 
 static char *
