Test that grants, refusals and reports of earlier slot requests are not taken for later ones

A grant that was returned as the registry was old, and comes again; a refusal of an earlier slot request, of one that was refused and of one whose grant was returned; a grant and a refusal from before a switch of the holder; a second FINISHED and a CANCEL of the first run while the second is under way. No fault found.

Evidence: test-relay-job-grants 7 of 7, five of them new; with each slot request keeping the number of the first one, 0 of 7.

--- a/tests/test-relay-job-grants.c
+++ b/tests/test-relay-job-grants.c
@@ -54,6 +54,7 @@
 static int listeners[N_UPSTREAMS];
 static guint64 upstream_keys[N_UPSTREAMS];
 static GArray *grants;
+static gboolean registry_is_old;
 static int caller;
 
 static void
@@ -103,9 +104,9 @@
 static const anvil_registry_callbacks_t registry_callbacks = { .changed = on_upstream_changed };
 
 static anvil_time_t
-never_old (void *context)
+read_at (void *context)
 {
-  return anvil_clock_now ();
+  return anvil_clock_now () - (registry_is_old ? 60 * ANVIL_SECOND : 0);
 }
 
 static anvil_time_t
@@ -290,7 +291,7 @@
   anvil_relay_jobs_options_t options = { .settings = &settings,
                                          .header_names = &header_names,
                                          .max_saved_bytes = 1 << 20,
-                                         .upstreams_read_at = never_old,
+                                         .upstreams_read_at = read_at,
                                          .store_ok_for = always_ok,
                                          .lacks_routes = lacks_nothing };
 
@@ -305,6 +306,7 @@
   settings.peer_endpoint.port = reserve_port ();
   settings.region_by_zone = g_hash_table_new (g_str_hash, g_str_equal);
   g_hash_table_insert (settings.region_by_zone, "west-a", "west");
+  registry_is_old = FALSE;
   base = event_base_new ();
   grants = g_array_new (FALSE, FALSE, sizeof (kept_grant_t));
   metrics = anvil_metrics_new ();
@@ -409,6 +411,134 @@
 }
 END_TEST
 
+/* Answers the request at the upstream of the grant, and expects that its caller gets the answer. */
+static void
+run_request (const kept_grant_t *kept)
+{
+  char bytes[4096];
+  ssize_t n;
+  int fd;
+
+  deliver (kept);
+  fd = accept_request (granted_upstream (kept));
+  send_text (fd, SUCCESS);
+  wait_readable (caller);
+  n = recv (caller, bytes, sizeof bytes - 1, 0);
+  ck_assert_int_gt (n, 0);
+  bytes[n] = '\0';
+  ck_assert_msg (g_str_has_prefix (bytes, "HTTP/1.1 200"), "%s", bytes);
+  close (fd);
+}
+
+static void
+check_not_sent (void)
+{
+  run_for (QUIET_TIME);
+  for (guint i = 0; i < N_UPSTREAMS; i++)
+    ck_assert_msg (!is_readable (listeners[i]), "sent to upstream %u", i);
+  ck_assert_msg (!is_readable (caller), "the caller was answered");
+}
+
+/* Requests an overdue slot again, as the timer of the entry does. */
+static void
+tick (void)
+{
+  anvil_relay_jobs_tick (jobs, anvil_clock_now () + ANVIL_SECOND);
+}
+
+START_TEST (test_a_grant_that_was_returned_is_not_taken_when_it_comes_again)
+{
+  kept_grant_t returned;
+
+  wait_for_grants (1);
+  returned = *kept_grant (0);
+  registry_is_old = TRUE;
+  deliver (&returned);
+  registry_is_old = FALSE;
+  deliver (&returned);
+  check_not_sent ();
+  tick ();
+  wait_for_grants (2);
+  deliver (&returned);
+  check_not_sent ();
+  run_request (kept_grant (1));
+}
+END_TEST
+
+START_TEST (test_a_late_refusal_does_not_end_a_request_that_waits_for_a_later_slot)
+{
+  const anvil_task_refusal_info_t refused = { .reason = ANVIL_TASK_NO_ROOM };
+  int used;
+  const kept_grant_t first = refuse_first_attempt (&used);
+
+  anvil_relay_jobs_refused (jobs, first.number, first.from, &refused);
+  check_not_sent ();
+  run_request (kept_grant (1));
+  close (used);
+}
+END_TEST
+
+START_TEST (test_a_late_refusal_does_not_end_a_request_whose_grant_was_returned)
+{
+  const anvil_task_refusal_info_t refused = { .reason = ANVIL_TASK_NO_ROOM };
+  kept_grant_t returned;
+
+  wait_for_grants (1);
+  returned = *kept_grant (0);
+  registry_is_old = TRUE;
+  deliver (&returned);
+  registry_is_old = FALSE;
+  anvil_relay_jobs_refused (jobs, returned.number, returned.from, &refused);
+  check_not_sent ();
+  tick ();
+  wait_for_grants (2);
+  run_request (kept_grant (1));
+}
+END_TEST
+
+/* The broker of the test goes on holding the service, so the request after the switch comes to it
+ * too. */
+START_TEST (test_a_grant_or_refusal_of_a_former_holder_is_not_taken)
+{
+  const anvil_task_refusal_info_t refused = { .reason = ANVIL_TASK_NO_ROOM };
+  kept_grant_t former;
+
+  wait_for_grants (1);
+  former = *kept_grant (0);
+  anvil_relay_jobs_holder_changed (jobs, "photos", anvil_node (INADDR_LOOPBACK, 1));
+  deliver (&former);
+  anvil_relay_jobs_refused (jobs, former.number, former.from, &refused);
+  check_not_sent ();
+  wait_for_grants (2);
+  deliver (&former);
+  anvil_relay_jobs_refused (jobs, former.number, former.from, &refused);
+  check_not_sent ();
+  run_request (kept_grant (1));
+}
+END_TEST
+
+/* Guards against a slot that is freed, or a request that is dropped, by a message about an earlier
+ * slot request. */
+START_TEST (test_late_reports_of_an_earlier_attempt_change_nothing_at_the_holder)
+{
+  anvil_dispatcher_status_t status;
+  int used;
+  const kept_grant_t first = refuse_first_attempt (&used);
+
+  for (guint i = 0; i < 2; i++)
+    {
+      anvil_slot_broker_run_finished (broker, first.from, first.number,
+                                      &(anvil_run_report_t){ .result = ANVIL_RUN_SHED });
+      anvil_slot_broker_cancel (broker, first.from, first.number);
+      ck_assert (anvil_dispatcher_status (anvil_slot_broker_dispatcher (broker),
+                                          anvil_str ("photos"), &status));
+      ck_assert_uint_eq (status.running, 1);
+    }
+  run_request (kept_grant (1));
+  close (used);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -422,6 +552,11 @@
   tcase_add_test (tests,
                   test_a_late_grant_does_not_return_a_request_to_the_upstream_that_refused_it);
   tcase_add_test (tests, test_a_late_grant_that_is_returned_frees_no_slot_of_a_later_attempt);
+  tcase_add_test (tests, test_a_grant_that_was_returned_is_not_taken_when_it_comes_again);
+  tcase_add_test (tests, test_a_late_refusal_does_not_end_a_request_that_waits_for_a_later_slot);
+  tcase_add_test (tests, test_a_late_refusal_does_not_end_a_request_whose_grant_was_returned);
+  tcase_add_test (tests, test_a_grant_or_refusal_of_a_former_holder_is_not_taken);
+  tcase_add_test (tests, test_late_reports_of_an_earlier_attempt_change_nothing_at_the_holder);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
