Call the store on no connection on which bytes have arrived that were not read yet

What callers saw: nothing traced to it. If a server writes a response twice, the copy was taken for the response to the next call when the process made that before it read the copy, as one does that was suspended or busy. For a write of a row that would be an acknowledgement of what was not written.

Cause: unsolicited bytes close an idle connection when they are read; a call that starts before that was sent on it. A response of the store names no call, so the connection has to tell.

Change: a connection with unread bytes, or with its end unread, is closed before a call is sent. A copy that arrives after the call was sent can't be told; the store writes none. A call that was given up closes its connection already; a test shows it.

--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <http_parser.h>
+#include <poll.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -393,10 +394,23 @@
   evbuffer_free (request);
 }
 
+/* Whether bytes, or the end of the connection, have arrived and were not read yet. */
+static gboolean
+has_unread_bytes (const connection_t *connection)
+{
+  struct pollfd readable = { .fd = bufferevent_getfd (connection->stream), .events = POLLIN };
+
+  return evbuffer_get_length (bufferevent_get_input (connection->stream)) > 0
+         || (readable.fd >= 0 && poll (&readable, 1, 0) > 0);
+}
+
 static void
 call_start (connection_t *connection, call_t *call)
 {
   g_assert (connection->call == NULL);
+  /* They were sent before the call, so they are no response to it. */
+  if (connection->stream != NULL && has_unread_bytes (connection))
+    connection_close (connection);
   connection->call = call;
   call->connection = connection;
   connection->response_complete = FALSE;
--- a/tests/test-http-pool.c
+++ b/tests/test-http-pool.c
@@ -8,6 +8,9 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "net/http-pool.h"
 #include "standins/endless.h"
@@ -198,6 +201,124 @@
 }
 END_TEST
 
+/* A server of its own, which the test plays itself. */
+static int
+listen_for_calls (guint16 *port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t length = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  ck_assert_int_eq (bind (fd, (struct sockaddr *) &address, sizeof address), 0);
+  ck_assert_int_eq (listen (fd, 5), 0);
+  ck_assert_int_eq (getsockname (fd, (struct sockaddr *) &address, &length), 0);
+  *port = ntohs (address.sin_port);
+  return fd;
+}
+
+static gboolean
+wait_for_input (int fd, anvil_time_t timeout)
+{
+  const anvil_time_t until = anvil_clock_now () + timeout;
+  struct pollfd readable = { .fd = fd, .events = POLLIN };
+
+  do
+    {
+      event_base_loop (base, EVLOOP_NONBLOCK);
+      if (poll (&readable, 1, 1) > 0)
+        return TRUE;
+  } while (anvil_clock_now () < until);
+  return FALSE;
+}
+
+static int
+accept_call (int listener)
+{
+  char bytes[4096];
+  int fd;
+
+  ck_assert (wait_for_input (listener, END_TIMEOUT));
+  fd = accept (listener, NULL, NULL);
+  ck_assert_int_ge (fd, 0);
+  ck_assert (wait_for_input (fd, END_TIMEOUT));
+  ck_assert_int_gt (recv (fd, bytes, sizeof bytes, 0), 0);
+  return fd;
+}
+
+static void
+answer (int fd, const char *text)
+{
+  const anvil_time_t until = anvil_clock_now () + END_TIMEOUT;
+
+  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t) strlen (text));
+  while (status < 0 && anvil_clock_now () < until)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+}
+
+#define FIRST "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+#define NEXT "HTTP/1.1 412 No\r\nContent-Length: 2\r\n\r\nno"
+
+START_TEST (test_the_response_to_a_call_that_was_given_up_is_not_taken_for_the_next_one)
+{
+  guint16 port;
+  int listener = listen_for_calls (&port);
+  anvil_http_pool_t *own = anvil_http_pool_open (base, INADDR_LOOPBACK, port, TIMEOUT);
+  int late;
+  int fd;
+
+  anvil_http_pool_call (own, EVHTTP_REQ_GET, "/a", NULL, on_result, NULL);
+  late = accept_call (listener);
+  for (anvil_time_t until = anvil_clock_now () + END_TIMEOUT;
+       status < 0 && anvil_clock_now () < until;)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_int_eq (status, 0);
+  status = -1;
+  anvil_http_pool_call (own, EVHTTP_REQ_GET, "/b", NULL, on_result, NULL);
+  fd = accept_call (listener);
+  (void) !send (late, FIRST, strlen (FIRST), MSG_NOSIGNAL);
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_int_eq (status, -1);
+  answer (fd, NEXT);
+  ck_assert_int_eq (status, 412);
+  close (fd);
+  close (late);
+  anvil_http_pool_close (own);
+  close (listener);
+}
+END_TEST
+
+/* The process was busy or suspended when it arrived, and makes its next call before it reads. */
+START_TEST (test_a_response_that_arrived_before_a_call_was_sent_is_not_taken_for_its_own)
+{
+  guint16 port;
+  int listener = listen_for_calls (&port);
+  anvil_http_pool_t *own = anvil_http_pool_open (base, INADDR_LOOPBACK, port, TIMEOUT);
+  int used;
+  int fd;
+
+  anvil_http_pool_call (own, EVHTTP_REQ_GET, "/a", NULL, on_result, NULL);
+  used = accept_call (listener);
+  answer (used, FIRST);
+  ck_assert_int_eq (status, 200);
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  status = -1;
+  ck_assert_int_eq (send (used, FIRST, strlen (FIRST), MSG_NOSIGNAL), (ssize_t) strlen (FIRST));
+  g_usleep (10000);
+  anvil_http_pool_call (own, EVHTTP_REQ_GET, "/b", NULL, on_result, NULL);
+  for (guint i = 0; i < 20; i++)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_int_eq (status, -1);
+  fd = accept_call (listener);
+  answer (fd, NEXT);
+  ck_assert_int_eq (status, 412);
+  close (fd);
+  close (used);
+  anvil_http_pool_close (own);
+  close (listener);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -212,6 +333,10 @@
   tcase_add_test (tests, test_a_response_that_stops_arriving_fails);
   tcase_add_test (tests, test_a_response_without_progress_fails);
   tcase_add_loop_test (tests, test_a_response_without_end_fails, 0, ENDLESS_N_MESSAGES);
+  tcase_add_test (tests,
+                  test_the_response_to_a_call_that_was_given_up_is_not_taken_for_the_next_one);
+  tcase_add_test (tests,
+                  test_a_response_that_arrived_before_a_call_was_sent_is_not_taken_for_its_own);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
