Test messages about an ended task that a holder reads late

Messages of one entry keep their order on a link, but not over its renewal. A late FINISHED or CANCEL frees no slot of the next task. A late request for a slot of an ended task uses one until the entry, which doesn't know the task any more, returns it. A late ADOPT uses one until the task's deadline: a slot less, never one too many; not changed.

No fault found.

--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -503,6 +503,65 @@
 }
 END_TEST
 
+static guint
+count_running (void)
+{
+  anvil_dispatcher_status_t status;
+
+  ck_assert (anvil_dispatcher_status (sim.dispatcher, anvil_str ("photos"), &status));
+  return status.running;
+}
+
+/* Messages of one requester on a link and on the next one may be read in any order. */
+START_TEST (test_late_messages_about_an_ended_task_free_no_slot_of_the_next)
+{
+  const anvil_run_report_t report = { .result = ANVIL_RUN_SHED };
+  anvil_task_id_t ended;
+  guint next;
+
+  add_upstreams (1);
+  ended = sim_task (&sim, sim_submit (&sim, 0))->task.id;
+  anvil_dispatcher_run_finished (sim.dispatcher, sim.now, ended, &report);
+  next = sim_submit (&sim, 0);
+  ck_assert (sim_task (&sim, next)->granted);
+  anvil_dispatcher_cancel (sim.dispatcher, sim.now, ended);
+  anvil_dispatcher_run_finished (sim.dispatcher, sim.now, ended, &report);
+  anvil_dispatcher_cancel (sim.dispatcher, sim.now, sim_task (&sim, next)->task.id);
+  ck_assert_uint_eq (count_running (), 1);
+}
+END_TEST
+
+START_TEST (test_a_late_request_for_a_slot_of_an_ended_task_uses_one_until_it_is_returned)
+{
+  const anvil_run_report_t unused = { .result = ANVIL_RUN_UNUSED };
+  anvil_task_t ended;
+
+  add_upstreams (1);
+  ended = sim_task (&sim, sim_submit (&sim, 0))->task;
+  anvil_dispatcher_run_finished (sim.dispatcher, sim.now, ended.id, &unused);
+  anvil_dispatcher_submit (sim.dispatcher, sim.now, &ended);
+  ck_assert_uint_eq (count_running (), 1);
+  anvil_dispatcher_run_finished (sim.dispatcher, sim.now, ended.id, &unused);
+  ck_assert_uint_eq (count_running (), 0);
+}
+END_TEST
+
+START_TEST (test_an_ended_task_that_is_adopted_late_uses_a_slot_until_its_deadline_at_most)
+{
+  const anvil_run_report_t report = { .result = ANVIL_RUN_ANSWERED };
+  anvil_task_t ended;
+
+  add_upstreams (1);
+  ended = sim_task (&sim, sim_submit (&sim, 0))->task;
+  anvil_dispatcher_run_finished (sim.dispatcher, sim.now, ended.id, &report);
+  anvil_dispatcher_adopt (sim.dispatcher, sim.now, &ended, sim.keys[0]);
+  ck_assert_uint_eq (count_running (), 1);
+  sim.now = ended.deadline + ANVIL_SECOND;
+  anvil_dispatcher_tick (sim.dispatcher, sim.now);
+  ck_assert_uint_eq (count_running (), 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -538,6 +597,11 @@
   tcase_add_test (tests, test_work_moves_at_once_if_there_is_no_room_at_home);
   tcase_add_test (tests, test_slots_of_a_silent_requester_stay_in_use_until_the_deadline);
   tcase_add_test (tests, test_tasks_of_a_lost_requester_are_removed);
+  tcase_add_test (tests, test_late_messages_about_an_ended_task_free_no_slot_of_the_next);
+  tcase_add_test (tests,
+                  test_a_late_request_for_a_slot_of_an_ended_task_uses_one_until_it_is_returned);
+  tcase_add_test (tests,
+                  test_an_ended_task_that_is_adopted_late_uses_a_slot_until_its_deadline_at_most);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
