Withdraw a slot request before it is made again at a holder that has restarted

What callers saw: nothing traced to it. The holder counts a request that waits twice, so others are refused for room that they would have had; its second slot is granted and returned.

Cause: a restart is known from an answer to a ping. By then the new process may have received the slot request, which is made again under another number. A switch of the holder withdraws it first, a restart didn't.

--- a/source/relay/relay-job-holder.c
+++ b/source/relay/relay-job-holder.c
@@ -102,14 +102,18 @@
 resend_to_restarted_holder (job_t *job, gconstpointer data)
 {
   const anvil_node_t *peer = data;
+  anvil_slot_broker_t *broker = job->jobs->options.slot_broker;
 
   if (job->holder != *peer)
     return;
-  if (job->state == JOB_WAITING_FOR_SLOT)
-    job_request_slot (job);
-  else
-    anvil_slot_broker_adopt (job->jobs->options.slot_broker, job->holder, &job->task,
-                             job->upstream);
+  if (job->state != JOB_WAITING_FOR_SLOT)
+    {
+      anvil_slot_broker_adopt (broker, job->holder, &job->task, job->upstream);
+      return;
+    }
+  /* The new process may have received the last request. */
+  anvil_slot_broker_cancel (broker, job->holder, job->task.id.number);
+  job_request_slot (job);
 }
 
 void
--- a/tests/test-relay-job-grants.c
+++ b/tests/test-relay-job-grants.c
@@ -539,6 +539,40 @@
 }
 END_TEST
 
+static guint
+count_waiting (void)
+{
+  anvil_dispatcher_status_t status;
+
+  ck_assert (anvil_dispatcher_status (anvil_slot_broker_dispatcher (broker), anvil_str ("photos"),
+                                      &status));
+  return status.waiting;
+}
+
+/* A restart is known from an answer to a ping; the new process may have the slot requests by then.
+ * One request more than there are slots; the two grants are not delivered. */
+START_TEST (test_a_request_waits_once_at_a_holder_that_has_restarted)
+{
+  const anvil_time_t until = anvil_clock_now () + WAIT_TIMEOUT;
+  int others[N_UPSTREAMS];
+
+  for (guint i = 0; i < N_UPSTREAMS; i++)
+    {
+      others[i] = connect_to (anvil_relay_callers_port (callers));
+      send_text (others[i], "POST /a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: other\r\n"
+                            "Content-Length: 0\r\n\r\n");
+    }
+  while (count_waiting () == 0 && anvil_clock_now () < until)
+    run_for (0);
+  ck_assert_uint_eq (anvil_relay_jobs_count (jobs), 1 + N_UPSTREAMS);
+  ck_assert_uint_eq (count_waiting (), 1);
+  anvil_relay_jobs_peer_restarted (jobs, anvil_slot_broker_holder (broker, "photos"));
+  ck_assert_uint_eq (count_waiting (), anvil_relay_jobs_count (jobs));
+  for (guint i = 0; i < N_UPSTREAMS; i++)
+    close (others[i]);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -557,6 +591,7 @@
   tcase_add_test (tests, test_a_late_refusal_does_not_end_a_request_whose_grant_was_returned);
   tcase_add_test (tests, test_a_grant_or_refusal_of_a_former_holder_is_not_taken);
   tcase_add_test (tests, test_late_reports_of_an_earlier_attempt_change_nothing_at_the_holder);
+  tcase_add_test (tests, test_a_request_waits_once_at_a_holder_that_has_restarted);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
