Time the checks on the path of a request in the benchmark

Cause: requests are held against the ids that a connection has carried and against pauses of upstreams, at the entry and at the holder; no benchmark showed what that costs.

Change: `make bench` ends with the cost of these checks with nothing, one and many to look at: 64 ids, 1000 pauses of an entry, 60 upstreams that pause for 490 entries, a tick with 4000 requests of one entry queued for which all 60 pause.

--- a/Makefile
+++ b/Makefile
@@ -79,7 +79,7 @@
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/common-*.c)) $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(FAKE_OBJECTS) $(LIBRARY)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/common-*.c)) $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(filter-out %/anvil-relay.o,$(RELAY_OBJECTS)) $(FAKE_OBJECTS) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS)
 
--- a/bench/bench-steer.c
+++ b/bench/bench-steer.c
@@ -7,6 +7,7 @@
 #include <popt.h>
 
 #include "common-decision.h"
+#include "common-path.h"
 #include "common-scenario.h"
 
 #define N_DECISIONS 160000
@@ -16,6 +17,7 @@
   int seed;
   int json;
   int scene;
+  int path_only;
   char *deployment;
 } settings_t;
 
@@ -153,6 +155,27 @@
   return TRUE;
 }
 
+static void
+run_path (const settings_t *settings, json_t *rows)
+{
+  if (!settings->json)
+    printf ("checks on the path of a request at anvil-relay\n  %-8s %14s %9s %12s %9s\n", "extent",
+            "connection ns", "entry ns", "dispatch ns", "tick us");
+  for (common_extent_t extent = 0; extent < COMMON_N_EXTENTS; extent++)
+    {
+      const common_path_cost_t cost = common_path_cost (extent);
+
+      json_array_append_new (rows, json_pack ("{s:s s:s s:f s:f s:f s:f}", "scene", "path",
+                                              "extent", common_extent_name (extent),
+                                              "connection_ns", cost.connection_ns, "entry_ns",
+                                              cost.entry_ns, "dispatch_ns", cost.dispatch_ns,
+                                              "tick_us", cost.tick_ns / 1000));
+      if (!settings->json)
+        printf ("  %-8s %14.1f %9.1f %12.0f %9.0f\n", common_extent_name (extent),
+                cost.connection_ns, cost.entry_ns, cost.dispatch_ns, cost.tick_ns / 1000);
+    }
+}
+
 int
 main (int argc, const char **argv)
 {
@@ -162,6 +185,8 @@
     { "scene", 0, POPT_ARG_INT, &settings.scene, 0, "run only this scene, counted from 0", "N" },
     { "deployment", 0, POPT_ARG_STRING, &settings.deployment, 0,
       "run only this deployment: labka or holmgaard", "NAME" },
+    { "path", 0, POPT_ARG_NONE, &settings.path_only, 0,
+      "time only the checks on the path of a request", NULL },
     { "json", 0, POPT_ARG_NONE, &settings.json, 0, "print JSON", NULL },
     POPT_AUTOHELP POPT_TABLEEND,
   };
@@ -174,9 +199,11 @@
   if (!succeeded)
     (void) fprintf (stderr, "bench-steer: %s: %s\n", poptBadOption (context, 0),
                     poptStrerror (outcome));
-  for (gsize i = 0; succeeded && i < G_N_ELEMENTS (deployments); i++)
+  for (gsize i = 0; succeeded && !settings.path_only && i < G_N_ELEMENTS (deployments); i++)
     if (settings.deployment == NULL || g_str_equal (settings.deployment, deployments[i]))
       succeeded = run_deployment (&settings, deployments[i], rows);
+  if (succeeded && settings.deployment == NULL && settings.scene < 0)
+    run_path (&settings, rows);
   if (succeeded && settings.json)
     json_dumpf (rows, stdout, JSON_INDENT (1));
   json_decref (rows);
