--- a/standins/anvil-registrant.c
+++ b/standins/anvil-registrant.c
@@ -19,6 +19,7 @@
  *     copies           the response comes twice
  *     endless-PLACE    bytes without end, until the caller closes; PLACE as in endless.c
  *   status=CODE      status of the response
+ *   retry-after=TEXT Retry-After of the response
  *   size=BYTES       length of the body, with fault=error
  *   echo=headers     the response's body includes the headers of the request
  * GET /runs returns the number of runs by request ID: {"ID": COUNT}. POST /limit?value=TEXT makes
@@ -269,6 +270,7 @@
   job->work_ms = value != NULL ? (guint) g_ascii_strtoull (value, NULL, 10) : 0;
   value = evhttp_find_header (&query, "size");
   job->size = value != NULL ? (gsize) g_ascii_strtoull (value, NULL, 10) : 0;
+  set_header (request, "Retry-After", evhttp_find_header (&query, "retry-after"));
   evhttp_clear_headers (&query);
   return job;
 }
