Have upstreams leave and ask for pauses in the soak, and callers repeat refused requests

The soak found none of that, as its upstreams said nothing of themselves and its callers sent each id once.

Each half a second an upstream without a fault says that it leaves (its row stays ready; 1.5 to 6 s later it drains or is killed, and starts anew), asks for pauses of 0.3 to 4.5 s, or ends that. One request in ten is refused once by each upstream, and callers send a refused request up to three times more under its id to the same entry, two of three on open connections. All draws are of a generator of their own. The run has 6 s more without faults, in which the last leave. Each attempt of a caller is a request of its own; a run counts for the attempt that was sent last before it.

Excused by a stop or restart of the entry since then, not by the store. - at most two requests of an entry arrive from 0.5 s after a 503 with Retry-After to the end of that time. Excused by a fault of the entry since then, and by one of the upstream or its connections: the refusal may not have arrived, or the request been read late. - of each attempt: none that was refused runs, and no unsafe one runs twice. At most five violations of each guarantee are printed, and how many there were.

--- a/tests/soak/soak-callers.h
+++ b/tests/soak/soak-callers.h
@@ -25,8 +25,14 @@
   SOAK_INVALID,
 } soak_outcome_t;
 
-/** soak_request_t - a request; times are of the wall clock, in microseconds */
-typedef struct
+/**
+ * soak_request_t - a request; times are of the wall clock, in microseconds
+ * @repeat: the request that the caller sent after this one was refused, under the same id to the
+ * same entry, or NULL
+ * @leaving_id: id of the upstream that said in the response that it leaves, or NULL
+ */
+typedef struct soak_request soak_request_t;
+struct soak_request
 {
   char *id;
   gboolean idempotent;
@@ -36,25 +42,34 @@
   guint status;
   soak_outcome_t outcome;
   char *detail;
-} soak_request_t;
+  const soak_request_t *repeat;
+  char *leaving_id;
+};
 
 typedef struct soak_callers soak_callers_t;
 
 /** soak_callers_open - @ports are the caller ports of the entries; @fault_ratio is the fraction of
- * requests that ask the upstream for a faulty response */
+ * requests that ask the upstream for a faulty response; @refusal_ratio is the fraction of those
+ * that each upstream refuses once. If it isn't 0, refused requests are sent again under their id.
+ */
 soak_callers_t *soak_callers_open (struct event_base *base,
                                    const guint16 *ports,
                                    guint n_ports,
                                    GRand *random,
                                    gdouble per_second,
-                                   gdouble fault_ratio);
+                                   gdouble fault_ratio,
+                                   gdouble refusal_ratio,
+                                   GRand *refusal_random);
 
 /** soak_callers_stop - sends no more requests; outstanding responses are still recorded */
 void soak_callers_stop (soak_callers_t *callers);
 
-/** soak_callers_disable_faults - later requests ask for no faulty response */
+/** soak_callers_disable_faults - later requests ask for no faulty response, and none is repeated */
 void soak_callers_disable_faults (soak_callers_t *callers);
 void soak_callers_close (soak_callers_t *callers);
 
+/** soak_callers_find - the request with @id that was sent last before @at, or NULL */
+const soak_request_t *soak_callers_find (const soak_callers_t *callers, const char *id, gint64 at);
+
 /** soak_callers_requests - all soak_request_t in the order of sending; owned by @callers */
 const GPtrArray *soak_callers_requests (const soak_callers_t *callers);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -3,9 +3,10 @@
  * and checks the platform's guarantees by the outcomes at callers and the runs on upstreams.
  *
  *   soak --seed N --seconds N [--entries N] [--upstreams N] [--rate N] [--limits 0|1]
+ *        [--words 0|1]
  *
- * Prints a line for each violated guarantee (at most the first few) and one with totals; the exit
- * status is 1 if there was a violation.
+ * Prints a line for each violated guarantee (at most the first few of each) and one with totals;
+ * the exit status is 1 if there was a violation.
  */
 
 #include <errno.h>
@@ -28,6 +29,14 @@
 #define MAX_FAULT_MS 3500
 /* Time between two changes of request limits. */
 #define LIMIT_PERIOD_S 2
+/* Time between two changes of what upstreams say in their answers. */
+#define WORD_PERIOD_US 500000
+/* Time for which an upstream says that it leaves before it does. */
+#define MIN_LEAVING_MS 1500
+#define MAX_LEAVING_MS 6000
+#define LEAVING_RETRY_MS 500
+/* Fraction of the requests that each upstream refuses once. */
+#define REFUSAL_RATIO 0.1
 /* Time without faults at the end, in which requests must be answered again. */
 #define RECOVERY_PHASE_S 10
 
@@ -39,10 +48,16 @@
   void (*undo) (soak_t *soak, node_t *node);
 } undo_t;
 
+static guint
+draw (GRand *random, guint minimum, guint maximum)
+{
+  return (guint) g_rand_int_range (random, (gint32) minimum, (gint32) maximum + 1);
+}
+
 static guint
 random_in_range (soak_t *soak, guint minimum, guint maximum)
 {
-  return (guint) g_rand_int_range (soak->random, (gint32) minimum, (gint32) maximum + 1);
+  return draw (soak->random, minimum, maximum);
 }
 
 static void
@@ -74,11 +89,10 @@
   g_free (undo);
 }
 
-/* Ends a fault after a random time; @node is NULL for the store. */
+/* Ends a fault after a time; @node is NULL for the store. */
 static void
-schedule_undo (soak_t *soak, node_t *node, void (*undo) (soak_t *, node_t *))
+schedule_undo_in (soak_t *soak, node_t *node, void (*undo) (soak_t *, node_t *), guint ms)
 {
-  guint ms = random_in_range (soak, MIN_FAULT_MS, MAX_FAULT_MS);
   struct timeval time = { .tv_sec = ms / 1000, .tv_usec = (suseconds_t) (ms % 1000) * 1000 };
   undo_t *pending = g_new0 (undo_t, 1);
 
@@ -92,6 +106,13 @@
   event_base_once (soak->base, -1, EV_TIMEOUT, on_undo, pending, &time);
 }
 
+/* Ends a fault after a random time; @node is NULL for the store. */
+static void
+schedule_undo (soak_t *soak, node_t *node, void (*undo) (soak_t *, node_t *))
+{
+  schedule_undo_in (soak, node, undo, random_in_range (soak, MIN_FAULT_MS, MAX_FAULT_MS));
+}
+
 static void
 start_upstream (soak_t *soak, node_t *node)
 {
@@ -218,12 +239,13 @@
   schedule_undo (soak, node, undo_proxy_fault);
 }
 
+/* Sets what an upstream says in its answers; an empty value ends that. */
 static void
-name_request_limit (const node_t *node, const char *value)
+set_word (const node_t *node, const char *word, const char *value)
 {
-  char *path = g_strdup_printf ("/limit?value=%s", value);
+  char *path = g_strdup_printf ("/%s?value=%s", word, value);
 
-  g_free (fleet_request (fleet_port (&node->upstream), "POST", path, "limit"));
+  g_free (fleet_request (fleet_port (&node->upstream), "POST", path, word));
   g_free (path);
 }
 
@@ -241,7 +263,7 @@
     return;
   log_event (soak, limits[limit][0] != '\0' ? "upstream names a limit" : "upstream names no limit",
              soak->upstreams[index].id);
-  name_request_limit (&soak->upstreams[index], limits[limit]);
+  set_word (&soak->upstreams[index], "limit", limits[limit]);
 }
 
 static void
@@ -250,8 +272,125 @@
   for (guint i = 0; i < soak->n_upstreams; i++)
     {
       if (!soak->upstreams[i].fault_active)
-        name_request_limit (&soak->upstreams[i], "");
+        set_word (&soak->upstreams[i], "limit", "");
+    }
+}
+
+/** leaving_t - a process of an upstream that says that it leaves */
+typedef struct
+{
+  soak_t *soak;
+  node_t *node;
+  char *id;
+} leaving_t;
+
+static void on_leaving_ended (evutil_socket_t fd, short what, void *data);
+
+static void
+schedule_leaving_end (leaving_t *leaving, guint ms)
+{
+  struct timeval time = { .tv_sec = ms / 1000, .tv_usec = (suseconds_t) (ms % 1000) * 1000 };
+
+  event_base_once (leaving->soak->base, -1, EV_TIMEOUT, on_leaving_ended, leaving, &time);
+}
+
+/* The process drains or is killed, and a new one starts, unless a fault has replaced it already. */
+static void
+on_leaving_ended (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  leaving_t *leaving = data;
+  soak_t *soak = leaving->soak;
+  node_t *node = leaving->node;
+  gboolean drains = g_rand_boolean (soak->word_random);
+
+  if (strcmp (leaving->id, node->id) == 0 && node->fault_active)
+    {
+      schedule_leaving_end (leaving, LEAVING_RETRY_MS);
+      return;
     }
+  if (strcmp (leaving->id, node->id) == 0)
+    {
+      log_event (soak, drains ? "leaving upstream drains" : "leaving upstream is killed", node->id);
+      if (drains)
+        kill (node->upstream.pid, SIGTERM);
+      else
+        kill_upstream (node, SIGKILL);
+      schedule_undo_in (soak, node, drains ? undo_upstream_term : undo_upstream_kill,
+                        draw (soak->word_random, MIN_FAULT_MS, MAX_FAULT_MS));
+    }
+  g_free (leaving->id);
+  g_free (leaving);
+}
+
+static void
+begin_leaving (soak_t *soak, node_t *node)
+{
+  leaving_t *leaving = g_new0 (leaving_t, 1);
+
+  *leaving = (leaving_t){ .soak = soak, .node = node, .id = g_strdup (node->id) };
+  log_event (soak, "upstream says that it leaves", node->id);
+  set_word (node, "leaving", "1");
+  /* Callers see no response of an upstream that refuses all requests. */
+  if (draw (soak->word_random, 0, 3) > 0)
+    set_word (node, "retry-after", "");
+  schedule_leaving_end (leaving, draw (soak->word_random, MIN_LEAVING_MS, MAX_LEAVING_MS));
+}
+
+/* Returns a random upstream that can answer, as it has no fault, or NULL. */
+static node_t *
+draw_upstream (soak_t *soak)
+{
+  guint first = draw (soak->word_random, 0, soak->n_upstreams - 1);
+
+  for (guint i = 0; i < soak->n_upstreams; i++)
+    {
+      node_t *node = &soak->upstreams[(first + i) % soak->n_upstreams];
+
+      if (!node->fault_active)
+        return node;
+    }
+  return NULL;
+}
+
+/* An upstream says that it leaves, asks for pauses in seconds, or asks for none any more. */
+static void
+on_word_timer (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  static const char *const pauses[] = { "", "", "", "0.3", "1", "3", "4.5" };
+  soak_t *soak = data;
+  node_t *node = draw_upstream (soak);
+  const char *pause = pauses[draw (soak->word_random, 0, G_N_ELEMENTS (pauses) - 1)];
+  gboolean leaves = draw (soak->word_random, 0, 3) == 0;
+
+  if (node == NULL)
+    return;
+  if (leaves)
+    {
+      begin_leaving (soak, node);
+      return;
+    }
+  log_event (soak, pause[0] != '\0' ? "upstream asks for pauses" : "upstream asks for no pauses",
+             node->id);
+  set_word (node, "retry-after", pause);
+}
+
+static void
+end_pauses (soak_t *soak)
+{
+  for (guint i = 0; i < soak->n_upstreams; i++)
+    {
+      if (!soak->upstreams[i].fault_active)
+        set_word (&soak->upstreams[i], "retry-after", "");
+    }
+}
+
+static void
+reset_connections (node_t *node)
+{
+  gint64 now = anvil_clock_wall ();
+
+  g_array_append_val (node->reset_times, now);
+  fault_proxy_reset_connections (node->proxy);
 }
 
 static void
@@ -278,7 +417,7 @@
       return;
     case 3:
       log_event (soak, "upstream's connections are reset", node->id);
-      fault_proxy_reset_connections (node->proxy);
+      reset_connections (node);
       return;
     default:
       inject_proxy_fault (soak, node);
@@ -412,27 +551,36 @@
 }
 
 static int
-run (soak_t *soak, guint seconds, gdouble rate, gboolean with_limits)
+run (soak_t *soak, guint seconds, gdouble rate, gboolean with_limits, gboolean with_words)
 {
+  const struct timeval word_period = { .tv_usec = WORD_PERIOD_US };
+  struct event *word_timer = event_new (soak->base, -1, EV_PERSIST, on_word_timer, soak);
   const struct timeval limit_period = { .tv_sec = LIMIT_PERIOD_S };
   struct event *limit_timer = event_new (soak->base, -1, EV_PERSIST, on_limit_timer, soak);
   gint64 faults_ended_at;
 
   start_processes (soak);
   soak->callers = soak_callers_open (soak->base, soak->caller_ports, soak->n_entries, soak->random,
-                                     rate, 0.05);
+                                     rate, 0.05, with_words ? REFUSAL_RATIO : 0, soak->word_random);
   soak->fault_timer = evtimer_new (soak->base, on_fault_timer, soak);
   schedule_next_fault (soak);
   if (with_limits)
     event_add (limit_timer, &limit_period);
+  if (with_words)
+    event_add (word_timer, &word_period);
   run_for (soak, seconds);
   event_free (soak->fault_timer);
   event_free (limit_timer);
+  event_free (word_timer);
   soak_callers_disable_faults (soak->callers);
   /* Active faults end by their timers. */
   run_for (soak, MAX_FAULT_MS / 1000 + 1);
+  if (with_words)
+    run_for (soak, MAX_LEAVING_MS / 1000);
   if (with_limits)
     end_request_limits (soak);
+  if (with_words)
+    end_pauses (soak);
   faults_ended_at = anvil_clock_wall ();
   run_for (soak, RECOVERY_PHASE_S);
   soak_callers_stop (soak->callers);
@@ -483,6 +631,12 @@
       .default_value = "0",
       .minimum = 0,
       .maximum = 1 },
+    { .name = "words",
+      .kind = ANVIL_SETTING_INTEGER,
+      .help = "1 if upstreams say that they leave and ask for pauses, and callers repeat requests",
+      .default_value = "0",
+      .minimum = 0,
+      .maximum = 1 },
   };
   anvil_settings_t settings
       = { .program = "soak", .items = items, .n_items = G_N_ELEMENTS (items) };
@@ -495,24 +649,35 @@
   signal (SIGPIPE, SIG_IGN);
   soak = g_new0 (soak_t, 1);
   soak->base = event_base_new ();
+  soak->violations = g_hash_table_new (g_str_hash, g_str_equal);
   soak->store_fault_times = g_array_new (FALSE, FALSE, sizeof (gint64));
   for (guint i = 0; i < MAX_ENTRIES; i++)
     soak->entries[i].fault_times = g_array_new (FALSE, FALSE, sizeof (gint64));
   for (guint i = 0; i < MAX_UPSTREAMS; i++)
-    soak->upstreams[i].fault_times = g_array_new (FALSE, FALSE, sizeof (gint64));
+    {
+      soak->upstreams[i].fault_times = g_array_new (FALSE, FALSE, sizeof (gint64));
+      soak->upstreams[i].reset_times = g_array_new (FALSE, FALSE, sizeof (gint64));
+    }
   soak->random = g_rand_new_with_seed ((guint32) items[0].integer);
   soak->limit_random = g_rand_new_with_seed ((guint32) items[0].integer);
+  soak->word_random = g_rand_new_with_seed (~(guint32) items[0].integer);
   soak->n_entries = (guint) items[2].integer;
   soak->n_upstreams = (guint) items[3].integer;
-  status = run (soak, (guint) items[1].integer, (gdouble) items[4].integer, items[5].integer != 0);
+  status = run (soak, (guint) items[1].integer, (gdouble) items[4].integer, items[5].integer != 0,
+                items[6].integer != 0);
   event_base_free (soak->base);
   g_rand_free (soak->random);
   g_rand_free (soak->limit_random);
+  g_rand_free (soak->word_random);
+  g_hash_table_unref (soak->violations);
   g_array_unref (soak->store_fault_times);
   for (guint i = 0; i < MAX_ENTRIES; i++)
     g_array_unref (soak->entries[i].fault_times);
   for (guint i = 0; i < MAX_UPSTREAMS; i++)
-    g_array_unref (soak->upstreams[i].fault_times);
+    {
+      g_array_unref (soak->upstreams[i].fault_times);
+      g_array_unref (soak->upstreams[i].reset_times);
+    }
   g_free (soak);
   anvil_settings_clear (&settings);
   return status;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -11,12 +11,14 @@
  * node_t - an entry or an upstream, and the faults injected into it
  * @fault_active: a fault of it hasn't ended yet
  * @fault_times: when its faults began and ended, by the wall clock in microseconds
+ * @reset_times: when all connections to an upstream were reset once
  * @runs_path: file in which an upstream logs its runs of requests
  */
 typedef struct
 {
   gboolean fault_active;
   GArray *fault_times;
+  GArray *reset_times;
   fleet_entry_t *entry;
   standin_t upstream;
   char *id;
@@ -29,6 +31,7 @@
   struct event_base *base;
   GRand *random;
   GRand *limit_random;
+  GRand *word_random;
   fleet_t fleet;
   fault_proxy_t *store_proxy;
   char *store_endpoint;
@@ -44,6 +47,8 @@
   guint n_faults;
   guint n_upstream_starts;
   guint n_violations;
+  /* Number of violations by the name of the guarantee. */
+  GHashTable *violations;
 } soak_t;
 
 /** soak_check_requests - compares the outcomes at callers with the runs that upstreams logged; adds
