Take what a restarted upstream says for its new process

What callers saw: requests could be sent to an upstream that had said that it leaves, or in a pause that it had asked for.

Cause: what an upstream says was kept for the process that the holder's grant named. A holder that had not read the row of a new process yet granted the former one; what the new one said was taken for a late word of the former, and dropped. Found in review.

Change: it is kept for the newest process that the holder or this entry knows.

Evidence: test_what_a_restarted_upstream_says_counts_for_its_new_process, red before; 11 of 11 of test-relay-job-grants after. Where neither knows the new process yet, what it says ends when its row is read, until it says so again; this remains.

--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -34,7 +34,7 @@
  * @slot_requested_at: when the slot was requested last
  * @upstream: key of the upstream that the request was sent to last
  * @upstream_id: its id
- * @upstream_started_at: start of its process as its grant named it
+ * @upstream_started_at: start of its process, as far as this entry or the holder knows
  * @attempt: the exchange with the upstream, while the job is running
  * @timer: ends the job at its deadline
  * @n_deadline_extensions: how often the deadline was extended to read what has arrived
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -348,6 +348,16 @@
   return read_at == G_MAXINT64 ? -1 : (now - read_at) / ANVIL_MS;
 }
 
+/* Start of the newest process of a granted upstream that this entry or its holder knows. */
+static gint64
+newest_start (const anvil_relay_jobs_t *jobs, const anvil_slot_grant_t *grant)
+{
+  const anvil_registered_upstream_t *registered
+      = anvil_registry_lookup (jobs->options.registry, grant->upstream);
+
+  return registered != NULL ? MAX (registered->started_at, grant->started_at) : grant->started_at;
+}
+
 static void
 start_attempt (job_t *job, const anvil_slot_grant_t *grant)
 {
@@ -358,7 +368,7 @@
   g_free (job->upstream_id);
   job->upstream_id = anvil_str_dup (grant->upstream_id);
   job->upstream = grant->upstream;
-  job->upstream_started_at = grant->started_at;
+  job->upstream_started_at = newest_start (jobs, grant);
   job->state = JOB_RUNNING;
   job->n_attempts++;
   job->attempt = anvil_relay_attempt_start (jobs->options.upstream_pool,
@@ -409,7 +419,7 @@
   const anvil_relay_jobs_options_t *options = &jobs->options;
 
   if (anvil_pause_table_remaining (jobs->pauses, anvil_clock_now (), grant->upstream,
-                                   grant->started_at)
+                                   newest_start (jobs, grant))
       > 0)
     return "paused";
   return anvil_registry_reason_not_to_use (options->registry, grant->upstream, grant->zone,
--- a/tests/test-relay-job-grants.c
+++ b/tests/test-relay-job-grants.c
@@ -507,6 +507,34 @@
 }
 END_TEST
 
+/* The holder has not read the row of the upstream's new process yet. */
+START_TEST (test_what_a_restarted_upstream_says_counts_for_its_new_process)
+{
+  const anvil_registered_upstream_t *upstream;
+  kept_grant_t granted;
+  int leaves;
+
+  wait_for_grants (1);
+  granted = *kept_grant (0);
+  upstream = anvil_registry_lookup (registry, granted.grant.upstream);
+  anvil_registry_apply (registry, anvil_clock_now (),
+                        &(anvil_upstream_report_t){ .id = anvil_str (upstream->id),
+                                                    .service = anvil_str (upstream->service),
+                                                    .zone = anvil_str (upstream->zone),
+                                                    .address = upstream->address,
+                                                    .port = upstream->port,
+                                                    .slots = upstream->slots,
+                                                    .started_at = upstream->started_at + 1 });
+  deliver (&granted);
+  leaves = accept_request (granted_upstream (&granted));
+  send_text (leaves, LEAVING_SUCCESS);
+  expect_response ("HTTP/1.1 200 ");
+  upstream = anvil_registry_lookup (registry, granted.grant.upstream);
+  ck_assert (!anvil_registry_usable (upstream));
+  close (leaves);
+}
+END_TEST
+
 START_TEST (test_a_421_of_another_upstream_does_not_say_that_the_expected_one_leaves)
 {
   int misdirected;
@@ -698,6 +726,7 @@
   tcase_add_test (tests, test_a_late_grant_that_is_returned_frees_no_slot_of_a_later_attempt);
   tcase_add_test (tests,
                   test_a_holder_that_does_not_know_that_an_upstream_leaves_is_told_with_its_grant);
+  tcase_add_test (tests, test_what_a_restarted_upstream_says_counts_for_its_new_process);
   tcase_add_test (tests, test_a_421_of_another_upstream_does_not_say_that_the_expected_one_leaves);
   tcase_add_test (tests, test_a_grant_that_was_returned_is_not_taken_when_it_comes_again);
   tcase_add_test (tests, test_a_late_refusal_does_not_end_a_request_that_waits_for_a_later_slot);
