--- a/source/steer/leaving-set.c
+++ b/source/steer/leaving-set.c
@@ -98,7 +98,7 @@
                    && (oldest->row_gone_at == 0 || entry->row_gone_at < oldest->row_gone_at)))
         oldest = entry;
     }
-  if (set->order.length >= MAX_LEAVING)
+  if (oldest != NULL && set->order.length >= MAX_LEAVING)
     remove_entry (set, oldest->key);
 }
 
