--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -575,6 +575,10 @@
 }
 END_TEST
 
+static const char chunked_refusal[]
+    = "HTTP/1.1 503 U\r\nRequest-Id: %s\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nfu\r\n2;x=y\r\nll\r\n0\r\nRequest-Id: two\r\n\r\n";
+
 /* Refusals as an upstream writes them a second time; %s is the id. */
 static const char *const refusals[] = {
   "HTTP/1.1 503 U\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull",
@@ -582,8 +586,7 @@
   "HTTP/1.1 400 B\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
   "HTTP/1.1 421 M\r\nRequest-Id: %s\r\nInstance-Id: u2\r\nContent-Length: 0\r\n\r\n",
   "HTTP/1.1 421 M\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
-  "HTTP/1.1 503 U\r\nRequest-Id: %s\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-  "2\r\nfu\r\n2;x=y\r\nll\r\n0\r\nRequest-Id: two\r\n\r\n",
+  chunked_refusal,
 };
 
 static char *
