--- a/tests/soak/soak-callers.c
+++ b/tests/soak/soak-callers.c
@@ -185,7 +185,7 @@
     request->outcome = SOAK_UNKNOWN;
 }
 
-/* Sends a refused request again, on a connection that is idle if there is one. */
+/* Sends a refused request again. */
 static void
 on_repeat (evutil_socket_t unused_fd, short unused_what, void *data)
 {
--- a/tests/test-soak.c
+++ b/tests/test-soak.c
@@ -11,14 +11,15 @@
 {
   int seed;
   int limits;
-} plays[] = { { 1, 0 }, { 11, 0 }, { 3, 1 } };
+  int words;
+} plays[] = { { 1, 0, 0 }, { 11, 0, 0 }, { 3, 1, 0 }, { 4, 0, 1 } };
 
 START_TEST (test_guarantees_hold_under_faults)
 {
   const char *bin = g_getenv ("ANVIL_BIN");
-  char *command
-      = g_strdup_printf ("%s/../soak/soak --seed %d --limits %d --seconds 8",
-                         bin != NULL ? bin : "build/release/bin", plays[_i].seed, plays[_i].limits);
+  char *command = g_strdup_printf ("%s/../soak/soak --seed %d --limits %d --words %d --seconds 8",
+                                   bin != NULL ? bin : "build/release/bin", plays[_i].seed,
+                                   plays[_i].limits, plays[_i].words);
   char *output = NULL;
   int status = -1;
 
