Let requests run cold beside warm upstreams only while these pause

Cause: let a request run cold whenever it could use none of the upstreams that are warm for its object: also while these drain, or were excluded by an attempt. Under load a cold run takes several times as long and makes the next ones cold.

Change: it may only while those that it may use all pause for its entry, which is what was for.

--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -246,21 +246,27 @@
   return object->upstreams->len == 0 || warmth_demand (object) >= MAX_OBJECT_SHARE * slots;
 }
 
-/* Whether the task may run on an upstream that is warm for its object, now or later. */
+/* Whether the upstreams that are warm for the task's object, of those that it may use, all pause
+ * for its entry. */
 static gboolean
-has_warm_upstream (const task_t *task, anvil_time_t now)
+warm_upstreams_pause (const task_t *task, anvil_time_t now)
 {
   const GPtrArray *upstreams = task->object->upstreams;
+  guint n_paused = 0;
 
+  if (task->service->pauses_end <= now)
+    return FALSE;
   for (guint i = 0; i < upstreams->len; i++)
     {
       const upstream_t *upstream = upstreams->pdata[i];
 
-      if (anvil_registry_usable (&upstream->record) && placing_allowed (upstream, task)
-          && !pause_applies (upstream, task, now))
-        return TRUE;
+      if (!anvil_registry_usable (&upstream->record) || !placing_allowed (upstream, task))
+        continue;
+      if (!pause_applies (upstream, task, now))
+        return FALSE;
+      n_paused++;
     }
-  return FALSE;
+  return n_paused > 0;
 }
 
 gboolean
@@ -270,7 +276,7 @@
   gdouble idle = service->usable_slots - service->n_running;
 
   return needs_more_upstreams (task->object) || idle > MIN_IDLE_SHARE * service->usable_slots
-         || !has_warm_upstream (task, now);
+         || warm_upstreams_pause (task, now);
 }
 
 /* The best upstream with a free slot that isn't warm for the object. */
