Specify tenants, uneven upstreams and restored stores, with the fields that parts share

The fields that several parts need come first, so that the parts can be built side by side: header names, settings, the task's tenant and class of route, an attempt's speed, the age of the configuration and the era of the store in a ping.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -87,6 +87,12 @@
  * @body_bytes: length of the request body
  * @target: when the target latency is exceeded, monotonic clock
  * @deadline: when the response is no longer useful, monotonic clock
+ * @route_class: hash of the route's kind, target latency and priority, by which run times are
+ *   estimated; 0 if it isn't known
+ * @tenant: name of the caller's tenant, empty for none; borrowed
+ * @tenant_priority: rank of the tenant, which goes before @priority; the route's if it has none
+ * @quota_paid: an earlier attempt of the request has used up the tenant's quota
+ * @is_repeat: a second run beside the first one, which is late
  */
 typedef struct
 {
@@ -105,6 +111,11 @@
   guint64 body_bytes;
   anvil_time_t target;
   anvil_time_t deadline;
+  guint64 route_class;
+  anvil_str_t tenant;
+  guint tenant_priority;
+  gboolean quota_paid;
+  gboolean is_repeat;
 } anvil_task_t;
 
 /**
@@ -117,6 +128,8 @@
  * @started_at: start of its process, see anvil_upstream_report_t; 0 if unknown
  * @warm: the upstream is expected to be warm for the object
  * @row_version: anvil_registry_row_version() at the holder; set by the slot broker
+ * @repeat_after: time after sending from which a second run may be requested, microseconds; 0 for
+ *   never
  */
 typedef struct
 {
@@ -128,6 +141,7 @@
   gint64 started_at;
   gboolean warm;
   guint64 row_version;
+  anvil_time_t repeat_after;
 } anvil_slot_grant_t;
 
 /**
@@ -155,6 +169,8 @@
  * @duration: from the first byte sent to the last received, microseconds; 0 if unknown
  * @still_running: the requester gave up, but the upstream may still be running it
  * @request_limit: what the response says about the upstream's request limit
+ * @speed: how long work took on the upstream's VM as the response says, percent of the usual time;
+ *   0 if it doesn't say
  */
 typedef struct
 {
@@ -162,6 +178,7 @@
   anvil_time_t duration;
   gboolean still_running;
   anvil_request_limit_t request_limit;
+  guint speed;
 } anvil_run_report_t;
 
 /**
@@ -174,6 +191,11 @@
  * @retry_window: length of the window, microseconds
  * @max_shift: largest share of a region's requests that may move to another region from one
  *   second to the next
+ * @quota_window: length of the window in which a tenant's quota is judged, microseconds; 0 for no
+ *   quotas
+ * @quota_overage: share by which a quota may be exceeded in a window
+ * @quota_slack: requests by which it may be exceeded beyond that
+ * @repeat_share: most second runs for late first runs, as a share of first runs; 0 for none
  */
 typedef struct
 {
@@ -183,6 +205,10 @@
   gdouble cold_factor;
   gdouble cold_extra;
   gdouble max_shift;
+  anvil_time_t quota_window;
+  gdouble quota_overage;
+  gdouble quota_slack;
+  gdouble repeat_share;
 } anvil_dispatcher_limits_t;
 
 /**
--- a/include/anvil/header-names.h
+++ b/include/anvil/header-names.h
@@ -16,7 +16,10 @@
  * @request_limit: in a response: requests a second that the upstream takes from all entries, as a
  *   decimal number
  * @leaving: in a response: "1" if the upstream is about to end
- * @load: the upstream's running and waiting requests and its slots
+ * @load: the upstream's running and waiting requests and its slots, and on some services how long
+ *   work takes on its VM now, percent of the usual time
+ * @api_key: key of the caller's tenant; never forwarded where the configuration has tenants
+ * @tenant: name of the tenant, which only entries set
  */
 typedef struct
 {
@@ -30,4 +33,6 @@
   const char *request_limit;
   const char *leaving;
   const char *load;
+  const char *api_key;
+  const char *tenant;
 } anvil_header_names_t;
--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -31,6 +31,9 @@
  * @knows_peers: it knows which other entries there are; see anvil_members_update_known()
  * @caller_share: part of the callers of its region that it has room for, thousandths
  * @config_version: version of the configuration in force there; 0 if there is none
+ * @config_proof_age: for how long it hasn't been sure that this is the newest version,
+ *   microseconds; negative if it never was
+ * @store_era: latest era of the store that it knows; 0 if the store names none
  */
 typedef struct
 {
@@ -47,6 +50,8 @@
   gboolean knows_peers;
   guint caller_share;
   gint64 config_version;
+  anvil_time_t config_proof_age;
+  guint64 store_era;
 } anvil_member_info_t;
 
 /* Value of @caller_share of an entry that has room for any caller. */
--- a/include/anvil/routes.h
+++ b/include/anvil/routes.h
@@ -51,6 +51,9 @@
  * @sticky: whether upstreams are faster on objects that they handled recently
  * @services: services, at least one with a weight above 0
  * @regions: regions that may serve it, all if empty
+ * @is_public: callers need no key, and no tenant's quota or priority applies
+ * @has_repeat_share: whether @repeat_share is set; otherwise that of the settings applies
+ * @repeat_share: see anvil_dispatcher_limits_t
  */
 typedef struct
 {
@@ -67,6 +70,9 @@
   guint n_services;
   char *regions[ANVIL_MAX_ROUTE_REGIONS];
   guint n_regions;
+  gboolean is_public;
+  gboolean has_repeat_share;
+  gdouble repeat_share;
 } anvil_route_t;
 
 /**
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -9,6 +9,8 @@
 
 /* Memory for the msgpack objects of one message. */
 #define ZONE_CHUNK_BYTES 2048
+/* Value of a proof's age for "none". */
+#define NO_PROOF (-1)
 /* Larger than any count of a second, and small enough that sums don't overflow. */
 #define MAX_RETRY_COUNT (1u << 24)
 
@@ -29,7 +31,7 @@
 static void
 pack_info (msgpack_packer *packer, const anvil_member_info_t *info)
 {
-  msgpack_pack_array (packer, 13);
+  msgpack_pack_array (packer, 15);
   pack_text (packer, info->name);
   pack_text (packer, info->zone);
   msgpack_pack_uint64 (packer, info->incarnation);
@@ -43,12 +45,14 @@
   msgpack_pack_uint64 (packer, info->knows_peers);
   msgpack_pack_uint64 (packer, info->caller_share);
   msgpack_pack_int64 (packer, info->config_version);
+  msgpack_pack_int64 (packer, info->config_proof_age);
+  msgpack_pack_uint64 (packer, info->store_era);
 }
 
 static void
 pack_task (msgpack_packer *packer, const anvil_task_t *task)
 {
-  msgpack_pack_array (packer, 12);
+  msgpack_pack_array (packer, 17);
   pack_text (packer, task->service);
   pack_text (packer, task->region);
   pack_text (packer, task->zone);
@@ -65,12 +69,17 @@
   msgpack_pack_uint64 (packer, task->body_bytes);
   msgpack_pack_int64 (packer, task->target);
   msgpack_pack_int64 (packer, task->deadline);
+  msgpack_pack_uint64 (packer, task->route_class);
+  pack_text (packer, task->tenant);
+  msgpack_pack_uint64 (packer, task->tenant_priority);
+  msgpack_pack_uint64 (packer, task->quota_paid);
+  msgpack_pack_uint64 (packer, task->is_repeat);
 }
 
 static void
 pack_grant (msgpack_packer *packer, const anvil_slot_grant_t *grant)
 {
-  msgpack_pack_array (packer, 8);
+  msgpack_pack_array (packer, 9);
   msgpack_pack_uint64 (packer, grant->upstream);
   pack_text (packer, grant->upstream_id);
   pack_text (packer, grant->zone);
@@ -79,6 +88,7 @@
   msgpack_pack_uint64 (packer, grant->warm);
   msgpack_pack_uint64 (packer, grant->row_version);
   msgpack_pack_int64 (packer, grant->started_at);
+  msgpack_pack_int64 (packer, grant->repeat_after);
 }
 
 static void
@@ -185,12 +195,13 @@
       msgpack_pack_uint64 (packer, message->refused.slots);
       return;
     case ANVIL_RELAY_FINISHED:
-      msgpack_pack_array (packer, 5);
+      msgpack_pack_array (packer, 6);
       msgpack_pack_uint64 (packer, message->report.result);
       msgpack_pack_int64 (packer, message->report.duration);
       msgpack_pack_uint64 (packer, message->report.still_running);
       msgpack_pack_uint64 (packer, message->report.request_limit.state);
       msgpack_pack_double (packer, message->report.request_limit.per_second);
+      msgpack_pack_uint64 (packer, message->report.speed);
       return;
     case ANVIL_RELAY_CANCEL:
     case ANVIL_RELAY_REQUEST_UPDATES:
@@ -276,6 +287,13 @@
   return NULL;
 }
 
+/* Entries of older versions send fewer items. */
+static gboolean
+has_more (const reader_t *reader)
+{
+  return reader->array != NULL && reader->next < reader->array->size;
+}
+
 static guint64
 read_number (reader_t *reader, const char *field, guint64 max)
 {
@@ -362,6 +380,11 @@
   /* Nor this, which counts as none. */
   if (reader.array != NULL && reader.next < reader.array->size)
     info->config_version = (gint64) read_number (&reader, "config version", G_MAXINT64);
+  info->config_proof_age = NO_PROOF;
+  if (has_more (&reader))
+    info->config_proof_age = read_time (&reader, "age of the configuration's proof");
+  if (has_more (&reader))
+    info->store_era = read_number (&reader, "era of the store", G_MAXUINT64);
 }
 
 static guint
@@ -400,6 +423,15 @@
   task->body_bytes = read_number (&reader, "body bytes", G_MAXUINT64);
   task->target = read_time (&reader, "target");
   task->deadline = read_time (&reader, "deadline");
+  task->tenant_priority = task->priority;
+  /* Entries of older versions don't send the rest. */
+  if (!has_more (&reader))
+    return;
+  task->route_class = read_number (&reader, "class of route", G_MAXUINT64);
+  task->tenant = read_text (&reader, "tenant");
+  task->tenant_priority = (guint) read_number (&reader, "tenant's priority", G_MAXUINT);
+  task->quota_paid = read_number (&reader, "quota paid", 1) != 0;
+  task->is_repeat = read_number (&reader, "repeat", 1) != 0;
 }
 
 static void
@@ -417,6 +449,8 @@
   /* Entries of older versions don't send it. */
   if (reader.array != NULL && reader.next < reader.array->size)
     grant->started_at = read_time (&reader, "start");
+  if (has_more (&reader))
+    grant->repeat_after = read_time (&reader, "time until a repeat");
 }
 
 static anvil_str_t
@@ -492,6 +526,8 @@
   report->request_limit.state = (anvil_request_limit_state_t) read_number (
       &body, "state of the request limit", ANVIL_REQUEST_LIMIT_NAMED);
   report->request_limit.per_second = read_rate (&body, "request limit");
+  if (has_more (&body))
+    report->speed = (guint) read_number (&body, "speed", G_MAXUINT);
 }
 
 static void
--- a/source/relay/relay-settings.h
+++ b/source/relay/relay-settings.h
@@ -37,6 +37,9 @@
  * @memory_bytes: memory limit of this process
  * @max_descriptors: limit of open file descriptors
  * @link_rate: rate of this VM's network link, bits per second; 0 if it isn't known
+ * @strict_revocation: a key that was taken away must not work after @revoke_time, not even at an
+ *   entry that doesn't reach the store
+ * @revoke_time: see @strict_revocation, microseconds
  * @limits: limits that all entries together must keep
  */
 typedef struct
@@ -59,6 +62,8 @@
   gsize memory_bytes;
   guint max_descriptors;
   guint64 link_rate;
+  gboolean strict_revocation;
+  anvil_time_t revoke_time;
   anvil_dispatcher_limits_t limits;
 } anvil_relay_settings_t;
 
--- a/source/steer/routes.c
+++ b/source/steer/routes.c
@@ -1,4 +1,4 @@
-#include "anvil/routes.h"
+#include "anvil/tenants.h"
 
 #include <string.h>
 
@@ -17,6 +17,7 @@
   anvil_routes_limits_t limits;
   GArray *routes;
   GArray *services;
+  GArray *tenants;
   /* Arrays of route indices by lower-case host, longest prefix first. */
   GHashTable *by_host;
 };
@@ -43,6 +44,17 @@
   g_free (service->name);
 }
 
+static void
+clear_tenant (gpointer data)
+{
+  anvil_tenant_t *tenant = data;
+
+  g_free (tenant->name);
+  g_ptr_array_unref (tenant->keys);
+  for (guint i = 0; i < tenant->n_regions; i++)
+    g_free (tenant->regions[i]);
+}
+
 anvil_routes_t *
 anvil_routes_new (gint64 version)
 {
@@ -58,6 +70,8 @@
   g_array_set_clear_func (routes->routes, clear_route);
   routes->services = g_array_new (FALSE, TRUE, sizeof (anvil_service_t));
   g_array_set_clear_func (routes->services, clear_service);
+  routes->tenants = g_array_new (FALSE, TRUE, sizeof (anvil_tenant_t));
+  g_array_set_clear_func (routes->tenants, clear_tenant);
   routes->by_host
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_array_unref);
   return routes;
@@ -77,6 +91,7 @@
     return;
   g_array_unref (routes->routes);
   g_array_unref (routes->services);
+  g_array_unref (routes->tenants);
   g_hash_table_unref (routes->by_host);
   g_free (routes);
 }
@@ -95,6 +110,17 @@
   return &g_array_index (routes->services, anvil_service_t, routes->services->len - 1);
 }
 
+anvil_tenant_t *
+anvil_routes_add_tenant (anvil_routes_t *routes)
+{
+  anvil_tenant_t *tenant;
+
+  g_array_set_size (routes->tenants, routes->tenants->len + 1);
+  tenant = &g_array_index (routes->tenants, anvil_tenant_t, routes->tenants->len - 1);
+  tenant->keys = g_ptr_array_new_with_free_func (g_free);
+  return tenant;
+}
+
 void
 anvil_routes_set_limits (anvil_routes_t *routes, const anvil_routes_limits_t *limits)
 {
@@ -150,6 +176,31 @@
   return NULL;
 }
 
+guint
+anvil_routes_count_tenants (const anvil_routes_t *routes)
+{
+  return routes->tenants->len;
+}
+
+const anvil_tenant_t *
+anvil_routes_tenant_at (const anvil_routes_t *routes, guint index)
+{
+  return &g_array_index (routes->tenants, anvil_tenant_t, index);
+}
+
+const anvil_tenant_t *
+anvil_routes_find_tenant (const anvil_routes_t *routes, anvil_str_t name)
+{
+  for (guint i = 0; i < routes->tenants->len; i++)
+    {
+      const anvil_tenant_t *tenant = anvil_routes_tenant_at (routes, i);
+
+      if (tenant->name != NULL && anvil_str_equal (anvil_str (tenant->name), name))
+        return tenant;
+    }
+  return NULL;
+}
+
 static gboolean
 check_services (const anvil_routes_t *routes, const anvil_route_t *route, GError **error)
 {
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -19,7 +19,9 @@
               .outdated = TRUE,
               .knows_peers = TRUE,
               .caller_share = 640,
-              .config_version = 31 } },
+              .config_version = 31,
+              .config_proof_age = 900000,
+              .store_era = 2 } },
   { .kind = ANVIL_RELAY_REQUEST_SLOT,
     .number = 6,
     .task = { .service = { "photos", 6 },
@@ -35,7 +37,12 @@
               .n_excluded = 2,
               .body_bytes = 60000,
               .target = -5,
-              .deadline = 1500000 } },
+              .deadline = 1500000,
+              .route_class = 12,
+              .tenant = { "acme", 4 },
+              .tenant_priority = 3,
+              .quota_paid = TRUE,
+              .is_repeat = TRUE } },
   { .kind = ANVIL_RELAY_ADOPT, .number = 6, .upstream = 9 },
   { .kind = ANVIL_RELAY_GRANT,
     .number = 7,
@@ -158,6 +165,11 @@
   GByteArray *bytes = pack (&ping);
   anvil_relay_message_t read;
 
+  remove_last_items (bytes, 2, 2);
+  ck_assert (anvil_relay_message_unpack (
+      (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
+  ck_assert_int_eq (read.info.config_version, 5);
+  ck_assert_int_lt (read.info.config_proof_age, 0);
   remove_last_items (bytes, 1, 1);
   ck_assert (anvil_relay_message_unpack (
       (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
