Send small requests of a region with few upstreams along with their slot requests

An entry whose region has less than half as many slots of a service as the mean region sends a request of up to 8 KB that may be repeated along with its slot request. If the holder grants a slot in its own region, it sends the request itself and returns the response in one message; otherwise it passes the grant on. A request whose holder is lost may have run, so what follows counts as a further attempt. Deployments whose regions are alike decide as before.

--- a/include/anvil/peers.h
+++ b/include/anvil/peers.h
@@ -82,6 +82,9 @@
  * anvil-relay processes */
 void anvil_peers_send_relay_message (anvil_peers_t *peers, anvil_node_t to, anvil_str_t bytes);
 
+/** anvil_peers_queued_bytes - bytes that wait to be sent to a peer; 0 without a link */
+gsize anvil_peers_queued_bytes (const anvil_peers_t *peers, anvil_node_t to);
+
 /** anvil_peers_close_link - closes the link to a peer that doesn't respond; the next frame opens a
  * new one */
 void anvil_peers_close_link (anvil_peers_t *peers, anvil_node_t to);
--- a/source/net/peers-link.c
+++ b/source/net/peers-link.c
@@ -263,6 +263,12 @@
   return link;
 }
 
+gsize
+anvil_peer_link_queued_bytes (const anvil_peer_link_t *link)
+{
+  return evbuffer_get_length (bufferevent_get_output (link->bev));
+}
+
 gboolean
 anvil_peer_link_send (anvil_peer_link_t *link, const GByteArray *frame)
 {
--- a/source/net/peers-link.h
+++ b/source/net/peers-link.h
@@ -47,6 +47,9 @@
 /** anvil_peer_link_close - closes and frees a link without a callback */
 void anvil_peer_link_close (anvil_peer_link_t *link);
 
+/** anvil_peer_link_queued_bytes - bytes that wait to be sent */
+gsize anvil_peer_link_queued_bytes (const anvil_peer_link_t *link);
+
 /** anvil_peer_link_send - queues a packed frame; FALSE if the queue is full */
 gboolean anvil_peer_link_send (anvil_peer_link_t *link, const GByteArray *frame);
 
--- a/source/net/peers.c
+++ b/source/net/peers.c
@@ -393,6 +393,14 @@
   g_free (frame);
 }
 
+gsize
+anvil_peers_queued_bytes (const anvil_peers_t *peers, anvil_node_t to)
+{
+  const anvil_peer_link_t *link = g_hash_table_lookup (peers->outgoing, &to);
+
+  return link != NULL ? anvil_peer_link_queued_bytes (link) : 0;
+}
+
 void
 anvil_peers_close_link (anvil_peers_t *peers, anvil_node_t to)
 {
--- a/source/relay/relay-job-holder.c
+++ b/source/relay/relay-job-holder.c
@@ -32,8 +32,7 @@
     return;
   if (job->state == JOB_WAITING_FOR_SLOT)
     {
-      anvil_slot_broker_cancel (broker, job->holder, job->task.id.number);
-      job_request_slot (job);
+      job_request_slot_from_new_holder (job);
       return;
     }
   job->holder = change->holder;
@@ -112,8 +111,7 @@
       return;
     }
   /* The new process may have received the last request. */
-  anvil_slot_broker_cancel (broker, job->holder, job->task.id.number);
-  job_request_slot (job);
+  job_request_slot_from_new_holder (job);
 }
 
 void
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -9,7 +9,8 @@
 
 /* relay-job-new.c creates and frees jobs, relay-job.c requests slots, sends requests and retries,
  * relay-job-response.c responds to callers, relay-job-holder.c handles changes of holders,
- * relay-job-shutdown.c ends jobs when the process stops. */
+ * relay-job-shutdown.c ends jobs when the process stops, relay-job-forward.c sends requests along
+ * with their slot requests. */
 
 /* During shutdown another entry can serve the caller at once. */
 #define SHUTDOWN_RETRY_AFTER (20 * ANVIL_MS)
@@ -41,6 +42,7 @@
  * @n_attempts: attempts so far, of any outcome
  * @unsent_attempts: attempts that failed before anything was sent
  * @may_have_run: an upstream may have run the request
+ * @forwarded: the request went to the holder along with the slot request, and may be running
  * @saved_status: status of an upstream's failure response, which is passed on if no retry succeeds;
  *   or 0
  */
@@ -64,6 +66,7 @@
   guint n_attempts;
   guint unsent_attempts;
   gboolean may_have_run;
+  gboolean forwarded;
   guint saved_status;
   GString *saved_headers;
   struct evbuffer *saved_body;
@@ -123,6 +126,22 @@
 /* Ends a job that waits for a slot, because the process stops. */
 void job_fail_for_shutdown (job_t *job);
 
+/* Whether one more attempt is allowed after one that may have run. */
+gboolean job_may_retry (const job_t *job);
+
+/* Acts on the outcome of an attempt whose slot has been released; may free the job. */
+void job_take_outcome (job_t *job, const anvil_relay_attempt_outcome_t *outcome);
+
+/* relay-job-forward.c */
+
+/* Whether the request goes to the holder along with its slot request. */
+gboolean job_may_be_forwarded (const job_t *job);
+void job_forward (job_t *job);
+/* Cancels the slot request of a waiting job, and its run if it was forwarded. */
+void job_cancel_slot_request (job_t *job);
+/* Replaces the slot request of a waiting job, whose holder has changed or restarted. */
+void job_request_slot_from_new_holder (job_t *job);
+
 /* Ends the attempt of a running job. */
 void job_cancel_attempt (job_t *job);
 
--- a/source/relay/relay-job-shutdown.c
+++ b/source/relay/relay-job-shutdown.c
@@ -17,9 +17,10 @@
 static void
 refuse_if_it_may_not_be_sent (job_t *job, gconstpointer unused)
 {
-  if (job->state != JOB_WAITING_FOR_SLOT || job_may_be_sent (job))
+  /* What was forwarded may be running. */
+  if (job->state != JOB_WAITING_FOR_SLOT || job->forwarded || job_may_be_sent (job))
     return;
-  anvil_slot_broker_cancel (job->jobs->options.slot_broker, job->holder, job->task.id.number);
+  job_cancel_slot_request (job);
   job_fail_for_shutdown (job);
 }
 
@@ -45,7 +46,7 @@
   if (job->state == JOB_RUNNING)
     job_cancel_attempt (job);
   else
-    anvil_slot_broker_cancel (job->jobs->options.slot_broker, job->holder, job->task.id.number);
+    job_cancel_slot_request (job);
   job_fail (job, STATUS_GATEWAY_TIMEOUT, "stopped", SHUTDOWN_RETRY_AFTER);
 }
 
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -128,7 +128,7 @@
 void
 job_repeat_slot_request (job_t *job)
 {
-  if (!job_may_be_sent (job))
+  if (!job->forwarded && !job_may_be_sent (job))
     {
       job_fail_for_shutdown (job);
       return;
@@ -142,8 +142,15 @@
 {
   renew_number (job);
   job->state = JOB_WAITING_FOR_SLOT;
+  job->forwarded = FALSE;
   job->holder = anvil_slot_broker_holder (job->jobs->options.slot_broker, job->service);
-  job_repeat_slot_request (job);
+  if (!job_may_be_sent (job) || !job_may_be_forwarded (job))
+    {
+      job_repeat_slot_request (job);
+      return;
+    }
+  job->slot_requested_at = anvil_clock_now ();
+  job_forward (job);
 }
 
 static void
@@ -184,7 +191,7 @@
 
   if (job->state == JOB_WAITING_FOR_SLOT)
     {
-      anvil_slot_broker_cancel (job->jobs->options.slot_broker, job->holder, job->task.id.number);
+      job_cancel_slot_request (job);
       job_fail (job, STATUS_GATEWAY_TIMEOUT, "no-slot-in-time", 0);
       return;
     }
@@ -202,8 +209,8 @@
   job_fail (job, STATUS_GATEWAY_TIMEOUT, "no-answer-in-time", 0);
 }
 
-static gboolean
-may_retry (const job_t *job)
+gboolean
+job_may_retry (const job_t *job)
 {
   return job->request->connection != NULL && job->task.attempt < job->max_attempts
          && anvil_clock_now () < job->task.deadline;
@@ -240,39 +247,69 @@
 
 /* Keeps what the upstream said; FALSE if all of it was known. */
 static gboolean
-keep_announcement (job_t *job, const anvil_announcement_t *announcement)
+keep_announcement (anvil_relay_jobs_t *jobs,
+                   const char *service,
+                   guint64 upstream,
+                   gint64 started_at,
+                   const anvil_announcement_t *announcement)
 {
-  const anvil_relay_jobs_options_t *options = &job->jobs->options;
+  const anvil_relay_jobs_options_t *options = &jobs->options;
   const anvil_time_t now = anvil_clock_now ();
   gboolean is_new = FALSE;
 
   if (announcement->leaving)
-    is_new = options->upstream_leaving (options->context, job->service, job->upstream,
-                                        job->upstream_started_at);
+    is_new = options->upstream_leaving (options->context, service, upstream, started_at);
   if (announcement->pause > 0)
-    is_new |= anvil_pause_table_add (job->jobs->pauses, now, job->service, job->upstream,
-                                     job->upstream_started_at, now + announcement->pause);
+    is_new |= anvil_pause_table_add (jobs->pauses, now, service, upstream, started_at,
+                                     now + announcement->pause);
   return is_new;
 }
 
+void
+anvil_relay_jobs_announced (anvil_relay_jobs_t *jobs,
+                            const char *service,
+                            guint64 upstream,
+                            gint64 started_at,
+                            const anvil_announcement_t *announcement)
+{
+  anvil_slot_broker_t *broker = jobs->options.slot_broker;
+  const anvil_named_announcement_t item
+      = { .upstream = upstream, .started_at = started_at, .announcement = *announcement };
+  const anvil_registered_upstream_t *registered
+      = anvil_registry_lookup (jobs->options.registry, upstream);
+
+  if (!keep_announcement (jobs, service, upstream, started_at, announcement))
+    return;
+  anvil_log (ANVIL_LOG_NOTICE, "request",
+             "upstream wants no more requests upstream=%s service=%s leaving=%d "
+             "pause_ms=%" G_GINT64_FORMAT " started_at=%" G_GINT64_FORMAT,
+             registered != NULL ? registered->id : "-", service, announcement->leaving,
+             announcement->pause / ANVIL_MS, started_at);
+  anvil_slot_broker_send_announcements (broker, anvil_slot_broker_holder (broker, service), service,
+                                        &item, 1);
+}
+
+void
+anvil_relay_jobs_record_limit (anvil_relay_jobs_t *jobs,
+                               guint64 upstream,
+                               const char *upstream_id,
+                               const anvil_request_limit_t *limit)
+{
+  const anvil_registered_upstream_t *registered
+      = anvil_registry_lookup (jobs->options.registry, upstream);
+
+  if (registered != NULL)
+    anvil_request_limit_table_record (jobs->request_limits, anvil_clock_now (), registered->service,
+                                      upstream, upstream_id, limit);
+}
+
 static void
 on_announced (void *context, const anvil_announcement_t *announcement)
 {
   job_t *job = context;
-  anvil_slot_broker_t *broker = job->jobs->options.slot_broker;
-  const anvil_named_announcement_t item = { .upstream = job->upstream,
-                                            .started_at = job->upstream_started_at,
-                                            .announcement = *announcement };
 
-  if (!keep_announcement (job, announcement))
-    return;
-  anvil_log (ANVIL_LOG_NOTICE, "request",
-             "upstream wants no more requests upstream=%s service=%s leaving=%d "
-             "pause_ms=%" G_GINT64_FORMAT " request=%s started_at=%" G_GINT64_FORMAT,
-             job->upstream_id, job->service, announcement->leaving, announcement->pause / ANVIL_MS,
-             text_or_dash (job->request->id), job->upstream_started_at);
-  anvil_slot_broker_send_announcements (broker, anvil_slot_broker_holder (broker, job->service),
-                                        job->service, &item, 1);
+  anvil_relay_jobs_announced (job->jobs, job->service, job->upstream, job->upstream_started_at,
+                              announcement);
 }
 
 static void
@@ -286,6 +323,12 @@
   report_run (job, &(anvil_run_report_t){ .result = outcome->result,
                                           .duration = outcome->duration,
                                           .request_limit = outcome->request_limit });
+  job_take_outcome (job, outcome);
+}
+
+void
+job_take_outcome (job_t *job, const anvil_relay_attempt_outcome_t *outcome)
+{
   if (outcome->result != ANVIL_RUN_ANSWERED)
     {
       record_failed_attempt (job, outcome);
@@ -300,7 +343,7 @@
       return;
     case ANVIL_RUN_FAILED:
       job->may_have_run = TRUE;
-      if (!job_is_idempotent (job) || !may_retry (job))
+      if (!job_is_idempotent (job) || !job_may_retry (job))
         {
           job_pass_response (job, outcome->status, outcome->headers, outcome->body);
           return;
@@ -311,7 +354,7 @@
       retry_unsent (job, "no-upstream-reached");
       return;
     case ANVIL_RUN_SHED:
-      if (!may_retry (job))
+      if (!job_may_retry (job))
         {
           job_fail (job, STATUS_BAD_GATEWAY, "upstream-full", NOT_READY_RETRY_AFTER);
           return;
@@ -320,7 +363,7 @@
     case ANVIL_RUN_INTERRUPTED:
     case ANVIL_RUN_UNUSED:
       job->may_have_run = TRUE;
-      if (!job_is_idempotent (job) || !may_retry (job))
+      if (!job_is_idempotent (job) || !job_may_retry (job))
         {
           job_fail (job, STATUS_BAD_GATEWAY, "upstream-broke-off", 0);
           return;
@@ -413,11 +456,13 @@
   anvil_slot_broker_run_finished (jobs->options.slot_broker, holder, number, &unused);
 }
 
-static const char *
-reason_not_to_use (const anvil_relay_jobs_t *jobs, const anvil_slot_grant_t *grant)
+const char *
+anvil_relay_jobs_reason_not_to_use (const anvil_relay_jobs_t *jobs, const anvil_slot_grant_t *grant)
 {
   const anvil_relay_jobs_options_t *options = &jobs->options;
 
+  if (!registry_is_fresh (jobs))
+    return "registry-too-old";
   if (anvil_pause_table_remaining (jobs->pauses, anvil_clock_now (), grant->upstream,
                                    newest_start (jobs, grant))
       > 0)
@@ -449,6 +494,7 @@
         release_slot (jobs, from, number);
       return;
     }
+  job->forwarded = FALSE;
   if (!registry_is_fresh (jobs))
     {
       /* The tick requests a slot again; until then the registry may have been read. */
@@ -456,7 +502,7 @@
       renew_number (job);
       return;
     }
-  reason = reason_not_to_use (jobs, grant);
+  reason = anvil_relay_jobs_reason_not_to_use (jobs, grant);
   if (reason == NULL)
     {
       start_attempt (job, grant);
@@ -516,7 +562,7 @@
       report_run (job, &(anvil_run_report_t){ .result = ANVIL_RUN_UNUSED });
     }
   else
-    anvil_slot_broker_cancel (jobs->options.slot_broker, job->holder, job->task.id.number);
+    job_cancel_slot_request (job);
   job_record_outcome (jobs, request, job, "left", 0, "caller-left");
   anvil_relay_respond (request, STATUS_UNAVAILABLE, (anvil_str_t){ 0 }, NULL);
   job_remove (job);
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -80,7 +80,31 @@
 void anvil_relay_jobs_caller_disconnected (anvil_relay_jobs_t *jobs,
                                            anvil_relay_request_t *request);
 
+/** anvil_relay_jobs_reason_not_to_use - why this entry must not send a request on a granted slot,
+ * for logs; NULL if it may */
+const char *anvil_relay_jobs_reason_not_to_use (const anvil_relay_jobs_t *jobs,
+                                                const anvil_slot_grant_t *grant);
+
+/** anvil_relay_jobs_announced - takes over what an upstream said of itself, and tells the holder of
+ * its service */
+void anvil_relay_jobs_announced (anvil_relay_jobs_t *jobs,
+                                 const char *service,
+                                 guint64 upstream,
+                                 gint64 started_at,
+                                 const anvil_announcement_t *announcement);
+
+/** anvil_relay_jobs_record_limit - takes over what a response says of an upstream's request limit
+ */
+void anvil_relay_jobs_record_limit (anvil_relay_jobs_t *jobs,
+                                    guint64 upstream,
+                                    const char *upstream_id,
+                                    const anvil_request_limit_t *limit);
+
 /* Callbacks of the slot broker, see anvil_slot_broker_callbacks_t. */
+void anvil_relay_jobs_responded (anvil_relay_jobs_t *jobs,
+                                 guint64 number,
+                                 anvil_node_t from,
+                                 anvil_str_t payload);
 void anvil_relay_jobs_granted (anvil_relay_jobs_t *jobs,
                                guint64 number,
                                anvil_node_t from,
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -28,6 +28,13 @@
   msgpack_pack_str_body (packer, text.data, text.length);
 }
 
+static void
+pack_bytes (msgpack_packer *packer, anvil_str_t bytes)
+{
+  msgpack_pack_bin (packer, bytes.length);
+  msgpack_pack_bin_body (packer, bytes.data, bytes.length);
+}
+
 static void
 pack_info (msgpack_packer *packer, const anvil_member_info_t *info)
 {
@@ -243,6 +250,15 @@
     case ANVIL_RELAY_ANNOUNCEMENTS:
       pack_announcements (packer, message);
       return;
+    case ANVIL_RELAY_FORWARD:
+      msgpack_pack_array (packer, 2);
+      pack_task (packer, &message->task);
+      pack_bytes (packer, message->rows);
+      return;
+    case ANVIL_RELAY_RESPONSE:
+      msgpack_pack_array (packer, 1);
+      pack_bytes (packer, message->rows);
+      return;
     }
   g_assert_not_reached ();
 }
@@ -657,6 +673,15 @@
     case ANVIL_RELAY_ANNOUNCEMENTS:
       read_announcements (reader, message);
       return;
+    case ANVIL_RELAY_FORWARD:
+      body = read_array (reader, "forward");
+      read_task (&body, &message->task);
+      message->rows = read_bytes (&body, "request");
+      return;
+    case ANVIL_RELAY_RESPONSE:
+      body = read_array (reader, "response");
+      message->rows = read_bytes (&body, "response of an upstream");
+      return;
     }
   *reader->bad_field = "kind";
 }
@@ -681,7 +706,7 @@
     {
       reader.array = &root.via.array;
       message->kind
-          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_ANNOUNCEMENTS);
+          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_RESPONSE);
       message->number = read_number (&reader, "number", G_MAXUINT64);
       if (bad_field == NULL)
         read_body (&reader, message);
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -24,6 +24,8 @@
  * @ANVIL_RELAY_REQUEST_CONFIG: requests the changes of the configuration
  * @ANVIL_RELAY_CONFIG: changes of the configuration, and the evacuated zones
  * @ANVIL_RELAY_ANNOUNCEMENTS: what upstreams of a service said of themselves to the sender
+ * @ANVIL_RELAY_FORWARD: requests a slot for a task, and has the request along
+ * @ANVIL_RELAY_RESPONSE: how the run of a request ended that came along with its slot request
  */
 typedef enum
 {
@@ -43,6 +45,8 @@
   ANVIL_RELAY_REQUEST_CONFIG,
   ANVIL_RELAY_CONFIG,
   ANVIL_RELAY_ANNOUNCEMENTS,
+  ANVIL_RELAY_FORWARD,
+  ANVIL_RELAY_RESPONSE,
 } anvil_relay_message_kind_t;
 
 /* Most evacuated zones that updates name. */
@@ -78,7 +82,8 @@
  *   microseconds
  * @digest: updates: anvil_registry_digest() of the sender at @number
  * @rows: updates: packed rows, see relay/update-log.h; configuration: packed changes, see
- *   relay/config-log.h, empty if they are too large or not known
+ *   relay/config-log.h, empty if they are too large or not known; forward, response: see
+ *   relay/forward-codec.h
  * @operators_version: updates, configuration: version of the store up to which the sender knows
  *   the evacuated zones; 0 if it doesn't tell
  * @evacuated: updates, configuration: the zones that are evacuated at that version
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -10,6 +10,7 @@
 #include "relay/process-usage.h"
 #include "relay/relay-aux-server.h"
 #include "relay/relay-feed.h"
+#include "relay/relay-forward.h"
 #include "relay/relay-job.h"
 #include "relay/relay-watch.h"
 #include "relay/slot-broker.h"
@@ -56,6 +57,7 @@
   anvil_slot_broker_t *slot_broker;
   anvil_relay_upstream_pool_t *upstream_pool;
   anvil_relay_jobs_t *jobs;
+  anvil_relay_forwards_t *forwards;
   anvil_relay_callers_t *callers;
   anvil_relay_aux_server_t *aux_server;
   struct event *tick;
@@ -208,6 +210,34 @@
   g_free (service);
 }
 
+static void
+on_forwarded (void *context,
+              anvil_task_id_t id,
+              const anvil_slot_grant_t *grant,
+              anvil_time_t deadline,
+              anvil_str_t payload)
+{
+  anvil_relay_t *relay = context;
+
+  anvil_relay_forwards_granted (relay->forwards, id, grant, deadline, payload);
+}
+
+static void
+on_forward_cancelled (void *context, anvil_task_id_t id)
+{
+  anvil_relay_t *relay = context;
+
+  anvil_relay_forwards_cancelled (relay->forwards, id);
+}
+
+static void
+on_response_received (void *context, guint64 number, anvil_node_t from, anvil_str_t payload)
+{
+  anvil_relay_t *relay = context;
+
+  anvil_relay_jobs_responded (relay->jobs, number, from, payload);
+}
+
 static const anvil_slot_broker_callbacks_t broker_callbacks = {
   .granted = on_granted,
   .refused = on_refused,
@@ -218,6 +248,9 @@
   .config_requested = on_config_requested,
   .config_received = on_config_received,
   .announcements_received = on_announcements_received,
+  .forwarded = on_forwarded,
+  .forward_cancelled = on_forward_cancelled,
+  .response_received = on_response_received,
 };
 
 static void
@@ -369,7 +402,8 @@
                  anvil_relay_jobs_count (relay->jobs));
       anvil_relay_jobs_end (relay->jobs);
     }
-  busy = anvil_relay_callers_count_busy (relay->callers);
+  busy = anvil_relay_callers_count_busy (relay->callers)
+         + anvil_relay_forwards_count (relay->forwards);
   if (anvil_relay_jobs_count (relay->jobs) + busy > 0 && since < timeout - EXIT_MARGIN)
     return;
   anvil_log (busy == 0 ? ANVIL_LOG_NOTICE : ANVIL_LOG_WARNING, "relay",
@@ -624,6 +658,8 @@
                            anvil_registry_count_leaving (relay->registry));
   anvil_metrics_set_gauge (relay->metrics, "anvil_paused_upstreams", "",
                            anvil_relay_jobs_count_pauses (relay->jobs));
+  anvil_metrics_set_gauge (relay->metrics, "anvil_forwarded_running", "",
+                           anvil_relay_forwards_count (relay->forwards));
   anvil_metrics_set_gauge (relay->metrics, "anvil_requests_open", "",
                            anvil_relay_jobs_count (relay->jobs));
   anvil_metrics_set_gauge (relay->metrics, "anvil_caller_connections", "",
@@ -691,6 +727,8 @@
   job_options.slot_broker = relay->slot_broker;
   job_options.upstream_pool = relay->upstream_pool;
   relay->jobs = anvil_relay_jobs_new (&job_options);
+  relay->forwards = anvil_relay_forwards_new (relay->base, relay->slot_broker, relay->upstream_pool,
+                                              relay->jobs, relay->registry, relay->metrics);
   relay->callers
       = anvil_relay_callers_open (relay->base, &caller_options, &caller_callbacks, relay, error);
   if (relay->callers == NULL)
@@ -753,6 +791,7 @@
   if (relay->announce_timer != NULL)
     event_free (relay->announce_timer);
   anvil_relay_aux_server_close (relay->aux_server);
+  anvil_relay_forwards_drop (relay->forwards);
   if (relay->jobs != NULL)
     anvil_relay_jobs_drop (g_steal_pointer (&relay->jobs));
   anvil_relay_callers_close (relay->callers);
--- a/source/relay/slot-broker-internal.h
+++ b/source/relay/slot-broker-internal.h
@@ -5,7 +5,8 @@
 
 /* slot-broker.c requests and grants slots, slot-broker-messages.c handles messages of peers,
  * slot-broker-peers.c tracks which peers are reachable and chooses holders, slot-broker-handover.c
- * tells new holders what this entry has granted. */
+ * tells new holders what this entry has granted, slot-broker-forward.c keeps requests that came
+ * with their slot requests. */
 
 /**
  * service_t - a service and where its slots are requested
@@ -13,6 +14,7 @@
  * @holder: entry that slots are requested from
  * @retry_counts_sent_to: entry that was last sent the retry counts, or 0
  * @n_attempts_sent: attempts that these counts covered
+ * @few_local_slots: this entry's region has less than half as many slots as the mean region
  */
 typedef struct
 {
@@ -21,18 +23,35 @@
   anvil_node_t holder;
   anvil_node_t retry_counts_sent_to;
   guint64 n_attempts_sent;
+  gboolean few_local_slots;
 } service_t;
 
 /** local_decision_t - decision of this entry's own dispatcher, delivered by the event loop so that
  * no callback runs inside a function of the broker */
 typedef struct
 {
+  anvil_node_t requester;
   guint64 number;
   gboolean granted;
   anvil_slot_grant_t grant;
   anvil_task_refusal_info_t refused;
 } local_decision_t;
 
+/**
+ * forwarded_t - a request of another entry
+ * @deadline: of its task, monotonic clock
+ * @payload: packed request, see relay/forward-codec.h
+ * @running: a slot was granted, and this entry sends the request
+ */
+typedef struct
+{
+  anvil_slot_broker_t *broker;
+  anvil_task_id_t id;
+  anvil_time_t deadline;
+  anvil_str_t payload;
+  gboolean running;
+} forwarded_t;
+
 struct anvil_slot_broker
 {
   const anvil_relay_settings_t *settings;
@@ -48,6 +67,9 @@
   /* Set of the peers that were reachable at the last tick. */
   GHashTable *reachable_nodes;
   GQueue local_decisions;
+  /* forwarded_t by id of the task. */
+  GHashTable *forwarded;
+  gsize forwarded_bytes;
   struct event *deliver;
   struct event *tick;
   anvil_time_t regions_updated_at;
@@ -97,5 +119,31 @@
 /* Adds what other holders counted. */
 void broker_add_retry_counts (anvil_slot_broker_t *broker, const anvil_relay_message_t *message);
 
+/* A message about a task. It holds remaining times, since clocks differ between processes. */
+anvil_relay_message_t broker_task_message (anvil_relay_message_kind_t kind,
+                                           const anvil_task_t *task);
+
+/* slot-broker-forward.c */
+
+GHashTable *broker_forwarded_table_new (void);
+/* Keeps a request until its task is granted, refused or cancelled. */
+void broker_add_forwarded (anvil_slot_broker_t *broker,
+                           anvil_task_id_t id,
+                           anvil_time_t deadline,
+                           anvil_str_t payload);
+void broker_remove_forwarded (anvil_slot_broker_t *broker, anvil_task_id_t id);
+/* Removes those of an entry that wait for a slot. */
+void broker_remove_forwarded_of (anvil_slot_broker_t *broker, anvil_node_t requester);
+gboolean broker_is_running_forwarded (anvil_slot_broker_t *broker, anvil_task_id_t id);
+/* Whether this entry sends the request on the granted slot. */
+gboolean broker_grant_forwarded (anvil_slot_broker_t *broker,
+                                 anvil_task_id_t id,
+                                 const anvil_slot_grant_t *grant);
+void broker_deliver_forwarded (anvil_slot_broker_t *broker,
+                               anvil_task_id_t id,
+                               const anvil_slot_grant_t *grant);
+/* Cancels a run and releases its slot; FALSE if this entry isn't running the request. */
+gboolean broker_cancel_forwarded (anvil_slot_broker_t *broker, anvil_task_id_t id);
+
 /* Reports the services whose holder has changed. */
 void broker_update_holders (anvil_slot_broker_t *broker, anvil_time_t now);
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -11,7 +11,9 @@
   task.id = (anvil_task_id_t){ .requester = from, .number = message->number };
   task.target += now;
   task.deadline += now;
-  if (message->kind == ANVIL_RELAY_REQUEST_SLOT)
+  if (message->kind == ANVIL_RELAY_FORWARD)
+    broker_add_forwarded (broker, task.id, task.deadline, message->rows);
+  if (message->kind != ANVIL_RELAY_ADOPT)
     anvil_dispatcher_submit (broker->dispatcher, now, &task);
   else
     anvil_dispatcher_adopt (broker->dispatcher, now, &task, message->upstream);
@@ -28,6 +30,7 @@
   anvil_log (ANVIL_LOG_NOTICE, "broker", "peer has restarted vm=%.*s",
              ANVIL_STR_ARGS (message->info.name));
   anvil_dispatcher_requester_lost (broker->dispatcher, now, from);
+  broker_remove_forwarded_of (broker, from);
   broker->callbacks.peer_restarted (broker->context, from);
 }
 
@@ -117,6 +120,7 @@
       return;
     case ANVIL_RELAY_REQUEST_SLOT:
     case ANVIL_RELAY_ADOPT:
+    case ANVIL_RELAY_FORWARD:
       handle_task (broker, from, &message);
       return;
     case ANVIL_RELAY_GRANT:
@@ -129,7 +133,11 @@
       anvil_dispatcher_run_finished (broker->dispatcher, anvil_clock_now (), task, &message.report);
       return;
     case ANVIL_RELAY_CANCEL:
-      anvil_dispatcher_cancel (broker->dispatcher, anvil_clock_now (), task);
+      if (!broker_cancel_forwarded (broker, task))
+        anvil_dispatcher_cancel (broker->dispatcher, anvil_clock_now (), task);
+      return;
+    case ANVIL_RELAY_RESPONSE:
+      broker->callbacks.response_received (broker->context, message.number, from, message.rows);
       return;
     case ANVIL_RELAY_REQUEST_UPDATES:
       broker->callbacks.updates_requested (broker->context, from, message.number);
--- a/source/relay/slot-broker-peers.c
+++ b/source/relay/slot-broker-peers.c
@@ -40,6 +40,7 @@
     {
       g_hash_table_remove (broker->reachable_nodes, &peer->node);
       anvil_dispatcher_requester_lost (broker->dispatcher, now, peer->node);
+      broker_remove_forwarded_of (broker, peer->node);
     }
   anvil_log (ANVIL_LOG_NOTICE, "broker",
              "%s vm=%s zone=%s silent_ms=%" G_GINT64_FORMAT " round_trip_us=%" G_GINT64_FORMAT,
@@ -109,6 +110,37 @@
   return best;
 }
 
+/* Whether this entry's region has less than half as many slots as the mean of the regions that have
+ * any. */
+static gboolean
+has_few_local_slots (const anvil_slot_broker_t *broker, GHashTable *slots, const char *service)
+{
+  GHashTable *regions = g_hash_table_new (g_str_hash, g_str_equal);
+  const char *own = anvil_slot_broker_region (broker);
+  GHashTableIter iter;
+  gpointer region;
+  guint n_regions = 0;
+  guint total = 0;
+  guint local = 0;
+
+  g_hash_table_iter_init (&iter, broker->settings->region_by_zone);
+  while (g_hash_table_iter_next (&iter, NULL, &region))
+    {
+      char *key = g_strconcat (service, "\n", region, NULL);
+      guint n = GPOINTER_TO_UINT (g_hash_table_lookup (slots, key));
+
+      g_free (key);
+      if (!g_hash_table_add (regions, region) || n == 0)
+        continue;
+      n_regions++;
+      total += n;
+      if (g_strcmp0 (region, own) == 0)
+        local = n;
+    }
+  g_hash_table_unref (regions);
+  return 2 * local * n_regions < total;
+}
+
 /* Selects the peers that are pinged often. */
 static void
 update_ping_set (anvil_slot_broker_t *broker, anvil_time_t now)
@@ -150,6 +182,7 @@
       service_t *service = value;
 
       service->region = largest_region (broker, count.slots, service->name);
+      service->few_local_slots = has_few_local_slots (broker, count.slots, service->name);
     }
   g_hash_table_unref (count.slots);
   update_ping_set (broker, now);
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -55,7 +55,12 @@
 
   while ((decision = g_queue_pop_head (&broker->local_decisions)) != NULL)
     {
-      if (decision->granted)
+      if (decision->requester != broker->self)
+        broker_deliver_forwarded (
+            broker,
+            (anvil_task_id_t){ .requester = decision->requester, .number = decision->number },
+            &decision->grant);
+      else if (decision->granted)
         broker->callbacks.granted (broker->context, decision->number, broker->self,
                                    &decision->grant);
       else
@@ -71,11 +76,13 @@
   anvil_slot_broker_t *broker = context;
   anvil_relay_message_t message
       = { .kind = ANVIL_RELAY_GRANT, .number = id.number, .grant = *grant };
-  local_decision_t decision = { .number = id.number, .granted = TRUE };
+  local_decision_t decision = { .requester = id.requester, .number = id.number, .granted = TRUE };
 
   message.grant.row_version = anvil_registry_row_version (broker->registry, grant->upstream);
   decision.grant = message.grant;
-  if (id.requester == broker->self)
+  if (id.requester != broker->self && broker_is_running_forwarded (broker, id))
+    return;
+  if (id.requester == broker->self || broker_grant_forwarded (broker, id, &decision.grant))
     queue_local_decision (broker, &decision);
   else
     broker_send (broker, id.requester, &message);
@@ -87,8 +94,10 @@
   anvil_slot_broker_t *broker = context;
   const anvil_relay_message_t message
       = { .kind = ANVIL_RELAY_REFUSE, .number = id.number, .refused = *refused };
-  const local_decision_t decision = { .number = id.number, .refused = *refused };
+  const local_decision_t decision
+      = { .requester = id.requester, .number = id.number, .refused = *refused };
 
+  broker_remove_forwarded (broker, id);
   if (id.requester == broker->self)
     queue_local_decision (broker, &decision);
   else
@@ -183,6 +192,7 @@
   broker->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_drop);
   broker->reachable_nodes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   g_queue_init (&broker->local_decisions);
+  broker->forwarded = broker_forwarded_table_new ();
   broker->deliver = event_new (base, -1, 0, on_deliver, broker);
   broker->tick = event_new (base, -1, EV_PERSIST, on_tick, broker);
   event_add (broker->tick, &period);
@@ -205,6 +215,7 @@
   anvil_members_drop (broker->members);
   g_hash_table_unref (broker->services);
   g_hash_table_unref (broker->reachable_nodes);
+  g_hash_table_unref (broker->forwarded);
   g_free (broker);
 }
 
@@ -230,9 +241,8 @@
   return get_service (broker, service)->holder;
 }
 
-/* A message about a task. It holds remaining times, since clocks differ between processes. */
-static anvil_relay_message_t
-task_message (anvil_relay_message_kind_t kind, const anvil_task_t *task)
+anvil_relay_message_t
+broker_task_message (anvil_relay_message_kind_t kind, const anvil_task_t *task)
 {
   anvil_time_t now = anvil_clock_now ();
   anvil_relay_message_t message = { .kind = kind, .number = task->id.number, .task = *task };
@@ -247,7 +257,7 @@
                                 anvil_node_t holder,
                                 const anvil_task_t *task)
 {
-  anvil_relay_message_t message = task_message (ANVIL_RELAY_REQUEST_SLOT, task);
+  anvil_relay_message_t message = broker_task_message (ANVIL_RELAY_REQUEST_SLOT, task);
 
   if (holder == broker->self)
     anvil_dispatcher_submit (broker->dispatcher, anvil_clock_now (), task);
@@ -261,7 +271,7 @@
                          const anvil_task_t *task,
                          guint64 upstream)
 {
-  anvil_relay_message_t message = task_message (ANVIL_RELAY_ADOPT, task);
+  anvil_relay_message_t message = broker_task_message (ANVIL_RELAY_ADOPT, task);
 
   message.upstream = upstream;
   if (holder == broker->self)
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -33,6 +33,10 @@
  * @config_requested: a peer requests the changes of the configuration after @version, or @whole if
  *   they aren't known
  * @config_received: a peer sent changes of the configuration; borrowed
+ * @forwarded: a slot was granted for the request of another entry, which this entry is to send; see
+ *   relay/relay-forward.h. @payload is borrowed
+ * @forward_cancelled: the requester doesn't need the response any more
+ * @response_received: the holder has sent a request of this entry; @payload is borrowed
  * @announcements_received: upstreams said something of themselves to a peer; borrowed. The broker
  *   has already taken pauses into account
  */
@@ -55,6 +59,13 @@
   void (*announcements_received) (void *context,
                                   anvil_node_t peer,
                                   const anvil_relay_message_t *message);
+  void (*forwarded) (void *context,
+                     anvil_task_id_t id,
+                     const anvil_slot_grant_t *grant,
+                     anvil_time_t deadline,
+                     anvil_str_t payload);
+  void (*forward_cancelled) (void *context, anvil_task_id_t id);
+  void (*response_received) (void *context, guint64 number, anvil_node_t from, anvil_str_t payload);
 } anvil_slot_broker_callbacks_t;
 
 /** anvil_slot_broker_open - listens for peers */
@@ -75,6 +86,32 @@
                                      anvil_node_t holder,
                                      const anvil_task_t *task);
 
+/** anvil_slot_broker_may_forward - whether a small request that may be repeated should go along
+ * with its slot request: the holder is in another region, and this entry's region has few slots */
+gboolean anvil_slot_broker_may_forward (anvil_slot_broker_t *broker,
+                                        const char *service,
+                                        const anvil_task_t *task);
+
+/** anvil_slot_broker_forward - requests a slot and sends the packed request along; the holder
+ * responds with a grant, a refusal, or the response of the upstream */
+void anvil_slot_broker_forward (anvil_slot_broker_t *broker,
+                                anvil_node_t holder,
+                                const anvil_task_t *task,
+                                anvil_str_t request);
+
+/** anvil_slot_broker_decline_forwarded - passes the grant of a forwarded request on to its
+ * requester */
+void anvil_slot_broker_decline_forwarded (anvil_slot_broker_t *broker,
+                                          anvil_task_id_t id,
+                                          const anvil_slot_grant_t *grant);
+
+/** anvil_slot_broker_forwarded_finished - releases the slot of a forwarded request, and sends the
+ * packed response to its requester */
+void anvil_slot_broker_forwarded_finished (anvil_slot_broker_t *broker,
+                                           anvil_task_id_t id,
+                                           const anvil_run_report_t *report,
+                                           anvil_str_t response);
+
 /** anvil_slot_broker_adopt - tells a new holder of a task that @upstream is running */
 void anvil_slot_broker_adopt (anvil_slot_broker_t *broker,
                               anvil_node_t holder,
