Let entries that the reader of their region tells of changes ask the store no more

Updates of upstreams, which the reader sends once a second, say how long ago it read the operators' table itself. While they come, only the reader and the next in rank follow the table; the next in rank, since the reader may be behind a slow link or its call lost, and entries that hear of a newer version ask for it. Without updates for 1.3 s an entry asks the store once a second, as before.

--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -211,6 +211,13 @@
                                    anvil_str_t service,
                                    const char *region);
 
+/** anvil_members_second - the entry that comes after the holder in rank; ANVIL_NO_NODE if there is
+ * none */
+anvil_node_t anvil_members_second (const anvil_members_t *members,
+                                   anvil_time_t now,
+                                   anvil_str_t service,
+                                   const char *region);
+
 /** anvil_members_inter_region_rtt - mean round-trip time to entries of other regions, microseconds;
  * 0 for unknown */
 anvil_time_t anvil_members_inter_region_rtt (const anvil_members_t *members);
--- a/source/relay/config-feed.c
+++ b/source/relay/config-feed.c
@@ -8,6 +8,9 @@
 #define REQUEST_DELAY (150 * ANVIL_MS)
 /* A whole configuration takes time on a slow link, and isn't requested again meanwhile. */
 #define WHOLE_REQUEST_DELAY (2 * ANVIL_SECOND)
+/* The region's reader sends updates of upstreams once a second; see READER_TIMEOUT in relay-feed.c.
+ */
+#define TOLD_TIMEOUT (1300 * ANVIL_MS)
 /* Limit of a whole configuration that is sent; a larger one comes from the store. */
 #define MAX_WHOLE_BYTES (1u << 20)
 
@@ -98,17 +101,28 @@
   anvil_slot_broker_send (feed->slot_broker, peer, &message);
 }
 
-/* Entries that the region's reader tells of changes ask the store less, and for nothing that they
- * know already. */
+/* The region's reader tells the others of changes, and once a second that it still reads the table.
+ * While it does, they needn't ask the store; only the next in rank does, since the reader may be
+ * behind a slow link, or its call lost. */
 static void
-update_poll (anvil_config_feed_t *feed)
+update_poll (anvil_config_feed_t *feed, anvil_time_t now)
 {
   anvil_node_t reader
       = anvil_slot_broker_first_in_region (feed->slot_broker, ANVIL_RELAY_READER_NAME);
-
-  anvil_relay_watch_poll_operators (feed->watch,
-                                    reader == anvil_slot_broker_self (feed->slot_broker)
-                                        || !anvil_relay_watch_ready (feed->watch));
+  const anvil_node_t second = anvil_members_second (anvil_slot_broker_members (feed->slot_broker),
+                                                    now, anvil_str (ANVIL_RELAY_READER_NAME),
+                                                    anvil_slot_broker_region (feed->slot_broker));
+  const anvil_node_t self = anvil_slot_broker_self (feed->slot_broker);
+  const gboolean told = self != second
+                        && now - anvil_relay_watch_operators_told_at (feed->watch) <= TOLD_TIMEOUT
+                        && !anvil_relay_watch_operators_lost (feed->watch)
+                        && !anvil_relay_watch_store_lost (feed->watch);
+
+  if (reader == self || !anvil_relay_watch_ready (feed->watch))
+    anvil_relay_watch_poll_operators (feed->watch, ANVIL_OPERATORS_HELD);
+  else
+    anvil_relay_watch_poll_operators (feed->watch,
+                                      told ? ANVIL_OPERATORS_TOLD : ANVIL_OPERATORS_PERIODIC);
 }
 
 void
@@ -118,7 +132,7 @@
   const anvil_peer_t *peer = anvil_members_newest_config (members, now);
 
   anvil_members_self (members)->config_version = anvil_relay_watch_config_version (feed->watch);
-  update_poll (feed);
+  update_poll (feed, now);
   end_if_in_force (feed, now);
   if (peer == NULL)
     return;
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -219,7 +219,7 @@
       msgpack_pack_uint64 (packer, message->whole);
       return;
     case ANVIL_RELAY_UPDATES:
-      msgpack_pack_array (packer, 8);
+      msgpack_pack_array (packer, 9);
       msgpack_pack_uint64 (packer, message->after_version);
       msgpack_pack_int64 (packer, message->age);
       msgpack_pack_int64 (packer, message->store_ok_for);
@@ -228,6 +228,7 @@
       msgpack_pack_bin (packer, message->rows.length);
       msgpack_pack_bin_body (packer, message->rows.data, message->rows.length);
       pack_evacuated (packer, message);
+      msgpack_pack_int64 (packer, message->operators_age);
       return;
     case ANVIL_RELAY_CONFIG:
       msgpack_pack_array (packer, 4);
@@ -526,6 +527,9 @@
   if (body.array == NULL || body.next == body.array->size)
     return;
   read_evacuated (&body, message);
+  /* Such an entry still asks the store itself. */
+  message->operators_age
+      = has_more (&body) ? read_time (&body, "age of the operators' table") : G_MAXINT64;
 }
 
 static void
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -86,6 +86,7 @@
  *   relay/forward-codec.h
  * @operators_version: updates, configuration: version of the store up to which the sender knows
  *   the evacuated zones; 0 if it doesn't tell
+ * @operators_age: updates: time since the sender itself read the operators' table, microseconds
  * @evacuated: updates, configuration: the zones that are evacuated at that version
  * @n_evacuated: updates, configuration: length of @evacuated
  * @whole: request of the configuration: it may be sent whole, as the store doesn't answer the
@@ -119,6 +120,7 @@
   guint64 digest;
   anvil_str_t rows;
   guint64 operators_version;
+  anvil_time_t operators_age;
   anvil_str_t evacuated[ANVIL_MAX_MESSAGE_ZONES];
   guint n_evacuated;
   guint64 read_version;
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -17,6 +17,9 @@
 /* How long the store may hold a call for changes of the operators' table, which are rare. */
 #define MIN_OPERATOR_HOLD_TIME (200 * ANVIL_MS)
 #define MAX_OPERATOR_HOLD_TIME (4 * ANVIL_SECOND)
+/* A peer that has read the operators' table within this time still follows it: the longest time
+ * for which the store holds a call, and the time-out of a lost one. */
+#define MAX_OPERATORS_AGE (MAX_OPERATOR_HOLD_TIME + ANVIL_STORE_CALL_TIMEOUT)
 /* Pause between calls that the store doesn't hold. */
 #define OPERATOR_PERIOD (1 * ANVIL_SECOND)
 
@@ -42,8 +45,9 @@
   anvil_config_in_force_t *config;
   /* A configuration was put in force by the response being reported. */
   gboolean config_read;
-  /* The store may hold calls for changes of the operators' table. */
-  gboolean may_hold;
+  anvil_operators_poll_t operators_poll;
+  /* When a peer last told that it has read the operators' table lately. */
+  anvil_time_t operators_told_at;
   anvil_time_t resync_time;
   /* Version of the store up to which the evacuated zones are known, from the store or a peer. */
   guint64 operators_version;
@@ -308,7 +312,8 @@
 update_hold_time (anvil_relay_watch_t *watch)
 {
   anvil_table_follower_set_hold_time (
-      watch->operator_follower, watch->may_hold ? operator_hold_time (watch->resync_time) : 0);
+      watch->operator_follower,
+      watch->operators_poll == ANVIL_OPERATORS_HELD ? operator_hold_time (watch->resync_time) : 0);
 }
 
 void
@@ -319,17 +324,24 @@
 }
 
 void
-anvil_relay_watch_poll_operators (anvil_relay_watch_t *watch, gboolean may_hold)
+anvil_relay_watch_poll_operators (anvil_relay_watch_t *watch, anvil_operators_poll_t poll)
 {
-  if (may_hold == watch->may_hold)
+  if (poll == watch->operators_poll)
     return;
-  watch->may_hold = may_hold;
+  watch->operators_poll = poll;
   update_hold_time (watch);
+  anvil_table_follower_set_on_demand (watch->operator_follower, poll == ANVIL_OPERATORS_TOLD);
   /* Until now changes were told by a peer. */
-  if (may_hold)
+  if (poll == ANVIL_OPERATORS_HELD)
     anvil_table_follower_read_now (watch->operator_follower);
 }
 
+anvil_time_t
+anvil_relay_watch_operators_told_at (const anvil_relay_watch_t *watch)
+{
+  return watch->operators_told_at;
+}
+
 gboolean
 anvil_relay_watch_operators_lost (const anvil_relay_watch_t *watch)
 {
@@ -361,7 +373,7 @@
   watch->zones_seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   watch->update_log = anvil_update_log_new ();
   watch->config = anvil_config_in_force_new (adapter, on_config_changed, watch);
-  watch->may_hold = TRUE;
+  watch->operators_poll = ANVIL_OPERATORS_HELD;
   watch->resync_time = resync_time;
   watch->operator_follower = anvil_table_follower_open (
       base, store, adapter->operator_table, operator_hold_time (resync_time), OPERATOR_PERIOD,
@@ -446,6 +458,8 @@
     anvil_table_follower_read_now (watch->operator_follower);
   anvil_registry_extend_grace (watch->registry, now + message->grace_remaining);
   apply_peer_evacuations (watch, message);
+  if (message->operators_version > 0 && message->operators_age <= MAX_OPERATORS_AGE)
+    watch->operators_told_at = now;
   if (!anvil_updates_unpack (message->rows, on_peer_row, watch))
     {
       anvil_log (ANVIL_LOG_WARNING, "feed", "malformed updates from a peer bytes=%zu",
@@ -464,6 +478,8 @@
   GHashTableIter iter;
   gpointer zone;
 
+  message->operators_age
+      = anvil_clock_now () - anvil_table_follower_read_at (watch->operator_follower);
   if (g_hash_table_size (watch->evacuated_zones) > ANVIL_MAX_MESSAGE_ZONES)
     return;
   message->operators_version = watch->operators_version;
@@ -564,5 +580,5 @@
 anvil_time_t
 anvil_relay_watch_operators_read_at (const anvil_relay_watch_t *watch)
 {
-  return anvil_table_follower_read_at (watch->operator_follower);
+  return MAX (anvil_table_follower_read_at (watch->operator_follower), watch->operators_told_at);
 }
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -86,10 +86,24 @@
                                           const anvil_relay_message_t *message,
                                           anvil_time_t read_at);
 
-/** anvil_relay_watch_poll_operators - whether the store may hold calls for changes of the
- * operators' table, or is asked once a second, which is enough for an entry that learns of changes
- * from a peer */
-void anvil_relay_watch_poll_operators (anvil_relay_watch_t *watch, gboolean may_hold);
+/**
+ * anvil_operators_poll_t - how changes of the operators' table are learned
+ * @ANVIL_OPERATORS_HELD: by calls that the store holds until there is a change
+ * @ANVIL_OPERATORS_PERIODIC: by a call every second, beside what a peer tells
+ * @ANVIL_OPERATORS_TOLD: by a peer, which reads the table itself
+ */
+typedef enum
+{
+  ANVIL_OPERATORS_HELD,
+  ANVIL_OPERATORS_PERIODIC,
+  ANVIL_OPERATORS_TOLD,
+} anvil_operators_poll_t;
+
+void anvil_relay_watch_poll_operators (anvil_relay_watch_t *watch, anvil_operators_poll_t poll);
+
+/** anvil_relay_watch_operators_told_at - when a peer last told that it reads the operators' table
+ * itself, this entry's clock; 0 for never */
+anvil_time_t anvil_relay_watch_operators_told_at (const anvil_relay_watch_t *watch);
 
 /** anvil_relay_watch_operators_lost - whether calls for the operators' table aren't answered */
 gboolean anvil_relay_watch_operators_lost (const anvil_relay_watch_t *watch);
--- a/source/relay/table-follower.c
+++ b/source/relay/table-follower.c
@@ -55,6 +55,8 @@
   anvil_time_t call_hold_time;
   /* The next call isn't a long poll. */
   gboolean answer_at_once;
+  /* No call follows a successful one by itself. */
+  gboolean on_demand;
   anvil_time_t call_timeout;
   anvil_time_t timed_out_at;
   /* Calls that failed since the last successful one. */
@@ -82,6 +84,13 @@
   evtimer_add (follower->call_timer, &time);
 }
 
+static void
+schedule_next_call (anvil_table_follower_t *follower, anvil_time_t pause)
+{
+  if (!follower->on_demand)
+    schedule_call (follower, pause);
+}
+
 /* Time since a read, for log lines; -1 if there was none. */
 static gint64
 ms_since (anvil_time_t now, anvil_time_t read_at)
@@ -231,7 +240,7 @@
   follower->ready = TRUE;
   follower->callbacks.full_read_finished (follower->context);
   follower->callbacks.read_up_to (follower->context, follower->version);
-  schedule_call (follower, follower->hold_time > 0 ? 0 : follower->period);
+  schedule_next_call (follower, follower->hold_time > 0 ? 0 : follower->period);
 }
 
 static void
@@ -254,7 +263,7 @@
       report_rows (follower, page);
     }
   follower->callbacks.read_up_to (follower->context, follower->version);
-  schedule_call (follower, follower->hold_time > 0 ? MIN_CALL_PAUSE : follower->period);
+  schedule_next_call (follower, follower->hold_time > 0 ? MIN_CALL_PAUSE : follower->period);
 }
 
 static void
@@ -342,6 +351,16 @@
   follower->hold_time = hold_time;
 }
 
+void
+anvil_table_follower_set_on_demand (anvil_table_follower_t *follower, gboolean on_demand)
+{
+  if (on_demand == follower->on_demand)
+    return;
+  follower->on_demand = on_demand;
+  if (!on_demand && follower->call == NULL && !evtimer_pending (follower->call_timer, NULL))
+    schedule_call (follower, 0);
+}
+
 void
 anvil_table_follower_set_max_age (anvil_table_follower_t *follower, anvil_time_t max_age)
 {
--- a/source/relay/table-follower.h
+++ b/source/relay/table-follower.h
@@ -49,6 +49,10 @@
 /** anvil_table_follower_set_hold_time - replaces the hold time, from the next call on */
 void anvil_table_follower_set_hold_time (anvil_table_follower_t *follower, anvil_time_t hold_time);
 
+/** anvil_table_follower_set_on_demand - whether no call follows a successful one until
+ * anvil_table_follower_read_now(); failed calls are repeated all the same */
+void anvil_table_follower_set_on_demand (anvil_table_follower_t *follower, gboolean on_demand);
+
 /** anvil_table_follower_set_max_age - the store counts as lost while a call is under way and the
  * last successful one was made this long ago, microseconds; the call goes on. 0: never, which is
  * usual */
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -292,33 +292,73 @@
   return FALSE;
 }
 
-anvil_node_t
-anvil_members_holder (const anvil_members_t *members,
-                      anvil_time_t now,
-                      anvil_str_t service,
-                      const char *region)
+/**
+ * ranking_t - the two entries that come first for a service; the second one may be missing
+ */
+typedef struct
+{
+  anvil_node_t nodes[2];
+  guint64 ranks[2];
+} ranking_t;
+
+static void
+add_ranked (ranking_t *ranking, anvil_node_t node, guint64 rank)
+{
+  if (rank > ranking->ranks[0])
+    {
+      ranking->nodes[1] = ranking->nodes[0];
+      ranking->ranks[1] = ranking->ranks[0];
+      ranking->nodes[0] = node;
+      ranking->ranks[0] = rank;
+    }
+  else if (rank > ranking->ranks[1])
+    {
+      ranking->nodes[1] = node;
+      ranking->ranks[1] = rank;
+    }
+}
+
+static ranking_t
+rank_entries (const anvil_members_t *members,
+              anvil_time_t now,
+              anvil_str_t service,
+              const char *region)
 {
   const char *own_region = members->region_of (members->context, members->info.zone.data);
-  anvil_node_t best = members->self;
-  guint64 best_rank = 0;
+  ranking_t ranking = { .nodes = { ANVIL_NO_NODE, ANVIL_NO_NODE } };
 
   if (can_hold (&members->info))
-    best_rank = rank (members->self, &members->info, service, g_strcmp0 (own_region, region) == 0);
+    add_ranked (&ranking, members->self,
+                rank (members->self, &members->info, service, g_strcmp0 (own_region, region) == 0));
   for (guint i = 0; i < members->peers->len; i++)
     {
       const anvil_peer_t *peer = members->peers->pdata[i];
-      guint64 peer_rank;
 
-      if (!anvil_members_reachable (members, now, peer) || !can_hold (&peer->info))
-        continue;
-      peer_rank = rank (peer->node, &peer->info, service, g_strcmp0 (peer->region, region) == 0);
-      if (peer_rank > best_rank)
-        {
-          best = peer->node;
-          best_rank = peer_rank;
-        }
+      if (anvil_members_reachable (members, now, peer) && can_hold (&peer->info))
+        add_ranked (&ranking, peer->node,
+                    rank (peer->node, &peer->info, service, g_strcmp0 (peer->region, region) == 0));
     }
-  return best;
+  return ranking;
+}
+
+anvil_node_t
+anvil_members_holder (const anvil_members_t *members,
+                      anvil_time_t now,
+                      anvil_str_t service,
+                      const char *region)
+{
+  const anvil_node_t first = rank_entries (members, now, service, region).nodes[0];
+
+  return first != ANVIL_NO_NODE ? first : members->self;
+}
+
+anvil_node_t
+anvil_members_second (const anvil_members_t *members,
+                      anvil_time_t now,
+                      anvil_str_t service,
+                      const char *region)
+{
+  return rank_entries (members, now, service, region).nodes[1];
 }
 
 static void
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -110,6 +110,26 @@
 }
 END_TEST
 
+/* Guards against a second entry that is the holder itself, or that others don't agree on. */
+START_TEST (test_the_second_in_rank_is_the_holder_once_the_first_is_gone)
+{
+  anvil_node_t second;
+
+  ck_assert_uint_eq (anvil_members_second (members, now, anvil_str ("photos"), "west"),
+                     ANVIL_NO_NODE);
+  answer_ping (2, "west-a", 1);
+  answer_ping (3, "west-b", 1);
+  second = anvil_members_second (members, now, anvil_str ("photos"), "west");
+  ck_assert_uint_ne (second, anvil_members_holder (members, now, anvil_str ("photos"), "west"));
+  if (anvil_members_holder (members, now, anvil_str ("photos"), "west") != SELF)
+    {
+      anvil_members_remove (members,
+                            anvil_members_holder (members, now, anvil_str ("photos"), "west"));
+      ck_assert_uint_eq (anvil_members_holder (members, now, anvil_str ("photos"), "west"), second);
+    }
+}
+END_TEST
+
 START_TEST (test_holder_is_in_region_of_slots_if_an_entry_is_reachable_there)
 {
   answer_ping (2, "west-b", 1);
@@ -401,6 +421,7 @@
   tcase_add_test (tests, test_every_entry_chooses_the_same_holder);
   tcase_add_test (tests, test_holder_is_in_region_of_slots_if_an_entry_is_reachable_there);
   tcase_add_test (tests, test_entry_with_most_processor_time_is_holder);
+  tcase_add_test (tests, test_the_second_in_rank_is_the_holder_once_the_first_is_gone);
   tcase_add_test (tests, test_peers_report_since_when_they_read_the_store);
   tcase_add_test (tests, test_an_outdated_entry_holds_no_service);
   tcase_add_test (tests, test_an_entry_knows_its_peers_once_it_has_heard_of_or_waited_for_each);
--- a/tests/test-relay-config-peers.c
+++ b/tests/test-relay-config-peers.c
@@ -16,6 +16,12 @@
 #define APPLY_TIME (2500 * ANVIL_MS)
 #define LOAD_TIMEOUT (30 * ANVIL_SECOND)
 #define POLL_US 20000
+/* Until all entries know the region's reader. */
+#define SETTLE_US 3000000ul
+/* Six entries that ask once a second would make 18 calls in this time. The reader's are held for
+ * 1.2 s, the next in rank makes one a second, and one or two more are made around the limits. */
+#define COUNT_US 3000000ul
+#define MAX_CALLS 9
 
 static fleet_t fleet;
 static fleet_proxy_t *proxy;
@@ -124,6 +130,26 @@
 }
 END_TEST
 
+/* Guards against calls to the store that grow with the number of entries: only the region's reader
+ * and the next in rank follow the operators' table, and the others know of changes all the same. */
+START_TEST (test_entries_that_a_reader_tells_do_not_ask_the_store)
+{
+  static const char *const names[] = { "e2", "e3", "e4", "e5" };
+  guint calls;
+
+  open_fleet (0);
+  for (gsize i = 0; i < G_N_ELEMENTS (names); i++)
+    fleet_wait_ready (fleet_add_entry (&fleet, names[i], "west-a"));
+  g_usleep (SETTLE_US);
+  calls = fleet_count_change_reads (&fleet, "op");
+  g_usleep (COUNT_US);
+  ck_assert_uint_le (fleet_count_change_reads (&fleet, "op") - calls, MAX_CALLS);
+  fleet_configure_routes (&fleet, 5, "photos");
+  for (guint i = 0; i < fleet.entries->len; i++)
+    ck_assert (wait_for_version (fleet.entries->pdata[i], APPLY_TIME));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -140,6 +166,7 @@
   tcase_add_test (tests,
                   test_a_configuration_that_grows_is_in_force_where_the_store_does_not_answer);
   tcase_add_test (tests, test_a_route_that_only_a_peer_has_is_not_answered_with_404);
+  tcase_add_test (tests, test_entries_that_a_reader_tells_do_not_ask_the_store);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -107,6 +107,7 @@
     .digest = G_MAXUINT64,
     .rows = { "rows", 4 },
     .operators_version = 12,
+    .operators_age = 8,
     .evacuated = { { "west-a", 6 }, { "east-a", 6 } },
     .n_evacuated = 2 },
 };
@@ -191,6 +192,11 @@
   ck_assert (read.info.knows_peers);
   g_byte_array_unref (bytes);
   bytes = pack (&updates);
+  remove_last_items (bytes, 1, 1);
+  ck_assert (anvil_relay_message_unpack (
+      (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
+  ck_assert_uint_eq (read.operators_version, 2);
+  ck_assert_int_eq (read.operators_age, G_MAXINT64);
   remove_last_items (bytes, 2, 2);
   ck_assert (anvil_relay_message_unpack (
       (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
