--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -28,6 +28,13 @@
   msgpack_pack_str_body (packer, text.data, text.length);
 }
 
+static void
+pack_bytes (msgpack_packer *packer, anvil_str_t bytes)
+{
+  msgpack_pack_bin (packer, bytes.length);
+  msgpack_pack_bin_body (packer, bytes.data, bytes.length);
+}
+
 static void
 pack_info (msgpack_packer *packer, const anvil_member_info_t *info)
 {
@@ -212,7 +219,7 @@
       msgpack_pack_uint64 (packer, message->whole);
       return;
     case ANVIL_RELAY_UPDATES:
-      msgpack_pack_array (packer, 8);
+      msgpack_pack_array (packer, 9);
       msgpack_pack_uint64 (packer, message->after_version);
       msgpack_pack_int64 (packer, message->age);
       msgpack_pack_int64 (packer, message->store_ok_for);
@@ -221,6 +228,7 @@
       msgpack_pack_bin (packer, message->rows.length);
       msgpack_pack_bin_body (packer, message->rows.data, message->rows.length);
       pack_evacuated (packer, message);
+      msgpack_pack_int64 (packer, message->operators_age);
       return;
     case ANVIL_RELAY_CONFIG:
       msgpack_pack_array (packer, 4);
@@ -243,6 +251,15 @@
     case ANVIL_RELAY_ANNOUNCEMENTS:
       pack_announcements (packer, message);
       return;
+    case ANVIL_RELAY_FORWARD:
+      msgpack_pack_array (packer, 2);
+      pack_task (packer, &message->task);
+      pack_bytes (packer, message->rows);
+      return;
+    case ANVIL_RELAY_RESPONSE:
+      msgpack_pack_array (packer, 1);
+      pack_bytes (packer, message->rows);
+      return;
     }
   g_assert_not_reached ();
 }
@@ -510,6 +527,9 @@
   if (body.array == NULL || body.next == body.array->size)
     return;
   read_evacuated (&body, message);
+  /* Such an entry still asks the store itself. */
+  message->operators_age
+      = has_more (&body) ? read_time (&body, "age of the operators' table") : G_MAXINT64;
 }
 
 static void
@@ -657,6 +677,15 @@
     case ANVIL_RELAY_ANNOUNCEMENTS:
       read_announcements (reader, message);
       return;
+    case ANVIL_RELAY_FORWARD:
+      body = read_array (reader, "forward");
+      read_task (&body, &message->task);
+      message->rows = read_bytes (&body, "request");
+      return;
+    case ANVIL_RELAY_RESPONSE:
+      body = read_array (reader, "response");
+      message->rows = read_bytes (&body, "response of an upstream");
+      return;
     }
   *reader->bad_field = "kind";
 }
@@ -681,7 +710,7 @@
     {
       reader.array = &root.via.array;
       message->kind
-          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_ANNOUNCEMENTS);
+          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_RESPONSE);
       message->number = read_number (&reader, "number", G_MAXUINT64);
       if (bad_field == NULL)
         read_body (&reader, message);
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -76,6 +76,11 @@
                 .still_running = TRUE,
                 .request_limit = { .state = ANVIL_REQUEST_LIMIT_NAMED, .per_second = 7.5 } } },
   { .kind = ANVIL_RELAY_CANCEL, .number = 10 },
+  { .kind = ANVIL_RELAY_FORWARD,
+    .number = 14,
+    .task = { .service = { "photos", 6 }, .deadline = 5 },
+    .rows = { "request", 7 } },
+  { .kind = ANVIL_RELAY_RESPONSE, .number = 14, .rows = { "response", 8 } },
   { .kind = ANVIL_RELAY_WARM_OBJECTS,
     .service = { "photos", 6 },
     .objects = { { 1, 2 }, { G_MAXUINT64, 4 } },
@@ -102,6 +107,7 @@
     .digest = G_MAXUINT64,
     .rows = { "rows", 4 },
     .operators_version = 12,
+    .operators_age = 8,
     .evacuated = { { "west-a", 6 }, { "east-a", 6 } },
     .n_evacuated = 2 },
 };
@@ -186,6 +192,11 @@
   ck_assert (read.info.knows_peers);
   g_byte_array_unref (bytes);
   bytes = pack (&updates);
+  remove_last_items (bytes, 1, 1);
+  ck_assert (anvil_relay_message_unpack (
+      (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
+  ck_assert_uint_eq (read.operators_version, 2);
+  ck_assert_int_eq (read.operators_age, G_MAXINT64);
   remove_last_items (bytes, 2, 2);
   ck_assert (anvil_relay_message_unpack (
       (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len }, &read, NULL));
