End an attempt at once when what arrives is no answer

A status of 000, 099 or 101, a status line of two digits, or 100 without end kept the request until its deadline and its upstream's slot with it; 600 and 999 were passed on to callers. And a body without a length counted as whole when the upstream ended its side and reset the connection right behind: the kernel reports the end of the stream first.

One module decides what the head of an answer is (RFC 9112), before the parser library sees it, for upstreams, the store and, by the status, anvil-entry; what the library takes beyond that is listed in its header. Such an attempt fails at once: its slot is freed, the upstream counts as failing, a request that may be repeated goes elsewhere, another gets 502. A body without a length is whole only if no error is pending on the connection when its end is read.

--- a/source/entry/upstream-attempt.c
+++ b/source/entry/upstream-attempt.c
@@ -4,6 +4,7 @@
 #include <strings.h>
 
 #include "http-headers.h"
+#include "net/http-response-head.h"
 
 /* Time-out of opening a connection. */
 #define UPSTREAM_CONNECT_TIMEOUT (1 * ANVIL_SECOND)
@@ -78,7 +79,8 @@
 {
   const char *upstream_state;
 
-  if (response == NULL || evhttp_request_get_response_code (response) == 0)
+  if (response == NULL
+      || !anvil_http_status_is_final ((guint) evhttp_request_get_response_code (response)))
     return anvil_upstream_connection_maybe_sent (attempt->connection) ? ANVIL_ATTEMPT_UNKNOWN
                                                                       : ANVIL_ATTEMPT_NOT_RUN;
   if (!is_complete (attempt, response) || !is_own_response (attempt, response))
@@ -99,7 +101,8 @@
 {
   const char *connection;
 
-  if (response == NULL || evhttp_request_get_response_code (response) == 0
+  if (response == NULL
+      || !anvil_http_status_is_final ((guint) evhttp_request_get_response_code (response))
       || !is_complete (attempt, response) || !names_attempt (attempt, response))
     return FALSE;
   connection = evhttp_find_header (evhttp_request_get_input_headers (response), "Connection");
--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -10,6 +10,7 @@
 
 #include "anvil/log.h"
 #include "net/http-framing.h"
+#include "net/http-response-head.h"
 
 #define MAX_CONNECTIONS 4
 #define MAX_QUEUED_CALLS 1024
@@ -36,6 +37,9 @@
   struct bufferevent *stream;
   call_t *call;
   http_parser parser;
+  anvil_http_head_t head;
+  /* The head of the response has ended. */
+  gboolean in_body;
   gboolean response_complete;
   guint64 framing_bytes;
   struct evbuffer *body;
@@ -174,9 +178,10 @@
 static int
 on_headers_complete (http_parser *parser)
 {
-  const connection_t *connection = parser->data;
+  connection_t *connection = parser->data;
   call_t *call = connection->call;
 
+  connection->in_body = TRUE;
   call->too_large
       = (parser->flags & F_CONTENTLENGTH) != 0 && parser->content_length > call->max_response_bytes;
   if (call->too_large)
@@ -204,6 +209,7 @@
   connection_t *connection = parser->data;
 
   connection->response_complete = TRUE;
+  connection->in_body = FALSE;
   http_parser_pause (parser, 1);
   return 0;
 }
@@ -241,9 +247,16 @@
   while (evbuffer_peek (input, -1, NULL, &chunk, 1) >= 1 && chunk.iov_len > 0)
     {
       gsize body_bytes = evbuffer_get_length (connection->body);
-      size_t parsed = http_parser_execute (&connection->parser, &parser_settings, chunk.iov_base,
-                                           chunk.iov_len);
+      size_t parsed = chunk.iov_len;
 
+      if (!connection->in_body
+          && anvil_http_head_feed (&connection->head, chunk.iov_base, chunk.iov_len, &parsed)
+                 == ANVIL_HTTP_HEAD_INVALID)
+        {
+          fail_call (connection, connection->head.problem);
+          return FALSE;
+        }
+      parsed = http_parser_execute (&connection->parser, &parser_settings, chunk.iov_base, parsed);
       evbuffer_drain (input, parsed);
       connection->framing_bytes += parsed;
       if (evbuffer_get_length (connection->body) > body_bytes)
@@ -320,8 +333,10 @@
 static void
 on_eof (connection_t *connection)
 {
+  const gboolean orderly = anvil_http_end_is_orderly (bufferevent_getfd (connection->stream));
+
   http_parser_execute (&connection->parser, &parser_settings, NULL, 0);
-  if (connection->response_complete && connection->parser.status_code >= 200)
+  if (orderly && connection->response_complete && connection->parser.status_code >= 200)
     complete_call (connection);
   else
     fail_call (connection, "connection closed before the end of the response");
@@ -415,6 +430,8 @@
   call->connection = connection;
   connection->response_complete = FALSE;
   connection->framing_bytes = 0;
+  connection->head = (anvil_http_head_t){ 0 };
+  connection->in_body = FALSE;
   http_parser_init (&connection->parser, HTTP_RESPONSE);
   connection->parser.data = connection;
   if (connection->stream == NULL)
--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -4,6 +4,7 @@
 
 #include <event2/bufferevent.h>
 
+#include "net/http-response-head.h"
 #include "relay/relay-upstream.h"
 
 /* relay-upstream.c connects and sends requests, relay-upstream-pool.c keeps idle connections,
@@ -62,6 +63,7 @@
  * anvil_relay_attempt - one request and its response
  * @request_bytes: size of the request on the wire
  * @peer_timer: checks whether the upstream still acknowledges a long request, or NULL
+ * @head: check of the responses' heads
  * @in_body: the head of the response has ended; later fields are trailers
  * @response_request_id: request id in the response, or NULL
  * @response_upstream_id: upstream that the response names as its sender, or NULL
@@ -88,6 +90,7 @@
   struct event *peer_timer;
   anvil_time_t started_at;
   http_parser parser;
+  anvil_http_head_t head;
   GString *field_name;
   GString *field_value;
   gboolean in_value;
@@ -129,9 +132,16 @@
 void upstream_connection_add_request (upstream_connection_t *connection, const char *request_id);
 
 /* Parses bytes of a response, or the end of the stream if @length is 0. Returns the number of bytes
- * consumed; stops after each complete response. */
+ * consumed; stops after each head and each complete response, and at what is no response; see
+ * attempt_problem(). */
 size_t attempt_parse (anvil_relay_attempt_t *attempt, const char *bytes, size_t length);
 
+/* Why what has arrived is no response, or NULL. */
+const char *attempt_problem (const anvil_relay_attempt_t *attempt);
+
+/* Whether the body of the current response ends with its connection. */
+gboolean attempt_response_has_no_length (const anvil_relay_attempt_t *attempt);
+
 /* Empties the body and takes its bytes off the pool's sum. */
 void attempt_clear_body (anvil_relay_attempt_t *attempt);
 
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -255,10 +255,11 @@
   return 0;
 }
 
-/* Whether the response whose head was parsed ends only with its connection. */
-static gboolean
-has_no_length (const http_parser *parser)
+gboolean
+attempt_response_has_no_length (const anvil_relay_attempt_t *attempt)
 {
+  const http_parser *parser = &attempt->parser;
+
   return (parser->flags & F_CHUNKED) == 0 && parser->content_length == ULLONG_MAX
          && parser->status_code >= 200 && parser->status_code != 204 && parser->status_code != 304;
 }
@@ -294,7 +295,8 @@
   attempt->in_body = TRUE;
   announce (attempt);
   /* The response to this request can't follow it. */
-  if (!attempt->is_head && has_no_length (parser) && !attempt_response_matches (attempt))
+  if (!attempt->is_head && attempt_response_has_no_length (attempt)
+      && !attempt_response_matches (attempt))
     return -1;
   /* 1 tells the parser that the response to a HEAD request has no body. */
   return attempt->is_head ? 1 : 0;
@@ -319,6 +321,7 @@
   anvil_relay_attempt_t *attempt = parser->data;
 
   attempt->response_complete = TRUE;
+  attempt->in_body = FALSE;
   http_parser_pause (parser, 1);
   return 0;
 }
@@ -332,11 +335,26 @@
   .on_message_complete = on_message_complete,
 };
 
+const char *
+attempt_problem (const anvil_relay_attempt_t *attempt)
+{
+  if (attempt->head.problem != NULL)
+    return attempt->head.problem;
+  if (HTTP_PARSER_ERRNO (&attempt->parser) != HPE_OK || attempt->parser.upgrade)
+    return "malformed or oversized response";
+  return NULL;
+}
+
 size_t
 attempt_parse (anvil_relay_attempt_t *attempt, const char *bytes, size_t length)
 {
   gsize body_bytes = attempt->body_bytes;
-  size_t parsed = http_parser_execute (&attempt->parser, &parser_settings, bytes, length);
+  size_t parsed;
+
+  if (!attempt->in_body && length > 0
+      && anvil_http_head_feed (&attempt->head, bytes, length, &length) == ANVIL_HTTP_HEAD_INVALID)
+    return 0;
+  parsed = http_parser_execute (&attempt->parser, &parser_settings, bytes, length);
 
   attempt->framing_bytes += parsed - (attempt->body_bytes - body_bytes);
   return parsed;
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -214,9 +214,9 @@
           if (!on_response (attempt))
             return;
         }
-      else if (HTTP_PARSER_ERRNO (&attempt->parser) != HPE_OK || attempt->parser.upgrade)
+      else if (attempt_problem (attempt) != NULL)
         {
-          attempt_fail (attempt, ANVIL_RUN_INTERRUPTED, "malformed or oversized response");
+          attempt_fail (attempt, ANVIL_RUN_INTERRUPTED, attempt_problem (attempt));
           return;
         }
       if (attempt_has_excessive_framing (attempt))
@@ -234,9 +234,11 @@
 on_eof (upstream_connection_t *connection)
 {
   anvil_relay_attempt_t *attempt = connection->attempt;
+  const gboolean cut_off = attempt->in_body && attempt_response_has_no_length (attempt)
+                           && !anvil_http_end_is_orderly (bufferevent_getfd (connection->stream));
 
   attempt_parse (attempt, NULL, 0);
-  if (attempt->response_complete && attempt_response_matches (attempt))
+  if (!cut_off && attempt->response_complete && attempt_response_matches (attempt))
     attempt_complete (attempt, FALSE);
   else
     attempt_fail (attempt, ANVIL_RUN_INTERRUPTED,
--- /dev/null
+++ b/tests/test-relay-answers.c
@@ -0,0 +1,243 @@
+/* Answers of an upstream that are none by the protocol, and bodies without a length that are cut
+ * off while the request is still being written: both end the attempt at once, and neither is passed
+ * on. */
+
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "relay/relay-upstream.h"
+
+/* Longest wait for an expected event. The attempt's own time-out is longer, so that an attempt that
+ * hangs until then fails the test. */
+#define WAIT_TIMEOUT (10 * ANVIL_SECOND)
+#define ATTEMPT_TIMEOUT (60 * ANVIL_SECOND)
+#define MAX_BUFFERED_BYTES ((gsize) 4 << 20)
+/* More than the buffers of a connection hold, so that the request is still being written. */
+#define UPLOAD_BYTES ((gsize) 16 << 20)
+#define OWN "Request-Id: one\r\nServer-Stamp: s\r\n"
+
+static const anvil_header_names_t header_names = { .request_id = "Request-Id",
+                                                   .timeout_ms = "Deadline-Ms",
+                                                   .object = "Affinity-Key",
+                                                   .expected_upstream = "Expect-Instance",
+                                                   .upstream_id = "Instance-Id",
+                                                   .response_marker = "Server-Stamp",
+                                                   .not_run = "Not-Run",
+                                                   .request_limit = "Server-Limit",
+                                                   .leaving = "Server-Leaving" };
+
+static struct event_base *base;
+static anvil_relay_upstream_pool_t *pool;
+static int listener;
+static guint16 port;
+static gboolean is_done;
+static anvil_run_result_t result;
+static guint status;
+static gsize body_length;
+
+static void
+on_done (void *context, const anvil_relay_attempt_outcome_t *outcome)
+{
+  is_done = TRUE;
+  result = outcome->result;
+  status = outcome->status;
+  body_length = outcome->body != NULL ? evbuffer_get_length (outcome->body) : 0;
+}
+
+static void
+set_up (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t length = sizeof address;
+
+  signal (SIGPIPE, SIG_IGN);
+  base = event_base_new ();
+  pool = anvil_relay_upstream_pool_open (base, &header_names, 0, MAX_BUFFERED_BYTES);
+  listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ck_assert_int_eq (bind (listener, (struct sockaddr *) &address, sizeof address), 0);
+  ck_assert_int_eq (listen (listener, 5), 0);
+  ck_assert_int_eq (getsockname (listener, (struct sockaddr *) &address, &length), 0);
+  port = ntohs (address.sin_port);
+}
+
+static void
+tear_down (void)
+{
+  anvil_relay_upstream_pool_close (pool);
+  event_base_free (base);
+  close (listener);
+}
+
+/* Starts a request and returns the upstream's end of its connection, with its head received. */
+static int
+start (gsize body_bytes)
+{
+  GString *headers = g_string_new ("Request-Id: one\r\n");
+  struct evbuffer *body = evbuffer_new ();
+  char *filler = g_strnfill (body_bytes, 'x');
+  const anvil_relay_upstream_request_t request = { .upstream_key = 1,
+                                                   .upstream_id = "u1",
+                                                   .address = INADDR_LOOPBACK,
+                                                   .port = port,
+                                                   .method = body_bytes > 0 ? "POST" : "GET",
+                                                   .target = "/a",
+                                                   .headers = headers,
+                                                   .body = body,
+                                                   .id = "one",
+                                                   .timeout = ATTEMPT_TIMEOUT };
+  struct pollfd connecting = { .fd = listener, .events = POLLIN };
+  char bytes[1024];
+  int fd;
+
+  evbuffer_add (body, filler, body_bytes);
+  is_done = FALSE;
+  anvil_relay_attempt_start (pool, &request, on_done, NULL);
+  while (poll (&connecting, 1, 1) == 0)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  fd = accept (listener, NULL, NULL);
+  connecting.fd = fd;
+  while (poll (&connecting, 1, 1) == 0)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_int_gt (recv (fd, bytes, sizeof bytes, 0), 0);
+  g_free (filler);
+  evbuffer_free (body);
+  g_string_free (headers, TRUE);
+  return fd;
+}
+
+static void
+send_text (int fd, const char *text)
+{
+  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t) strlen (text));
+}
+
+static void
+wait_until_done (const char *what)
+{
+  const anvil_time_t until = anvil_clock_now () + WAIT_TIMEOUT;
+
+  while (!is_done && anvil_clock_now () < until)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_msg (is_done, "%s: the attempt hangs", what);
+}
+
+static void
+reset (int fd)
+{
+  const struct linger linger = { .l_onoff = 1 };
+
+  ck_assert_int_eq (setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger), 0);
+  close (fd);
+}
+
+/* Guards against a request that hangs until its deadline, and against an answer that is passed on
+ * though it is none. */
+START_TEST (test_what_is_no_answer_ends_the_attempt_at_once)
+{
+  static const char *const starts[]
+      = { "HTTP/1.1 000 ", "HTTP/1.1 099 ", "HTTP/1.1 101 ",   "HTTP/1.1 600 ", "HTTP/1.1 999 ",
+          "HTTP/1.1 20",   "HTTP/1.1 1000", "HTTP/1.2 200 OK", "HTTQ/1.1 200 ", "200 OK" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (starts); i++)
+    {
+      int fd = start (i % 2 == 0 ? 0 : UPLOAD_BYTES);
+      char *text = g_strconcat (starts[i], "\r\n" OWN "Content-Length: 0\r\n\r\n", NULL);
+
+      send_text (fd, text);
+      wait_until_done (starts[i]);
+      ck_assert_msg (result == ANVIL_RUN_INTERRUPTED && status == 0, "%s", starts[i]);
+      g_free (text);
+      close (fd);
+    }
+}
+END_TEST
+
+/* Guards against an upstream that holds a request with interim responses alone. */
+START_TEST (test_interim_responses_without_end_end_the_attempt)
+{
+  int fd = start (0);
+
+  for (guint i = 0; i < 20; i++)
+    send_text (fd, "HTTP/1.1 100 Continue\r\n\r\n");
+  wait_until_done ("100 without end");
+  ck_assert_int_eq (result, ANVIL_RUN_INTERRUPTED);
+  close (fd);
+}
+END_TEST
+
+START_TEST (test_a_few_interim_responses_are_skipped)
+{
+  int fd = start (0);
+
+  send_text (fd, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+                 "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 2\r\n\r\nok");
+  wait_until_done ("interim responses");
+  ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+  ck_assert_uint_eq (body_length, 2);
+  close (fd);
+}
+END_TEST
+
+/* Guards against a part of a body that looks whole, since its connection ends in order before the
+ * reset of the rest arrives. */
+START_TEST (test_a_body_without_a_length_is_whole_only_at_an_orderly_end)
+{
+  for (guint i = 0; i < 4; i++)
+    {
+      const gboolean half_closed = i % 2 == 1;
+      int fd = start (i < 2 ? UPLOAD_BYTES : 0);
+
+      send_text (fd, "HTTP/1.1 200 OK\r\n" OWN "\r\npart of the body");
+      if (half_closed)
+        shutdown (fd, SHUT_WR);
+      reset (fd);
+      wait_until_done ("reset");
+      ck_assert_int_eq (result, ANVIL_RUN_INTERRUPTED);
+    }
+}
+END_TEST
+
+/* Guards against a refusal of answers that come early but are whole. */
+START_TEST (test_an_early_body_that_ends_in_order_is_whole)
+{
+  int fd = start (UPLOAD_BYTES);
+
+  send_text (fd, "HTTP/1.1 200 OK\r\n" OWN "\r\nthe whole body");
+  shutdown (fd, SHUT_WR);
+  wait_until_done ("orderly end");
+  ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+  ck_assert_uint_eq (body_length, strlen ("the whole body"));
+  close (fd);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("relay-answers");
+  TCase *tests = tcase_create ("relay-answers");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_set_timeout (tests, 150);
+  tcase_add_test (tests, test_what_is_no_answer_ends_the_attempt_at_once);
+  tcase_add_test (tests, test_interim_responses_without_end_end_the_attempt);
+  tcase_add_test (tests, test_a_few_interim_responses_are_skipped);
+  tcase_add_test (tests, test_a_body_without_a_length_is_whole_only_at_an_orderly_end);
+  tcase_add_test (tests, test_an_early_body_that_ends_in_order_is_whole);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
