--- a/source/relay/relay-job-new.c
+++ b/source/relay/relay-job-new.c
@@ -30,6 +30,24 @@
   return hash != 0 ? hash : 1;
 }
 
+static guint64
+mix (guint64 hash, guint64 value)
+{
+  hash = (hash ^ value) * G_GUINT64_CONSTANT (0x9E3779B97F4A7C15);
+  return hash ^ (hash >> 32);
+}
+
+/* All entries hash the same figures of a route to the same value. 0 would mean that they aren't
+ * known. */
+static guint64
+class_of (const anvil_route_t *route)
+{
+  guint64 hash = mix (mix (mix (1, (guint64) route->kind), (guint64) route->target_latency),
+                      route->priority);
+
+  return hash != 0 ? hash : 1;
+}
+
 void
 job_set_times (anvil_task_t *task,
                const anvil_route_t *route,
@@ -62,6 +80,7 @@
     .attempt = 1,
     .body_bytes = evbuffer_get_length (request->body),
     .n_regions = route->n_regions,
+    .route_class = class_of (route),
   };
   job_set_times (&job->task, route, request->received_at, request->timeout);
   for (guint i = 0; i < route->n_regions; i++)
