Estimate run times and queue tasks by class of route

Two routes of one service and kind that differ sixfold shared one estimate, one queue for an object and one backlog. The short one was placed, queued and refused by the figures of the long one.

A run_class_t holds the run times of a class; a class without runs starts with the figures of its kind, and while all tasks of a kind are of one class, those of the kind count as before. What an object has by class are its queues and the interval of its requests; that an upstream is warm for it isn't by class. A task waits for the tasks of its own and more urgent classes, each at its class's run time. A class without requests for ten minutes is forgotten.

--- /dev/null
+++ b/source/steer/dispatch-class.c
@@ -0,0 +1,149 @@
+#include "steer/dispatch-class.h"
+
+#include "steer/dispatch-internal.h"
+
+/* Expected cold run time before the first sample. It is long, so that a second request for an
+ * object waits until the first has ended instead of causing another cold run. */
+#define DEFAULT_COLD_RUN_TIME (1000 * ANVIL_MS)
+/* Expected warm run time before the first sample, as a share of the cold one. */
+#define DEFAULT_WARM_SHARE 0.35
+/* Weight of a new sample in a mean run time. */
+#define RUN_TIME_WEIGHT 0.05
+/* Most classes of a service; configurations have a few for each. Tasks of further ones are
+ * estimated by their kind. */
+#define MAX_CLASSES 64
+/* A class without requests for this long is most likely of a route that isn't configured any more.
+ */
+#define CLASS_RETENTION (600 * ANVIL_SECOND)
+
+static run_class_t *
+class_new (service_t *service, anvil_route_kind_t kind, guint64 hash)
+{
+  run_class_t *class = g_new0 (run_class_t, 1);
+
+  class->hash = hash;
+  class->service = service;
+  class->kind = kind;
+  return class;
+}
+
+void
+class_init_service (service_t *service)
+{
+  service->classes = g_ptr_array_new_with_free_func (g_free);
+  for (guint kind = 0; kind < G_N_ELEMENTS (service->kinds); kind++)
+    {
+      service->kinds[kind] = class_new (service, kind, 0);
+      g_ptr_array_add (service->classes, service->kinds[kind]);
+    }
+}
+
+void
+class_clear_service (service_t *service)
+{
+  g_ptr_array_unref (service->classes);
+}
+
+run_class_t *
+class_get (service_t *service, const anvil_task_t *task, anvil_time_t now)
+{
+  run_class_t *class = service->kinds[task->kind];
+
+  if (task->route_class == 0)
+    return class;
+  for (guint i = 0; i < service->classes->len; i++)
+    {
+      run_class_t *other = service->classes->pdata[i];
+
+      if (other->hash != task->route_class || other->kind != task->kind)
+        continue;
+      other->used_at = now;
+      return other;
+    }
+  if (service->classes->len >= MAX_CLASSES)
+    return class;
+  class = class_new (service, task->kind, task->route_class);
+  class->priority = task->priority;
+  class->used_at = now;
+  g_ptr_array_add (service->classes, class);
+  service->n_classes[task->kind]++;
+  return class;
+}
+
+void
+class_expire (service_t *service, anvil_time_t now)
+{
+  for (guint i = service->classes->len; i > 0; i--)
+    {
+      run_class_t *class = service->classes->pdata[i - 1];
+
+      if (class->hash == 0 || class->n_tasks > 0 || now - class->used_at < CLASS_RETENTION)
+        continue;
+      warmth_forget_class (service, class);
+      service->n_classes[class->kind]--;
+      g_ptr_array_remove_index_fast (service->classes, i - 1);
+    }
+}
+
+gboolean
+class_differs_in_service (const service_t *service)
+{
+  for (guint kind = 0; kind < G_N_ELEMENTS (service->n_classes); kind++)
+    {
+      if (service->n_classes[kind] > 1)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+class_add_sample (estimate_t *estimate, gdouble run_time_us)
+{
+  estimate->n_samples++;
+  estimate->mean_us
+      += (run_time_us - estimate->mean_us) * MAX (RUN_TIME_WEIGHT, 1.0 / estimate->n_samples);
+}
+
+void
+class_add_run_time (run_class_t *class, gboolean warm, gdouble run_time_us)
+{
+  run_class_t *kind = class->service->kinds[class->kind];
+
+  class_add_sample (warm ? &class->warm : &class->cold, run_time_us);
+  if (kind != class)
+    class_add_sample (warm ? &kind->warm : &kind->cold, run_time_us);
+}
+
+/* Of the class's own runs; 0 before the first. */
+static gdouble
+own_run_time_us (const run_class_t *class, gboolean warm)
+{
+  return warm ? class->warm.mean_us : class->cold.mean_us;
+}
+
+static gdouble
+kind_run_time_us (const run_class_t *kind, gboolean warm)
+{
+  gdouble own = own_run_time_us (kind, warm);
+
+  if (own > 0)
+    return own;
+  return warm ? kind_run_time_us (kind, FALSE) * DEFAULT_WARM_SHARE : DEFAULT_COLD_RUN_TIME;
+}
+
+gdouble
+class_run_time_us (const run_class_t *class, gboolean warm)
+{
+  const run_class_t *kind = class->service->kinds[class->kind];
+  gdouble own = own_run_time_us (class, warm);
+  gdouble other = own_run_time_us (class, !warm);
+
+  if (class->service->n_classes[class->kind] <= 1 || class == kind)
+    return kind_run_time_us (kind, warm);
+  if (own > 0)
+    return own;
+  /* Until then, warm and cold runs are taken to differ as they do for the kind. */
+  if (other > 0)
+    return other * kind_run_time_us (kind, warm) / kind_run_time_us (kind, !warm);
+  return kind_run_time_us (kind, warm);
+}
--- /dev/null
+++ b/source/steer/dispatch-class.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "anvil/dispatcher.h"
+
+/*
+ * Run times by class of route, for a service. Routes of one class have the same kind, target
+ * latency and priority; see anvil_task_t. As long as all tasks of a kind are of one class, run
+ * times are those of the kind.
+ */
+
+typedef struct service service_t;
+
+/**
+ * estimate_t - a running mean of durations
+ * @mean_us: 0 until the first sample
+ */
+typedef struct
+{
+  gdouble mean_us;
+  guint n_samples;
+} estimate_t;
+
+/**
+ * run_class_t - a class of routes of a service, or all routes of a kind
+ * @hash: the class; 0 for all routes of the kind
+ * @priority: that of the class's routes, 0 is the most urgent
+ * @warm: run times on upstreams that are warm for the object
+ * @cold: run times on other upstreams
+ * @n_tasks: its tasks, queued or running
+ * @n_waiting: queued tasks
+ * @n_late: queued tasks that can no longer finish within their target
+ * @used_at: when its last task was submitted
+ */
+typedef struct
+{
+  guint64 hash;
+  service_t *service;
+  anvil_route_kind_t kind;
+  guint priority;
+  estimate_t warm;
+  estimate_t cold;
+  guint n_tasks;
+  guint n_waiting;
+  guint n_late;
+  anvil_time_t used_at;
+} run_class_t;
+
+/* Creates the classes of whole kinds. */
+void class_init_service (service_t *service);
+void class_clear_service (service_t *service);
+/* Finds the class of a task, or creates it; that of its kind if the task has none, or if there are
+ * too many. */
+run_class_t *class_get (service_t *service, const anvil_task_t *task, anvil_time_t now);
+/* Removes classes that no request was of for a long time. */
+void class_expire (service_t *service, anvil_time_t now);
+/* Whether tasks of some kind are of more than one class. */
+gboolean class_differs_in_service (const service_t *service);
+
+void class_add_sample (estimate_t *estimate, gdouble run_time_us);
+/* Adds the run time of a complete response, without network delay, to the class and its kind. */
+void class_add_run_time (run_class_t *class, gboolean warm, gdouble run_time_us);
+/* Expected run time, microseconds. */
+gdouble class_run_time_us (const run_class_t *class, gboolean warm);
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -2,6 +2,7 @@
 
 #include "anvil/dispatcher.h"
 #include "steer/dispatch-budget.h"
+#include "steer/dispatch-class.h"
 #include "steer/dispatch-shift.h"
 
 /*
@@ -21,21 +22,13 @@
 /* Most tasks queued for one service. */
 #define MAX_WAITING_TASKS 4096
 
-typedef struct service service_t;
+/* Most classes of routes whose requests are tracked for one object. */
+#define MAX_OBJECT_QUEUES 8
+
 typedef struct upstream upstream_t;
 typedef struct object object_t;
 typedef struct task task_t;
 
-/**
- * estimate_t - a running mean of durations
- * @mean_us: 0 until the first sample
- */
-typedef struct
-{
-  gdouble mean_us;
-  guint n_samples;
-} estimate_t;
-
 /**
  * warm_entry_t - an object that an upstream is expected to be warm for
  * @ready: its first run on the upstream has ended
@@ -51,31 +44,55 @@
 } warm_entry_t;
 
 /**
- * object_t - an object requested from a service
- * @upstreams: upstream_t that have a warm_entry_t for it
- * @no_affinity: stands for all requests of one priority that are not about an object; no upstream
- *   is faster on them
+ * object_queue_t - requests of one class for an object
+ *
+ * Whether an upstream is warm for an object doesn't depend on the class. How long its requests take
+ * and when they are late does, so tasks of several classes neither queue nor count together.
+ *
  * @on_time: queued task_t that can still finish within their target, oldest first
  * @late: queued task_t that can't, oldest first
  * @n_tasks: its tasks, queued or running
- * @kind: kind of the last request
  * @interval_us: mean time between requests, 0 if unknown
  * @requested_at: time of the last request
  */
+typedef struct
+{
+  object_t *object;
+  run_class_t *class;
+  GQueue on_time;
+  GQueue late;
+  guint n_tasks;
+  gdouble interval_us;
+  anvil_time_t requested_at;
+} object_queue_t;
+
+/**
+ * object_t - an object requested from a service
+ * @upstreams: upstream_t that have a warm_entry_t for it
+ * @no_affinity: stands for all requests of one priority that are not about an object; no upstream
+ *   is faster on them
+ * @queues: object_queue_t, its requests by class
+ * @n_tasks: its tasks, queued or running
+ */
 struct object
 {
   guint64 hash;
   service_t *service;
   GPtrArray *upstreams;
   gboolean no_affinity;
-  GQueue on_time;
-  GQueue late;
+  GPtrArray *queues;
   guint n_tasks;
-  anvil_route_kind_t kind;
-  gdouble interval_us;
-  anvil_time_t requested_at;
 };
 
+/**
+ * backlog_t - an upstream's share of the queued tasks of a class that can still finish on time
+ */
+typedef struct
+{
+  const run_class_t *class;
+  gdouble n_tasks;
+} backlog_t;
+
 /**
  * upstream_t - an upstream and its load
  * @record: its state in the registry; the strings are owned here
@@ -85,8 +102,8 @@
  * @running: task_t that run on it
  * @warm_entries: warm_entry_t, the objects that it is expected to be warm for
  * @warm_load: slots that the demand for these objects occupies; updated by the tick
- * @backlog: its share of the queued tasks for these objects that can still finish on time
- * @run_time_ratio: running mean of its run times, relative to the mean of the service
+ * @backlog: backlog_t, its share of the queued tasks for these objects, by class
+ * @run_time_ratio: running mean of its run times, relative to the mean of their class
  * @consecutive_failures: runs in a row that failed to connect or were interrupted
  * @failure_rate: running mean of runs without a good response, 0 to 1
  * @ejected_until: no slots are granted before this time
@@ -112,7 +129,7 @@
   GPtrArray *running;
   GArray *warm_entries;
   gdouble warm_load;
-  gdouble backlog;
+  GArray *backlog;
   gdouble run_time_ratio;
   guint consecutive_failures;
   gdouble failure_rate;
@@ -150,6 +167,8 @@
   guint regions[ANVIL_MAX_ROUTE_REGIONS];
   service_t *service;
   object_t *object;
+  run_class_t *class;
+  object_queue_t *queue;
   gboolean is_late;
   gboolean admitted_late;
   upstream_t *upstream;
@@ -174,16 +193,16 @@
  * @held_since: when this dispatcher's entry became the holder; 0 if it always was
  * @upstreams: registered upstream_t
  * @objects: object_t by hash
- * @waiting_objects: set of object_t with queued tasks
+ * @waiting_queues: set of object_queue_t with queued tasks
  * @n_waiting: queued tasks
- * @n_late: queued tasks that are late
  * @n_running: running tasks
  * @n_slots: slots of the upstreams that accept requests; see dispatch_update_slot_count()
  * @usable_slots: the same, but counting only as many of a limited upstream as its limit can keep
  *   busy
  * @n_limited: its limited upstreams
- * @warm_run_time: run time on upstreams that are warm for the object, by kind
- * @cold_run_time: run time on other upstreams, by kind
+ * @kinds: run times of all tasks of a kind
+ * @classes: run_class_t, those in @kinds first
+ * @n_classes: classes in @classes by kind, besides those in @kinds
  * @max_warm_objects: most objects that one upstream is expected to be warm for
  * @retry_window: requests and retries, for the retry budget
  * @foreign_windows: the same of other holders, as they handed them over
@@ -201,15 +220,15 @@
   anvil_time_t held_since;
   GPtrArray *upstreams;
   GHashTable *objects;
-  GHashTable *waiting_objects;
+  GHashTable *waiting_queues;
   guint n_waiting;
-  guint n_late;
   guint n_running;
   guint n_slots;
   gdouble usable_slots;
   guint n_limited;
-  estimate_t warm_run_time[ANVIL_ROUTE_UPLOAD + 1];
-  estimate_t cold_run_time[ANVIL_ROUTE_UPLOAD + 1];
+  run_class_t *kinds[ANVIL_ROUTE_UPLOAD + 1];
+  GPtrArray *classes;
+  guint n_classes[ANVIL_ROUTE_UPLOAD + 1];
   guint max_warm_objects;
   anvil_retry_window_t retry_window;
   foreign_window_t foreign_windows[ANVIL_MAX_RETRY_ORIGINS - 1];
@@ -277,7 +296,11 @@
 
 /* Finds the object of a task, or creates it. */
 object_t *warmth_get_object (service_t *service, const anvil_task_t *task);
-void warmth_record_request (object_t *object, anvil_route_kind_t kind, anvil_time_t now);
+void warmth_record_request (object_queue_t *queue, anvil_time_t now);
+/* Finds the queue of a class for the object, or creates it. */
+object_queue_t *warmth_get_queue (object_t *object, run_class_t *class);
+/* Removes the queues of a class that has no tasks. */
+void warmth_forget_class (service_t *service, const run_class_t *class);
 warm_entry_t *warmth_find (const upstream_t *upstream, const object_t *object);
 gboolean warmth_is_ready (const upstream_t *upstream, const object_t *object);
 void warmth_record_grant (upstream_t *upstream,
@@ -297,10 +320,9 @@
 gdouble warmth_demand (const object_t *object);
 
 /* Expected run time, without network delay: mean of the service, and on one upstream. */
+anvil_time_t warmth_mean_run_time (const run_class_t *class, gboolean warm);
 anvil_time_t
-warmth_mean_run_time (const service_t *service, anvil_route_kind_t kind, gboolean warm);
-anvil_time_t
-warmth_expected_run_time (const upstream_t *upstream, anvil_route_kind_t kind, gboolean warm);
+warmth_expected_run_time (const upstream_t *upstream, const run_class_t *class, gboolean warm);
 
 /* dispatch-limit.c */
 
@@ -379,8 +401,15 @@
  * stop being so while tasks are queued. */
 void waiting_update_backlog (service_t *service);
 
-/* Moves tasks that can no longer finish within their target to the late queue. */
-void waiting_move_late (object_t *object, anvil_time_t now);
+/* Run time of the tasks queued for the upstream that go before a new one, microseconds. */
+gdouble waiting_backlog_us (const upstream_t *upstream, const task_t *task);
+/* The same of all tasks queued for the service; late ones too, or not. */
+gdouble waiting_work_us (const task_t *task, gboolean with_late);
+/* Late tasks that a task would be queued with or behind. */
+guint waiting_count_late (const task_t *task);
+
+/* Moves tasks that can no longer finish within their target to the late ones. */
+void waiting_move_late (object_queue_t *queue, anvil_time_t now);
 
 /* dispatch-refusing.c */
 
--- a/source/steer/dispatch-limit.c
+++ b/source/steer/dispatch-limit.c
@@ -87,7 +87,7 @@
   if (!upstream->is_limited)
     return upstream->record.slots;
   if (run_time_us <= 0)
-    run_time_us = (gdouble) warmth_mean_run_time (upstream->service, ANVIL_ROUTE_SAFE, TRUE);
+    run_time_us = (gdouble) warmth_mean_run_time (upstream->service->kinds[ANVIL_ROUTE_SAFE], TRUE);
   return MIN (upstream->record.slots,
               request_rate (upstream) * run_time_us / (gdouble) ANVIL_SECOND);
 }
--- a/source/steer/dispatch-pause.c
+++ b/source/steer/dispatch-pause.c
@@ -97,7 +97,7 @@
 {
   service_t *service = task->service;
   const anvil_time_t end = first_wanted_at (task, now, placing_region_allowed);
-  const anvil_time_t run_time = warmth_mean_run_time (service, task->request.kind, TRUE);
+  const anvil_time_t run_time = warmth_mean_run_time (task->class, TRUE);
 
   if (end <= now || end == G_MAXINT64)
     return 0;
--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -150,7 +150,7 @@
   if (entry != NULL)
     start = MAX (start, entry->ready_at);
   placement.finish = start + placing_network_delay (upstream, task)
-                     + warmth_expected_run_time (upstream, task->request.kind, warm);
+                     + warmth_expected_run_time (upstream, task->class, warm);
   placement.cost = placement.finish + transfer_cost (upstream, task)
                    + (anvil_time_t) (upstream->failure_rate * (gdouble) FAILURE_COST);
   return placement;
@@ -179,9 +179,7 @@
 static anvil_time_t
 backlog_delay (const upstream_t *upstream, const task_t *task)
 {
-  gdouble run_time = (gdouble) warmth_expected_run_time (upstream, task->request.kind, TRUE);
-
-  return (anvil_time_t) (upstream->backlog * run_time / usable_slots (upstream));
+  return (anvil_time_t) (waiting_backlog_us (upstream, task) / usable_slots (upstream));
 }
 
 /* The best of the upstreams that are warm for the object; with @free_slot, of those that can start
@@ -298,10 +296,10 @@
           || (local_only && upstream->region != task->region))
         continue;
       placement = placing_estimate (upstream, task, now, FALSE);
-      placement.cost += tie_break (upstream, task->object)
-                        + (anvil_time_t) (upstream->warm_load / usable_slots (upstream)
-                                          * (gdouble) warmth_expected_run_time (
-                                              upstream, task->request.kind, TRUE));
+      placement.cost
+          += tie_break (upstream, task->object)
+             + (anvil_time_t) (upstream->warm_load / usable_slots (upstream)
+                               * (gdouble) warmth_expected_run_time (upstream, task->class, TRUE));
       if (is_better (&placement, &best))
         best = placement;
     }
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -34,7 +34,7 @@
 {
   gboolean warm = task->object->no_affinity || task->object->upstreams->len > 0;
 
-  return warmth_mean_run_time (task->service, task->request.kind, warm);
+  return warmth_mean_run_time (task->class, warm);
 }
 
 gboolean
@@ -59,16 +59,20 @@
   return task->service->n_slots > 0;
 }
 
-/* How long all slots of the service together need for @n_tasks. */
+/* How long all slots of the service together need for work of @run_time_us. */
 static anvil_time_t
-time_for_tasks (const task_t *task, guint n_tasks)
+time_for_work (const service_t *service, gdouble run_time_us)
 {
-  const service_t *service = task->service;
-
   if (service->n_slots == 0)
     return 0;
-  return (anvil_time_t) ((gdouble) warmth_mean_run_time (service, task->request.kind, TRUE)
-                         * n_tasks / service->usable_slots);
+  return (anvil_time_t) (run_time_us / service->usable_slots);
+}
+
+/* How long they need for the queued tasks that go before a new one. */
+static anvil_time_t
+time_for_queue (const task_t *task, gboolean with_late)
+{
+  return time_for_work (task->service, waiting_work_us (task, with_late));
 }
 
 gboolean
@@ -86,10 +90,9 @@
 {
   const service_t *service = task->service;
 
-  if ((gdouble) service->n_late > MAX (MAX_LATE_SHARE * service->usable_slots, MIN_LATE_TASKS))
+  if (waiting_count_late (task) > MAX (MAX_LATE_SHARE * service->usable_slots, MIN_LATE_TASKS))
     return TRUE;
-  return now + mean_run_time (task) + time_for_tasks (task, service->n_waiting)
-         > task->request.deadline;
+  return now + mean_run_time (task) + time_for_queue (task, TRUE) > task->request.deadline;
 }
 
 /* Whether the task can finish within its target if it is queued. Tasks that can are served in the
@@ -97,15 +100,13 @@
 static gboolean
 can_meet_target (task_t *task, anvil_time_t now)
 {
-  const service_t *service = task->service;
   placement_t warm = { 0 };
 
   if (!task->object->no_affinity)
     warm = placing_best_warm (task, now);
   if (warm.upstream != NULL)
     return warm.finish <= task->request.target;
-  return now + mean_run_time (task) + time_for_tasks (task, service->n_waiting - service->n_late)
-         <= task->request.target;
+  return now + mean_run_time (task) + time_for_queue (task, FALSE) <= task->request.target;
 }
 
 gboolean
@@ -120,14 +121,15 @@
 refusing_retry_after (const task_t *task, anvil_time_t now)
 {
   service_t *service = task->service;
-  anvil_time_t first = now + MIN_RETRY_AFTER + time_for_tasks (task, service->n_waiting);
+  anvil_time_t first = now + MIN_RETRY_AFTER + time_for_queue (task, TRUE);
   anvil_time_t pause = pause_retry_after (task, now);
 
   if (pause > 0)
     return pause;
   if (service->n_slots == 0)
     return NO_UPSTREAM_RETRY_AFTER;
-  service->last_retry_at = MAX (service->last_retry_at, first) + time_for_tasks (task, 1);
+  service->last_retry_at = MAX (service->last_retry_at, first)
+                           + time_for_work (service, class_run_time_us (task->class, TRUE));
   service->last_retry_at = MIN (service->last_retry_at, now + MAX_RETRY_AFTER);
   return service->last_retry_at - now;
 }
@@ -148,7 +150,7 @@
 is_too_late (task_t *task, anvil_time_t now)
 {
   if (!task->is_late)
-    waiting_move_late (task->object, now);
+    waiting_move_late (task->queue, now);
   if (refusing_misses_deadline (task, now) || refusing_late_too_long (task, now))
     return TRUE;
   if (!task->is_late || task->admitted_late)
--- a/source/steer/dispatch-service.c
+++ b/source/steer/dispatch-service.c
@@ -18,7 +18,8 @@
   service->dispatcher = dispatcher;
   service->upstreams = g_ptr_array_new ();
   service->objects = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, warmth_object_free);
-  service->waiting_objects = g_hash_table_new (NULL, NULL);
+  class_init_service (service);
+  service->waiting_queues = g_hash_table_new (NULL, NULL);
   service->max_warm_objects = MAX_WARM_OBJECTS;
   service->shifts = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   g_hash_table_insert (dispatcher->services, service->name, service);
--- a/source/steer/dispatch-upstream.c
+++ b/source/steer/dispatch-upstream.c
@@ -24,6 +24,7 @@
   g_free (upstream->record.zone);
   g_ptr_array_unref (upstream->running);
   g_array_unref (upstream->warm_entries);
+  g_array_unref (upstream->backlog);
   pause_clear (upstream);
   g_free (upstream);
 }
@@ -52,6 +53,7 @@
 {
   upstream->service = service;
   upstream->registered = TRUE;
+  g_array_set_size (upstream->backlog, 0);
   g_ptr_array_add (service->upstreams, upstream);
 }
 
@@ -104,6 +106,7 @@
   upstream->record.key = key;
   upstream->running = g_ptr_array_new ();
   upstream->warm_entries = g_array_new (FALSE, FALSE, sizeof (warm_entry_t));
+  upstream->backlog = g_array_new (FALSE, FALSE, sizeof (backlog_t));
   upstream->run_time_ratio = 1;
   g_hash_table_insert (dispatcher->upstreams, &upstream->record.key, upstream);
   return upstream;
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -39,22 +39,35 @@
   return a->order < b->order;
 }
 
-/* Tasks examined in each queue of an object, since the first ones may exclude the upstream. */
+/* Tasks examined on time and late in each queue, since the first ones may exclude the upstream. */
 #define MAX_EXAMINED_TASKS 4
 
-/* Adds queued tasks of an object to the backlog of the upstreams that are warm for it, in equal
- * shares; a negative number removes them. */
 static void
-add_backlog (const object_t *object, gdouble n_tasks)
+add_class_backlog (upstream_t *upstream, const run_class_t *class, gdouble n_tasks)
 {
-  const GPtrArray *upstreams = object->upstreams;
+  const backlog_t added = { .class = class, .n_tasks = MAX (n_tasks, 0) };
 
-  for (guint i = 0; i < upstreams->len; i++)
+  for (guint i = 0; i < upstream->backlog->len; i++)
     {
-      upstream_t *upstream = upstreams->pdata[i];
+      backlog_t *backlog = &g_array_index (upstream->backlog, backlog_t, i);
 
-      upstream->backlog = MAX (upstream->backlog + n_tasks / upstreams->len, 0);
+      if (backlog->class != class)
+        continue;
+      backlog->n_tasks = MAX (backlog->n_tasks + n_tasks, 0);
+      return;
     }
+  g_array_append_val (upstream->backlog, added);
+}
+
+/* Adds queued tasks for an object to the backlog of the upstreams that are warm for it, in equal
+ * shares; a negative number removes them. */
+static void
+add_backlog (const object_queue_t *queue, gdouble n_tasks)
+{
+  const GPtrArray *upstreams = queue->object->upstreams;
+
+  for (guint i = 0; i < upstreams->len; i++)
+    add_class_backlog (upstreams->pdata[i], queue->class, n_tasks / upstreams->len);
 }
 
 void
@@ -64,10 +77,73 @@
   gpointer key;
 
   for (guint i = 0; i < service->upstreams->len; i++)
-    ((upstream_t *) service->upstreams->pdata[i])->backlog = 0;
-  g_hash_table_iter_init (&iter, service->waiting_objects);
+    g_array_set_size (((upstream_t *) service->upstreams->pdata[i])->backlog, 0);
+  g_hash_table_iter_init (&iter, service->waiting_queues);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    add_backlog (key, ((const object_t *) key)->on_time.length);
+    add_backlog (key, ((const object_queue_t *) key)->on_time.length);
+}
+
+/* Run time of a queued task of class @other as tasks of class @class are told to wait for it. */
+static gdouble
+run_time_before_us (const run_class_t *class, const run_class_t *other)
+{
+  return class_run_time_us (class_differs_in_service (class->service) ? other : class, TRUE);
+}
+
+/* Whether tasks of class @class wait for those of class @other. Where all tasks of a kind are of
+ * one class, they wait for all. */
+static gboolean
+waits_for (const run_class_t *class, const run_class_t *other)
+{
+  return !class_differs_in_service (class->service) || other->priority <= class->priority;
+}
+
+gdouble
+waiting_backlog_us (const upstream_t *upstream, const task_t *task)
+{
+  gdouble sum = 0;
+
+  for (guint i = 0; i < upstream->backlog->len; i++)
+    {
+      const backlog_t *backlog = &g_array_index (upstream->backlog, backlog_t, i);
+
+      if (waits_for (task->class, backlog->class))
+        sum += backlog->n_tasks * run_time_before_us (task->class, backlog->class);
+    }
+  return sum * upstream->run_time_ratio;
+}
+
+gdouble
+waiting_work_us (const task_t *task, gboolean with_late)
+{
+  const GPtrArray *classes = task->service->classes;
+  gdouble sum = 0;
+
+  for (guint i = 0; i < classes->len; i++)
+    {
+      const run_class_t *class = classes->pdata[i];
+      guint n_tasks = class->n_waiting - (with_late ? 0 : class->n_late);
+
+      if (n_tasks > 0 && waits_for (task->class, class))
+        sum += n_tasks * run_time_before_us (task->class, class);
+    }
+  return sum;
+}
+
+guint
+waiting_count_late (const task_t *task)
+{
+  const GPtrArray *classes = task->service->classes;
+  guint sum = 0;
+
+  for (guint i = 0; i < classes->len; i++)
+    {
+      const run_class_t *class = classes->pdata[i];
+
+      if (waits_for (task->class, class))
+        sum += class->n_late;
+    }
+  return sum;
 }
 
 void
@@ -75,42 +151,43 @@
 {
   service_t *service = task->service;
 
-  g_queue_push_tail (&task->object->on_time, task);
-  g_hash_table_add (service->waiting_objects, task->object);
+  g_queue_push_tail (&task->queue->on_time, task);
+  g_hash_table_add (service->waiting_queues, task->queue);
   service->n_waiting++;
-  add_backlog (task->object, 1);
+  task->class->n_waiting++;
+  add_backlog (task->queue, 1);
 }
 
 void
 waiting_remove (task_t *task)
 {
-  object_t *object = task->object;
+  object_queue_t *queue = task->queue;
   service_t *service = task->service;
 
-  g_queue_remove (task->is_late ? &object->late : &object->on_time, task);
-  if (object->on_time.length + object->late.length == 0)
-    g_hash_table_remove (service->waiting_objects, object);
+  g_queue_remove (task->is_late ? &queue->late : &queue->on_time, task);
+  if (queue->on_time.length + queue->late.length == 0)
+    g_hash_table_remove (service->waiting_queues, queue);
   service->n_waiting--;
+  task->class->n_waiting--;
   if (task->is_late)
-    service->n_late--;
+    task->class->n_late--;
   else
-    add_backlog (object, -1);
+    add_backlog (queue, -1);
   task->is_late = FALSE;
 }
 
 void
-waiting_move_late (object_t *object, anvil_time_t now)
+waiting_move_late (object_queue_t *queue, anvil_time_t now)
 {
   task_t *task;
 
-  while ((task = g_queue_peek_head (&object->on_time)) != NULL
-         && now + warmth_mean_run_time (object->service, task->request.kind, TRUE)
-                > task->request.target)
+  while ((task = g_queue_peek_head (&queue->on_time)) != NULL
+         && now + warmth_mean_run_time (task->class, TRUE) > task->request.target)
     {
-      g_queue_push_tail (&object->late, g_queue_pop_head (&object->on_time));
+      g_queue_push_tail (&queue->late, g_queue_pop_head (&queue->on_time));
       task->is_late = TRUE;
-      object->service->n_late++;
-      add_backlog (object, -1);
+      task->class->n_late++;
+      add_backlog (queue, -1);
     }
 }
 
@@ -191,12 +268,12 @@
 /* Considers the oldest task that can finish on time, and the newest late one. Tasks of entries from
  * which the upstream wants no requests are passed over, so that they don't hide those of others. */
 static void
-consider_object (choice_t *choice, object_t *object, gboolean warm)
+consider_queue (choice_t *choice, object_queue_t *queue, gboolean warm)
 {
   guint n_examined = 0;
 
-  waiting_move_late (object, choice->now);
-  for (GList *link = object->on_time.head; link != NULL && n_examined < MAX_EXAMINED_TASKS;
+  waiting_move_late (queue, choice->now);
+  for (GList *link = queue->on_time.head; link != NULL && n_examined < MAX_EXAMINED_TASKS;
        link = link->next)
     {
       if (is_in_pause (choice, link->data))
@@ -206,7 +283,7 @@
         break;
     }
   n_examined = 0;
-  for (GList *link = object->late.tail; link != NULL && n_examined < MAX_EXAMINED_TASKS;
+  for (GList *link = queue->late.tail; link != NULL && n_examined < MAX_EXAMINED_TASKS;
        link = link->prev)
     {
       if (is_in_pause (choice, link->data))
@@ -224,17 +301,17 @@
   GHashTableIter iter;
   gpointer key;
 
-  g_hash_table_iter_init (&iter, upstream->service->waiting_objects);
+  g_hash_table_iter_init (&iter, upstream->service->waiting_queues);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
-      object_t *object = key;
+      object_queue_t *queue = key;
 
-      if (warmth_is_ready (upstream, object))
-        consider_object (&choice, object, TRUE);
+      if (warmth_is_ready (upstream, queue->object))
+        consider_queue (&choice, queue, TRUE);
       /* If the object's first run on this upstream is going on, wait for it to end: then it is
        * warm. */
-      else if (warmth_find (upstream, object) == NULL)
-        consider_object (&choice, object, FALSE);
+      else if (warmth_find (upstream, queue->object) == NULL)
+        consider_queue (&choice, queue, FALSE);
     }
   return choice.best;
 }
--- a/source/steer/dispatch-warmth.c
+++ b/source/steer/dispatch-warmth.c
@@ -8,14 +8,8 @@
 
 #include "steer/dispatch-internal.h"
 
-/* Expected cold run time before the first sample. It is long, so that a second request for an
- * object waits until the first has ended instead of causing another cold run. */
-#define DEFAULT_COLD_RUN_TIME (1000 * ANVIL_MS)
-/* Expected warm run time before the first sample, as a share of the cold one. */
-#define DEFAULT_WARM_SHARE 0.35
-/* Weight of a new sample in the mean run time of a service, and in the run time ratio of an
- * upstream; the latter must detect an upstream that becomes slow within a few runs. */
-#define RUN_TIME_WEIGHT 0.05
+/* Weight of a new sample in the run time ratio of an upstream, which must detect an upstream that
+ * becomes slow within a few runs. */
 #define RUN_TIME_RATIO_WEIGHT 0.25
 #define MIN_RUN_TIME_RATIO 0.3
 #define MAX_RUN_TIME_RATIO 10.0
@@ -31,6 +25,16 @@
   return task->object != 0 ? task->object : task->priority;
 }
 
+static void
+queue_free (gpointer data)
+{
+  object_queue_t *queue = data;
+
+  g_queue_clear (&queue->on_time);
+  g_queue_clear (&queue->late);
+  g_free (queue);
+}
+
 object_t *
 warmth_get_object (service_t *service, const anvil_task_t *task)
 {
@@ -44,8 +48,7 @@
   object->service = service;
   object->no_affinity = task->object == 0;
   object->upstreams = g_ptr_array_new ();
-  g_queue_init (&object->on_time);
-  g_queue_init (&object->late);
+  object->queues = g_ptr_array_new_with_free_func (queue_free);
   g_hash_table_insert (service->objects, &object->hash, object);
   return object;
 }
@@ -56,8 +59,7 @@
   object_t *object = data;
 
   g_ptr_array_unref (object->upstreams);
-  g_queue_clear (&object->on_time);
-  g_queue_clear (&object->late);
+  g_ptr_array_unref (object->queues);
   g_free (object);
 }
 
@@ -68,18 +70,75 @@
     g_hash_table_remove (object->service->objects, &object->hash);
 }
 
+/* Drops the queue without tasks that was requested least recently. */
+static void
+drop_oldest_queue (object_t *object)
+{
+  const object_queue_t *oldest = NULL;
+
+  for (guint i = 0; i < object->queues->len; i++)
+    {
+      const object_queue_t *queue = object->queues->pdata[i];
+
+      if (queue->n_tasks == 0 && (oldest == NULL || queue->requested_at < oldest->requested_at))
+        oldest = queue;
+    }
+  if (oldest != NULL)
+    g_ptr_array_remove_fast (object->queues, (gpointer) oldest);
+}
+
+object_queue_t *
+warmth_get_queue (object_t *object, run_class_t *class)
+{
+  object_queue_t *queue;
+
+  for (guint i = 0; i < object->queues->len; i++)
+    {
+      queue = object->queues->pdata[i];
+      if (queue->class == class)
+        return queue;
+    }
+  if (object->queues->len >= MAX_OBJECT_QUEUES)
+    drop_oldest_queue (object);
+  queue = g_new0 (object_queue_t, 1);
+  queue->object = object;
+  queue->class = class;
+  g_queue_init (&queue->on_time);
+  g_queue_init (&queue->late);
+  g_ptr_array_add (object->queues, queue);
+  return queue;
+}
+
 void
-warmth_record_request (object_t *object, anvil_route_kind_t kind, anvil_time_t now)
+warmth_forget_class (service_t *service, const run_class_t *class)
 {
-  gdouble interval = (gdouble) (now - object->requested_at);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, service->objects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      GPtrArray *queues = ((object_t *) value)->queues;
 
-  object->kind = kind;
-  if (object->requested_at > 0)
-    object->interval_us
-        = object->interval_us > 0
-              ? object->interval_us + (interval - object->interval_us) * INTERVAL_WEIGHT
+      for (guint i = queues->len; i > 0; i--)
+        {
+          if (((const object_queue_t *) queues->pdata[i - 1])->class == class)
+            g_ptr_array_remove_index_fast (queues, i - 1);
+        }
+    }
+}
+
+void
+warmth_record_request (object_queue_t *queue, anvil_time_t now)
+{
+  gdouble interval = (gdouble) (now - queue->requested_at);
+
+  if (queue->requested_at > 0)
+    queue->interval_us
+        = queue->interval_us > 0
+              ? queue->interval_us + (interval - queue->interval_us) * INTERVAL_WEIGHT
               : interval;
-  object->requested_at = now;
+  queue->requested_at = now;
 }
 
 warm_entry_t *
@@ -172,38 +231,25 @@
     remove_entry (upstream, upstream->warm_entries->len - 1);
 }
 
-static void
-add_sample (estimate_t *estimate, gdouble run_time_us)
-{
-  estimate->n_samples++;
-  estimate->mean_us
-      += (run_time_us - estimate->mean_us) * MAX (RUN_TIME_WEIGHT, 1.0 / estimate->n_samples);
-}
-
-static gdouble
-mean_run_time_us (const service_t *service, anvil_route_kind_t kind, gboolean warm)
-{
-  gdouble cold = service->cold_run_time[kind].mean_us;
-
-  if (!warm)
-    return cold > 0 ? cold : DEFAULT_COLD_RUN_TIME;
-  if (service->warm_run_time[kind].mean_us > 0)
-    return service->warm_run_time[kind].mean_us;
-  return (cold > 0 ? cold : DEFAULT_COLD_RUN_TIME) * DEFAULT_WARM_SHARE;
-}
-
 anvil_time_t
-warmth_mean_run_time (const service_t *service, anvil_route_kind_t kind, gboolean warm)
+warmth_mean_run_time (const run_class_t *class, gboolean warm)
 {
-  return (anvil_time_t) mean_run_time_us (service, kind, warm);
+  return (anvil_time_t) class_run_time_us (class, warm);
 }
 
 gdouble
 warmth_demand (const object_t *object)
 {
-  if (object->interval_us <= 0)
-    return 0;
-  return mean_run_time_us (object->service, object->kind, TRUE) / object->interval_us;
+  gdouble demand = 0;
+
+  for (guint i = 0; i < object->queues->len; i++)
+    {
+      const object_queue_t *queue = object->queues->pdata[i];
+
+      if (queue->interval_us > 0)
+        demand += class_run_time_us (queue->class, TRUE) / queue->interval_us;
+    }
+  return demand;
 }
 
 void
@@ -219,25 +265,21 @@
 }
 
 anvil_time_t
-warmth_expected_run_time (const upstream_t *upstream, anvil_route_kind_t kind, gboolean warm)
+warmth_expected_run_time (const upstream_t *upstream, const run_class_t *class, gboolean warm)
 {
-  return (anvil_time_t) (mean_run_time_us (upstream->service, kind, warm)
-                         * upstream->run_time_ratio);
+  return (anvil_time_t) (class_run_time_us (class, warm) * upstream->run_time_ratio);
 }
 
-/* Updates the run times of the service and the upstream from a complete response. */
+/* Updates the run times of the class and the upstream from a complete response. */
 static void
 add_run_time (task_t *task, anvil_time_t duration)
 {
   upstream_t *upstream = task->upstream;
-  service_t *service = task->service;
-  anvil_route_kind_t kind = task->request.kind;
   gdouble run_time_us = (gdouble) MAX (duration - placing_network_delay (upstream, task), ANVIL_MS);
-  gdouble ratio = run_time_us / mean_run_time_us (service, kind, task->warm);
+  gdouble ratio = run_time_us / class_run_time_us (task->class, task->warm);
 
-  add_sample (task->warm ? &service->warm_run_time[kind] : &service->cold_run_time[kind],
-              run_time_us);
-  add_sample (&upstream->run_time, run_time_us);
+  class_add_run_time (task->class, task->warm, run_time_us);
+  class_add_sample (&upstream->run_time, run_time_us);
   upstream->run_time_ratio += (ratio - upstream->run_time_ratio) * RUN_TIME_RATIO_WEIGHT;
   upstream->run_time_ratio
       = CLAMP (upstream->run_time_ratio, MIN_RUN_TIME_RATIO, MAX_RUN_TIME_RATIO);
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -47,8 +47,9 @@
 
   g_free (service->name);
   g_ptr_array_unref (service->upstreams);
-  g_hash_table_unref (service->waiting_objects);
+  g_hash_table_unref (service->waiting_queues);
   g_hash_table_unref (service->objects);
+  class_clear_service (service);
   g_hash_table_unref (service->shifts);
   g_free (service);
 }
@@ -140,6 +141,8 @@
 {
   object_t *object = task->object;
 
+  task->class->n_tasks--;
+  task->queue->n_tasks--;
   g_hash_table_remove (dispatcher->tasks, &task->request.id);
   object->n_tasks--;
   warmth_drop_object_if_unused (object);
@@ -152,7 +155,7 @@
              upstream_t *upstream,
              gboolean warm)
 {
-  anvil_time_t run_time = warmth_expected_run_time (upstream, task->request.kind, warm);
+  anvil_time_t run_time = warmth_expected_run_time (upstream, task->class, warm);
 
   task->upstream = upstream;
   task->warm = warm;
@@ -277,6 +280,10 @@
   task->service = dispatch_get_service (dispatcher, request->service);
   task->object = warmth_get_object (task->service, request);
   task->object->n_tasks++;
+  task->class = class_get (task->service, request, now);
+  task->class->n_tasks++;
+  task->queue = warmth_get_queue (task->object, task->class);
+  task->queue->n_tasks++;
   g_hash_table_insert (dispatcher->tasks, &task->request.id, task);
   return task;
 }
@@ -309,7 +316,7 @@
       refuse (dispatcher, now, task, ANVIL_TASK_NO_RETRY);
       return;
     }
-  warmth_record_request (task->object, request->kind, now);
+  warmth_record_request (task->queue, now);
   placement = placing_best_immediate (task, now);
   if (placement.upstream != NULL)
     grant (dispatcher, now, task, placement.upstream);
@@ -471,6 +478,7 @@
     {
       service_t *service = value;
 
+      class_expire (service, now);
       if (service->n_limited > 0)
         dispatch_update_slot_count (service);
     }
--- a/tests/helper-dispatch.c
+++ b/tests/helper-dispatch.c
@@ -36,6 +36,37 @@
   g_queue_free_full (data, g_free);
 }
 
+static guint
+index_of (const dispatch_sim_t *sim, guint64 key)
+{
+  guint index = 0;
+
+  while (sim->keys[index] != key)
+    index++;
+  return index;
+}
+
+static guint
+speed_of (const dispatch_sim_t *sim, guint64 key)
+{
+  guint speed = sim->speeds[index_of (sim, key)];
+
+  return speed > 0 ? speed : 100;
+}
+
+static anvil_time_t
+run_time_of (const dispatch_sim_t *sim, const sim_task_t *task, gboolean was_warm)
+{
+  const sim_class_t *class = task->class;
+  anvil_time_t time = was_warm || task->task.object == 0 ? sim->warm_run : sim->cold_run;
+
+  if (class != NULL)
+    time = was_warm ? class->warm_run : class->cold_run;
+  if (sim->long_interval > 0 && sim->n_grants % sim->long_interval == 0)
+    time *= sim->long_factor;
+  return time * speed_of (sim, task->upstream) / 100;
+}
+
 static void
 on_grant (void *context, anvil_task_id_t id, const anvil_slot_grant_t *grant)
 {
@@ -47,8 +78,8 @@
   task->granted_at = sim->now;
   task->upstream = grant->upstream;
   task->warm = grant->warm;
-  task->ends_at = sim->now + (was_warm || task->task.object == 0 ? sim->warm_run : sim->cold_run);
   sim->n_grants++;
+  task->ends_at = sim->now + run_time_of (sim, task, was_warm);
 }
 
 static void
@@ -225,8 +256,12 @@
   task->task.id = (anvil_task_id_t){ .requester = request->id.requester != 0 ? request->id.requester
                                                                              : REQUESTER,
                                      .number = index };
-  task->task.target = sim->now + sim->target;
-  task->task.deadline = sim->now + sim->timeout;
+  if (request->target == 0)
+    {
+      task->task.target = sim->now + sim->target;
+      task->task.deadline = sim->now + sim->timeout;
+    }
+  task->class = sim->next_class;
   anvil_dispatcher_submit (sim->dispatcher, sim->now, &task->task);
   return index;
 }
@@ -243,6 +278,26 @@
   return sim_submit_task (sim, &task);
 }
 
+guint
+sim_submit_class (dispatch_sim_t *sim, const sim_class_t *class, guint64 object)
+{
+  const anvil_task_t task = { .service = anvil_str ("photos"),
+                              .region = anvil_str ("west"),
+                              .zone = anvil_str ("west-a"),
+                              .object = object,
+                              .attempt = 1,
+                              .priority = class->priority,
+                              .route_class = class->route_class,
+                              .target = sim->now + class->target,
+                              .deadline = sim->now + class->timeout };
+  guint index;
+
+  sim->next_class = class;
+  index = sim_submit_task (sim, &task);
+  sim->next_class = NULL;
+  return index;
+}
+
 void
 sim_finish (dispatch_sim_t *sim, guint index, anvil_run_result_t result)
 {
@@ -270,6 +325,10 @@
       cold = !task->warm;
       report.request_limit = request_limit_of (sim, task);
       report.duration = cold ? sim->cold_run : sim->warm_run;
+      if (task->class != NULL || sim->names_speed || sim->long_interval > 0)
+        report.duration = task->ends_at - task->granted_at;
+      if (sim->names_speed)
+        report.speed = speed_of (sim, task->upstream);
       task->done = TRUE;
       anvil_dispatcher_run_finished (sim->dispatcher, sim->now, task->task.id, &report);
     }
@@ -296,6 +355,59 @@
     }
 }
 
+void
+sim_run_classes (dispatch_sim_t *sim,
+                 anvil_time_t length,
+                 const sim_class_t *const *classes,
+                 const gdouble *per_second,
+                 guint n_classes,
+                 guint n_objects)
+{
+  GRand *random = g_rand_new_with_seed (11);
+  anvil_time_t until = sim->now + length;
+
+  while (sim->now < until)
+    {
+      for (guint i = 0; i < n_classes; i++)
+        {
+          gdouble due = per_second[i] * (gdouble) STEP / (gdouble) ANVIL_SECOND;
+
+          for (; due > 0 && (due >= 1 || g_rand_double (random) < due); due -= 1)
+            sim_submit_class (sim, classes[i],
+                              1 + (guint64) g_rand_int_range (random, 0, (gint32) n_objects));
+        }
+      sim_run (sim, STEP);
+    }
+  g_rand_free (random);
+}
+
+sim_outcome_t
+sim_outcome (dispatch_sim_t *sim, const sim_class_t *class, guint first)
+{
+  sim_outcome_t outcome = { 0 };
+  guint n_refused = 0;
+
+  for (guint i = first; i < sim->tasks->len; i++)
+    {
+      const sim_task_t *task = sim_task (sim, i);
+
+      if (task->class != class || !(task->done || task->refused))
+        continue;
+      outcome.n++;
+      outcome.served += task->done;
+      outcome.on_time += task->done && task->ends_at <= task->task.target;
+      if (task->refused)
+        {
+          n_refused++;
+          outcome.refused_after += (gdouble) (task->refused_at - task->submitted_at);
+        }
+    }
+  outcome.served /= MAX (outcome.n, 1);
+  outcome.on_time /= MAX (outcome.n, 1);
+  outcome.refused_after /= MAX (n_refused, 1);
+  return outcome;
+}
+
 gdouble
 sim_run_load (dispatch_sim_t *sim, anvil_time_t length, gdouble per_second, guint n_objects)
 {
--- a/tests/helper-dispatch.h
+++ b/tests/helper-dispatch.h
@@ -11,9 +11,30 @@
 #define MAX_SIM_UPSTREAMS 64
 #define MAX_SIM_TASKS 200000
 
-/** sim_task_t - a submitted task and its outcome */
+/**
+ * sim_class_t - routes that differ from others of the service in what their requests need
+ * @route_class: see anvil_task_t
+ * @cold_run: run time on an upstream that isn't warm for the object
+ * @warm_run: run time on one that is
+ * @target: target latency
+ * @timeout: time from submission to the deadline
+ */
 typedef struct
 {
+  guint64 route_class;
+  guint priority;
+  anvil_time_t cold_run;
+  anvil_time_t warm_run;
+  anvil_time_t target;
+  anvil_time_t timeout;
+} sim_class_t;
+
+/** sim_task_t - a submitted task and its outcome
+ * @class: NULL for the figures of the simulation
+ */
+typedef struct
+{
+  const sim_class_t *class;
   anvil_task_t task;
   anvil_time_t submitted_at;
   anvil_time_t granted_at;
@@ -49,11 +70,20 @@
   guint64 keys[MAX_SIM_UPSTREAMS];
   /* What the responses of each upstream say of its request limit. */
   anvil_request_limit_t request_limits[MAX_SIM_UPSTREAMS];
+  /* How long work takes on each upstream, percent of the usual time; 0 for 100. */
+  guint speeds[MAX_SIM_UPSTREAMS];
+  /* Responses name the speed. */
+  gboolean names_speed;
+  /* Every so many'th run takes @long_factor times as long; 0 for none. */
+  guint long_interval;
+  guint long_factor;
   /* Objects that each upstream is warm for, most recently used first: GQueue by key. */
   GHashTable *warm_objects;
   GArray *tasks;
   guint n_grants;
   guint n_refusals;
+  /* Class of the task that is being submitted. */
+  const sim_class_t *next_class;
 } dispatch_sim_t;
 
 void sim_open (dispatch_sim_t *sim);
@@ -82,12 +112,41 @@
 /** sim_submit_task - submits a task with another number, target and deadline; returns its index.
  * Its requester is kept unless it is 0 */
 guint sim_submit_task (dispatch_sim_t *sim, const anvil_task_t *task);
+
+/** sim_submit_class - submits a task of a class for @object; returns its index */
+guint sim_submit_class (dispatch_sim_t *sim, const sim_class_t *class, guint64 object);
 sim_task_t *sim_task (dispatch_sim_t *sim, guint index);
 void sim_finish (dispatch_sim_t *sim, guint index, anvil_run_result_t result);
 
 /** sim_run - advances the time and finishes granted tasks when their runs end */
 void sim_run (dispatch_sim_t *sim, anvil_time_t length);
 
+/** sim_outcome_t - what became of the tasks of a class
+ * @n: submitted
+ * @served: answered, share
+ * @on_time: answered within the target, share
+ * @refused_after: mean time until a refusal, microseconds
+ */
+typedef struct
+{
+  guint n;
+  gdouble served;
+  gdouble on_time;
+  gdouble refused_after;
+} sim_outcome_t;
+
+/** sim_run_classes - advances the time and submits tasks of each class at its rate, requests a
+ * second, for @n_objects objects that the classes share */
+void sim_run_classes (dispatch_sim_t *sim,
+                      anvil_time_t length,
+                      const sim_class_t *const *classes,
+                      const gdouble *per_second,
+                      guint n_classes,
+                      guint n_objects);
+
+/** sim_outcome - what became of the tasks of a class that were submitted since @first */
+sim_outcome_t sim_outcome (dispatch_sim_t *sim, const sim_class_t *class, guint first);
+
 /** sim_run_load - advances the time and submits tasks for @n_objects objects at @per_second;
  * returns the share of them that finished within their target */
 gdouble
