Refuse the least urgent class first, at once, and leave it a share

At 1.8 of the capacity, tasks of the long route were queued for 1.4 s on average before they were refused, since their expected wait ignored the more urgent ones that come meanwhile, and 6 in 100 of them were served, at 2.0 less than 1. All were told to return after 2 s.

The expected wait of a class is that of the slots which the demand of more urgent classes leaves; what is expected to miss its target when it is queued counts among the late tasks at once. A class whose served share falls below 0.35 of that of all tasks goes first until it is above. Refused callers are told times by the queue of their own class, and beyond the longest time they are spread over a second. Services with one class for each kind decide as before.

Seen red: without the floor, the share left, the early count of late tasks, the spread, the times by class, and with the urgent class waiting for all.

--- a/source/steer/dispatch-class.c
+++ b/source/steer/dispatch-class.c
@@ -1,5 +1,7 @@
 #include "steer/dispatch-class.h"
 
+#include <math.h>
+
 #include "steer/dispatch-internal.h"
 
 /* Expected cold run time before the first sample. It is long, so that a second request for an
@@ -16,6 +18,15 @@
  */
 #define CLASS_RETENTION (600 * ANVIL_SECOND)
 
+/* Half-life of what is counted of a class: long enough for some requests of a rare route, and short
+ * beside the time for which callers retry. */
+#define COUNT_HALF_LIFE (2 * ANVIL_SECOND)
+/* A class is served first while its served share is below this part of that of all tasks. At least
+ * a quarter is asked for (docs/HARD-LOAD.md, part 3); counts lag behind. */
+#define MIN_SERVED_SHARE 0.35
+/* Share of the slots that is expected to be left to a class in any case. */
+#define MIN_SHARE_LEFT 0.05
+
 static run_class_t *
 class_new (service_t *service, anvil_route_kind_t kind, guint64 hash)
 {
@@ -70,13 +81,25 @@
   return class;
 }
 
+static void
+reduce_counts (run_class_t *class, gdouble factor)
+{
+  class->work_us *= factor;
+  class->n_decided *= factor;
+  class->n_granted *= factor;
+}
+
 void
-class_expire (service_t *service, anvil_time_t now)
+class_update (service_t *service, anvil_time_t now)
 {
+  gdouble factor = exp2 (-(gdouble) (now - service->counted_at) / (gdouble) COUNT_HALF_LIFE);
+
+  service->counted_at = now;
   for (guint i = service->classes->len; i > 0; i--)
     {
       run_class_t *class = service->classes->pdata[i - 1];
 
+      reduce_counts (class, factor);
       if (class->hash == 0 || class->n_tasks > 0 || now - class->used_at < CLASS_RETENTION)
         continue;
       warmth_forget_class (service, class);
@@ -96,6 +119,71 @@
   return FALSE;
 }
 
+void
+class_count_submitted (run_class_t *class)
+{
+  class->work_us += class_run_time_us (class, TRUE);
+}
+
+void
+class_count_decided (run_class_t *class, gboolean granted)
+{
+  class->n_decided++;
+  class->n_granted += granted ? 1 : 0;
+}
+
+/* Mean number of slots that the class's requests would occupy. */
+static gdouble
+demand_of (const run_class_t *class)
+{
+  return class->work_us * G_LN2 / (gdouble) COUNT_HALF_LIFE;
+}
+
+static gdouble
+served_share (const service_t *service)
+{
+  gdouble n_decided = 0;
+  gdouble n_granted = 0;
+
+  for (guint i = 0; i < service->classes->len; i++)
+    {
+      const run_class_t *class = service->classes->pdata[i];
+
+      n_decided += class->n_decided;
+      n_granted += class->n_granted;
+    }
+  return n_decided > 0 ? n_granted / n_decided : 1;
+}
+
+guint
+class_rank (const run_class_t *class, guint priority)
+{
+  if (priority == 0 || !class_differs_in_service (class->service)
+      || class->n_granted >= MIN_SERVED_SHARE * served_share (class->service) * class->n_decided)
+    return priority;
+  return 0;
+}
+
+gdouble
+class_share_left (const run_class_t *class)
+{
+  const service_t *service = class->service;
+  gdouble slots = service->usable_slots;
+  gdouble left = slots;
+
+  if (!class_differs_in_service (service) || slots <= 0)
+    return 1;
+  for (guint i = 0; i < service->classes->len; i++)
+    {
+      const run_class_t *other = service->classes->pdata[i];
+
+      if (other->priority < class->priority)
+        left -= demand_of (other);
+    }
+  left = MAX (left, MIN_SERVED_SHARE * served_share (service) * demand_of (class));
+  return CLAMP (left / slots, MIN_SHARE_LEFT, 1);
+}
+
 void
 class_add_sample (estimate_t *estimate, gdouble run_time_us)
 {
--- a/source/steer/dispatch-class.h
+++ b/source/steer/dispatch-class.h
@@ -28,8 +28,13 @@
  * @cold: run times on other upstreams
  * @n_tasks: its tasks, queued or running
  * @n_waiting: queued tasks
- * @n_late: queued tasks that can no longer finish within their target
+ * @n_late: queued tasks that can no longer finish within their target, or aren't expected to
  * @used_at: when its last task was submitted
+ * @work_us: run time of the tasks that were submitted lately, warm; see class_demand()
+ * @n_decided: tasks that were granted or refused lately
+ * @n_granted: those of them that were granted
+ * @last_retry_at: latest time at which a refused caller was told to retry
+ * @retry_phase: which part of the longest time the last of them was told to wait, 0 to 1
  */
 typedef struct
 {
@@ -43,6 +48,11 @@
   guint n_waiting;
   guint n_late;
   anvil_time_t used_at;
+  gdouble work_us;
+  gdouble n_decided;
+  gdouble n_granted;
+  anvil_time_t last_retry_at;
+  gdouble retry_phase;
 } run_class_t;
 
 /* Creates the classes of whole kinds. */
@@ -51,13 +61,21 @@
 /* Finds the class of a task, or creates it; that of its kind if the task has none, or if there are
  * too many. */
 run_class_t *class_get (service_t *service, const anvil_task_t *task, anvil_time_t now);
-/* Removes classes that no request was of for a long time. */
-void class_expire (service_t *service, anvil_time_t now);
+/* Reduces what was counted lately, and removes classes that no request was of for a long time. */
+void class_update (service_t *service, anvil_time_t now);
 /* Whether tasks of some kind are of more than one class. */
 gboolean class_differs_in_service (const service_t *service);
 
 void class_add_sample (estimate_t *estimate, gdouble run_time_us);
 /* Adds the run time of a complete response, without network delay, to the class and its kind. */
 void class_add_run_time (run_class_t *class, gboolean warm, gdouble run_time_us);
+/* Counts a new task, and what becomes of it. */
+void class_count_submitted (run_class_t *class);
+void class_count_decided (run_class_t *class, gboolean granted);
+/* Rank of the class's tasks with a priority: that, or the most urgent one if far fewer of its tasks
+ * are served than of all. */
+guint class_rank (const run_class_t *class, guint priority);
+/* Share of the service's slots that the tasks of classes that go first leave to a class. */
+gdouble class_share_left (const run_class_t *class);
 /* Expected run time, microseconds. */
 gdouble class_run_time_us (const run_class_t *class, gboolean warm);
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -154,6 +154,8 @@
  * @zone: id of the requester's zone
  * @regions: ids of the regions that may serve it
  * @is_late: it is in the late queue of its object
+ * @will_be_late: it was expected to miss its target when it was queued, and isn't late yet; not set
+ *   where all tasks of a kind are of one class
  * @admitted_late: it was checked when it became late, and stayed queued
  * @upstream: where it runs, NULL while it is queued
  * @warm: the upstream was warm for its object when it was granted
@@ -170,6 +172,7 @@
   run_class_t *class;
   object_queue_t *queue;
   gboolean is_late;
+  gboolean will_be_late;
   gboolean admitted_late;
   upstream_t *upstream;
   gboolean warm;
@@ -202,11 +205,13 @@
  * @n_limited: its limited upstreams
  * @kinds: run times of all tasks of a kind
  * @classes: run_class_t, those in @kinds first
+ * @counted_at: when what is counted of @classes was reduced last
  * @n_classes: classes in @classes by kind, besides those in @kinds
  * @max_warm_objects: most objects that one upstream is expected to be warm for
  * @retry_window: requests and retries, for the retry budget
  * @foreign_windows: the same of other holders, as they handed them over
- * @last_retry_at: latest time at which a refused caller was told to retry
+ * @last_retry_at: latest time at which a refused caller was told to retry, where run_class_t
+ * doesn't have it
  * @return_offset: how long after the end of a pause the last caller was told to retry that was
  *   refused in one
  * @pauses_end: when the last of all pauses of its upstreams ends
@@ -228,6 +233,7 @@
   guint n_limited;
   run_class_t *kinds[ANVIL_ROUTE_UPLOAD + 1];
   GPtrArray *classes;
+  anvil_time_t counted_at;
   guint n_classes[ANVIL_ROUTE_UPLOAD + 1];
   guint max_warm_objects;
   anvil_retry_window_t retry_window;
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -12,8 +12,11 @@
 /* Shortest time until a refused caller retries: somewhat more than its round trip. */
 #define MIN_RETRY_AFTER (100 * ANVIL_MS)
 /* Longest time until a refused caller retries. Callers wait no longer than a third of their
- * remaining time, which is a few seconds at most. */
+ * remaining time, which is a few seconds at most. Where routes of several classes compete, those
+ * that would have to wait longer are spread over the second half of this time. */
 #define MAX_RETRY_AFTER (2 * ANVIL_SECOND)
+/* Multiples of it, modulo 1, are spread evenly. */
+#define GOLDEN_RATIO 0.6180339887
 /* When no upstream accepts requests: about the time in which one could register again. */
 #define NO_UPSTREAM_RETRY_AFTER (500 * ANVIL_MS)
 
@@ -68,7 +71,8 @@
   return (anvil_time_t) (run_time_us / service->usable_slots);
 }
 
-/* How long they need for the queued tasks that go before a new one. */
+/* How long they need for the queued tasks that go before a new one, as far as more urgent classes
+ * leave them. */
 static anvil_time_t
 time_for_queue (const task_t *task, gboolean with_late)
 {
@@ -114,13 +118,29 @@
 {
   if (task->service->n_waiting >= MAX_WAITING_TASKS || refusing_misses_deadline (task, now))
     return TRUE;
-  return !can_meet_target (task, now) && refusing_late_task (task, now);
+  if (can_meet_target (task, now))
+    return FALSE;
+  task->will_be_late = class_differs_in_service (task->service);
+  return refusing_late_task (task, now);
+}
+
+/* Times in the second half of the range, any consecutive ones of which are spread evenly. */
+static anvil_time_t
+spread_retry_after (run_class_t *class)
+{
+  class->retry_phase += GOLDEN_RATIO;
+  class->retry_phase -= class->retry_phase >= 1 ? 1 : 0;
+  return MAX_RETRY_AFTER / 2
+         + (anvil_time_t) (class->retry_phase * (gdouble) (MAX_RETRY_AFTER / 2));
 }
 
 anvil_time_t
 refusing_retry_after (const task_t *task, anvil_time_t now)
 {
   service_t *service = task->service;
+  run_class_t *class = task->class;
+  anvil_time_t *last_retry_at
+      = class_differs_in_service (service) ? &class->last_retry_at : &service->last_retry_at;
   anvil_time_t first = now + MIN_RETRY_AFTER + time_for_queue (task, TRUE);
   anvil_time_t pause = pause_retry_after (task, now);
 
@@ -128,10 +148,13 @@
     return pause;
   if (service->n_slots == 0)
     return NO_UPSTREAM_RETRY_AFTER;
-  service->last_retry_at = MAX (service->last_retry_at, first)
-                           + time_for_work (service, class_run_time_us (task->class, TRUE));
-  service->last_retry_at = MIN (service->last_retry_at, now + MAX_RETRY_AFTER);
-  return service->last_retry_at - now;
+  *last_retry_at
+      = MAX (*last_retry_at, first)
+        + time_for_work (service, class_run_time_us (class, TRUE) / class_share_left (class));
+  *last_retry_at = MIN (*last_retry_at, now + MAX_RETRY_AFTER);
+  if (class_differs_in_service (service) && *last_retry_at == now + MAX_RETRY_AFTER)
+    return spread_retry_after (class);
+  return *last_retry_at - now;
 }
 
 const char *
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -95,7 +95,8 @@
 static gboolean
 waits_for (const run_class_t *class, const run_class_t *other)
 {
-  return !class_differs_in_service (class->service) || other->priority <= class->priority;
+  return !class_differs_in_service (class->service)
+         || class_rank (other, other->priority) <= class_rank (class, class->priority);
 }
 
 gdouble
@@ -110,7 +111,7 @@
       if (waits_for (task->class, backlog->class))
         sum += backlog->n_tasks * run_time_before_us (task->class, backlog->class);
     }
-  return sum * upstream->run_time_ratio;
+  return sum * upstream->run_time_ratio / class_share_left (task->class);
 }
 
 gdouble
@@ -127,7 +128,7 @@
       if (n_tasks > 0 && waits_for (task->class, class))
         sum += n_tasks * run_time_before_us (task->class, class);
     }
-  return sum;
+  return sum / class_share_left (task->class);
 }
 
 guint
@@ -155,6 +156,7 @@
   g_hash_table_add (service->waiting_queues, task->queue);
   service->n_waiting++;
   task->class->n_waiting++;
+  task->class->n_late += task->will_be_late ? 1 : 0;
   add_backlog (task->queue, 1);
 }
 
@@ -169,11 +171,12 @@
     g_hash_table_remove (service->waiting_queues, queue);
   service->n_waiting--;
   task->class->n_waiting--;
-  if (task->is_late)
+  if (task->is_late || task->will_be_late)
     task->class->n_late--;
-  else
+  if (!task->is_late)
     add_backlog (queue, -1);
   task->is_late = FALSE;
+  task->will_be_late = FALSE;
 }
 
 void
@@ -186,7 +189,8 @@
     {
       g_queue_push_tail (&queue->late, g_queue_pop_head (&queue->on_time));
       task->is_late = TRUE;
-      task->class->n_late++;
+      task->class->n_late += task->will_be_late ? 0 : 1;
+      task->will_be_late = FALSE;
       add_backlog (queue, -1);
     }
 }
@@ -217,7 +221,7 @@
       || (!warm && better_on_warm_upstream (task, &placement, now)))
     return FALSE;
   on_time = placement.finish <= task->request.target;
-  result->priority = task->request.priority;
+  result->priority = class_rank (task->class, task->request.priority);
   result->tier = tier_of (on_time, warm);
   result->order = on_time ? task->request.target : -task->request.target;
   return TRUE;
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -189,6 +189,7 @@
 {
   assign_slot (dispatcher, now, task, upstream, warmth_is_ready (upstream, task->object));
   limit_count_request (upstream, now);
+  class_count_decided (task->class, TRUE);
   notify_grant (dispatcher, task);
 }
 
@@ -207,6 +208,7 @@
                                               .running = service->n_running,
                                               .slots = service->n_slots };
 
+  class_count_decided (task->class, FALSE);
   remove_task (dispatcher, task);
   dispatcher->callbacks.refuse (dispatcher->context, id, &refused);
 }
@@ -317,6 +319,7 @@
       return;
     }
   warmth_record_request (task->queue, now);
+  class_count_submitted (task->class);
   placement = placing_best_immediate (task, now);
   if (placement.upstream != NULL)
     grant (dispatcher, now, task, placement.upstream);
@@ -478,7 +481,7 @@
     {
       service_t *service = value;
 
-      class_expire (service, now);
+      class_update (service, now);
       if (service->n_limited > 0)
         dispatch_update_slot_count (service);
     }
--- a/tests/test-dispatch-classes.c
+++ b/tests/test-dispatch-classes.c
@@ -144,6 +144,63 @@
 }
 END_TEST
 
+/* Guards against the long route being served much less than all: first come first for the urgent
+ * one left it 0.01 at twice the capacity. */
+START_TEST (test_less_urgent_route_keeps_a_share)
+{
+  guint first = run_both (2.0);
+  sim_outcome_t more = sim_outcome (&sim, &urgent, first);
+  sim_outcome_t less = sim_outcome (&sim, &heavy, first);
+  gdouble mean = (more.served * more.n + less.served * less.n) / (more.n + less.n);
+
+  ck_assert_double_ge (less.served, mean / 4);
+  ck_assert_double_ge (more.served, less.served - 0.05);
+  ck_assert_double_ge (more.on_time, 0.65);
+}
+END_TEST
+
+/* Guards against callers that are held for most of the target and then refused: on average 1.4 s of
+ * the 2 s before the share that more urgent classes leave was taken into account. */
+START_TEST (test_what_cannot_be_served_in_time_is_refused_at_once)
+{
+  guint first = run_both (1.8);
+
+  ck_assert_double_le (sim_outcome (&sim, &heavy, first).refused_after, 300 * ANVIL_MS);
+  ck_assert_double_le (sim_outcome (&sim, &urgent, first).refused_after, 100 * ANVIL_MS);
+}
+END_TEST
+
+/* Guards against callers of one route that are told to return by the queue of another, and against
+ * callers that return together. */
+START_TEST (test_refused_callers_return_when_their_route_has_room)
+{
+  guint first = run_both (1.8);
+  gdouble sums[] = { 0, 0 };
+  guint n[] = { 0, 0 };
+  /* Callers of the long route that were refused in the first second, by when they return. */
+  guint at_once[40] = { 0 };
+  guint n_at_once = 0;
+
+  for (guint i = first; i < sim.tasks->len; i++)
+    {
+      const sim_task_t *task = sim_task (&sim, i);
+      guint which = task->class == &heavy;
+
+      if (!task->refused)
+        continue;
+      sums[which] += (gdouble) task->retry_after;
+      n[which]++;
+      if (!which || task->refused_at - sim_task (&sim, first)->submitted_at >= ANVIL_SECOND)
+        continue;
+      at_once[MIN (task->retry_after / (100 * ANVIL_MS), 39)]++;
+      n_at_once++;
+    }
+  ck_assert_double_le (sums[0] / n[0], sums[1] / n[1] / 2);
+  for (guint i = 0; i < G_N_ELEMENTS (at_once); i++)
+    ck_assert_uint_le (at_once[i] * 3, n_at_once);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -157,6 +214,9 @@
   tcase_add_test (tests, test_new_class_starts_with_the_figures_of_its_kind);
   tcase_add_test (tests, test_classes_of_one_object_queue_apart);
   tcase_add_test (tests, test_single_class_changes_nothing);
+  tcase_add_test (tests, test_less_urgent_route_keeps_a_share);
+  tcase_add_test (tests, test_what_cannot_be_served_in_time_is_refused_at_once);
+  tcase_add_test (tests, test_refused_callers_return_when_their_route_has_room);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
