Read the speed of an upstream's VM from its load header

On some services the fourth figure of Server-Load says how long work takes on the VM now, 100 being as usual. Nothing read it.

It is taken from responses to runs only, if the header comes once and has just four decimal numbers, and the fourth is 1 to 100,000. It goes to the holder with the report of the end of the run. The stand-in anvil-registrant learns to name a speed and to be as slow.

--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -285,7 +285,8 @@
                                     job->upstream, job->upstream_id, &outcome->request_limit);
   report_run (job, &(anvil_run_report_t){ .result = outcome->result,
                                           .duration = outcome->duration,
-                                          .request_limit = outcome->request_limit });
+                                          .request_limit = outcome->request_limit,
+                                          .speed = outcome->speed });
   if (outcome->result != ANVIL_RUN_ANSWERED)
     {
       record_failed_attempt (job, outcome);
--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -68,6 +68,8 @@
  * @has_response_marker: the response carries the marker header
  * @not_run: the response says that the request has not run
  * @request_limit: request limit that the response names
+ * @speed: speed of the upstream's VM that the response names, percent; 0 for none
+ * @n_load_fields: load headers of the response
  * @announcement: what the response says of its upstream
  * @has_content_encoding: the response has a Content-Encoding other than identity
  * @response_complete: the parser has reached the end of a response
@@ -99,6 +101,8 @@
   gboolean has_response_marker;
   gboolean not_run;
   anvil_request_limit_t request_limit;
+  guint speed;
+  guint n_load_fields;
   anvil_announcement_t announcement;
   gboolean has_content_encoding;
   gboolean response_complete;
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -7,6 +7,7 @@
 #include "net/http-framing.h"
 #include "relay/http-field.h"
 #include "relay/http-status.h"
+#include "relay/upstream-load.h"
 
 /* Largest response body that is buffered; larger than any body that upstreams send today. */
 #define MAX_RESPONSE_BODY_BYTES (32u << 20)
@@ -66,6 +67,7 @@
                                             .body = attempt->body,
                                             .duration = anvil_clock_now () - attempt->started_at,
                                             .request_limit = attempt->request_limit,
+                                            .speed = attempt->speed,
                                             .response = describe_response (attempt) };
 
   if (is_misdirected_response (attempt, status))
@@ -73,12 +75,14 @@
       outcome.result = ANVIL_RUN_CONNECT_FAILED;
       outcome.misdirected = TRUE;
       outcome.request_limit = (anvil_request_limit_t){ 0 };
+      outcome.speed = 0;
       outcome.reason = "address belongs to another upstream";
     }
   else if (is_not_run_response (attempt, status))
     {
       outcome.result = ANVIL_RUN_SHED;
       outcome.reason = "upstream rejected the request without running it";
+      outcome.speed = 0;
       /* That a limit has ended is taken only from responses to requests that were run. */
       if (outcome.request_limit.state == ANVIL_REQUEST_LIMIT_NONE)
         outcome.request_limit = (anvil_request_limit_t){ 0 };
@@ -136,6 +140,8 @@
   attempt->has_response_marker = FALSE;
   attempt->not_run = FALSE;
   attempt->request_limit = (anvil_request_limit_t){ .state = ANVIL_REQUEST_LIMIT_NONE };
+  attempt->speed = 0;
+  attempt->n_load_fields = 0;
   attempt->announcement = (anvil_announcement_t){ 0 };
   attempt->has_content_encoding = FALSE;
   attempt->response_complete = FALSE;
@@ -180,6 +186,14 @@
                attempt->upstream_id, attempt->request_id != NULL ? attempt->request_id : "-");
 }
 
+/* With several load headers, it isn't known which is the upstream's. */
+static void
+process_load (anvil_relay_attempt_t *attempt, anvil_str_t value)
+{
+  attempt->n_load_fields++;
+  attempt->speed = attempt->n_load_fields == 1 ? anvil_upstream_load_speed (value) : 0;
+}
+
 static void
 process_field (anvil_relay_attempt_t *attempt)
 {
@@ -205,6 +219,8 @@
     attempt->not_run = TRUE;
   else if (anvil_http_field_name_is (name, header_names->request_limit))
     anvil_request_limit_add_field (&attempt->request_limit, value);
+  else if (header_names->load != NULL && anvil_http_field_name_is (name, header_names->load))
+    process_load (attempt, value);
   else if (anvil_http_field_name_is (name, header_names->leaving))
     attempt->announcement.leaving |= says_leaving (value);
   else if (anvil_http_field_name_is (name, "Retry-After"))
--- a/source/relay/relay-upstream.h
+++ b/source/relay/relay-upstream.h
@@ -88,6 +88,8 @@
  * @body: body of the response
  * @duration: from the start of sending to the end of the response, microseconds
  * @request_limit: what the response says about the upstream's request limit
+ * @speed: how long work takes on the upstream's VM as the response to a run says, percent of the
+ * usual time; 0 if it doesn't say
  * @response: the response that @result was derived from, usable or not
  */
 typedef struct
@@ -100,6 +102,7 @@
   struct evbuffer *body;
   anvil_time_t duration;
   anvil_request_limit_t request_limit;
+  guint speed;
   anvil_relay_response_t response;
 } anvil_relay_attempt_outcome_t;
 
--- a/standins/anvil-registrant.c
+++ b/standins/anvil-registrant.c
@@ -23,16 +23,17 @@
  *   size=BYTES       length of the body, with fault=error
  *   echo=headers     the response's body includes the headers of the request
  * GET /runs returns the number of runs by request ID: {"ID": COUNT}. POST /limit?value=TEXT makes
- * it name a request limit in its responses, an empty TEXT ends that. POST /leaving?value=1 makes it
- * say in its responses that it leaves, whatever its row says; an empty value ends that. POST
- * /retry-after?value=TEXT makes it refuse all requests with that Retry-After, until the value is
- * empty. SIGTERM starts a drain.
- * With --runs, lines are appended to a file: "start TIME UPSTREAM" when the process
- * starts, "run TIME ID" for each run, "limit TIME TEXT" for each request to name a limit ("-" to
- * end it), "leaving TIME TEXT" and "retry-after TIME TEXT" alike, "arrived TIME ID" for each
- * request that isn't answered with 421, "refused TIME ID" for each request that it refuses with a
- * Retry-After, "copied TIME ID" for each copy of a refusal, and "draining TIME -" when the store
- * has accepted the row that announces the drain. Times are in microseconds since 1970.
+ * it name a request limit in its responses, an empty TEXT ends that. POST /speed?value=TEXT alike
+ * makes TEXT the fourth figure of its Server-Load, and runs take that percentage of their time if
+ * it is a number of 1 to 100,000. POST /leaving?value=1 makes it say in its responses that it
+ * leaves, whatever its row says; an empty value ends that. POST /retry-after?value=TEXT makes it
+ * refuse all requests with that Retry-After, until the value is empty. SIGTERM starts a drain. With
+ * --runs, lines are appended to a file: "start TIME UPSTREAM" when the process starts, "run TIME
+ * ID" for each run, "limit TIME TEXT" for each request to name a limit ("-" to end it), "leaving
+ * TIME TEXT" and "retry-after TIME TEXT" alike, "arrived TIME ID" for each request that isn't
+ * answered with 421, "refused TIME ID" for each request that it refuses with a Retry-After, "copied
+ * TIME ID" for each copy of a refusal, and "draining TIME -" when the store has accepted the row
+ * that announces the drain. Times are in microseconds since 1970.
  */
 
 #include <arpa/inet.h>
@@ -70,8 +71,10 @@
 respond (upstream_t *upstream, struct evhttp_request *request, int status, const char *text)
 {
   struct evbuffer *body = evbuffer_new ();
-  char *load = g_strdup_printf ("%u,%u,%" G_GINT64_FORMAT, upstream->running,
-                                upstream->waiting.length, upstream->settings[SLOTS].integer);
+  char *load = g_strdup_printf ("%u,%u,%" G_GINT64_FORMAT "%s%s", upstream->running,
+                                upstream->waiting.length, upstream->settings[SLOTS].integer,
+                                upstream->speed != NULL ? "," : "",
+                                upstream->speed != NULL ? upstream->speed : "");
 
   set_header (request, "Request-Id", registrant_request_header (request, "Request-Id"));
   set_header (request, "Server-Load", load);
@@ -155,6 +158,16 @@
   start_queued_jobs (upstream);
 }
 
+/* Percentage of their time that runs take. */
+static guint
+speed_of (const upstream_t *upstream)
+{
+  char *end;
+  guint64 percent = upstream->speed != NULL ? g_ascii_strtoull (upstream->speed, &end, 10) : 0;
+
+  return percent >= 1 && percent <= 100000 && *end == '\0' ? (guint) percent : 100;
+}
+
 static void
 start_job (registrant_job_t *job)
 {
@@ -171,6 +184,7 @@
                             ? WARM_MS
                             : WORK_MS]
              .integer;
+  ms = ms * speed_of (upstream) / 100;
   if (object != NULL)
     g_hash_table_add (upstream->warm_objects, g_strdup (object));
   g_hash_table_insert (upstream->run_counts, g_strdup (id), GUINT_TO_POINTER (count + 1));
@@ -230,6 +244,8 @@
     on_get_runs (request, upstream);
   else if (strcmp (path, "/limit") == 0)
     on_set_text (request, upstream, "limit", &upstream->request_limit);
+  else if (strcmp (path, "/speed") == 0)
+    on_set_text (request, upstream, "speed", &upstream->speed);
   else if (strcmp (path, "/leaving") == 0)
     on_set_text (request, upstream, "leaving", &upstream->leaving);
   else if (strcmp (path, "/retry-after") == 0)
@@ -450,6 +466,7 @@
   g_hash_table_unref (upstream.connections);
   g_hash_table_unref (upstream.refused_ids);
   g_free (upstream.request_limit);
+  g_free (upstream.speed);
   g_free (upstream.leaving);
   g_free (upstream.retry_after);
   g_free (upstream.endpoint);
--- a/standins/anvil-registrant.h
+++ b/standins/anvil-registrant.h
@@ -54,6 +54,8 @@
   /* Server-Limit and Server-Leaving headers of its responses, or NULL. */
   char *request_limit;
   char *leaving;
+  /* Fourth figure of its Server-Load headers, or NULL. */
+  char *speed;
   /* Retry-After header with which it refuses all requests, or NULL. */
   char *retry_after;
   /* File that events are logged to, or NULL. */
--- a/tests/test-relay-upstream.c
+++ b/tests/test-relay-upstream.c
@@ -29,7 +29,8 @@
                                                    .response_marker = "Server-Stamp",
                                                    .not_run = "Not-Run",
                                                    .request_limit = "Server-Limit",
-                                                   .leaving = "Server-Leaving" };
+                                                   .leaving = "Server-Leaving",
+                                                   .load = "Server-Load" };
 
 static struct event_base *base;
 static anvil_relay_upstream_pool_t *pool;
@@ -40,6 +41,7 @@
 static anvil_run_result_t result;
 static guint status;
 static anvil_request_limit_t request_limit;
+static guint speed;
 static char *body_text;
 static char *headers_text;
 
@@ -50,6 +52,7 @@
   result = outcome->result;
   status = outcome->status;
   request_limit = outcome->request_limit;
+  speed = outcome->speed;
   g_free (headers_text);
   headers_text = g_strdup (outcome->headers != NULL ? outcome->headers->str : "");
   g_free (body_text);
@@ -1030,6 +1033,61 @@
 }
 END_TEST
 
+typedef struct
+{
+  const char *response;
+  guint speed;
+} speed_case_t;
+
+#define SPEED "Server-Load: 1,0,3,250\r\n"
+
+/* Guards against figures that aren't a speed, or not this upstream's, and bend expected run times.
+ */
+START_TEST (test_speeds_are_taken_from_responses_to_runs)
+{
+  static const speed_case_t cases[] = {
+    { HEAD_200 SPEED LENGTH_0, 250 },
+    { HEAD_200 "server-load: 1, 0, 3, 99.6\r\n" LENGTH_0, 100 },
+    { HEAD_200 "Server-Load: 1,0,3,100000\r\n" LENGTH_0, 100000 },
+    { HEAD_200 LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: 1,0,3\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load:\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: 1,0,3,\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: 1,0,3,0\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: 1,0,3,0.4\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: 1,0,3,-250\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: 1,0,3,100001\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: 1,0,3,99999999999999999999999999\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: 1,0,3,nan\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: 1,0,3,1e3\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: 1,0,3,0x20\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: 1,0,3,250%\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: 1,0,3,250,7\r\n" LENGTH_0, 0 },
+    { HEAD_200 "Server-Load: ,,,250\r\n" LENGTH_0, 0 },
+    { HEAD_200 SPEED "Server-Load: 1,0,3,100\r\n" LENGTH_0, 0 },
+    { HEAD_503 SPEED LENGTH_0, 0 },
+    { "HTTP/1.1 421 Misdirected\r\nRequest-Id: one\r\nNot-Run: 1\r\n" SPEED LENGTH_0, 0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: one\r\n" SPEED LENGTH_0, 0 },
+    { "HTTP/1.1 100 Continue\r\n" SPEED "\r\n" HEAD_200 LENGTH_0, 0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\n" SPEED LENGTH_0 HEAD_200
+          LENGTH_0,
+      0 },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int fd;
+
+      start_attempt ();
+      fd = accept_request ();
+      send_response (fd, cases[i].response);
+      ck_assert_msg (speed == cases[i].speed, "%s: speed %u", cases[i].response, speed);
+      anvil_relay_upstream_pool_close_idle (pool, 1);
+      close (fd);
+    }
+}
+END_TEST
+
 /* More than any response may have, and than the test may need until the entry gives up. */
 #define MAX_FLOOD_BYTES (64u << 20)
 #define HEAD "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\n"
@@ -1187,6 +1245,7 @@
   tcase_add_test (tests, test_an_upstream_that_is_lost_during_an_upload_is_noticed);
   tcase_add_test (tests, test_an_upstream_that_is_lost_before_a_short_request_is_noticed);
   tcase_add_test (tests, test_request_limits_are_taken_from_responses_to_this_request);
+  tcase_add_test (tests, test_speeds_are_taken_from_responses_to_runs);
   tcase_add_test (tests, test_bytes_without_end_end_the_attempt);
   tcase_add_test (tests, test_the_longest_response_is_given_up_for_the_others);
   tcase_add_test (tests, test_what_an_upstream_says_of_itself_is_taken_from_its_own_responses);
