Compare run times by class and speed with simpler ways in make bench

bench-uneven plays an urgent and a long route on 8 upstreams, 3 in 100 runs 7 times as long and VMs 2.5 times as slow for 15 % of the time.

Also mends what the linter found in the files before; no decision changes.

--- a/Makefile
+++ b/Makefile
@@ -83,6 +83,9 @@
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS)
 
+# It uses the simulation of the dispatcher's tests.
+$(BUILD)/bench/bench-uneven: $(BUILD)/tests/helper-dispatch.o
+
 $(BUILD)/fuzz/fuzz-steer: $(BUILD)/tests/fuzz/fuzz-steer.o $(FAKE_OBJECTS) $(WORLD_OBJECTS) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS)
@@ -124,6 +127,7 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) benches
 	@$(BUILD)/bench/bench-steer $(BENCH_ARGS)
 	@$(BUILD)/bench/bench-lookup-http
+	@$(BUILD)/bench/bench-uneven
 
 # make soak SEED=1 SECONDS=30; SOAK_ARGS="--entries 12 --upstreams 60 --rate 400" for a larger one.
 soak: packages
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -130,8 +130,7 @@
 {
   class->retry_phase += GOLDEN_RATIO;
   class->retry_phase -= class->retry_phase >= 1 ? 1 : 0;
-  return MAX_RETRY_AFTER / 2
-         + (anvil_time_t) (class->retry_phase * (gdouble) (MAX_RETRY_AFTER / 2));
+  return MAX_RETRY_AFTER / 2 + (anvil_time_t) (class->retry_phase / 2 * (gdouble) MAX_RETRY_AFTER);
 }
 
 anvil_time_t
--- a/tests/helper-dispatch.c
+++ b/tests/helper-dispatch.c
@@ -353,7 +353,7 @@
       if (task->class != NULL || sim->names_speed || sim->long_interval > 0)
         report.duration = task->ends_at - task->granted_at;
       if (sim->names_speed)
-        report.speed = speed_of (sim, task->upstream, sim->now);
+        report.speed = sim->names_usual_speed ? 100 : speed_of (sim, task->upstream, sim->now);
       task->done = TRUE;
       anvil_dispatcher_run_finished (sim->dispatcher, sim->now, task->task.id, &report);
     }
--- a/tests/helper-dispatch.h
+++ b/tests/helper-dispatch.h
@@ -74,8 +74,9 @@
   guint speeds[MAX_SIM_UPSTREAMS];
   /* Each VM is 2.5 times as slow for 600 ms in every 4 s, each at another time. */
   gboolean has_slow_periods;
-  /* Responses name the speed. */
+  /* Responses name the speed, or always the usual one. */
   gboolean names_speed;
+  gboolean names_usual_speed;
   /* Every so many'th run takes @long_factor times as long; 0 for none. */
   guint long_interval;
   guint long_factor;
--- a/tests/test-dispatch-classes.c
+++ b/tests/test-dispatch-classes.c
@@ -197,7 +197,7 @@
     }
   ck_assert_double_le (sums[0] / n[0], sums[1] / n[1] / 2);
   for (guint i = 0; i < G_N_ELEMENTS (at_once); i++)
-    ck_assert_uint_le (at_once[i] * 3, n_at_once);
+    ck_assert_uint_le (at_once[i], n_at_once / 3);
 }
 END_TEST
 
--- a/tests/test-run-time-estimate.c
+++ b/tests/test-run-time-estimate.c
@@ -5,10 +5,13 @@
 
 #include "steer/run-time-estimate.h"
 
-#define assert_near(value, expected)                                                               \
-  ck_assert_msg (llabs ((value) - (expected)) * 10 <= (expected),                                  \
-                 "%" G_GINT64_FORMAT " instead of %" G_GINT64_FORMAT, (gint64) (value),            \
-                 (gint64) (expected))
+/* Buckets are 9 % apart. */
+static void
+assert_near (anvil_time_t value, anvil_time_t expected)
+{
+  ck_assert_msg (llabs (value - expected) * 10 <= expected,
+                 "%" G_GINT64_FORMAT " instead of %" G_GINT64_FORMAT, value, expected);
+}
 
 static anvil_run_time_estimate_t estimate;
 
@@ -70,7 +73,7 @@
 /* Guards against weights that overflow in a process that runs for weeks. */
 START_TEST (test_ages_and_sizes_without_bound)
 {
-  const anvil_time_t day = 24 * 3600 * ANVIL_SECOND;
+  const anvil_time_t day = (anvil_time_t) 24 * 3600 * ANVIL_SECOND;
 
   for (guint i = 0; i < 50; i++)
     add (10, i * day, i % 2 == 0 ? 0 : G_MAXINT64 / 2);
