Count served shares of a service as they change

Each comparison of two classes added up what all classes of the service were granted. A test shows that classes are bounded and forgotten.

--- a/source/steer/dispatch-class.c
+++ b/source/steer/dispatch-class.c
@@ -38,6 +38,7 @@
   class->hash = hash;
   class->service = service;
   class->kind = kind;
+  class->share_left = 1;
   return class;
 }
 
@@ -92,12 +93,48 @@
   class->n_granted *= factor;
 }
 
+/* Mean number of slots that the class's requests would occupy. */
+static gdouble
+demand_of (const run_class_t *class)
+{
+  return class->work_us * G_LN2 / (gdouble) COUNT_HALF_LIFE;
+}
+
+static gdouble
+served_share (const service_t *service)
+{
+  return service->n_decided > 0 ? service->n_granted / service->n_decided : 1;
+}
+
+/* Share of the service's slots that the tasks of classes that go first leave to a class. */
+static gdouble
+share_left (const run_class_t *class)
+{
+  const service_t *service = class->service;
+  gdouble slots = service->usable_slots;
+  gdouble left = slots;
+
+  if (!class_differs_in_service (service) || slots <= 0)
+    return 1;
+  for (guint i = 0; i < service->classes->len; i++)
+    {
+      const run_class_t *other = service->classes->pdata[i];
+
+      if (other->priority < class->priority)
+        left -= demand_of (other);
+    }
+  left = MAX (left, MIN_SERVED_SHARE * served_share (service) * demand_of (class));
+  return CLAMP (left / slots, MIN_SHARE_LEFT, 1);
+}
+
 void
 class_update (service_t *service, anvil_time_t now)
 {
   gdouble factor = exp2 (-(gdouble) (now - service->counted_at) / (gdouble) COUNT_HALF_LIFE);
 
   service->counted_at = now;
+  service->n_decided *= factor;
+  service->n_granted *= factor;
   for (guint i = service->classes->len; i > 0; i--)
     {
       run_class_t *class = service->classes->pdata[i - 1];
@@ -106,9 +143,17 @@
       if (class->hash == 0 || class->n_tasks > 0 || now - class->used_at < CLASS_RETENTION)
         continue;
       warmth_forget_class (service, class);
+      service->n_decided -= class->n_decided;
+      service->n_granted -= class->n_granted;
       service->n_classes[class->kind]--;
       g_ptr_array_remove_index_fast (service->classes, i - 1);
     }
+  for (guint i = 0; i < service->classes->len; i++)
+    {
+      run_class_t *class = service->classes->pdata[i];
+
+      class->share_left = share_left (class);
+    }
 }
 
 gboolean
@@ -133,29 +178,8 @@
 {
   class->n_decided++;
   class->n_granted += granted ? 1 : 0;
-}
-
-/* Mean number of slots that the class's requests would occupy. */
-static gdouble
-demand_of (const run_class_t *class)
-{
-  return class->work_us * G_LN2 / (gdouble) COUNT_HALF_LIFE;
-}
-
-static gdouble
-served_share (const service_t *service)
-{
-  gdouble n_decided = 0;
-  gdouble n_granted = 0;
-
-  for (guint i = 0; i < service->classes->len; i++)
-    {
-      const run_class_t *class = service->classes->pdata[i];
-
-      n_decided += class->n_decided;
-      n_granted += class->n_granted;
-    }
-  return n_decided > 0 ? n_granted / n_decided : 1;
+  class->service->n_decided++;
+  class->service->n_granted += granted ? 1 : 0;
 }
 
 guint
@@ -167,26 +191,6 @@
   return 0;
 }
 
-gdouble
-class_share_left (const run_class_t *class)
-{
-  const service_t *service = class->service;
-  gdouble slots = service->usable_slots;
-  gdouble left = slots;
-
-  if (!class_differs_in_service (service) || slots <= 0)
-    return 1;
-  for (guint i = 0; i < service->classes->len; i++)
-    {
-      const run_class_t *other = service->classes->pdata[i];
-
-      if (other->priority < class->priority)
-        left -= demand_of (other);
-    }
-  left = MAX (left, MIN_SERVED_SHARE * served_share (service) * demand_of (class));
-  return CLAMP (left / slots, MIN_SHARE_LEFT, 1);
-}
-
 void
 class_add_sample (estimate_t *estimate, gdouble run_time_us)
 {
--- a/source/steer/dispatch-class.h
+++ b/source/steer/dispatch-class.h
@@ -52,6 +52,7 @@
  * @n_late: queued tasks that can no longer finish within their target, or aren't expected to
  * @used_at: when its last task was submitted
  * @work_us: run time of the tasks that were submitted lately, warm; see class_demand()
+ * @share_left: share of the service's slots that the tasks of more urgent classes leave to it
  * @n_decided: tasks that were granted or refused lately
  * @n_granted: those of them that were granted
  * @last_retry_at: latest time at which a refused caller was told to retry
@@ -70,6 +71,7 @@
   guint n_late;
   anvil_time_t used_at;
   gdouble work_us;
+  gdouble share_left;
   gdouble n_decided;
   gdouble n_granted;
   anvil_time_t last_retry_at;
@@ -101,8 +103,6 @@
 /* Rank of the class's tasks with a priority: that, or the most urgent one if far fewer of its tasks
  * are served than of all. */
 guint class_rank (const run_class_t *class, guint priority);
-/* Share of the service's slots that the tasks of classes that go first leave to a class. */
-gdouble class_share_left (const run_class_t *class);
 /* Expected run time, microseconds. */
 gdouble class_run_time_us (const run_class_t *class, gboolean warm);
 /* Mean run time, warm, microseconds: what several tasks together need depends on the long runs too.
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -218,6 +218,8 @@
  * @kinds: run times of all tasks of a kind
  * @classes: run_class_t, those in @kinds first
  * @counted_at: when what is counted of @classes was reduced last
+ * @n_decided: tasks of all classes that were granted or refused lately
+ * @n_granted: those of them that were granted
  * @n_classes: classes in @classes by kind, besides those in @kinds
  * @max_warm_objects: most objects that one upstream is expected to be warm for
  * @retry_window: requests and retries, for the retry budget
@@ -249,6 +251,8 @@
   run_class_t *kinds[ANVIL_ROUTE_UPLOAD + 1];
   GPtrArray *classes;
   anvil_time_t counted_at;
+  gdouble n_decided;
+  gdouble n_granted;
   guint n_classes[ANVIL_ROUTE_UPLOAD + 1];
   guint max_warm_objects;
   anvil_retry_window_t retry_window;
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -148,7 +148,7 @@
   if (service->n_slots == 0)
     return NO_UPSTREAM_RETRY_AFTER;
   *last_retry_at = MAX (*last_retry_at, first)
-                   + time_for_work (service, class_work_us (class) / class_share_left (class));
+                   + time_for_work (service, class_work_us (class) / class->share_left);
   *last_retry_at = MIN (*last_retry_at, now + MAX_RETRY_AFTER);
   if (class_differs_in_service (service) && *last_retry_at == now + MAX_RETRY_AFTER)
     return spread_retry_after (class);
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -111,7 +111,7 @@
       if (waits_for (task->class, backlog->class))
         sum += backlog->n_tasks * run_time_before_us (task->class, backlog->class);
     }
-  return sum * upstream->run_time_ratio / class_share_left (task->class);
+  return sum * upstream->run_time_ratio / task->class->share_left;
 }
 
 gdouble
@@ -128,7 +128,7 @@
       if (n_tasks > 0 && waits_for (task->class, class))
         sum += n_tasks * run_time_before_us (task->class, class);
     }
-  return sum / class_share_left (task->class);
+  return sum / task->class->share_left;
 }
 
 guint
--- a/tests/test-dispatch-classes.c
+++ b/tests/test-dispatch-classes.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "helper-dispatch.h"
+#include "steer/dispatch-internal.h"
 
 /* The load that these tests answer: two routes of one service on the same upstreams, as they were
  * measured on the second deployment. */
@@ -201,6 +202,29 @@
 }
 END_TEST
 
+/* Guards against a table that grows with every change of a route, and against use of what was
+ * dropped from it. */
+START_TEST (test_classes_are_bounded_and_forgotten)
+{
+  sim_class_t class = urgent;
+  const service_t *service;
+
+  add_upstreams (1);
+  for (guint i = 0; i < 200; i++)
+    {
+      class.route_class++;
+      sim_submit_class (&sim, &class, 1 + i % 2);
+      sim_run (&sim, 300 * ANVIL_MS);
+    }
+  service = g_hash_table_lookup (sim.dispatcher->services, "photos");
+  ck_assert_uint_le (service->classes->len, 64);
+  sim_run (&sim, 700 * ANVIL_SECOND);
+  ck_assert_uint_eq (service->classes->len, G_N_ELEMENTS (service->kinds));
+  ck_assert_uint_eq (service->n_classes[ANVIL_ROUTE_SAFE], 0);
+  ck_assert (sim_task (&sim, sim_submit_class (&sim, &class, 1))->warm);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -217,6 +241,7 @@
   tcase_add_test (tests, test_less_urgent_route_keeps_a_share);
   tcase_add_test (tests, test_what_cannot_be_served_in_time_is_refused_at_once);
   tcase_add_test (tests, test_refused_callers_return_when_their_route_has_room);
+  tcase_add_test (tests, test_classes_are_bounded_and_forgotten);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
