Describe uneven upstreams, and show usable slots and classes

The holder decides by the class of a route and the speed of VMs, and an operator saw neither.

The metrics anvil_held_usable_slots and anvil_held_classes show what the slots of a held service are worth and how many classes it tells apart; the line "slot refused" names the priority and the class; the holder says once that upstreams name their speed.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -393,6 +393,9 @@
  * @running: granted tasks that have not finished
  * @waiting: queued tasks
  * @limited: upstreams with a request limit
+ * @usable_slots: @slots, but counting only as many of an upstream as its request limit and the
+ * speed of its VM can keep busy
+ * @classes: classes of routes by which run times are estimated; see anvil_task_t
  */
 typedef struct
 {
@@ -401,6 +404,8 @@
   guint running;
   guint waiting;
   guint limited;
+  gdouble usable_slots;
+  guint classes;
 } anvil_dispatcher_status_t;
 
 /** anvil_dispatcher_status - FALSE if the service is unknown to this dispatcher */
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -488,12 +488,13 @@
   anvil_log (
       ANVIL_LOG_INFO, "request",
       "slot refused request=%s service=%s holder=%s reason=%s attempt=%u waiting=%u running=%u "
-      "slots=%u left_ms=%" G_GINT64_FORMAT " come_back_ms=%" G_GINT64_FORMAT,
+      "slots=%u left_ms=%" G_GINT64_FORMAT " come_back_ms=%" G_GINT64_FORMAT
+      " priority=%u class=%016" G_GINT64_MODIFIER "x",
       text_or_dash (job->request->id), job->service,
       anvil_slot_broker_vm_name (jobs->options.slot_broker, from),
       anvil_task_refusal_reason_name (refused->reason), job->task.attempt, refused->waiting,
       refused->running, refused->slots, (job->task.deadline - anvil_clock_now ()) / ANVIL_MS,
-      refused->retry_after / ANVIL_MS);
+      refused->retry_after / ANVIL_MS, job->task.priority, job->task.route_class);
   job_fail (job, STATUS_BAD_GATEWAY, anvil_task_refusal_reason_name (refused->reason),
             refused->retry_after);
 }
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -558,6 +558,9 @@
       anvil_metrics_set_gauge (relay->metrics, "anvil_held_running", labels, status.running);
       anvil_metrics_set_gauge (relay->metrics, "anvil_held_waiting", labels, status.waiting);
       anvil_metrics_set_gauge (relay->metrics, "anvil_held_limited", labels, status.limited);
+      anvil_metrics_set_gauge (relay->metrics, "anvil_held_usable_slots", labels,
+                               status.usable_slots);
+      anvil_metrics_set_gauge (relay->metrics, "anvil_held_classes", labels, status.classes);
     }
   g_free (labels);
 }
--- a/source/steer/dispatch-service.c
+++ b/source/steer/dispatch-service.c
@@ -70,6 +70,9 @@
                                          .slots = service->n_slots,
                                          .running = service->n_running,
                                          .waiting = service->n_waiting,
-                                         .limited = service->n_limited };
+                                         .limited = service->n_limited,
+                                         .usable_slots = service->usable_slots,
+                                         .classes
+                                         = service->classes->len - G_N_ELEMENTS (service->kinds) };
   return TRUE;
 }
--- a/source/steer/dispatch-upstream.c
+++ b/source/steer/dispatch-upstream.c
@@ -131,6 +131,9 @@
     return;
   anvil_upstream_speed_set (&upstream->speed, now, percent);
   upstream->slowness = anvil_upstream_speed_factor (&upstream->speed, now);
+  if (!service->names_speed)
+    anvil_log (ANVIL_LOG_NOTICE, "dispatch", "upstreams name the speed of their VMs service=%s",
+               service->name);
   service->speed_named_at = now;
   service->names_speed = TRUE;
 }
