--- a/source/relay/relay-forward.c
+++ b/source/relay/relay-forward.c
@@ -138,7 +138,8 @@
   run_t *run = context;
   const anvil_run_report_t report = { .result = outcome->result,
                                       .duration = outcome->duration,
-                                      .request_limit = outcome->request_limit };
+                                      .request_limit = outcome->request_limit,
+                                      .speed = outcome->speed };
   anvil_forwarded_response_t response = { .result = outcome->result,
                                           .status = outcome->status,
                                           .upstream = run->upstream,
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -47,8 +47,9 @@
 
   g_free (service->name);
   g_ptr_array_unref (service->upstreams);
-  g_hash_table_unref (service->waiting_objects);
+  g_hash_table_unref (service->waiting_queues);
   g_hash_table_unref (service->objects);
+  class_clear_service (service);
   g_hash_table_unref (service->shifts);
   g_free (service);
 }
@@ -140,6 +141,8 @@
 {
   object_t *object = task->object;
 
+  task->class->n_tasks--;
+  task->queue->n_tasks--;
   g_hash_table_remove (dispatcher->tasks, &task->request.id);
   object->n_tasks--;
   warmth_drop_object_if_unused (object);
@@ -152,11 +155,13 @@
              upstream_t *upstream,
              gboolean warm)
 {
-  anvil_time_t run_time = warmth_expected_run_time (upstream, task->request.kind, warm);
+  anvil_time_t run_time = warmth_expected_run_time (upstream, task->class, warm);
 
   task->upstream = upstream;
   task->warm = warm;
   task->granted_at = now;
+  task->slowness_at_start
+      = anvil_upstream_speed_is_known (&upstream->speed, now) ? upstream->slowness : 0;
   task->expected_end = now + placing_network_delay (upstream, task) + run_time;
   g_ptr_array_add (upstream->running, task);
   task->service->n_running++;
@@ -186,6 +191,7 @@
 {
   assign_slot (dispatcher, now, task, upstream, warmth_is_ready (upstream, task->object));
   limit_count_request (upstream, now);
+  class_count_decided (task->class, TRUE);
   notify_grant (dispatcher, task);
 }
 
@@ -204,6 +210,7 @@
                                               .running = service->n_running,
                                               .slots = service->n_slots };
 
+  class_count_decided (task->class, FALSE);
   remove_task (dispatcher, task);
   dispatcher->callbacks.refuse (dispatcher->context, id, &refused);
 }
@@ -277,6 +284,10 @@
   task->service = dispatch_get_service (dispatcher, request->service);
   task->object = warmth_get_object (task->service, request);
   task->object->n_tasks++;
+  task->class = class_get (task->service, request, now);
+  task->class->n_tasks++;
+  task->queue = warmth_get_queue (task->object, task->class);
+  task->queue->n_tasks++;
   g_hash_table_insert (dispatcher->tasks, &task->request.id, task);
   return task;
 }
@@ -309,7 +320,8 @@
       refuse (dispatcher, now, task, ANVIL_TASK_NO_RETRY);
       return;
     }
-  warmth_record_request (task->object, request->kind, now);
+  warmth_record_request (task->queue, now);
+  class_count_submitted (task->class);
   placement = placing_best_immediate (task, now);
   if (placement.upstream != NULL)
     grant (dispatcher, now, task, placement.upstream);
@@ -376,6 +388,7 @@
     {
       warmth_record_result (task, now, report);
       dispatch_upstream_record_result (upstream, now, report->result);
+      dispatch_upstream_set_speed (upstream, now, report->speed);
       limit_record_response (upstream, now, task->granted_at, &report->request_limit);
     }
   if (report->still_running)
@@ -471,6 +484,7 @@
     {
       service_t *service = value;
 
+      class_update (service, now);
       if (service->n_limited > 0)
         dispatch_update_slot_count (service);
     }
@@ -489,6 +503,7 @@
     {
       service_t *service = value;
 
+      dispatch_update_speeds (service, now);
       waiting_update_backlog (service);
       for (guint i = 0; service->n_waiting > 0 && i < service->upstreams->len; i++)
         grant_free_slots (dispatcher, now, service->upstreams->pdata[i]);
