Parse tenants and find them by their keys

The deployments that join have tenants, each with keys, a priority, a rate and regions of its own. Nothing read them yet, and the quota is to be built on the task's tenant.

The adapter parses resources of kind "tenants" and a route's "public". A version with an invalid tenant is refused as a whole; the reason names the field and the tenant, never a key. The JSON library quotes the text around a syntax error, which may be a key, so the line and column are named instead. A job fills in the task's tenant, its priority (the route's if it has none) and the regions that route and tenant both allow; a request for which none is left is refused with 503.

--- a/include/anvil/tenants.h
+++ b/include/anvil/tenants.h
@@ -39,7 +39,7 @@
 const anvil_tenant_t *anvil_routes_tenant_at (const anvil_routes_t *routes, guint index);
 
 /** anvil_routes_lookup_tenant - the tenant that holds a key, or NULL; its time doesn't depend on
- * how much of a key matches */
+ * how much of a key matches. The table must be finished */
 const anvil_tenant_t *anvil_routes_lookup_tenant (const anvil_routes_t *routes, anvil_str_t key);
 
 /** anvil_routes_find_tenant - a tenant by its name, or NULL */
--- a/source/relay/http-field.c
+++ b/source/relay/http-field.c
@@ -33,8 +33,8 @@
   return FALSE;
 }
 
-static anvil_str_t
-trim_whitespace (anvil_str_t text)
+anvil_str_t
+anvil_http_trim_blanks (anvil_str_t text)
 {
   while (text.length > 0 && (text.data[0] == ' ' || text.data[0] == '\t'))
     {
@@ -55,7 +55,8 @@
       const char *comma = memchr (value.data, ',', value.length);
       gsize length = comma != NULL ? (gsize) (comma - value.data) : value.length;
 
-      visit (context, trim_whitespace ((anvil_str_t){ .data = value.data, .length = length }));
+      visit (context,
+             anvil_http_trim_blanks ((anvil_str_t){ .data = value.data, .length = length }));
       if (comma == NULL)
         return;
       value.data += length + 1;
@@ -133,7 +134,7 @@
 gboolean
 anvil_http_field_parse_number (anvil_str_t value, gint64 *number)
 {
-  char *text = anvil_str_dup (trim_whitespace (value));
+  char *text = anvil_str_dup (anvil_http_trim_blanks (value));
   gboolean valid = g_ascii_string_to_signed (text, 10, 0, G_MAXINT64, number, NULL);
 
   g_free (text);
--- a/source/relay/http-field.h
+++ b/source/relay/http-field.h
@@ -16,6 +16,9 @@
 /** anvil_http_field_has_token - whether a list such as "keep-alive, close" contains @token */
 gboolean anvil_http_field_has_token (anvil_str_t value, const char *token);
 
+/** anvil_http_trim_blanks - the text without surrounding spaces and tabs */
+anvil_str_t anvil_http_trim_blanks (anvil_str_t text);
+
 /** anvil_http_field_parse_number - parses a non-negative integer; FALSE if it is anything else */
 gboolean anvil_http_field_parse_number (anvil_str_t value, gint64 *number);
 
--- a/source/relay/relay-caller-read.c
+++ b/source/relay/relay-caller-read.c
@@ -29,6 +29,18 @@
   return 0;
 }
 
+/* Keeps the key of the caller's tenant. Whether one is needed depends on the configuration. */
+static void
+add_key (anvil_relay_request_t *request, anvil_str_t value)
+{
+  const anvil_str_t key = anvil_http_trim_blanks (value);
+
+  if (request->key == NULL)
+    request->key = anvil_str_dup (key);
+  else if (!anvil_str_equal (anvil_str (request->key), key))
+    request->keys_differ = TRUE;
+}
+
 /* Handles a header that has been read completely; non-zero stops the parser. */
 static int
 process_field (anvil_relay_caller_connection_t *connection)
@@ -53,6 +65,8 @@
     result = set_once (connection, &request->id, value);
   else if (anvil_http_field_name_is (name, header_names->object))
     result = set_once (connection, &request->object, value);
+  else if (anvil_http_field_name_is (name, header_names->api_key))
+    add_key (request, value);
   else if (anvil_http_field_name_is (name, "Connection"))
     g_string_append_printf (connection->hop_by_hop_names, ",%s", connection->field_value->str);
 
--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -29,6 +29,7 @@
   evbuffer_free (request->body);
   g_free (request->id);
   g_free (request->object);
+  g_free (request->key);
   g_free (request);
 }
 
--- a/source/relay/relay-caller.h
+++ b/source/relay/relay-caller.h
@@ -31,6 +31,8 @@
  * @body: body, without chunk framing
  * @id: request id that the caller sent, or NULL
  * @object: object that the request is about, or NULL
+ * @key: key of the caller's tenant without surrounding blanks, or NULL; must not be logged
+ * @keys_differ: the caller sent several keys that aren't equal
  * @timeout: how long the caller waits, microseconds; 0 if not given
  * @received_at: when it was complete, monotonic clock
  * @close_after_response: the connection closes after the response
@@ -48,6 +50,8 @@
   struct evbuffer *body;
   char *id;
   char *object;
+  char *key;
+  gboolean keys_differ;
   anvil_time_t timeout;
   anvil_time_t received_at;
   gboolean close_after_response;
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "anvil/tenants.h"
 #include "relay/http-status.h"
 #include "relay/pause-table.h"
 #include "relay/relay-job.h"
@@ -7,9 +8,10 @@
 #include "relay/route-split.h"
 #include "relay/warm-object-table.h"
 
-/* relay-job-new.c creates and frees jobs, relay-job.c requests slots, sends requests and retries,
- * relay-job-response.c responds to callers, relay-job-holder.c handles changes of holders,
- * relay-job-shutdown.c ends jobs when the process stops. */
+/* relay-job-new.c creates and frees jobs, relay-job-key.c checks the keys of callers, relay-job.c
+ * requests slots, sends requests and retries, relay-job-response.c responds to callers,
+ * relay-job-holder.c handles changes of holders, relay-job-shutdown.c ends jobs when the process
+ * stops. */
 
 /* During shutdown another entry can serve the caller at once. */
 #define SHUTDOWN_RETRY_AFTER (20 * ANVIL_MS)
@@ -30,6 +32,9 @@
  * @task: what a slot is requested for; its texts are owned by the job or by the settings. Its
  * number is another one for each slot request, so that no grant, refusal or report is taken for
  * that of a later request
+ * @route_regions: regions that the route allows, all if empty
+ * @tenant: name of the tenant that the request counts for, or NULL
+ * @has_no_region: no region is allowed by both the route and the tenant
  * @holder: entry that the slot was requested from
  * @slot_requested_at: when the slot was requested last
  * @upstream: key of the upstream that the request was sent to last
@@ -52,6 +57,9 @@
   anvil_task_t task;
   char *service;
   char *route;
+  char **route_regions;
+  char *tenant;
+  gboolean has_no_region;
   guint max_attempts;
   anvil_node_t holder;
   anvil_time_t slot_requested_at;
@@ -101,6 +109,10 @@
                     anvil_time_t received_at,
                     anvil_time_t timeout);
 
+/* Sets the tenant of a job, or none: its name, its priority, and the regions that both it and the
+ * route allow. */
+void job_set_tenant (job_t *job, const anvil_tenant_t *tenant);
+
 void job_on_deadline (evutil_socket_t unused_fd, short unused_what, void *data);
 
 /* Requests a slot from the service's holder, or ends the job if the request can't be sent any more
--- a/source/relay/relay-job-new.c
+++ b/source/relay/relay-job-new.c
@@ -1,16 +1,27 @@
 #include "relay/relay-job-internal.h"
 
+#include <string.h>
+
 /* Timeout if neither the caller nor the route has one. */
 #define DEFAULT_TIMEOUT (30 * ANVIL_SECOND)
 /* Reserved for sending the response back to the caller. */
 #define RESPONSE_MARGIN (15 * ANVIL_MS)
 
+static void
+clear_regions (job_t *job)
+{
+  for (guint i = 0; i < job->task.n_regions; i++)
+    g_free ((char *) job->task.regions[i].data);
+  job->task.n_regions = 0;
+}
+
 void
 job_drop (job_t *job)
 {
   event_free (job->timer);
-  for (guint i = 0; i < job->task.n_regions; i++)
-    g_free ((char *) job->task.regions[i].data);
+  clear_regions (job);
+  g_strfreev (job->route_regions);
+  g_free (job->tenant);
   g_free (job->service);
   g_free (job->route);
   g_free (job->upstream_id);
@@ -61,11 +72,69 @@
     .priority = route->priority,
     .attempt = 1,
     .body_bytes = evbuffer_get_length (request->body),
-    .n_regions = route->n_regions,
   };
   job_set_times (&job->task, route, request->received_at, request->timeout);
+}
+
+static gboolean
+allows (char *const *regions, guint n_regions, const char *region)
+{
+  for (guint i = 0; i < n_regions; i++)
+    {
+      if (strcmp (regions[i], region) == 0)
+        return TRUE;
+    }
+  return n_regions == 0;
+}
+
+/* The regions that both allow: those of one list that the other one allows too. */
+static void
+set_regions (job_t *job, const anvil_tenant_t *tenant)
+{
+  const guint n_of_route = g_strv_length (job->route_regions);
+  const guint n_of_tenant = tenant != NULL ? tenant->n_regions : 0;
+  char *const *regions = n_of_route > 0 || tenant == NULL ? job->route_regions : tenant->regions;
+  const guint n = n_of_route > 0 ? n_of_route : n_of_tenant;
+
+  clear_regions (job);
+  for (guint i = 0; i < n; i++)
+    {
+      if (tenant == NULL || allows (tenant->regions, tenant->n_regions, regions[i]))
+        job->task.regions[job->task.n_regions++] = anvil_str (g_strdup (regions[i]));
+    }
+  job->has_no_region = n > 0 && job->task.n_regions == 0;
+}
+
+void
+job_set_tenant (job_t *job, const anvil_tenant_t *tenant)
+{
+  g_free (job->tenant);
+  job->tenant = tenant != NULL ? g_strdup (tenant->name) : NULL;
+  job->task.tenant = anvil_str (job->tenant);
+  job->task.tenant_priority
+      = tenant != NULL && tenant->has_priority ? tenant->priority : job->task.priority;
+  set_regions (job, tenant);
+}
+
+/* The tenant that holds the key of a request, NULL if the route needs none. */
+static const anvil_tenant_t *
+tenant_of (const anvil_relay_jobs_t *jobs,
+           const anvil_relay_request_t *request,
+           const anvil_route_t *route)
+{
+  if (route->is_public || request->key == NULL)
+    return NULL;
+  return anvil_routes_lookup_tenant (jobs->routes, anvil_str (request->key));
+}
+
+static char **
+copy_regions (const anvil_route_t *route)
+{
+  char **regions = g_new0 (char *, route->n_regions + 1);
+
   for (guint i = 0; i < route->n_regions; i++)
-    job->task.regions[i] = anvil_str (g_strdup (route->regions[i]));
+    regions[i] = g_strdup (route->regions[i]);
+  return regions;
 }
 
 job_t *
@@ -80,7 +149,9 @@
   job->service = g_strdup (route->services[index].service);
   job->route = g_strdup (route->name);
   job->max_attempts = route->max_attempts;
+  job->route_regions = copy_regions (route);
   fill_task (jobs, job, route);
+  job_set_tenant (job, tenant_of (jobs, request, route));
   time = anvil_time_to_timeval (job->task.deadline - anvil_clock_now ());
   job->timer = evtimer_new (jobs->options.base, job_on_deadline, job);
   evtimer_add (job->timer, &time);
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -522,6 +522,15 @@
   job_remove (job);
 }
 
+static void
+begin (job_t *job)
+{
+  if (job->has_no_region)
+    job_fail (job, STATUS_UNAVAILABLE, "no-allowed-region", NOT_READY_RETRY_AFTER);
+  else
+    job_request_slot (job);
+}
+
 void
 anvil_relay_jobs_start (anvil_relay_jobs_t *jobs, anvil_relay_request_t *request)
 {
@@ -549,5 +558,5 @@
   else if (route == NULL)
     job_refuse_request (jobs, request, STATUS_NOT_FOUND, "no-route", 0);
   else
-    job_request_slot (job_new (jobs, request, route));
+    begin (job_new (jobs, request, route));
 }
--- a/source/steer/routes.c
+++ b/source/steer/routes.c
@@ -1,8 +1,7 @@
-#include "anvil/tenants.h"
-
 #include <string.h>
 
 #include "anvil/error.h"
+#include "steer/tenants.h"
 
 /* Default limits, common ones of HTTP servers. */
 #define DEFAULT_MAX_HEADER_BYTES (16u << 10)
@@ -20,6 +19,8 @@
   GArray *tenants;
   /* Arrays of route indices by lower-case host, longest prefix first. */
   GHashTable *by_host;
+  /* NULL until the table is finished. */
+  anvil_tenant_index_t *keys;
 };
 
 static void
@@ -91,6 +92,7 @@
     return;
   g_array_unref (routes->routes);
   g_array_unref (routes->services);
+  anvil_tenant_index_drop (routes->keys);
   g_array_unref (routes->tenants);
   g_hash_table_unref (routes->by_host);
   g_free (routes);
@@ -201,6 +203,12 @@
   return NULL;
 }
 
+const anvil_tenant_t *
+anvil_routes_lookup_tenant (const anvil_routes_t *routes, anvil_str_t key)
+{
+  return anvil_tenant_index_lookup (routes->keys, key);
+}
+
 static gboolean
 check_services (const anvil_routes_t *routes, const anvil_route_t *route, GError **error)
 {
@@ -303,6 +311,9 @@
       if (!check_route (routes, anvil_routes_at (routes, i), error))
         return FALSE;
     }
+  routes->keys = anvil_tenant_index_new (routes->tenants, error);
+  if (routes->keys == NULL)
+    return FALSE;
   index_hosts (routes);
   return TRUE;
 }
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -8,6 +8,7 @@
 
 #include <glib/gstdio.h>
 
+#include "anvil/tenants.h"
 #include "platform/adapter.h"
 
 #define SPEC                                                                                       \
@@ -32,6 +33,16 @@
   g_error_free (error);
 }
 
+static void
+assert_hidden (const char *text, const char *secret)
+{
+  GError *error = NULL;
+
+  ck_assert_ptr_null (anvil_adapter_parse_routes (anvil_str (text), &error));
+  ck_assert_msg (strstr (error->message, secret) == NULL, "%s", error->message);
+  g_error_free (error);
+}
+
 START_TEST (test_configuration_is_parsed)
 {
   anvil_routes_t *routes = anvil_adapter_parse_routes (
@@ -117,6 +128,78 @@
   return parse_upstream_with_id ("i-1", text, report, storage);
 }
 
+#define TENANT(name, spec)                                                                         \
+  "{\"resourceKind\":\"tenants\",\"metadata\":{" name "},\"spec\":{" spec "}}"
+#define TENANT_A(spec) TENANT ("\"name\":\"a\"", "\"apiKeys\":[\"secret\"]," spec)
+
+START_TEST (test_tenants_are_parsed)
+{
+  anvil_routes_t *routes = anvil_adapter_parse_routes (
+      anvil_str (
+          DOCUMENT (ROUTE (SPEC ",\"service\":\"s\",\"public\":true") "," SERVICE "," TENANT_A (
+              "\"priority\":1,\"ratePerS\":92.5,\"burst\":924,\"allowedRegions\":"
+              "[\"west\",\"east\"]") "," TENANT ("\"name\":\"b\"", "\"apiKeys\":[\"k1\",\"k2\"]"))),
+      NULL);
+  const anvil_tenant_t *tenant;
+
+  ck_assert_ptr_nonnull (routes);
+  ck_assert (anvil_routes_at (routes, 0)->is_public);
+  tenant = anvil_routes_lookup_tenant (routes, anvil_str ("secret"));
+  ck_assert_str_eq (tenant->name, "a");
+  ck_assert (tenant->has_priority && tenant->priority == 1);
+  ck_assert_double_eq (tenant->rate, 92.5);
+  ck_assert_double_eq (tenant->burst, 924);
+  ck_assert_uint_eq (tenant->n_regions, 2);
+  ck_assert_str_eq (tenant->regions[1], "east");
+  tenant = anvil_routes_lookup_tenant (routes, anvil_str ("k2"));
+  ck_assert_str_eq (tenant->name, "b");
+  ck_assert (!tenant->has_priority && tenant->n_regions == 0);
+  ck_assert_double_eq (tenant->rate, 0);
+  anvil_routes_drop (routes);
+}
+END_TEST
+
+/* Guards against a version that is accepted in part, and against logs that contain a key. */
+START_TEST (test_bad_tenants_are_rejected_with_field_and_name_but_no_key)
+{
+  static const struct
+  {
+    const char *text;
+    const char *reason;
+  } cases[] = {
+    { DOCUMENT (TENANT ("", "\"apiKeys\":[\"secret\"]")), "tenants: name" },
+    { DOCUMENT (TENANT ("\"name\":5", "\"apiKeys\":[\"secret\"]")), "tenants: name" },
+    { DOCUMENT (TENANT ("\"name\":\"a\"", "\"priority\":1")), "a: apiKeys" },
+    { DOCUMENT (TENANT ("\"name\":\"a\"", "\"apiKeys\":\"secret\"")), "a: apiKeys" },
+    { DOCUMENT (TENANT ("\"name\":\"a\"", "\"apiKeys\":[\"secret\",5]")), "a: apiKeys" },
+    { DOCUMENT (TENANT ("\"name\":\"a\"", "\"apiKeys\":[\"secret\",\"\"]")), "a: apiKeys" },
+    { DOCUMENT (TENANT ("\"name\":\"a\\r\\nb\"", "\"apiKeys\":[\"secret\"]")), "name" },
+    { DOCUMENT (TENANT_A ("\"priority\":-1")), "a: priority" },
+    { DOCUMENT (TENANT_A ("\"priority\":1.5")), "a: priority" },
+    { DOCUMENT (TENANT_A ("\"priority\":\"1\"")), "a: priority" },
+    { DOCUMENT (TENANT_A ("\"ratePerS\":-0.1")), "a: ratePerS" },
+    { DOCUMENT (TENANT_A ("\"ratePerS\":1.1e9")), "a: ratePerS" },
+    { DOCUMENT (TENANT_A ("\"ratePerS\":true")), "a: ratePerS" },
+    { DOCUMENT (TENANT_A ("\"ratePerS\":1e999")), "not a JSON object" },
+    { DOCUMENT (TENANT_A ("\"burst\":2000000000")), "a: burst" },
+    { DOCUMENT (TENANT_A ("\"allowedRegions\":\"west\"")), "a: allowedRegions" },
+    { DOCUMENT (TENANT_A ("\"allowedRegions\":[5]")), "a: allowedRegions" },
+    { DOCUMENT (TENANT_A ("\"burst\":1") "," TENANT_A ("\"burst\":1")), "tenant \"a\": name" },
+    { DOCUMENT (TENANT_A ("\"burst\":1") "," TENANT ("\"name\":\"b\"", "\"apiKeys\":[\"secret\"]")),
+      "tenant \"b\": keys" },
+    { DOCUMENT (ROUTE (SPEC ",\"service\":\"s\",\"public\":\"yes\"")), "r: public" },
+    { DOCUMENT ("{\"resourceKind\":\"tenants\",\"spec\":{\"apiKeys\":[\"x\" \"secret\"]}}"),
+      "line 1" },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      assert_rejected (cases[i].text, cases[i].reason);
+      assert_hidden (cases[i].text, "secret");
+    }
+}
+END_TEST
+
 START_TEST (test_upstream_is_parsed)
 {
   anvil_upstream_report_t report;
@@ -330,6 +413,8 @@
   tcase_add_test (tests, test_configuration_is_parsed);
   tcase_add_test (tests, test_traffic_split_is_parsed);
   tcase_add_test (tests, test_bad_configurations_are_rejected_with_field_and_reason);
+  tcase_add_test (tests, test_tenants_are_parsed);
+  tcase_add_test (tests, test_bad_tenants_are_rejected_with_field_and_name_but_no_key);
   tcase_add_test (tests, test_upstream_is_parsed);
   tcase_add_test (tests, test_invalid_upstream_rows_are_rejected);
   tcase_add_test (tests, test_upstream_ids_are_printable);
