--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -33,6 +33,8 @@
  * @ANVIL_TASK_NO_RETRY: the retry budget of the service is exhausted
  * @ANVIL_TASK_LATE: it was queued and can no longer finish in time
  * @ANVIL_TASK_PAUSED: all upstreams that it may use want no requests of its entry for too long
+ * @ANVIL_TASK_QUOTA: its tenant has used up its quota
+ * @ANVIL_TASK_NO_COUNTER: no entry answers for its tenant's quota
  */
 typedef enum
 {
@@ -41,6 +43,8 @@
   ANVIL_TASK_NO_RETRY,
   ANVIL_TASK_LATE,
   ANVIL_TASK_PAUSED,
+  ANVIL_TASK_QUOTA,
+  ANVIL_TASK_NO_COUNTER,
 } anvil_task_refusal_reason_t;
 
 /** anvil_task_refusal_reason_name - the reason as used in logs and metrics */
@@ -366,6 +370,9 @@
                                             anvil_str_t service,
                                             const anvil_retry_counts_t *counts);
 
+/** anvil_dispatcher_has_task - whether a task is queued or running */
+gboolean anvil_dispatcher_has_task (const anvil_dispatcher_t *dispatcher, anvil_task_id_t id);
+
 /** anvil_dispatcher_cancel - removes a queued task; does nothing to a granted one */
 void anvil_dispatcher_cancel (anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_task_id_t id);
 
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -138,7 +138,8 @@
   static const char *const names[] = {
     [ANVIL_TASK_NO_UPSTREAM] = "no-upstream", [ANVIL_TASK_NO_ROOM] = "no-room",
     [ANVIL_TASK_NO_RETRY] = "no-retry",       [ANVIL_TASK_LATE] = "late",
-    [ANVIL_TASK_PAUSED] = "paused",
+    [ANVIL_TASK_PAUSED] = "paused",           [ANVIL_TASK_QUOTA] = "quota",
+    [ANVIL_TASK_NO_COUNTER] = "no-counter",
   };
 
   return names[reason];
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -339,6 +339,12 @@
   assign_slot (dispatcher, now, task, upstream, TRUE);
 }
 
+gboolean
+anvil_dispatcher_has_task (const anvil_dispatcher_t *dispatcher, anvil_task_id_t id)
+{
+  return g_hash_table_contains (dispatcher->tasks, &id);
+}
+
 void
 anvil_dispatcher_cancel (anvil_dispatcher_t *dispatcher, anvil_time_t now, anvil_task_id_t id)
 {
