Take tokens for tasks of tenants before they ask for slots

Cause: the modules of quotas decide, but nothing asked them.

Change: slot-broker-quota.c chooses the counter of each shard as holders are chosen, sends what a holder needs in one message for each counter (ANVIL_RELAY_REQUEST_QUOTA and ANVIL_RELAY_QUOTA), and submits a task to the dispatcher once it has its token. No message passes where the counter is the holder. A refusal by quota is answered 429, and a grant marks the task as paid. Peers whose VM says that no process listens don't count as cut off (anvil_members_reachable_share()).

--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -70,6 +70,7 @@
  * @store_ok_since: since when it knows the store to have answered, this entry's clock; 0 if it
  *   doesn't know whether it still does
  * @address_seen_at: when its address was last passed to anvil_members_add()
+ * @process_ended: its VM answered that no process listens there, and it hasn't answered since
  * @pinged_often: it is in this entry's region, or among the next holders of a service
  */
 typedef struct
@@ -84,6 +85,7 @@
   anvil_time_t rtt;
   anvil_time_t store_ok_since;
   anvil_time_t address_seen_at;
+  gboolean process_ended;
   gboolean pinged_often;
 } anvil_peer_t;
 
@@ -195,6 +197,14 @@
  * doesn't answer now: it may be cut off from this entry, and act as a holder for others */
 gboolean anvil_members_may_be_divided (const anvil_members_t *members, anvil_time_t now);
 
+/** anvil_members_process_ended - a peer's process has ended: it isn't cut off from this entry */
+void anvil_members_process_ended (anvil_members_t *members, anvil_node_t node);
+
+/** anvil_members_reachable_share - reachable entries as a part of the known ones, 1 if all are.
+ * Entries that were shutting down, whose process ended or that didn't know their peers yet aren't
+ * counted if they don't answer */
+gdouble anvil_members_reachable_share (const anvil_members_t *members, anvil_time_t now);
+
 /**
  * anvil_members_holder - the entry that holds the slots of a service
  * @region: region with most of its slots, or NULL; an entry there is preferred
--- a/include/anvil/metrics.h
+++ b/include/anvil/metrics.h
@@ -31,6 +31,9 @@
                                       const char *labels,
                                       gdouble seconds);
 
+/** anvil_metrics_remove - removes a metric with all its labels */
+void anvil_metrics_remove (anvil_metrics_t *metrics, const char *name);
+
 /** anvil_metrics_value - value of a counter or gauge, 0 if it doesn't exist */
 gdouble anvil_metrics_value (const anvil_metrics_t *metrics, const char *name, const char *labels);
 
--- a/include/anvil/peers.h
+++ b/include/anvil/peers.h
@@ -24,6 +24,7 @@
  * @config_received: a peer sent a file, whose digest the callback has to verify
  * @relay_message_received: a peer sent a packed message between anvil-relay processes, see
  *   relay/relay-message.h; if NULL, such frames are invalid
+ * @refused: a peer's VM answered, but no process listens there; NULL to ignore it
  */
 typedef struct
 {
@@ -32,6 +33,7 @@
   void (*config_received) (
       void *context, anvil_node_t from, guint64 generation, anvil_str_t head, anvil_str_t file);
   void (*relay_message_received) (void *context, anvil_node_t from, anvil_str_t bytes);
+  void (*refused) (void *context, anvil_node_t node);
 } anvil_peers_callbacks_t;
 
 /**
--- a/source/core/metrics.c
+++ b/source/core/metrics.c
@@ -99,6 +99,33 @@
   return metric;
 }
 
+typedef struct
+{
+  const char *name;
+  GPtrArray *keys;
+} removal_t;
+
+static gboolean
+collect_key (gpointer key, gpointer value, gpointer data)
+{
+  removal_t *removal = data;
+
+  if (strcmp (((const metric_t *) value)->name, removal->name) == 0)
+    g_ptr_array_add (removal->keys, key);
+  return FALSE;
+}
+
+void
+anvil_metrics_remove (anvil_metrics_t *metrics, const char *name)
+{
+  removal_t removal = { .name = name, .keys = g_ptr_array_new () };
+
+  g_tree_foreach (metrics->by_key, collect_key, &removal);
+  for (guint i = 0; i < removal.keys->len; i++)
+    g_tree_remove (metrics->by_key, removal.keys->pdata[i]);
+  g_ptr_array_unref (removal.keys);
+}
+
 void
 anvil_metrics_add_counter (anvil_metrics_t *metrics,
                            const char *name,
--- a/source/net/peers-link.c
+++ b/source/net/peers-link.c
@@ -1,6 +1,7 @@
 #include "peers-link.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -32,6 +33,7 @@
   anvil_peer_link_callbacks_t callbacks;
   void *context;
   anvil_peers_counters_t *counters;
+  gboolean refused;
 };
 
 anvil_node_t
@@ -61,6 +63,12 @@
   return link->opened_at;
 }
 
+gboolean
+anvil_peer_link_refused (const anvil_peer_link_t *link)
+{
+  return link->refused;
+}
+
 gsize
 anvil_peer_link_waiting_bytes (const anvil_peer_link_t *link)
 {
@@ -179,8 +187,11 @@
 static void
 on_event (struct bufferevent *bev, short what, void *data)
 {
+  anvil_peer_link_t *link = data;
+
+  link->refused = (what & BEV_EVENT_ERROR) != 0 && EVUTIL_SOCKET_ERROR () == ECONNREFUSED;
   if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
-    report_and_close (data, FALSE);
+    report_and_close (link, FALSE);
 }
 
 static anvil_peer_link_t *
--- a/source/net/peers-link.h
+++ b/source/net/peers-link.h
@@ -57,6 +57,9 @@
 /** anvil_peer_link_opened_at - when it was opened or accepted */
 anvil_time_t anvil_peer_link_opened_at (const anvil_peer_link_t *link);
 
+/** anvil_peer_link_refused - no process listened at the node when the link was opened */
+gboolean anvil_peer_link_refused (const anvil_peer_link_t *link);
+
 /** anvil_peer_link_waiting_bytes - bytes of an incomplete frame that have arrived */
 gsize anvil_peer_link_waiting_bytes (const anvil_peer_link_t *link);
 
--- a/source/net/peers.c
+++ b/source/net/peers.c
@@ -162,6 +162,8 @@
 
   g_hash_table_remove (peers->outgoing, &node);
   record_failure (peers, anvil_peer_link_node (link));
+  if (anvil_peer_link_refused (link) && peers->callbacks.refused != NULL)
+    peers->callbacks.refused (peers->context, anvil_peer_link_node (link));
 }
 
 static const anvil_peer_link_callbacks_t accepted_callbacks
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -3,6 +3,7 @@
 #include "anvil/tenants.h"
 #include "relay/http-status.h"
 #include "relay/pause-table.h"
+#include "relay/quota-refusals.h"
 #include "relay/relay-job.h"
 #include "relay/request-limit-table.h"
 #include "relay/route-split.h"
@@ -92,6 +93,7 @@
   anvil_warm_object_table_t *warm_objects;
   anvil_request_limit_table_t *request_limits;
   anvil_pause_table_t *pauses;
+  anvil_quota_refusals_t *quota_refusals;
   /* job_t by number. */
   GHashTable *jobs;
 };
--- a/source/relay/relay-job-response.c
+++ b/source/relay/relay-job-response.c
@@ -52,13 +52,12 @@
 
 /* Ends a job whose request no upstream has run: the caller may send it again. */
 static void
-refuse (job_t *job, const char *reason, anvil_time_t retry_after)
+refuse (job_t *job, guint status, const char *reason, anvil_time_t retry_after)
 {
   anvil_relay_jobs_t *jobs = job->jobs;
 
-  job_record_outcome (jobs, job->request, job, "refused", STATUS_UNAVAILABLE, reason);
-  respond_without_upstream (job->request, jobs->options.header_names, STATUS_UNAVAILABLE,
-                            retry_after);
+  job_record_outcome (jobs, job->request, job, "refused", status, reason);
+  respond_without_upstream (job->request, jobs->options.header_names, status, retry_after);
   job_remove (job);
 }
 
@@ -102,12 +101,14 @@
 void
 job_fail (job_t *job, guint status, const char *reason, anvil_time_t retry_after)
 {
+  const gboolean is_quota = status == STATUS_TOO_MANY_REQUESTS;
+
   if (job->saved_status != 0)
     pass_saved_response (job);
   else if (job->may_have_run)
-    respond_unknown (job, status, reason);
+    respond_unknown (job, is_quota ? STATUS_BAD_GATEWAY : status, reason);
   else
-    refuse (job, reason, retry_after);
+    refuse (job, is_quota ? status : STATUS_UNAVAILABLE, reason, retry_after);
 }
 
 void
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -29,6 +29,7 @@
   jobs->warm_objects = anvil_warm_object_table_new ();
   jobs->request_limits = anvil_request_limit_table_new ();
   jobs->pauses = anvil_pause_table_new ();
+  jobs->quota_refusals = anvil_quota_refusals_new ();
   /* Starts at a random number, since holders may still have task numbers from before a restart. */
   jobs->last_number = ((guint64) g_random_int () << 32) | g_random_int ();
   jobs->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -66,6 +67,7 @@
   anvil_warm_object_table_drop (jobs->warm_objects);
   anvil_request_limit_table_drop (jobs->request_limits);
   anvil_pause_table_drop (jobs->pauses);
+  anvil_quota_refusals_drop (jobs->quota_refusals);
   anvil_routes_drop (jobs->routes);
   g_free (jobs);
 }
@@ -102,6 +104,12 @@
   return anvil_pause_table_count (jobs->pauses, anvil_clock_now ());
 }
 
+void
+anvil_relay_jobs_update_quota_metrics (anvil_relay_jobs_t *jobs)
+{
+  anvil_quota_refusals_publish (jobs->quota_refusals, jobs->options.metrics);
+}
+
 gsize
 anvil_relay_jobs_saved_bytes (const anvil_relay_jobs_t *jobs)
 {
@@ -449,6 +457,8 @@
         release_slot (jobs, from, number);
       return;
     }
+  /* The holder took a token of the tenant's quota, which holds for later attempts too. */
+  job->task.quota_paid = TRUE;
   if (!registry_is_fresh (jobs))
     {
       /* The tick requests a slot again; until then the registry may have been read. */
@@ -487,14 +497,17 @@
   anvil_log (
       ANVIL_LOG_INFO, "request",
       "slot refused request=%s service=%s holder=%s reason=%s attempt=%u waiting=%u running=%u "
-      "slots=%u left_ms=%" G_GINT64_FORMAT " come_back_ms=%" G_GINT64_FORMAT,
+      "slots=%u left_ms=%" G_GINT64_FORMAT " come_back_ms=%" G_GINT64_FORMAT " tenant=%s rank=%u",
       text_or_dash (job->request->id), job->service,
       anvil_slot_broker_vm_name (jobs->options.slot_broker, from),
       anvil_task_refusal_reason_name (refused->reason), job->task.attempt, refused->waiting,
       refused->running, refused->slots, (job->task.deadline - anvil_clock_now ()) / ANVIL_MS,
-      refused->retry_after / ANVIL_MS);
-  job_fail (job, STATUS_BAD_GATEWAY, anvil_task_refusal_reason_name (refused->reason),
-            refused->retry_after);
+      refused->retry_after / ANVIL_MS, text_or_dash (job->tenant), job->task.tenant_priority);
+  if (refused->reason == ANVIL_TASK_QUOTA)
+    anvil_quota_refusals_add (jobs->quota_refusals, job->tenant);
+  job_fail (job,
+            refused->reason == ANVIL_TASK_QUOTA ? STATUS_TOO_MANY_REQUESTS : STATUS_BAD_GATEWAY,
+            anvil_task_refusal_reason_name (refused->reason), refused->retry_after);
 }
 
 void
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -107,6 +107,9 @@
 /** anvil_relay_jobs_count_pauses - number of upstreams that want no requests of this entry now */
 guint anvil_relay_jobs_count_pauses (const anvil_relay_jobs_t *jobs);
 
+/** anvil_relay_jobs_update_quota_metrics - publishes the requests refused by quota */
+void anvil_relay_jobs_update_quota_metrics (anvil_relay_jobs_t *jobs);
+
 /** anvil_relay_jobs_saved_bytes - bytes in the bodies of failed responses that wait for a retry */
 gsize anvil_relay_jobs_saved_bytes (const anvil_relay_jobs_t *jobs);
 
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -11,6 +11,8 @@
 #define ZONE_CHUNK_BYTES 2048
 /* Value of a proof's age for "none". */
 #define NO_PROOF (-1)
+/* More than a holder has tasks or uses in a window; sums of two don't overflow. */
+#define MAX_QUOTA_TOKENS (1u << 30)
 /* Larger than any count of a second, and small enough that sums don't overflow. */
 #define MAX_RETRY_COUNT (1u << 24)
 
@@ -157,6 +159,35 @@
     }
 }
 
+static void
+pack_wants (msgpack_packer *packer, const anvil_relay_message_t *message)
+{
+  msgpack_pack_array (packer, message->n_wants);
+  for (guint i = 0; i < message->n_wants; i++)
+    {
+      msgpack_pack_array (packer, 4);
+      pack_text (packer, message->wants[i].tenant);
+      msgpack_pack_uint64 (packer, message->wants[i].waiting);
+      msgpack_pack_uint64 (packer, message->wants[i].ahead);
+      msgpack_pack_uint64 (packer, message->wants[i].used_elsewhere);
+    }
+}
+
+static void
+pack_lents (msgpack_packer *packer, const anvil_relay_message_t *message)
+{
+  msgpack_pack_array (packer, message->n_lents);
+  for (guint i = 0; i < message->n_lents; i++)
+    {
+      msgpack_pack_array (packer, 5);
+      pack_text (packer, message->lents[i].tenant);
+      msgpack_pack_uint64 (packer, message->lents[i].wanted);
+      msgpack_pack_uint64 (packer, message->lents[i].lent);
+      msgpack_pack_int64 (packer, message->lents[i].retry_after);
+      msgpack_pack_uint64 (packer, message->lents[i].use_share);
+    }
+}
+
 static void
 pack_evacuated (msgpack_packer *packer, const anvil_relay_message_t *message)
 {
@@ -243,6 +274,12 @@
     case ANVIL_RELAY_ANNOUNCEMENTS:
       pack_announcements (packer, message);
       return;
+    case ANVIL_RELAY_REQUEST_QUOTA:
+      pack_wants (packer, message);
+      return;
+    case ANVIL_RELAY_QUOTA:
+      pack_lents (packer, message);
+      return;
     }
   g_assert_not_reached ();
 }
@@ -598,6 +635,43 @@
     }
 }
 
+static void
+read_wants (reader_t *outer, anvil_relay_message_t *message)
+{
+  reader_t list = read_array (outer, "request of quotas");
+
+  message->n_wants = array_length (&list, "request of quotas", ANVIL_MAX_MESSAGE_QUOTAS);
+  for (guint i = 0; i < message->n_wants; i++)
+    {
+      reader_t item = read_array (&list, "wanted tokens");
+      anvil_quota_want_t *want = &message->wants[i];
+
+      want->tenant = read_text (&item, "tenant");
+      want->waiting = (guint) read_number (&item, "tokens for waiting tasks", MAX_QUOTA_TOKENS);
+      want->ahead = (guint) read_number (&item, "tokens ahead", MAX_QUOTA_TOKENS);
+      want->used_elsewhere = (guint) read_number (&item, "tokens used", MAX_QUOTA_TOKENS);
+    }
+}
+
+static void
+read_lents (reader_t *outer, anvil_relay_message_t *message)
+{
+  reader_t list = read_array (outer, "quotas");
+
+  message->n_lents = array_length (&list, "quotas", ANVIL_MAX_MESSAGE_QUOTAS);
+  for (guint i = 0; i < message->n_lents; i++)
+    {
+      reader_t item = read_array (&list, "lent tokens");
+      anvil_quota_lent_t *lent = &message->lents[i];
+
+      lent->tenant = read_text (&item, "tenant");
+      lent->wanted = (guint) read_number (&item, "wanted tokens", MAX_QUOTA_TOKENS);
+      lent->lent = (guint) read_number (&item, "lent tokens", 2 * MAX_QUOTA_TOKENS);
+      lent->retry_after = read_time (&item, "time until a token");
+      lent->use_share = (guint) read_number (&item, "share of use", ANVIL_QUOTA_FULL_SHARE);
+    }
+}
+
 static void
 read_body (reader_t *reader, anvil_relay_message_t *message)
 {
@@ -623,7 +697,7 @@
     case ANVIL_RELAY_REFUSE:
       body = read_array (reader, "refuse");
       message->refused.reason
-          = (anvil_task_refusal_reason_t) read_number (&body, "reason", ANVIL_TASK_PAUSED);
+          = (anvil_task_refusal_reason_t) read_number (&body, "reason", ANVIL_TASK_NO_COUNTER);
       message->refused.retry_after = read_time (&body, "retry after");
       message->refused.waiting = (guint) read_number (&body, "waiting", G_MAXUINT);
       message->refused.running = (guint) read_number (&body, "running", G_MAXUINT);
@@ -657,6 +731,12 @@
     case ANVIL_RELAY_ANNOUNCEMENTS:
       read_announcements (reader, message);
       return;
+    case ANVIL_RELAY_REQUEST_QUOTA:
+      read_wants (reader, message);
+      return;
+    case ANVIL_RELAY_QUOTA:
+      read_lents (reader, message);
+      return;
     }
   *reader->bad_field = "kind";
 }
@@ -680,8 +760,7 @@
   else
     {
       reader.array = &root.via.array;
-      message->kind
-          = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_ANNOUNCEMENTS);
+      message->kind = (anvil_relay_message_kind_t) read_number (&reader, "kind", ANVIL_RELAY_QUOTA);
       message->number = read_number (&reader, "number", G_MAXUINT64);
       if (bad_field == NULL)
         read_body (&reader, message);
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -5,6 +5,7 @@
 #include "anvil/members.h"
 #include "relay/request-limit-table.h"
 #include "relay/warm-object-table.h"
+#include "steer/quota-item.h"
 
 /**
  * anvil_relay_message_kind_t - messages between entries of anvil-relay
@@ -24,6 +25,8 @@
  * @ANVIL_RELAY_REQUEST_CONFIG: requests the changes of the configuration
  * @ANVIL_RELAY_CONFIG: changes of the configuration, and the evacuated zones
  * @ANVIL_RELAY_ANNOUNCEMENTS: what upstreams of a service said of themselves to the sender
+ * @ANVIL_RELAY_REQUEST_QUOTA: requests tokens of tenants from their counter
+ * @ANVIL_RELAY_QUOTA: tokens lent; echoes the number of the request
  */
 typedef enum
 {
@@ -43,8 +46,12 @@
   ANVIL_RELAY_REQUEST_CONFIG,
   ANVIL_RELAY_CONFIG,
   ANVIL_RELAY_ANNOUNCEMENTS,
+  ANVIL_RELAY_REQUEST_QUOTA,
+  ANVIL_RELAY_QUOTA,
 } anvil_relay_message_kind_t;
 
+/* Most tenants in one message about quotas. */
+#define ANVIL_MAX_MESSAGE_QUOTAS 64
 /* Most evacuated zones that updates name. */
 #define ANVIL_MAX_MESSAGE_ZONES 64
 
@@ -52,7 +59,8 @@
  * anvil_relay_message_t - one message; texts point into the bytes it was unpacked from
  * @number: the requester's number of the task; for ping and pong, the ping's time on its sender's
  *   clock; for updates, the version of the store up to which the sender has read; for a request for
- *   updates, the version that its sender has; for the configuration, its version in force at the
+ *   updates, the version that its sender has; for quotas, the time of the request on the holder's
+ *   clock; for the configuration, its version in force at the
  *   sender
  * @info: ping, pong: the sender
  * @task: request slot, adopt: the task; @task.target and @task.deadline are the remaining times,
@@ -68,6 +76,10 @@
  * @n_limits: request limits: length of @limits
  * @announcements: announcements: the list
  * @n_announcements: announcements: length of @announcements
+ * @wants: request of quotas: the list
+ * @n_wants: request of quotas: length of @wants
+ * @lents: quotas: the list
+ * @n_lents: quotas: length of @lents
  * @retry_counts: retry counts: the list, an item for each holder
  * @n_retry_counts: retry counts: length of @retry_counts
  * @after_version: updates: version of the store after which they start
@@ -105,6 +117,10 @@
   guint n_limits;
   anvil_named_announcement_t announcements[ANVIL_MAX_MESSAGE_ANNOUNCEMENTS];
   guint n_announcements;
+  anvil_quota_want_t wants[ANVIL_MAX_MESSAGE_QUOTAS];
+  guint n_wants;
+  anvil_quota_lent_t lents[ANVIL_MAX_MESSAGE_QUOTAS];
+  guint n_lents;
   anvil_retry_counts_t retry_counts[ANVIL_MAX_RETRY_ORIGINS];
   guint n_retry_counts;
   guint64 after_version;
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -639,6 +639,7 @@
       (gdouble) anvil_relay_upstream_pool_buffered_bytes (relay->upstream_pool));
   anvil_metrics_set_gauge (relay->metrics, "anvil_saved_response_bytes", "",
                            (gdouble) anvil_relay_jobs_saved_bytes (relay->jobs));
+  anvil_relay_jobs_update_quota_metrics (relay->jobs);
   anvil_metrics_set_gauge (relay->metrics, "anvil_oversized_responses", "",
                            (gdouble) pool->oversized_responses);
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstream_connections_opened", "",
--- a/source/relay/slot-broker-internal.h
+++ b/source/relay/slot-broker-internal.h
@@ -2,10 +2,13 @@
 
 #include "anvil/peers.h"
 #include "relay/slot-broker.h"
+#include "steer/quota-counter.h"
+#include "steer/quota-loan.h"
 
 /* slot-broker.c requests and grants slots, slot-broker-messages.c handles messages of peers,
  * slot-broker-peers.c tracks which peers are reachable and chooses holders, slot-broker-handover.c
- * tells new holders what this entry has granted. */
+ * tells new holders what this entry has granted, slot-broker-quota.c takes tokens for tasks of
+ * tenants with a quota, and lends them as their counter. */
 
 /**
  * service_t - a service and where its slots are requested
@@ -51,6 +54,14 @@
   struct event *deliver;
   struct event *tick;
   anvil_time_t regions_updated_at;
+  anvil_quota_counter_t *quota_counter;
+  anvil_quota_loans_t *quota_loans;
+  /* anvil_node_t by shard: the counters. */
+  GArray *quota_counters;
+  /* Region with most slots of all services, or NULL; borrowed from the settings. */
+  const char *quota_region;
+  struct event *quota_request;
+  anvil_time_t quota_logged_at;
 };
 
 /* Callbacks of the links to peers, in slot-broker-messages.c. */
@@ -73,6 +84,33 @@
 void
 broker_send (anvil_slot_broker_t *broker, anvil_node_t to, const anvil_relay_message_t *message);
 
+/* Submits a task to the dispatcher once its tenant's quota allows it. */
+void broker_submit (anvil_slot_broker_t *broker, anvil_time_t now, const anvil_task_t *task);
+/* Cancels a task that waits for a token or for a slot. */
+void broker_cancel (anvil_slot_broker_t *broker, anvil_task_id_t id);
+/* Forgets the waiting tasks of an entry that is gone. */
+void broker_requester_lost (anvil_slot_broker_t *broker, anvil_time_t now, anvil_node_t requester);
+
+void broker_quota_open (anvil_slot_broker_t *broker, struct event_base *base);
+void broker_quota_close (anvil_slot_broker_t *broker);
+void broker_quota_set_routes (anvil_slot_broker_t *broker, const anvil_routes_t *routes);
+void broker_quota_set_limits (anvil_slot_broker_t *broker, const anvil_dispatcher_limits_t *limits);
+/* Chooses counters, and requests tokens ahead of time. */
+void broker_quota_tick (anvil_slot_broker_t *broker, anvil_time_t now);
+/* A task that took a token was refused a slot; its token can be used by another one. */
+void broker_quota_give_back (anvil_slot_broker_t *broker, anvil_task_id_t id);
+/* Adds the counters to the services whose next holders are pinged often. */
+void broker_quota_add_held (const anvil_slot_broker_t *broker, GArray *services);
+void broker_handle_quota_request (anvil_slot_broker_t *broker,
+                                  anvil_node_t from,
+                                  const anvil_relay_message_t *message);
+void broker_handle_quota (anvil_slot_broker_t *broker, const anvil_relay_message_t *message);
+
+/* Tells the requester that its task was refused. */
+void broker_refuse (anvil_slot_broker_t *broker,
+                    anvil_task_id_t id,
+                    const anvil_task_refusal_info_t *refused);
+
 /* Pings a peer if its ping interval has passed. */
 void broker_ping (anvil_slot_broker_t *broker, anvil_time_t now, anvil_peer_t *peer);
 
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -12,7 +12,7 @@
   task.target += now;
   task.deadline += now;
   if (message->kind == ANVIL_RELAY_REQUEST_SLOT)
-    anvil_dispatcher_submit (broker->dispatcher, now, &task);
+    broker_submit (broker, now, &task);
   else
     anvil_dispatcher_adopt (broker->dispatcher, now, &task, message->upstream);
 }
@@ -27,7 +27,7 @@
     return;
   anvil_log (ANVIL_LOG_NOTICE, "broker", "peer has restarted vm=%.*s",
              ANVIL_STR_ARGS (message->info.name));
-  anvil_dispatcher_requester_lost (broker->dispatcher, now, from);
+  broker_requester_lost (broker, now, from);
   broker->callbacks.peer_restarted (broker->context, from);
 }
 
@@ -129,7 +129,7 @@
       anvil_dispatcher_run_finished (broker->dispatcher, anvil_clock_now (), task, &message.report);
       return;
     case ANVIL_RELAY_CANCEL:
-      anvil_dispatcher_cancel (broker->dispatcher, anvil_clock_now (), task);
+      broker_cancel (broker, task);
       return;
     case ANVIL_RELAY_REQUEST_UPDATES:
       broker->callbacks.updates_requested (broker->context, from, message.number);
@@ -157,6 +157,12 @@
       broker_add_pauses (broker, from, message.announcements, message.n_announcements);
       broker->callbacks.announcements_received (broker->context, from, &message);
       return;
+    case ANVIL_RELAY_REQUEST_QUOTA:
+      broker_handle_quota_request (broker, from, &message);
+      return;
+    case ANVIL_RELAY_QUOTA:
+      broker_handle_quota (broker, &message);
+      return;
     }
 }
 
@@ -181,9 +187,18 @@
   anvil_log (ANVIL_LOG_WARNING, "broker", "configuration file ignored");
 }
 
+static void
+on_refused (void *context, anvil_node_t node)
+{
+  anvil_slot_broker_t *broker = context;
+
+  anvil_members_process_ended (broker->members, node);
+}
+
 const anvil_peers_callbacks_t broker_peers_callbacks = {
   .message_received = on_message,
   .config_requested = on_config_requested,
   .config_received = on_config_received,
   .relay_message_received = on_relay_message,
+  .refused = on_refused,
 };
--- a/source/relay/slot-broker-peers.c
+++ b/source/relay/slot-broker-peers.c
@@ -39,7 +39,7 @@
   else
     {
       g_hash_table_remove (broker->reachable_nodes, &peer->node);
-      anvil_dispatcher_requester_lost (broker->dispatcher, now, peer->node);
+      broker_requester_lost (broker, now, peer->node);
     }
   anvil_log (ANVIL_LOG_NOTICE, "broker",
              "%s vm=%s zone=%s silent_ms=%" G_GINT64_FORMAT " round_trip_us=%" G_GINT64_FORMAT,
@@ -62,27 +62,35 @@
   anvil_members_remove (broker->members, node);
 }
 
+/* Stands for all services; no service has an empty name. */
+#define ALL_SERVICES ""
+
 typedef struct
 {
   anvil_slot_broker_t *broker;
   GHashTable *slots;
 } region_slots_t;
 
-/* Adds an upstream's slots to the count of its service and region. */
+static void
+add_slots (region_slots_t *count, const char *service, const char *region, guint n)
+{
+  char *key = g_strconcat (service, "\n", region, NULL);
+  gpointer slots = g_hash_table_lookup (count->slots, key);
+
+  g_hash_table_insert (count->slots, key, GUINT_TO_POINTER (GPOINTER_TO_UINT (slots) + n));
+}
+
+/* Adds an upstream's slots to the counts of its region, for its service and for all. */
 static void
 add_region_slots (void *context, const anvil_registered_upstream_t *upstream)
 {
   region_slots_t *count = context;
   const char *region = anvil_relay_settings_region (count->broker->settings, upstream->zone);
-  char *key;
-  gpointer slots;
 
   if (region == NULL)
     return;
-  key = g_strconcat (upstream->service, "\n", region, NULL);
-  slots = g_hash_table_lookup (count->slots, key);
-  g_hash_table_insert (count->slots, key,
-                       GUINT_TO_POINTER (GPOINTER_TO_UINT (slots) + upstream->slots));
+  add_slots (count, upstream->service, region, upstream->slots);
+  add_slots (count, ALL_SERVICES, region, upstream->slots);
 }
 
 static const char *
@@ -126,6 +134,7 @@
 
       g_array_append_val (services, held);
     }
+  broker_quota_add_held (broker, services);
   anvil_members_update_ping_set (broker->members, now,
                                  (const anvil_held_service_t *) (gpointer) services->data,
                                  services->len);
@@ -151,6 +160,7 @@
 
       service->region = largest_region (broker, count.slots, service->name);
     }
+  broker->quota_region = largest_region (broker, count.slots, ALL_SERVICES);
   g_hash_table_unref (count.slots);
   update_ping_set (broker, now);
 }
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -75,16 +75,18 @@
 
   message.grant.row_version = anvil_registry_row_version (broker->registry, grant->upstream);
   decision.grant = message.grant;
+  anvil_quota_loans_granted (broker->quota_loans, id);
   if (id.requester == broker->self)
     queue_local_decision (broker, &decision);
   else
     broker_send (broker, id.requester, &message);
 }
 
-static void
-on_refuse (void *context, anvil_task_id_t id, const anvil_task_refusal_info_t *refused)
+void
+broker_refuse (anvil_slot_broker_t *broker,
+               anvil_task_id_t id,
+               const anvil_task_refusal_info_t *refused)
 {
-  anvil_slot_broker_t *broker = context;
   const anvil_relay_message_t message
       = { .kind = ANVIL_RELAY_REFUSE, .number = id.number, .refused = *refused };
   const local_decision_t decision = { .number = id.number, .refused = *refused };
@@ -95,6 +97,15 @@
     broker_send (broker, id.requester, &message);
 }
 
+static void
+on_refuse (void *context, anvil_task_id_t id, const anvil_task_refusal_info_t *refused)
+{
+  anvil_slot_broker_t *broker = context;
+
+  broker_quota_give_back (broker, id);
+  broker_refuse (broker, id, refused);
+}
+
 static const anvil_dispatcher_callbacks_t dispatcher_callbacks
     = { .grant = on_grant, .refuse = on_refuse };
 
@@ -122,6 +133,7 @@
     anvil_dispatcher_set_region_rtt (broker->dispatcher, region_rtt);
   anvil_dispatcher_set_divided (broker->dispatcher,
                                 anvil_members_may_be_divided (broker->members, now));
+  broker_quota_tick (broker, now);
   anvil_dispatcher_tick (broker->dispatcher, now);
 }
 
@@ -180,6 +192,7 @@
   broker->dispatcher = anvil_dispatcher_new (&settings->limits, &dispatcher_callbacks, broker);
   anvil_dispatcher_set_knows_peers (broker->dispatcher, anvil_clock_now (), FALSE);
   broker->members = new_members (broker);
+  broker_quota_open (broker, base);
   broker->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_drop);
   broker->reachable_nodes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   g_queue_init (&broker->local_decisions);
@@ -201,6 +214,7 @@
   anvil_peers_close (broker->peers);
   while ((decision = g_queue_pop_head (&broker->local_decisions)) != NULL)
     local_decision_drop (decision);
+  broker_quota_close (broker);
   anvil_dispatcher_drop (broker->dispatcher);
   anvil_members_drop (broker->members);
   g_hash_table_unref (broker->services);
@@ -250,7 +264,7 @@
   anvil_relay_message_t message = task_message (ANVIL_RELAY_REQUEST_SLOT, task);
 
   if (holder == broker->self)
-    anvil_dispatcher_submit (broker->dispatcher, anvil_clock_now (), task);
+    broker_submit (broker, anvil_clock_now (), task);
   else
     broker_send (broker, holder, &message);
 }
@@ -401,7 +415,7 @@
   const anvil_task_id_t id = { .requester = broker->self, .number = number };
 
   if (holder == broker->self)
-    anvil_dispatcher_cancel (broker->dispatcher, anvil_clock_now (), id);
+    broker_cancel (broker, id);
   else
     broker_send (broker, holder, &message);
 }
@@ -447,12 +461,14 @@
       anvil_dispatcher_set_service (broker->dispatcher, service);
       get_service (broker, service->name);
     }
+  broker_quota_set_routes (broker, routes);
 }
 
 void
 anvil_slot_broker_set_limits (anvil_slot_broker_t *broker, const anvil_dispatcher_limits_t *limits)
 {
   anvil_dispatcher_set_limits (broker->dispatcher, limits);
+  broker_quota_set_limits (broker, limits);
 }
 
 void
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -222,6 +222,7 @@
   anvil_members_update_info (members, now, node, info);
   peer->answered_at = sent_at;
   peer->answered_incarnation = info->incarnation;
+  peer->process_ended = FALSE;
   /* Counted back from the arrival of the answer, so that transit time never makes it longer. */
   peer->store_ok_since = info->store_ok_for > 0 ? now - info->store_ok_for : 0;
   peer->rtt = peer->rtt == 0 ? rtt : peer->rtt + (rtt - peer->rtt) / RTT_WEIGHT_DIVISOR;
@@ -292,6 +293,35 @@
   return FALSE;
 }
 
+void
+anvil_members_process_ended (anvil_members_t *members, anvil_node_t node)
+{
+  anvil_peer_t *peer = lookup (members, node);
+
+  if (peer != NULL)
+    peer->process_ended = TRUE;
+}
+
+gdouble
+anvil_members_reachable_share (const anvil_members_t *members, anvil_time_t now)
+{
+  guint reachable = 1;
+  guint known = 1;
+
+  for (guint i = 0; i < members->peers->len; i++)
+    {
+      const anvil_peer_t *peer = members->peers->pdata[i];
+
+      if (anvil_members_reachable (members, now, peer))
+        reachable++;
+      else if (peer->answered_at == 0 || peer->info.leaving || peer->process_ended
+               || !peer->info.knows_peers)
+        continue;
+      known++;
+    }
+  return (gdouble) reachable / known;
+}
+
 anvil_node_t
 anvil_members_holder (const anvil_members_t *members,
                       anvil_time_t now,
--- a/source/steer/quota-loan.c
+++ b/source/steer/quota-loan.c
@@ -262,22 +262,22 @@
     quota_waiting_forget (loans, waiting);
 }
 
-void
+gboolean
 anvil_quota_loans_give_back (anvil_quota_loans_t *loans, anvil_time_t now, anvil_task_id_t id)
 {
   paid_t *paid = g_hash_table_lookup (loans->paid, &id);
-  quota_tenant_t *tenant;
+  gboolean returned = paid != NULL && paid->from.ends_at > now;
 
   if (paid == NULL)
-    return;
-  tenant = paid->tenant;
-  tenant->n_paid--;
-  if (paid->from.ends_at > now)
+    return FALSE;
+  paid->tenant->n_paid--;
+  if (returned)
     {
-      quota_add_loan (tenant, &paid->from);
-      quota_use_remove (paid->from.elsewhere ? &tenant->used_elsewhere : &tenant->used);
+      quota_add_loan (paid->tenant, &paid->from);
+      quota_use_remove (paid->from.elsewhere ? &paid->tenant->used_elsewhere : &paid->tenant->used);
     }
   g_hash_table_remove (loans->paid, &id);
+  return returned;
 }
 
 void
--- a/source/steer/quota-loan.h
+++ b/source/steer/quota-loan.h
@@ -54,8 +54,9 @@
 void anvil_quota_loans_cancel (anvil_quota_loans_t *loans, anvil_task_id_t id);
 
 /** anvil_quota_loans_give_back - a task that took a token didn't run; the token returns to its loan
- * unless that has ended */
-void anvil_quota_loans_give_back (anvil_quota_loans_t *loans, anvil_time_t now, anvil_task_id_t id);
+ * unless that has ended. TRUE if it did */
+gboolean
+anvil_quota_loans_give_back (anvil_quota_loans_t *loans, anvil_time_t now, anvil_task_id_t id);
 
 /** anvil_quota_loans_granted - a task that took a token was granted a slot */
 void anvil_quota_loans_granted (anvil_quota_loans_t *loans, anvil_task_id_t id);
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -44,6 +44,8 @@
   char *directory;
   /* Endpoint that entries connect to instead of the store's own, or NULL. */
   const char *entry_store_endpoint;
+  /* More bounds in the settings of entries, JSON that starts with a comma; NULL for none. */
+  const char *more_bounds;
   standin_t store;
   GPtrArray *entries;
   GPtrArray *upstreams;
