Share slots among tenants of equal rank where capacity is short

Cause: a tenant that sends eight times its usual load filled the queue of a service, and those of its rank were refused or waited behind it.

Change: a free slot goes by the tenant's priority, then the route's, then to the tenant with the earliest start (start-time fair queueing over slot time, 2 s of memory), then as before. The expected wait of a new task counts only what is served before it. When the queue is full, the tenant with most queued tasks loses its least urgent one. A service that has had no task of a tenant decides as before.

--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -9,8 +9,8 @@
  * upstream for a task, dispatch-waiting.c a queued task for a free slot, dispatch-refusing.c the
  * tasks to refuse. dispatch-shift.c bounds how fast work moves to other regions, dispatch-limit.c
  * how many requests an upstream gets that named a limit, dispatch-pause.c from whom it wants none
- * for a time. dispatch-warmth.c tracks which upstreams
- * are warm for which objects, dispatch-upstream.c which are ejected.
+ * for a time. dispatch-fairness.c shares slots among tenants. dispatch-warmth.c tracks which
+ * upstreams are warm for which objects, dispatch-upstream.c which are ejected.
  */
 
 /* Most slots that are used of one upstream. */
@@ -26,6 +26,45 @@
 typedef struct object object_t;
 typedef struct task task_t;
 
+/**
+ * fair_rank_t - the tenants of one rank, which share
+ * @key: the tenant's priority, then the route's
+ * @start: slot time at which the last grant started
+ */
+typedef struct
+{
+  guint64 key;
+  gdouble start;
+  guint n_flows;
+} fair_rank_t;
+
+/** fair_tenant_t - a tenant with all its ranks */
+typedef struct
+{
+  guint64 key;
+  guint n_waiting;
+  guint n_flows;
+} fair_tenant_t;
+
+/**
+ * flow_t - the tasks of a tenant with one rank
+ * @finish: slot time up to which it was granted, microseconds
+ * @waiting: queued task_t, oldest first
+ * @n_late: those that are late
+ * @n_tasks: its tasks, queued or running
+ */
+typedef struct
+{
+  guint64 key;
+  fair_rank_t *rank;
+  fair_tenant_t *tenant;
+  gdouble finish;
+  GQueue waiting;
+  guint n_late;
+  guint n_tasks;
+  anvil_time_t used_at;
+} flow_t;
+
 /**
  * estimate_t - a running mean of durations
  * @mean_us: 0 until the first sample
@@ -53,8 +92,8 @@
 /**
  * object_t - an object requested from a service
  * @upstreams: upstream_t that have a warm_entry_t for it
- * @no_affinity: stands for all requests of one priority that are not about an object; no upstream
- *   is faster on them
+ * @no_affinity: stands for all requests of one priority, and tenant, that are not about an object;
+ *   no upstream is faster on them
  * @on_time: queued task_t that can still finish within their target, oldest first
  * @late: queued task_t that can't, oldest first
  * @n_tasks: its tasks, queued or running
@@ -141,6 +180,9 @@
  * @upstream: where it runs, NULL while it is queued
  * @warm: the upstream was warm for its object when it was granted
  * @expected_end: when its slot is expected to be free
+ * @flow: the tasks that it shares with; NULL if its service isn't shared by tenants
+ * @flow_link: its place in the flow's queue
+ * @charged: slot time that its flow was granted for it
  */
 struct task
 {
@@ -156,6 +198,9 @@
   gboolean warm;
   anvil_time_t granted_at;
   anvil_time_t expected_end;
+  flow_t *flow;
+  GList flow_link;
+  anvil_time_t charged;
 };
 
 /**
@@ -192,6 +237,9 @@
  *   refused in one
  * @pauses_end: when the last of all pauses of its upstreams ends
  * @shifts: shift_window_t by id of the requesters' region
+ * @flows: flow_t by key; empty if no tenant uses it
+ * @fair_ranks: fair_rank_t by key
+ * @fair_tenants: fair_tenant_t by key
  */
 struct service
 {
@@ -218,6 +266,9 @@
   anvil_time_t return_offset;
   anvil_time_t pauses_end;
   GHashTable *shifts;
+  GHashTable *flows;
+  GHashTable *fair_ranks;
+  GHashTable *fair_tenants;
 };
 
 struct anvil_dispatcher
@@ -382,6 +433,32 @@
 /* Moves tasks that can no longer finish within their target to the late queue. */
 void waiting_move_late (object_t *object, anvil_time_t now);
 
+/* dispatch-fairness.c */
+
+void fairness_open (service_t *service);
+void fairness_close (service_t *service);
+/* Hash of the tenant and both priorities. */
+guint64 fairness_key (const anvil_task_t *task);
+void fairness_add_task (task_t *task, anvil_time_t now);
+void fairness_remove_task (task_t *task);
+void fairness_waiting_added (task_t *task);
+/* To be called while the task's is_late is still set. */
+void fairness_waiting_removed (task_t *task);
+void fairness_became_late (task_t *task);
+/* Slot time at which the task's run would start; the lowest of a rank goes first. */
+gdouble fairness_start (const task_t *task);
+void fairness_granted (task_t *task, anvil_time_t run_time);
+/* Charges the slot time that was used instead of the expected one. */
+void fairness_run_ended (task_t *task, anvil_time_t now);
+/* Queued tasks that are served before one that is queued now. */
+guint fairness_count_ahead (const task_t *task, gboolean with_late);
+/* Whether too many late tasks are queued for a further one. */
+gboolean fairness_too_many_late (const task_t *task, gdouble most, guint at_least);
+/* The queued task that is refused in favour of an arriving one when the queue is full; NULL if that
+ * is the arriving one itself. */
+task_t *fairness_find_victim (const task_t *task);
+void fairness_remove_idle (service_t *service, anvil_time_t now);
+
 /* dispatch-refusing.c */
 
 /* Whether a task would miss its deadline even if it started now. */
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -84,11 +84,9 @@
 gboolean
 refusing_late_task (const task_t *task, anvil_time_t now)
 {
-  const service_t *service = task->service;
-
-  if ((gdouble) service->n_late > MAX (MAX_LATE_SHARE * service->usable_slots, MIN_LATE_TASKS))
+  if (fairness_too_many_late (task, MAX_LATE_SHARE * task->service->usable_slots, MIN_LATE_TASKS))
     return TRUE;
-  return now + mean_run_time (task) + time_for_tasks (task, service->n_waiting)
+  return now + mean_run_time (task) + time_for_tasks (task, fairness_count_ahead (task, TRUE))
          > task->request.deadline;
 }
 
@@ -97,14 +95,13 @@
 static gboolean
 can_meet_target (task_t *task, anvil_time_t now)
 {
-  const service_t *service = task->service;
   placement_t warm = { 0 };
 
   if (!task->object->no_affinity)
     warm = placing_best_warm (task, now);
   if (warm.upstream != NULL)
     return warm.finish <= task->request.target;
-  return now + mean_run_time (task) + time_for_tasks (task, service->n_waiting - service->n_late)
+  return now + mean_run_time (task) + time_for_tasks (task, fairness_count_ahead (task, FALSE))
          <= task->request.target;
 }
 
--- a/source/steer/dispatch-service.c
+++ b/source/steer/dispatch-service.c
@@ -21,6 +21,7 @@
   service->waiting_objects = g_hash_table_new (NULL, NULL);
   service->max_warm_objects = MAX_WARM_OBJECTS;
   service->shifts = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  fairness_open (service);
   g_hash_table_insert (dispatcher->services, service->name, service);
   return service;
 }
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -11,13 +11,17 @@
 
 /**
  * rank_t - sort key of a queued task; compared member by member, the lowest goes first
+ * @tenant_priority: priority of the tenant, 0 is the most urgent
+ * @start: see fairness_start()
  * @priority: priority of the route, 0 is the most urgent
  * @tier: see tier_of()
  * @order: order within a tier
  */
 typedef struct
 {
+  guint tenant_priority;
   guint priority;
+  gdouble start;
   guint tier;
   anvil_time_t order;
 } rank_t;
@@ -32,8 +36,12 @@
 static gboolean
 comes_before (const rank_t *a, const rank_t *b)
 {
+  if (a->tenant_priority != b->tenant_priority)
+    return a->tenant_priority < b->tenant_priority;
   if (a->priority != b->priority)
     return a->priority < b->priority;
+  if (a->start < b->start || a->start > b->start)
+    return a->start < b->start;
   if (a->tier != b->tier)
     return a->tier < b->tier;
   return a->order < b->order;
@@ -41,6 +49,10 @@
 
 /* Tasks examined in each queue of an object, since the first ones may exclude the upstream. */
 #define MAX_EXAMINED_TASKS 4
+/* Tenants of which a task is examined in each queue of an object, and tasks that are passed over to
+ * find them. */
+#define MAX_EXAMINED_FLOWS 16
+#define MAX_PASSED_TASKS 256
 
 /* Adds queued tasks of an object to the backlog of the upstreams that are warm for it, in equal
  * shares; a negative number removes them. */
@@ -78,6 +90,7 @@
   g_queue_push_tail (&task->object->on_time, task);
   g_hash_table_add (service->waiting_objects, task->object);
   service->n_waiting++;
+  fairness_waiting_added (task);
   add_backlog (task->object, 1);
 }
 
@@ -91,6 +104,7 @@
   if (object->on_time.length + object->late.length == 0)
     g_hash_table_remove (service->waiting_objects, object);
   service->n_waiting--;
+  fairness_waiting_removed (task);
   if (task->is_late)
     service->n_late--;
   else
@@ -109,6 +123,7 @@
     {
       g_queue_push_tail (&object->late, g_queue_pop_head (&object->on_time));
       task->is_late = TRUE;
+      fairness_became_late (task);
       object->service->n_late++;
       add_backlog (object, -1);
     }
@@ -140,7 +155,9 @@
       || (!warm && better_on_warm_upstream (task, &placement, now)))
     return FALSE;
   on_time = placement.finish <= task->request.target;
+  result->tenant_priority = task->request.tenant_priority;
   result->priority = task->request.priority;
+  result->start = fairness_start (task);
   result->tier = tier_of (on_time, warm);
   result->order = on_time ? task->request.target : -task->request.target;
   return TRUE;
@@ -148,6 +165,7 @@
 
 /**
  * choice_t - search for the task that a free slot goes to
+ * @flows: flows of which a task of the present object was considered
  * @paused: the last entry that was found to be in a pause of the upstream; its tasks often follow
  *   each other
  */
@@ -157,6 +175,8 @@
   anvil_time_t now;
   task_t *best;
   rank_t rank;
+  const flow_t *flows[MAX_EXAMINED_FLOWS];
+  guint n_flows;
   anvil_node_t paused;
 } choice_t;
 
@@ -188,35 +208,66 @@
   return TRUE;
 }
 
-/* Considers the oldest task that can finish on time, and the newest late one. Tasks of entries from
- * which the upstream wants no requests are passed over, so that they don't hide those of others. */
-static void
-consider_object (choice_t *choice, object_t *object, gboolean warm)
+/* Whether a task of the same flow was considered before, which goes first. */
+static gboolean
+is_behind_its_flow (const choice_t *choice, const task_t *task)
 {
-  guint n_examined = 0;
+  for (guint i = 0; task->flow != NULL && i < choice->n_flows; i++)
+    {
+      if (choice->flows[i] == task->flow)
+        return TRUE;
+    }
+  return FALSE;
+}
 
-  waiting_move_late (object, choice->now);
-  for (GList *link = object->on_time.head; link != NULL && n_examined < MAX_EXAMINED_TASKS;
-       link = link->next)
+/* Considers a task; TRUE if the rest of its queue needn't be. Without tenants that is so once one
+ * could be considered; with them, each tenant's first task is considered. */
+static gboolean
+consider_next (choice_t *choice, task_t *task, gboolean warm, guint *n_examined)
+{
+  if (!consider (choice, task, warm))
     {
-      if (is_in_pause (choice, link->data))
-        continue;
-      n_examined++;
-      if (consider (choice, link->data, warm))
-        break;
+      (*n_examined)++;
+      return *n_examined >= MAX_EXAMINED_TASKS;
     }
-  n_examined = 0;
-  for (GList *link = object->late.tail; link != NULL && n_examined < MAX_EXAMINED_TASKS;
-       link = link->prev)
+  if (task->flow == NULL)
+    return TRUE;
+  choice->flows[choice->n_flows++] = task->flow;
+  return choice->n_flows >= MAX_EXAMINED_FLOWS;
+}
+
+static void
+consider_queue (choice_t *choice, GList *first, gboolean forward, gboolean warm)
+{
+  guint n_examined = 0;
+  guint n_passed = 0;
+
+  choice->n_flows = 0;
+  for (GList *link = first; link != NULL && n_passed < MAX_PASSED_TASKS;
+       link = forward ? link->next : link->prev)
     {
       if (is_in_pause (choice, link->data))
         continue;
-      n_examined++;
-      if (consider (choice, link->data, warm))
-        break;
+      if (is_behind_its_flow (choice, link->data))
+        {
+          n_passed++;
+          continue;
+        }
+      if (consider_next (choice, link->data, warm, &n_examined))
+        return;
     }
 }
 
+/* Considers the oldest task that can finish on time, and the newest late one. Tasks of entries from
+ * which the upstream wants no requests are passed over, so that they don't hide those of others. */
+static void
+consider_object (choice_t *choice, object_t *object, gboolean warm)
+{
+  waiting_move_late (object, choice->now);
+  consider_queue (choice, object->on_time.head, TRUE, warm);
+  consider_queue (choice, object->late.tail, FALSE, warm);
+}
+
 task_t *
 waiting_next_task (upstream_t *upstream, anvil_time_t now)
 {
--- a/source/steer/dispatch-warmth.c
+++ b/source/steer/dispatch-warmth.c
@@ -24,10 +24,12 @@
 /* Weight of a new outcome in the failure rate of an upstream. */
 #define FAILURE_WEIGHT 0.12
 
-/* Requests without an object share one queue for each priority. */
+/* Requests without an object share one queue for each priority, and tenant if they have one. */
 static guint64
 object_hash (const anvil_task_t *task)
 {
+  if (task->object == 0 && task->tenant.length > 0)
+    return fairness_key (task);
   return task->object != 0 ? task->object : task->priority;
 }
 
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -50,6 +50,7 @@
   g_hash_table_unref (service->waiting_objects);
   g_hash_table_unref (service->objects);
   g_hash_table_unref (service->shifts);
+  fairness_close (service);
   g_free (service);
 }
 
@@ -140,6 +141,7 @@
 {
   object_t *object = task->object;
 
+  fairness_remove_task (task);
   g_hash_table_remove (dispatcher->tasks, &task->request.id);
   object->n_tasks--;
   warmth_drop_object_if_unused (object);
@@ -160,6 +162,7 @@
   task->expected_end = now + placing_network_delay (upstream, task) + run_time;
   g_ptr_array_add (upstream->running, task);
   task->service->n_running++;
+  fairness_granted (task, run_time);
   if (now < upstream->record.cold_until)
     upstream->cold_limiter.tokens -= 1;
   warmth_record_grant (upstream, task->object, now, task->expected_end);
@@ -277,10 +280,26 @@
   task->service = dispatch_get_service (dispatcher, request->service);
   task->object = warmth_get_object (task->service, request);
   task->object->n_tasks++;
+  fairness_add_task (task, now);
   g_hash_table_insert (dispatcher->tasks, &task->request.id, task);
   return task;
 }
 
+/* Refuses a task of the tenant with most queued tasks if the queue is full. */
+static void
+make_room (anvil_dispatcher_t *dispatcher, anvil_time_t now, const task_t *task)
+{
+  task_t *victim;
+
+  if (task->service->n_waiting < MAX_WAITING_TASKS || refusing_misses_deadline (task, now))
+    return;
+  victim = fairness_find_victim (task);
+  if (victim == NULL)
+    return;
+  waiting_remove (victim);
+  refuse (dispatcher, now, victim, ANVIL_TASK_NO_ROOM);
+}
+
 void
 anvil_dispatcher_submit (anvil_dispatcher_t *dispatcher,
                          anvil_time_t now,
@@ -317,10 +336,14 @@
     refuse (dispatcher, now, task, ANVIL_TASK_NO_UPSTREAM);
   else if (pause_outlasts (task, now))
     refuse (dispatcher, now, task, ANVIL_TASK_PAUSED);
-  else if (refusing_on_arrival (task, now))
-    refuse (dispatcher, now, task, ANVIL_TASK_NO_ROOM);
   else
-    waiting_add (task);
+    {
+      make_room (dispatcher, now, task);
+      if (refusing_on_arrival (task, now))
+        refuse (dispatcher, now, task, ANVIL_TASK_NO_ROOM);
+      else
+        waiting_add (task);
+    }
 }
 
 void
@@ -358,11 +381,12 @@
 
 /* Removes a running task and frees its slot. */
 static void
-end_task (anvil_dispatcher_t *dispatcher, task_t *task)
+end_task (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task)
 {
   upstream_t *upstream = task->upstream;
 
   g_ptr_array_remove_fast (upstream->running, task);
+  fairness_run_ended (task, now);
   task->service->n_running--;
   remove_task (dispatcher, task);
 }
@@ -390,7 +414,7 @@
       task->request.deadline = MAX (task->expected_end, now);
       return;
     }
-  end_task (dispatcher, task);
+  end_task (dispatcher, now, task);
   if (upstream->registered)
     grant_free_slots (dispatcher, now, upstream);
   drop_if_unused (dispatcher, upstream);
@@ -450,7 +474,7 @@
         {
           upstream_t *upstream = task->upstream;
 
-          end_task (dispatcher, task);
+          end_task (dispatcher, now, task);
           drop_if_unused (dispatcher, upstream);
           continue;
         }
@@ -496,6 +520,7 @@
       service_t *service = value;
 
       waiting_update_backlog (service);
+      fairness_remove_idle (service, now);
       for (guint i = 0; service->n_waiting > 0 && i < service->upstreams->len; i++)
         grant_free_slots (dispatcher, now, service->upstreams->pdata[i]);
     }
