Test that shares forget long runs and fallbacks keep to the rate

Four mechanisms weren't seen red by the tests that came with them: the bound on what a tenant is held back, the wait that counts only what goes first, the check for a suspended counter, and the share of a holder's rate without a counter.

--- a/tests/test-dispatch-fairness.c
+++ b/tests/test-dispatch-fairness.c
@@ -170,6 +170,53 @@
 }
 END_TEST
 
+/* Guards against a tenant that is held back for long because its runs took long. */
+START_TEST (test_long_runs_are_forgotten)
+{
+  const load_t loads[] = { { "a", 60, 1, 1, 0 }, { "b", 60, 1, 1, 0 } };
+  const anvil_time_t warm_run = sim.warm_run;
+  const anvil_time_t cold_run = sim.cold_run;
+  anvil_time_t since;
+  guint n = 0;
+
+  sim.target = 20 * ANVIL_SECOND;
+  sim.timeout = 30 * ANVIL_SECOND;
+  sim.warm_run = sim.cold_run = 8 * ANVIL_SECOND;
+  for (guint i = 0; i < N_UPSTREAMS * SLOTS; i++)
+    submit (&loads[0]);
+  sim_run (&sim, 9 * ANVIL_SECOND);
+  sim.warm_run = warm_run;
+  sim.cold_run = cold_run;
+  for (guint i = 0; i < 100; i++)
+    submit (&loads[1]);
+  since = sim.now;
+  run_loads (loads, 2, 4 * ANVIL_SECOND);
+  for (guint i = 0; i < sim.tasks->len; i++)
+    n += sim_task (&sim, i)->granted_at >= since
+         && anvil_str_equal (sim_task (&sim, i)->task.tenant, anvil_str ("a"));
+  /* Of about 220 runs. */
+  ck_assert_uint_ge (n, 60);
+}
+END_TEST
+
+/* Guards against tasks that are refused for the queue of another tenant. */
+START_TEST (test_queue_of_others_does_not_refuse)
+{
+  const load_t large = { "large", 0, 1, 1, 0 };
+  const load_t small = { "small", 2, 1, 1, 0 };
+  guint n;
+
+  for (guint i = 0; i < 20; i++)
+    {
+      for (guint j = 0; j < 120; j++)
+        submit (&large);
+      submit (&small);
+      run_loads (&small, 1, ANVIL_SECOND);
+    }
+  ck_assert_double_ge (served (&small, 0, &n), 0.999);
+}
+END_TEST
+
 /* Guards against an order by the route's priority where the tenant's goes first. */
 START_TEST (test_tenants_priority_goes_before_the_routes)
 {
@@ -233,6 +280,8 @@
   tcase_add_loop_test (tests, test_pressing_tenant_starves_nobody, 0, 2);
   tcase_add_test (tests, test_pressing_tenants_share_equally);
   tcase_add_test (tests, test_no_tenant_is_served_less_than_a_quarter_as_often);
+  tcase_add_test (tests, test_long_runs_are_forgotten);
+  tcase_add_test (tests, test_queue_of_others_does_not_refuse);
   tcase_add_test (tests, test_tenants_priority_goes_before_the_routes);
   tcase_add_test (tests, test_free_slots_are_used_beyond_a_share);
   tcase_add_test (tests, test_full_queue_refuses_the_tenant_with_most_tasks);
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -148,6 +148,21 @@
 }
 END_TEST
 
+/* Guards against a burst that holders repeat while no counter answers. */
+START_TEST (test_fallback_keeps_to_the_rate)
+{
+  const gdouble *limit = limits[_i];
+
+  quota_sim_open (&sim, 3, limit[0], limit[1]);
+  quota_sim_run (&sim, 30 * ANVIL_SECOND, 0.2 * limit[0], 0, 3);
+  quota_sim_run (&sim, 500 * ANVIL_MS, 16 * limit[0] + 2 * limit[1], 1, 2);
+  sim.silent[0] = TRUE;
+  quota_sim_run (&sim, 5 * ANVIL_SECOND, 8 * limit[0] + limit[1], 1, 2);
+  check_bound ();
+  quota_sim_close (&sim);
+}
+END_TEST
+
 /* Guards against a counter that was suspended and lends a full bucket beside its successor. */
 START_TEST (test_counter_was_suspended)
 {
@@ -160,7 +175,8 @@
   quota_sim_move_counter (&sim, 0, 1);
   for (guint i = 1; i < 5; i++)
     sim.share[i] = 0.8;
-  quota_sim_run (&sim, 10 * ANVIL_SECOND, 8 * limit[0], 1, 4);
+  quota_sim_run (&sim, 20 * ANVIL_SECOND, 0.3 * limit[0], 1, 4);
+  quota_sim_run (&sim, 500 * ANVIL_MS, 16 * limit[0] + 2 * limit[1], 1, 4);
   /* Until its next tick it doesn't know that another entry has taken over. */
   sim.silent[0] = FALSE;
   for (guint i = 0; i < 2 * limit[1]; i++)
@@ -353,6 +369,7 @@
   tcase_add_test (tests, test_tokens_are_there_before_their_tasks);
   tcase_add_loop_test (tests, test_counter_is_lost, 0, 10);
   tcase_add_test (tests, test_fallback_ends);
+  tcase_add_loop_test (tests, test_fallback_keeps_to_the_rate, 0, 5);
   tcase_add_loop_test (tests, test_counter_was_suspended, 0, 5);
   tcase_add_loop_test (tests, test_entries_are_divided, 0, 15);
   tcase_add_test (tests, test_limits_change);
