Compare quotas by loans with two simpler ways, and ask less often without tokens

Cause: no figure said what loans cost, and what an equal share or reports would do instead.

Change: bench-quota, which make bench runs.

--- a/Makefile
+++ b/Makefile
@@ -79,7 +79,7 @@
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/common-*.c)) $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(filter-out %/anvil-relay.o,$(RELAY_OBJECTS)) $(FAKE_OBJECTS) $(LIBRARY)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/common-*.c) tests/helper-quota.c) $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(filter-out %/anvil-relay.o,$(RELAY_OBJECTS)) $(FAKE_OBJECTS) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS)
 
@@ -124,6 +124,7 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) benches
 	@$(BUILD)/bench/bench-steer $(BENCH_ARGS)
 	@$(BUILD)/bench/bench-lookup-http
+	@$(BUILD)/bench/bench-quota
 
 # make soak SEED=1 SECONDS=30; SOAK_ARGS="--entries 12 --upstreams 60 --rate 400" for a larger one.
 soak: packages
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -230,7 +230,8 @@
       (*n_examined)++;
       return *n_examined >= MAX_EXAMINED_TASKS;
     }
-  if (task->flow == NULL)
+  /* Tasks without an object have a queue for each tenant. */
+  if (task->flow == NULL || task->object->no_affinity)
     return TRUE;
   choice->flows[choice->n_flows++] = task->flow;
   return choice->n_flows >= MAX_EXAMINED_FLOWS;
--- a/source/steer/quota-bucket.c
+++ b/source/steer/quota-bucket.c
@@ -4,6 +4,9 @@
 
 #include <math.h>
 
+/* A holder doesn't ask again before: a tenant that presses would cause a message for each of its
+ * requests. */
+#define MIN_RETRY_AFTER (10 * ANVIL_MS)
 /* Part of the tolerated excess by which a bucket may be overdrawn; the rest is for holders that go
  * on without a counter and for loans in use. */
 #define OVERDRAFT_SHARE 0.5
@@ -220,7 +223,7 @@
   if (lent->lent < want->waiting)
     lent->retry_after
         = MAX ((anvil_time_t) ((1 - (bucket->tokens - least)) / rate * (gdouble) ANVIL_SECOND),
-               room < 1 ? quota_slot_length (counter) : ANVIL_MS);
+               room < 1 ? quota_slot_length (counter) : MIN_RETRY_AFTER);
   lent->lent += ahead;
   bucket->log[bucket->log_slot % LOG_SLOTS] += lent->lent;
 }
