Show quotas in logs and settings, and test what ended entries take

The holder logs the state of a tenant's quota at most once a second after a refusal, whoever refused it. check-settings shows the three settings of quotas.

--- a/bench/bench-quota.c
+++ b/bench/bench-quota.c
@@ -198,6 +198,14 @@
 {
 }
 
+static void
+ignore_quota_refusal (void *context,
+                      anvil_str_t tenant,
+                      anvil_task_id_t id,
+                      const anvil_task_refusal_info_t *refused)
+{
+}
+
 static gdouble
 elapsed_ns (gint64 since)
 {
@@ -259,7 +267,7 @@
 measure_holder (const anvil_dispatcher_limits_t *limits, const anvil_routes_t *routes)
 {
   const anvil_quota_loans_callbacks_t callbacks
-      = { .submit = ignore_task, .refuse = ignore_refusal };
+      = { .submit = ignore_task, .refuse = ignore_quota_refusal };
   const anvil_quota_limit_t limit = { .rate = 1e6, .burst = 1e6 };
   gsize before = mallinfo2 ().uordblks;
   anvil_quota_loans_t *loans = anvil_quota_loans_new (&callbacks, NULL);
--- a/source/relay/relay-settings-diff.c
+++ b/source/relay/relay-settings-diff.c
@@ -57,6 +57,11 @@
 TEXT_FORMATTER (format_cold_factor, g_strdup_printf ("%g", settings->limits.cold_factor))
 TEXT_FORMATTER (format_cold_extra, g_strdup_printf ("%g", settings->limits.cold_extra))
 TEXT_FORMATTER (format_max_shift, g_strdup_printf ("%g", settings->limits.max_shift))
+TEXT_FORMATTER (format_quota_window,
+                g_strdup_printf ("%" G_GINT64_FORMAT "ms",
+                                 settings->limits.quota_window / ANVIL_MS))
+TEXT_FORMATTER (format_quota_overage, g_strdup_printf ("%g", settings->limits.quota_overage))
+TEXT_FORMATTER (format_quota_slack, g_strdup_printf ("%g", settings->limits.quota_slack))
 
 static char *
 format_seeds (const anvil_relay_settings_t *settings)
@@ -97,6 +102,9 @@
   { "cold-factor", "requests to cold upstreams of all services", TRUE, format_cold_factor },
   { "cold-extra", "requests to cold upstreams of all services", TRUE, format_cold_extra },
   { "max-shift", "moves of requests between regions", TRUE, format_max_shift },
+  { "quota-window", "quotas of all tenants", TRUE, format_quota_window },
+  { "quota-overage", "quotas of all tenants", TRUE, format_quota_overage },
+  { "quota-slack", "quotas of all tenants", TRUE, format_quota_slack },
 };
 
 static void
--- a/source/relay/slot-broker-quota.c
+++ b/source/relay/slot-broker-quota.c
@@ -117,32 +117,36 @@
   anvil_dispatcher_submit (broker->dispatcher, anvil_clock_now (), task);
 }
 
-static void
-on_refuse (void *context, anvil_task_id_t id, const anvil_task_refusal_info_t *refused)
-{
-  broker_refuse (context, id, refused);
-}
-
 /* Logs the state of a tenant's quota after a refusal. */
 static void
-log_refusal (anvil_slot_broker_t *broker, anvil_time_t now, const anvil_task_t *task)
+log_refusal (anvil_slot_broker_t *broker, anvil_time_t now, anvil_str_t tenant)
 {
-  const anvil_node_t *counter = counter_of (broker, task->tenant);
+  const anvil_node_t *counter = counter_of (broker, tenant);
   anvil_quota_state_t state;
 
   if (now - broker->quota_logged_at < LOG_INTERVAL)
     return;
   broker->quota_logged_at = now;
-  state = anvil_quota_loans_state (broker->quota_loans, now, task->tenant);
+  state = anvil_quota_loans_state (broker->quota_loans, now, tenant);
   anvil_log (ANVIL_LOG_NOTICE, "broker",
-             "quota of a tenant is used up tenant=%.*s rank=%u service=%.*s counter=%s "
-             "used_in_window=%u waiting=%u without_counter=%d reachable=%.2f",
-             ANVIL_STR_ARGS (task->tenant), task->tenant_priority, ANVIL_STR_ARGS (task->service),
+             "quota of a tenant is used up tenant=%.*s counter=%s used_here=%u waiting=%u "
+             "without_counter=%d reachable=%.2f",
+             ANVIL_STR_ARGS (tenant),
              counter != NULL ? anvil_slot_broker_vm_name (broker, *counter) : "-", state.used,
              state.waiting, state.without_counter,
              anvil_members_reachable_share (broker->members, now));
 }
 
+static void
+on_refuse (void *context,
+           anvil_str_t tenant,
+           anvil_task_id_t id,
+           const anvil_task_refusal_info_t *refused)
+{
+  log_refusal (context, anvil_clock_now (), tenant);
+  broker_refuse (context, id, refused);
+}
+
 void
 broker_submit (anvil_slot_broker_t *broker, anvil_time_t now, const anvil_task_t *task)
 {
@@ -164,10 +168,7 @@
       return;
     }
   if (!anvil_quota_loans_waits (broker->quota_loans, task->id))
-    {
-      log_refusal (broker, now, task);
-      return;
-    }
+    return;
   counter = counter_of (broker, task->tenant);
   if (counter != NULL && *counter == broker->self)
     request_tokens (broker, now, FALSE);
--- a/source/steer/quota-loan.c
+++ b/source/steer/quota-loan.c
@@ -218,7 +218,7 @@
         tenant->last_retry_at = first;
       refused.retry_after = tenant->last_retry_at - now;
     }
-  loans->callbacks.refuse (loans->context, id, &refused);
+  loans->callbacks.refuse (loans->context, anvil_str (tenant->name), id, &refused);
 }
 
 gboolean
--- a/source/steer/quota-loan.h
+++ b/source/steer/quota-loan.h
@@ -24,7 +24,10 @@
 typedef struct
 {
   void (*submit) (void *context, const anvil_task_t *task);
-  void (*refuse) (void *context, anvil_task_id_t id, const anvil_task_refusal_info_t *refused);
+  void (*refuse) (void *context,
+                  anvil_str_t tenant,
+                  anvil_task_id_t id,
+                  const anvil_task_refusal_info_t *refused);
 } anvil_quota_loans_callbacks_t;
 
 typedef struct anvil_quota_loans anvil_quota_loans_t;
--- a/tests/helper-quota.c
+++ b/tests/helper-quota.c
@@ -34,7 +34,10 @@
 }
 
 static void
-on_refuse (void *context, anvil_task_id_t id, const anvil_task_refusal_info_t *refused)
+on_refuse (void *context,
+           anvil_str_t tenant,
+           anvil_task_id_t id,
+           const anvil_task_refusal_info_t *refused)
 {
   quota_sim_t *sim = ((entry_t *) context)->sim;
 
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -370,6 +370,38 @@
 }
 END_TEST
 
+/* Guards against quotas that are cut for entries that ended, and not cut for those cut off. */
+START_TEST (test_share_of_reachable_entries_counts_those_that_may_act)
+{
+  anvil_member_info_t peer_info = info ("west-b", 2);
+
+  peer_info.knows_peers = TRUE;
+  ck_assert_double_eq (anvil_members_reachable_share (members, now), 1);
+  for (anvil_node_t node = 2; node <= 4; node++)
+    {
+      anvil_members_add (members, now, node);
+      anvil_members_ping_answered (members, now, node, &peer_info, now - ANVIL_MS);
+    }
+  ck_assert_double_eq (anvil_members_reachable_share (members, now), 1);
+  now += 10 * ANVIL_SECOND;
+  ck_assert_double_eq (anvil_members_reachable_share (members, now), 0.25);
+  /* Its process ended, with a reset of the link. */
+  anvil_members_process_ended (members, 2);
+  ck_assert_double_eq (anvil_members_reachable_share (members, now), 1.0 / 3);
+  peer_info.leaving = TRUE;
+  anvil_members_update_info (members, now, 3, &peer_info);
+  ck_assert_double_eq (anvil_members_reachable_share (members, now), 0.5);
+  peer_info = info ("west-b", 3);
+  anvil_members_update_info (members, now, 4, &peer_info);
+  ck_assert_double_eq (anvil_members_reachable_share (members, now), 1);
+  /* It answers again. */
+  peer_info.knows_peers = TRUE;
+  anvil_members_ping_answered (members, now, 2, &peer_info, now - ANVIL_MS);
+  now += 10 * ANVIL_SECOND;
+  ck_assert_double_eq (anvil_members_reachable_share (members, now), 0.5);
+}
+END_TEST
+
 START_TEST (test_a_silent_peer_that_was_not_leaving_may_act_for_others)
 {
   anvil_member_info_t leaving = info ("west-b", 2);
@@ -416,6 +448,7 @@
   tcase_add_test (tests, test_restart_of_a_peer_is_detected_behind_its_own_ping);
   tcase_add_test (tests, test_the_answer_to_an_earlier_ping_changes_nothing);
   tcase_add_test (tests, test_a_silent_peer_that_was_not_leaving_may_act_for_others);
+  tcase_add_test (tests, test_share_of_reachable_entries_counts_those_that_may_act);
   tcase_add_test (tests, test_answer_counts_from_when_the_ping_was_sent);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -280,7 +280,10 @@
 }
 
 static void
-ignore_refusal (void *context, anvil_task_id_t id, const anvil_task_refusal_info_t *refused)
+ignore_refusal (void *context,
+                anvil_str_t tenant,
+                anvil_task_id_t id,
+                const anvil_task_refusal_info_t *refused)
 {
 }
 
--- a/tests/test-relay-quota.c
+++ b/tests/test-relay-quota.c
@@ -151,9 +151,10 @@
     }
 }
 
-/* Most runs in any window, of all that the upstream logged. */
+/* Most runs in any window, of those that the upstream logged since a time, microseconds since 1970.
+ */
 static guint
-most_runs_in_window (void)
+most_runs_since (gint64 since)
 {
   GArray *times = g_array_new (FALSE, FALSE, sizeof (gint64));
   char *text = NULL;
@@ -167,7 +168,7 @@
       gint64 at
           = g_str_has_prefix (lines[i], "run ") ? g_ascii_strtoll (lines[i] + 4, NULL, 10) : 0;
 
-      if (at > 0)
+      if (at > since)
         g_array_append_val (times, at);
     }
   for (guint first = 0, i = 0; i < times->len; i++)
@@ -185,7 +186,7 @@
 static void
 check_bound (void)
 {
-  guint most = most_runs_in_window ();
+  guint most = most_runs_since (0);
 
   ck_assert_msg (most <= MAX_IN_WINDOW, "%u runs in 5 s, allowed %u", most, MAX_IN_WINDOW);
 }
@@ -198,7 +199,7 @@
   g_usleep (LOAD_US);
   stop_callers ();
   check_bound ();
-  ck_assert_uint_ge (most_runs_in_window (), MIN_IN_WINDOW);
+  ck_assert_uint_ge (most_runs_since (0), MIN_IN_WINDOW);
   ck_assert_uint_gt (counts->over_quota, 300);
   ck_assert_uint_eq (counts->without_time, 0);
   ck_assert_uint_le (counts->other, N_CALLERS);
@@ -224,7 +225,26 @@
   kill (proxy->pid, SIGCONT);
   stop_callers ();
   check_bound ();
-  ck_assert_uint_ge (most_runs_in_window (), MIN_IN_WINDOW / 2);
+  ck_assert_uint_ge (most_runs_since (0), MIN_IN_WINDOW / 2);
+}
+END_TEST
+
+/* Guards against a quota that is cut by the part of entries whose processes have ended. */
+START_TEST (test_ended_entries_take_no_part_of_the_quota)
+{
+  gint64 since;
+
+  start_callers (PRESSING_PER_S);
+  g_usleep (1000000);
+  fleet_kill_entry (entries[0], SIGKILL);
+  fleet_kill_entry (entries[3], SIGKILL);
+  g_usleep (4000000);
+  since = g_get_real_time ();
+  g_usleep (LOAD_US);
+  stop_callers ();
+  check_bound ();
+  /* Half of it would be 50. */
+  ck_assert_uint_ge (most_runs_since (since), 85);
 }
 END_TEST
 
@@ -252,6 +272,7 @@
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_pressing_tenant_gets_its_quota_over_all_entries);
   tcase_add_test (tests, test_quota_holds_with_entries_cut_off_and_suspended);
+  tcase_add_test (tests, test_ended_entries_take_no_part_of_the_quota);
   tcase_add_test (tests, test_tenant_below_its_rate_is_never_refused);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
