Refuse callers without a key as soon as their head is read

With tenants in the configuration, a request to a route that isn't public needs a key that one of them holds. The key was read but not judged, and it was forwarded.

A request without one is delivered and answered when its head has been read; its body is dropped within the usual limits, so that the connection stays in step, and the connection closes if that body is invalid or too long. The key is looked up again when a slot is granted: a request whose key was taken away is answered 401 if nothing of it was sent, and like one whose attempts have failed otherwise; its slot is returned. Before each attempt the key and every copy of the tenant's name are dropped and the name is set.

--- a/include/anvil/header-names.h
+++ b/include/anvil/header-names.h
@@ -18,8 +18,9 @@
  * @leaving: in a response: "1" if the upstream is about to end
  * @load: the upstream's running and waiting requests and its slots, and on some services how long
  *   work takes on its VM now, percent of the usual time
- * @api_key: key of the caller's tenant; never forwarded where the configuration has tenants
- * @tenant: name of the tenant, which only entries set
+ * @api_key: key of the caller's tenant; never forwarded where the configuration has tenants. NULL
+ *   if no deployment has tenants
+ * @tenant: name of the tenant, which only entries set; or NULL likewise
  */
 typedef struct
 {
--- a/source/relay/http-status.h
+++ b/source/relay/http-status.h
@@ -4,6 +4,7 @@
 
 /* Status codes that the relay sends or interprets. */
 #define STATUS_BAD_REQUEST 400
+#define STATUS_UNAUTHORIZED 401
 #define STATUS_NOT_FOUND 404
 #define STATUS_METHOD_NOT_ALLOWED 405
 #define STATUS_REQUEST_TIMEOUT 408
--- a/source/relay/relay-caller-internal.h
+++ b/source/relay/relay-caller-internal.h
@@ -57,6 +57,8 @@
  * @field_value: its value
  * @in_value: the parser is in the value
  * @in_trailers: the header section has ended; later fields are trailers and are dropped
+ * @dropping_body: the request that is being read was refused by its head and delivered
+ * @dropped_bytes: size of its body so far
  * @hop_by_hop_names: names that Connection headers list, comma-separated
  * @input_start: start of the bytes that are being parsed
  * @header_bytes: size of request line and headers so far
@@ -82,6 +84,8 @@
   GString *field_value;
   gboolean in_value;
   gboolean in_trailers;
+  gboolean dropping_body;
+  gsize dropped_bytes;
   GString *hop_by_hop_names;
   const char *input_start;
   gsize header_bytes;
@@ -99,7 +103,8 @@
 
 const anvil_routes_limits_t *caller_limits (const anvil_relay_caller_connection_t *connection);
 
-/* Queues an error response to input that isn't an acceptable request, and closes after it. */
+/* Queues an error response to input that isn't an acceptable request, and closes after it. If the
+ * request was refused before, only closes. */
 void caller_connection_reject (anvil_relay_caller_connection_t *connection, guint status);
 
 /* Delivers the complete requests that have arrived. May free the connection. */
--- a/source/relay/relay-caller-read.c
+++ b/source/relay/relay-caller-read.c
@@ -65,7 +65,7 @@
     result = set_once (connection, &request->id, value);
   else if (anvil_http_field_name_is (name, header_names->object))
     result = set_once (connection, &request->object, value);
-  else if (anvil_http_field_name_is (name, header_names->api_key))
+  else if (header_names->api_key != NULL && anvil_http_field_name_is (name, header_names->api_key))
     add_key (request, value);
   else if (anvil_http_field_name_is (name, "Connection"))
     g_string_append_printf (connection->hop_by_hop_names, ",%s", connection->field_value->str);
@@ -181,6 +181,49 @@
                                     : limits->header_timeout;
 }
 
+/* Queues the response to the request that is being read, and hands the request over. The parser
+ * stops here: the response may free the connection. */
+static void
+deliver_request (anvil_relay_caller_connection_t *connection)
+{
+  http_parser *parser = &connection->parser;
+  anvil_relay_request_t *request = g_steal_pointer (&connection->partial_request);
+  pending_response_t *pending = g_new0 (pending_response_t, 1);
+
+  request->connection = connection;
+  request->received_at = anvil_clock_now ();
+  request->close_after_response |= !http_should_keep_alive (parser);
+  request->is_head = parser->method == HTTP_HEAD;
+  pending->request = request;
+  g_queue_push_tail (&connection->pending_responses, pending);
+  http_parser_pause (parser, 1);
+}
+
+/* Delivers a request that its head refuses, without waiting for its body. */
+static void
+refuse_by_head (anvil_relay_caller_connection_t *connection)
+{
+  const anvil_relay_caller_callbacks_t *callbacks = &connection->callers->callbacks;
+  anvil_relay_request_t *request = connection->partial_request;
+
+  request->method = g_strdup (http_method_str (connection->parser.method));
+  request->target = g_strdup (connection->target->str);
+  if (callbacks->head != NULL)
+    request->refusal = callbacks->head (connection->callers->context, request);
+  if (request->refusal == NULL)
+    return;
+  connection->dropping_body = TRUE;
+  connection->dropped_bytes = 0;
+  deliver_request (connection);
+}
+
+static gboolean
+announces_too_long_body (const anvil_relay_caller_connection_t *connection)
+{
+  return (connection->parser.flags & F_CONTENTLENGTH) != 0
+         && connection->parser.content_length > caller_limits (connection)->max_body_bytes;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -206,8 +249,9 @@
   parser->upgrade = 0;
   evtimer_add (connection->body_timer, &body_time);
   anvil_http_field_foreach_token (listed_names, remove_hop_by_hop_field, connection);
-  if ((parser->flags & F_CONTENTLENGTH) != 0
-      && parser->content_length > caller_limits (connection)->max_body_bytes)
+  connection->partial_request->close_after_response = announces_too_long_body (connection);
+  refuse_by_head (connection);
+  if (!connection->dropping_body && announces_too_long_body (connection))
     {
       connection->error_status = STATUS_BODY_TOO_LARGE;
       return -1;
@@ -215,12 +259,26 @@
   return 0;
 }
 
+/* Non-zero stops the parser. */
+static int
+count_dropped_bytes (anvil_relay_caller_connection_t *connection, size_t length)
+{
+  connection->dropped_bytes += length;
+  if (connection->dropped_bytes <= caller_limits (connection)->max_body_bytes)
+    return 0;
+  connection->error_status = STATUS_BODY_TOO_LARGE;
+  return 1;
+}
+
 static int
 on_body (http_parser *parser, const char *at, size_t length)
 {
   anvil_relay_caller_connection_t *connection = parser->data;
-  struct evbuffer *body = connection->partial_request->body;
+  struct evbuffer *body;
 
+  if (connection->dropping_body)
+    return count_dropped_bytes (connection, length);
+  body = connection->partial_request->body;
   if (evbuffer_get_length (body) + length > caller_limits (connection)->max_body_bytes)
     {
       connection->error_status = STATUS_BODY_TOO_LARGE;
@@ -241,20 +299,12 @@
 on_message_complete (http_parser *parser)
 {
   anvil_relay_caller_connection_t *connection = parser->data;
-  anvil_relay_request_t *request = g_steal_pointer (&connection->partial_request);
-  pending_response_t *pending = g_new0 (pending_response_t, 1);
 
   event_del (connection->body_timer);
-  request->connection = connection;
-  request->method = g_strdup (http_method_str (parser->method));
-  request->target = g_strdup (connection->target->str);
-  request->received_at = anvil_clock_now ();
-  request->close_after_response = !http_should_keep_alive (parser);
-  request->is_head = parser->method == HTTP_HEAD;
-  pending->request = request;
-  g_queue_push_tail (&connection->pending_responses, pending);
-  /* Leave the parser before the request is delivered: its response may free the connection. */
-  http_parser_pause (parser, 1);
+  if (connection->dropping_body)
+    connection->dropping_body = FALSE;
+  else
+    deliver_request (connection);
   return 0;
 }
 
--- a/source/relay/relay-caller.c
+++ b/source/relay/relay-caller.c
@@ -303,10 +303,16 @@
 void
 caller_connection_reject (anvil_relay_caller_connection_t *connection, guint status)
 {
-  pending_response_t *pending = g_new0 (pending_response_t, 1);
+  pending_response_t *pending;
 
   anvil_log (ANVIL_LOG_NOTICE, "caller", "request rejected status=%u header_bytes=%zu", status,
              connection->header_bytes);
+  if (connection->dropping_body)
+    {
+      begin_closing (connection);
+      return;
+    }
+  pending = g_new0 (pending_response_t, 1);
   pending->close = TRUE;
   set_response (connection, pending, status, (anvil_str_t){ 0 }, NULL, FALSE);
   g_queue_push_tail (&connection->pending_responses, pending);
--- a/source/relay/relay-caller.h
+++ b/source/relay/relay-caller.h
@@ -21,6 +21,19 @@
 typedef struct anvil_relay_callers anvil_relay_callers_t;
 typedef struct anvil_relay_caller_connection anvil_relay_caller_connection_t;
 
+/**
+ * anvil_relay_refusal_t - the response to a request that isn't served, decided by its head
+ * @status: status of the response
+ * @reason: for logs
+ * @retry_after: when the caller may try again, microseconds; 0 for no statement
+ */
+typedef struct
+{
+  guint status;
+  const char *reason;
+  anvil_time_t retry_after;
+} anvil_relay_refusal_t;
+
 /**
  * anvil_relay_request_t - a complete request of a caller
  * @connection: connection of the caller; NULL once the caller has disconnected
@@ -37,6 +50,7 @@
  * @received_at: when it was complete, monotonic clock
  * @close_after_response: the connection closes after the response
  * @is_head: it is a HEAD request, so the response has no body
+ * @refusal: why it isn't served, NULL if it is; its body is dropped and not in @body
  * @handler_data: private data of the request's handler
  * @callers: set of connections that it came from
  */
@@ -56,20 +70,25 @@
   anvil_time_t received_at;
   gboolean close_after_response;
   gboolean is_head;
+  const anvil_relay_refusal_t *refusal;
   void *handler_data;
   anvil_relay_callers_t *callers;
 } anvil_relay_request_t;
 
 /**
  * anvil_relay_caller_callbacks_t - events of callers
- * @request: a complete request; needs exactly one anvil_relay_respond(), also if
- *   the caller disconnects
+ * @head: the head of a request was read, up to its @key: why it isn't served, or NULL; borrowed for
+ *   the life of the process. A refused request is delivered at once and its body dropped. May be
+ *   NULL, which serves every request
+ * @request: a complete request, or one that @head refused; needs exactly one anvil_relay_respond(),
+ *   also if the caller disconnects
  * @disconnected: the response to an unanswered request can't be delivered any more, since the
  *   caller has disconnected
  * @limits: limits in force for callers' input; borrowed
  */
 typedef struct
 {
+  const anvil_relay_refusal_t *(*head) (void *context, const anvil_relay_request_t *request);
   void (*request) (void *context, anvil_relay_request_t *request);
   void (*disconnected) (void *context, anvil_relay_request_t *request);
   const anvil_routes_limits_t *(*limits) (void *context);
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -34,6 +34,8 @@
  * that of a later request
  * @route_regions: regions that the route allows, all if empty
  * @tenant: name of the tenant that the request counts for, or NULL
+ * @is_public: its route needed no key when it arrived
+ * @had_tenants: a configuration with tenants was in force at its start or when it was sent
  * @has_no_region: no region is allowed by both the route and the tenant
  * @holder: entry that the slot was requested from
  * @slot_requested_at: when the slot was requested last
@@ -59,6 +61,8 @@
   char *route;
   char **route_regions;
   char *tenant;
+  gboolean is_public;
+  gboolean had_tenants;
   gboolean has_no_region;
   guint max_attempts;
   anvil_node_t holder;
@@ -113,6 +117,29 @@
  * route allow. */
 void job_set_tenant (job_t *job, const anvil_tenant_t *tenant);
 
+/* The route of a request, or NULL. */
+const anvil_route_t *jobs_match_route (const anvil_relay_jobs_t *jobs,
+                                       const anvil_relay_request_t *request);
+
+/* Refuses a request that has no job, because of its key. */
+void jobs_refuse_for_key (anvil_relay_jobs_t *jobs,
+                          anvil_relay_request_t *request,
+                          const anvil_relay_refusal_t *refusal);
+
+/* Looks up the tenant of a job again, which may have changed while it waited. Returns why the
+ * request must not be sent, or NULL. */
+const anvil_relay_refusal_t *job_renew_tenant (job_t *job);
+
+/* Whether route and tenant allow the region of a zone. */
+gboolean job_allows_zone (const job_t *job, anvil_str_t zone);
+
+/* Ends a job that isn't sent because of its key, and frees it. */
+void job_fail_for_key (job_t *job, const anvil_relay_refusal_t *refusal);
+
+/* Call it before the request is sent, each time: drops the key and what the caller sent as its
+ * tenant's name, and sets the name. Without tenants all headers stay. */
+void job_set_key_headers (job_t *job);
+
 void job_on_deadline (evutil_socket_t unused_fd, short unused_what, void *data);
 
 /* Requests a slot from the service's holder, or ends the job if the request can't be sent any more
@@ -149,6 +176,11 @@
 /* The text, or "-" for NULL, for log lines. */
 const char *text_or_dash (const char *text);
 
+/* For how long it hasn't been sure that the configuration in force is the newest; -1 if it never
+ * was.
+ */
+gint64 jobs_proof_age_ms (const anvil_relay_jobs_t *jobs);
+
 /* Counts and logs the outcome of a request. @job is its job, or NULL if it has none. */
 void job_record_outcome (anvil_relay_jobs_t *jobs,
                          const anvil_relay_request_t *request,
@@ -161,6 +193,9 @@
  * gets 502 instead of a status that promises the opposite. */
 void job_pass_response (job_t *job, guint status, const GString *headers, struct evbuffer *body);
 
+/* Ends a job whose request no upstream has run, and frees it: the caller may send it again. */
+void job_refuse (job_t *job, guint status, const char *reason, anvil_time_t retry_after);
+
 /* Ends a job without a further attempt, and frees it. The caller gets the saved response of an
  * upstream if there is one, otherwise a response that says whether the request may have run. */
 void job_fail (job_t *job, guint status, const char *reason, anvil_time_t retry_after);
--- a/source/relay/relay-job-new.c
+++ b/source/relay/relay-job-new.c
@@ -149,6 +149,8 @@
   job->service = g_strdup (route->services[index].service);
   job->route = g_strdup (route->name);
   job->max_attempts = route->max_attempts;
+  job->is_public = route->is_public;
+  job->had_tenants = anvil_routes_count_tenants (jobs->routes) > 0;
   job->route_regions = copy_regions (route);
   fill_task (jobs, job, route);
   job_set_tenant (job, tenant_of (jobs, request, route));
--- a/source/relay/relay-job-response.c
+++ b/source/relay/relay-job-response.c
@@ -8,6 +8,14 @@
   return text != NULL ? text : "-";
 }
 
+gint64
+jobs_proof_age_ms (const anvil_relay_jobs_t *jobs)
+{
+  anvil_time_t age = jobs->options.config_proof_age (jobs->options.context);
+
+  return age >= 0 ? age / ANVIL_MS : -1;
+}
+
 void
 job_record_outcome (anvil_relay_jobs_t *jobs,
                     const anvil_relay_request_t *request,
@@ -25,10 +33,12 @@
   g_free (labels);
   anvil_log (ANVIL_LOG_INFO, "request",
              "%s request=%s route=%s status=%u reason=%s upstream=%s attempts=%u "
-             "took_ms=%" G_GINT64_FORMAT " routes=%" G_GINT64_FORMAT,
+             "took_ms=%" G_GINT64_FORMAT " routes=%" G_GINT64_FORMAT
+             " tenant=%s proof_age_ms=%" G_GINT64_FORMAT,
              outcome, text_or_dash (request->id), job != NULL ? job->route : "-", status, reason,
              job != NULL ? text_or_dash (job->upstream_id) : "-", job != NULL ? job->n_attempts : 0,
-             took / ANVIL_MS, jobs->routes != NULL ? anvil_routes_version (jobs->routes) : 0);
+             took / ANVIL_MS, jobs->routes != NULL ? anvil_routes_version (jobs->routes) : 0,
+             job != NULL ? text_or_dash (job->tenant) : "-", jobs_proof_age_ms (jobs));
 }
 
 /* Sends a response that isn't an upstream's; it has no body. */
@@ -50,15 +60,13 @@
   g_string_free (headers, TRUE);
 }
 
-/* Ends a job whose request no upstream has run: the caller may send it again. */
-static void
-refuse (job_t *job, const char *reason, anvil_time_t retry_after)
+void
+job_refuse (job_t *job, guint status, const char *reason, anvil_time_t retry_after)
 {
   anvil_relay_jobs_t *jobs = job->jobs;
 
-  job_record_outcome (jobs, job->request, job, "refused", STATUS_UNAVAILABLE, reason);
-  respond_without_upstream (job->request, jobs->options.header_names, STATUS_UNAVAILABLE,
-                            retry_after);
+  job_record_outcome (jobs, job->request, job, "refused", status, reason);
+  respond_without_upstream (job->request, jobs->options.header_names, status, retry_after);
   job_remove (job);
 }
 
@@ -107,7 +115,7 @@
   else if (job->may_have_run)
     respond_unknown (job, status, reason);
   else
-    refuse (job, reason, retry_after);
+    job_refuse (job, STATUS_UNAVAILABLE, reason, retry_after);
 }
 
 void
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -391,12 +391,12 @@
              "sent request=%s route=%s service=%s object=%" G_GINT64_MODIFIER
              "x holder=%s upstream=%s zone=%.*s warm=%d attempt=%u "
              "waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
-             " registry_age_ms=%" G_GINT64_FORMAT,
+             " registry_age_ms=%" G_GINT64_FORMAT " tenant=%s proof_age_ms=%" G_GINT64_FORMAT,
              text_or_dash (request->id), job->route, job->service, job->task.object,
              anvil_slot_broker_vm_name (jobs->options.slot_broker, job->holder), job->upstream_id,
              ANVIL_STR_ARGS (grant->zone), grant->warm, job->task.attempt,
              (now - request->received_at) / ANVIL_MS, (job->task.deadline - now) / ANVIL_MS,
-             registry_age_ms (jobs, now));
+             registry_age_ms (jobs, now), text_or_dash (job->tenant), jobs_proof_age_ms (jobs));
 }
 
 static job_t *
@@ -434,6 +434,7 @@
                           const anvil_slot_grant_t *grant)
 {
   job_t *job = lookup (jobs, number);
+  const anvil_relay_refusal_t *refusal;
   const char *reason;
 
   if (job == NULL)
@@ -456,9 +457,19 @@
       renew_number (job);
       return;
     }
+  refusal = job_renew_tenant (job);
+  if (refusal != NULL)
+    {
+      release_slot (jobs, from, number);
+      job_fail_for_key (job, refusal);
+      return;
+    }
   reason = reason_not_to_use (jobs, grant);
+  if (reason == NULL && !job_allows_zone (job, grant->zone))
+    reason = "region-not-allowed";
   if (reason == NULL)
     {
+      job_set_key_headers (job);
       start_attempt (job, grant);
       return;
     }
@@ -471,7 +482,10 @@
   jobs_send_announcements (jobs, job->service, from);
   release_slot (jobs, from, number);
   exclude_upstream (job, grant->upstream);
-  retry_unsent (job, "no-upstream");
+  if (job->has_no_region)
+    job_fail (job, STATUS_BAD_GATEWAY, "no-allowed-region", NOT_READY_RETRY_AFTER);
+  else
+    retry_unsent (job, "no-upstream");
 }
 
 void
@@ -534,8 +548,6 @@
 void
 anvil_relay_jobs_start (anvil_relay_jobs_t *jobs, anvil_relay_request_t *request)
 {
-  const char *query = strchr (request->target, '?');
-  anvil_str_t path = anvil_str (request->target);
   const anvil_route_t *route;
 
   if (jobs->refusing_new)
@@ -549,9 +561,15 @@
                           NOT_READY_RETRY_AFTER);
       return;
     }
-  if (query != NULL)
-    path.length = (gsize) (query - request->target);
-  route = anvil_routes_match (jobs->routes, anvil_str (request->host), path);
+  /* The configuration may have changed while the body was received. */
+  if (request->refusal == NULL)
+    request->refusal = anvil_relay_jobs_check_head (jobs, request);
+  if (request->refusal != NULL)
+    {
+      jobs_refuse_for_key (jobs, request, request->refusal);
+      return;
+    }
+  route = jobs_match_route (jobs, request);
   if (route == NULL && jobs->options.lacks_routes (jobs->options.context))
     job_refuse_request (jobs, request, STATUS_UNAVAILABLE, "outdated-configuration",
                         NOT_READY_RETRY_AFTER);
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -27,6 +27,9 @@
  *   anvil_registry_set_leaving(). Returns FALSE if that was known
  * @lacks_routes: whether a peer has a newer configuration than this entry, which may have more
  *   routes
+ * @config_is_proven: whether the configuration in force may be used to judge keys; see
+ *   steer/config-proof.h
+ * @config_proof_age: for how long that hasn't been sure, microseconds; negative if it never was
  */
 typedef struct
 {
@@ -45,6 +48,8 @@
                                 guint64 upstream,
                                 gint64 started_at);
   gboolean (*lacks_routes) (void *context);
+  gboolean (*config_is_proven) (void *context);
+  anvil_time_t (*config_proof_age) (void *context);
   void *context;
 } anvil_relay_jobs_options_t;
 
@@ -73,6 +78,11 @@
 /** anvil_relay_jobs_end - ends all jobs, and responds to their callers */
 void anvil_relay_jobs_end (anvil_relay_jobs_t *jobs);
 
+/** anvil_relay_jobs_check_head - why a request isn't served because of its key, or NULL; see
+ * anvil_relay_caller_callbacks_t */
+const anvil_relay_refusal_t *anvil_relay_jobs_check_head (const anvil_relay_jobs_t *jobs,
+                                                          const anvil_relay_request_t *request);
+
 /** anvil_relay_jobs_start - starts a job for a whole request */
 void anvil_relay_jobs_start (anvil_relay_jobs_t *jobs, anvil_relay_request_t *request);
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -111,6 +111,18 @@
          > anvil_relay_watch_config_version (relay->watch);
 }
 
+static anvil_time_t
+config_proof_age (void *context)
+{
+  return -1;
+}
+
+static gboolean
+config_is_proven (void *context)
+{
+  return TRUE;
+}
+
 static void
 on_granted (void *context, guint64 number, anvil_node_t from, const anvil_slot_grant_t *grant)
 {
@@ -220,6 +232,14 @@
   .announcements_received = on_announcements_received,
 };
 
+static const anvil_relay_refusal_t *
+on_head (void *context, const anvil_relay_request_t *request)
+{
+  const anvil_relay_t *relay = context;
+
+  return anvil_relay_jobs_check_head (relay->jobs, request);
+}
+
 static void
 on_request (void *context, anvil_relay_request_t *request)
 {
@@ -252,7 +272,10 @@
 }
 
 static const anvil_relay_caller_callbacks_t caller_callbacks
-    = { .request = on_request, .disconnected = on_caller_disconnected, .limits = caller_limits };
+    = { .head = on_head,
+        .request = on_request,
+        .disconnected = on_caller_disconnected,
+        .limits = caller_limits };
 
 static void
 on_upstream_changed (void *context,
@@ -665,6 +688,8 @@
           .store_ok_for = store_ok_for,
           .upstream_leaving = on_upstream_leaving,
           .lacks_routes = lacks_routes,
+          .config_is_proven = config_is_proven,
+          .config_proof_age = config_proof_age,
           .context = relay };
   const anvil_relay_callers_options_t caller_options
       = { .name = "callers",
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -184,11 +184,11 @@
       "\"limits\":{\"memoryMb\":256,\"maxFds\":1024},\"platform\":{\"address\":\"%s\"},"
       "\"bounds\":{\"graceS\":6,\"ttl_max_s\":5,\"retryBudgetRatio\":0.2,"
       "\"retryBudgetExtra\":56,\"budgetWindowS\":10,\"coldLoadFactor\":1.5,\"coldSlack\":5,"
-      "\"maxShift\":0.15,\"stableWindowMs\":%d}}",
+      "\"maxShift\":0.15,\"stableWindowMs\":%d%s}}",
       entry->name, entry->zone, entry->caller_port, entry->readiness_port, entry->lookup_port,
       entry->peer_port, entry->metrics_port, entry->metrics_port, first->peer_port,
       fleet->entry_store_endpoint != NULL ? fleet->entry_store_endpoint : fleet->store.endpoint,
-      (int) (FLEET_RESYNC_TIME / ANVIL_MS));
+      (int) (FLEET_RESYNC_TIME / ANVIL_MS), fleet->more_bounds != NULL ? fleet->more_bounds : "");
 
   g_assert (g_file_set_contents (path, text, -1, NULL));
   g_free (text);
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -44,6 +44,8 @@
   char *directory;
   /* Endpoint that entries connect to instead of the store's own, or NULL. */
   const char *entry_store_endpoint;
+  /* More bounds in the settings of entries that are added, ",\"name\":value" each, or NULL. */
+  const char *more_bounds;
   standin_t store;
   GPtrArray *entries;
   GPtrArray *upstreams;
--- a/tests/test-relay-job-grants.c
+++ b/tests/test-relay-job-grants.c
@@ -124,6 +124,18 @@
   return ANVIL_SECOND;
 }
 
+static gboolean
+lacks_no_proof (void *context)
+{
+  return TRUE;
+}
+
+static anvil_time_t
+newest (void *context)
+{
+  return 0;
+}
+
 static gboolean
 lacks_nothing (void *context)
 {
@@ -324,7 +336,9 @@
                                          .upstreams_read_at = read_at,
                                          .store_ok_for = always_ok,
                                          .upstream_leaving = on_upstream_leaving,
-                                         .lacks_routes = lacks_nothing };
+                                         .lacks_routes = lacks_nothing,
+                                         .config_is_proven = lacks_no_proof,
+                                         .config_proof_age = newest };
 
   settings = (anvil_relay_settings_t){
     .vm = "e1",
