Test the dates of proofs and look-ups by them without a network

The process tests show that proofs end; how they are dated was tested in the pure module only. Now the follower is tested for the date of a table that was read in pages, of a late answer and of an answer of an older version, the membership for the dates of pings and for look-ups, and the adapter for strictRevocation without revokeMs.

No source changes.

--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -387,6 +387,28 @@
 }
 END_TEST
 
+START_TEST (test_strict_revocation_needs_a_time)
+{
+  anvil_relay_settings_t settings;
+  GError *error = NULL;
+
+  ck_assert (load_settings (
+      SETTINGS (BOUNDS ",\"strictRevocation\":true,\"revokeMs\":5000", "\"10.200.1.7:8541\""),
+      &settings, NULL));
+  ck_assert (settings.strict_revocation);
+  ck_assert_int_eq (settings.revoke_time, 5 * ANVIL_SECOND);
+  anvil_relay_settings_clear (&settings);
+  ck_assert (!load_settings (SETTINGS (BOUNDS ",\"strictRevocation\":true", "\"10.200.1.7:8541\""),
+                             &settings, &error));
+  ck_assert_msg (strstr (error->message, "revokeMs") != NULL, "%s", error->message);
+  g_clear_error (&error);
+  ck_assert (!load_settings (SETTINGS (BOUNDS ",\"strictRevocation\":1", "\"10.200.1.7:8541\""),
+                             &settings, &error));
+  ck_assert_msg (strstr (error->message, "strictRevocation") != NULL, "%s", error->message);
+  g_clear_error (&error);
+}
+END_TEST
+
 START_TEST (test_all_bad_settings_are_reported)
 {
   anvil_relay_settings_t settings;
@@ -421,6 +443,7 @@
   tcase_add_test (tests, test_upstreams_with_odd_addresses_and_names_are_rejected);
   tcase_add_test (tests, test_upstreams_with_odd_values_are_rejected);
   tcase_add_test (tests, test_settings_are_parsed);
+  tcase_add_test (tests, test_strict_revocation_needs_a_time);
   tcase_add_test (tests, test_all_bad_settings_are_reported);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -387,6 +387,41 @@
 }
 END_TEST
 
+/* Guards against an answer that is dated by a later ping, which would make it look newer. */
+START_TEST (test_the_latest_pings_can_be_dated)
+{
+  anvil_peer_t peer = { 0 };
+
+  ck_assert_int_eq (anvil_peer_ping_sent_at (&peer, 0), -1);
+  for (guint i = 1; i <= ANVIL_DATED_PINGS + 1; i++)
+    anvil_peer_add_ping (&peer, i, i * ANVIL_SECOND);
+  ck_assert_int_eq (anvil_peer_ping_sent_at (&peer, 1), -1);
+  for (guint i = 2; i <= ANVIL_DATED_PINGS + 1; i++)
+    ck_assert_int_eq (anvil_peer_ping_sent_at (&peer, i), i * ANVIL_SECOND);
+}
+END_TEST
+
+START_TEST (test_with_a_revoke_time_callers_get_entries_with_fresh_proofs_if_there_are_any)
+{
+  answer_ping (2, "west-b", 1);
+  answer_ping (3, "east-a", 1);
+  anvil_members_set_revoke_time (members, ANVIL_SECOND);
+  ck_assert_uint_eq (count_entries_for_caller ("west"), 2);
+  anvil_members_self (members)->config_proof_age = ANVIL_SECOND;
+  ck_assert_uint_eq (count_entries_for_caller ("west"), 1);
+  anvil_members_at (members, 0)->info.config_proof_age = -1;
+  /* The entry of the other region. */
+  ck_assert_uint_eq (count_entries_for_caller ("west"), 1);
+  anvil_members_at (members, 1)->info.config_proof_age = ANVIL_SECOND;
+  ck_assert_uint_eq (count_entries_for_caller ("west"), 3);
+  anvil_members_at (members, 1)->info.leaving = TRUE;
+  ck_assert_uint_eq (count_entries_for_caller ("west"), 2);
+  anvil_members_set_revoke_time (members, 0);
+  anvil_members_at (members, 1)->info.leaving = FALSE;
+  ck_assert_uint_eq (count_entries_for_caller ("east"), 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -417,6 +452,9 @@
   tcase_add_test (tests, test_the_answer_to_an_earlier_ping_changes_nothing);
   tcase_add_test (tests, test_a_silent_peer_that_was_not_leaving_may_act_for_others);
   tcase_add_test (tests, test_answer_counts_from_when_the_ping_was_sent);
+  tcase_add_test (tests, test_the_latest_pings_can_be_dated);
+  tcase_add_test (tests,
+                  test_with_a_revoke_time_callers_get_entries_with_fresh_proofs_if_there_are_any);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/tests/test-table-follower.c
+++ b/tests/test-table-follower.c
@@ -320,6 +320,53 @@
 }
 END_TEST
 
+static const char first_page[]
+    = "{\"rows\":[{\"key\":\"a\",\"value\":\"\"}],\"rowVersion\":9,\"hasMore\":true}";
+static anvil_time_t first_page_at;
+
+static void
+answer_last_page (void *unused_context, const anvil_store_row_t *unused_row)
+{
+  first_page_at = anvil_clock_boot ();
+  page = empty_page;
+}
+
+/* Guards against a table that counts as new as of the end of its read, or of a late answer. */
+START_TEST (test_what_was_read_is_as_old_as_the_first_call_for_it)
+{
+  const anvil_table_callbacks_t paged = {
+    .full_read_started = ignore,
+    .row = answer_last_page,
+    .full_read_finished = ignore,
+    .store_lost = on_lost,
+    .store_recovered = on_recovered,
+    .read_up_to = on_read_up_to,
+  };
+  anvil_time_t started_at = anvil_clock_boot ();
+  anvil_time_t current_at;
+
+  anvil_table_follower_close (follower);
+  page = first_page;
+  response_time = LOOP_DELAY;
+  follower = anvil_table_follower_open (base, store, "servers", 0, PERIOD, &paged, NULL);
+  ck_assert_int_eq (anvil_table_follower_current_at (follower), 0);
+  ck_assert (wait_for_read ());
+  current_at = anvil_table_follower_current_at (follower);
+  ck_assert_int_ge (current_at, started_at);
+  ck_assert_int_le (current_at, first_page_at - LOOP_DELAY / 2);
+  started_at = anvil_clock_boot ();
+  page = page_with_row;
+  ck_assert (wait_for_read ());
+  current_at = anvil_table_follower_current_at (follower);
+  ck_assert_int_ge (current_at, started_at);
+  ck_assert_int_le (current_at, anvil_clock_boot () - LOOP_DELAY / 2);
+  /* An answer of an older version says nothing of what is known. */
+  page = empty_page;
+  ck_assert (wait_for_read ());
+  ck_assert_int_eq (anvil_table_follower_current_at (follower), current_at);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -338,6 +385,7 @@
   tcase_add_test (tests, test_a_long_poll_without_a_response_is_replaced);
   tcase_add_test (tests, test_rows_older_than_what_is_known_are_not_reported);
   tcase_add_test (tests, test_nothing_is_skipped_before_the_table_has_been_read);
+  tcase_add_test (tests, test_what_was_read_is_as_old_as_the_first_call_for_it);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
