--- a/source/relay/relay-settings-diff.c
+++ b/source/relay/relay-settings-diff.c
@@ -62,6 +62,9 @@
                                  settings->limits.quota_window / ANVIL_MS))
 TEXT_FORMATTER (format_quota_overage, g_strdup_printf ("%g", settings->limits.quota_overage))
 TEXT_FORMATTER (format_quota_slack, g_strdup_printf ("%g", settings->limits.quota_slack))
+TEXT_FORMATTER (format_strict, g_strdup (settings->strict_revocation ? "true" : "false"))
+TEXT_FORMATTER (format_revoke_time,
+                g_strdup_printf ("%" G_GINT64_FORMAT "ms", settings->revoke_time / ANVIL_MS))
 
 static char *
 format_seeds (const anvil_relay_settings_t *settings)
@@ -105,6 +108,8 @@
   { "quota-window", "quotas of all tenants", TRUE, format_quota_window },
   { "quota-overage", "quotas of all tenants", TRUE, format_quota_overage },
   { "quota-slack", "quotas of all tenants", TRUE, format_quota_slack },
+  { "strict-revocation", "callers with keys", TRUE, format_strict },
+  { "revoke-time", "callers with keys, readiness", TRUE, format_revoke_time },
 };
 
 static void
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -44,7 +44,7 @@
   char *directory;
   /* Endpoint that entries connect to instead of the store's own, or NULL. */
   const char *entry_store_endpoint;
-  /* More bounds in the settings of entries, JSON that starts with a comma; NULL for none. */
+  /* More bounds in the settings of entries that are added, ",\"name\":value" each, or NULL. */
   const char *more_bounds;
   standin_t store;
   GPtrArray *entries;
