Choose counters of many shards less often

Cause: with 25 shards and 490 entries each entry would rank 12,000 candidates every tick.

Change: with more than four shards each is looked at every fourth tick, which is 200 ms; entries ping each other every 250 ms or less often. Not measured at that size.

test-relay-quota 4 of 4 (one shard).

--- a/source/relay/slot-broker-internal.h
+++ b/source/relay/slot-broker-internal.h
@@ -65,6 +65,8 @@
   const char *quota_region;
   struct event *quota_request;
   anvil_time_t quota_logged_at;
+  guint quota_ticks;
+  anvil_time_t quota_ticked_at;
 };
 
 /* Callbacks of the links to peers, in slot-broker-messages.c. */
--- a/source/relay/slot-broker-quota.c
+++ b/source/relay/slot-broker-quota.c
@@ -6,6 +6,10 @@
 #define COUNTER_NAME_FORMAT "quota/%u"
 /* Refusals are logged at most this often by their holder; requesters log each. */
 #define LOG_INTERVAL (1 * ANVIL_SECOND)
+/* Choosing a counter goes through all known entries. With many shards each is looked at every
+ * fourth tick, which is more often than entries ping each other. */
+#define MAX_SHARDS_EACH_TICK 4
+#define TICKS_A_ROUND 4
 
 static const anvil_node_t *
 counter_of (const anvil_slot_broker_t *broker, anvil_str_t tenant)
@@ -231,6 +235,16 @@
   return node;
 }
 
+/* Whether a shard's counter is chosen again in this tick. */
+static gboolean
+is_due (const anvil_slot_broker_t *broker, anvil_time_t now, guint shard)
+{
+  return broker->quota_counters->len <= MAX_SHARDS_EACH_TICK
+         || (broker->quota_ticks + shard) % TICKS_A_ROUND == 0
+         || now - broker->quota_ticked_at > TICKS_A_ROUND * ANVIL_DISPATCHER_TICK_INTERVAL
+         || g_array_index (broker->quota_counters, anvil_node_t, shard) == 0;
+}
+
 static void
 update_counters (anvil_slot_broker_t *broker, anvil_time_t now)
 {
@@ -239,8 +253,11 @@
   for (guint i = 0; i < broker->quota_counters->len; i++)
     {
       anvil_node_t *counter = &g_array_index (broker->quota_counters, anvil_node_t, i);
-      anvil_node_t chosen = choose_counter (broker, now, i);
+      anvil_node_t chosen;
 
+      if (!is_due (broker, now, i))
+        continue;
+      chosen = choose_counter (broker, now, i);
       anvil_quota_counter_hold (broker->quota_counter, now, i,
                                 chosen == broker->self && knows_peers);
       if (chosen == *counter)
@@ -285,6 +302,8 @@
   anvil_quota_counter_set_share (broker->quota_counter, now,
                                  anvil_members_reachable_share (broker->members, now));
   update_counters (broker, now);
+  broker->quota_ticks++;
+  broker->quota_ticked_at = now;
   anvil_quota_counter_tick (broker->quota_counter, now);
   anvil_quota_loans_tick (broker->quota_loans, now);
   request_tokens (broker, now, TRUE);
