Keep the index of keys small, and find tenants by name without a search

The planned size is 100,000 tenants, of two keys each.

A slot has half of the hash and the number of the key now, 8 bytes; names are in a hash table, which also finds duplicates.

--- a/include/anvil/tenants.h
+++ b/include/anvil/tenants.h
@@ -42,5 +42,5 @@
  * how much of a key matches. The table must be finished */
 const anvil_tenant_t *anvil_routes_lookup_tenant (const anvil_routes_t *routes, anvil_str_t key);
 
-/** anvil_routes_find_tenant - a tenant by its name, or NULL */
+/** anvil_routes_find_tenant - a tenant by its name, or NULL; the table must be finished */
 const anvil_tenant_t *anvil_routes_find_tenant (const anvil_routes_t *routes, anvil_str_t name);
--- a/source/steer/routes.c
+++ b/source/steer/routes.c
@@ -193,14 +193,7 @@
 const anvil_tenant_t *
 anvil_routes_find_tenant (const anvil_routes_t *routes, anvil_str_t name)
 {
-  for (guint i = 0; i < routes->tenants->len; i++)
-    {
-      const anvil_tenant_t *tenant = anvil_routes_tenant_at (routes, i);
-
-      if (tenant->name != NULL && anvil_str_equal (anvil_str (tenant->name), name))
-        return tenant;
-    }
-  return NULL;
+  return anvil_tenant_index_find (routes->keys, name);
 }
 
 const anvil_tenant_t *
--- a/source/steer/tenants.c
+++ b/source/steer/tenants.c
@@ -13,23 +13,37 @@
 #define MAX_RATE 1e9
 
 /**
- * slot_t - a slot of the table
- * @hash: of the key
- * @key: the key; empty slots have none
+ * indexed_key_t - a key; borrowed from its tenant
  */
 typedef struct
 {
-  guint64 hash;
   anvil_str_t key;
   const anvil_tenant_t *tenant;
+} indexed_key_t;
+
+/**
+ * slot_t - a slot of the table; small, as there are several for each key
+ * @hash: upper half of the key's hash, whose lower half selects the slot
+ * @number: number of the key in the list of keys, from 1; 0 if the slot is empty
+ */
+typedef struct
+{
+  guint32 hash;
+  guint32 number;
 } slot_t;
 
-/* Open addressing with linear probing. */
+/**
+ * anvil_tenant_index - open addressing with linear probing
+ * @keys: indexed_key_t in the order in which they were added
+ * @by_name: anvil_tenant_t by name
+ */
 struct anvil_tenant_index
 {
   guint64 seed;
   gsize mask;
   slot_t *slots;
+  GArray *keys;
+  GHashTable *by_name;
 };
 
 /* The time depends on the lengths only. */
@@ -53,6 +67,12 @@
   return XXH3_64bits_withSeed (key.data, key.length, index->seed);
 }
 
+static const indexed_key_t *
+key_at (const anvil_tenant_index_t *index, const slot_t *slot)
+{
+  return &g_array_index (index->keys, indexed_key_t, slot->number - 1);
+}
+
 /* The slot of a key, or the empty slot that it would get. Another key is passed over by its hash,
  * so only whole keys that are probably equal are compared. */
 static slot_t *
@@ -60,8 +80,9 @@
 {
   gsize i = hash & index->mask;
 
-  while (index->slots[i].tenant != NULL
-         && (index->slots[i].hash != hash || !keys_equal (index->slots[i].key, key)))
+  while (index->slots[i].number != 0
+         && (index->slots[i].hash != (guint32) (hash >> 32)
+             || !keys_equal (key_at (index, &index->slots[i])->key, key)))
     i = (i + 1) & index->mask;
   return &index->slots[i];
 }
@@ -99,13 +120,13 @@
 }
 
 static gboolean
-check_tenant (const anvil_tenant_t *tenant, GHashTable *names, GError **error)
+check_tenant (anvil_tenant_index_t *index, const anvil_tenant_t *tenant, GError **error)
 {
   const char *problem = NULL;
 
   if (tenant->name == NULL || !is_header_value (tenant->name))
     problem = "name must be a valid header value";
-  else if (!g_hash_table_add (names, tenant->name))
+  else if (!g_hash_table_insert (index->by_name, tenant->name, (gpointer) tenant))
     problem = "name must differ from those of other tenants";
   else if (!is_rate (tenant->rate))
     problem = "rate must be a number from 0 to 1e9";
@@ -125,6 +146,7 @@
     {
       const anvil_str_t key = anvil_str (tenant->keys->pdata[i]);
       const guint64 hash = hash_key (index, key);
+      const indexed_key_t indexed = { .key = key, .tenant = tenant };
       slot_t *slot = find_slot (index, key, hash);
 
       if (key.length == 0)
@@ -133,15 +155,16 @@
                        "tenant \"%s\": keys must not be empty", tenant->name);
           return FALSE;
         }
-      if (slot->tenant != NULL)
+      if (slot->number != 0)
         {
           g_set_error (error, ANVIL_ERROR, ANVIL_ERROR_INVALID,
                        "tenant \"%s\": keys must not occur twice, one is also a key of tenant "
                        "\"%s\"",
-                       tenant->name, slot->tenant->name);
+                       tenant->name, key_at (index, slot)->tenant->name);
           return FALSE;
         }
-      *slot = (slot_t){ .hash = hash, .key = key, .tenant = tenant };
+      g_array_append_val (index->keys, indexed);
+      *slot = (slot_t){ .hash = (guint32) (hash >> 32), .number = index->keys->len };
     }
   return TRUE;
 }
@@ -160,6 +183,8 @@
   index->seed = new_seed ();
   index->mask = n_slots - 1;
   index->slots = g_new0 (slot_t, n_slots);
+  index->keys = g_array_new (FALSE, FALSE, sizeof (indexed_key_t));
+  index->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   return index;
 }
 
@@ -167,16 +192,14 @@
 anvil_tenant_index_new (const GArray *tenants, GError **error)
 {
   anvil_tenant_index_t *index = new_table (tenants);
-  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
   gboolean valid = TRUE;
 
   for (guint i = 0; valid && i < tenants->len; i++)
     {
       const anvil_tenant_t *tenant = &g_array_index (tenants, anvil_tenant_t, i);
 
-      valid = check_tenant (tenant, names, error) && add_keys (index, tenant, error);
+      valid = check_tenant (index, tenant, error) && add_keys (index, tenant, error);
     }
-  g_hash_table_unref (names);
   if (!valid)
     g_clear_pointer (&index, anvil_tenant_index_drop);
   return index;
@@ -188,11 +211,25 @@
   if (index == NULL)
     return;
   g_free (index->slots);
+  g_array_unref (index->keys);
+  g_hash_table_unref (index->by_name);
   g_free (index);
 }
 
 const anvil_tenant_t *
 anvil_tenant_index_lookup (const anvil_tenant_index_t *index, anvil_str_t key)
 {
-  return find_slot (index, key, hash_key (index, key))->tenant;
+  const slot_t *slot = find_slot (index, key, hash_key (index, key));
+
+  return slot->number != 0 ? key_at (index, slot)->tenant : NULL;
+}
+
+const anvil_tenant_t *
+anvil_tenant_index_find (const anvil_tenant_index_t *index, anvil_str_t name)
+{
+  char *text = anvil_str_dup (name);
+  const anvil_tenant_t *tenant = g_hash_table_lookup (index->by_name, text);
+
+  g_free (text);
+  return tenant;
 }
--- a/source/steer/tenants.h
+++ b/source/steer/tenants.h
@@ -22,3 +22,6 @@
  * anvil_routes_lookup_tenant() */
 const anvil_tenant_t *anvil_tenant_index_lookup (const anvil_tenant_index_t *index,
                                                  anvil_str_t key);
+
+/** anvil_tenant_index_find - a tenant by its name, or NULL */
+const anvil_tenant_t *anvil_tenant_index_find (const anvil_tenant_index_t *index, anvil_str_t name);
--- a/tests/test-tenants.c
+++ b/tests/test-tenants.c
@@ -72,6 +72,8 @@
 
       ck_assert_str_eq (holder_of (routes, key), name);
       ck_assert_str_eq (holder_of (routes, unknown), "none");
+      ck_assert_str_eq (anvil_routes_find_tenant (routes, anvil_str (name))->name, name);
+      ck_assert_ptr_null (anvil_routes_find_tenant (routes, anvil_str (key)));
       g_free (name);
       g_free (key);
       g_free (unknown);
