Wait for an entry to listen, and see why a waiting request was refused

test_without_a_configuration_no_key_is_refused_as_unknown failed under the sanitizers: it sent before the entry listened. It connects until that succeeds now. The test of a request that waits while the proof gets old passed without the check, since the holder refused it as late; the running request is shorter now, and the refusal must be counted as one for the proof.

--- a/tests/test-relay-keys.c
+++ b/tests/test-relay-keys.c
@@ -248,18 +248,15 @@
 START_TEST (test_without_a_configuration_no_key_is_refused_as_unknown)
 {
   char *response;
+  int fd;
 
   fleet_open (&fleet);
   fleet_add_upstream (&fleet, "west", "photos", NULL);
   entry = fleet_add_entry (&fleet, "e0", "west-a");
-  do
-    {
-      g_usleep (POLL_US);
-      response = request ("/view/1", "none", "Api-Key: " KEY_A "\r\n");
-      if (response[0] != '\0')
-        break;
-      g_free (response);
-  } while (TRUE);
+  while ((fd = fleet_connect (entry->caller_port)) < 0)
+    g_usleep (POLL_US);
+  close (fd);
+  response = request ("/view/1", "none", "Api-Key: " KEY_A "\r\n");
   ck_assert_msg (fleet_response_status (response) == 503, "%s", response);
   ck_assert_msg (strstr (response, "Retry-After: ") != NULL, "%s", response);
   g_free (response);
--- a/tests/test-relay-revocation.c
+++ b/tests/test-relay-revocation.c
@@ -248,15 +248,18 @@
   kill (proxy->pid, SIGSTOP);
   while (fleet_read_metric (entry, "anvil_config_proof_age_seconds") < 2)
     g_usleep (POLL_US);
+  /* The first request is sent with a proof of 2.3 s, and ends with one of 2.9 s. */
+  g_usleep (250 * ANVIL_MS);
   running = fleet_connect (entry->caller_port);
   waiting = fleet_connect (entry->caller_port);
-  send_request (running, "/view/1?work=900", KEY_A);
+  send_request (running, "/view/1?work=600", KEY_A);
   g_usleep (100 * ANVIL_MS);
   fleet_send (waiting, "GET /view/1 HTTP/1.1\r\nHost: " FLEET_HOST
                        "\r\nRequest-Id: waiting\r\nApi-Key: " KEY_A "\r\n\r\n");
   ck_assert_uint_eq (read_status (running), 200);
   ck_assert_uint_eq (read_status (waiting), 503);
   ck_assert_uint_eq (fleet_count_runs (&fleet, "waiting"), 0);
+  ck_assert_int_eq (fleet_read_metric (entry, "anvil_keyed_refusals_total"), 1);
   close (running);
   close (waiting);
 }
