--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -666,7 +666,7 @@
 
       lent->tenant = read_text (&item, "tenant");
       lent->wanted = (guint) read_number (&item, "wanted tokens", MAX_QUOTA_TOKENS);
-      lent->lent = (guint) read_number (&item, "lent tokens", 2 * MAX_QUOTA_TOKENS);
+      lent->lent = (guint) read_number (&item, "lent tokens", 2ul * MAX_QUOTA_TOKENS);
       lent->retry_after = read_time (&item, "time until a token");
       lent->use_share = (guint) read_number (&item, "share of use", ANVIL_QUOTA_FULL_SHARE);
     }
