--- a/source/relay/relay-job-forward.c
+++ b/source/relay/relay-job-forward.c
@@ -33,15 +33,18 @@
 {
   const anvil_relay_request_t *request = job->request;
   const gsize body_length = evbuffer_get_length (request->body);
-  const anvil_forwarded_request_t forwarded = {
+  anvil_forwarded_request_t forwarded = {
     .method = anvil_str (request->method),
     .target = anvil_str (request->target),
     .id = anvil_str (request->id),
-    .headers = { .data = request->headers->str, .length = request->headers->len },
     .body = { .data = (const char *) evbuffer_pullup (request->body, -1), .length = body_length },
   };
   GByteArray *payload = g_byte_array_new ();
 
+  /* The holder sends them as they are, so the key must not be among them. */
+  job_set_key_headers (job);
+  forwarded.headers
+      = (anvil_str_t){ .data = request->headers->str, .length = request->headers->len };
   anvil_forwarded_request_pack (&forwarded, payload);
   job->forwarded = TRUE;
   anvil_slot_broker_forward (
@@ -133,6 +136,7 @@
   job->upstream = response.upstream;
   job->upstream_started_at = response.started_at;
   job->n_attempts++;
+  job->task.quota_paid = TRUE;
   log_response (job, from, &response);
   if (response.announcement.leaving)
     anvil_relay_jobs_announced (jobs, job->service, job->upstream, job->upstream_started_at,
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -1,16 +1,18 @@
 #pragma once
 
+#include "anvil/tenants.h"
 #include "relay/http-status.h"
 #include "relay/pause-table.h"
+#include "relay/quota-refusals.h"
 #include "relay/relay-job.h"
 #include "relay/request-limit-table.h"
 #include "relay/route-split.h"
 #include "relay/warm-object-table.h"
 
-/* relay-job-new.c creates and frees jobs, relay-job.c requests slots, sends requests and retries,
- * relay-job-response.c responds to callers, relay-job-holder.c handles changes of holders,
- * relay-job-shutdown.c ends jobs when the process stops, relay-job-forward.c sends requests along
- * with their slot requests. */
+/* relay-job-new.c creates and frees jobs, relay-job-key.c checks the keys of callers, relay-job.c
+ * requests slots, sends requests and retries, relay-job-response.c responds to callers,
+ * relay-job-holder.c handles changes of holders, relay-job-shutdown.c ends jobs when the process
+ * stops, relay-job-forward.c sends requests along with their slot requests. */
 
 /* During shutdown another entry can serve the caller at once. */
 #define SHUTDOWN_RETRY_AFTER (20 * ANVIL_MS)
@@ -31,6 +33,11 @@
  * @task: what a slot is requested for; its texts are owned by the job or by the settings. Its
  * number is another one for each slot request, so that no grant, refusal or report is taken for
  * that of a later request
+ * @route_regions: regions that the route allows, all if empty
+ * @tenant: name of the tenant that the request counts for, or NULL
+ * @is_public: its route needed no key when it arrived
+ * @had_tenants: a configuration with tenants was in force at its start or when it was sent
+ * @has_no_region: no region is allowed by both the route and the tenant
  * @holder: entry that the slot was requested from
  * @slot_requested_at: when the slot was requested last
  * @upstream: key of the upstream that the request was sent to last
@@ -54,6 +61,11 @@
   anvil_task_t task;
   char *service;
   char *route;
+  char **route_regions;
+  char *tenant;
+  gboolean is_public;
+  gboolean had_tenants;
+  gboolean has_no_region;
   guint max_attempts;
   anvil_node_t holder;
   anvil_time_t slot_requested_at;
@@ -87,6 +99,7 @@
   anvil_warm_object_table_t *warm_objects;
   anvil_request_limit_table_t *request_limits;
   anvil_pause_table_t *pauses;
+  anvil_quota_refusals_t *quota_refusals;
   /* job_t by number. */
   GHashTable *jobs;
 };
@@ -104,6 +117,33 @@
                     anvil_time_t received_at,
                     anvil_time_t timeout);
 
+/* Sets the tenant of a job, or none: its name, its priority, and the regions that both it and the
+ * route allow. */
+void job_set_tenant (job_t *job, const anvil_tenant_t *tenant);
+
+/* The route of a request, or NULL. */
+const anvil_route_t *jobs_match_route (const anvil_relay_jobs_t *jobs,
+                                       const anvil_relay_request_t *request);
+
+/* Refuses a request that has no job, because of its key. */
+void jobs_refuse_for_key (anvil_relay_jobs_t *jobs,
+                          anvil_relay_request_t *request,
+                          const anvil_relay_refusal_t *refusal);
+
+/* Looks up the tenant of a job again, which may have changed while it waited. Returns why the
+ * request must not be sent, or NULL. */
+const anvil_relay_refusal_t *job_renew_tenant (job_t *job);
+
+/* Whether route and tenant allow the region of a zone. */
+gboolean job_allows_zone (const job_t *job, anvil_str_t zone);
+
+/* Ends a job that isn't sent because of its key, and frees it. */
+void job_fail_for_key (job_t *job, const anvil_relay_refusal_t *refusal);
+
+/* Call it before the request is sent, each time: drops the key and what the caller sent as its
+ * tenant's name, and sets the name. Without tenants all headers stay. */
+void job_set_key_headers (job_t *job);
+
 void job_on_deadline (evutil_socket_t unused_fd, short unused_what, void *data);
 
 /* Requests a slot from the service's holder, or ends the job if the request can't be sent any more
@@ -156,6 +196,11 @@
 /* The text, or "-" for NULL, for log lines. */
 const char *text_or_dash (const char *text);
 
+/* For how long it hasn't been sure that the configuration in force is the newest; -1 if it never
+ * was.
+ */
+gint64 jobs_proof_age_ms (const anvil_relay_jobs_t *jobs);
+
 /* Counts and logs the outcome of a request. @job is its job, or NULL if it has none. */
 void job_record_outcome (anvil_relay_jobs_t *jobs,
                          const anvil_relay_request_t *request,
@@ -168,6 +213,9 @@
  * gets 502 instead of a status that promises the opposite. */
 void job_pass_response (job_t *job, guint status, const GString *headers, struct evbuffer *body);
 
+/* Ends a job whose request no upstream has run, and frees it: the caller may send it again. */
+void job_refuse (job_t *job, guint status, const char *reason, anvil_time_t retry_after);
+
 /* Ends a job without a further attempt, and frees it. The caller gets the saved response of an
  * upstream if there is one, otherwise a response that says whether the request may have run. */
 void job_fail (job_t *job, guint status, const char *reason, anvil_time_t retry_after);
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -29,6 +29,7 @@
   jobs->warm_objects = anvil_warm_object_table_new ();
   jobs->request_limits = anvil_request_limit_table_new ();
   jobs->pauses = anvil_pause_table_new ();
+  jobs->quota_refusals = anvil_quota_refusals_new ();
   /* Starts at a random number, since holders may still have task numbers from before a restart. */
   jobs->last_number = ((guint64) g_random_int () << 32) | g_random_int ();
   jobs->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -66,6 +67,7 @@
   anvil_warm_object_table_drop (jobs->warm_objects);
   anvil_request_limit_table_drop (jobs->request_limits);
   anvil_pause_table_drop (jobs->pauses);
+  anvil_quota_refusals_drop (jobs->quota_refusals);
   anvil_routes_drop (jobs->routes);
   g_free (jobs);
 }
@@ -102,6 +104,12 @@
   return anvil_pause_table_count (jobs->pauses, anvil_clock_now ());
 }
 
+void
+anvil_relay_jobs_update_quota_metrics (anvil_relay_jobs_t *jobs)
+{
+  anvil_quota_refusals_publish (jobs->quota_refusals, jobs->options.metrics);
+}
+
 gsize
 anvil_relay_jobs_saved_bytes (const anvil_relay_jobs_t *jobs)
 {
@@ -140,6 +148,8 @@
 void
 job_request_slot (job_t *job)
 {
+  const anvil_relay_refusal_t *refusal;
+
   renew_number (job);
   job->state = JOB_WAITING_FOR_SLOT;
   job->forwarded = FALSE;
@@ -149,6 +159,12 @@
       job_repeat_slot_request (job);
       return;
     }
+  refusal = job_renew_tenant (job);
+  if (refusal != NULL)
+    {
+      job_fail_for_key (job, refusal);
+      return;
+    }
   job->slot_requested_at = anvil_clock_now ();
   job_forward (job);
 }
@@ -435,12 +451,12 @@
              "sent request=%s route=%s service=%s object=%" G_GINT64_MODIFIER
              "x holder=%s upstream=%s zone=%.*s warm=%d attempt=%u "
              "waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
-             " registry_age_ms=%" G_GINT64_FORMAT,
+             " registry_age_ms=%" G_GINT64_FORMAT " tenant=%s proof_age_ms=%" G_GINT64_FORMAT,
              text_or_dash (request->id), job->route, job->service, job->task.object,
              anvil_slot_broker_vm_name (jobs->options.slot_broker, job->holder), job->upstream_id,
              ANVIL_STR_ARGS (grant->zone), grant->warm, job->task.attempt,
              (now - request->received_at) / ANVIL_MS, (job->task.deadline - now) / ANVIL_MS,
-             registry_age_ms (jobs, now));
+             registry_age_ms (jobs, now), text_or_dash (job->tenant), jobs_proof_age_ms (jobs));
 }
 
 static job_t *
@@ -480,6 +496,7 @@
                           const anvil_slot_grant_t *grant)
 {
   job_t *job = lookup (jobs, number);
+  const anvil_relay_refusal_t *refusal;
   const char *reason;
 
   if (job == NULL)
@@ -496,6 +513,8 @@
       return;
     }
   job->forwarded = FALSE;
+  /* The holder took a token of the tenant's quota, which holds for later attempts too. */
+  job->task.quota_paid = TRUE;
   if (!registry_is_fresh (jobs))
     {
       /* The tick requests a slot again; until then the registry may have been read. */
@@ -503,9 +522,19 @@
       renew_number (job);
       return;
     }
+  refusal = job_renew_tenant (job);
+  if (refusal != NULL)
+    {
+      release_slot (jobs, from, number);
+      job_fail_for_key (job, refusal);
+      return;
+    }
   reason = anvil_relay_jobs_reason_not_to_use (jobs, grant);
+  if (reason == NULL && !job_allows_zone (job, grant->zone))
+    reason = "region-not-allowed";
   if (reason == NULL)
     {
+      job_set_key_headers (job);
       start_attempt (job, grant);
       return;
     }
@@ -518,7 +547,10 @@
   jobs_send_announcements (jobs, job->service, from);
   release_slot (jobs, from, number);
   exclude_upstream (job, grant->upstream);
-  retry_unsent (job, "no-upstream");
+  if (job->has_no_region)
+    job_fail (job, STATUS_BAD_GATEWAY, "no-allowed-region", NOT_READY_RETRY_AFTER);
+  else
+    retry_unsent (job, "no-upstream");
 }
 
 void
@@ -535,14 +567,18 @@
       ANVIL_LOG_INFO, "request",
       "slot refused request=%s service=%s holder=%s reason=%s attempt=%u waiting=%u running=%u "
       "slots=%u left_ms=%" G_GINT64_FORMAT " come_back_ms=%" G_GINT64_FORMAT
-      " priority=%u class=%016" G_GINT64_MODIFIER "x",
+      " tenant=%s rank=%u priority=%u class=%016" G_GINT64_MODIFIER "x",
       text_or_dash (job->request->id), job->service,
       anvil_slot_broker_vm_name (jobs->options.slot_broker, from),
       anvil_task_refusal_reason_name (refused->reason), job->task.attempt, refused->waiting,
       refused->running, refused->slots, (job->task.deadline - anvil_clock_now ()) / ANVIL_MS,
-      refused->retry_after / ANVIL_MS, job->task.priority, job->task.route_class);
-  job_fail (job, STATUS_BAD_GATEWAY, anvil_task_refusal_reason_name (refused->reason),
-            refused->retry_after);
+      refused->retry_after / ANVIL_MS, text_or_dash (job->tenant), job->task.tenant_priority,
+      job->task.priority, job->task.route_class);
+  if (refused->reason == ANVIL_TASK_QUOTA)
+    anvil_quota_refusals_add (jobs->quota_refusals, job->tenant);
+  job_fail (job,
+            refused->reason == ANVIL_TASK_QUOTA ? STATUS_TOO_MANY_REQUESTS : STATUS_BAD_GATEWAY,
+            anvil_task_refusal_reason_name (refused->reason), refused->retry_after);
 }
 
 void
@@ -570,11 +606,18 @@
   job_remove (job);
 }
 
+static void
+begin (job_t *job)
+{
+  if (job->has_no_region)
+    job_fail (job, STATUS_UNAVAILABLE, "no-allowed-region", NOT_READY_RETRY_AFTER);
+  else
+    job_request_slot (job);
+}
+
 void
 anvil_relay_jobs_start (anvil_relay_jobs_t *jobs, anvil_relay_request_t *request)
 {
-  const char *query = strchr (request->target, '?');
-  anvil_str_t path = anvil_str (request->target);
   const anvil_route_t *route;
 
   if (jobs->refusing_new)
@@ -588,14 +631,20 @@
                           NOT_READY_RETRY_AFTER);
       return;
     }
-  if (query != NULL)
-    path.length = (gsize) (query - request->target);
-  route = anvil_routes_match (jobs->routes, anvil_str (request->host), path);
+  /* The configuration may have changed while the body was received. */
+  if (request->refusal == NULL)
+    request->refusal = anvil_relay_jobs_check_head (jobs, request);
+  if (request->refusal != NULL)
+    {
+      jobs_refuse_for_key (jobs, request, request->refusal);
+      return;
+    }
+  route = jobs_match_route (jobs, request);
   if (route == NULL && jobs->options.lacks_routes (jobs->options.context))
     job_refuse_request (jobs, request, STATUS_UNAVAILABLE, "outdated-configuration",
                         NOT_READY_RETRY_AFTER);
   else if (route == NULL)
     job_refuse_request (jobs, request, STATUS_NOT_FOUND, "no-route", 0);
   else
-    job_request_slot (job_new (jobs, request, route));
+    begin (job_new (jobs, request, route));
 }
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -14,22 +14,36 @@
   if (message->kind == ANVIL_RELAY_FORWARD)
     broker_add_forwarded (broker, task.id, task.deadline, message->rows);
   if (message->kind != ANVIL_RELAY_ADOPT)
-    anvil_dispatcher_submit (broker->dispatcher, now, &task);
+    broker_submit (broker, now, &task);
   else
     anvil_dispatcher_adopt (broker->dispatcher, now, &task, message->upstream);
 }
 
+static void
+report_pong (anvil_slot_broker_t *broker, anvil_node_t from, const anvil_relay_message_t *message)
+{
+  const anvil_peer_t *peer = anvil_members_lookup (broker->members, from);
+  const anvil_pong_t pong
+      = { .config_version = message->info.config_version,
+          .config_proof_age = message->info.config_proof_age,
+          .pinged_at = peer != NULL ? anvil_peer_ping_sent_at (peer, message->number) : -1 };
+
+  if (pong.pinged_at >= 0 && broker->callbacks.pong_received != NULL)
+    broker->callbacks.pong_received (broker->context, &pong);
+}
+
 static void
 handle_pong (anvil_slot_broker_t *broker, anvil_node_t from, const anvil_relay_message_t *message)
 {
   anvil_time_t now = anvil_clock_now ();
 
+  report_pong (broker, from, message);
   if (!anvil_members_ping_answered (broker->members, now, from, &message->info,
                                     (anvil_time_t) message->number))
     return;
   anvil_log (ANVIL_LOG_NOTICE, "broker", "peer has restarted vm=%.*s",
              ANVIL_STR_ARGS (message->info.name));
-  anvil_dispatcher_requester_lost (broker->dispatcher, now, from);
+  broker_requester_lost (broker, now, from);
   broker_remove_forwarded_of (broker, from);
   broker->callbacks.peer_restarted (broker->context, from);
 }
@@ -39,7 +53,7 @@
 {
   const anvil_relay_message_t pong = { .kind = ANVIL_RELAY_PONG,
                                        .number = message->number,
-                                       .info = *anvil_members_self (broker->members) };
+                                       .info = broker_describe_self (broker) };
 
   anvil_time_t now = anvil_clock_now ();
   const anvil_peer_t *peer;
@@ -134,7 +148,7 @@
       return;
     case ANVIL_RELAY_CANCEL:
       if (!broker_cancel_forwarded (broker, task))
-        anvil_dispatcher_cancel (broker->dispatcher, anvil_clock_now (), task);
+        broker_cancel (broker, task);
       return;
     case ANVIL_RELAY_RESPONSE:
       broker->callbacks.response_received (broker->context, message.number, from, message.rows);
@@ -165,6 +179,12 @@
       broker_add_pauses (broker, from, message.announcements, message.n_announcements);
       broker->callbacks.announcements_received (broker->context, from, &message);
       return;
+    case ANVIL_RELAY_REQUEST_QUOTA:
+      broker_handle_quota_request (broker, from, &message);
+      return;
+    case ANVIL_RELAY_QUOTA:
+      broker_handle_quota (broker, &message);
+      return;
     }
 }
 
@@ -189,9 +209,18 @@
   anvil_log (ANVIL_LOG_WARNING, "broker", "configuration file ignored");
 }
 
+static void
+on_refused (void *context, anvil_node_t node)
+{
+  anvil_slot_broker_t *broker = context;
+
+  anvil_members_process_ended (broker->members, node);
+}
+
 const anvil_peers_callbacks_t broker_peers_callbacks = {
   .message_received = on_message,
   .config_requested = on_config_requested,
   .config_received = on_config_received,
   .relay_message_received = on_relay_message,
+  .refused = on_refused,
 };
--- a/source/relay/slot-broker-peers.c
+++ b/source/relay/slot-broker-peers.c
@@ -10,12 +10,20 @@
  * isn't. */
 #define MAX_UNANSWERED_PINGS 2
 
+anvil_member_info_t
+broker_describe_self (anvil_slot_broker_t *broker)
+{
+  anvil_member_info_t *self = anvil_members_self (broker->members);
+
+  if (broker->callbacks.describe != NULL)
+    broker->callbacks.describe (broker->context, self);
+  return *self;
+}
+
 void
 broker_ping (anvil_slot_broker_t *broker, anvil_time_t now, anvil_peer_t *peer)
 {
-  const anvil_relay_message_t ping = { .kind = ANVIL_RELAY_PING,
-                                       .number = (guint64) now,
-                                       .info = *anvil_members_self (broker->members) };
+  anvil_relay_message_t ping = { .kind = ANVIL_RELAY_PING, .number = (guint64) now };
   anvil_time_t period = anvil_members_ping_period (broker->members, peer);
 
   if (now - peer->pinged_at < period)
@@ -23,6 +31,8 @@
   if (peer->pinged_at > 0 && now - peer->answered_at > MAX_UNANSWERED_PINGS * period + peer->rtt)
     anvil_peers_close_link (broker->peers, peer->node);
   peer->pinged_at = now;
+  anvil_peer_add_ping (peer, ping.number, anvil_clock_boot ());
+  ping.info = broker_describe_self (broker);
   broker_send (broker, peer->node, &ping);
 }
 
@@ -39,7 +49,7 @@
   else
     {
       g_hash_table_remove (broker->reachable_nodes, &peer->node);
-      anvil_dispatcher_requester_lost (broker->dispatcher, now, peer->node);
+      broker_requester_lost (broker, now, peer->node);
       broker_remove_forwarded_of (broker, peer->node);
     }
   anvil_log (ANVIL_LOG_NOTICE, "broker",
@@ -63,27 +73,35 @@
   anvil_members_remove (broker->members, node);
 }
 
+/* Stands for all services; no service has an empty name. */
+#define ALL_SERVICES ""
+
 typedef struct
 {
   anvil_slot_broker_t *broker;
   GHashTable *slots;
 } region_slots_t;
 
-/* Adds an upstream's slots to the count of its service and region. */
+static void
+add_slots (region_slots_t *count, const char *service, const char *region, guint n)
+{
+  char *key = g_strconcat (service, "\n", region, NULL);
+  gpointer slots = g_hash_table_lookup (count->slots, key);
+
+  g_hash_table_insert (count->slots, key, GUINT_TO_POINTER (GPOINTER_TO_UINT (slots) + n));
+}
+
+/* Adds an upstream's slots to the counts of its region, for its service and for all. */
 static void
 add_region_slots (void *context, const anvil_registered_upstream_t *upstream)
 {
   region_slots_t *count = context;
   const char *region = anvil_relay_settings_region (count->broker->settings, upstream->zone);
-  char *key;
-  gpointer slots;
 
   if (region == NULL)
     return;
-  key = g_strconcat (upstream->service, "\n", region, NULL);
-  slots = g_hash_table_lookup (count->slots, key);
-  g_hash_table_insert (count->slots, key,
-                       GUINT_TO_POINTER (GPOINTER_TO_UINT (slots) + upstream->slots));
+  add_slots (count, upstream->service, region, upstream->slots);
+  add_slots (count, ALL_SERVICES, region, upstream->slots);
 }
 
 static const char *
@@ -158,6 +176,7 @@
 
       g_array_append_val (services, held);
     }
+  broker_quota_add_held (broker, services);
   anvil_members_update_ping_set (broker->members, now,
                                  (const anvil_held_service_t *) (gpointer) services->data,
                                  services->len);
@@ -184,6 +203,7 @@
       service->region = largest_region (broker, count.slots, service->name);
       service->few_local_slots = has_few_local_slots (broker, count.slots, service->name);
     }
+  broker->quota_region = largest_region (broker, count.slots, ALL_SERVICES);
   g_hash_table_unref (count.slots);
   update_ping_set (broker, now);
 }
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -20,6 +20,19 @@
 
 typedef struct anvil_slot_broker anvil_slot_broker_t;
 
+/**
+ * anvil_pong_t - a peer's answer to a ping
+ * @config_version: version of the configuration in force there
+ * @config_proof_age: see anvil_member_info_t
+ * @pinged_at: when the ping was sent, CLOCK_BOOTTIME
+ */
+typedef struct
+{
+  gint64 config_version;
+  anvil_time_t config_proof_age;
+  anvil_time_t pinged_at;
+} anvil_pong_t;
+
 /**
  * anvil_slot_broker_callbacks_t - decisions of holders, and messages of peers; never called from
  *   inside a function of the broker
@@ -39,6 +52,9 @@
  * @response_received: the holder has sent a request of this entry; @payload is borrowed
  * @announcements_received: upstreams said something of themselves to a peer; borrowed. The broker
  *   has already taken pauses into account
+ * @describe: completes the description of this entry, which is about to be sent to a peer; called
+ *   from inside the broker and must not call it
+ * @pong_received: a peer answered a ping
  */
 typedef struct
 {
@@ -66,6 +82,8 @@
                      anvil_str_t payload);
   void (*forward_cancelled) (void *context, anvil_task_id_t id);
   void (*response_received) (void *context, guint64 number, anvil_node_t from, anvil_str_t payload);
+  void (*describe) (void *context, anvil_member_info_t *info);
+  void (*pong_received) (void *context, const anvil_pong_t *pong);
 } anvil_slot_broker_callbacks_t;
 
 /** anvil_slot_broker_open - listens for peers */
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -11,8 +11,8 @@
  * upstream for a task, dispatch-waiting.c a queued task for a free slot, dispatch-refusing.c the
  * tasks to refuse. dispatch-shift.c bounds how fast work moves to other regions, dispatch-limit.c
  * how many requests an upstream gets that named a limit, dispatch-pause.c from whom it wants none
- * for a time. dispatch-warmth.c tracks which upstreams
- * are warm for which objects, dispatch-upstream.c which are ejected.
+ * for a time. dispatch-fairness.c shares slots among tenants. dispatch-warmth.c tracks which
+ * upstreams are warm for which objects, dispatch-upstream.c which are ejected.
  */
 
 /* Most slots that are used of one upstream. */
@@ -30,6 +30,47 @@
 typedef struct object object_t;
 typedef struct task task_t;
 
+/**
+ * fair_rank_t - the tenants of one rank, which share
+ * @key: the tenant's priority, then the route's
+ * @start: slot time at which the last grant started
+ */
+typedef struct
+{
+  guint64 key;
+  gdouble start;
+  guint n_flows;
+} fair_rank_t;
+
+/** fair_tenant_t - a tenant with all its ranks */
+typedef struct
+{
+  guint64 key;
+  guint n_waiting;
+  guint n_flows;
+} fair_tenant_t;
+
+/**
+ * flow_t - the tasks of a tenant with one rank
+ * @finish: slot time up to which it was granted, microseconds
+ * @waiting: queued task_t, oldest first
+ * @n_late: those that are late, or expected to be
+ * @work_us: run time of @waiting
+ * @n_tasks: its tasks, queued or running
+ */
+typedef struct
+{
+  guint64 key;
+  fair_rank_t *rank;
+  fair_tenant_t *tenant;
+  gdouble finish;
+  GQueue waiting;
+  guint n_late;
+  gdouble work_us;
+  guint n_tasks;
+  anvil_time_t used_at;
+} flow_t;
+
 /**
  * warm_entry_t - an object that an upstream is expected to be warm for
  * @ready: its first run on the upstream has ended
@@ -70,8 +111,8 @@
 /**
  * object_t - an object requested from a service
  * @upstreams: upstream_t that have a warm_entry_t for it
- * @no_affinity: stands for all requests of one priority that are not about an object; no upstream
- *   is faster on them
+ * @no_affinity: stands for all requests of one priority, and tenant, that are not about an object;
+ *   no upstream is faster on them
  * @queues: object_queue_t, its requests by class
  * @n_tasks: its tasks, queued or running
  */
@@ -168,6 +209,10 @@
  * @warm: the upstream was warm for its object when it was granted
  * @slowness_at_start: that of the upstream when it was granted; 0 if it wasn't known
  * @expected_end: when its slot is expected to be free
+ * @flow: the tasks that it shares with; NULL if its service isn't shared by tenants
+ * @flow_link: its place in the flow's queue
+ * @charged: slot time that its flow was granted for it
+ * @queued_work_us: its part of the flow's @work_us
  */
 struct task
 {
@@ -187,6 +232,10 @@
   anvil_time_t granted_at;
   gdouble slowness_at_start;
   anvil_time_t expected_end;
+  flow_t *flow;
+  GList flow_link;
+  anvil_time_t charged;
+  gdouble queued_work_us;
 };
 
 /**
@@ -230,6 +279,9 @@
  *   refused in one
  * @pauses_end: when the last of all pauses of its upstreams ends
  * @shifts: shift_window_t by id of the requesters' region
+ * @flows: flow_t by key; empty if no tenant uses it
+ * @fair_ranks: fair_rank_t by key
+ * @fair_tenants: fair_tenant_t by key
  */
 struct service
 {
@@ -262,6 +314,9 @@
   anvil_time_t return_offset;
   anvil_time_t pauses_end;
   GHashTable *shifts;
+  GHashTable *flows;
+  GHashTable *fair_ranks;
+  GHashTable *fair_tenants;
 };
 
 struct anvil_dispatcher
@@ -442,6 +497,32 @@
 /* Moves tasks that can no longer finish within their target to the late ones. */
 void waiting_move_late (object_queue_t *queue, anvil_time_t now);
 
+/* dispatch-fairness.c */
+
+void fairness_open (service_t *service);
+void fairness_close (service_t *service);
+/* Hash of the tenant and both priorities. */
+guint64 fairness_key (const anvil_task_t *task);
+void fairness_add_task (task_t *task, anvil_time_t now);
+void fairness_remove_task (task_t *task);
+void fairness_waiting_added (task_t *task);
+/* To be called while the task's is_late is still set. */
+void fairness_waiting_removed (task_t *task);
+void fairness_became_late (task_t *task);
+/* Slot time at which the task's run would start; the lowest of a rank goes first. */
+gdouble fairness_start (const task_t *task);
+void fairness_granted (task_t *task, anvil_time_t run_time);
+/* Charges the slot time that was used instead of the expected one. */
+void fairness_run_ended (task_t *task, anvil_time_t now);
+/* Run time of the queued tasks of all tenants that are served before one that is queued now. */
+gdouble fairness_work_ahead_us (const task_t *task, gboolean with_late);
+/* Whether too many late tasks are queued for a further one. */
+gboolean fairness_too_many_late (const task_t *task, gdouble most, guint at_least);
+/* The queued task that is refused in favour of an arriving one when the queue is full; NULL if that
+ * is the arriving one itself. */
+task_t *fairness_find_victim (const task_t *task);
+void fairness_remove_idle (service_t *service, anvil_time_t now);
+
 /* dispatch-refusing.c */
 
 /* Whether a task would miss its deadline even if it started now. */
--- a/source/steer/dispatch-refusing.c
+++ b/source/steer/dispatch-refusing.c
@@ -76,7 +76,9 @@
 static anvil_time_t
 time_for_queue (const task_t *task, gboolean with_late)
 {
-  return time_for_work (task->service, waiting_work_us (task, with_late));
+  return time_for_work (task->service, task->flow != NULL ? fairness_work_ahead_us (task, with_late)
+                                                                / task->class->share_left
+                                                          : waiting_work_us (task, with_late));
 }
 
 gboolean
@@ -94,7 +96,7 @@
 {
   const service_t *service = task->service;
 
-  if (waiting_count_late (task) > MAX (MAX_LATE_SHARE * service->usable_slots, MIN_LATE_TASKS))
+  if (fairness_too_many_late (task, MAX_LATE_SHARE * service->usable_slots, MIN_LATE_TASKS))
     return TRUE;
   return now + mean_run_time (task) + time_for_queue (task, TRUE) > task->request.deadline;
 }
@@ -161,7 +163,8 @@
   static const char *const names[] = {
     [ANVIL_TASK_NO_UPSTREAM] = "no-upstream", [ANVIL_TASK_NO_ROOM] = "no-room",
     [ANVIL_TASK_NO_RETRY] = "no-retry",       [ANVIL_TASK_LATE] = "late",
-    [ANVIL_TASK_PAUSED] = "paused",
+    [ANVIL_TASK_PAUSED] = "paused",           [ANVIL_TASK_QUOTA] = "quota",
+    [ANVIL_TASK_NO_COUNTER] = "no-counter",
   };
 
   return names[reason];
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -11,13 +11,17 @@
 
 /**
  * rank_t - sort key of a queued task; compared member by member, the lowest goes first
+ * @tenant_priority: priority of the tenant, 0 is the most urgent
+ * @start: see fairness_start()
  * @priority: priority of the route, 0 is the most urgent
  * @tier: see tier_of()
  * @order: order within a tier
  */
 typedef struct
 {
+  guint tenant_priority;
   guint priority;
+  gdouble start;
   guint tier;
   anvil_time_t order;
 } rank_t;
@@ -32,8 +36,12 @@
 static gboolean
 comes_before (const rank_t *a, const rank_t *b)
 {
+  if (a->tenant_priority != b->tenant_priority)
+    return a->tenant_priority < b->tenant_priority;
   if (a->priority != b->priority)
     return a->priority < b->priority;
+  if (a->start < b->start || a->start > b->start)
+    return a->start < b->start;
   if (a->tier != b->tier)
     return a->tier < b->tier;
   return a->order < b->order;
@@ -41,6 +49,10 @@
 
 /* Tasks examined on time and late in each queue, since the first ones may exclude the upstream. */
 #define MAX_EXAMINED_TASKS 4
+/* Tenants of which a task is examined in each queue of an object, and tasks that are passed over to
+ * find them. */
+#define MAX_EXAMINED_FLOWS 16
+#define MAX_PASSED_TASKS 256
 
 static void
 add_class_backlog (upstream_t *upstream, const run_class_t *class, gdouble n_tasks)
@@ -157,6 +169,7 @@
   service->n_waiting++;
   task->class->n_waiting++;
   task->class->n_late += task->will_be_late ? 1 : 0;
+  fairness_waiting_added (task);
   add_backlog (task->queue, 1);
 }
 
@@ -171,6 +184,7 @@
     g_hash_table_remove (service->waiting_queues, queue);
   service->n_waiting--;
   task->class->n_waiting--;
+  fairness_waiting_removed (task);
   if (task->is_late || task->will_be_late)
     task->class->n_late--;
   if (!task->is_late)
@@ -189,6 +203,7 @@
     {
       g_queue_push_tail (&queue->late, g_queue_pop_head (&queue->on_time));
       task->is_late = TRUE;
+      fairness_became_late (task);
       task->class->n_late += task->will_be_late ? 0 : 1;
       task->will_be_late = FALSE;
       add_backlog (queue, -1);
@@ -221,7 +236,9 @@
       || (!warm && better_on_warm_upstream (task, &placement, now)))
     return FALSE;
   on_time = placement.finish <= task->request.target;
+  result->tenant_priority = task->request.tenant_priority;
   result->priority = class_rank (task->class, task->request.priority);
+  result->start = fairness_start (task);
   result->tier = tier_of (on_time, warm);
   result->order = on_time ? task->request.target : -task->request.target;
   return TRUE;
@@ -229,6 +246,7 @@
 
 /**
  * choice_t - search for the task that a free slot goes to
+ * @flows: flows of which a task of the present object was considered
  * @paused: the last entry that was found to be in a pause of the upstream; its tasks often follow
  *   each other
  */
@@ -238,6 +256,8 @@
   anvil_time_t now;
   task_t *best;
   rank_t rank;
+  const flow_t *flows[MAX_EXAMINED_FLOWS];
+  guint n_flows;
   anvil_node_t paused;
 } choice_t;
 
@@ -269,35 +289,67 @@
   return TRUE;
 }
 
-/* Considers the oldest task that can finish on time, and the newest late one. Tasks of entries from
- * which the upstream wants no requests are passed over, so that they don't hide those of others. */
-static void
-consider_queue (choice_t *choice, object_queue_t *queue, gboolean warm)
+/* Whether a task of the same flow was considered before, which goes first. */
+static gboolean
+is_behind_its_flow (const choice_t *choice, const task_t *task)
 {
-  guint n_examined = 0;
+  for (guint i = 0; task->flow != NULL && i < choice->n_flows; i++)
+    {
+      if (choice->flows[i] == task->flow)
+        return TRUE;
+    }
+  return FALSE;
+}
 
-  waiting_move_late (queue, choice->now);
-  for (GList *link = queue->on_time.head; link != NULL && n_examined < MAX_EXAMINED_TASKS;
-       link = link->next)
+/* Considers a task; TRUE if the rest of its queue needn't be. Without tenants that is so once one
+ * could be considered; with them, each tenant's first task is considered. */
+static gboolean
+consider_next (choice_t *choice, task_t *task, gboolean warm, guint *n_examined)
+{
+  if (!consider (choice, task, warm))
     {
-      if (is_in_pause (choice, link->data))
-        continue;
-      n_examined++;
-      if (consider (choice, link->data, warm))
-        break;
+      (*n_examined)++;
+      return *n_examined >= MAX_EXAMINED_TASKS;
     }
-  n_examined = 0;
-  for (GList *link = queue->late.tail; link != NULL && n_examined < MAX_EXAMINED_TASKS;
-       link = link->prev)
+  /* Tasks without an object have a queue for each tenant. */
+  if (task->flow == NULL || task->object->no_affinity)
+    return TRUE;
+  choice->flows[choice->n_flows++] = task->flow;
+  return choice->n_flows >= MAX_EXAMINED_FLOWS;
+}
+
+static void
+consider_list (choice_t *choice, GList *first, gboolean forward, gboolean warm)
+{
+  guint n_examined = 0;
+  guint n_passed = 0;
+
+  choice->n_flows = 0;
+  for (GList *link = first; link != NULL && n_passed < MAX_PASSED_TASKS;
+       link = forward ? link->next : link->prev)
     {
       if (is_in_pause (choice, link->data))
         continue;
-      n_examined++;
-      if (consider (choice, link->data, warm))
-        break;
+      if (is_behind_its_flow (choice, link->data))
+        {
+          n_passed++;
+          continue;
+        }
+      if (consider_next (choice, link->data, warm, &n_examined))
+        return;
     }
 }
 
+/* Considers the oldest task that can finish on time, and the newest late one. Tasks of entries from
+ * which the upstream wants no requests are passed over, so that they don't hide those of others. */
+static void
+consider_queue (choice_t *choice, object_queue_t *queue, gboolean warm)
+{
+  waiting_move_late (queue, choice->now);
+  consider_list (choice, queue->on_time.head, TRUE, warm);
+  consider_list (choice, queue->late.tail, FALSE, warm);
+}
+
 task_t *
 waiting_next_task (upstream_t *upstream, anvil_time_t now)
 {
--- a/source/steer/routes.c
+++ b/source/steer/routes.c
@@ -1,8 +1,7 @@
-#include "anvil/tenants.h"
-
 #include <string.h>
 
 #include "anvil/error.h"
+#include "steer/tenants.h"
 
 /* Default limits, common ones of HTTP servers. */
 #define DEFAULT_MAX_HEADER_BYTES (16u << 10)
@@ -20,6 +19,8 @@
   GArray *tenants;
   /* Arrays of route indices by lower-case host, longest prefix first. */
   GHashTable *by_host;
+  /* NULL until the table is finished. */
+  anvil_tenant_index_t *keys;
 };
 
 static void
@@ -91,6 +92,7 @@
     return;
   g_array_unref (routes->routes);
   g_array_unref (routes->services);
+  anvil_tenant_index_drop (routes->keys);
   g_array_unref (routes->tenants);
   g_hash_table_unref (routes->by_host);
   g_free (routes);
@@ -191,14 +193,13 @@
 const anvil_tenant_t *
 anvil_routes_find_tenant (const anvil_routes_t *routes, anvil_str_t name)
 {
-  for (guint i = 0; i < routes->tenants->len; i++)
-    {
-      const anvil_tenant_t *tenant = anvil_routes_tenant_at (routes, i);
+  return anvil_tenant_index_find (routes->keys, name);
+}
 
-      if (tenant->name != NULL && anvil_str_equal (anvil_str (tenant->name), name))
-        return tenant;
-    }
-  return NULL;
+const anvil_tenant_t *
+anvil_routes_lookup_tenant (const anvil_routes_t *routes, anvil_str_t key)
+{
+  return anvil_tenant_index_lookup (routes->keys, key);
 }
 
 static gboolean
@@ -303,6 +304,9 @@
       if (!check_route (routes, anvil_routes_at (routes, i), error))
         return FALSE;
     }
+  routes->keys = anvil_tenant_index_new (routes->tenants, error);
+  if (routes->keys == NULL)
+    return FALSE;
   index_hosts (routes);
   return TRUE;
 }
