Hand out a header field of the store's responses with a call's result

The store will name its era in a header of every response, also of those with an error. The pool dropped all fields.

A pool may be told the name of one field; its value comes with the result of each call whose head was received.

--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -10,6 +10,7 @@
 
 #include "anvil/log.h"
 #include "net/http-framing.h"
+#include "net/http-kept-header.h"
 
 #define MAX_CONNECTIONS 4
 #define MAX_QUEUED_CALLS 1024
@@ -29,6 +30,7 @@
  * @response_complete: the parser has reached the end of a response
  * @framing_bytes: bytes of the response that belong to no body
  * @body: body of the response so far
+ * @kept_header: see anvil_http_pool_keep_header()
  */
 typedef struct
 {
@@ -39,6 +41,7 @@
   gboolean response_complete;
   guint64 framing_bytes;
   struct evbuffer *body;
+  http_kept_header_t kept_header;
 } connection_t;
 
 /**
@@ -95,6 +98,7 @@
 static void
 call_finish (call_t *call, int status, struct evbuffer *body)
 {
+  const connection_t *connection = call->connection;
   const anvil_http_result_t result = {
     .sent = call->sent,
     .status = status,
@@ -102,6 +106,9 @@
     .too_large = call->too_large,
     .receive_time = call->first_byte_at > 0 ? anvil_clock_now () - call->first_byte_at : 0,
     .body = body,
+    .kept_header = connection != NULL && connection->kept_header.found
+                       ? connection->kept_header.value->str
+                       : NULL,
   };
   anvil_http_pool_t *pool = call->pool;
 
@@ -168,15 +175,35 @@
   connection_t *connection = parser->data;
 
   evbuffer_drain (connection->body, evbuffer_get_length (connection->body));
+  http_kept_header_reset (&connection->kept_header);
+  return 0;
+}
+
+static int
+on_header_field (http_parser *parser, const char *at, size_t length)
+{
+  connection_t *connection = parser->data;
+
+  http_kept_header_add_name (&connection->kept_header, at, length);
+  return 0;
+}
+
+static int
+on_header_value (http_parser *parser, const char *at, size_t length)
+{
+  connection_t *connection = parser->data;
+
+  http_kept_header_add_value (&connection->kept_header, at, length);
   return 0;
 }
 
 static int
 on_headers_complete (http_parser *parser)
 {
-  const connection_t *connection = parser->data;
+  connection_t *connection = parser->data;
   call_t *call = connection->call;
 
+  http_kept_header_end (&connection->kept_header);
   call->too_large
       = (parser->flags & F_CONTENTLENGTH) != 0 && parser->content_length > call->max_response_bytes;
   if (call->too_large)
@@ -210,6 +237,8 @@
 
 static const http_parser_settings parser_settings = {
   .on_message_begin = on_message_begin,
+  .on_header_field = on_header_field,
+  .on_header_value = on_header_value,
   .on_headers_complete = on_headers_complete,
   .on_body = on_body,
   .on_message_complete = on_message_complete,
@@ -415,6 +444,7 @@
   call->connection = connection;
   connection->response_complete = FALSE;
   connection->framing_bytes = 0;
+  http_kept_header_reset (&connection->kept_header);
   http_parser_init (&connection->parser, HTTP_RESPONSE);
   connection->parser.data = connection;
   if (connection->stream == NULL)
@@ -451,10 +481,18 @@
     {
       pool->connections[i].pool = pool;
       pool->connections[i].body = evbuffer_new ();
+      http_kept_header_init (&pool->connections[i].kept_header, NULL);
     }
   return pool;
 }
 
+void
+anvil_http_pool_keep_header (anvil_http_pool_t *pool, const char *name)
+{
+  for (guint i = 0; i < MAX_CONNECTIONS; i++)
+    pool->connections[i].kept_header.wanted = name;
+}
+
 void
 anvil_http_pool_close (anvil_http_pool_t *pool)
 {
@@ -468,6 +506,7 @@
         fail_call (connection, "client closed");
       connection_close (connection);
       evbuffer_free (connection->body);
+      http_kept_header_clear (&connection->kept_header);
     }
   while (!g_queue_is_empty (&pool->queue))
     call_finish (g_queue_pop_head (&pool->queue), 0, NULL);
--- a/source/net/http-pool.h
+++ b/source/net/http-pool.h
@@ -21,6 +21,8 @@
  * @too_large: the body of the response exceeds the call's limit, so @status is 0
  * @receive_time: from the first byte of the response until its end, microseconds
  * @body: body of the response, or NULL; borrowed
+ * @kept_header: value of the field named by anvil_http_pool_keep_header(), if a head was received
+ *   and has it; otherwise NULL. Borrowed
  */
 typedef struct
 {
@@ -30,6 +32,7 @@
   gboolean too_large;
   anvil_time_t receive_time;
   struct evbuffer *body;
+  const char *kept_header;
 } anvil_http_result_t;
 
 typedef void (*anvil_http_result_cb_t) (void *context, const anvil_http_result_t *result);
@@ -45,6 +48,10 @@
 anvil_http_pool_t *
 anvil_http_pool_open (struct event_base *base, guint32 address, guint16 port, anvil_time_t timeout);
 
+/** anvil_http_pool_keep_header - hands out a field of each response's head with the result; @name
+ * is borrowed */
+void anvil_http_pool_keep_header (anvil_http_pool_t *pool, const char *name);
+
 /** anvil_http_pool_close - ends all calls with status 0; must not be called from a callback */
 void anvil_http_pool_close (anvil_http_pool_t *pool);
 
