--- a/standins/anvil-store-rows.c
+++ b/standins/anvil-store-rows.c
@@ -9,6 +9,7 @@
 /**
  * change_t - a row as written by one transaction
  * @value: base64, NULL if the row was removed
+ * @time: when it was written, Unix milliseconds
  */
 typedef struct
 {
@@ -16,14 +17,17 @@
   char *key;
   char *value;
   guint64 version;
+  gint64 time;
 } change_t;
 
 struct store_rows
 {
   guint64 version;
-  /* The history holds all changes after this version. */
+  /* Changes up to this version aren't told any more. */
   guint64 compacted_version;
   GPtrArray *history;
+  /* Version after the last return to a copy. */
+  guint64 restored_version;
   /* change_t of the existing rows by "table\nkey". */
   GHashTable *rows;
 };
@@ -48,6 +52,7 @@
   change->key = g_strdup (key);
   change->value = g_strdup (value);
   change->version = version;
+  change->time = g_get_real_time () / 1000;
   return change;
 }
 
@@ -111,15 +116,12 @@
 }
 
 static void
-record_change (store_rows_t *rows, json_t *item, const char *value)
+set_row (store_rows_t *rows, const char *table, const char *key, const char *value, guint64 version)
 {
-  const char *table = text_member (item, "table");
-  const char *key = text_member (item, "key");
-  char *id = row_id (item);
+  char *id = g_strconcat (table, "\n", key, NULL);
 
-  g_ptr_array_add (rows->history, change_new (table, key, value, rows->version));
   if (value != NULL)
-    g_hash_table_insert (rows->rows, id, change_new (table, key, value, rows->version));
+    g_hash_table_insert (rows->rows, id, change_new (table, key, value, version));
   else
     {
       g_hash_table_remove (rows->rows, id);
@@ -127,6 +129,16 @@
     }
 }
 
+static void
+record_change (store_rows_t *rows, json_t *item, const char *value)
+{
+  const char *table = text_member (item, "table");
+  const char *key = text_member (item, "key");
+
+  g_ptr_array_add (rows->history, change_new (table, key, value, rows->version));
+  set_row (rows, table, key, value, rows->version);
+}
+
 gboolean
 store_rows_commit (store_rows_t *rows, json_t *transaction)
 {
@@ -199,7 +211,7 @@
 {
   json_t *list;
 
-  if (version < rows->compacted_version)
+  if (version < rows->compacted_version || version > rows->version)
     return NULL;
   list = json_array ();
   for (guint i = 0; i < rows->history->len; i++)
@@ -216,5 +228,71 @@
 store_rows_compact (store_rows_t *rows)
 {
   rows->compacted_version = rows->version;
-  g_ptr_array_set_size (rows->history, 0);
+}
+
+/* Puts a lost row at the end of the list, in place of what the list has of it. */
+static void
+add_lost (json_t *lost, const change_t *change)
+{
+  const gboolean removed = change->value == NULL;
+  json_t *row = json_pack ("{s:s,s:s,s:s}", "table", change->table, "part", "", "key", change->key);
+  char *id = row_id (row);
+
+  for (size_t i = json_array_size (lost); i > 0; i--)
+    {
+      char *other = row_id (json_object_get (json_array_get (lost, i - 1), "row"));
+
+      if (strcmp (other, id) == 0)
+        json_array_remove (lost, i - 1);
+      g_free (other);
+    }
+  g_free (id);
+  if (!removed)
+    json_object_set_new (row, "value", json_string (change->value));
+  json_array_append_new (lost, json_pack ("{s:o,s:b}", "row", row, "removed", removed));
+}
+
+void
+store_rows_restore (store_rows_t *rows, gint64 time, json_t *lost)
+{
+  guint n_kept = 0;
+
+  while (n_kept < rows->history->len
+         && ((const change_t *) rows->history->pdata[n_kept])->time <= time)
+    n_kept++;
+  for (guint i = n_kept; i < rows->history->len; i++)
+    {
+      const change_t *change = rows->history->pdata[i];
+
+      if (strcmp (change->table, "op") == 0 || strcmp (change->table, "servers") == 0)
+        add_lost (lost, change);
+    }
+  g_ptr_array_set_size (rows->history, (gint) n_kept);
+  g_hash_table_remove_all (rows->rows);
+  rows->version = 0;
+  for (guint i = 0; i < n_kept; i++)
+    {
+      const change_t *change = rows->history->pdata[i];
+
+      set_row (rows, change->table, change->key, change->value, change->version);
+      rows->version = change->version;
+    }
+  rows->restored_version = rows->version;
+  rows->compacted_version = MIN (rows->compacted_version, rows->version);
+}
+
+gboolean
+store_rows_was_written (const store_rows_t *rows, json_t *item)
+{
+  for (guint i = rows->history->len; i > 0; i--)
+    {
+      const change_t *change = rows->history->pdata[i - 1];
+
+      if (change->version <= rows->restored_version)
+        return FALSE;
+      if (strcmp (change->table, text_member (item, "table")) == 0
+          && strcmp (change->key, text_member (item, "key")) == 0)
+        return TRUE;
+    }
+  return FALSE;
 }
--- a/standins/anvil-store-rows.h
+++ b/standins/anvil-store-rows.h
@@ -21,8 +21,19 @@
 store_rows_read (const store_rows_t *rows, const char *table, const char *from, gboolean *has_more);
 
 /** store_rows_changes - rows of a table that changed after @version, oldest first; NULL if
- * the history was compacted after @version */
+ * the history was compacted after @version, or doesn't reach it */
 json_t *store_rows_changes (const store_rows_t *rows, const char *table, guint64 version);
 
+/**
+ * store_rows_restore - goes back to the rows of @time, Unix milliseconds, as from a copy
+ * @lost: gets the rows of the tables `op` and `servers` that are lost by that, oldest first, as
+ *   objects with "row", as in a transaction, and "removed"; a row that it has already is replaced
+ */
+void store_rows_restore (store_rows_t *rows, gint64 time, json_t *lost);
+
+/** store_rows_was_written - whether a row was written or removed since the last
+ * store_rows_restore(); @item as in a transaction */
+gboolean store_rows_was_written (const store_rows_t *rows, json_t *item);
+
 /** store_rows_compact - deletes the history */
 void store_rows_compact (store_rows_t *rows);
--- a/standins/anvil-store.c
+++ b/standins/anvil-store.c
@@ -8,8 +8,14 @@
  *   lose     transactions are processed, but get no response
  *   refuse-writes  transactions are rejected with status 429
  *   compact  the history of changes is deleted, once
+ *   no-era   responses name no era
+ *   odd-era  they name something else than a number
+ *   old-era  they name the one before the present
  *   none     ends the fault
- * and GET /follows?table=T, which returns how often changes of a table were read.
+ *   drill    the store is away for that time and comes back, in a later era, from a copy that was
+ *            &age_ms=N old when it began; &rewrite_ms=N after that, the rows of the operator and
+ * the upstreams that were lost are written again, one every &step_ms=N and GET /follows?table=T,
+ * which returns how often changes of a table were read.
  */
 
 #include <signal.h>
@@ -23,7 +29,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
-#include "anvil-store-rows.h"
+#include "anvil-store-drill.h"
 #include "anvil/clock.h"
 #include "anvil/log.h"
 #include "anvil/settings.h"
@@ -42,6 +48,9 @@
   FAULT_LOSE,
   FAULT_REFUSE_WRITES,
   FAULT_ENDLESS,
+  FAULT_NO_ERA,
+  FAULT_ODD_ERA,
+  FAULT_OLD_ERA,
 } fault_t;
 
 typedef struct
@@ -57,6 +66,7 @@
   /* Place of FAULT_ENDLESS. */
   const endless_message_t *endless;
   anvil_time_t fault_ends_at;
+  store_drill_t *drill;
 } store_t;
 
 typedef struct
@@ -68,14 +78,39 @@
   struct event *timer;
 } long_poll_t;
 
+static fault_t
+active_fault (store_t *store)
+{
+  if (anvil_clock_now () >= store->fault_ends_at)
+    store->fault = FAULT_NONE;
+  return store->fault;
+}
+
 static void
-respond (struct evhttp_request *request, int status, json_t *root)
+add_era (store_t *store, struct evhttp_request *request)
+{
+  const fault_t fault = active_fault (store);
+  guint64 era = store_drill_era (store->drill);
+  char *text;
+
+  if (era == 0 || fault == FAULT_NO_ERA)
+    return;
+  text = fault == FAULT_ODD_ERA
+             ? g_strdup ("none")
+             : g_strdup_printf ("%" G_GUINT64_FORMAT, fault == FAULT_OLD_ERA ? era - 1 : era);
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Store-Era", text);
+  g_free (text);
+}
+
+static void
+respond (store_t *store, struct evhttp_request *request, int status, json_t *root)
 {
   struct evbuffer *body = evbuffer_new ();
   char *text = root != NULL ? json_dumps (root, JSON_COMPACT) : NULL;
 
   if (text != NULL)
     evbuffer_add (body, text, strlen (text));
+  add_era (store, request);
   evhttp_send_reply (request, status, NULL, body);
   evbuffer_free (body);
   free (text);
@@ -90,22 +125,16 @@
                     (json_int_t) (anvil_clock_now () / ANVIL_MS));
 }
 
-static fault_t
-active_fault (store_t *store)
-{
-  if (anvil_clock_now () >= store->fault_ends_at)
-    store->fault = FAULT_NONE;
-  return store->fault;
-}
-
 /* Applies the active fault to a call; TRUE if the call must not be handled further. */
 static gboolean
 apply_fault (store_t *store, struct evhttp_request *request)
 {
+  if (store_drill_away (store->drill))
+    return TRUE;
   switch (active_fault (store))
     {
     case FAULT_BUSY:
-      respond (request, HTTP_SERVUNAVAIL, NULL);
+      respond (store, request, HTTP_SERVUNAVAIL, NULL);
       return TRUE;
     case FAULT_SILENT:
       /* evhttp frees the request when the caller times out and closes its connection. */
@@ -135,7 +164,7 @@
   json_t *changes = store_rows_changes (store->rows, poll->table, poll->after);
 
   evhttp_connection_set_closecb (evhttp_request_get_connection (poll->request), NULL, NULL);
-  respond (poll->request, changes != NULL ? HTTP_OK : STATUS_GONE,
+  respond (store, poll->request, changes != NULL ? HTTP_OK : STATUS_GONE,
            changes != NULL ? page_to_json (store, changes, FALSE) : NULL);
   g_ptr_array_remove_fast (store->long_polls, poll);
 }
@@ -206,7 +235,7 @@
   parse_query (request, &query);
   rows = store_rows_read (store->rows, query_text (&query, "table"), query_text (&query, "from"),
                           &has_more);
-  respond (request, HTTP_OK, page_to_json (store, rows, has_more));
+  respond (store, request, HTTP_OK, page_to_json (store, rows, has_more));
   evhttp_clear_headers (&query);
 }
 
@@ -244,7 +273,7 @@
   struct evkeyvalq query;
 
   parse_query (request, &query);
-  respond (request, HTTP_OK,
+  respond (store, request, HTTP_OK,
            json_pack ("{s:I}", "calls",
                       (json_int_t) GPOINTER_TO_UINT (g_hash_table_lookup (
                           store->change_reads, query_text (&query, "table")))));
@@ -268,14 +297,14 @@
   wait = MIN (query_number (&query, "waitMs"), MAX_POLL_WAIT_MS);
   changes = store_rows_changes (store->rows, query_text (&query, "table"), after);
   if (changes == NULL)
-    respond (request, STATUS_GONE, NULL);
+    respond (store, request, STATUS_GONE, NULL);
   else if (json_array_size (changes) == 0 && wait > 0)
     {
       json_decref (changes);
       start_long_poll (store, request, query_text (&query, "table"), after, wait);
     }
   else
-    respond (request, HTTP_OK, page_to_json (store, changes, FALSE));
+    respond (store, request, HTTP_OK, page_to_json (store, changes, FALSE));
   evhttp_clear_headers (&query);
 }
 
@@ -292,19 +321,46 @@
     return;
   if (active_fault (store) == FAULT_REFUSE_WRITES)
     {
-      respond (request, STATUS_TOO_MANY_REQUESTS, NULL);
+      respond (store, request, STATUS_TOO_MANY_REQUESTS, NULL);
       return;
     }
   root = json_loadb ((const char *) evbuffer_pullup (body, -1), length, 0, NULL);
   committed = store_rows_commit (store->rows, root);
   json_decref (root);
   if (active_fault (store) != FAULT_LOSE)
-    respond (request, committed ? HTTP_OK : STATUS_CONDITION_FAILED,
+    respond (store, request, committed ? HTTP_OK : STATUS_CONDITION_FAILED,
              json_pack ("{s:I,s:I}", "rowVersion", (json_int_t) store_rows_version (store->rows),
                         "nowMs", (json_int_t) (anvil_clock_now () / ANVIL_MS)));
   respond_to_changed_polls (store);
 }
 
+static void
+on_rows_rewritten (void *context)
+{
+  respond_to_changed_polls (context);
+}
+
+static void
+start_drill (store_t *store, const struct evkeyvalq *query)
+{
+  const store_drill_plan_t plan = { .away = query_number (query, "for_ms"),
+                                    .age = query_number (query, "age_ms"),
+                                    .rewrite = query_number (query, "rewrite_ms"),
+                                    .step = query_number (query, "step_ms") };
+
+  store_drill_start (store->drill, &plan);
+  /* Their connections end with the store; removing one changes the list. */
+  while (store->long_polls->len > 0)
+    {
+      long_poll_t *poll = store->long_polls->pdata[0];
+      struct evhttp_connection *connection = evhttp_request_get_connection (poll->request);
+
+      evhttp_connection_set_closecb (connection, NULL, NULL);
+      g_ptr_array_remove_index_fast (store->long_polls, 0);
+      evhttp_connection_free (connection);
+    }
+}
+
 static void
 on_fault (struct evhttp_request *request, void *data)
 {
@@ -319,6 +375,9 @@
                  : strcmp (kind, "silent") == 0        ? FAULT_SILENT
                  : strcmp (kind, "lose") == 0          ? FAULT_LOSE
                  : strcmp (kind, "refuse-writes") == 0 ? FAULT_REFUSE_WRITES
+                 : strcmp (kind, "no-era") == 0        ? FAULT_NO_ERA
+                 : strcmp (kind, "odd-era") == 0       ? FAULT_ODD_ERA
+                 : strcmp (kind, "old-era") == 0       ? FAULT_OLD_ERA
                  : store->endless != NULL              ? FAULT_ENDLESS
                                                        : FAULT_NONE;
   store->fault_ends_at
@@ -328,8 +387,10 @@
       store_rows_compact (store->rows);
       respond_to_changed_polls (store);
     }
+  if (strcmp (kind, "drill") == 0)
+    start_drill (store, &query);
   anvil_log (ANVIL_LOG_NOTICE, "store", "fault kind=%s", kind);
-  respond (request, HTTP_OK, NULL);
+  respond (store, request, HTTP_OK, NULL);
   evhttp_clear_headers (&query);
 }
 
@@ -340,7 +401,7 @@
 }
 
 static int
-run (const anvil_setting_t *listen)
+run (const anvil_setting_t *listen, guint64 era)
 {
   store_t store = { .base = event_base_new (),
                     .rows = store_rows_new (),
@@ -354,6 +415,7 @@
   char *endpoint;
 
   *strrchr (host, ':') = '\0';
+  store.drill = store_drill_new (store.base, store.rows, era, on_rows_rewritten, &store);
   evsignal_add (terminate, NULL);
   store.http = evhttp_new (store.base);
   evhttp_set_cb (store.http, "/-/rows-get", on_read_rows, &store);
@@ -374,6 +436,7 @@
   event_free (terminate);
   evhttp_free (store.http);
   g_ptr_array_unref (store.long_polls);
+  store_drill_drop (store.drill);
   store_rows_drop (store.rows);
   g_hash_table_unref (store.change_reads);
   event_base_free (store.base);
@@ -390,6 +453,12 @@
       .kind = ANVIL_SETTING_ENDPOINT,
       .help = "Address and port to listen on, port 0 for any free port",
       .default_value = "127.0.0.1:0" },
+    { .name = "era",
+      .kind = ANVIL_SETTING_INTEGER,
+      .help = "Era that responses name until the first drill, 0 for none",
+      .default_value = "0",
+      .minimum = 0,
+      .maximum = G_MAXINT32 },
   };
   anvil_settings_t settings
       = { .program = "anvil-store", .items = items, .n_items = G_N_ELEMENTS (items) };
@@ -398,7 +467,7 @@
 
   signal (SIGPIPE, SIG_IGN);
   if (outcome == ANVIL_SETTINGS_RUN)
-    status = run (&items[0]);
+    status = run (&items[0], (guint64) items[1].integer);
   anvil_settings_clear (&settings);
   return status;
 }
--- a/tests/helper-fleet.c
+++ b/tests/helper-fleet.c
@@ -24,9 +24,10 @@
 }
 
 void
-fleet_open (fleet_t *fleet)
+fleet_open_at_era (fleet_t *fleet, guint era)
 {
-  const char *const none[] = { NULL };
+  char *number = g_strdup_printf ("%u", era);
+  const char *const arguments[] = { "--era", number, NULL };
 
   memset (fleet, 0, sizeof *fleet);
   fleet->directory = g_dir_make_tmp ("anvil-fleet-XXXXXX", NULL);
@@ -34,7 +35,14 @@
   fleet->entries = g_ptr_array_new ();
   fleet->upstreams = g_ptr_array_new ();
   fleet->proxies = g_ptr_array_new ();
-  standin_open (&fleet->store, "anvil-store", none);
+  standin_open (&fleet->store, "anvil-store", arguments);
+  g_free (number);
+}
+
+void
+fleet_open (fleet_t *fleet)
+{
+  fleet_open_at_era (fleet, 0);
 }
 
 static void
@@ -441,6 +449,15 @@
   g_free (path);
 }
 
+void
+fleet_start_drill (fleet_t *fleet, guint away_ms, guint age_ms, guint rewrite_ms)
+{
+  char *kind = g_strdup_printf ("drill&age_ms=%u&rewrite_ms=%u&step_ms=20", age_ms, rewrite_ms);
+
+  fleet_set_store_fault (fleet, kind, away_ms);
+  g_free (kind);
+}
+
 guint
 fleet_count_change_reads (fleet_t *fleet, const char *table)
 {
--- a/tests/helper-fleet.h
+++ b/tests/helper-fleet.h
@@ -53,6 +53,9 @@
 
 void fleet_open (fleet_t *fleet);
 
+/** fleet_open_at_era - like fleet_open(), with a store that names its era */
+void fleet_open_at_era (fleet_t *fleet, guint era);
+
 /** fleet_close - kills all processes and removes their settings files */
 void fleet_close (fleet_t *fleet);
 
@@ -95,6 +98,13 @@
 /** fleet_set_store_fault - injects a fault into the store; see anvil-store for the kinds */
 void fleet_set_store_fault (fleet_t *fleet, const char *kind, guint for_ms);
 
+/**
+ * fleet_start_drill - the store is away for @away_ms and comes back, in the next era, from a copy
+ * that was @age_ms old when it went
+ * @rewrite_ms: from its return until the rows that were lost are written again, one by one
+ */
+void fleet_start_drill (fleet_t *fleet, guint away_ms, guint age_ms, guint rewrite_ms);
+
 /** fleet_count_change_reads - number of calls to the store for changes of @table */
 guint fleet_count_change_reads (fleet_t *fleet, const char *table);
 
--- a/tests/test-update-log.c
+++ b/tests/test-update-log.c
@@ -78,6 +78,30 @@
 }
 END_TEST
 
+/* What the read of the whole table changed leads from the past era to the present one, whose
+ * versions are lower. */
+START_TEST (test_a_peer_of_the_past_era_is_sent_what_has_changed)
+{
+  const anvil_store_position_t present = { .era = 1, .version = 5 };
+  GByteArray *rows = g_byte_array_new ();
+
+  anvil_update_log_reset (update_log, at (10));
+  add ("a", "1");
+  anvil_update_log_end_batch (update_log, at (12));
+  add ("b", "2");
+  anvil_update_log_end_batch (update_log, present);
+  ck_assert_str_eq (since (10), "a=1 b=2 ");
+  ck_assert_str_eq (since (12), "b=2 ");
+  /* It has read further in that era than this log's entry has. */
+  ck_assert_str_eq (since (13), "unavailable");
+  ck_assert (anvil_update_log_since (update_log, present, rows));
+  ck_assert_uint_eq (rows->len, 0);
+  ck_assert (!anvil_update_log_since (update_log,
+                                      (anvil_store_position_t){ .era = 2, .version = 1 }, rows));
+  g_byte_array_unref (rows);
+}
+END_TEST
+
 START_TEST (test_versions_outside_of_the_log_are_rejected)
 {
   ck_assert_str_eq (since (0), "unavailable");
@@ -138,6 +162,7 @@
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_add_test (tests, test_rows_after_the_version_of_a_peer_are_sent);
+  tcase_add_test (tests, test_a_peer_of_the_past_era_is_sent_what_has_changed);
   tcase_add_test (tests, test_versions_outside_of_the_log_are_rejected);
   tcase_add_test (tests, test_size_of_the_log_is_limited);
   tcase_add_test (tests, test_malformed_rows_are_rejected);
