Test eras at the store's client and followers, and play drills in the soak

A response's era was tested only with whole processes.

test-store-client: which eras are read from the header, also with errors. test-table-follower: changes of a later era, a table known from elsewhere, the pause before a read, a refused response. test-adapter: rows without a usable sequence. The soak has the option drills, 0 by default as for its limits and words: a drill every 3 s or as soon as the last one is over.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -39,6 +39,15 @@
 #define REFUSAL_RATIO 0.1
 /* Time without faults at the end, in which requests must be answered again. */
 #define RECOVERY_PHASE_S 10
+/* Drills follow each other while entries still wait for rows of the last one. */
+#define DRILL_PERIOD_S 3
+#define MIN_AWAY_MS 100
+#define MAX_AWAY_MS 800
+#define MIN_COPY_AGE_MS 200
+#define MAX_COPY_AGE_MS 5000
+/* Until the first lost row is written again; the others follow within a fraction of a second. */
+#define MAX_REWRITE_MS 2500
+#define DRILL_SETTLE_MS 1000
 
 /** undo_t - a scheduled end of a fault; @node is NULL for the store */
 typedef struct
@@ -443,6 +452,23 @@
   schedule_undo (soak, NULL, undo_store_fault);
 }
 
+/* The store comes back from an older copy; the times of the fault include those in which rows are
+ * missing. */
+static void
+on_drill_timer (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  soak_t *soak = data;
+  const guint away_ms = draw (soak->drill_random, MIN_AWAY_MS, MAX_AWAY_MS);
+  const guint age_ms = draw (soak->drill_random, MIN_COPY_AGE_MS, MAX_COPY_AGE_MS);
+  const guint rewrite_ms = draw (soak->drill_random, 0, MAX_REWRITE_MS);
+
+  if (soak->store_fault_active)
+    return;
+  log_event (soak, "store:", "drill");
+  fleet_start_drill (&soak->fleet, away_ms, age_ms, rewrite_ms);
+  schedule_undo_in (soak, NULL, undo_store_fault, away_ms + rewrite_ms + DRILL_SETTLE_MS);
+}
+
 static void
 schedule_next_fault (soak_t *soak)
 {
@@ -551,8 +577,15 @@
 }
 
 static int
-run (soak_t *soak, guint seconds, gdouble rate, gboolean with_limits, gboolean with_words)
-{
+run (soak_t *soak,
+     guint seconds,
+     gdouble rate,
+     gboolean with_limits,
+     gboolean with_words,
+     gboolean with_drills)
+{
+  const struct timeval drill_period = { .tv_sec = DRILL_PERIOD_S };
+  struct event *drill_timer = event_new (soak->base, -1, EV_PERSIST, on_drill_timer, soak);
   const struct timeval word_period = { .tv_usec = WORD_PERIOD_US };
   struct event *word_timer = event_new (soak->base, -1, EV_PERSIST, on_word_timer, soak);
   const struct timeval limit_period = { .tv_sec = LIMIT_PERIOD_S };
@@ -568,15 +601,20 @@
     event_add (limit_timer, &limit_period);
   if (with_words)
     event_add (word_timer, &word_period);
+  if (with_drills)
+    event_add (drill_timer, &drill_period);
   run_for (soak, seconds);
   event_free (soak->fault_timer);
   event_free (limit_timer);
   event_free (word_timer);
+  event_free (drill_timer);
   soak_callers_disable_faults (soak->callers);
   /* Active faults end by their timers. */
   run_for (soak, MAX_FAULT_MS / 1000 + 1);
   if (with_words)
     run_for (soak, MAX_LEAVING_MS / 1000);
+  if (with_drills)
+    run_for (soak, (MAX_AWAY_MS + MAX_REWRITE_MS + DRILL_SETTLE_MS) / 1000);
   if (with_limits)
     end_request_limits (soak);
   if (with_words)
@@ -631,6 +669,12 @@
       .default_value = "0",
       .minimum = 0,
       .maximum = 1 },
+    { .name = "drills",
+      .kind = ANVIL_SETTING_INTEGER,
+      .help = "1 if the store comes back from an older copy every few seconds",
+      .default_value = "0",
+      .minimum = 0,
+      .maximum = 1 },
     { .name = "words",
       .kind = ANVIL_SETTING_INTEGER,
       .help = "1 if upstreams say that they leave and ask for pauses, and callers repeat requests",
@@ -661,14 +705,16 @@
   soak->random = g_rand_new_with_seed ((guint32) items[0].integer);
   soak->limit_random = g_rand_new_with_seed ((guint32) items[0].integer);
   soak->word_random = g_rand_new_with_seed (~(guint32) items[0].integer);
+  soak->drill_random = g_rand_new_with_seed (~(guint32) items[0].integer);
   soak->n_entries = (guint) items[2].integer;
   soak->n_upstreams = (guint) items[3].integer;
   status = run (soak, (guint) items[1].integer, (gdouble) items[4].integer, items[5].integer != 0,
-                items[6].integer != 0);
+                items[7].integer != 0, items[6].integer != 0);
   event_base_free (soak->base);
   g_rand_free (soak->random);
   g_rand_free (soak->limit_random);
   g_rand_free (soak->word_random);
+  g_rand_free (soak->drill_random);
   g_hash_table_unref (soak->violations);
   g_array_unref (soak->store_fault_times);
   for (guint i = 0; i < MAX_ENTRIES; i++)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -32,6 +32,7 @@
   GRand *random;
   GRand *limit_random;
   GRand *word_random;
+  GRand *drill_random;
   fleet_t fleet;
   fault_proxy_t *store_proxy;
   char *store_endpoint;
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -135,10 +135,34 @@
   ck_assert (report.draining);
   ck_assert_int_eq (report.cold_remaining, 1500 * ANVIL_MS);
   ck_assert_int_eq (report.started_at, G_GINT64_CONSTANT (1733300000123));
+  ck_assert_uint_eq (report.sequence, 4);
   g_free (storage);
 }
 END_TEST
 
+/* Guards against upstreams that are lost because of a field that few situations need. */
+START_TEST (test_an_upstream_without_a_usable_sequence_is_accepted)
+{
+  static const char *const fields[] = { "", "\"sequence\":null,", "\"sequence\":\"4\",",
+                                        "\"sequence\":-4,", "\"sequence\":4.5," };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (fields); i++)
+    {
+      anvil_upstream_report_t report;
+      gpointer storage;
+      char *text = g_strdup_printf (
+          "{\"address\":\"10.1.0.9:8080\",\"info\":{\"service\":\"photos\",\"zone\":\"west-a\","
+          "\"slots\":3},\"status\":{%s\"state\":\"ready\"}}",
+          fields[i]);
+
+      ck_assert_msg (parse_upstream (text, &report, &storage), "%s", fields[i]);
+      ck_assert_uint_eq (report.sequence, 0);
+      g_free (storage);
+      g_free (text);
+    }
+}
+END_TEST
+
 START_TEST (test_invalid_upstream_rows_are_rejected)
 {
   static const char *const rows[] = {
@@ -331,6 +355,7 @@
   tcase_add_test (tests, test_traffic_split_is_parsed);
   tcase_add_test (tests, test_bad_configurations_are_rejected_with_field_and_reason);
   tcase_add_test (tests, test_upstream_is_parsed);
+  tcase_add_test (tests, test_an_upstream_without_a_usable_sequence_is_accepted);
   tcase_add_test (tests, test_invalid_upstream_rows_are_rejected);
   tcase_add_test (tests, test_upstream_ids_are_printable);
   tcase_add_test (tests, test_upstreams_with_odd_addresses_and_names_are_rejected);
--- a/tests/test-store-client.c
+++ b/tests/test-store-client.c
@@ -20,6 +20,11 @@
 static anvil_str_t response;
 static GString *keys;
 static gboolean failed;
+/* Head field of the next response, its status, and what the client told the judge. */
+static const char *era_field;
+static int status = HTTP_OK;
+static guint64 judged_era;
+static anvil_store_position_t position;
 
 static void
 on_call (struct evhttp_request *request, void *data)
@@ -27,7 +32,9 @@
   struct evbuffer *body = evbuffer_new ();
 
   evbuffer_add (body, response.data, response.length);
-  evhttp_send_reply (request, HTTP_OK, "OK", body);
+  if (era_field != NULL)
+    evhttp_add_header (evhttp_request_get_output_headers (request), "store-era", era_field);
+  evhttp_send_reply (request, status, "OK", body);
   evbuffer_free (body);
 }
 
@@ -62,6 +69,8 @@
 on_read (void *context, const anvil_store_page_t *page, const GError *error)
 {
   failed = error != NULL;
+  if (page != NULL)
+    position = page->position;
   for (guint i = 0; page != NULL && i < page->n_rows; i++)
     {
       g_string_append_len (keys, page->rows[i].key.data, (gssize) page->rows[i].key.length);
@@ -165,6 +174,52 @@
 }
 END_TEST
 
+static gboolean
+on_era (void *unused_context, guint64 era)
+{
+  judged_era = era;
+  return era >= 4;
+}
+
+/* Guards against responses of an earlier era that are taken for the store's present state. */
+START_TEST (test_the_era_of_every_response_is_judged)
+{
+  static const struct
+  {
+    const char *field;
+    int status;
+    guint64 era;
+    gboolean accepted;
+  } cases[] = {
+    { "4", HTTP_OK, 4, TRUE },
+    { "18446744073709551615", HTTP_OK, G_MAXUINT64, TRUE },
+    { "3", HTTP_OK, 3, FALSE },
+    { NULL, HTTP_OK, 0, FALSE },
+    { "", HTTP_OK, 0, FALSE },
+    { "four", HTTP_OK, 0, FALSE },
+    { "-4", HTTP_OK, 0, FALSE },
+    { "4.0", HTTP_OK, 0, FALSE },
+    { "18446744073709551616", HTTP_OK, 0, FALSE },
+    { "5", HTTP_SERVUNAVAIL, 5, FALSE },
+    { "6", 410, 6, FALSE },
+  };
+
+  anvil_store_set_judge (store, on_era, NULL);
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      era_field = cases[i].field;
+      status = cases[i].status;
+      judged_era = 1;
+      read_rows (GOOD_ROW);
+      ck_assert_uint_eq (judged_era, cases[i].era);
+      ck_assert_int_eq (failed, !cases[i].accepted);
+      if (cases[i].accepted)
+        ck_assert_uint_eq (position.era, cases[i].era);
+    }
+  ck_assert_uint_eq (position.version, 7);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -179,6 +234,7 @@
   tcase_add_test (tests, test_lone_surrogates_in_keys_are_replaced);
   tcase_add_test (tests, test_values_of_other_types_are_empty);
   tcase_add_test (tests, test_a_response_that_is_not_json_fails);
+  tcase_add_test (tests, test_the_era_of_every_response_is_judged);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test-table-follower.c
+++ b/tests/test-table-follower.c
@@ -41,6 +41,11 @@
 static guint n_recovered;
 static guint n_rows;
 static const char *page;
+/* Era that responses name, or NULL. */
+static const char *era;
+static guint n_full_reads;
+/* Eras below this are refused. */
+static guint64 least_era;
 
 static const char empty_page[] = "{\"rows\":[],\"rowVersion\":7,\"hasMore\":false}";
 static const char page_with_row[]
@@ -72,6 +77,8 @@
   struct evbuffer *body = evbuffer_new ();
 
   evbuffer_add (body, page, strlen (page));
+  if (era != NULL)
+    evhttp_add_header (evhttp_request_get_output_headers (data), "Store-Era", era);
   evhttp_send_reply (data, HTTP_OK, "OK", body);
   evbuffer_free (body);
 }
@@ -89,6 +96,7 @@
   const struct timeval hold_time = anvil_time_to_timeval (SLOW_RESPONSE_TIME);
 
   n_calls++;
+  n_full_reads += strstr (evhttp_request_get_uri (request), "rows-get") != NULL;
   if (calls_to_break > 0)
     {
       calls_to_break--;
@@ -320,6 +328,85 @@
 }
 END_TEST
 
+/* Versions of a later era stand for other contents, whatever their numbers are. */
+START_TEST (test_changes_of_a_later_era_are_not_applied_and_the_table_is_read)
+{
+  era = "1";
+  ck_assert (wait_for_read ());
+  era = "2";
+  page = page_with_row;
+  ck_assert (wait_for_read ());
+  ck_assert_uint_eq (n_calls, 3);
+  ck_assert_uint_eq (n_full_reads, 2);
+  ck_assert_uint_eq (n_rows, 1);
+  ck_assert_uint_eq (anvil_table_follower_known_version (follower).era, 2);
+}
+END_TEST
+
+/* Guards against tables that all entries read at once, although the region's reader has told them
+ * what it read. */
+START_TEST (test_a_table_that_is_known_from_elsewhere_is_not_read)
+{
+  era = "1";
+  ck_assert (wait_for_read ());
+  era = "2";
+  anvil_table_follower_begin_era (follower, 2, 4 * PERIOD);
+  ck_assert_uint_eq (anvil_table_follower_known_version (follower).version, 0);
+  anvil_table_follower_skip_to (follower, (anvil_store_position_t){ .era = 1, .version = 90 });
+  ck_assert_uint_eq (anvil_table_follower_known_version (follower).version, 0);
+  anvil_table_follower_skip_to (follower, (anvil_store_position_t){ .era = 2, .version = 5 });
+  ck_assert_uint_eq (anvil_table_follower_known_version (follower).version, 5);
+  ck_assert (wait_for_read ());
+  ck_assert_uint_eq (n_full_reads, 1);
+  ck_assert_uint_eq (anvil_table_follower_known_version (follower).version, 7);
+}
+END_TEST
+
+START_TEST (test_a_table_of_the_past_era_is_read_after_the_pause)
+{
+  anvil_time_t started_at;
+
+  era = "1";
+  ck_assert (wait_for_read ());
+  era = "2";
+  started_at = anvil_clock_now ();
+  anvil_table_follower_begin_era (follower, 2, 4 * PERIOD);
+  /* Not before the pause. */
+  anvil_table_follower_read_now (follower);
+  ck_assert (wait_for_read ());
+  ck_assert_int_ge (anvil_clock_now () - started_at, 4 * PERIOD - LOOP_DELAY);
+  ck_assert_uint_eq (n_full_reads, 2);
+}
+END_TEST
+
+static gboolean
+refuse_earlier (void *unused_context, guint64 named)
+{
+  return named >= least_era;
+}
+
+/* One such response says nothing about the store. */
+START_TEST (test_a_refused_response_is_requested_again)
+{
+  anvil_store_set_judge (store, refuse_earlier, NULL);
+  era = "2";
+  ck_assert (wait_for_read ());
+  least_era = 2;
+  era = NULL;
+  page = page_with_row;
+  while (n_calls < 2)
+    event_base_loop (base, EVLOOP_ONCE);
+  era = "2";
+  ck_assert (wait_for_read ());
+  ck_assert_uint_eq (n_lost, 0);
+  ck_assert_uint_eq (n_rows, 1);
+  least_era = 3;
+  while (n_lost == 0)
+    event_base_loop (base, EVLOOP_ONCE);
+  ck_assert_uint_eq (n_rows, 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -338,6 +425,10 @@
   tcase_add_test (tests, test_a_long_poll_without_a_response_is_replaced);
   tcase_add_test (tests, test_rows_older_than_what_is_known_are_not_reported);
   tcase_add_test (tests, test_nothing_is_skipped_before_the_table_has_been_read);
+  tcase_add_test (tests, test_changes_of_a_later_era_are_not_applied_and_the_table_is_read);
+  tcase_add_test (tests, test_a_table_that_is_known_from_elsewhere_is_not_read);
+  tcase_add_test (tests, test_a_table_of_the_past_era_is_read_after_the_pause);
+  tcase_add_test (tests, test_a_refused_response_is_requested_again);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
