--- a/source/steer/registry.c
+++ b/source/steer/registry.c
@@ -328,8 +328,9 @@
 {
   const anvil_registered_upstream_t *upstream = anvil_registry_lookup (registry, key);
 
-  return upstream == NULL || upstream->removal_pending ? (anvil_store_position_t){ 0 }
-                                                       : registry->version;
+  if (upstream == NULL || upstream->removal_pending)
+    return (anvil_store_position_t){ 0 };
+  return registry->version;
 }
 
 guint64
--- a/tests/test-registry-drill.c
+++ b/tests/test-registry-drill.c
@@ -214,6 +214,36 @@
 }
 END_TEST
 
+static void
+on_missing (void *context, anvil_str_t id)
+{
+  anvil_registry_t *subscriber = context;
+
+  anvil_registry_remove (subscriber, T0 + 1, id);
+}
+
+/* Guards against subscribers that all read the table after a drill, as they differ from their
+ * reader: they are told which rows are missing. */
+START_TEST (test_a_subscriber_that_is_told_what_is_missing_knows_what_its_reader_does)
+{
+  anvil_registry_t *reader = registry;
+  guint64 digest;
+
+  apply (T0, BORN, 5, FALSE);
+  set_up ();
+  apply (T0, BORN, 5, FALSE);
+  anvil_registry_begin_era (reader, T0);
+  anvil_registry_begin_era (registry, T0);
+  anvil_registry_begin_snapshot (reader);
+  anvil_registry_foreach_missing (reader, on_missing, registry);
+  anvil_registry_end_snapshot (reader, T0 + 1);
+  digest = anvil_registry_digest (reader);
+  anvil_registry_drop (reader);
+  ck_assert_uint_eq (anvil_registry_digest (registry), digest);
+  ck_assert (is_usable ());
+}
+END_TEST
+
 /* Guards against another order of rows where the store never comes back from a copy. */
 START_TEST (test_without_a_return_sequences_do_not_matter)
 {
@@ -246,6 +276,7 @@
   tcase_add_test (tests, test_an_older_row_does_not_end_the_leaving_of_a_process);
   tcase_add_test (tests, test_an_upstream_that_left_does_not_come_back_with_an_old_row);
   tcase_add_test (tests, test_a_second_return_starts_anew);
+  tcase_add_test (tests, test_a_subscriber_that_is_told_what_is_missing_knows_what_its_reader_does);
   tcase_add_test (tests, test_grants_are_judged_by_era);
   tcase_add_test (tests, test_without_a_return_sequences_do_not_matter);
   suite_add_tcase (suite, tests);
--- a/tests/test-relay-drill.c
+++ b/tests/test-relay-drill.c
@@ -15,14 +15,15 @@
 #define N_ALL_REQUESTS 14
 /* Until all entries know of a change, and the store may go back to what it had before. */
 #define SETTLE_US 1500000ul
-/* A copy of this age, and drills that begin SETTLE_US after the last change, lose the change only.
- */
-#define COPY_AGE_MS 2000
+/* Between the time of the copy and the change that a drill loses. */
+#define COPY_MARGIN_US 50000ul
 #define AWAY_MS 500
 /* The lost rows are written again this long after the store's return, less than the 10 s for which
  * entries wait for them. */
 #define REWRITE_MS 4000
 #define FIRST_ERA 3
+/* More versions than a drill's own rewrites assign. */
+#define N_VERSIONS 20
 #define EVACUATED_ZONE "west-b"
 /* Entries read again within this time after the store's return. */
 #define READ_AGAIN_US 2000000ul
@@ -32,6 +33,8 @@
 static fleet_t fleet;
 static fleet_entry_t *entries[N_ENTRIES];
 static fleet_proxy_t *proxies[N_ENTRIES];
+/* When the copy is made that the next drill comes back from. */
+static anvil_time_t copied_at;
 
 /* Two upstreams that write their rows only once, so that only the drill writes them again, and one
  * in another zone. */
@@ -87,19 +90,70 @@
     wait_for_metric (entries[i], name, value);
 }
 
-/* Begins a drill that loses what was written since the last SETTLE_US, and waits until all entries
- * know of it and have read the store again. */
+/* The next drill loses what is written from now on. */
+static void
+copy_store (void)
+{
+  copied_at = anvil_clock_now ();
+  g_usleep (COPY_MARGIN_US);
+}
+
+static void
+start_drill (void)
+{
+  fleet_start_drill (&fleet, AWAY_MS, (guint) ((anvil_clock_now () - copied_at) / ANVIL_MS),
+                     REWRITE_MS);
+}
+
+/* Begins a drill, and waits until all entries know of it and have read the store again. All the
+ * while, a metric of all entries keeps its value. */
+static void
+drill_keeping (guint era, const char *metric, gint64 value)
+{
+  anvil_time_t until = anvil_clock_now () + FLEET_TIMEOUT_S * ANVIL_SECOND;
+  gboolean all_know = FALSE;
+
+  start_drill ();
+  while (anvil_clock_now () < until)
+    {
+      gboolean knows = TRUE;
+
+      for (guint i = 0; i < N_ENTRIES; i++)
+        {
+          ck_assert_int_eq (fleet_read_metric (entries[i], metric), value);
+          knows = knows && fleet_read_metric (entries[i], "anvil_store_era") == era;
+        }
+      if (knows && !all_know)
+        until = anvil_clock_now () + (anvil_time_t) READ_AGAIN_US;
+      all_know |= knows;
+    }
+  ck_assert (all_know);
+}
+
 static void
 drill (guint era)
 {
-  fleet_start_drill (&fleet, AWAY_MS, COPY_AGE_MS, REWRITE_MS);
-  wait_for_all ("anvil_store_era", era);
-  g_usleep (READ_AGAIN_US);
+  drill_keeping (era, "anvil_ready", 1);
+}
+
+/* Writes the row of an upstream. */
+static void
+put_upstream (const char *id, const char *endpoint)
+{
+  char *row = g_strdup_printf (
+      "{\"address\":\"%s\",\"born\":%" G_GINT64_FORMAT
+      ",\"info\":{\"service\":\"photos\",\"version\":\"v1\",\"zone\":\"west-a\",\"slots\":4},"
+      "\"status\":{\"state\":\"ready\",\"sequence\":1,\"coldRemainingMs\":0}}",
+      endpoint, anvil_clock_wall () / ANVIL_MS);
+
+  fleet_put_row (&fleet, "servers", id, row);
+  g_free (row);
 }
 
 /* The drain stays known where the copy has an older row of the same process, which is ready. */
 START_TEST (test_a_drained_upstream_is_not_used_again)
 {
+  copy_store ();
   kill (((standin_t *) fleet.upstreams->pdata[1])->pid, SIGTERM);
   g_usleep (SETTLE_US);
   ck_assert_uint_eq (fleet_count_responses_of (entries[0], "other", N_REQUESTS), 0);
@@ -114,21 +168,13 @@
 /* Whether the new row of an upstream that drained and is ready again is used. */
 START_TEST (test_a_drain_ends_by_a_newer_row)
 {
-  char *row;
-
+  copy_store ();
   kill (((standin_t *) fleet.upstreams->pdata[1])->pid, SIGTERM);
   g_usleep (SETTLE_US);
   drill (FIRST_ERA + 1);
   g_usleep (REWRITE_MS * 1000);
   /* Another process at the same id. */
-  row = g_strdup_printf ("{\"address\":\"%s\",\"born\":%" G_GINT64_FORMAT
-                         ",\"info\":{\"service\":\"photos\",\"version\":\"v1\",\"zone\":"
-                         "\"west-a\",\"slots\":4},\"status\":{\"state\":\"ready\",\"sequence\":1,"
-                         "\"coldRemainingMs\":0}}",
-                         ((standin_t *) fleet.upstreams->pdata[1])->endpoint,
-                         anvil_clock_wall () / ANVIL_MS);
-  fleet_put_row (&fleet, "servers", "other", row);
-  g_free (row);
+  put_upstream ("other", ((standin_t *) fleet.upstreams->pdata[1])->endpoint);
   g_usleep (SETTLE_US);
   ck_assert_uint_gt (fleet_count_responses_of (entries[0], "other", N_REQUESTS), 0);
 }
@@ -137,10 +183,11 @@
 /* Its row is gone with the copy, and written again after some seconds. */
 START_TEST (test_an_evacuation_is_not_undone)
 {
+  copy_store ();
   fleet_put_row (&fleet, "op", "evacuate/" EVACUATED_ZONE, "{}");
   wait_for_all ("anvil_evacuated_zones", 1);
   g_usleep (SETTLE_US);
-  drill (FIRST_ERA + 1);
+  drill_keeping (FIRST_ERA + 1, "anvil_evacuated_zones", 1);
   for (guint i = 0; i < N_ENTRIES; i++)
     {
       ck_assert_uint_eq (fleet_count_responses_of (entries[i], "zone", N_REQUESTS), 0);
@@ -157,10 +204,11 @@
 
 START_TEST (test_the_configuration_does_not_go_back)
 {
+  copy_store ();
   fleet_configure_routes (&fleet, 1, "photos");
   wait_for_all ("anvil_routes_version", 2);
   g_usleep (SETTLE_US);
-  drill (FIRST_ERA + 1);
+  drill_keeping (FIRST_ERA + 1, "anvil_routes_version", 2);
   for (guint i = 0; i < N_ENTRIES; i++)
     {
       char *response = fleet_request (entries[i]->caller_port, "GET", "/more-0/1", "r");
@@ -179,10 +227,11 @@
 /* A row that the copy doesn't have is no departure. */
 START_TEST (test_upstreams_whose_rows_are_missing_for_some_seconds_are_used)
 {
+  copy_store ();
   fleet_add_upstream (&fleet, "new", "photos", "--heartbeat-ms 1000000 --slots 4");
   g_usleep (SETTLE_US);
   ck_assert_uint_gt (fleet_count_responses_of (entries[0], "new", N_ALL_REQUESTS), 0);
-  drill (FIRST_ERA + 1);
+  drill_keeping (FIRST_ERA + 1, "anvil_upstreams", 4);
   for (guint i = 0; i < N_ENTRIES; i++)
     {
       ck_assert_int_eq (fleet_read_metric (entries[i], "anvil_upstreams"), 4);
@@ -197,13 +246,32 @@
 }
 END_TEST
 
+/* Guards against changes that are missed because the store has passed the versions that it had
+ * before: those are no longer refused, and stand for other contents. */
+START_TEST (test_versions_that_are_assigned_again_are_read)
+{
+  copy_store ();
+  for (guint i = 0; i < N_VERSIONS; i++)
+    fleet_put_row (&fleet, "other", "raises-the-version", "{}");
+  g_usleep (SETTLE_US);
+  start_drill ();
+  g_usleep (AWAY_MS * 1000 + COPY_MARGIN_US);
+  fleet_put_row (&fleet, "op", "evacuate/" EVACUATED_ZONE, "{}");
+  for (guint i = 0; i < 2 * N_VERSIONS; i++)
+    fleet_put_row (&fleet, "other", "raises-the-version", "{}");
+  wait_for_all ("anvil_store_era", FIRST_ERA + 1);
+  wait_for_all ("anvil_evacuated_zones", 1);
+}
+END_TEST
+
 /* It learns the era by pings, and what is written in it by updates whose versions are lower than
  * those that it knows. */
 START_TEST (test_an_entry_without_the_store_hears_of_the_era_from_a_peer)
 {
   guint cut_off = fleet_find_holder (&fleet, "photos");
 
-  for (guint i = 0; i < 20; i++)
+  copy_store ();
+  for (guint i = 0; i < N_VERSIONS; i++)
     fleet_put_row (&fleet, "other", "raises-the-version", "{}");
   kill (proxies[cut_off]->pid, SIGSTOP);
   g_usleep (NOTICE_LOSS_US);
@@ -274,13 +342,18 @@
 {
   fleet_set_store_fault (&fleet, fault, 3000);
   fleet_put_row (&fleet, "op", "evacuate/" EVACUATED_ZONE, "{}");
+  put_upstream ("odd", "127.0.0.1:1");
   g_usleep (2000000);
   for (guint i = 0; i < N_ENTRIES; i++)
     {
       ck_assert_int_eq (fleet_read_metric (entries[i], "anvil_evacuated_zones"), 0);
+      ck_assert_int_eq (fleet_read_metric (entries[i], "anvil_upstreams"), 3);
       ck_assert_int_eq (fleet_read_metric (entries[i], "anvil_store_era"), FIRST_ERA);
     }
   wait_for_all ("anvil_evacuated_zones", 1);
+  wait_for_all ("anvil_upstreams", 4);
+  fleet_put_row (&fleet, "servers", "odd", NULL);
+  wait_for_all ("anvil_upstreams", 3);
   fleet_put_row (&fleet, "op", "evacuate/" EVACUATED_ZONE, NULL);
   wait_for_all ("anvil_evacuated_zones", 0);
 }
@@ -309,6 +382,7 @@
   tcase_add_test (tests, test_an_evacuation_is_not_undone);
   tcase_add_test (tests, test_the_configuration_does_not_go_back);
   tcase_add_test (tests, test_upstreams_whose_rows_are_missing_for_some_seconds_are_used);
+  tcase_add_test (tests, test_versions_that_are_assigned_again_are_read);
   tcase_add_test (tests, test_an_entry_without_the_store_hears_of_the_era_from_a_peer);
   tcase_add_test (tests, test_two_drills_in_a_row);
   tcase_add_test (tests, test_responses_of_another_era_are_not_applied);
--- a/tests/test-store-era.c
+++ b/tests/test-store-era.c
@@ -13,6 +13,8 @@
 {
   const anvil_store_position_t old = { .era = 2, .version = 900 };
   const anvil_store_position_t new = { .era = 3, .version = 7 };
+  const anvil_store_position_t without_era = { .version = 2 };
+  const anvil_store_position_t without_version = { 0 };
 
   ck_assert (anvil_store_position_later (new, old));
   ck_assert (!anvil_store_position_later (old, new));
@@ -20,8 +22,7 @@
   ck_assert_int_lt (anvil_store_position_compare (old, new), 0);
   ck_assert_int_eq (anvil_store_position_compare (new, new), 0);
   ck_assert_uint_eq (anvil_store_position_latest (old, new).era, 3);
-  ck_assert (anvil_store_position_later ((anvil_store_position_t){ .version = 2 },
-                                         (anvil_store_position_t){ .version = 1 }));
+  ck_assert (anvil_store_position_later (without_era, without_version));
 }
 END_TEST
 
