--- a/tests/test-relay-drill.c
+++ b/tests/test-relay-drill.c
@@ -21,6 +21,7 @@
 /* The lost rows are written again this long after the store's return, less than the 10 s for which
  * entries wait for them. */
 #define REWRITE_MS 4000
+#define REWRITE_US (REWRITE_MS * 1000ul)
 #define FIRST_ERA 3
 /* More versions than a drill's own rewrites assign. */
 #define N_VERSIONS 20
@@ -160,7 +161,7 @@
   drill (FIRST_ERA + 1);
   for (guint i = 0; i < N_ENTRIES; i++)
     ck_assert_uint_eq (fleet_count_responses_of (entries[i], "other", N_REQUESTS), 0);
-  g_usleep (REWRITE_MS * 1000);
+  g_usleep (REWRITE_US);
   ck_assert_uint_eq (fleet_count_responses_of (entries[0], "other", N_REQUESTS), 0);
 }
 END_TEST
@@ -172,7 +173,7 @@
   kill (((standin_t *) fleet.upstreams->pdata[1])->pid, SIGTERM);
   g_usleep (SETTLE_US);
   drill (FIRST_ERA + 1);
-  g_usleep (REWRITE_MS * 1000);
+  g_usleep (REWRITE_US);
   /* Another process at the same id. */
   put_upstream ("other", ((standin_t *) fleet.upstreams->pdata[1])->endpoint);
   g_usleep (SETTLE_US);
@@ -193,7 +194,7 @@
       ck_assert_uint_eq (fleet_count_responses_of (entries[i], "zone", N_REQUESTS), 0);
       ck_assert_int_eq (fleet_read_metric (entries[i], "anvil_evacuated_zones"), 1);
     }
-  g_usleep (REWRITE_MS * 1000);
+  g_usleep (REWRITE_US);
   for (guint i = 0; i < N_ENTRIES; i++)
     ck_assert_int_eq (fleet_read_metric (entries[i], "anvil_evacuated_zones"), 1);
   /* Its row was seen, so its removal is the operator's. */
@@ -217,7 +218,7 @@
       ck_assert_int_eq (fleet_read_metric (entries[i], "anvil_routes_version"), 2);
       g_free (response);
     }
-  g_usleep (REWRITE_MS * 1000);
+  g_usleep (REWRITE_US);
   /* A version of the store that it had assigned before the drill. */
   fleet_configure (&fleet, NULL);
   wait_for_all ("anvil_routes_version", 3);
@@ -237,7 +238,7 @@
       ck_assert_int_eq (fleet_read_metric (entries[i], "anvil_upstreams"), 4);
       ck_assert_uint_gt (fleet_count_responses_of (entries[i], "new", N_ALL_REQUESTS), 0);
     }
-  g_usleep (REWRITE_MS * 1000 + ANVIL_STORE_RETURN_TIME);
+  g_usleep (REWRITE_US + ANVIL_STORE_RETURN_TIME);
   for (guint i = 0; i < N_ENTRIES; i++)
     ck_assert_int_eq (fleet_read_metric (entries[i], "anvil_upstreams"), 4);
   /* Now its row is gone. */
@@ -255,7 +256,7 @@
     fleet_put_row (&fleet, "other", "raises-the-version", "{}");
   g_usleep (SETTLE_US);
   start_drill ();
-  g_usleep (AWAY_MS * 1000 + COPY_MARGIN_US);
+  g_usleep (AWAY_MS * 1000ul + COPY_MARGIN_US);
   fleet_put_row (&fleet, "op", "evacuate/" EVACUATED_ZONE, "{}");
   for (guint i = 0; i < 2 * N_VERSIONS; i++)
     fleet_put_row (&fleet, "other", "raises-the-version", "{}");
@@ -331,7 +332,7 @@
       ck_assert (anvil_clock_now () < until);
       g_usleep (100000);
     }
-  g_usleep (REWRITE_MS * 1000);
+  g_usleep (REWRITE_US);
   for (guint i = 0; i < N_ENTRIES; i++)
     ck_assert_int_eq (fleet_read_metric (entries[i], "anvil_evacuated_zones"), 1);
 }
