--- a/tests/test-update-log.c
+++ b/tests/test-update-log.c
@@ -23,6 +23,13 @@
   g_string_free (visited, TRUE);
 }
 
+/* A position of a store that names no era. */
+static anvil_store_position_t
+at (guint64 version)
+{
+  return (anvil_store_position_t){ .version = version };
+}
+
 static void
 add (const char *key, const char *value)
 {
@@ -46,7 +53,7 @@
   GByteArray *rows = g_byte_array_new ();
 
   g_string_truncate (visited, 0);
-  if (anvil_update_log_since (update_log, version, rows))
+  if (anvil_update_log_since (update_log, at (version), rows))
     ck_assert (
         anvil_updates_unpack ((anvil_str_t){ (const char *) rows->data, rows->len }, on_row, NULL));
   else
@@ -57,13 +64,13 @@
 
 START_TEST (test_rows_after_the_version_of_a_peer_are_sent)
 {
-  anvil_update_log_reset (update_log, 10);
+  anvil_update_log_reset (update_log, at (10));
   add ("a", "1");
-  anvil_update_log_end_batch (update_log, 12);
-  anvil_update_log_end_batch (update_log, 14);
+  anvil_update_log_end_batch (update_log, at (12));
+  anvil_update_log_end_batch (update_log, at (14));
   add ("a", "2");
   add ("b", NULL);
-  anvil_update_log_end_batch (update_log, 20);
+  anvil_update_log_end_batch (update_log, at (20));
   ck_assert_str_eq (since (10), "a=1 a=2 b=- ");
   ck_assert_str_eq (since (11), "a=1 a=2 b=- ");
   ck_assert_str_eq (since (12), "a=2 b=- ");
@@ -71,18 +78,42 @@
 }
 END_TEST
 
+/* What the read of the whole table changed leads from the past era to the present one, whose
+ * versions are lower. */
+START_TEST (test_a_peer_of_the_past_era_is_sent_what_has_changed)
+{
+  const anvil_store_position_t present = { .era = 1, .version = 5 };
+  GByteArray *rows = g_byte_array_new ();
+
+  anvil_update_log_reset (update_log, at (10));
+  add ("a", "1");
+  anvil_update_log_end_batch (update_log, at (12));
+  add ("b", "2");
+  anvil_update_log_end_batch (update_log, present);
+  ck_assert_str_eq (since (10), "a=1 b=2 ");
+  ck_assert_str_eq (since (12), "b=2 ");
+  /* It has read further in that era than this log's entry has. */
+  ck_assert_str_eq (since (13), "unavailable");
+  ck_assert (anvil_update_log_since (update_log, present, rows));
+  ck_assert_uint_eq (rows->len, 0);
+  ck_assert (!anvil_update_log_since (update_log,
+                                      (anvil_store_position_t){ .era = 2, .version = 1 }, rows));
+  g_byte_array_unref (rows);
+}
+END_TEST
+
 START_TEST (test_versions_outside_of_the_log_are_rejected)
 {
   ck_assert_str_eq (since (0), "unavailable");
-  anvil_update_log_reset (update_log, 10);
-  anvil_update_log_end_batch (update_log, 12);
+  anvil_update_log_reset (update_log, at (10));
+  anvil_update_log_end_batch (update_log, at (12));
   ck_assert_str_eq (since (9), "unavailable");
   ck_assert_str_eq (since (13), "unavailable");
   for (guint64 version = 13; version < 100; version++)
-    anvil_update_log_end_batch (update_log, version);
+    anvil_update_log_end_batch (update_log, at (version));
   ck_assert_str_eq (since (20), "unavailable");
   ck_assert_str_eq (since (90), "");
-  anvil_update_log_reset (update_log, 200);
+  anvil_update_log_reset (update_log, at (200));
   ck_assert_str_eq (since (99), "unavailable");
 }
 END_TEST
@@ -91,11 +122,11 @@
 {
   char *large = g_strnfill (30000, 'x');
 
-  anvil_update_log_reset (update_log, 1);
+  anvil_update_log_reset (update_log, at (1));
   for (guint64 version = 2; version < 6; version++)
     {
       add ("a", large);
-      anvil_update_log_end_batch (update_log, version);
+      anvil_update_log_end_batch (update_log, at (version));
     }
   ck_assert_str_eq (since (1), "unavailable");
   ck_assert_str_eq (since (5), "");
@@ -131,6 +162,7 @@
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_add_test (tests, test_rows_after_the_version_of_a_peer_are_sent);
+  tcase_add_test (tests, test_a_peer_of_the_past_era_is_sent_what_has_changed);
   tcase_add_test (tests, test_versions_outside_of_the_log_are_rejected);
   tcase_add_test (tests, test_size_of_the_log_is_limited);
   tcase_add_test (tests, test_malformed_rows_are_rejected);
