Decide on second runs for late first runs

Cause: a few runs in a hundred take several times as long as usual, and the caller waits for them although other upstreams have free slots.

Change: dispatch-repeat.c tells with each grant when a run is late (the 95th percentile of its class on that upstream), and decides on the request for a second run: at most a share of the first runs of 10 s, half of it while entries may be divided, half of the retry budget, only from slots that are free with nobody waiting, only if the second run is expected to end in time or before the first, and not while second runs win less than 1 in 10. A first run that lost counts with the time that it took, since otherwise the percentile would fall with each. Without a share nothing is granted differently.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -235,6 +235,21 @@
 /** anvil_dispatcher_set_service - sets the limits of its cold upstreams */
 void anvil_dispatcher_set_service (anvil_dispatcher_t *dispatcher, const anvil_service_t *service);
 
+/**
+ * anvil_dispatcher_set_repeat_share - sets the share of second runs of a class of routes
+ * @route_class: see anvil_task_t
+ * @share: see anvil_dispatcher_limits_t, whose share still bounds it; of several for one class the
+ *   least counts
+ */
+void anvil_dispatcher_set_repeat_share (anvil_dispatcher_t *dispatcher,
+                                        anvil_str_t service,
+                                        guint64 route_class,
+                                        gdouble share);
+
+/** anvil_dispatcher_clear_repeat_shares - removes the shares of all classes, before those of a new
+ * configuration are set */
+void anvil_dispatcher_clear_repeat_shares (anvil_dispatcher_t *dispatcher);
+
 /** anvil_dispatcher_set_divided - whether another entry may hold the same services at this time,
  * unreachable from here; request limits of upstreams are then shared with it */
 void anvil_dispatcher_set_divided (anvil_dispatcher_t *dispatcher, gboolean divided);
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -9,8 +9,8 @@
  * upstream for a task, dispatch-waiting.c a queued task for a free slot, dispatch-refusing.c the
  * tasks to refuse. dispatch-shift.c bounds how fast work moves to other regions, dispatch-limit.c
  * how many requests an upstream gets that named a limit, dispatch-pause.c from whom it wants none
- * for a time. dispatch-warmth.c tracks which upstreams
- * are warm for which objects, dispatch-upstream.c which are ejected.
+ * for a time. dispatch-repeat.c decides on second runs for late first runs. dispatch-warmth.c
+ * tracks which upstreams are warm for which objects, dispatch-upstream.c which are ejected.
  */
 
 /* Most slots that are used of one upstream. */
@@ -25,6 +25,8 @@
 typedef struct upstream upstream_t;
 typedef struct object object_t;
 typedef struct task task_t;
+/* See dispatch-repeat.h. */
+typedef struct service_repeats service_repeats_t;
 
 /**
  * estimate_t - a running mean of durations
@@ -192,6 +194,7 @@
  *   refused in one
  * @pauses_end: when the last of all pauses of its upstreams ends
  * @shifts: shift_window_t by id of the requesters' region
+ * @repeats: second runs of late requests
  */
 struct service
 {
@@ -218,6 +221,7 @@
   anvil_time_t return_offset;
   anvil_time_t pauses_end;
   GHashTable *shifts;
+  service_repeats_t *repeats;
 };
 
 struct anvil_dispatcher
@@ -255,6 +259,9 @@
 
 /* Counts a first attempt, or takes a retry from the budget; FALSE if that is exhausted. */
 gboolean dispatch_count_attempt (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task);
+/* Retries in a window that this dispatcher may count for a service. */
+gdouble
+dispatch_retry_budget (anvil_dispatcher_t *dispatcher, anvil_time_t now, service_t *service);
 
 /* dispatch-upstream.c */
 
@@ -287,6 +294,9 @@
 /* Adds an object that another entry reports an upstream to be warm for. */
 void warmth_add_reported (upstream_t *upstream, object_t *object, anvil_time_t now);
 void warmth_record_result (task_t *task, anvil_time_t now, const anvil_run_report_t *report);
+/* Takes into account that a run was cancelled after a time: an upstream that never answers, while
+ * second runs elsewhere do, would otherwise not count as slow. */
+void warmth_record_cut_run (const task_t *task, anvil_time_t duration);
 void warmth_clear_upstream (upstream_t *upstream);
 void warmth_drop_object_if_unused (object_t *object);
 void warmth_object_free (gpointer data);
--- a/source/steer/dispatch-retry.c
+++ b/source/steer/dispatch-retry.c
@@ -21,11 +21,22 @@
     anvil_retry_window_sum (&service->foreign_windows[i].window, now, length, requests, retries);
 }
 
+gdouble
+dispatch_retry_budget (anvil_dispatcher_t *dispatcher, anvil_time_t now, service_t *service)
+{
+  const anvil_dispatcher_limits_t *limits = &dispatcher->limits;
+  guint requests = 0;
+  guint retries = 0;
+
+  sum_counts (dispatcher, now, service, &requests, &retries);
+  return RETRY_SHARE * (limits->retry_ratio * requests + limits->retry_extra);
+}
+
 gboolean
 dispatch_count_attempt (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task)
 {
   const anvil_dispatcher_limits_t *limits = &dispatcher->limits;
-  const gboolean is_retry = task->request.attempt > 1;
+  const gboolean is_retry = task->request.attempt > 1 || task->request.is_repeat;
   guint requests = 0;
   guint retries = 0;
 
--- a/source/steer/dispatch-service.c
+++ b/source/steer/dispatch-service.c
@@ -1,6 +1,6 @@
 /* Look-up, settings and status of the services of a dispatcher. */
 
-#include "steer/dispatch-internal.h"
+#include "steer/dispatch-repeat.h"
 
 service_t *
 dispatch_get_service (anvil_dispatcher_t *dispatcher, anvil_str_t name)
@@ -21,6 +21,7 @@
   service->waiting_objects = g_hash_table_new (NULL, NULL);
   service->max_warm_objects = MAX_WARM_OBJECTS;
   service->shifts = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  service->repeats = dispatch_repeats_new ();
   g_hash_table_insert (dispatcher->services, service->name, service);
   return service;
 }
--- a/source/steer/dispatch-warmth.c
+++ b/source/steer/dispatch-warmth.c
@@ -243,6 +243,20 @@
       = CLAMP (upstream->run_time_ratio, MIN_RUN_TIME_RATIO, MAX_RUN_TIME_RATIO);
 }
 
+void
+warmth_record_cut_run (const task_t *task, anvil_time_t duration)
+{
+  upstream_t *upstream = task->upstream;
+  const gdouble run_time_us = (gdouble) (duration - placing_network_delay (upstream, task));
+  const gdouble ratio
+      = run_time_us / mean_run_time_us (task->service, task->request.kind, task->warm);
+
+  if (ratio > upstream->run_time_ratio)
+    upstream->run_time_ratio = MIN (
+        upstream->run_time_ratio + (ratio - upstream->run_time_ratio) * RUN_TIME_RATIO_WEIGHT,
+        MAX_RUN_TIME_RATIO);
+}
+
 void
 warmth_record_result (task_t *task, anvil_time_t now, const anvil_run_report_t *report)
 {
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "anvil/log.h"
-#include "steer/dispatch-internal.h"
+#include "steer/dispatch-repeat.h"
 
 /* A running task whose end isn't reported is removed this long after its deadline. */
 #define DEADLINE_GRACE (500 * ANVIL_MS)
@@ -50,6 +50,7 @@
   g_hash_table_unref (service->waiting_objects);
   g_hash_table_unref (service->objects);
   g_hash_table_unref (service->shifts);
+  dispatch_repeats_drop (service->repeats);
   g_free (service);
 }
 
@@ -176,7 +177,8 @@
                                        .address = upstream->record.address,
                                        .port = upstream->record.port,
                                        .started_at = upstream->record.started_at,
-                                       .warm = task->warm };
+                                       .warm = task->warm,
+                                       .repeat_after = dispatch_repeat_after (task) };
 
   dispatcher->callbacks.grant (dispatcher->context, task->request.id, &granted);
 }
@@ -186,6 +188,8 @@
 {
   assign_slot (dispatcher, now, task, upstream, warmth_is_ready (upstream, task->object));
   limit_count_request (upstream, now);
+  if (!task->request.is_repeat)
+    dispatch_repeat_count_first (task, now);
   notify_grant (dispatcher, task);
 }
 
@@ -281,6 +285,19 @@
   return task;
 }
 
+/* Grants a second run a slot that is free, or refuses it: it is never queued. */
+static void
+submit_repeat (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task)
+{
+  anvil_task_refusal_reason_t reason;
+  const placement_t placement = dispatch_repeat_place (task, now, &reason);
+
+  if (placement.upstream != NULL)
+    grant (dispatcher, now, task, placement.upstream);
+  else
+    refuse (dispatcher, now, task, reason);
+}
+
 void
 anvil_dispatcher_submit (anvil_dispatcher_t *dispatcher,
                          anvil_time_t now,
@@ -304,6 +321,11 @@
       refuse (dispatcher, now, task, ANVIL_TASK_NO_UPSTREAM);
       return;
     }
+  if (request->is_repeat)
+    {
+      submit_repeat (dispatcher, now, task);
+      return;
+    }
   if (!dispatch_count_attempt (dispatcher, now, task))
     {
       refuse (dispatcher, now, task, ANVIL_TASK_NO_RETRY);
@@ -372,6 +394,7 @@
 
   if (upstream == NULL)
     return;
+  dispatch_repeat_record_end (task, now, report);
   if (upstream->registered)
     {
       warmth_record_result (task, now, report);
