Send a second attempt beside a late first one

Cause: the holder's decision on second runs had no requester.

Change: relay-job-repeat.c requests a slot when the grant's repeat_after has passed, and keeps a second attempt beside the first. The first whole and valid answer goes to the caller; the other attempt is cancelled and its slot freed. If the first fails, the second takes its place, and the retry rules apply with both counted. Both are adopted by a new or restarted holder. relay-job.c gains job_send(), job_attempt_done() and job_announced() for attempts of either kind. The share is read from a route's repeatShare, and repeat-share is among the settings that a reload compares. Counters, a histogram of the latency of requests that could get a second attempt, and log lines tell of each.

--- a/source/relay/relay-job-holder.c
+++ b/source/relay/relay-job-holder.c
@@ -38,6 +38,7 @@
     }
   job->holder = change->holder;
   anvil_slot_broker_adopt (broker, job->holder, &job->task, job->upstream);
+  job_repeat_adopt (job, job->holder);
 }
 
 /* A new holder doesn't know which upstreams are warm for which objects. */
@@ -109,6 +110,7 @@
   if (job->state != JOB_WAITING_FOR_SLOT)
     {
       anvil_slot_broker_adopt (broker, job->holder, &job->task, job->upstream);
+      job_repeat_adopt (job, job->holder);
       return;
     }
   /* The new process may have received the last request. */
@@ -140,6 +142,7 @@
 
   if (job->state == JOB_WAITING_FOR_SLOT && *now - job->slot_requested_at >= SLOT_REQUEST_TIMEOUT)
     job_repeat_slot_request (job);
+  job_repeat_request_again (job, *now, SLOT_REQUEST_TIMEOUT);
 }
 
 void
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -9,7 +9,8 @@
 
 /* relay-job-new.c creates and frees jobs, relay-job.c requests slots, sends requests and retries,
  * relay-job-response.c responds to callers, relay-job-holder.c handles changes of holders,
- * relay-job-shutdown.c ends jobs when the process stops. */
+ * relay-job-shutdown.c ends jobs when the process stops, relay-job-repeat.c starts second attempts
+ * beside late ones. */
 
 /* During shutdown another entry can serve the caller at once. */
 #define SHUTDOWN_RETRY_AFTER (20 * ANVIL_MS)
@@ -25,6 +26,48 @@
   JOB_RUNNING,
 } job_state_t;
 
+/**
+ * job_repeat_state_t - progress of a second attempt
+ * @JOB_REPEAT_NONE: there is none now
+ * @JOB_REPEAT_REQUESTED: a slot was requested for it
+ * @JOB_REPEAT_RUNNING: the request was sent
+ */
+typedef enum
+{
+  JOB_REPEAT_NONE,
+  JOB_REPEAT_REQUESTED,
+  JOB_REPEAT_RUNNING,
+} job_repeat_state_t;
+
+/**
+ * job_repeat_t - second attempt of a job, beside a first one that is late
+ * @excluded_by_route: the route has a share of 0; other limits are the holder's to enforce
+ * @timer: requests a slot when the first attempt is late, or NULL
+ * @after: time after sending at which the first attempt is late, microseconds
+ * @possible: a second attempt could have begun; for metrics
+ * @begun: a second attempt was sent
+ * @won: its answer went to the caller
+ * @task: what the slot is requested for; its texts are those of the job's task
+ */
+typedef struct
+{
+  job_repeat_state_t state;
+  gboolean excluded_by_route;
+  struct event *timer;
+  anvil_time_t after;
+  gboolean possible;
+  gboolean begun;
+  gboolean won;
+  anvil_task_t task;
+  anvil_node_t holder;
+  anvil_time_t requested_at;
+  anvil_time_t sent_at;
+  guint64 upstream;
+  char *upstream_id;
+  gint64 upstream_started_at;
+  anvil_relay_attempt_t *attempt;
+} job_repeat_t;
+
 /**
  * job_t - a caller's request that isn't answered yet
  * @task: what a slot is requested for; its texts are owned by the job or by the settings. Its
@@ -35,7 +78,9 @@
  * @upstream: key of the upstream that the request was sent to last
  * @upstream_id: its id
  * @upstream_started_at: start of its process, as far as this entry or the holder knows
+ * @sent_at: when the request was sent to it
  * @attempt: the exchange with the upstream, while the job is running
+ * @repeat: second attempt beside it
  * @timer: ends the job at its deadline
  * @n_deadline_extensions: how often the deadline was extended to read what has arrived
  * @n_attempts: attempts so far, of any outcome
@@ -58,7 +103,9 @@
   guint64 upstream;
   char *upstream_id;
   gint64 upstream_started_at;
+  anvil_time_t sent_at;
   anvil_relay_attempt_t *attempt;
+  job_repeat_t repeat;
   struct event *timer;
   guint n_deadline_extensions;
   guint n_attempts;
@@ -86,6 +133,8 @@
   anvil_pause_table_t *pauses;
   /* job_t by number. */
   GHashTable *jobs;
+  /* job_t by the number of the task of its second attempt. */
+  GHashTable *repeats;
 };
 
 /* Creates a job and starts its deadline timer; the caller requests the slot. */
@@ -126,6 +175,70 @@
 /* Ends the attempt of a running job. */
 void job_cancel_attempt (job_t *job);
 
+/* Sets the number by which grants, refusals and reports refer to the job. */
+void job_set_number (job_t *job, guint64 number);
+
+/* Adds an upstream to those that a task must not run on, in place of the oldest if there are too
+ * many. */
+void task_exclude_upstream (anvil_task_t *task, guint64 upstream);
+
+/* Releases the slot of the job's attempt and tells its holder how it was used. */
+void job_report_run (job_t *job, const anvil_run_report_t *report);
+
+/* Sends the request to a granted upstream. */
+anvil_relay_attempt_t *job_send (job_t *job,
+                                 const anvil_slot_grant_t *grant,
+                                 const char *upstream_id,
+                                 anvil_relay_announced_cb_t announced,
+                                 anvil_relay_attempt_cb_t done);
+
+/* Handles the end of the job's attempt, and what an upstream said of itself. */
+void job_attempt_done (job_t *job, const anvil_relay_attempt_outcome_t *outcome);
+void job_announced (job_t *job,
+                    guint64 upstream,
+                    const char *upstream_id,
+                    gint64 started_at,
+                    const anvil_announcement_t *announcement);
+void job_record_failed_attempt (const job_t *job,
+                                const char *upstream_id,
+                                guint attempt,
+                                const anvil_relay_attempt_outcome_t *outcome);
+
+/* Start of the newest process of a granted upstream that this entry or its holder knows. */
+gint64 job_newest_start (const anvil_relay_jobs_t *jobs, const anvil_slot_grant_t *grant);
+
+/* Why a granted upstream must not be used, or NULL. */
+const char *job_reason_not_to_use (const anvil_relay_jobs_t *jobs, const anvil_slot_grant_t *grant);
+gboolean jobs_registry_is_fresh (const anvil_relay_jobs_t *jobs);
+
+/* relay-job-repeat.c */
+
+/* Requests a second attempt after a time since sending, see anvil_slot_grant_t. */
+void job_repeat_start_timer (job_t *job, anvil_time_t repeat_after);
+/* Starts no second attempt any more; one that is running goes on. */
+void job_repeat_stop_timer (job_t *job);
+/* Cancels the second attempt, if there is one; @lost if its holder counts it among those that
+ * didn't win. */
+void job_repeat_cancel (job_t *job, gboolean lost);
+/* The first attempt was answered: cancels the second. */
+void job_repeat_first_answered (job_t *job);
+/* The first attempt failed: TRUE if the second goes on in its place. */
+gboolean job_repeat_first_failed (job_t *job);
+/* FALSE if the slot isn't used and must be returned to the entry that granted it. */
+gboolean job_repeat_granted (anvil_relay_jobs_t *jobs,
+                             guint64 number,
+                             anvil_node_t from,
+                             const anvil_slot_grant_t *grant);
+/* FALSE if the number isn't that of a second attempt. */
+gboolean job_repeat_refused (anvil_relay_jobs_t *jobs,
+                             guint64 number,
+                             const anvil_task_refusal_info_t *refused);
+/* Tells a new holder of the second attempt. */
+void job_repeat_adopt (job_t *job, anvil_node_t holder);
+/* Repeats a request for a slot that got no answer within @timeout. */
+void job_repeat_request_again (job_t *job, anvil_time_t now, anvil_time_t timeout);
+void job_repeat_drop (job_t *job);
+
 typedef void (*job_visit_t) (job_t *job, gconstpointer data);
 
 /* Visits all jobs; the visitor may end a job. */
--- a/source/relay/relay-job-new.c
+++ b/source/relay/relay-job-new.c
@@ -9,6 +9,7 @@
 job_drop (job_t *job)
 {
   event_free (job->timer);
+  job_repeat_drop (job);
   for (guint i = 0; i < job->task.n_regions; i++)
     g_free ((char *) job->task.regions[i].data);
   g_free (job->service);
@@ -37,10 +38,8 @@
   return hash ^ (hash >> 32);
 }
 
-/* All entries hash the same figures of a route to the same value. 0 would mean that they aren't
- * known. */
-static guint64
-class_of (const anvil_route_t *route)
+guint64
+anvil_relay_route_class (const anvil_route_t *route)
 {
   guint64 hash = mix (mix (mix (1, (guint64) route->kind), (guint64) route->target_latency),
                       route->priority);
@@ -80,7 +79,7 @@
     .attempt = 1,
     .body_bytes = evbuffer_get_length (request->body),
     .n_regions = route->n_regions,
-    .route_class = class_of (route),
+    .route_class = anvil_relay_route_class (route),
   };
   job_set_times (&job->task, route, request->received_at, request->timeout);
   for (guint i = 0; i < route->n_regions; i++)
@@ -99,6 +98,7 @@
   job->service = g_strdup (route->services[index].service);
   job->route = g_strdup (route->name);
   job->max_attempts = route->max_attempts;
+  job->repeat.excluded_by_route = route->has_repeat_share && route->repeat_share <= 0;
   fill_task (jobs, job, route);
   time = anvil_time_to_timeval (job->task.deadline - anvil_clock_now ());
   job->timer = evtimer_new (jobs->options.base, job_on_deadline, job);
--- a/source/relay/relay-job-response.c
+++ b/source/relay/relay-job-response.c
@@ -8,6 +8,19 @@
   return text != NULL ? text : "-";
 }
 
+/* Latency of requests that could get a second attempt, by whether they did. */
+static void
+observe_repeat (const job_t *job, anvil_time_t took)
+{
+  if (!job->repeat.possible)
+    return;
+  anvil_metrics_observe_histogram (job->jobs->options.metrics, "anvil_repeatable_request_seconds",
+                                   !job->repeat.begun ? "second=\"none\""
+                                   : job->repeat.won  ? "second=\"won\""
+                                                      : "second=\"lost\"",
+                                   (gdouble) took / (gdouble) ANVIL_SECOND);
+}
+
 void
 job_record_outcome (anvil_relay_jobs_t *jobs,
                     const anvil_relay_request_t *request,
@@ -22,6 +35,8 @@
   anvil_metrics_add_counter (jobs->options.metrics, "anvil_requests_total", labels, 1);
   anvil_metrics_observe_histogram (jobs->options.metrics, "anvil_request_seconds", "",
                                    (gdouble) took / (gdouble) ANVIL_SECOND);
+  if (job != NULL)
+    observe_repeat (job, took);
   g_free (labels);
   anvil_log (ANVIL_LOG_INFO, "request",
              "%s request=%s route=%s status=%u reason=%s upstream=%s attempts=%u "
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -15,8 +15,6 @@
 #define MAX_DEADLINE_EXTENSIONS 20
 #define NOT_READY_RETRY_AFTER (500 * ANVIL_MS)
 
-static void on_attempt_done (void *context, const anvil_relay_attempt_outcome_t *outcome);
-
 anvil_relay_jobs_t *
 anvil_relay_jobs_new (const anvil_relay_jobs_options_t *options)
 {
@@ -32,6 +30,7 @@
   /* Starts at a random number, since holders may still have task numbers from before a restart. */
   jobs->last_number = ((guint64) g_random_int () << 32) | g_random_int ();
   jobs->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
+  jobs->repeats = g_hash_table_new (g_int64_hash, g_int64_equal);
   return jobs;
 }
 
@@ -57,11 +56,13 @@
 
       if (job->attempt != NULL)
         anvil_relay_attempt_cancel (job->attempt);
+      job_repeat_cancel (job, FALSE);
       job_record_outcome (jobs, job->request, job, "cut", 0, "stopped");
       job->request->handler_data = NULL;
       job_drop (job);
     }
   g_hash_table_unref (jobs->jobs);
+  g_hash_table_unref (jobs->repeats);
   anvil_route_split_drop (jobs->split);
   anvil_warm_object_table_drop (jobs->warm_objects);
   anvil_request_limit_table_drop (jobs->request_limits);
@@ -114,17 +115,23 @@
   return g_hash_table_size (jobs->jobs);
 }
 
-/* Messages about earlier slot requests of the job don't find it from now on. */
-static void
-renew_number (job_t *job)
+void
+job_set_number (job_t *job, guint64 number)
 {
   GHashTable *table = job->jobs->jobs;
 
   g_hash_table_remove (table, &job->task.id.number);
-  job->task.id.number = ++job->jobs->last_number;
+  job->task.id.number = number;
   g_hash_table_insert (table, &job->task.id.number, job);
 }
 
+/* Messages about earlier slot requests of the job don't find it from now on. */
+static void
+renew_number (job_t *job)
+{
+  job_set_number (job, ++job->jobs->last_number);
+}
+
 void
 job_repeat_slot_request (job_t *job)
 {
@@ -141,24 +148,22 @@
 job_request_slot (job_t *job)
 {
   renew_number (job);
+  job->task.is_repeat = FALSE;
   job->state = JOB_WAITING_FOR_SLOT;
   job->holder = anvil_slot_broker_holder (job->jobs->options.slot_broker, job->service);
   job_repeat_slot_request (job);
 }
 
-static void
-exclude_upstream (job_t *job, guint64 upstream)
+void
+task_exclude_upstream (anvil_task_t *task, guint64 upstream)
 {
-  anvil_task_t *task = &job->task;
-
   if (task->n_excluded == ANVIL_MAX_EXCLUDED_UPSTREAMS)
     memmove (task->excluded, task->excluded + 1, (--task->n_excluded) * sizeof *task->excluded);
   task->excluded[task->n_excluded++] = upstream;
 }
 
-/* Releases the slot and tells its holder how it was used. */
-static void
-report_run (job_t *job, const anvil_run_report_t *report)
+void
+job_report_run (job_t *job, const anvil_run_report_t *report)
 {
   anvil_slot_broker_run_finished (job->jobs->options.slot_broker, job->holder, job->task.id.number,
                                   report);
@@ -173,8 +178,9 @@
 void
 job_cancel_attempt (job_t *job)
 {
+  job_repeat_cancel (job, TRUE);
   job->may_have_run |= anvil_relay_attempt_cancel (g_steal_pointer (&job->attempt));
-  report_run (job, &(anvil_run_report_t){ .result = ANVIL_RUN_INTERRUPTED });
+  job_report_run (job, &(anvil_run_report_t){ .result = ANVIL_RUN_INTERRUPTED });
 }
 
 void
@@ -190,7 +196,9 @@
     }
   if (job->n_deadline_extensions == 0
       || (job->n_deadline_extensions < MAX_DEADLINE_EXTENSIONS
-          && anvil_relay_attempt_has_unread_bytes (job->attempt)))
+          && (anvil_relay_attempt_has_unread_bytes (job->attempt)
+              || (job->repeat.attempt != NULL
+                  && anvil_relay_attempt_has_unread_bytes (job->repeat.attempt)))))
     {
       const struct timeval extension = { .tv_usec = DEADLINE_EXTENSION };
 
@@ -219,8 +227,11 @@
     job_fail (job, STATUS_BAD_GATEWAY, reason, NOT_READY_RETRY_AFTER);
 }
 
-static void
-record_failed_attempt (const job_t *job, const anvil_relay_attempt_outcome_t *outcome)
+void
+job_record_failed_attempt (const job_t *job,
+                           const char *upstream_id,
+                           guint attempt,
+                           const anvil_relay_attempt_outcome_t *outcome)
 {
   const anvil_relay_response_t *response = &outcome->response;
 
@@ -228,7 +239,7 @@
              "attempt failed request=%s upstream=%s attempt=%u status=%u marker=%d not_run=%d "
              "id=%d responder=%s connection_reused=%d reason=\"%s\" "
              "took_ms=%" G_GINT64_FORMAT,
-             text_or_dash (job->request->id), job->upstream_id, job->task.attempt, response->status,
+             text_or_dash (job->request->id), upstream_id, attempt, response->status,
              response->has_marker, response->not_run, response->has_id,
              text_or_dash (response->upstream_id), response->connection_reused,
              text_or_dash (outcome->reason), outcome->duration / ANVIL_MS);
@@ -240,60 +251,86 @@
 
 /* Keeps what the upstream said; FALSE if all of it was known. */
 static gboolean
-keep_announcement (job_t *job, const anvil_announcement_t *announcement)
+keep_announcement (job_t *job,
+                   guint64 upstream,
+                   gint64 started_at,
+                   const anvil_announcement_t *announcement)
 {
   const anvil_relay_jobs_options_t *options = &job->jobs->options;
   const anvil_time_t now = anvil_clock_now ();
   gboolean is_new = FALSE;
 
   if (announcement->leaving)
-    is_new = options->upstream_leaving (options->context, job->service, job->upstream,
-                                        job->upstream_started_at);
+    is_new = options->upstream_leaving (options->context, job->service, upstream, started_at);
   if (announcement->pause > 0)
-    is_new |= anvil_pause_table_add (job->jobs->pauses, now, job->service, job->upstream,
-                                     job->upstream_started_at, now + announcement->pause);
+    is_new |= anvil_pause_table_add (job->jobs->pauses, now, job->service, upstream, started_at,
+                                     now + announcement->pause);
   return is_new;
 }
 
-static void
-on_announced (void *context, const anvil_announcement_t *announcement)
+void
+job_announced (job_t *job,
+               guint64 upstream,
+               const char *upstream_id,
+               gint64 started_at,
+               const anvil_announcement_t *announcement)
 {
-  job_t *job = context;
   anvil_slot_broker_t *broker = job->jobs->options.slot_broker;
-  const anvil_named_announcement_t item = { .upstream = job->upstream,
-                                            .started_at = job->upstream_started_at,
-                                            .announcement = *announcement };
+  const anvil_named_announcement_t item
+      = { .upstream = upstream, .started_at = started_at, .announcement = *announcement };
 
-  if (!keep_announcement (job, announcement))
+  if (!keep_announcement (job, upstream, started_at, announcement))
     return;
   anvil_log (ANVIL_LOG_NOTICE, "request",
              "upstream wants no more requests upstream=%s service=%s leaving=%d "
              "pause_ms=%" G_GINT64_FORMAT " request=%s started_at=%" G_GINT64_FORMAT,
-             job->upstream_id, job->service, announcement->leaving, announcement->pause / ANVIL_MS,
-             text_or_dash (job->request->id), job->upstream_started_at);
+             upstream_id, job->service, announcement->leaving, announcement->pause / ANVIL_MS,
+             text_or_dash (job->request->id), started_at);
   anvil_slot_broker_send_announcements (broker, anvil_slot_broker_holder (broker, job->service),
                                         job->service, &item, 1);
 }
 
 static void
-on_attempt_done (void *context, const anvil_relay_attempt_outcome_t *outcome)
+on_announced (void *context, const anvil_announcement_t *announcement)
 {
   job_t *job = context;
 
+  job_announced (job, job->upstream, job->upstream_id, job->upstream_started_at, announcement);
+}
+
+/* Whether a second attempt is running in whose outcome the job ends, now that the first failed. */
+static gboolean
+job_goes_on_with_second (job_t *job, const anvil_relay_attempt_outcome_t *outcome)
+{
+  if (!job_repeat_first_failed (job))
+    return FALSE;
+  if (outcome->result == ANVIL_RUN_FAILED)
+    job_save_response (job, outcome);
+  if (outcome->result == ANVIL_RUN_FAILED || outcome->result == ANVIL_RUN_INTERRUPTED)
+    job->may_have_run = TRUE;
+  return TRUE;
+}
+
+void
+job_attempt_done (job_t *job, const anvil_relay_attempt_outcome_t *outcome)
+{
   job->attempt = NULL;
   anvil_request_limit_table_record (job->jobs->request_limits, anvil_clock_now (), job->service,
                                     job->upstream, job->upstream_id, &outcome->request_limit);
-  report_run (job, &(anvil_run_report_t){ .result = outcome->result,
-                                          .duration = outcome->duration,
-                                          .request_limit = outcome->request_limit });
+  job_report_run (job, &(anvil_run_report_t){ .result = outcome->result,
+                                              .duration = outcome->duration,
+                                              .request_limit = outcome->request_limit });
   if (outcome->result != ANVIL_RUN_ANSWERED)
     {
-      record_failed_attempt (job, outcome);
-      exclude_upstream (job, job->upstream);
+      job_record_failed_attempt (job, job->upstream_id, job->task.attempt, outcome);
+      task_exclude_upstream (&job->task, job->upstream);
     }
+  if (outcome->result != ANVIL_RUN_ANSWERED && job_goes_on_with_second (job, outcome))
+    return;
   switch (outcome->result)
     {
     case ANVIL_RUN_ANSWERED:
+      job_repeat_first_answered (job);
       anvil_warm_object_table_add (job->jobs->warm_objects, anvil_clock_now (), job->service,
                                    job->task.object, job->upstream);
       job_pass_response (job, outcome->status, outcome->headers, outcome->body);
@@ -331,8 +368,14 @@
   job_request_slot (job);
 }
 
-static gboolean
-registry_is_fresh (const anvil_relay_jobs_t *jobs)
+static void
+on_attempt_done (void *context, const anvil_relay_attempt_outcome_t *outcome)
+{
+  job_attempt_done (context, outcome);
+}
+
+gboolean
+jobs_registry_is_fresh (const anvil_relay_jobs_t *jobs)
 {
   anvil_time_t read_at = jobs->options.upstreams_read_at (jobs->options.context);
 
@@ -348,9 +391,8 @@
   return read_at == G_MAXINT64 ? -1 : (now - read_at) / ANVIL_MS;
 }
 
-/* Start of the newest process of a granted upstream that this entry or its holder knows. */
-static gint64
-newest_start (const anvil_relay_jobs_t *jobs, const anvil_slot_grant_t *grant)
+gint64
+job_newest_start (const anvil_relay_jobs_t *jobs, const anvil_slot_grant_t *grant)
 {
   const anvil_registered_upstream_t *registered
       = anvil_registry_lookup (jobs->options.registry, grant->upstream);
@@ -358,6 +400,33 @@
   return registered != NULL ? MAX (registered->started_at, grant->started_at) : grant->started_at;
 }
 
+anvil_relay_attempt_t *
+job_send (job_t *job,
+          const anvil_slot_grant_t *grant,
+          const char *upstream_id,
+          anvil_relay_announced_cb_t announced,
+          anvil_relay_attempt_cb_t done)
+{
+  const anvil_relay_request_t *request = job->request;
+
+  return anvil_relay_attempt_start (job->jobs->options.upstream_pool,
+                                    &(anvil_relay_upstream_request_t){
+                                        .upstream_key = grant->upstream,
+                                        .upstream_id = upstream_id,
+                                        .address = grant->address,
+                                        .port = grant->port,
+                                        .method = request->method,
+                                        .target = request->target,
+                                        .headers = request->headers,
+                                        .body = request->body,
+                                        .id = request->id,
+                                        .idempotent = job_is_idempotent (job),
+                                        .timeout = job->task.deadline - anvil_clock_now (),
+                                        .announced = announced,
+                                    },
+                                    done, job);
+}
+
 static void
 start_attempt (job_t *job, const anvil_slot_grant_t *grant)
 {
@@ -368,25 +437,12 @@
   g_free (job->upstream_id);
   job->upstream_id = anvil_str_dup (grant->upstream_id);
   job->upstream = grant->upstream;
-  job->upstream_started_at = newest_start (jobs, grant);
+  job->upstream_started_at = job_newest_start (jobs, grant);
   job->state = JOB_RUNNING;
   job->n_attempts++;
-  job->attempt = anvil_relay_attempt_start (jobs->options.upstream_pool,
-                                            &(anvil_relay_upstream_request_t){
-                                                .upstream_key = grant->upstream,
-                                                .upstream_id = job->upstream_id,
-                                                .address = grant->address,
-                                                .port = grant->port,
-                                                .method = request->method,
-                                                .target = request->target,
-                                                .headers = request->headers,
-                                                .body = request->body,
-                                                .id = request->id,
-                                                .idempotent = job_is_idempotent (job),
-                                                .timeout = job->task.deadline - now,
-                                                .announced = on_announced,
-                                            },
-                                            on_attempt_done, job);
+  job->sent_at = now;
+  job->attempt = job_send (job, grant, job->upstream_id, on_announced, on_attempt_done);
+  job_repeat_start_timer (job, grant->repeat_after);
   anvil_log (ANVIL_LOG_INFO, "request",
              "sent request=%s route=%s service=%s object=%" G_GINT64_MODIFIER
              "x holder=%s upstream=%s zone=%.*s warm=%d attempt=%u "
@@ -413,13 +469,13 @@
   anvil_slot_broker_run_finished (jobs->options.slot_broker, holder, number, &unused);
 }
 
-static const char *
-reason_not_to_use (const anvil_relay_jobs_t *jobs, const anvil_slot_grant_t *grant)
+const char *
+job_reason_not_to_use (const anvil_relay_jobs_t *jobs, const anvil_slot_grant_t *grant)
 {
   const anvil_relay_jobs_options_t *options = &jobs->options;
 
   if (anvil_pause_table_remaining (jobs->pauses, anvil_clock_now (), grant->upstream,
-                                   newest_start (jobs, grant))
+                                   job_newest_start (jobs, grant))
       > 0)
     return "paused";
   return anvil_registry_reason_not_to_use (options->registry, grant->upstream, grant->zone,
@@ -438,7 +494,8 @@
 
   if (job == NULL)
     {
-      release_slot (jobs, from, number);
+      if (!job_repeat_granted (jobs, number, from, grant))
+        release_slot (jobs, from, number);
       return;
     }
   if (job->state != JOB_WAITING_FOR_SLOT)
@@ -449,14 +506,14 @@
         release_slot (jobs, from, number);
       return;
     }
-  if (!registry_is_fresh (jobs))
+  if (!jobs_registry_is_fresh (jobs))
     {
       /* The tick requests a slot again; until then the registry may have been read. */
       release_slot (jobs, from, number);
       renew_number (job);
       return;
     }
-  reason = reason_not_to_use (jobs, grant);
+  reason = job_reason_not_to_use (jobs, grant);
   if (reason == NULL)
     {
       start_attempt (job, grant);
@@ -470,7 +527,7 @@
   /* The holder may not have received what was known here. */
   jobs_send_announcements (jobs, job->service, from);
   release_slot (jobs, from, number);
-  exclude_upstream (job, grant->upstream);
+  task_exclude_upstream (&job->task, grant->upstream);
   retry_unsent (job, "no-upstream");
 }
 
@@ -482,7 +539,8 @@
 {
   job_t *job = lookup (jobs, number);
 
-  if (job == NULL || job->state != JOB_WAITING_FOR_SLOT)
+  if (job_repeat_refused (jobs, number, refused) || job == NULL
+      || job->state != JOB_WAITING_FOR_SLOT)
     return;
   anvil_log (
       ANVIL_LOG_INFO, "request",
@@ -512,8 +570,9 @@
     return;
   if (job->state == JOB_RUNNING)
     {
+      job_repeat_cancel (job, FALSE);
       anvil_relay_attempt_cancel (g_steal_pointer (&job->attempt));
-      report_run (job, &(anvil_run_report_t){ .result = ANVIL_RUN_UNUSED });
+      job_report_run (job, &(anvil_run_report_t){ .result = ANVIL_RUN_UNUSED });
     }
   else
     anvil_slot_broker_cancel (jobs->options.slot_broker, job->holder, job->task.id.number);
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -73,6 +73,10 @@
 /** anvil_relay_jobs_end - ends all jobs, and responds to their callers */
 void anvil_relay_jobs_end (anvil_relay_jobs_t *jobs);
 
+/** anvil_relay_route_class - hash of the figures of a route that its tasks carry, see anvil_task_t;
+ * the same at all entries, and not 0, which would mean that they aren't known */
+guint64 anvil_relay_route_class (const anvil_route_t *route);
+
 /** anvil_relay_jobs_start - starts a job for a whole request */
 void anvil_relay_jobs_start (anvil_relay_jobs_t *jobs, anvil_relay_request_t *request);
 
--- a/source/relay/relay-settings-diff.c
+++ b/source/relay/relay-settings-diff.c
@@ -56,6 +56,7 @@
                                  settings->limits.retry_window / ANVIL_MS))
 TEXT_FORMATTER (format_cold_factor, g_strdup_printf ("%g", settings->limits.cold_factor))
 TEXT_FORMATTER (format_cold_extra, g_strdup_printf ("%g", settings->limits.cold_extra))
+TEXT_FORMATTER (format_repeat_share, g_strdup_printf ("%g", settings->limits.repeat_share))
 TEXT_FORMATTER (format_max_shift, g_strdup_printf ("%g", settings->limits.max_shift))
 
 static char *
@@ -96,6 +97,7 @@
   { "retry-window", "retries of all services", TRUE, format_retry_window },
   { "cold-factor", "requests to cold upstreams of all services", TRUE, format_cold_factor },
   { "cold-extra", "requests to cold upstreams of all services", TRUE, format_cold_extra },
+  { "repeat-share", "second runs of late requests, of all services", TRUE, format_repeat_share },
   { "max-shift", "moves of requests between regions", TRUE, format_max_shift },
 };
 
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "anvil/log.h"
+#include "relay/relay-job.h"
 
 /* One in so many descriptors is for links from other entries, and one in so many bytes for their
  * incomplete frames. */
@@ -437,6 +438,24 @@
                                       change);
 }
 
+/* Sets the shares of second runs of routes that have their own. Requesters ask for none on routes
+ * with a share of 0, and others of their class may have one. */
+static void
+set_repeat_shares (anvil_slot_broker_t *broker, const anvil_routes_t *routes)
+{
+  anvil_dispatcher_clear_repeat_shares (broker->dispatcher);
+  for (guint i = 0; i < anvil_routes_count (routes); i++)
+    {
+      const anvil_route_t *route = anvil_routes_at (routes, i);
+      const guint n = route->has_repeat_share && route->repeat_share > 0 ? route->n_services : 0;
+
+      for (guint k = 0; k < n; k++)
+        anvil_dispatcher_set_repeat_share (broker->dispatcher,
+                                           anvil_str (route->services[k].service),
+                                           anvil_relay_route_class (route), route->repeat_share);
+    }
+}
+
 void
 anvil_slot_broker_set_routes (anvil_slot_broker_t *broker, const anvil_routes_t *routes)
 {
@@ -447,6 +466,7 @@
       anvil_dispatcher_set_service (broker->dispatcher, service);
       get_service (broker, service->name);
     }
+  set_repeat_shares (broker, routes);
 }
 
 void
