Test when a second run is refused

Cause: the simulation passes without the rule that no second run begins while a task waits, since under overload no slot is free then.

Change: test-dispatch-repeat submits second runs to a dispatcher with two upstreams: a task waits, no slot is free, the upstream pauses, the peers aren't known, it would end too late. The check of the peers in dispatch-repeat.c is left out, as the retry budget makes it.

--- a/source/steer/dispatch-repeat.c
+++ b/source/steer/dispatch-repeat.c
@@ -151,7 +151,7 @@
   anvil_dispatcher_t *dispatcher = task->service->dispatcher;
   const gdouble part = dispatcher->divided ? DIVIDED_PART : 1;
 
-  if (dispatcher->peers_unknown || task->request.kind != ANVIL_ROUTE_SAFE
+  if (task->request.kind != ANVIL_ROUTE_SAFE
       || !window_has_room (&task->service->repeats->window, now,
                            part * dispatcher->limits.repeat_share))
     return FALSE;
--- a/tests/test-dispatch-repeat.c
+++ b/tests/test-dispatch-repeat.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "fake-repeats.h"
+#include "helper-dispatch.h"
 
 static void
 print (const char *name, const fake_repeats_results_t *results)
@@ -162,6 +163,142 @@
 }
 END_TEST
 
+#define REQUESTER ((anvil_node_t) 5)
+
+/* Two upstreams with a slot each, and first runs that leave room for second ones. */
+static void
+open_two (dispatch_sim_t *sim)
+{
+  const anvil_dispatcher_limits_t limits = { .retry_ratio = 0.2,
+                                             .retry_extra = 50,
+                                             .retry_window = 10 * ANVIL_SECOND,
+                                             .cold_factor = 1.5,
+                                             .cold_extra = 5,
+                                             .repeat_share = 0.5 };
+
+  sim_open (sim);
+  anvil_dispatcher_set_limits (sim->dispatcher, &limits);
+  sim_add_upstream (sim, "west", "west-a", 1);
+  sim_add_upstream (sim, "west", "west-a", 1);
+  for (guint i = 0; i < 4; i++)
+    sim_finish (sim, sim_submit (sim, 0), ANVIL_RUN_UNUSED);
+}
+
+static guint64
+other_upstream (const dispatch_sim_t *sim, guint64 upstream)
+{
+  return sim->keys[0] == upstream ? sim->keys[1] : sim->keys[0];
+}
+
+static guint
+submit (dispatch_sim_t *sim, gboolean is_repeat, guint64 excluded)
+{
+  const anvil_task_t task = { .id = { .requester = REQUESTER },
+                              .service = anvil_str ("photos"),
+                              .region = anvil_str ("west"),
+                              .zone = anvil_str ("west-a"),
+                              .attempt = is_repeat ? 2 : 1,
+                              .excluded = { excluded },
+                              .n_excluded = 1,
+                              .is_repeat = is_repeat };
+
+  return sim_submit_task (sim, &task);
+}
+
+static guint
+count_waiting (const dispatch_sim_t *sim)
+{
+  anvil_dispatcher_status_t status;
+
+  ck_assert (anvil_dispatcher_status (sim->dispatcher, anvil_str ("photos"), &status));
+  return status.waiting;
+}
+
+START_TEST (test_a_second_run_gets_a_free_slot_of_another_upstream)
+{
+  dispatch_sim_t sim;
+  guint64 first;
+  guint second;
+
+  open_two (&sim);
+  first = sim_task (&sim, sim_submit (&sim, 0))->upstream;
+  second = submit (&sim, TRUE, first);
+  ck_assert (sim_task (&sim, second)->granted);
+  ck_assert_uint_eq (sim_task (&sim, second)->upstream, other_upstream (&sim, first));
+  sim_close (&sim);
+}
+END_TEST
+
+/* The free slot is of no use to the task that waits now, but it may soon be to another. */
+START_TEST (test_no_second_run_while_a_task_waits)
+{
+  dispatch_sim_t sim;
+  guint64 first;
+
+  open_two (&sim);
+  first = sim_task (&sim, sim_submit (&sim, 0))->upstream;
+  submit (&sim, FALSE, other_upstream (&sim, first));
+  ck_assert_uint_eq (count_waiting (&sim), 1);
+  ck_assert (sim_task (&sim, submit (&sim, TRUE, first))->refused);
+  sim_close (&sim);
+}
+END_TEST
+
+START_TEST (test_a_second_run_is_never_queued)
+{
+  dispatch_sim_t sim;
+  guint64 first;
+
+  open_two (&sim);
+  first = sim_task (&sim, sim_submit (&sim, 0))->upstream;
+  sim_submit (&sim, 0);
+  ck_assert (sim_task (&sim, submit (&sim, TRUE, first))->refused);
+  ck_assert_uint_eq (count_waiting (&sim), 0);
+  sim_close (&sim);
+}
+END_TEST
+
+START_TEST (test_no_second_run_on_an_upstream_that_pauses)
+{
+  dispatch_sim_t sim;
+  guint64 first;
+
+  open_two (&sim);
+  first = sim_task (&sim, sim_submit (&sim, 0))->upstream;
+  anvil_dispatcher_pause_upstream (sim.dispatcher, sim.now, other_upstream (&sim, first), 0,
+                                   REQUESTER, sim.now + ANVIL_SECOND);
+  ck_assert (sim_task (&sim, submit (&sim, TRUE, first))->refused);
+  sim_close (&sim);
+}
+END_TEST
+
+START_TEST (test_no_second_run_before_the_other_entries_are_known)
+{
+  dispatch_sim_t sim;
+  guint64 first;
+
+  open_two (&sim);
+  first = sim_task (&sim, sim_submit (&sim, 0))->upstream;
+  anvil_dispatcher_set_knows_peers (sim.dispatcher, sim.now, FALSE);
+  ck_assert (sim_task (&sim, submit (&sim, TRUE, first))->refused);
+  sim_close (&sim);
+}
+END_TEST
+
+/* Nothing is known of the rest of the first run, and the target would be missed anyway. */
+START_TEST (test_no_second_run_that_would_end_too_late)
+{
+  dispatch_sim_t sim;
+  guint64 first;
+
+  open_two (&sim);
+  first = sim_task (&sim, sim_submit (&sim, 0))->upstream;
+  sim.target = 100 * ANVIL_MS;
+  ck_assert (sim_task (&sim, submit (&sim, TRUE, first))->refused);
+  sim_close (&sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -182,6 +319,12 @@
   tcase_add_test (tests, test_a_share_that_is_taken_away_ends_second_runs_at_once);
   tcase_add_test (tests, test_unsafe_requests_and_uploads_never_get_a_second_run);
   tcase_add_test (tests, test_second_runs_that_never_win_stop);
+  tcase_add_test (tests, test_a_second_run_gets_a_free_slot_of_another_upstream);
+  tcase_add_test (tests, test_no_second_run_while_a_task_waits);
+  tcase_add_test (tests, test_a_second_run_is_never_queued);
+  tcase_add_test (tests, test_no_second_run_on_an_upstream_that_pauses);
+  tcase_add_test (tests, test_no_second_run_before_the_other_entries_are_known);
+  tcase_add_test (tests, test_no_second_run_that_would_end_too_late);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
