--- a/Makefile
+++ b/Makefile
@@ -124,6 +124,7 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) benches
 	@$(BUILD)/bench/bench-steer $(BENCH_ARGS)
 	@$(BUILD)/bench/bench-lookup-http
+	@$(BUILD)/bench/bench-repeats
 
 # make soak SEED=1 SECONDS=30; SOAK_ARGS="--entries 12 --upstreams 60 --rate 400" for a larger one.
 soak: packages
