--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -2,7 +2,9 @@
 
 #include "anvil/dispatcher.h"
 #include "steer/dispatch-budget.h"
+#include "steer/dispatch-class.h"
 #include "steer/dispatch-shift.h"
+#include "steer/upstream-speed.h"
 
 /*
  * Modules of the dispatcher: dispatcher.c submits and ends tasks, dispatch-placing.c selects an
@@ -21,23 +23,15 @@
 /* Most tasks queued for one service. */
 #define MAX_WAITING_TASKS 4096
 
-typedef struct service service_t;
+/* Most classes of routes whose requests are tracked for one object. */
+#define MAX_OBJECT_QUEUES 8
+
 typedef struct upstream upstream_t;
 typedef struct object object_t;
 typedef struct task task_t;
 /* See dispatch-repeat.h. */
 typedef struct service_repeats service_repeats_t;
 
-/**
- * estimate_t - a running mean of durations
- * @mean_us: 0 until the first sample
- */
-typedef struct
-{
-  gdouble mean_us;
-  guint n_samples;
-} estimate_t;
-
 /**
  * warm_entry_t - an object that an upstream is expected to be warm for
  * @ready: its first run on the upstream has ended
@@ -53,31 +47,55 @@
 } warm_entry_t;
 
 /**
- * object_t - an object requested from a service
- * @upstreams: upstream_t that have a warm_entry_t for it
- * @no_affinity: stands for all requests of one priority that are not about an object; no upstream
- *   is faster on them
+ * object_queue_t - requests of one class for an object
+ *
+ * Whether an upstream is warm for an object doesn't depend on the class. How long its requests take
+ * and when they are late does, so tasks of several classes neither queue nor count together.
+ *
  * @on_time: queued task_t that can still finish within their target, oldest first
  * @late: queued task_t that can't, oldest first
  * @n_tasks: its tasks, queued or running
- * @kind: kind of the last request
  * @interval_us: mean time between requests, 0 if unknown
  * @requested_at: time of the last request
  */
+typedef struct
+{
+  object_t *object;
+  run_class_t *class;
+  GQueue on_time;
+  GQueue late;
+  guint n_tasks;
+  gdouble interval_us;
+  anvil_time_t requested_at;
+} object_queue_t;
+
+/**
+ * object_t - an object requested from a service
+ * @upstreams: upstream_t that have a warm_entry_t for it
+ * @no_affinity: stands for all requests of one priority that are not about an object; no upstream
+ *   is faster on them
+ * @queues: object_queue_t, its requests by class
+ * @n_tasks: its tasks, queued or running
+ */
 struct object
 {
   guint64 hash;
   service_t *service;
   GPtrArray *upstreams;
   gboolean no_affinity;
-  GQueue on_time;
-  GQueue late;
+  GPtrArray *queues;
   guint n_tasks;
-  anvil_route_kind_t kind;
-  gdouble interval_us;
-  anvil_time_t requested_at;
 };
 
+/**
+ * backlog_t - an upstream's share of the queued tasks of a class that can still finish on time
+ */
+typedef struct
+{
+  const run_class_t *class;
+  gdouble n_tasks;
+} backlog_t;
+
 /**
  * upstream_t - an upstream and its load
  * @record: its state in the registry; the strings are owned here
@@ -87,8 +105,11 @@
  * @running: task_t that run on it
  * @warm_entries: warm_entry_t, the objects that it is expected to be warm for
  * @warm_load: slots that the demand for these objects occupies; updated by the tick
- * @backlog: its share of the queued tasks for these objects that can still finish on time
- * @run_time_ratio: running mean of its run times, relative to the mean of the service
+ * @backlog: backlog_t, its share of the queued tasks for these objects, by class
+ * @run_time_ratio: running mean of its run times, relative to the mean of their class
+ * @last_run_was_long: its last run took longer than the tail of its class
+ * @speed: how long work takes on its VM
+ * @slowness: factor that @speed gives for now; updated by the tick
  * @consecutive_failures: runs in a row that failed to connect or were interrupted
  * @failure_rate: running mean of runs without a good response, 0 to 1
  * @ejected_until: no slots are granted before this time
@@ -114,8 +135,11 @@
   GPtrArray *running;
   GArray *warm_entries;
   gdouble warm_load;
-  gdouble backlog;
+  GArray *backlog;
   gdouble run_time_ratio;
+  gboolean last_run_was_long;
+  anvil_upstream_speed_t speed;
+  gdouble slowness;
   guint consecutive_failures;
   gdouble failure_rate;
   anvil_time_t ejected_until;
@@ -139,9 +163,12 @@
  * @zone: id of the requester's zone
  * @regions: ids of the regions that may serve it
  * @is_late: it is in the late queue of its object
+ * @will_be_late: it was expected to miss its target when it was queued, and isn't late yet; not set
+ *   where all tasks of a kind are of one class
  * @admitted_late: it was checked when it became late, and stayed queued
  * @upstream: where it runs, NULL while it is queued
  * @warm: the upstream was warm for its object when it was granted
+ * @slowness_at_start: that of the upstream when it was granted; 0 if it wasn't known
  * @expected_end: when its slot is expected to be free
  */
 struct task
@@ -152,11 +179,15 @@
   guint regions[ANVIL_MAX_ROUTE_REGIONS];
   service_t *service;
   object_t *object;
+  run_class_t *class;
+  object_queue_t *queue;
   gboolean is_late;
+  gboolean will_be_late;
   gboolean admitted_late;
   upstream_t *upstream;
   gboolean warm;
   anvil_time_t granted_at;
+  gdouble slowness_at_start;
   anvil_time_t expected_end;
 };
 
@@ -176,20 +207,25 @@
  * @held_since: when this dispatcher's entry became the holder; 0 if it always was
  * @upstreams: registered upstream_t
  * @objects: object_t by hash
- * @waiting_objects: set of object_t with queued tasks
+ * @waiting_queues: set of object_queue_t with queued tasks
  * @n_waiting: queued tasks
- * @n_late: queued tasks that are late
  * @n_running: running tasks
  * @n_slots: slots of the upstreams that accept requests; see dispatch_update_slot_count()
  * @usable_slots: the same, but counting only as many of a limited upstream as its limit can keep
  *   busy
  * @n_limited: its limited upstreams
- * @warm_run_time: run time on upstreams that are warm for the object, by kind
- * @cold_run_time: run time on other upstreams, by kind
+ * @least_slowness: that of the fastest upstream that accepts requests
+ * @speed_named_at: when an upstream of it last named a speed
+ * @names_speed: one has lately
+ * @kinds: run times of all tasks of a kind
+ * @classes: run_class_t, those in @kinds first
+ * @counted_at: when what is counted of @classes was reduced last
+ * @n_classes: classes in @classes by kind, besides those in @kinds
  * @max_warm_objects: most objects that one upstream is expected to be warm for
  * @retry_window: requests and retries, for the retry budget
  * @foreign_windows: the same of other holders, as they handed them over
- * @last_retry_at: latest time at which a refused caller was told to retry
+ * @last_retry_at: latest time at which a refused caller was told to retry, where run_class_t
+ * doesn't have it
  * @return_offset: how long after the end of a pause the last caller was told to retry that was
  *   refused in one
  * @pauses_end: when the last of all pauses of its upstreams ends
@@ -204,15 +240,19 @@
   anvil_time_t held_since;
   GPtrArray *upstreams;
   GHashTable *objects;
-  GHashTable *waiting_objects;
+  GHashTable *waiting_queues;
   guint n_waiting;
-  guint n_late;
   guint n_running;
   guint n_slots;
   gdouble usable_slots;
   guint n_limited;
-  estimate_t warm_run_time[ANVIL_ROUTE_UPLOAD + 1];
-  estimate_t cold_run_time[ANVIL_ROUTE_UPLOAD + 1];
+  gdouble least_slowness;
+  anvil_time_t speed_named_at;
+  gboolean names_speed;
+  run_class_t *kinds[ANVIL_ROUTE_UPLOAD + 1];
+  GPtrArray *classes;
+  anvil_time_t counted_at;
+  guint n_classes[ANVIL_ROUTE_UPLOAD + 1];
   guint max_warm_objects;
   anvil_retry_window_t retry_window;
   foreign_window_t foreign_windows[ANVIL_MAX_RETRY_ORIGINS - 1];
@@ -276,6 +316,10 @@
 /* Resets the state of an upstream that has restarted: it is warm for no object. */
 void dispatch_upstream_reset (upstream_t *upstream);
 void dispatch_update_slot_count (service_t *service);
+/* Takes the speed into account that a response names. */
+void dispatch_upstream_set_speed (upstream_t *upstream, anvil_time_t now, guint percent);
+/* Lets the speeds that the upstreams of a service named age. */
+void dispatch_update_speeds (service_t *service, anvil_time_t now);
 /* Ejects or reinstates the upstream, depending on the outcome of a run. */
 void
 dispatch_upstream_record_result (upstream_t *upstream, anvil_time_t now, anvil_run_result_t result);
@@ -284,7 +328,11 @@
 
 /* Finds the object of a task, or creates it. */
 object_t *warmth_get_object (service_t *service, const anvil_task_t *task);
-void warmth_record_request (object_t *object, anvil_route_kind_t kind, anvil_time_t now);
+void warmth_record_request (object_queue_t *queue, anvil_time_t now);
+/* Finds the queue of a class for the object, or creates it. */
+object_queue_t *warmth_get_queue (object_t *object, run_class_t *class);
+/* Removes the queues of a class that has no tasks. */
+void warmth_forget_class (service_t *service, const run_class_t *class);
 warm_entry_t *warmth_find (const upstream_t *upstream, const object_t *object);
 gboolean warmth_is_ready (const upstream_t *upstream, const object_t *object);
 void warmth_record_grant (upstream_t *upstream,
@@ -296,7 +344,9 @@
 void warmth_record_result (task_t *task, anvil_time_t now, const anvil_run_report_t *report);
 /* Takes into account that a run was cancelled after a time: an upstream that never answers, while
  * second runs elsewhere do, would otherwise not count as slow. */
-void warmth_record_cut_run (const task_t *task, anvil_time_t duration);
+void warmth_record_cut_run (const task_t *task, const anvil_run_report_t *report);
+/* Factor by which a run was longer than on a VM with the usual speed. */
+gdouble warmth_run_factor (const task_t *task, const anvil_run_report_t *report);
 void warmth_clear_upstream (upstream_t *upstream);
 void warmth_drop_object_if_unused (object_t *object);
 void warmth_object_free (gpointer data);
@@ -306,11 +356,12 @@
 /* Mean number of slots that the requests for an object occupy on warm upstreams. */
 gdouble warmth_demand (const object_t *object);
 
-/* Expected run time, without network delay: mean of the service, and on one upstream. */
+/* Expected run time, without network delay: of the class, and on one upstream as it is now. */
+anvil_time_t warmth_mean_run_time (const run_class_t *class, gboolean warm);
 anvil_time_t
-warmth_mean_run_time (const service_t *service, anvil_route_kind_t kind, gboolean warm);
-anvil_time_t
-warmth_expected_run_time (const upstream_t *upstream, anvil_route_kind_t kind, gboolean warm);
+warmth_expected_run_time (const upstream_t *upstream, const run_class_t *class, gboolean warm);
+/* When the slot of a running task is expected to be free. */
+anvil_time_t warmth_expected_end (task_t *task, anvil_time_t now);
 
 /* dispatch-limit.c */
 
@@ -389,8 +440,15 @@
  * stop being so while tasks are queued. */
 void waiting_update_backlog (service_t *service);
 
-/* Moves tasks that can no longer finish within their target to the late queue. */
-void waiting_move_late (object_t *object, anvil_time_t now);
+/* Run time of the tasks queued for the upstream that go before a new one, microseconds. */
+gdouble waiting_backlog_us (const upstream_t *upstream, const task_t *task);
+/* The same of all tasks queued for the service; late ones too, or not. */
+gdouble waiting_work_us (const task_t *task, gboolean with_late);
+/* Late tasks that a task would be queued with or behind. */
+guint waiting_count_late (const task_t *task);
+
+/* Moves tasks that can no longer finish within their target to the late ones. */
+void waiting_move_late (object_queue_t *queue, anvil_time_t now);
 
 /* dispatch-refusing.c */
 
--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -136,10 +136,28 @@
   if (upstream->running->len < upstream->record.slots)
     return allowed_at;
   for (guint i = 0; i < upstream->running->len; i++)
-    first = MIN (first, ((task_t *) upstream->running->pdata[i])->expected_end);
+    first = MIN (first, warmth_expected_end (upstream->running->pdata[i], now));
   return MAX (first, allowed_at);
 }
 
+/* When the upstream is expected to be warm for an object: when its first run there ends. */
+static anvil_time_t
+expected_ready_at (const upstream_t *upstream, const warm_entry_t *entry, anvil_time_t now)
+{
+  anvil_time_t first = G_MAXINT64;
+
+  if (entry->ready || entry->ready_at > now || !upstream->service->names_speed)
+    return entry->ready_at;
+  for (guint i = 0; i < upstream->running->len; i++)
+    {
+      task_t *task = upstream->running->pdata[i];
+
+      if (task->object == entry->object)
+        first = MIN (first, warmth_expected_end (task, now));
+    }
+  return first < G_MAXINT64 ? first : entry->ready_at;
+}
+
 placement_t
 placing_estimate (upstream_t *upstream, const task_t *task, anvil_time_t now, gboolean warm)
 {
@@ -148,9 +166,9 @@
   anvil_time_t start = slot_free_at (upstream, now);
 
   if (entry != NULL)
-    start = MAX (start, entry->ready_at);
+    start = MAX (start, expected_ready_at (upstream, entry, now));
   placement.finish = start + placing_network_delay (upstream, task)
-                     + warmth_expected_run_time (upstream, task->request.kind, warm);
+                     + warmth_expected_run_time (upstream, task->class, warm);
   placement.cost = placement.finish + transfer_cost (upstream, task)
                    + (anvil_time_t) (upstream->failure_rate * (gdouble) FAILURE_COST);
   return placement;
@@ -179,9 +197,7 @@
 static anvil_time_t
 backlog_delay (const upstream_t *upstream, const task_t *task)
 {
-  gdouble run_time = (gdouble) warmth_expected_run_time (upstream, task->request.kind, TRUE);
-
-  return (anvil_time_t) (upstream->backlog * run_time / usable_slots (upstream));
+  return (anvil_time_t) (waiting_backlog_us (upstream, task) / usable_slots (upstream));
 }
 
 /* The best of the upstreams that are warm for the object; with @free_slot, of those that can start
@@ -298,10 +314,10 @@
           || (local_only && upstream->region != task->region))
         continue;
       placement = placing_estimate (upstream, task, now, FALSE);
-      placement.cost += tie_break (upstream, task->object)
-                        + (anvil_time_t) (upstream->warm_load / usable_slots (upstream)
-                                          * (gdouble) warmth_expected_run_time (
-                                              upstream, task->request.kind, TRUE));
+      placement.cost
+          += tie_break (upstream, task->object)
+             + (anvil_time_t) (upstream->warm_load / usable_slots (upstream)
+                               * (gdouble) warmth_expected_run_time (upstream, task->class, TRUE));
       if (is_better (&placement, &best))
         best = placement;
     }
--- a/source/steer/dispatch-repeat.c
+++ b/source/steer/dispatch-repeat.c
@@ -208,7 +208,7 @@
       || share_of (task->service->dispatcher, class) <= 0)
     return 0;
   after = (anvil_time_t) ((gdouble) anvil_run_time_estimate_quantile (run_times, LATE_QUANTILE)
-                          * task->upstream->run_time_ratio)
+                          * task->upstream->run_time_ratio * task->upstream->slowness)
           + placing_network_delay (task->upstream, task);
   return task->granted_at + after < request->deadline ? MAX (after, ANVIL_MS) : 0;
 }
@@ -232,7 +232,7 @@
   late_after = anvil_run_time_estimate_quantile (run_times, LATE_QUANTILE);
   return now
          + (anvil_time_t) ((gdouble) anvil_run_time_estimate_remaining (run_times, late_after, 0.5)
-                           * first->run_time_ratio);
+                           * first->run_time_ratio * first->slowness);
 }
 
 static gboolean
@@ -322,7 +322,7 @@
   run_time_us = (gdouble) MAX (report->duration - placing_network_delay (upstream, task), ANVIL_MS);
   anvil_run_time_estimate_add (
       &get_class (service->repeats, task->request.route_class)->run_times[task->warm ? 1 : 0], now,
-      (anvil_time_t) (run_time_us / upstream->run_time_ratio));
+      (anvil_time_t) (run_time_us / warmth_run_factor (task, report) / upstream->run_time_ratio));
   if (report->result == ANVIL_RUN_UNUSED && upstream->registered)
-    warmth_record_cut_run (task, report->duration);
+    warmth_record_cut_run (task, report);
 }
