--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -75,6 +75,21 @@
 }
 END_TEST
 
+START_TEST (test_a_share_of_second_runs_is_parsed)
+{
+  anvil_routes_t *routes = anvil_adapter_parse_routes (
+      anvil_str (DOCUMENT (ROUTE (SPEC ",\"service\":\"s\",\"repeatShare\":0") "," ROUTE (
+          SPEC ",\"service\":\"s\",\"prefix\":\"/y/\"") "," SERVICE)),
+      NULL);
+
+  ck_assert_ptr_nonnull (routes);
+  ck_assert (anvil_routes_at (routes, 0)->has_repeat_share);
+  ck_assert_double_eq (anvil_routes_at (routes, 0)->repeat_share, 0);
+  ck_assert (!anvil_routes_at (routes, 1)->has_repeat_share);
+  anvil_routes_drop (routes);
+}
+END_TEST
+
 START_TEST (test_bad_configurations_are_rejected_with_field_and_reason)
 {
   assert_rejected ("{", "configuration");
@@ -91,6 +106,8 @@
                    "r: kind");
   assert_rejected (DOCUMENT (ROUTE (SPEC ",\"service\":\"s\",\"timeoutMs\":-1") "," SERVICE),
                    "r: timeoutMs");
+  assert_rejected (DOCUMENT (ROUTE (SPEC ",\"service\":\"s\",\"repeatShare\":0.6") "," SERVICE),
+                   "r: repeatShare");
   assert_rejected (DOCUMENT (ROUTE (SPEC ",\"trafficSplit\":[{\"service\":\"s\"}]") "," SERVICE),
                    "weight");
 }
@@ -300,6 +317,11 @@
   ck_assert_int_eq (settings.shutdown_timeout, 6 * ANVIL_SECOND);
   ck_assert_int_eq (settings.resync_time, 3 * ANVIL_SECOND);
   ck_assert_double_eq (settings.limits.retry_extra, 56);
+  ck_assert_double_eq (settings.limits.repeat_share, 0);
+  anvil_relay_settings_clear (&settings);
+  ck_assert (load_settings (SETTINGS (BOUNDS ",\"repeatShare\":0.05", "\"10.200.1.7:8541\""),
+                            &settings, NULL));
+  ck_assert_double_eq (settings.limits.repeat_share, 0.05);
   anvil_relay_settings_clear (&settings);
 }
 END_TEST
@@ -314,6 +336,10 @@
   ck_assert_ptr_nonnull (strstr (error->message, "maxShift"));
   ck_assert_ptr_nonnull (strstr (error->message, "platform: address"));
   g_clear_error (&error);
+  ck_assert (!load_settings (SETTINGS (BOUNDS ",\"repeatShare\":0.6", "\"10.200.1.7:8541\""),
+                             &settings, &error));
+  ck_assert_ptr_nonnull (strstr (error->message, "bounds: repeatShare"));
+  g_clear_error (&error);
   ck_assert (!load_settings ("nothing", &settings, &error));
   g_clear_error (&error);
 }
@@ -329,6 +355,7 @@
 
   tcase_add_test (tests, test_configuration_is_parsed);
   tcase_add_test (tests, test_traffic_split_is_parsed);
+  tcase_add_test (tests, test_a_share_of_second_runs_is_parsed);
   tcase_add_test (tests, test_bad_configurations_are_rejected_with_field_and_reason);
   tcase_add_test (tests, test_upstream_is_parsed);
   tcase_add_test (tests, test_invalid_upstream_rows_are_rejected);
