--- a/source/relay/relay-job-repeat.c
+++ b/source/relay/relay-job-repeat.c
@@ -228,7 +228,8 @@
   repeat->attempt = NULL;
   report (job, &(anvil_run_report_t){ .result = outcome->result,
                                       .duration = outcome->duration,
-                                      .request_limit = outcome->request_limit });
+                                      .request_limit = outcome->request_limit,
+                                      .speed = outcome->speed });
   forget (job);
 }
 
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -319,7 +319,8 @@
                                     job->upstream, job->upstream_id, &outcome->request_limit);
   job_report_run (job, &(anvil_run_report_t){ .result = outcome->result,
                                               .duration = outcome->duration,
-                                              .request_limit = outcome->request_limit });
+                                              .request_limit = outcome->request_limit,
+                                              .speed = outcome->speed });
   if (outcome->result != ANVIL_RUN_ANSWERED)
     {
       job_record_failed_attempt (job, job->upstream_id, job->task.attempt, outcome);
