--- a/Makefile
+++ b/Makefile
@@ -127,6 +127,7 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) benches
 	@$(BUILD)/bench/bench-steer $(BENCH_ARGS)
 	@$(BUILD)/bench/bench-lookup-http
+	@$(BUILD)/bench/bench-repeats
 	@$(BUILD)/bench/bench-uneven
 	@$(BUILD)/bench/bench-quota
 
--- a/source/relay/relay-job-new.c
+++ b/source/relay/relay-job-new.c
@@ -19,6 +19,7 @@
 job_drop (job_t *job)
 {
   event_free (job->timer);
+  job_repeat_drop (job);
   clear_regions (job);
   g_strfreev (job->route_regions);
   g_free (job->tenant);
@@ -48,10 +49,8 @@
   return hash ^ (hash >> 32);
 }
 
-/* All entries hash the same figures of a route to the same value. 0 would mean that they aren't
- * known. */
-static guint64
-class_of (const anvil_route_t *route)
+guint64
+anvil_relay_route_class (const anvil_route_t *route)
 {
   guint64 hash = mix (mix (mix (1, (guint64) route->kind), (guint64) route->target_latency),
                       route->priority);
@@ -90,7 +89,7 @@
     .priority = route->priority,
     .attempt = 1,
     .body_bytes = evbuffer_get_length (request->body),
-    .route_class = class_of (route),
+    .route_class = anvil_relay_route_class (route),
   };
   job_set_times (&job->task, route, request->received_at, request->timeout);
 }
@@ -171,6 +170,7 @@
   job->is_public = route->is_public;
   job->had_tenants = anvil_routes_count_tenants (jobs->routes) > 0;
   job->route_regions = copy_regions (route);
+  job->repeat.excluded_by_route = route->has_repeat_share && route->repeat_share <= 0;
   fill_task (jobs, job, route);
   job_set_tenant (job, tenant_of (jobs, request, route));
   time = anvil_time_to_timeval (job->task.deadline - anvil_clock_now ());
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -82,6 +82,9 @@
  * anvil_relay_caller_callbacks_t */
 const anvil_relay_refusal_t *anvil_relay_jobs_check_head (const anvil_relay_jobs_t *jobs,
                                                           const anvil_relay_request_t *request);
+/** anvil_relay_route_class - hash of the figures of a route that its tasks carry, see anvil_task_t;
+ * the same at all entries, and not 0, which would mean that they aren't known */
+guint64 anvil_relay_route_class (const anvil_route_t *route);
 
 /** anvil_relay_jobs_start - starts a job for a whole request */
 void anvil_relay_jobs_start (anvil_relay_jobs_t *jobs, anvil_relay_request_t *request);
--- a/source/steer/dispatch-warmth.c
+++ b/source/steer/dispatch-warmth.c
@@ -328,6 +328,29 @@
       = CLAMP (upstream->run_time_ratio, MIN_RUN_TIME_RATIO, MAX_RUN_TIME_RATIO);
 }
 
+gdouble
+warmth_run_factor (const task_t *task, const anvil_run_report_t *report)
+{
+  if (report->result == ANVIL_RUN_ANSWERED)
+    return anvil_upstream_speed_run_factor (task->slowness_at_start, report->speed,
+                                            report->duration);
+  return task->slowness_at_start > 0 ? task->slowness_at_start : 1;
+}
+
+void
+warmth_record_cut_run (const task_t *task, const anvil_run_report_t *report)
+{
+  upstream_t *upstream = task->upstream;
+  const gdouble run_time_us = (gdouble) (report->duration - placing_network_delay (upstream, task))
+                              / warmth_run_factor (task, report);
+  const gdouble ratio = run_time_us / class_run_time_us (task->class, task->warm);
+
+  if (ratio > upstream->run_time_ratio)
+    upstream->run_time_ratio = MIN (
+        upstream->run_time_ratio + (ratio - upstream->run_time_ratio) * RUN_TIME_RATIO_WEIGHT,
+        MAX_RUN_TIME_RATIO);
+}
+
 void
 warmth_record_result (task_t *task, anvil_time_t now, const anvil_run_report_t *report)
 {
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "anvil/log.h"
-#include "steer/dispatch-internal.h"
+#include "steer/dispatch-repeat.h"
 
 /* A running task whose end isn't reported is removed this long after its deadline. */
 #define DEADLINE_GRACE (500 * ANVIL_MS)
@@ -52,6 +52,7 @@
   class_clear_service (service);
   g_hash_table_unref (service->shifts);
   fairness_close (service);
+  dispatch_repeats_drop (service->repeats);
   g_free (service);
 }
 
@@ -184,7 +185,8 @@
                                        .address = upstream->record.address,
                                        .port = upstream->record.port,
                                        .started_at = upstream->record.started_at,
-                                       .warm = task->warm };
+                                       .warm = task->warm,
+                                       .repeat_after = dispatch_repeat_after (task) };
 
   dispatcher->callbacks.grant (dispatcher->context, task->request.id, &granted);
 }
@@ -194,7 +196,11 @@
 {
   assign_slot (dispatcher, now, task, upstream, warmth_is_ready (upstream, task->object));
   limit_count_request (upstream, now);
-  class_count_decided (task->class, TRUE);
+  if (!task->request.is_repeat)
+    {
+      dispatch_repeat_count_first (task, now);
+      class_count_decided (task->class, TRUE);
+    }
   notify_grant (dispatcher, task);
 }
 
@@ -207,13 +213,17 @@
 {
   anvil_task_id_t id = task->request.id;
   const service_t *service = task->service;
-  const anvil_task_refusal_info_t refused = { .reason = reason,
-                                              .retry_after = refusing_retry_after (task, now),
-                                              .waiting = service->n_waiting,
-                                              .running = service->n_running,
-                                              .slots = service->n_slots };
-
-  class_count_decided (task->class, FALSE);
+  /* A refused second run isn't a refused caller. */
+  const gboolean is_repeat = task->request.is_repeat;
+  const anvil_task_refusal_info_t refused
+      = { .reason = reason,
+          .retry_after = is_repeat ? 0 : refusing_retry_after (task, now),
+          .waiting = service->n_waiting,
+          .running = service->n_running,
+          .slots = service->n_slots };
+
+  if (!is_repeat)
+    class_count_decided (task->class, FALSE);
   remove_task (dispatcher, task);
   dispatcher->callbacks.refuse (dispatcher->context, id, &refused);
 }
@@ -311,6 +321,19 @@
   refuse (dispatcher, now, victim, ANVIL_TASK_NO_ROOM);
 }
 
+/* Grants a second run a slot that is free, or refuses it: it is never queued. */
+static void
+submit_repeat (anvil_dispatcher_t *dispatcher, anvil_time_t now, task_t *task)
+{
+  anvil_task_refusal_reason_t reason;
+  const placement_t placement = dispatch_repeat_place (task, now, &reason);
+
+  if (placement.upstream != NULL)
+    grant (dispatcher, now, task, placement.upstream);
+  else
+    refuse (dispatcher, now, task, reason);
+}
+
 void
 anvil_dispatcher_submit (anvil_dispatcher_t *dispatcher,
                          anvil_time_t now,
@@ -334,6 +357,11 @@
       refuse (dispatcher, now, task, ANVIL_TASK_NO_UPSTREAM);
       return;
     }
+  if (request->is_repeat)
+    {
+      submit_repeat (dispatcher, now, task);
+      return;
+    }
   if (!dispatch_count_attempt (dispatcher, now, task))
     {
       refuse (dispatcher, now, task, ANVIL_TASK_NO_RETRY);
@@ -414,6 +442,7 @@
 
   if (upstream == NULL)
     return;
+  dispatch_repeat_record_end (task, now, report);
   if (upstream->registered)
     {
       warmth_record_result (task, now, report);
