Derive the run times of classes once for each run, not for each upstream that is looked at

Expected run times of a class change with a run's end, so they are derived then. Whether classes differ is kept. The key of a request isn't looked for where no tenant is configured, as that searched the routes once more for each grant.

--- a/source/relay/relay-job-key.c
+++ b/source/relay/relay-job-key.c
@@ -118,6 +118,9 @@
   const anvil_tenant_t *tenant = NULL;
   const anvil_relay_refusal_t *refusal = NULL;
 
+  /* Spares a search among all routes where nobody needs a key. */
+  if (job->tenant == NULL && anvil_routes_count_tenants (job->jobs->routes) == 0)
+    return NULL;
   if (job_needs_key (job))
     refusal = check_key (job->jobs, job->request, &tenant);
   if (refusal != NULL)
--- a/source/steer/dispatch-class.c
+++ b/source/steer/dispatch-class.c
@@ -30,6 +30,67 @@
 /* Share of the slots that is expected to be left to a class in any case. */
 #define MIN_SHARE_LEFT 0.05
 
+/* Of the class's own runs; 0 before the first. */
+static gdouble
+own_run_time_us (const run_class_t *class, gboolean warm)
+{
+  const run_times_t *times = warm ? &class->warm : &class->cold;
+
+  return class->service->names_speed ? (gdouble) times->median : times->mean.mean_us;
+}
+
+static gdouble
+kind_run_time_us (const run_class_t *kind, gboolean warm)
+{
+  gdouble own = own_run_time_us (kind, warm);
+
+  if (own > 0)
+    return own;
+  return warm ? kind_run_time_us (kind, FALSE) * DEFAULT_WARM_SHARE : DEFAULT_COLD_RUN_TIME;
+}
+
+static gdouble
+expected_run_time_us (const run_class_t *class, gboolean warm)
+{
+  const run_class_t *kind = class->service->kinds[class->kind];
+  gdouble own = own_run_time_us (class, warm);
+  gdouble other = own_run_time_us (class, !warm);
+
+  if (class->service->n_classes[class->kind] <= 1 || class == kind)
+    return kind_run_time_us (kind, warm);
+  if (own > 0)
+    return own;
+  /* Until then, warm and cold runs are taken to differ as they do for the kind. */
+  if (other > 0)
+    return other * kind_run_time_us (kind, warm) / kind_run_time_us (kind, !warm);
+  return kind_run_time_us (kind, warm);
+}
+
+static void
+refresh_kind (service_t *service, anvil_route_kind_t kind)
+{
+  for (guint i = 0; i < service->classes->len; i++)
+    {
+      run_class_t *class = service->classes->pdata[i];
+
+      if (class->kind != kind)
+        continue;
+      class->run_time_us[0] = expected_run_time_us (class, FALSE);
+      class->run_time_us[1] = expected_run_time_us (class, TRUE);
+    }
+}
+
+void
+class_refresh (service_t *service)
+{
+  service->classes_differ = FALSE;
+  for (guint kind = 0; kind < G_N_ELEMENTS (service->n_classes); kind++)
+    {
+      service->classes_differ |= service->n_classes[kind] > 1;
+      refresh_kind (service, kind);
+    }
+}
+
 static run_class_t *
 class_new (service_t *service, anvil_route_kind_t kind, guint64 hash)
 {
@@ -51,6 +112,7 @@
       service->kinds[kind] = class_new (service, kind, 0);
       g_ptr_array_add (service->classes, service->kinds[kind]);
     }
+  class_refresh (service);
 }
 
 void
@@ -82,6 +144,7 @@
   class->used_at = now;
   g_ptr_array_add (service->classes, class);
   service->n_classes[task->kind]++;
+  class_refresh (service);
   return class;
 }
 
@@ -147,6 +210,7 @@
       service->n_granted -= class->n_granted;
       service->n_classes[class->kind]--;
       g_ptr_array_remove_index_fast (service->classes, i - 1);
+      class_refresh (service);
     }
   for (guint i = 0; i < service->classes->len; i++)
     {
@@ -159,12 +223,7 @@
 gboolean
 class_differs_in_service (const service_t *service)
 {
-  for (guint kind = 0; kind < G_N_ELEMENTS (service->n_classes); kind++)
-    {
-      if (service->n_classes[kind] > 1)
-        return TRUE;
-    }
-  return FALSE;
+  return service->classes_differ;
 }
 
 void
@@ -219,15 +278,7 @@
   add_run_time (warm ? &class->warm : &class->cold, now, run_time_us);
   if (kind != class)
     add_run_time (warm ? &kind->warm : &kind->cold, now, run_time_us);
-}
-
-/* Of the class's own runs; 0 before the first. */
-static gdouble
-own_run_time_us (const run_class_t *class, gboolean warm)
-{
-  const run_times_t *times = warm ? &class->warm : &class->cold;
-
-  return class->service->names_speed ? (gdouble) times->median : times->mean.mean_us;
+  refresh_kind (class->service, class->kind);
 }
 
 /* Run times of the class, or of its kind where all tasks of that are of one class or the class has
@@ -257,37 +308,19 @@
   return anvil_run_time_estimate_remaining (&run_times_of (class, warm)->histogram, elapsed, 0.5);
 }
 
-static gdouble
-kind_run_time_us (const run_class_t *kind, gboolean warm)
-{
-  gdouble own = own_run_time_us (kind, warm);
-
-  if (own > 0)
-    return own;
-  return warm ? kind_run_time_us (kind, FALSE) * DEFAULT_WARM_SHARE : DEFAULT_COLD_RUN_TIME;
-}
-
 gdouble
 class_run_time_us (const run_class_t *class, gboolean warm)
 {
-  const run_class_t *kind = class->service->kinds[class->kind];
-  gdouble own = own_run_time_us (class, warm);
-  gdouble other = own_run_time_us (class, !warm);
-
-  if (class->service->n_classes[class->kind] <= 1 || class == kind)
-    return kind_run_time_us (kind, warm);
-  if (own > 0)
-    return own;
-  /* Until then, warm and cold runs are taken to differ as they do for the kind. */
-  if (other > 0)
-    return other * kind_run_time_us (kind, warm) / kind_run_time_us (kind, !warm);
-  return kind_run_time_us (kind, warm);
+  return class->run_time_us[warm ? 1 : 0];
 }
 
 gdouble
 class_work_us (const run_class_t *class)
 {
-  gdouble mean_us = run_times_of (class, TRUE)->mean.mean_us;
+  gdouble mean_us;
 
-  return class->service->names_speed && mean_us > 0 ? mean_us : class_run_time_us (class, TRUE);
+  if (!class->service->names_speed)
+    return class->run_time_us[1];
+  mean_us = run_times_of (class, TRUE)->mean.mean_us;
+  return mean_us > 0 ? mean_us : class->run_time_us[1];
 }
--- a/source/steer/dispatch-class.h
+++ b/source/steer/dispatch-class.h
@@ -47,6 +47,7 @@
  * @priority: that of the class's routes, 0 is the most urgent
  * @warm: run times on upstreams that are warm for the object
  * @cold: run times on other upstreams
+ * @run_time_us: see class_run_time_us(); by whether the upstream is warm
  * @n_tasks: its tasks, queued or running
  * @n_waiting: queued tasks
  * @n_late: queued tasks that can no longer finish within their target, or aren't expected to
@@ -66,6 +67,7 @@
   guint priority;
   run_times_t warm;
   run_times_t cold;
+  gdouble run_time_us[2];
   guint n_tasks;
   guint n_waiting;
   guint n_late;
@@ -86,6 +88,9 @@
 run_class_t *class_get (service_t *service, const anvil_task_t *task, anvil_time_t now);
 /* Reduces what was counted lately, and removes classes that no request was of for a long time. */
 void class_update (service_t *service, anvil_time_t now);
+/* Derives the expected run times of all classes again; call it when the service's upstreams begin
+ * or cease to name their speed. */
+void class_refresh (service_t *service);
 /* Whether tasks of some kind are of more than one class. */
 gboolean class_differs_in_service (const service_t *service);
 
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -273,6 +273,7 @@
  * @n_decided: tasks of all classes that were granted or refused lately
  * @n_granted: those of them that were granted
  * @n_classes: classes in @classes by kind, besides those in @kinds
+ * @classes_differ: see class_differs_in_service()
  * @max_warm_objects: most objects that one upstream is expected to be warm for
  * @retry_window: requests and retries, for the retry budget
  * @foreign_windows: the same of other holders, as they handed them over
@@ -310,6 +311,7 @@
   gdouble n_decided;
   gdouble n_granted;
   guint n_classes[ANVIL_ROUTE_UPLOAD + 1];
+  gboolean classes_differ;
   guint max_warm_objects;
   anvil_retry_window_t retry_window;
   foreign_window_t foreign_windows[ANVIL_MAX_RETRY_ORIGINS - 1];
--- a/source/steer/dispatch-limit.c
+++ b/source/steer/dispatch-limit.c
@@ -83,9 +83,10 @@
 limit_usable_slots (const upstream_t *upstream)
 {
   gdouble run_time_us = upstream->run_time.mean_us;
+  gdouble slots = upstream->record.slots;
 
-  gdouble slots = upstream->record.slots / MAX (upstream->slowness, 1);
-
+  if (upstream->slowness > 1)
+    slots /= upstream->slowness;
   if (!upstream->is_limited)
     return slots;
   if (run_time_us <= 0)
--- a/source/steer/dispatch-upstream.c
+++ b/source/steer/dispatch-upstream.c
@@ -131,11 +131,13 @@
     return;
   anvil_upstream_speed_set (&upstream->speed, now, percent);
   upstream->slowness = anvil_upstream_speed_factor (&upstream->speed, now);
-  if (!service->names_speed)
-    anvil_log (ANVIL_LOG_NOTICE, "dispatch", "upstreams name the speed of their VMs service=%s",
-               service->name);
   service->speed_named_at = now;
+  if (service->names_speed)
+    return;
+  anvil_log (ANVIL_LOG_NOTICE, "dispatch", "upstreams name the speed of their VMs service=%s",
+             service->name);
   service->names_speed = TRUE;
+  class_refresh (service);
 }
 
 void
@@ -150,6 +152,8 @@
       upstream->slowness = anvil_upstream_speed_factor (&upstream->speed, now);
     }
   service->names_speed = now - service->speed_named_at < SPEED_RETENTION;
+  if (!service->names_speed)
+    class_refresh (service);
   dispatch_update_slot_count (service);
 }
 
