Compare the demand for an object with its upstreams every 10 ms, not for each free slot

Under load each free slot is compared with each queued object, and most of the holder's time went to the question whether that object needs one more upstream. The answer is kept for 10 ms, until an upstream becomes warm for the object or ceases to be.

--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -117,6 +117,8 @@
  * @no_affinity: stands for all requests of one priority, and tenant, that are not about an object;
  *   no upstream is faster on them
  * @queues: object_queue_t, its requests by class
+ * @needs_more: whether further upstreams should become warm for it, as of @needs_more_at; 0 if that
+ *   has to be derived again
  * @n_tasks: its tasks, queued or running
  */
 struct object
@@ -127,6 +129,8 @@
   gboolean no_affinity;
   GPtrArray *queues;
   guint n_tasks;
+  gboolean needs_more;
+  anvil_time_t needs_more_at;
 };
 
 /**
--- a/source/steer/dispatch-placing.c
+++ b/source/steer/dispatch-placing.c
@@ -28,6 +28,9 @@
 /* Share of an upstream's slots that the demand for one object may occupy before another upstream
  * becomes warm for it. */
 #define MAX_OBJECT_SHARE 0.5
+/* The demand for an object is compared with its upstreams again after this time: under load the
+ * question comes up for each free slot and each queued object. */
+#define DEMAND_INTERVAL (10 * ANVIL_MS)
 /* Share of a service's slots that must be idle for cold runs beyond the demand for an object. */
 #define MIN_IDLE_SHARE 0.2
 /* Cost of a run that is sure to fail, so that failing upstreams are chosen last. */
@@ -253,13 +256,18 @@
 
 /* Whether the demand for an object exceeds what the upstreams that are warm for it should take. */
 static gboolean
-needs_more_upstreams (const object_t *object)
+needs_more_upstreams (object_t *object, anvil_time_t now)
 {
   gdouble slots = 0;
 
+  if (object->needs_more_at > 0 && now - object->needs_more_at < DEMAND_INTERVAL)
+    return object->needs_more;
   for (guint i = 0; i < object->upstreams->len; i++)
     slots += limit_usable_slots (object->upstreams->pdata[i]);
-  return object->upstreams->len == 0 || warmth_demand (object) >= MAX_OBJECT_SHARE * slots;
+  object->needs_more
+      = object->upstreams->len == 0 || warmth_demand (object) >= MAX_OBJECT_SHARE * slots;
+  object->needs_more_at = now;
+  return object->needs_more;
 }
 
 /* Whether the upstreams that are warm for the task's object, of those that it may use, all pause
@@ -291,7 +299,7 @@
   const service_t *service = task->service;
   gdouble idle = service->usable_slots - service->n_running;
 
-  return needs_more_upstreams (task->object) || idle > MIN_IDLE_SHARE * service->usable_slots
+  return needs_more_upstreams (task->object, now) || idle > MIN_IDLE_SHARE * service->usable_slots
          || warm_upstreams_pause (task, now);
 }
 
--- a/source/steer/dispatch-warmth.c
+++ b/source/steer/dispatch-warmth.c
@@ -187,6 +187,7 @@
 
   g_array_remove_index_fast (upstream->warm_entries, index);
   g_ptr_array_remove_fast (object->upstreams, upstream);
+  object->needs_more_at = 0;
   warmth_drop_object_if_unused (object);
 }
 
@@ -223,6 +224,7 @@
     }
   /* Before the eviction, which frees objects that have no upstream and no tasks. */
   g_ptr_array_add (object->upstreams, upstream);
+  object->needs_more_at = 0;
   if (upstream->warm_entries->len >= MIN (upstream->service->max_warm_objects, MAX_WARM_OBJECTS))
     evict_oldest (upstream);
   g_array_append_val (upstream->warm_entries, added);
