Count routes of a few requests with their kind

Routes that are only probed made a service differ by class, so that all its tasks were ordered and refused by class.

--- a/source/steer/dispatch-class.c
+++ b/source/steer/dispatch-class.c
@@ -17,6 +17,8 @@
 /* Most classes of a service; configurations have a few for each. Tasks of further ones are
  * estimated by their kind. */
 #define MAX_CLASSES 64
+/* Routes with fewer requests, such as those that are only probed, don't make a service differ. */
+#define MIN_CLASS_TASKS 20
 /* A class without requests for this long is most likely of a route that isn't configured any more.
  */
 #define CLASS_RETENTION (600 * ANVIL_SECOND)
@@ -121,6 +123,26 @@
   g_ptr_array_unref (service->classes);
 }
 
+static gboolean
+is_admitted (const run_class_t *class)
+{
+  return class->n_submitted >= MIN_CLASS_TASKS;
+}
+
+/* Counts a task; FALSE while the class has had so few that they count with their kind. */
+static gboolean
+admit (run_class_t *class)
+{
+  if (is_admitted (class))
+    return TRUE;
+  class->n_submitted++;
+  if (!is_admitted (class))
+    return FALSE;
+  class->service->n_classes[class->kind]++;
+  class_refresh (class->service);
+  return TRUE;
+}
+
 run_class_t *
 class_get (service_t *service, const anvil_task_t *task, anvil_time_t now)
 {
@@ -135,7 +157,7 @@
       if (other->hash != task->route_class || other->kind != task->kind)
         continue;
       other->used_at = now;
-      return other;
+      return admit (other) ? other : class;
     }
   if (service->classes->len >= MAX_CLASSES)
     return class;
@@ -143,9 +165,7 @@
   class->priority = task->priority;
   class->used_at = now;
   g_ptr_array_add (service->classes, class);
-  service->n_classes[task->kind]++;
-  class_refresh (service);
-  return class;
+  return admit (class) ? class : service->kinds[task->kind];
 }
 
 static void
@@ -208,7 +228,7 @@
       warmth_forget_class (service, class);
       service->n_decided -= class->n_decided;
       service->n_granted -= class->n_granted;
-      service->n_classes[class->kind]--;
+      service->n_classes[class->kind] -= is_admitted (class) ? 1 : 0;
       g_ptr_array_remove_index_fast (service->classes, i - 1);
       class_refresh (service);
     }
--- a/source/steer/dispatch-class.h
+++ b/source/steer/dispatch-class.h
@@ -48,6 +48,7 @@
  * @warm: run times on upstreams that are warm for the object
  * @cold: run times on other upstreams
  * @run_time_us: see class_run_time_us(); by whether the upstream is warm
+ * @n_submitted: its first tasks; from some number on it counts as a class of its own
  * @n_tasks: its tasks, queued or running
  * @n_waiting: queued tasks
  * @n_late: queued tasks that can no longer finish within their target, or aren't expected to
@@ -68,6 +69,7 @@
   run_times_t warm;
   run_times_t cold;
   gdouble run_time_us[2];
+  guint n_submitted;
   guint n_tasks;
   guint n_waiting;
   guint n_late;
