Hash ids of tasks in one place, and find a forwarded run by its id

The hash and comparison of a task's id stood in the dispatcher, in the quota's table of waiting tasks and in the table of forwarded requests. They are anvil_task_id_hash() and anvil_task_id_equal() now, and the runs of forwarded requests are a table by id, so that a cancellation no longer walks through all of them.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -77,6 +77,12 @@
   guint64 number;
 } anvil_task_id_t;
 
+/** anvil_task_id_hash - hash of an anvil_task_id_t, for tables by id */
+guint anvil_task_id_hash (gconstpointer id);
+
+/** anvil_task_id_equal - whether two anvil_task_id_t are the same */
+gboolean anvil_task_id_equal (gconstpointer a, gconstpointer b);
+
 /**
  * anvil_task_t - a request that needs a slot
  * @service: name of the service; borrowed
--- a/source/relay/relay-forward.c
+++ b/source/relay/relay-forward.c
@@ -17,7 +17,7 @@
   anvil_relay_jobs_t *jobs;
   const anvil_registry_t *registry;
   anvil_metrics_t *metrics;
-  /* Set of run_t. */
+  /* run_t by id of its task. */
   GHashTable *runs;
 };
 
@@ -58,14 +58,14 @@
   forwards->jobs = jobs;
   forwards->registry = registry;
   forwards->metrics = metrics;
-  forwards->runs = g_hash_table_new (NULL, NULL);
+  forwards->runs = g_hash_table_new (anvil_task_id_hash, anvil_task_id_equal);
   return forwards;
 }
 
 static void
 run_drop (run_t *run)
 {
-  g_hash_table_remove (run->forwards->runs, run);
+  g_hash_table_remove (run->forwards->runs, &run->id);
   event_free (run->timer);
   g_free (run->method);
   g_free (run->target);
@@ -83,7 +83,7 @@
 
   if (forwards == NULL)
     return;
-  runs = g_hash_table_get_keys (forwards->runs);
+  runs = g_hash_table_get_values (forwards->runs);
   for (GList *link = runs; link != NULL; link = link->next)
     {
       run_t *run = link->data;
@@ -210,7 +210,7 @@
   run->upstream_id = anvil_str_dup (grant->upstream_id);
   run->started_at = grant->started_at;
   run->timer = evtimer_new (forwards->base, on_deadline, run);
-  g_hash_table_add (forwards->runs, run);
+  g_hash_table_insert (forwards->runs, &run->id, run);
   return run;
 }
 
@@ -269,18 +269,10 @@
 void
 anvil_relay_forwards_cancelled (anvil_relay_forwards_t *forwards, anvil_task_id_t id)
 {
-  GHashTableIter iter;
-  gpointer key;
+  run_t *run = g_hash_table_lookup (forwards->runs, &id);
 
-  g_hash_table_iter_init (&iter, forwards->runs);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      run_t *run = key;
-
-      if (run->id.requester != id.requester || run->id.number != id.number)
-        continue;
-      anvil_relay_attempt_cancel (run->attempt);
-      run_drop (run);
-      return;
-    }
+  if (run == NULL)
+    return;
+  anvil_relay_attempt_cancel (run->attempt);
+  run_drop (run);
 }
--- a/source/relay/slot-broker-forward.c
+++ b/source/relay/slot-broker-forward.c
@@ -10,23 +10,6 @@
  * request itself. */
 #define MAX_QUEUED_BYTES (64u << 10)
 
-static guint
-task_id_hash (gconstpointer data)
-{
-  const anvil_task_id_t *id = data;
-
-  return g_int64_hash (&id->number) ^ g_int64_hash (&id->requester);
-}
-
-static gboolean
-task_id_equal (gconstpointer a, gconstpointer b)
-{
-  const anvil_task_id_t *x = a;
-  const anvil_task_id_t *y = b;
-
-  return x->requester == y->requester && x->number == y->number;
-}
-
 static void
 forwarded_drop (gpointer data)
 {
@@ -40,7 +23,7 @@
 GHashTable *
 broker_forwarded_table_new (void)
 {
-  return g_hash_table_new_full (task_id_hash, task_id_equal, NULL, forwarded_drop);
+  return g_hash_table_new_full (anvil_task_id_hash, anvil_task_id_equal, NULL, forwarded_drop);
 }
 
 static forwarded_t *
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -14,8 +14,8 @@
 /* Round trip between regions before it is set: typical of neighbouring countries. */
 #define DEFAULT_REGION_RTT (50 * ANVIL_MS)
 
-static guint
-task_id_hash (gconstpointer data)
+guint
+anvil_task_id_hash (gconstpointer data)
 {
   const anvil_task_id_t *id = data;
   guint64 mixed = (id->number ^ (id->requester << 1)) * G_GUINT64_CONSTANT (0x9E3779B97F4A7C15);
@@ -23,8 +23,8 @@
   return (guint) (mixed >> 32);
 }
 
-static gboolean
-task_id_equal (gconstpointer a, gconstpointer b)
+gboolean
+anvil_task_id_equal (gconstpointer a, gconstpointer b)
 {
   const anvil_task_id_t *x = a;
   const anvil_task_id_t *y = b;
@@ -70,7 +70,8 @@
   dispatcher->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   dispatcher->upstreams
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, dispatch_upstream_free);
-  dispatcher->tasks = g_hash_table_new_full (task_id_hash, task_id_equal, NULL, task_free);
+  dispatcher->tasks
+      = g_hash_table_new_full (anvil_task_id_hash, anvil_task_id_equal, NULL, task_free);
   dispatcher->name_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return dispatcher;
 }
--- a/source/steer/quota-loan-internal.h
+++ b/source/steer/quota-loan-internal.h
@@ -103,8 +103,6 @@
 
 /* quota-waiting.c */
 
-guint quota_task_id_hash (gconstpointer data);
-gboolean quota_task_id_equal (gconstpointer a, gconstpointer b);
 void
 quota_waiting_add (anvil_quota_loans_t *loans, quota_tenant_t *tenant, const anvil_task_t *task);
 void quota_waiting_free (gpointer data);
--- a/source/steer/quota-loan.c
+++ b/source/steer/quota-loan.c
@@ -30,9 +30,9 @@
   loans->context = context;
   loans->tenants = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, tenant_free);
   loans->waiting
-      = g_hash_table_new_full (quota_task_id_hash, quota_task_id_equal, NULL, quota_waiting_free);
+      = g_hash_table_new_full (anvil_task_id_hash, anvil_task_id_equal, NULL, quota_waiting_free);
   loans->with_waiting = g_hash_table_new (NULL, NULL);
-  loans->paid = g_hash_table_new_full (quota_task_id_hash, quota_task_id_equal, NULL, g_free);
+  loans->paid = g_hash_table_new_full (anvil_task_id_hash, anvil_task_id_equal, NULL, g_free);
   return loans;
 }
 
--- a/source/steer/quota-waiting.c
+++ b/source/steer/quota-waiting.c
@@ -2,24 +2,6 @@
 
 #include "steer/quota-loan-internal.h"
 
-guint
-quota_task_id_hash (gconstpointer data)
-{
-  const anvil_task_id_t *id = data;
-  guint64 mixed = (id->number ^ (id->requester << 1)) * G_GUINT64_CONSTANT (0x9E3779B97F4A7C15);
-
-  return (guint) (mixed >> 32);
-}
-
-gboolean
-quota_task_id_equal (gconstpointer a, gconstpointer b)
-{
-  const anvil_task_id_t *x = a;
-  const anvil_task_id_t *y = b;
-
-  return x->number == y->number && x->requester == y->requester;
-}
-
 void
 quota_waiting_free (gpointer data)
 {
