Read messages of entries with one reader

forward-codec.c had its own copy of the msgpack reader and packing functions of relay-message.c. The bytes on the wire and what is refused stay as they were.

--- a/source/relay/forward-codec.c
+++ b/source/relay/forward-codec.c
@@ -4,37 +4,24 @@
 #include <string.h>
 
 #include "net/message-check.h"
+#include "relay/message-reader.h"
 
 /* Memory for the msgpack objects of one message. */
 #define ZONE_CHUNK_BYTES 1024
 #define MAX_STATUS 999
 
-static int
-append (void *data, const char *bytes, size_t length)
-{
-  g_byte_array_append (data, (const guint8 *) bytes, (guint) length);
-  return 0;
-}
-
-static void
-pack_bytes (msgpack_packer *packer, anvil_str_t bytes)
-{
-  msgpack_pack_bin (packer, bytes.length);
-  msgpack_pack_bin_body (packer, bytes.data, bytes.length);
-}
-
 void
 anvil_forwarded_request_pack (const anvil_forwarded_request_t *request, GByteArray *out)
 {
   msgpack_packer packer;
 
-  msgpack_packer_init (&packer, out, append);
+  msgpack_packer_init (&packer, out, anvil_message_append);
   msgpack_pack_array (&packer, 5);
-  pack_bytes (&packer, request->method);
-  pack_bytes (&packer, request->target);
-  pack_bytes (&packer, request->id);
-  pack_bytes (&packer, request->headers);
-  pack_bytes (&packer, request->body);
+  anvil_message_pack_bytes (&packer, request->method);
+  anvil_message_pack_bytes (&packer, request->target);
+  anvil_message_pack_bytes (&packer, request->id);
+  anvil_message_pack_bytes (&packer, request->headers);
+  anvil_message_pack_bytes (&packer, request->body);
 }
 
 void
@@ -42,79 +29,32 @@
 {
   msgpack_packer packer;
 
-  msgpack_packer_init (&packer, out, append);
+  msgpack_packer_init (&packer, out, anvil_message_append);
   msgpack_pack_array (&packer, 11);
   msgpack_pack_uint64 (&packer, response->result);
   msgpack_pack_uint64 (&packer, response->status);
   msgpack_pack_uint64 (&packer, response->upstream);
-  pack_bytes (&packer, response->upstream_id);
+  anvil_message_pack_bytes (&packer, response->upstream_id);
   msgpack_pack_uint64 (&packer, (guint64) response->started_at);
   msgpack_pack_uint64 (&packer, (guint64) response->duration);
   msgpack_pack_uint64 (&packer, response->announcement.leaving);
   msgpack_pack_uint64 (&packer, (guint64) response->announcement.pause);
-  pack_bytes (&packer, response->reason);
-  pack_bytes (&packer, response->headers);
-  pack_bytes (&packer, response->body);
-}
-
-/**
- * reader_t - reads the items of an array in order
- * @valid: FALSE once an item was missing or of another type
- */
-typedef struct
-{
-  const msgpack_object_array *array;
-  guint next;
-  gboolean valid;
-} reader_t;
-
-static const msgpack_object *
-read_item (reader_t *reader, msgpack_object_type type)
-{
-  const msgpack_object *object;
-
-  if (!reader->valid || reader->next >= reader->array->size)
-    {
-      reader->valid = FALSE;
-      return NULL;
-    }
-  object = &reader->array->ptr[reader->next++];
-  if (object->type == type)
-    return object;
-  reader->valid = FALSE;
-  return NULL;
-}
-
-static guint64
-read_number (reader_t *reader, guint64 max)
-{
-  const msgpack_object *object = read_item (reader, MSGPACK_OBJECT_POSITIVE_INTEGER);
-
-  if (object == NULL)
-    return 0;
-  if (object->via.u64 <= max)
-    return object->via.u64;
-  reader->valid = FALSE;
-  return 0;
-}
-
-static anvil_str_t
-read_bytes (reader_t *reader)
-{
-  const msgpack_object *object = read_item (reader, MSGPACK_OBJECT_BIN);
-
-  if (object == NULL)
-    return (anvil_str_t){ 0 };
-  return (anvil_str_t){ .data = object->via.bin.ptr, .length = object->via.bin.size };
+  anvil_message_pack_bytes (&packer, response->reason);
+  anvil_message_pack_bytes (&packer, response->headers);
+  anvil_message_pack_bytes (&packer, response->body);
 }
 
 /* Calls @read with the items of a message, whose bytes outlive the objects that describe them. */
 static gboolean
-unpack (anvil_str_t bytes, void (*read) (reader_t *reader, gpointer result), gpointer result)
+unpack (anvil_str_t bytes,
+        void (*read) (anvil_message_reader_t *reader, gpointer result),
+        gpointer result)
 {
   msgpack_zone zone;
   msgpack_object root;
-  reader_t reader = { 0 };
+  const char *bad_field = NULL;
+  anvil_message_reader_t reader = { .bad_field = &bad_field };
+  gboolean valid = FALSE;
 
   if (!msgpack_zone_init (&zone, ZONE_CHUNK_BYTES))
     g_error ("out of memory");
@@ -123,23 +63,24 @@
       && msgpack_unpack (bytes.data, bytes.length, NULL, &zone, &root) == MSGPACK_UNPACK_SUCCESS
       && root.type == MSGPACK_OBJECT_ARRAY)
     {
-      reader = (reader_t){ .array = &root.via.array, .valid = TRUE };
+      reader.array = &root.via.array;
       read (&reader, result);
+      valid = bad_field == NULL;
     }
   msgpack_zone_destroy (&zone);
-  return reader.valid;
+  return valid;
 }
 
 static void
-read_request (reader_t *reader, gpointer result)
+read_request (anvil_message_reader_t *reader, gpointer result)
 {
   anvil_forwarded_request_t *request = result;
 
-  request->method = read_bytes (reader);
-  request->target = read_bytes (reader);
-  request->id = read_bytes (reader);
-  request->headers = read_bytes (reader);
-  request->body = read_bytes (reader);
+  request->method = anvil_message_read_bytes (reader, "method");
+  request->target = anvil_message_read_bytes (reader, "target");
+  request->id = anvil_message_read_bytes (reader, "id");
+  request->headers = anvil_message_read_bytes (reader, "headers");
+  request->body = anvil_message_read_bytes (reader, "body");
 }
 
 gboolean
@@ -150,21 +91,23 @@
 }
 
 static void
-read_response (reader_t *reader, gpointer result)
+read_response (anvil_message_reader_t *reader, gpointer result)
 {
   anvil_forwarded_response_t *response = result;
 
-  response->result = (anvil_run_result_t) read_number (reader, ANVIL_RUN_UNUSED);
-  response->status = (guint) read_number (reader, MAX_STATUS);
-  response->upstream = read_number (reader, G_MAXUINT64);
-  response->upstream_id = read_bytes (reader);
-  response->started_at = (gint64) read_number (reader, G_MAXINT64);
-  response->duration = (anvil_time_t) read_number (reader, G_MAXINT64);
-  response->announcement.leaving = read_number (reader, 1) != 0;
-  response->announcement.pause = (anvil_time_t) read_number (reader, ANVIL_MAX_PAUSE);
-  response->reason = read_bytes (reader);
-  response->headers = read_bytes (reader);
-  response->body = read_bytes (reader);
+  response->result
+      = (anvil_run_result_t) anvil_message_read_number (reader, "result", ANVIL_RUN_UNUSED);
+  response->status = (guint) anvil_message_read_number (reader, "status", MAX_STATUS);
+  response->upstream = anvil_message_read_number (reader, "upstream", G_MAXUINT64);
+  response->upstream_id = anvil_message_read_bytes (reader, "upstream_id");
+  response->started_at = (gint64) anvil_message_read_number (reader, "started_at", G_MAXINT64);
+  response->duration = (anvil_time_t) anvil_message_read_number (reader, "duration", G_MAXINT64);
+  response->announcement.leaving = anvil_message_read_number (reader, "leaving", 1) != 0;
+  response->announcement.pause
+      = (anvil_time_t) anvil_message_read_number (reader, "pause", ANVIL_MAX_PAUSE);
+  response->reason = anvil_message_read_bytes (reader, "reason");
+  response->headers = anvil_message_read_bytes (reader, "headers");
+  response->body = anvil_message_read_bytes (reader, "body");
 }
 
 gboolean
