--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,7 +3,7 @@
 # by removing their entries: does a machine send to such a server later than it may?
 # Exit status: 1 rule broken, 0 held, 2 could not run. TROUBLE=0 leaves out the drill.
 CASE=$(cd "$(dirname "$0")" && pwd)
-. "$CASE/../kit-2/kit.sh"
+. "$CASE/kit.sh"
 
 DRAIN_MS=3000
 # The drill: how long the store is away, how old its copy is.
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,7 +3,7 @@
 # servers, then the one that grants the slots. Is a request broken off that its server is at work on?
 # Exit status: 1 rule broken, 0 held, 2 could not run. TROUBLE=0 stops neither.
 CASE=$(cd "$(dirname "$0")" && pwd)
-. "$CASE/../kit-2/kit.sh"
+. "$CASE/kit.sh"
 
 GAP_MS=1000
 WORK_MS=1500
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,7 +3,7 @@
 # started again. Then another entry is added: do two of them grant a tenant's quota at the same time?
 # Exit status: 1 rule broken, 0 held, 2 could not run. TROUBLE=0: the removal isn't late.
 CASE=$(cd "$(dirname "$0")" && pwd)
-. "$CASE/../kit-2/kit.sh"
+. "$CASE/kit.sh"
 
 # How late the store performs the call.
 LATE_MS=5000
