Take a removal after a restore of the store for a departure at every entry

Cause: for 10 s after a restore a row that is gone may only be missing from the copy. A removal was taken for a departure only if the row had been read since. A region's reader reads every row, but sends the others only rows that change something; heartbeats change nothing, so at the others each removal was deferred until the 10 s were over. The digest leaves out what is to be removed, so the difference wasn't noticed.

Change: what the store says was removed was in the store, so it is no row that the copy lacks. The update log tells missing rows from removed ones, and the updates that lead from one era to the next confirm all rows that they don't name as missing, which also covers an entry that later reads the whole table or becomes the reader. Where only the copy's older row was seen, a removal counts 2.2 s after the return, as that row may expire first. Entries of older versions read both kinds as removed; what they send counts as missing, as before.

--- a/include/anvil/registry.h
+++ b/include/anvil/registry.h
@@ -108,7 +108,7 @@
                                const anvil_upstream_report_t *report);
 
 /**
- * anvil_registry_remove - removes an upstream whose row is gone or invalid
+ * anvil_registry_remove - removes an upstream whose row was removed in the store, or is invalid
  *
  * Takes effect at once, unless the store was unreachable until recently: rows of
  * live upstreams then have expired too and are written again. In that case the
@@ -119,6 +119,16 @@
  */
 gboolean anvil_registry_remove (anvil_registry_t *registry, anvil_time_t now, anvil_str_t id);
 
+/**
+ * anvil_registry_row_missing - like anvil_registry_remove(), for a row that isn't in the table
+ *
+ * The store may also have lost it, see anvil_registry_begin_era().
+ */
+gboolean anvil_registry_row_missing (anvil_registry_t *registry, anvil_time_t now, anvil_str_t id);
+
+/** anvil_registry_count_deferred - upstreams whose rows are gone and that stay for now */
+guint anvil_registry_count_deferred (const anvil_registry_t *registry);
+
 /* How long after the store has recovered a row that expired meanwhile may be missing. The
  * platform's contract says about two seconds; upstreams report about once a second. */
 #define ANVIL_REGISTRY_REMOVAL_GRACE (2200 * ANVIL_MS)
@@ -127,11 +137,19 @@
  * anvil_registry_begin_era - the store has come back from an older copy
  *
  * For ANVIL_STORE_RETURN_TIME from @now on, a missing row is no departure, also if it drained,
- * unless the row was read in the new era with a later report of its process. From then on, reports
- * that are older than the known one of the same process are ignored.
+ * unless it was in the store in the new era. The removal of a row that was, but with no later
+ * report of its process, counts ANVIL_REGISTRY_REMOVAL_GRACE after @now: the copy's row may have
+ * expired. From then on, reports that are older than the known one of the same process are ignored.
  */
 void anvil_registry_begin_era (anvil_registry_t *registry, anvil_time_t now);
 
+/**
+ * anvil_registry_confirm_rows - all rows that aren't known to be missing are in the store
+ *
+ * For an entry that isn't sent the rows that haven't changed.
+ */
+void anvil_registry_confirm_rows (anvil_registry_t *registry);
+
 /** anvil_registry_begin_snapshot - starts applying all rows of a complete read */
 void anvil_registry_begin_snapshot (anvil_registry_t *registry);
 
--- a/include/anvil/store.h
+++ b/include/anvil/store.h
@@ -27,13 +27,16 @@
  * anvil_store_row_t - a row, or the tombstone of a removed row
  * @key: key in the table
  * @value: content
- * @removed: the row was removed; @value is empty
+ * @removed: the row was removed, or is @missing; @value is empty
+ * @missing: the row isn't in the table as it was read after the store had come back from an older
+ *   copy, so it may have been lost instead of removed
  */
 typedef struct
 {
   anvil_str_t key;
   anvil_str_t value;
   gboolean removed;
+  gboolean missing;
 } anvil_store_row_t;
 
 /**
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -142,6 +142,31 @@
                                  message->n_evacuated);
 }
 
+/* Logs a removal that has not taken effect, since the row may come back. */
+static void
+log_deferred (const anvil_relay_watch_t *watch, anvil_time_t now, const anvil_store_row_t *row)
+{
+  const anvil_registered_upstream_t *upstream
+      = anvil_registry_lookup (watch->registry, anvil_str_hash (row->key));
+
+  if (upstream != NULL)
+    anvil_log (ANVIL_LOG_INFO, "registry",
+               "removal of an upstream is deferred upstream=%s row=%s from=%s "
+               "for_ms=%" G_GINT64_FORMAT,
+               upstream->id, row->missing ? "missing" : "removed",
+               watch->from_peer ? "peer" : "store", (upstream->removal_at - now) / ANVIL_MS);
+}
+
+static gboolean
+remove_upstream (anvil_relay_watch_t *watch, anvil_time_t now, const anvil_store_row_t *row)
+{
+  if (!(row->missing ? anvil_registry_row_missing (watch->registry, now, row->key)
+                     : anvil_registry_remove (watch->registry, now, row->key)))
+    return FALSE;
+  log_deferred (watch, now, row);
+  return TRUE;
+}
+
 /* Applies a row; returns TRUE if that changed the registry. */
 static gboolean
 apply_upstream (anvil_relay_watch_t *watch, const anvil_store_row_t *row)
@@ -153,7 +178,7 @@
   gboolean changed;
 
   if (row->removed)
-    return anvil_registry_remove (watch->registry, now, row->key);
+    return remove_upstream (watch, now, row);
   if (watch->adapter->parse_upstream (row->key, row->value, &report, &storage, &error))
     {
       changed = anvil_registry_apply (watch->registry, now, &report);
@@ -193,7 +218,7 @@
 log_removal (void *context, anvil_str_t id)
 {
   anvil_relay_watch_t *watch = context;
-  const anvil_store_row_t row = { .key = id, .removed = TRUE };
+  const anvil_store_row_t row = { .key = id, .removed = TRUE, .missing = TRUE };
 
   anvil_update_log_add (watch->update_log, &row);
 }
@@ -545,6 +570,7 @@
                                  anvil_time_t read_at)
 {
   const anvil_store_position_t version = { .era = message->era, .version = message->number };
+  const guint64 known_era = anvil_registry_version (watch->registry).era;
   anvil_time_t now = anvil_clock_now ();
 
   anvil_relay_watch_hear_era (watch, MAX (message->era, message->operators_version.era), "updates");
@@ -564,6 +590,9 @@
                  message->rows.length);
       return FALSE;
     }
+  /* They name every row that the store has lost. */
+  if (version.era > known_era)
+    anvil_registry_confirm_rows (watch->registry);
   anvil_registry_set_version (watch->registry, version);
   watch->peer_read_at = read_at;
   anvil_read_span_add (&watch->reads, now - message->store_ok_for, read_at);
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -771,6 +771,8 @@
                            anvil_relay_watch_count_evacuated (relay->watch));
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstreams", "",
                            anvil_registry_count (relay->registry));
+  anvil_metrics_set_gauge (relay->metrics, "anvil_deferred_removals", "",
+                           anvil_registry_count_deferred (relay->registry));
   anvil_metrics_set_gauge (relay->metrics, "anvil_upstreams_age_seconds", "",
                            age_seconds (read_at));
   anvil_metrics_set_gauge (relay->metrics, "anvil_store_lost", "",
--- a/source/relay/update-log.c
+++ b/source/relay/update-log.c
@@ -12,6 +12,19 @@
 /* Memory for the msgpack objects of one row. */
 #define ZONE_CHUNK_BYTES 512
 
+/**
+ * row_state_t - what a packed row says
+ * @ROW_WRITTEN: it has a value
+ * @ROW_MISSING: it isn't in the table; entries of older versions send this for removed rows too
+ * @ROW_REMOVED: it was removed since the table was read whole
+ */
+typedef enum
+{
+  ROW_WRITTEN,
+  ROW_MISSING,
+  ROW_REMOVED,
+} row_state_t;
+
 /**
  * batch_t - the updates of one read of the table
  * @after: version of the store up to which it was read before
@@ -83,6 +96,14 @@
   log->version = version;
 }
 
+static row_state_t
+row_state (const anvil_store_row_t *row)
+{
+  if (!row->removed)
+    return ROW_WRITTEN;
+  return row->missing ? ROW_MISSING : ROW_REMOVED;
+}
+
 /* A row is a msgpack array with its length in front, so that its bounds can be checked before it is
  * unpacked. */
 void
@@ -98,7 +119,7 @@
   msgpack_pack_bin_body (&packer, row->key.data, row->key.length);
   msgpack_pack_bin (&packer, row->value.length);
   msgpack_pack_bin_body (&packer, row->value.data, row->value.length);
-  msgpack_pack_uint64 (&packer, row->removed);
+  msgpack_pack_uint64 (&packer, row_state (row));
   prefix = GUINT32_TO_BE (packed->len);
   g_byte_array_append (log->current_rows, (const guint8 *) &prefix, sizeof prefix);
   g_byte_array_append (log->current_rows, packed->data, packed->len);
@@ -184,7 +205,8 @@
   row = (anvil_store_row_t){
     .key = { .data = fields[0].via.bin.ptr, .length = fields[0].via.bin.size },
     .value = { .data = fields[1].via.bin.ptr, .length = fields[1].via.bin.size },
-    .removed = fields[2].via.u64 != 0,
+    .removed = fields[2].via.u64 != ROW_WRITTEN,
+    .missing = fields[2].via.u64 == ROW_MISSING,
   };
   visit (context, &row);
   return TRUE;
--- a/source/steer/registry-internal.h
+++ b/source/steer/registry-internal.h
@@ -9,6 +9,7 @@
 /**
  * registry_entry_t - an upstream and state private to the registry
  * @in_snapshot: seen in the snapshot that is being read
+ * @listed_in_era: its row was in the store at some time since that came back from an older copy
  * @seen_in_era: a report was read since the store came back from an older copy, and not one that is
  *   older than the known one
  */
@@ -16,6 +17,7 @@
 {
   anvil_registered_upstream_t upstream;
   gboolean in_snapshot;
+  gboolean listed_in_era;
   gboolean seen_in_era;
 } registry_entry_t;
 
--- a/source/steer/registry-removal.c
+++ b/source/steer/registry-removal.c
@@ -39,17 +39,23 @@
 static void
 defer_until (registry_entry_t *entry, anvil_time_t removal_at)
 {
-  if (entry->upstream.removal_pending)
+  if (entry->upstream.removal_pending && entry->upstream.removal_at <= removal_at)
     return;
   entry->upstream.removal_pending = TRUE;
   entry->upstream.removal_at = removal_at;
 }
 
-/* Whether a row may be missing only because the copy that the store came back from is older. */
-static gboolean
-may_be_lost (const anvil_registry_t *registry, anvil_time_t now, const registry_entry_t *entry)
+/* Until when a row may be missing only because the copy that the store came back from is older. A
+ * row that was in the store since then was not lost, but the copy's row may have expired before its
+ * upstream wrote the next one. */
+static anvil_time_t
+may_be_lost_until (const anvil_registry_t *registry, const registry_entry_t *entry)
 {
-  return now < registry->return_ends && !entry->seen_in_era;
+  if (entry->seen_in_era)
+    return 0;
+  if (entry->listed_in_era)
+    return registry->return_ends - ANVIL_STORE_RETURN_TIME + ANVIL_REGISTRY_REMOVAL_GRACE;
+  return registry->return_ends;
 }
 
 /* Removes an entry, or defers that if its row may have expired while the store was lost. The row of
@@ -57,9 +63,11 @@
 static void
 remove_or_defer (anvil_registry_t *registry, anvil_time_t now, registry_entry_t *entry)
 {
-  if (may_be_lost (registry, now, entry))
+  const anvil_time_t lost_until = may_be_lost_until (registry, entry);
+
+  if (now < lost_until)
     {
-      defer_until (entry, registry->return_ends);
+      defer_until (entry, lost_until);
       return;
     }
   if (entry->upstream.draining || entry->upstream.leaving
@@ -86,6 +94,7 @@
     {
       registry_entry_t *entry = value;
 
+      entry->listed_in_era = FALSE;
       entry->seen_in_era = FALSE;
       /* Its row may have been lost by an earlier return, and come back after this one. */
       if (entry->upstream.removal_pending)
@@ -111,18 +120,60 @@
     }
 }
 
+void
+anvil_registry_confirm_rows (anvil_registry_t *registry)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, registry->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      registry_entry_t *entry = value;
+
+      if (!entry->upstream.removal_pending)
+        entry->listed_in_era = TRUE;
+    }
+}
+
 gboolean
 anvil_registry_remove (anvil_registry_t *registry, anvil_time_t now, anvil_str_t id)
 {
   guint64 key = anvil_str_hash (id);
   registry_entry_t *entry = g_hash_table_lookup (registry->entries, &key);
 
+  if (entry == NULL)
+    return FALSE;
+  entry->listed_in_era = TRUE;
+  remove_or_defer (registry, now, entry);
+  return TRUE;
+}
+
+gboolean
+anvil_registry_row_missing (anvil_registry_t *registry, anvil_time_t now, anvil_str_t id)
+{
+  guint64 key = anvil_str_hash (id);
+  registry_entry_t *entry = g_hash_table_lookup (registry->entries, &key);
+
   if (entry == NULL)
     return FALSE;
   remove_or_defer (registry, now, entry);
   return TRUE;
 }
 
+guint
+anvil_registry_count_deferred (const anvil_registry_t *registry)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, registry->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += ((const registry_entry_t *) value)->upstream.removal_pending ? 1 : 0;
+  return n;
+}
+
 void
 anvil_registry_begin_snapshot (anvil_registry_t *registry)
 {
@@ -222,7 +273,7 @@
     {
       registry_entry_t *entry = value;
 
-      if (!may_be_lost (registry, now, entry))
+      if (now >= may_be_lost_until (registry, entry))
         entry->upstream.removal_at = now;
     }
 }
--- a/source/steer/registry.c
+++ b/source/steer/registry.c
@@ -172,6 +172,7 @@
 apply_older (anvil_registry_t *registry, anvil_time_t now, registry_entry_t *entry)
 {
   entry->in_snapshot = TRUE;
+  entry->listed_in_era = TRUE;
   if (!entry->upstream.removal_pending)
     return FALSE;
   entry->upstream.removal_pending = FALSE;
@@ -194,6 +195,7 @@
         return FALSE;
       entry = insert (registry, key, report->id);
       entry->in_snapshot = TRUE;
+      entry->listed_in_era = TRUE;
       entry->seen_in_era = TRUE;
       update (registry, now, entry, report);
       registry_notify (registry, now, entry, ANVIL_REGISTRY_JOINED);
@@ -203,6 +205,7 @@
       || would_undo_drain (registry, now, &entry->upstream, report))
     return apply_older (registry, now, entry);
   entry->in_snapshot = TRUE;
+  entry->listed_in_era = TRUE;
   entry->seen_in_era = TRUE;
   restarted = entry->upstream.started_at != report->started_at;
   if (restarted)
--- a/tests/test-drill-model.c
+++ b/tests/test-drill-model.c
@@ -27,10 +27,12 @@
 /* At the end: without faults, until nothing is deferred any more. */
 #define QUIET_STEPS 250
 
-/** row_t - a row; those of upstreams come before those of zones */
+/** row_t - a row; those of upstreams come before those of zones; @missing: it isn't in the table
+ * that was read, instead of having been removed */
 typedef struct
 {
   gboolean exists;
+  gboolean missing;
   gint64 born;
   guint64 sequence;
   gboolean draining;
@@ -45,12 +47,21 @@
   row_t rows[N_ROWS];
 } table_t;
 
-/** oracle_t - the newest that an entry was told of an upstream; @fresh since the return */
+/**
+ * oracle_t - the newest that an entry was told of an upstream
+ * @fresh: told since the return
+ * @listed: its row was in the store since the return
+ * @pending: its row is gone, which is no departure yet
+ * @gone_at: when it is one; 0 if the time in which rows come back has to pass
+ */
 typedef struct
 {
   gboolean known;
   row_t newest;
   gboolean fresh;
+  gboolean listed;
+  gboolean pending;
+  anvil_time_t gone_at;
 } oracle_t;
 
 typedef struct
@@ -133,20 +144,41 @@
   return store_era_returning (&entry->era, now);
 }
 
+/* A row that may be lost is no departure. One that was in the store since the return isn't lost,
+ * but its upstream gets a moment to write it again. */
+static void
+tell_oracle_of_removal (entry_t *entry, oracle_t *oracle, gboolean missing)
+{
+  const anvil_time_t settled_at = entry->era.risen_at + ANVIL_REGISTRY_REMOVAL_GRACE;
+
+  oracle->listed |= !missing;
+  if (!oracle->known)
+    return;
+  if (!is_returning (entry) || oracle->fresh || (oracle->listed && now >= settled_at))
+    {
+      oracle->newest.exists = FALSE;
+      return;
+    }
+  oracle->pending = TRUE;
+  if (oracle->listed)
+    oracle->gone_at = settled_at;
+}
+
 /* The oracle's rules: the newest report counts, whatever arrives later; a row that is gone has
  * left, unless it may be lost; and only a later report brings it back then. */
 static void
 tell_oracle (entry_t *entry, guint index, const row_t *row)
 {
   oracle_t *oracle = &entry->oracle[index];
-  const gboolean removed = !row->exists;
 
-  if (removed)
+  if (!row->exists)
     {
-      if (oracle->known && (!is_returning (entry) || oracle->fresh))
-        oracle->newest.exists = FALSE;
+      tell_oracle_of_removal (entry, oracle, row->missing);
       return;
     }
+  oracle->listed = TRUE;
+  oracle->pending = FALSE;
+  oracle->gone_at = 0;
   if (!oracle->known || is_later (row, &oracle->newest)
       || (!oracle->newest.exists && !is_returning (entry)))
     {
@@ -175,6 +207,8 @@
 
   if (row->exists)
     changed = anvil_registry_apply (entry->registry, now, &report);
+  else if (row->missing)
+    changed = anvil_registry_row_missing (entry->registry, now, report.id);
   else
     changed = anvil_registry_remove (entry->registry, now, report.id);
   tell_oracle (entry, index, row);
@@ -188,8 +222,10 @@
   char *key = row_key (index);
   char *value = g_strdup_printf ("%" G_GINT64_FORMAT " %" G_GUINT64_FORMAT " %d", row->born,
                                  row->sequence, row->draining);
-  const anvil_store_row_t packed
-      = { .key = anvil_str (key), .value = anvil_str (value), .removed = !row->exists };
+  const anvil_store_row_t packed = { .key = anvil_str (key),
+                                     .value = anvil_str (value),
+                                     .removed = !row->exists,
+                                     .missing = row->missing };
 
   anvil_update_log_add (entry->log, &packed);
   g_free (value);
@@ -199,7 +235,7 @@
 static void
 on_peer_row (void *context, const anvil_store_row_t *packed)
 {
-  row_t row = { .exists = !packed->removed };
+  row_t row = { .exists = !packed->removed, .missing = packed->missing };
   char *value = anvil_str_dup (packed->value);
 
   if (row.exists)
@@ -213,7 +249,7 @@
 static void
 log_missing (void *context, anvil_str_t id)
 {
-  const row_t row = { 0 };
+  const row_t row = { .missing = TRUE };
 
   log_row (context, (guint) (id.data[1] - '0'), &row);
   tell_oracle (context, (guint) (id.data[1] - '0'), &row);
@@ -226,7 +262,11 @@
   evacuated_zones_begin_era (entry->zones, now);
   entry->needs_full_read = TRUE;
   for (guint i = 0; i < N_UPSTREAMS; i++)
-    entry->oracle[i].fresh = FALSE;
+    {
+      entry->oracle[i].fresh = FALSE;
+      entry->oracle[i].listed = FALSE;
+      entry->oracle[i].gone_at = 0;
+    }
   for (guint i = 0; i < N_ZONES; i++)
     {
       char *key = row_key (N_UPSTREAMS + i);
@@ -331,6 +371,15 @@
     begin_era (to);
 }
 
+/* The updates of a peer told all rows that the store has lost. */
+static void
+confirm_rows (entry_t *entry)
+{
+  anvil_registry_confirm_rows (entry->registry);
+  for (guint i = 0; i < N_UPSTREAMS; i++)
+    entry->oracle[i].listed |= !entry->oracle[i].pending;
+}
+
 static void
 receive_from_peer (entry_t *to, entry_t *from)
 {
@@ -347,6 +396,8 @@
     {
       ck_assert (anvil_updates_unpack ((anvil_str_t){ (const char *) rows->data, rows->len },
                                        on_peer_row, to));
+      if (position.era > known.era)
+        confirm_rows (to);
       anvil_registry_set_version (to->registry, position);
       anvil_update_log_reset (to->log, position);
       to->needs_full_read
@@ -473,8 +524,15 @@
       = anvil_registry_lookup (entry->registry, anvil_str_hash (anvil_str (key)));
 
   g_free (key);
+  if (oracle->gone_at > 0 && now >= oracle->gone_at)
+    {
+      oracle->newest.exists = FALSE;
+      oracle->pending = FALSE;
+      oracle->gone_at = 0;
+    }
   if (upstream != NULL)
     {
+      ck_assert_msg (oracle->newest.exists, "u%u has left and is used", index);
       ck_assert (oracle->known);
       ck_assert_int_eq (upstream->started_at, oracle->newest.born);
       ck_assert_uint_eq (upstream->sequence, oracle->newest.sequence);
--- a/tests/test-registry-drill.c
+++ b/tests/test-registry-drill.c
@@ -113,6 +113,57 @@
 }
 END_TEST
 
+START_TEST (test_the_removal_of_an_older_row_counts_once_live_upstreams_are_back)
+{
+  apply (T0, BORN, 5, FALSE);
+  anvil_registry_begin_era (registry, T0);
+  apply (T0 + 1, BORN, 3, FALSE);
+  anvil_registry_remove (registry, T0 + 2, anvil_str ("a"));
+  anvil_registry_tick (registry, T0 + ANVIL_REGISTRY_REMOVAL_GRACE - 1);
+  ck_assert (is_usable ());
+  anvil_registry_tick (registry, T0 + ANVIL_REGISTRY_REMOVAL_GRACE);
+  ck_assert_ptr_null (lookup ());
+}
+END_TEST
+
+/* Guards against an upstream that is used for seconds after it has left, by an entry that isn't
+ * sent rows that have not changed. */
+START_TEST (test_a_removal_in_the_new_era_is_a_departure_without_a_report_in_it)
+{
+  apply (T0, BORN, 5, FALSE);
+  anvil_registry_begin_era (registry, T0);
+  anvil_registry_remove (registry, T0 + ANVIL_REGISTRY_REMOVAL_GRACE, anvil_str ("a"));
+  ck_assert_ptr_null (lookup ());
+}
+END_TEST
+
+/* The same for an entry that reads the whole table itself later. */
+START_TEST (test_a_row_that_goes_missing_in_the_new_era_is_a_departure)
+{
+  apply (T0, BORN, 5, FALSE);
+  anvil_registry_begin_era (registry, T0);
+  anvil_registry_confirm_rows (registry);
+  read_empty_table (T0 + ANVIL_REGISTRY_REMOVAL_GRACE);
+  ck_assert_ptr_null (lookup ());
+}
+END_TEST
+
+START_TEST (test_a_missing_row_is_not_confirmed)
+{
+  apply (T0, BORN, 5, FALSE);
+  anvil_registry_begin_era (registry, T0);
+  anvil_registry_row_missing (registry, T0 + 1, anvil_str ("a"));
+  anvil_registry_confirm_rows (registry);
+  ck_assert_uint_eq (anvil_registry_count_deferred (registry), 1);
+  read_empty_table (T0 + ANVIL_REGISTRY_REMOVAL_GRACE);
+  anvil_registry_tick (registry, T0 + ANVIL_STORE_RETURN_TIME - 1);
+  ck_assert (is_usable ());
+  /* It came back, and was removed then. */
+  anvil_registry_remove (registry, T0 + ANVIL_STORE_RETURN_TIME - 1, anvil_str ("a"));
+  ck_assert_ptr_null (lookup ());
+}
+END_TEST
+
 START_TEST (test_a_drain_is_undone_by_a_higher_sequence_only)
 {
   apply (T0, BORN, 5, TRUE);
@@ -219,7 +270,7 @@
 {
   anvil_registry_t *subscriber = context;
 
-  anvil_registry_remove (subscriber, T0 + 1, id);
+  anvil_registry_row_missing (subscriber, T0 + 1, id);
 }
 
 /* Guards against subscribers that all read the table after a drill, as they differ from their
@@ -270,6 +321,10 @@
   tcase_add_test (tests, test_a_draining_upstream_stays_known_without_its_row);
   tcase_add_test (tests, test_a_row_that_was_read_again_and_then_removed_is_a_departure);
   tcase_add_test (tests, test_the_removal_of_an_older_row_is_no_departure);
+  tcase_add_test (tests, test_the_removal_of_an_older_row_counts_once_live_upstreams_are_back);
+  tcase_add_test (tests, test_a_removal_in_the_new_era_is_a_departure_without_a_report_in_it);
+  tcase_add_test (tests, test_a_row_that_goes_missing_in_the_new_era_is_a_departure);
+  tcase_add_test (tests, test_a_missing_row_is_not_confirmed);
   tcase_add_test (tests, test_a_drain_is_undone_by_a_higher_sequence_only);
   tcase_add_test (tests, test_a_drain_without_sequences_is_kept_while_rows_come_back);
   tcase_add_test (tests, test_a_new_process_ends_the_drain_of_the_old_one);
--- a/tests/test-relay-drill.c
+++ b/tests/test-relay-drill.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "anvil/clock.h"
+#include "anvil/registry.h"
 #include "steer/store-era.h"
 
 #define N_ENTRIES 3
@@ -28,6 +29,8 @@
 #define EVACUATED_ZONE "west-b"
 /* Entries read again within this time after the store's return. */
 #define READ_AGAIN_US 2000000ul
+/* A departure must be known within this time, the shortest drain time of a deployment. */
+#define DRAIN_TIME (2500 * ANVIL_MS)
 /* Until an entry has noticed that the store doesn't answer it. */
 #define NOTICE_LOSS_US 2000000
 
@@ -247,6 +250,31 @@
 }
 END_TEST
 
+/* Removes the row of an upstream, and checks that all entries know it in time. */
+static void
+check_departure (const char *id, gint64 n_left)
+{
+  anvil_time_t until;
+
+  fleet_put_row (&fleet, "servers", id, NULL);
+  until = anvil_clock_now () + DRAIN_TIME;
+  wait_for_all ("anvil_upstreams", n_left);
+  ck_assert_msg (anvil_clock_now () <= until, "the departure of %s was known too late", id);
+}
+
+/* Guards against requests to an upstream that left after a drill: entries that are told of
+ * upstreams by their region's reader took its removal for a row that the drill has lost. */
+START_TEST (test_a_departure_after_a_drill_is_known_in_time)
+{
+  copy_store ();
+  drill (FIRST_ERA + 1);
+  g_usleep (ANVIL_REGISTRY_REMOVAL_GRACE);
+  check_departure ("stays", 2);
+  wait_for_all ("anvil_deferred_removals", 0);
+  check_departure ("zone", 1);
+}
+END_TEST
+
 /* Guards against changes that are missed because the store has passed the versions that it had
  * before: those are no longer refused, and stand for other contents. */
 START_TEST (test_versions_that_are_assigned_again_are_read)
@@ -383,6 +411,7 @@
   tcase_add_test (tests, test_an_evacuation_is_not_undone);
   tcase_add_test (tests, test_the_configuration_does_not_go_back);
   tcase_add_test (tests, test_upstreams_whose_rows_are_missing_for_some_seconds_are_used);
+  tcase_add_test (tests, test_a_departure_after_a_drill_is_known_in_time);
   tcase_add_test (tests, test_versions_that_are_assigned_again_are_read);
   tcase_add_test (tests, test_an_entry_without_the_store_hears_of_the_era_from_a_peer);
   tcase_add_test (tests, test_two_drills_in_a_row);
--- a/tests/test-update-log.c
+++ b/tests/test-update-log.c
@@ -62,6 +62,35 @@
   return visited->str;
 }
 
+static void
+on_removed_row (void *context, const anvil_store_row_t *row)
+{
+  g_string_append_printf (visited, "%.*s=%s ", ANVIL_STR_ARGS (row->key),
+                          !row->removed  ? "written"
+                          : row->missing ? "missing"
+                                         : "removed");
+}
+
+/* A row that is missing may have been lost, one that was removed hasn't. */
+START_TEST (test_missing_rows_are_told_from_removed_ones)
+{
+  const anvil_store_row_t rows[] = { { .key = anvil_str ("a"), .value = anvil_str ("1") },
+                                     { .key = anvil_str ("b"), .removed = TRUE },
+                                     { .key = anvil_str ("c"), .removed = TRUE, .missing = TRUE } };
+  GByteArray *bytes = g_byte_array_new ();
+
+  anvil_update_log_reset (update_log, at (10));
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    anvil_update_log_add (update_log, &rows[i]);
+  anvil_update_log_end_batch (update_log, at (12));
+  ck_assert (anvil_update_log_since (update_log, at (10), bytes));
+  ck_assert (anvil_updates_unpack ((anvil_str_t){ (const char *) bytes->data, bytes->len },
+                                   on_removed_row, NULL));
+  ck_assert_str_eq (visited->str, "a=written b=removed c=missing ");
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
 START_TEST (test_rows_after_the_version_of_a_peer_are_sent)
 {
   anvil_update_log_reset (update_log, at (10));
@@ -161,6 +190,7 @@
   int failed;
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_add_test (tests, test_missing_rows_are_told_from_removed_ones);
   tcase_add_test (tests, test_rows_after_the_version_of_a_peer_are_sent);
   tcase_add_test (tests, test_a_peer_of_the_past_era_is_sent_what_has_changed);
   tcase_add_test (tests, test_versions_outside_of_the_log_are_rejected);
