Withdraw forwarded requests instead of cancelling what their holder runs

Cause: a request that goes to the holder along with its slot request waits or runs there, and only the holder knows which. When another entry became the holder, the requester cancelled it at the former one.

Ruled out: the holder giving up its runs (it ended seconds later, and logged nothing), and the stop of the requester itself.

Change: the requester withdraws the request. What runs goes on and its response counts; what waits is given back and goes to the next holder, which is no further attempt; what the former holder doesn't know may have run. A silent holder is given up after 1 s, or at once if its VM says that the process has ended; a new process doesn't count as ended. On related paths: a refusal of the former holder asks the next one; a grant that crosses the withdrawal is reported to the present holder; a grant that arrives once the entry may send nothing more is returned; a stopping holder starts no more runs, hands over the slots of those that go on, and ends once their responses are written.

The job fixture passes changes of the holder on to the jobs.

--- a/source/relay/relay-forward.c
+++ b/source/relay/relay-forward.c
@@ -1,5 +1,7 @@
 #include "relay/relay-forward.h"
 
+#include <string.h>
+
 #include "anvil/log.h"
 #include "relay/forward-codec.h"
 
@@ -19,11 +21,16 @@
   anvil_metrics_t *metrics;
   /* run_t by id of its task. */
   GHashTable *runs;
+  gboolean shutting_down;
+  /* Set of the entries that were sent responses during shutdown. */
+  GHashTable *responded;
 };
 
 /**
  * run_t - a request of another entry that runs on an upstream
  * @announcement: what the upstream has said of itself in its response
+ * @adopted_by: holder that was told of the run, as it holds the slot now, or ANVIL_NO_NODE
+ * @adopted_number: number of the run's task there
  */
 typedef struct
 {
@@ -38,6 +45,9 @@
   char *upstream_id;
   gint64 started_at;
   anvil_announcement_t announcement;
+  anvil_time_t deadline;
+  anvil_node_t adopted_by;
+  guint64 adopted_number;
   anvil_relay_attempt_t *attempt;
   struct event *timer;
 } run_t;
@@ -59,6 +69,7 @@
   forwards->registry = registry;
   forwards->metrics = metrics;
   forwards->runs = g_hash_table_new (anvil_task_id_hash, anvil_task_id_equal);
+  forwards->responded = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   return forwards;
 }
 
@@ -93,9 +104,80 @@
     }
   g_list_free (runs);
   g_hash_table_unref (forwards->runs);
+  g_hash_table_unref (forwards->responded);
   g_free (forwards);
 }
 
+void
+anvil_relay_forwards_begin_shutdown (anvil_relay_forwards_t *forwards)
+{
+  forwards->shutting_down = TRUE;
+}
+
+guint
+anvil_relay_forwards_count_unfinished (anvil_relay_forwards_t *forwards)
+{
+  guint n = g_hash_table_size (forwards->runs);
+  GHashTableIter iter;
+  gpointer node;
+
+  g_hash_table_iter_init (&iter, forwards->responded);
+  while (g_hash_table_iter_next (&iter, &node, NULL))
+    n += anvil_slot_broker_queued_bytes (forwards->broker, *(const anvil_node_t *) node) > 0;
+  return n;
+}
+
+static void
+adopt (run_t *run, const char *service, anvil_node_t holder)
+{
+  anvil_relay_forwards_t *forwards = run->forwards;
+  const anvil_task_t task = { .id = { .requester = anvil_slot_broker_self (forwards->broker),
+                                      .number = anvil_relay_jobs_new_number (forwards->jobs) },
+                              .service = anvil_str (service),
+                              .region = anvil_str (anvil_slot_broker_region (forwards->broker)),
+                              .kind = ANVIL_ROUTE_SAFE,
+                              .attempt = 1,
+                              .target = run->deadline,
+                              .deadline = run->deadline };
+
+  run->adopted_by = holder;
+  run->adopted_number = task.id.number;
+  anvil_slot_broker_adopt (forwards->broker, holder, &task, run->upstream);
+}
+
+void
+anvil_relay_forwards_holder_changed (anvil_relay_forwards_t *forwards,
+                                     const char *service,
+                                     anvil_node_t holder)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, forwards->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      run_t *run = value;
+      const anvil_registered_upstream_t *registered
+          = anvil_registry_lookup (forwards->registry, run->upstream);
+
+      if (registered == NULL || strcmp (registered->service, service) != 0)
+        continue;
+      /* This entry's own dispatcher has the task from before. */
+      if (holder == anvil_slot_broker_self (forwards->broker))
+        run->adopted_by = ANVIL_NO_NODE;
+      else
+        adopt (run, service, holder);
+    }
+}
+
+static void
+report_to_present_holder (const run_t *run, const anvil_run_report_t *report)
+{
+  if (run->adopted_by != ANVIL_NO_NODE)
+    anvil_slot_broker_run_finished (run->forwards->broker, run->adopted_by, run->adopted_number,
+                                    report);
+}
+
 guint
 anvil_relay_forwards_count (const anvil_relay_forwards_t *forwards)
 {
@@ -106,11 +188,16 @@
 static void
 finish (run_t *run, const anvil_run_report_t *report, const anvil_forwarded_response_t *response)
 {
+  anvil_relay_forwards_t *forwards = run->forwards;
   GByteArray *payload = g_byte_array_new ();
 
+  if (forwards->shutting_down)
+    g_hash_table_add (forwards->responded,
+                      g_memdup2 (&run->id.requester, sizeof run->id.requester));
+  report_to_present_holder (run, report);
   anvil_forwarded_response_pack (response, payload);
   anvil_slot_broker_forwarded_finished (
-      run->forwards->broker, run->id, report,
+      forwards->broker, run->id, report,
       (anvil_str_t){ .data = (const char *) payload->data, .length = payload->len });
   g_byte_array_unref (payload);
   run_drop (run);
@@ -221,6 +308,7 @@
   const anvil_time_t left = deadline - anvil_clock_now ();
   const struct timeval time = anvil_time_to_timeval (MAX (left, 0) + CANCEL_MARGIN);
 
+  run->deadline = deadline;
   evtimer_add (run->timer, &time);
   run->attempt = anvil_relay_attempt_start (
       forwards->pool,
@@ -257,7 +345,7 @@
   anvil_forwarded_request_t request;
 
   /* What this entry may not send, its requester may: pauses are asked of one entry. */
-  if (!anvil_forwarded_request_unpack (payload, &request)
+  if (forwards->shutting_down || !anvil_forwarded_request_unpack (payload, &request)
       || anvil_relay_jobs_reason_not_to_use (forwards->jobs, grant) != NULL)
     {
       anvil_slot_broker_decline_forwarded (forwards->broker, id, grant);
@@ -269,10 +357,12 @@
 void
 anvil_relay_forwards_cancelled (anvil_relay_forwards_t *forwards, anvil_task_id_t id)
 {
+  const anvil_run_report_t unused = { .result = ANVIL_RUN_UNUSED };
   run_t *run = g_hash_table_lookup (forwards->runs, &id);
 
   if (run == NULL)
     return;
+  report_to_present_holder (run, &unused);
   anvil_relay_attempt_cancel (run->attempt);
   run_drop (run);
 }
--- a/source/relay/relay-forward.h
+++ b/source/relay/relay-forward.h
@@ -29,6 +29,20 @@
 /** anvil_relay_forwards_count - runs under way */
 guint anvil_relay_forwards_count (const anvil_relay_forwards_t *forwards);
 
+/** anvil_relay_forwards_begin_shutdown - starts no more runs, which could be cut off; their
+ * requesters get the grants */
+void anvil_relay_forwards_begin_shutdown (anvil_relay_forwards_t *forwards);
+
+/** anvil_relay_forwards_count_unfinished - runs under way, and entries to which responses of runs
+ * that have ended since the shutdown began are not written yet */
+guint anvil_relay_forwards_count_unfinished (anvil_relay_forwards_t *forwards);
+
+/** anvil_relay_forwards_holder_changed - tells the new holder of a service about its slots that
+ * runs of this entry use */
+void anvil_relay_forwards_holder_changed (anvil_relay_forwards_t *forwards,
+                                          const char *service,
+                                          anvil_node_t holder);
+
 /* Callbacks of the slot broker, see anvil_slot_broker_callbacks_t. */
 void anvil_relay_forwards_granted (anvil_relay_forwards_t *forwards,
                                    anvil_task_id_t id,
--- a/source/relay/relay-job-forward.c
+++ b/source/relay/relay-job-forward.c
@@ -53,12 +53,25 @@
   g_byte_array_unref (payload);
 }
 
+void
+job_withdraw (job_t *job)
+{
+  const anvil_time_t now = anvil_clock_now ();
+
+  if (!job->withdrawing)
+    job->holder_seen_at = now;
+  job->withdrawing = TRUE;
+  job->slot_requested_at = now;
+  anvil_slot_broker_withdraw (job->jobs->options.slot_broker, job->holder, job->task.id.number);
+}
+
 void
 job_cancel_slot_request (job_t *job)
 {
   /* The holder may have sent it meanwhile. */
   job->may_have_run |= job->forwarded;
   job->forwarded = FALSE;
+  job->withdrawing = FALSE;
   anvil_slot_broker_cancel (job->jobs->options.slot_broker, job->holder, job->task.id.number);
 }
 
@@ -79,6 +92,26 @@
   job_request_slot (job);
 }
 
+void
+anvil_relay_jobs_withdrawn (anvil_relay_jobs_t *jobs,
+                            guint64 number,
+                            anvil_node_t from,
+                            gboolean waited)
+{
+  job_t *job = g_hash_table_lookup (jobs->jobs, &number);
+
+  if (job == NULL || job->state != JOB_WAITING_FOR_SLOT || !job->withdrawing || from != job->holder)
+    return;
+  anvil_log (ANVIL_LOG_INFO, "request",
+             "forwarded request withdrawn request=%s holder=%s waited=%d",
+             text_or_dash (job->request->id),
+             anvil_slot_broker_vm_name (jobs->options.slot_broker, from), waited);
+  if (waited)
+    job_request_slot (job);
+  else
+    job_request_slot_from_new_holder (job);
+}
+
 static void
 log_response (const job_t *job, anvil_node_t from, const anvil_forwarded_response_t *response)
 {
@@ -131,6 +164,7 @@
       return;
     }
   job->forwarded = FALSE;
+  job->withdrawing = FALSE;
   g_free (job->upstream_id);
   job->upstream_id = anvil_str_dup (response.upstream_id);
   job->upstream = response.upstream;
--- a/source/relay/relay-job-holder.c
+++ b/source/relay/relay-job-holder.c
@@ -5,6 +5,9 @@
 /* A slot request without an answer is repeated after this time, since a link that was reset loses
  * messages. It is longer than a round trip between distant regions. */
 #define SLOT_REQUEST_TIMEOUT (300 * ANVIL_MS)
+/* A former holder that runs a request is given up after it has been unreachable for this time: one
+ * that has just started, or is busy, may answer pings late. */
+#define HOLDER_SILENCE_TIME (1 * ANVIL_SECOND)
 
 void
 jobs_foreach (anvil_relay_jobs_t *jobs, job_visit_t visit, gconstpointer data)
@@ -30,6 +33,13 @@
 
   if (strcmp (job->service, change->service) != 0 || job->holder == change->holder)
     return;
+  /* A holder that stops finishes what it runs, and only it knows whether it runs this. */
+  if (job->state == JOB_WAITING_FOR_SLOT && job->forwarded
+      && !anvil_slot_broker_has_ended (broker, job->holder))
+    {
+      job_withdraw (job);
+      return;
+    }
   if (job->state == JOB_WAITING_FOR_SLOT)
     {
       job_request_slot_from_new_holder (job);
@@ -112,8 +122,11 @@
       job_repeat_adopt (job, job->holder);
       return;
     }
-  /* The new process may have received the last request. */
-  job_request_slot_from_new_holder (job);
+  /* The new process may have received the last request, and run what came with it. */
+  if (job->forwarded)
+    job_withdraw (job);
+  else
+    job_request_slot_from_new_holder (job);
 }
 
 void
@@ -133,11 +146,38 @@
   jobs_foreach (jobs, resend_to_restarted_holder, &peer);
 }
 
+static gboolean
+holder_is_gone (job_t *job, anvil_time_t now)
+{
+  const anvil_slot_broker_t *broker = job->jobs->options.slot_broker;
+
+  if (anvil_slot_broker_reachable (broker, job->holder))
+    job->holder_seen_at = now;
+  return now - job->holder_seen_at >= HOLDER_SILENCE_TIME
+         || anvil_slot_broker_has_ended (broker, job->holder);
+}
+
+/* Asks again for what may have been lost, or a new holder if the former one, which may have run the
+ * request, is gone. */
+static void
+repeat_withdrawal (job_t *job, anvil_time_t now)
+{
+  if (holder_is_gone (job, now))
+    job_request_slot_from_new_holder (job);
+  else if (now - job->slot_requested_at >= SLOT_REQUEST_TIMEOUT)
+    job_withdraw (job);
+}
+
 static void
 repeat_overdue_slot_request (job_t *job, gconstpointer data)
 {
   const anvil_time_t *now = data;
 
+  if (job->state == JOB_WAITING_FOR_SLOT && job->withdrawing)
+    {
+      repeat_withdrawal (job, *now);
+      return;
+    }
   if (job->state == JOB_WAITING_FOR_SLOT && *now - job->slot_requested_at >= SLOT_REQUEST_TIMEOUT)
     job_repeat_slot_request (job);
   job_repeat_request_again (job, *now, SLOT_REQUEST_TIMEOUT);
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -95,6 +95,8 @@
  * @unsent_attempts: attempts that failed before anything was sent
  * @may_have_run: an upstream may have run the request
  * @forwarded: the request went to the holder along with the slot request, and may be running
+ * @withdrawing: the holder was asked not to run it if it doesn't yet
+ * @holder_seen_at: when the holder was last reachable while @withdrawing
  * @saved_status: status of an upstream's failure response, which is passed on if no retry succeeds;
  *   or 0
  */
@@ -126,6 +128,8 @@
   guint unsent_attempts;
   gboolean may_have_run;
   gboolean forwarded;
+  gboolean withdrawing;
+  anvil_time_t holder_seen_at;
   guint saved_status;
   GString *saved_headers;
   struct evbuffer *saved_body;
@@ -226,6 +230,8 @@
 /* Whether the request goes to the holder along with its slot request. */
 gboolean job_may_be_forwarded (const job_t *job);
 void job_forward (job_t *job);
+/* Asks the holder of a forwarded request not to run it if it doesn't yet. */
+void job_withdraw (job_t *job);
 /* Cancels the slot request of a waiting job, and its run if it was forwarded. */
 void job_cancel_slot_request (job_t *job);
 /* Replaces the slot request of a waiting job, whose holder has changed or restarted. */
--- a/source/relay/relay-job-shutdown.c
+++ b/source/relay/relay-job-shutdown.c
@@ -17,9 +17,14 @@
 static void
 refuse_if_it_may_not_be_sent (job_t *job, gconstpointer unused)
 {
-  /* What was forwarded may be running. */
-  if (job->state != JOB_WAITING_FOR_SLOT || job->forwarded || job_may_be_sent (job))
+  if (job->state != JOB_WAITING_FOR_SLOT || job_may_be_sent (job))
     return;
+  /* It may be running. */
+  if (job->forwarded)
+    {
+      job_withdraw (job);
+      return;
+    }
   job_cancel_slot_request (job);
   job_fail_for_shutdown (job);
 }
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -123,6 +123,12 @@
   return g_hash_table_size (jobs->jobs);
 }
 
+guint64
+anvil_relay_jobs_new_number (anvil_relay_jobs_t *jobs)
+{
+  return ++jobs->last_number;
+}
+
 void
 job_set_number (job_t *job, guint64 number)
 {
@@ -137,7 +143,7 @@
 static void
 renew_number (job_t *job)
 {
-  job_set_number (job, ++job->jobs->last_number);
+  job_set_number (job, anvil_relay_jobs_new_number (job->jobs));
 }
 
 void
@@ -161,6 +167,7 @@
   job->task.is_repeat = FALSE;
   job->state = JOB_WAITING_FOR_SLOT;
   job->forwarded = FALSE;
+  job->withdrawing = FALSE;
   job->holder = anvil_slot_broker_holder (job->jobs->options.slot_broker, job->service);
   if (!job_may_be_sent (job) || !job_may_be_forwarded (job))
     {
@@ -503,6 +510,19 @@
              registry_age_ms (jobs, now), text_or_dash (job->tenant), jobs_proof_age_ms (jobs));
 }
 
+/* A holder that was asked to withdraw a request may have granted a slot before. */
+static void
+report_to_present_holder (job_t *job)
+{
+  anvil_slot_broker_t *broker = job->jobs->options.slot_broker;
+  const anvil_node_t holder = anvil_slot_broker_holder (broker, job->service);
+
+  if (holder == job->holder)
+    return;
+  job->holder = holder;
+  anvil_slot_broker_adopt (broker, holder, &job->task, job->upstream);
+}
+
 static job_t *
 lookup (const anvil_relay_jobs_t *jobs, guint64 number)
 {
@@ -567,6 +587,13 @@
       renew_number (job);
       return;
     }
+  /* Only a forwarded request still waits then. */
+  if (!job_may_be_sent (job))
+    {
+      release_slot (jobs, from, number);
+      job_fail_for_shutdown (job);
+      return;
+    }
   refusal = job_renew_tenant (job);
   if (refusal != NULL)
     {
@@ -581,6 +608,7 @@
     {
       job_set_key_headers (job);
       start_attempt (job, grant);
+      report_to_present_holder (job);
       return;
     }
   anvil_log (ANVIL_LOG_INFO, "request",
@@ -610,6 +638,12 @@
   if (job_repeat_refused (jobs, number, refused) || job == NULL
       || job->state != JOB_WAITING_FOR_SLOT)
     return;
+  /* The present holder may have room. */
+  if (job->withdrawing)
+    {
+      job_request_slot (job);
+      return;
+    }
   anvil_log (
       ANVIL_LOG_INFO, "request",
       "slot refused request=%s service=%s holder=%s reason=%s attempt=%u waiting=%u running=%u "
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -113,11 +113,18 @@
                                     const char *upstream_id,
                                     const anvil_request_limit_t *limit);
 
+/** anvil_relay_jobs_new_number - number of a task that isn't a caller's request of this entry */
+guint64 anvil_relay_jobs_new_number (anvil_relay_jobs_t *jobs);
+
 /* Callbacks of the slot broker, see anvil_slot_broker_callbacks_t. */
 void anvil_relay_jobs_responded (anvil_relay_jobs_t *jobs,
                                  guint64 number,
                                  anvil_node_t from,
                                  anvil_str_t payload);
+void anvil_relay_jobs_withdrawn (anvil_relay_jobs_t *jobs,
+                                 guint64 number,
+                                 anvil_node_t from,
+                                 gboolean waited);
 void anvil_relay_jobs_granted (anvil_relay_jobs_t *jobs,
                                guint64 number,
                                anvil_node_t from,
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -235,8 +235,13 @@
       msgpack_pack_uint64 (packer, message->report.speed);
       return;
     case ANVIL_RELAY_CANCEL:
+    case ANVIL_RELAY_WITHDRAW:
       msgpack_pack_nil (packer);
       return;
+    case ANVIL_RELAY_WITHDRAWN:
+      msgpack_pack_array (packer, 1);
+      msgpack_pack_uint64 (packer, message->waited);
+      return;
     case ANVIL_RELAY_REQUEST_UPDATES:
       pack_updates_request (packer, message);
       return;
@@ -652,6 +657,11 @@
       read_report (reader, &message->report);
       return;
     case ANVIL_RELAY_CANCEL:
+    case ANVIL_RELAY_WITHDRAW:
+      return;
+    case ANVIL_RELAY_WITHDRAWN:
+      body = anvil_message_read_array (reader, "withdrawn");
+      message->waited = anvil_message_read_number (&body, "waited", 1) != 0;
       return;
     case ANVIL_RELAY_REQUEST_UPDATES:
       read_updates_request (reader, message);
@@ -716,8 +726,8 @@
   else
     {
       reader.array = &root.via.array;
-      message->kind = (anvil_relay_message_kind_t) anvil_message_read_number (&reader, "kind",
-                                                                              ANVIL_RELAY_QUOTA);
+      message->kind = (anvil_relay_message_kind_t) anvil_message_read_number (
+          &reader, "kind", ANVIL_RELAY_WITHDRAWN);
       message->number = anvil_message_read_number (&reader, "number", G_MAXUINT64);
       if (bad_field == NULL)
         read_body (&reader, message);
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -30,6 +30,9 @@
  * @ANVIL_RELAY_RESPONSE: how the run of a request ended that came along with its slot request
  * @ANVIL_RELAY_REQUEST_QUOTA: requests tokens of tenants from their counter
  * @ANVIL_RELAY_QUOTA: tokens lent; echoes the number of the request
+ * @ANVIL_RELAY_WITHDRAW: cancels a slot request that has its request along, unless that runs;
+ *   answered only if it doesn't
+ * @ANVIL_RELAY_WITHDRAWN: the task won't run at the sender
  */
 typedef enum
 {
@@ -53,6 +56,8 @@
   ANVIL_RELAY_RESPONSE,
   ANVIL_RELAY_REQUEST_QUOTA,
   ANVIL_RELAY_QUOTA,
+  ANVIL_RELAY_WITHDRAW,
+  ANVIL_RELAY_WITHDRAWN,
 } anvil_relay_message_kind_t;
 
 /* Most tenants in one message about quotas. */
@@ -102,6 +107,7 @@
  * @operators_age: updates: time since the sender itself read the operators' table, microseconds
  * @evacuated: updates, configuration: the zones that are evacuated at that version
  * @n_evacuated: updates, configuration: length of @evacuated
+ * @waited: withdrawn: the task was known, and its request was not sent; otherwise it may have run
  * @whole: request of the configuration: it may be sent whole, as the store doesn't answer the
  *   sender
  * @read_version: configuration: version of the store up to which the sender knows the whole table
@@ -142,6 +148,7 @@
   anvil_str_t evacuated[ANVIL_MAX_MESSAGE_ZONES];
   guint n_evacuated;
   anvil_store_position_t read_version;
+  gboolean waited;
   gboolean whole;
 } anvil_relay_message_t;
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -168,6 +168,7 @@
   anvil_relay_t *relay = context;
 
   anvil_relay_jobs_holder_changed (relay->jobs, service, holder);
+  anvil_relay_forwards_holder_changed (relay->forwards, service, holder);
 }
 
 static void
@@ -260,6 +261,14 @@
   anvil_relay_forwards_cancelled (relay->forwards, id);
 }
 
+static void
+on_withdrawn (void *context, guint64 number, anvil_node_t from, gboolean waited)
+{
+  anvil_relay_t *relay = context;
+
+  anvil_relay_jobs_withdrawn (relay->jobs, number, from, waited);
+}
+
 static void
 on_response_received (void *context, guint64 number, anvil_node_t from, anvil_str_t payload)
 {
@@ -298,6 +307,7 @@
   .announcements_received = on_announcements_received,
   .forwarded = on_forwarded,
   .forward_cancelled = on_forward_cancelled,
+  .withdrawn = on_withdrawn,
   .response_received = on_response_received,
   .describe = on_describe,
   .pong_received = on_pong,
@@ -475,7 +485,7 @@
       anvil_relay_jobs_end (relay->jobs);
     }
   busy = anvil_relay_callers_count_busy (relay->callers)
-         + anvil_relay_forwards_count (relay->forwards);
+         + anvil_relay_forwards_count_unfinished (relay->forwards);
   if (anvil_relay_jobs_count (relay->jobs) + busy > 0 && since < timeout - EXIT_MARGIN)
     return;
   anvil_log (busy == 0 ? ANVIL_LOG_NOTICE : ANVIL_LOG_WARNING, "relay",
@@ -662,6 +672,7 @@
              anvil_relay_jobs_count (relay->jobs));
   anvil_slot_broker_set_state (relay->slot_broker, relay->ready, TRUE);
   anvil_relay_callers_begin_shutdown (relay->callers);
+  anvil_relay_forwards_begin_shutdown (relay->forwards);
   anvil_relay_jobs_begin_shutdown (
       relay->jobs, relay->shutdown_started_at + relay->settings->shutdown_timeout - STOP_MARGIN);
   anvil_store_put (relay->store, ENTRY_TABLE, relay->settings->vm, NULL, on_address_removed, relay);
--- a/source/relay/slot-broker-forward.c
+++ b/source/relay/slot-broker-forward.c
@@ -119,6 +119,23 @@
   return TRUE;
 }
 
+void
+broker_withdraw_forwarded (anvil_slot_broker_t *broker, anvil_task_id_t id)
+{
+  const anvil_relay_message_t answer
+      = { .kind = ANVIL_RELAY_WITHDRAWN,
+          .number = id.number,
+          .waited = anvil_dispatcher_has_task (broker->dispatcher, id)
+                    || anvil_quota_loans_waits (broker->quota_loans, id) };
+
+  /* Its response follows. */
+  if (broker_is_running_forwarded (broker, id))
+    return;
+  broker_remove_forwarded (broker, id);
+  broker_cancel (broker, id);
+  broker_send (broker, id.requester, &answer);
+}
+
 static gboolean
 waits_for_requester (gpointer unused_key, gpointer value, gpointer data)
 {
--- a/source/relay/slot-broker-internal.h
+++ b/source/relay/slot-broker-internal.h
@@ -187,5 +187,8 @@
 /* Cancels a run and releases its slot; FALSE if this entry isn't running the request. */
 gboolean broker_cancel_forwarded (anvil_slot_broker_t *broker, anvil_task_id_t id);
 
+/* Cancels the task of a request that waits here, and tells the requester; one that runs goes on. */
+void broker_withdraw_forwarded (anvil_slot_broker_t *broker, anvil_task_id_t id);
+
 /* Reports the services whose holder has changed. */
 void broker_update_holders (anvil_slot_broker_t *broker, anvil_time_t now);
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -150,6 +150,12 @@
       if (!broker_cancel_forwarded (broker, task))
         broker_cancel (broker, task);
       return;
+    case ANVIL_RELAY_WITHDRAW:
+      broker_withdraw_forwarded (broker, task);
+      return;
+    case ANVIL_RELAY_WITHDRAWN:
+      broker->callbacks.withdrawn (broker->context, message.number, from, message.waited);
+      return;
     case ANVIL_RELAY_RESPONSE:
       broker->callbacks.response_received (broker->context, message.number, from, message.rows);
       return;
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -431,6 +431,36 @@
     broker_send (broker, holder, &message);
 }
 
+void
+anvil_slot_broker_withdraw (anvil_slot_broker_t *broker, anvil_node_t holder, guint64 number)
+{
+  const anvil_relay_message_t message = { .kind = ANVIL_RELAY_WITHDRAW, .number = number };
+
+  broker_send (broker, holder, &message);
+}
+
+gboolean
+anvil_slot_broker_reachable (const anvil_slot_broker_t *broker, anvil_node_t node)
+{
+  const anvil_peer_t *peer = anvil_members_lookup (broker->members, node);
+
+  return peer != NULL && anvil_members_reachable (broker->members, anvil_clock_now (), peer);
+}
+
+gboolean
+anvil_slot_broker_has_ended (const anvil_slot_broker_t *broker, anvil_node_t node)
+{
+  const anvil_peer_t *peer = anvil_members_lookup (broker->members, node);
+
+  return peer == NULL || peer->process_ended;
+}
+
+gsize
+anvil_slot_broker_queued_bytes (const anvil_slot_broker_t *broker, anvil_node_t node)
+{
+  return anvil_peers_queued_bytes (broker->peers, node);
+}
+
 void
 anvil_slot_broker_run_finished (anvil_slot_broker_t *broker,
                                 anvil_node_t holder,
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -49,6 +49,8 @@
  * @forwarded: a slot was granted for the request of another entry, which this entry is to send; see
  *   relay/relay-forward.h. @payload is borrowed
  * @forward_cancelled: the requester doesn't need the response any more
+ * @withdrawn: a holder won't send a request of this entry that came with its slot request. If
+ *   @waited, it hasn't sent it either; otherwise it doesn't know the request (any more)
  * @response_received: the holder has sent a request of this entry; @payload is borrowed
  * @announcements_received: upstreams said something of themselves to a peer; borrowed. The broker
  *   has already taken pauses into account
@@ -81,6 +83,7 @@
                      anvil_time_t deadline,
                      anvil_str_t payload);
   void (*forward_cancelled) (void *context, anvil_task_id_t id);
+  void (*withdrawn) (void *context, guint64 number, anvil_node_t from, gboolean waited);
   void (*response_received) (void *context, guint64 number, anvil_node_t from, anvil_str_t payload);
   void (*describe) (void *context, anvil_member_info_t *info);
   void (*pong_received) (void *context, const anvil_pong_t *pong);
@@ -174,6 +177,19 @@
 /** anvil_slot_broker_cancel - cancels the request for a slot */
 void anvil_slot_broker_cancel (anvil_slot_broker_t *broker, anvil_node_t holder, guint64 number);
 
+/** anvil_slot_broker_withdraw - cancels the request for a slot, unless the holder already runs the
+ * request that came with it */
+void anvil_slot_broker_withdraw (anvil_slot_broker_t *broker, anvil_node_t holder, guint64 number);
+
+/** anvil_slot_broker_reachable - whether a peer answers */
+gboolean anvil_slot_broker_reachable (const anvil_slot_broker_t *broker, anvil_node_t node);
+
+/** anvil_slot_broker_has_ended - whether a peer's VM says that its process has ended */
+gboolean anvil_slot_broker_has_ended (const anvil_slot_broker_t *broker, anvil_node_t node);
+
+/** anvil_slot_broker_queued_bytes - bytes for a peer that are not written yet */
+gsize anvil_slot_broker_queued_bytes (const anvil_slot_broker_t *broker, anvil_node_t node);
+
 /** anvil_slot_broker_run_finished - releases a slot and reports how it was used */
 void anvil_slot_broker_run_finished (anvil_slot_broker_t *broker,
                                      anvil_node_t holder,
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -202,6 +202,8 @@
   peer = lookup (members, node);
   if (peer == NULL)
     return;
+  if (peer->info.incarnation != info->incarnation)
+    peer->process_ended = FALSE;
   copy_info (&peer->info, info);
   peer->region = members->region_of (members->context, peer->info.zone.data);
 }
--- a/tests/helper-job.c
+++ b/tests/helper-job.c
@@ -51,18 +51,34 @@
 static void
 on_holder_changed (void *context, const char *service, anvil_node_t holder)
 {
+  anvil_relay_jobs_holder_changed (job_fixture.jobs, service, holder);
 }
 
 static void
 on_peer_restarted (void *context, anvil_node_t peer)
 {
+  anvil_relay_jobs_peer_restarted (job_fixture.jobs, peer);
+}
+
+static void
+on_withdrawn (void *context, guint64 number, anvil_node_t from, gboolean waited)
+{
+  anvil_relay_jobs_withdrawn (job_fixture.jobs, number, from, waited);
+}
+
+static void
+on_response_received (void *context, guint64 number, anvil_node_t from, anvil_str_t payload)
+{
+  anvil_relay_jobs_responded (job_fixture.jobs, number, from, payload);
 }
 
 static const anvil_slot_broker_callbacks_t broker_callbacks
     = { .granted = on_granted,
         .refused = on_refused,
         .holder_changed = on_holder_changed,
-        .peer_restarted = on_peer_restarted };
+        .peer_restarted = on_peer_restarted,
+        .withdrawn = on_withdrawn,
+        .response_received = on_response_received };
 
 static void
 on_upstream_changed (void *context,
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -474,6 +474,22 @@
 }
 END_TEST
 
+/* Guards against a holder that counts as ended though its VM runs a new process. */
+START_TEST (test_a_new_process_has_not_ended)
+{
+  const anvil_member_info_t same = info ("west-b", 1);
+  const anvil_member_info_t next = info ("west-b", 2);
+
+  answer_ping (2, "west-b", 1);
+  anvil_members_process_ended (members, 2);
+  /* A message of the former process may be read late. */
+  anvil_members_update_info (members, now, 2, &same);
+  ck_assert (anvil_members_lookup (members, 2)->process_ended);
+  anvil_members_update_info (members, now, 2, &next);
+  ck_assert (!anvil_members_lookup (members, 2)->process_ended);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -509,6 +525,7 @@
   tcase_add_test (tests, test_the_latest_pings_can_be_dated);
   tcase_add_test (tests,
                   test_with_a_revoke_time_callers_get_entries_with_fresh_proofs_if_there_are_any);
+  tcase_add_test (tests, test_a_new_process_has_not_ended);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/tests/test-relay-forward.c
+++ b/tests/test-relay-forward.c
@@ -25,7 +25,10 @@
   fleet_configure (&fleet, "{\"resourceKind\":\"routes\",\"metadata\":{\"name\":\"home\"},\"spec\":"
                            "{\"host\":\"" FLEET_HOST "\",\"prefix\":\"/home/\",\"kind\":\"safe\","
                            "\"timeoutMs\":1500,\"maxAttempts\":2,\"service\":\"photos\","
-                           "\"allowedRegions\":[\"east\"]}}");
+                           "\"allowedRegions\":[\"east\"]}},"
+                           "{\"resourceKind\":\"routes\",\"metadata\":{\"name\":\"once\"},\"spec\":"
+                           "{\"host\":\"" FLEET_HOST "\",\"prefix\":\"/once/\",\"kind\":\"safe\","
+                           "\"timeoutMs\":1500,\"maxAttempts\":1,\"service\":\"photos\"}}");
   requester = fleet_add_entry (&fleet, "requester", "east-a");
   holders[0] = fleet_add_entry (&fleet, "holder-0", "west-a");
   holders[1] = fleet_add_entry (&fleet, "holder-1", "west-b");
@@ -164,6 +167,24 @@
 }
 END_TEST
 
+/* Guards against requests that are broken off at their upstream in a rolling restart: the entry
+ * that took them and the one that runs them are stopped one after the other. */
+START_TEST (test_a_run_goes_on_when_requester_and_holder_stop)
+{
+  int fd = send_request ("GET", "/once/1?work=1000", "stopped");
+
+  wait_until_running ();
+  kill (requester->pid, SIGTERM);
+  for (guint i = 0; i < G_N_ELEMENTS (holders); i++)
+    {
+      if (fleet_read_metric (holders[i], "anvil_forwarded_running") > 0)
+        kill (holders[i]->pid, SIGTERM);
+    }
+  ck_assert_uint_eq (read_status (fd), 200);
+  ck_assert_uint_eq (fleet_count_runs (&fleet, "stopped"), 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -178,6 +199,7 @@
   tcase_add_test (tests, test_other_requests_get_a_grant);
   tcase_add_test (tests, test_a_run_ends_when_its_caller_leaves);
   tcase_add_test (tests, test_a_request_survives_the_end_of_the_holder);
+  tcase_add_test (tests, test_a_run_goes_on_when_requester_and_holder_stop);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
