Remove an entry's address from the store only as the entry has read it

Cause: a stopping entry removes its row of the list of entries without a condition. The store may perform a call seconds after the caller has given it up; by then the next process of the VM has written the same row, and the late removal takes it away. An entry that is added later doesn't find it.

Change: the removal names the version of the row as it was read after the last write, so it fails once the row was written again. If the version isn't known, or another write of this entry came late, the list is read first. Own address and list move from relay.c to relay/entry-list.c.

test-relay-entries, "a late removal leaves the address of the next process": red with the old sources (address missing), passes now; the stand-in store performs transactions late for it. What remains: a row that is lost all the same is noticed within a minute, or never where the store names no era.

--- a/include/anvil/store.h
+++ b/include/anvil/store.h
@@ -27,6 +27,7 @@
  * anvil_store_row_t - a row, or the tombstone of a removed row
  * @key: key in the table
  * @value: content
+ * @version: version of the store at which it was last written or removed
  * @removed: the row was removed, or is @missing; @value is empty
  * @missing: the row isn't in the table as it was read after the store had come back from an older
  *   copy, so it may have been lost instead of removed
@@ -35,6 +36,7 @@
 {
   anvil_str_t key;
   anvil_str_t value;
+  guint64 version;
   gboolean removed;
   gboolean missing;
 } anvil_store_row_t;
@@ -132,7 +134,11 @@
                                anvil_store_read_cb_t done,
                                void *context);
 
-/** anvil_store_put - writes a row unconditionally; a NULL @value removes it */
+/**
+ * anvil_store_put - writes a row unconditionally
+ *
+ * As with any call that changes rows, the store may perform it after the caller has given it up.
+ */
 void anvil_store_put (anvil_store_t *store,
                       const char *table,
                       const char *key,
@@ -140,6 +146,18 @@
                       anvil_store_put_cb_t done,
                       void *context);
 
+/**
+ * anvil_store_remove - removes a row that is as it was read
+ * @version: version of the row; if it has another one, or doesn't exist, the call ends with
+ *   ANVIL_ERROR_CONFLICT
+ */
+void anvil_store_remove (anvil_store_t *store,
+                         const char *table,
+                         const char *key,
+                         guint64 version,
+                         anvil_store_put_cb_t done,
+                         void *context);
+
 /** anvil_store_byte_counts - bytes received from and sent to the store so far */
 anvil_byte_counts_t anvil_store_byte_counts (const anvil_store_t *store);
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -7,6 +7,7 @@
 #include "anvil/tenants.h"
 #include "relay/config-feed.h"
 #include "relay/config-freshness.h"
+#include "relay/entry-list.h"
 #include "relay/link-usage.h"
 #include "relay/process-usage.h"
 #include "relay/relay-aux-server.h"
@@ -28,13 +29,7 @@
  * written. */
 #define EXIT_MARGIN (100 * ANVIL_MS)
 #define MIN_SUSPENSION (500 * ANVIL_MS)
-/* Table of the entries' addresses, the pause after a failed call to it, and the time between two
- * reads: entries that lost each other in a long network partition find each other again. */
-#define ENTRY_TABLE "entries"
-#define ENTRY_RETRY_PAUSE (1 * ANVIL_SECOND)
-#define ENTRY_PERIOD (60 * ANVIL_SECOND)
-/* After the store has come back from an older copy, all entries write their addresses again within
- * this time. */
+/* After the store has come back from an older copy, all entries write again within this time. */
 #define REWRITE_SPREAD (1 * ANVIL_SECOND)
 /* One in so many descriptors is for callers, the others are for upstreams, peers, store, files. */
 #define CALLER_DESCRIPTORS_DIVISOR 2
@@ -56,6 +51,7 @@
   anvil_registry_t *registry;
   anvil_relay_watch_t *watch;
   anvil_warm_object_backup_t *warm_object_backup;
+  anvil_entry_list_t *entry_list;
   anvil_relay_feed_t *feed;
   anvil_config_feed_t *config_feed;
   anvil_config_freshness_t freshness;
@@ -66,9 +62,6 @@
   anvil_relay_callers_t *callers;
   anvil_relay_aux_server_t *aux_server;
   struct event *tick;
-  struct event *announce_timer;
-  gboolean address_written;
-  gboolean entries_read;
   gboolean ready;
   gboolean shutting_down;
   anvil_time_t shutdown_started_at;
@@ -135,14 +128,6 @@
   return anvil_config_freshness_allows_keys (&relay->freshness);
 }
 
-static void
-schedule_announce (anvil_relay_t *relay, anvil_time_t pause)
-{
-  const struct timeval time = anvil_time_to_timeval (pause);
-
-  evtimer_add (relay->announce_timer, &time);
-}
-
 static void
 on_granted (void *context, guint64 number, anvil_node_t from, const anvil_slot_grant_t *grant)
 {
@@ -420,11 +405,10 @@
 on_era_risen (void *context)
 {
   anvil_relay_t *relay = context;
-  const anvil_time_t pause = g_random_int_range (0, (gint32) REWRITE_SPREAD);
 
-  relay->address_written = FALSE;
-  schedule_announce (relay, pause);
-  anvil_warm_object_backup_rewrite (relay->warm_object_backup, pause);
+  anvil_entry_list_rewrite (relay->entry_list);
+  anvil_warm_object_backup_rewrite (relay->warm_object_backup,
+                                    g_random_int_range (0, (gint32) REWRITE_SPREAD));
 }
 
 static const anvil_relay_watch_callbacks_t watch_callbacks = {
@@ -559,108 +543,6 @@
     stop_if_done (relay, now);
 }
 
-/* Whether the store has lost the address that it has confirmed. */
-static gboolean
-lacks_own_address (const anvil_relay_t *relay, const anvil_store_page_t *page)
-{
-  /* Where it names no era, it loses nothing. */
-  if (page->position.era == 0 || page->has_more)
-    return FALSE;
-  for (guint i = 0; i < page->n_rows; i++)
-    {
-      if (anvil_str_equal (page->rows[i].key, anvil_str (relay->settings->vm)))
-        return FALSE;
-    }
-  return TRUE;
-}
-
-static void
-on_entries_read (void *context, const anvil_store_page_t *page, const GError *error)
-{
-  anvil_relay_t *relay = context;
-
-  if (error != NULL)
-    {
-      anvil_log (ANVIL_LOG_NOTICE, "relay",
-                 "cannot read the addresses of other entries reason=\"%s\"", error->message);
-      schedule_announce (relay, ENTRY_RETRY_PAUSE);
-      return;
-    }
-  for (guint i = 0; i < page->n_rows; i++)
-    {
-      char *text = anvil_str_dup (page->rows[i].value);
-      guint32 address;
-      guint16 port;
-
-      if (anvil_endpoint_parse (text, &address, &port) && port != 0)
-        anvil_members_add (anvil_slot_broker_members (relay->slot_broker), anvil_clock_now (),
-                           anvil_node (address, port));
-      else
-        anvil_log (ANVIL_LOG_WARNING, "relay", "row is not a valid entry address key=%.*s",
-                   ANVIL_STR_ARGS (page->rows[i].key));
-      g_free (text);
-    }
-  if (relay->address_written && lacks_own_address (relay, page))
-    {
-      anvil_log (ANVIL_LOG_NOTICE, "relay",
-                 "own address is missing in the store, writing it again");
-      relay->address_written = FALSE;
-    }
-  relay->entries_read = TRUE;
-  anvil_members_list_read (anvil_slot_broker_members (relay->slot_broker));
-  schedule_announce (relay, relay->address_written ? ENTRY_PERIOD : ENTRY_RETRY_PAUSE);
-}
-
-/* Read only after writing: of two entries that start together, at least one finds the other. If the
- * store takes no writes, the list is read once all the same. */
-static void
-on_address_written (void *context, const GError *error)
-{
-  anvil_relay_t *relay = context;
-
-  if (error != NULL)
-    {
-      anvil_log (ANVIL_LOG_NOTICE, "relay", "cannot write own address reason=\"%s\"",
-                 error->message);
-      if (relay->entries_read)
-        {
-          schedule_announce (relay, ENTRY_RETRY_PAUSE);
-          return;
-        }
-    }
-  relay->address_written = error == NULL;
-  anvil_store_read (relay->store, ENTRY_TABLE, NULL, NULL, on_entries_read, relay);
-}
-
-static void
-on_announce_timer (evutil_socket_t unused_fd, short unused_what, void *data)
-{
-  anvil_relay_t *relay = data;
-  char *text = anvil_endpoint_format (relay->settings->peer_endpoint.address,
-                                      relay->settings->peer_endpoint.port);
-  const anvil_str_t value = anvil_str (text);
-
-  if (relay->shutting_down)
-    {
-      g_free (text);
-      return;
-    }
-  if (relay->address_written)
-    anvil_store_read (relay->store, ENTRY_TABLE, NULL, NULL, on_entries_read, relay);
-  else
-    anvil_store_put (relay->store, ENTRY_TABLE, relay->settings->vm, &value, on_address_written,
-                     relay);
-  g_free (text);
-}
-
-static void
-on_address_removed (void *context, const GError *error)
-{
-  if (error != NULL)
-    anvil_log (ANVIL_LOG_NOTICE, "relay", "cannot remove own address reason=\"%s\"",
-               error->message);
-}
-
 void
 anvil_relay_begin_shutdown (anvil_relay_t *relay)
 {
@@ -675,7 +557,7 @@
   anvil_relay_forwards_begin_shutdown (relay->forwards);
   anvil_relay_jobs_begin_shutdown (
       relay->jobs, relay->shutdown_started_at + relay->settings->shutdown_timeout - STOP_MARGIN);
-  anvil_store_put (relay->store, ENTRY_TABLE, relay->settings->vm, NULL, on_address_removed, relay);
+  anvil_entry_list_remove (relay->entry_list);
 }
 
 static void
@@ -917,8 +799,8 @@
       = anvil_warm_object_backup_open (base, relay->store, relay->slot_broker);
   relay->tick = event_new (base, -1, EV_PERSIST, on_tick, relay);
   event_add (relay->tick, &period);
-  relay->announce_timer = evtimer_new (base, on_announce_timer, relay);
-  schedule_announce (relay, 0);
+  relay->entry_list = anvil_entry_list_open (base, relay->store, settings,
+                                             anvil_slot_broker_members (relay->slot_broker));
   return relay;
 }
 
@@ -936,8 +818,7 @@
   anvil_warm_object_backup_close (relay->warm_object_backup);
   /* Calls under way end here, and their callbacks use the modules that are closed below. */
   anvil_store_close (relay->store);
-  if (relay->announce_timer != NULL)
-    event_free (relay->announce_timer);
+  anvil_entry_list_close (relay->entry_list);
   anvil_relay_aux_server_close (relay->aux_server);
   anvil_relay_forwards_drop (relay->forwards);
   if (relay->jobs != NULL)
--- a/standins/anvil-store.c
+++ b/standins/anvil-store.c
@@ -6,6 +6,7 @@
  *   silent   calls get no response
  *   endless-PLACE  responses go on without end; PLACE as in endless.c
  *   lose     transactions are processed, but get no response
+ *   late     transactions get no response, and are processed &late_ms=N later
  *   refuse-writes  transactions are rejected with status 429
  *   compact  the history of changes is deleted, once
  *   no-era   responses name no era
@@ -46,6 +47,7 @@
   FAULT_BUSY,
   FAULT_SILENT,
   FAULT_LOSE,
+  FAULT_LATE,
   FAULT_REFUSE_WRITES,
   FAULT_ENDLESS,
   FAULT_NO_ERA,
@@ -66,9 +68,19 @@
   /* Place of FAULT_ENDLESS. */
   const endless_message_t *endless;
   anvil_time_t fault_ends_at;
+  /* How late FAULT_LATE processes transactions. */
+  guint64 late_ms;
   store_drill_t *drill;
 } store_t;
 
+/** late_transaction_t - a transaction that is processed later */
+typedef struct
+{
+  store_t *store;
+  json_t *transaction;
+  struct event *timer;
+} late_transaction_t;
+
 typedef struct
 {
   store_t *store;
@@ -308,6 +320,31 @@
   evhttp_clear_headers (&query);
 }
 
+static void
+on_late_transaction (evutil_socket_t unused_fd, short unused_what, void *data)
+{
+  late_transaction_t *late = data;
+
+  store_rows_commit (late->store->rows, late->transaction);
+  respond_to_changed_polls (late->store);
+  event_free (late->timer);
+  json_decref (late->transaction);
+  g_free (late);
+}
+
+/* Takes over @transaction. */
+static void
+process_late (store_t *store, json_t *transaction)
+{
+  const struct timeval time = anvil_time_to_timeval ((anvil_time_t) store->late_ms * ANVIL_MS);
+  late_transaction_t *late = g_new0 (late_transaction_t, 1);
+
+  late->store = store;
+  late->transaction = transaction;
+  late->timer = evtimer_new (store->base, on_late_transaction, late);
+  evtimer_add (late->timer, &time);
+}
+
 static void
 on_transaction (struct evhttp_request *request, void *data)
 {
@@ -325,6 +362,11 @@
       return;
     }
   root = json_loadb ((const char *) evbuffer_pullup (body, -1), length, 0, NULL);
+  if (active_fault (store) == FAULT_LATE)
+    {
+      process_late (store, root);
+      return;
+    }
   committed = store_rows_commit (store->rows, root);
   json_decref (root);
   if (active_fault (store) != FAULT_LOSE)
@@ -374,6 +416,7 @@
   store->fault = strcmp (kind, "busy") == 0            ? FAULT_BUSY
                  : strcmp (kind, "silent") == 0        ? FAULT_SILENT
                  : strcmp (kind, "lose") == 0          ? FAULT_LOSE
+                 : strcmp (kind, "late") == 0          ? FAULT_LATE
                  : strcmp (kind, "refuse-writes") == 0 ? FAULT_REFUSE_WRITES
                  : strcmp (kind, "no-era") == 0        ? FAULT_NO_ERA
                  : strcmp (kind, "odd-era") == 0       ? FAULT_ODD_ERA
@@ -382,6 +425,7 @@
                                                        : FAULT_NONE;
   store->fault_ends_at
       = anvil_clock_now () + (anvil_time_t) query_number (&query, "for_ms") * ANVIL_MS;
+  store->late_ms = query_number (&query, "late_ms");
   if (strcmp (kind, "compact") == 0)
     {
       store_rows_compact (store->rows);
