Notice a lost entry address within seconds, also where the store names no era

Cause: the entry looked for its own row only once a minute, and not at all where the store names no Store-Era.

Change: after each write the list is read again after 2 s, then after twice the time up to a minute, and a missing row is written again in any case. Six more reads for each start of an entry.

--- a/source/relay/entry-list.c
+++ b/source/relay/entry-list.c
@@ -4,11 +4,13 @@
 #include "anvil/log.h"
 #include "anvil/settings.h"
 
-/* Table of the entries' addresses, the pause after a failed call to it, and the time between two
- * reads. */
+/* Table of the entries' addresses, and the pause after a failed call to it. */
 #define TABLE "entries"
 #define RETRY_PAUSE (1 * ANVIL_SECOND)
-#define READ_PERIOD (60 * ANVIL_SECOND)
+/* Time between two reads: it doubles from the first to the second value after each write, since calls
+ * that change rows may be performed seconds late. */
+#define MIN_READ_PERIOD (2 * ANVIL_SECOND)
+#define MAX_READ_PERIOD (60 * ANVIL_SECOND)
 /* After the store has come back from an older copy, all entries write their addresses again within
  * this time. */
 #define REWRITE_SPREAD (1 * ANVIL_SECOND)
@@ -25,6 +27,7 @@
   gboolean read;
   gboolean stopping;
   guint n_removals;
+  anvil_time_t read_period;
   /* Version of the row as it was read last; 0 if it wasn't in the list. */
   guint64 own_version;
 };
@@ -81,12 +84,22 @@
   g_free (text);
 }
 
-/* Whether the store has lost the address that it has confirmed. */
+/* Whether the address that the store has confirmed is gone: it came back from an older copy, or
+ * performed a removal late. */
 static gboolean
 lacks_own_address (const anvil_entry_list_t *list, const anvil_store_page_t *page)
 {
-  /* Where it names no era, it loses nothing. */
-  return list->written && list->own_version == 0 && page->position.era > 0 && !page->has_more;
+  return list->written && list->own_version == 0 && !page->has_more;
+}
+
+/* The pause until the next read. */
+static anvil_time_t
+next_read_pause (anvil_entry_list_t *list)
+{
+  const anvil_time_t pause = list->read_period;
+
+  list->read_period = MIN (2 * pause, MAX_READ_PERIOD);
+  return pause;
 }
 
 static void
@@ -128,7 +141,7 @@
     }
   list->read = TRUE;
   anvil_members_list_read (list->members);
-  schedule (list, list->written ? READ_PERIOD : RETRY_PAUSE);
+  schedule (list, list->written ? next_read_pause (list) : RETRY_PAUSE);
 }
 
 /* If the store takes no writes, the list is read once all the same. */
@@ -148,6 +161,7 @@
         }
     }
   list->written = error == NULL;
+  list->read_period = MIN_READ_PERIOD;
   read_list (list);
 }
 
@@ -184,6 +198,7 @@
   list->store = store;
   list->settings = settings;
   list->members = members;
+  list->read_period = MIN_READ_PERIOD;
   list->timer = evtimer_new (base, on_timer, list);
   schedule (list, 0);
   return list;
--- a/source/relay/entry-list.h
+++ b/source/relay/entry-list.h
@@ -9,7 +9,8 @@
  *
  * An entry writes its address when it starts and removes it when it stops. It reads the list after
  * each write, so that of two entries that start together at least one finds the other, and again
- * now and then, so that entries which lost each other in a long network partition meet again.
+ * within seconds and then now and then, so that it notices if its own address is lost, and entries
+ * which lost each other in a long network partition meet again.
  *
  * The store may perform a call seconds after the caller has given it up, when the next process of
  * the same VM has already written the same row. So an address is removed only as the list had it.
--- a/tests/test-relay-entries.c
+++ b/tests/test-relay-entries.c
@@ -90,6 +90,17 @@
 }
 END_TEST
 
+/* Guards against an entry that others can't find, as its address was lost, where the store names no
+ * era. */
+START_TEST (test_a_lost_address_is_written_again)
+{
+  wait_for_address (second, TRUE);
+  fleet_put_row (&fleet, "entries", second->name, NULL);
+  wait_for_address (second, FALSE);
+  wait_for_address (second, TRUE);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -102,6 +113,7 @@
   tcase_set_timeout (tests, 4 * FLEET_TIMEOUT_S);
   tcase_add_test (tests, test_a_planned_stop_removes_the_address);
   tcase_add_test (tests, test_a_late_removal_leaves_the_address_of_the_next_process);
+  tcase_add_test (tests, test_a_lost_address_is_written_again);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
