Name reachable entries in pings, so that two that share a peer find each other

Cause: the list in the store was the only source of addresses. Pings describe their sender alone.

Change: each ping and pong names one entry that its sender reaches and that isn't stopping, in turn; a pong to an entry that doesn't know its peers yet names up to 16, since it may hold services as soon as all that it knows have answered. The names stand behind the body, where entries of older versions don't look. anvil_reachable_entries is new.

--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -9,7 +9,8 @@
  * service, that is, places its requests.
  *
  * Entries read each other's addresses from the store and ping each other. A
- * ping describes its sender, so that the receiver learns of it too. Every entry
+ * ping describes its sender, so that the receiver learns of it too, and names
+ * other entries in turn: an address may be lost in the store. Every entry
  * chooses the holder of a service by itself, among the entries that it reaches:
  * in a network partition each side has a holder of its own, and they agree
  * again afterwards. The module has no sockets and reads no clock.
@@ -137,6 +138,21 @@
  * was seen again */
 void anvil_members_add (anvil_members_t *members, anvil_time_t now, anvil_node_t node);
 
+/* Most entries that a ping or its answer names. */
+#define ANVIL_MAX_NAMED_MEMBERS 16
+
+/**
+ * anvil_members_pick - reachable entries in turn, which another entry may not know
+ * @except: the entry that is told
+ *
+ * Return: the number of @nodes, @max_nodes at most.
+ */
+guint anvil_members_pick (anvil_members_t *members,
+                          anvil_time_t now,
+                          anvil_node_t except,
+                          anvil_node_t *nodes,
+                          guint max_nodes);
+
 /** anvil_members_list_read - all peers in the store's list of entries have been added */
 void anvil_members_list_read (anvil_members_t *members);
 
--- a/source/relay/entry-list.c
+++ b/source/relay/entry-list.c
@@ -7,8 +7,8 @@
 /* Table of the entries' addresses, and the pause after a failed call to it. */
 #define TABLE "entries"
 #define RETRY_PAUSE (1 * ANVIL_SECOND)
-/* Time between two reads: it doubles from the first to the second value after each write, since calls
- * that change rows may be performed seconds late. */
+/* Time between two reads: it doubles from the first to the second value after each write, since
+ * calls that change rows may be performed seconds late. */
 #define MIN_READ_PERIOD (2 * ANVIL_SECOND)
 #define MAX_READ_PERIOD (60 * ANVIL_SECOND)
 /* After the store has come back from an older copy, all entries write their addresses again within
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -306,16 +306,27 @@
   g_assert_not_reached ();
 }
 
+/* Behind the body, where entries of older versions don't look. */
+static void
+pack_named (msgpack_packer *packer, const anvil_relay_message_t *message)
+{
+  msgpack_pack_array (packer, message->n_named);
+  for (guint i = 0; i < message->n_named; i++)
+    msgpack_pack_uint64 (packer, message->named[i]);
+}
+
 void
 anvil_relay_message_pack (const anvil_relay_message_t *message, GByteArray *out)
 {
   msgpack_packer packer;
 
   msgpack_packer_init (&packer, out, anvil_message_append);
-  msgpack_pack_array (&packer, 3);
+  msgpack_pack_array (&packer, message->n_named > 0 ? 4 : 3);
   msgpack_pack_uint64 (&packer, message->kind);
   msgpack_pack_uint64 (&packer, message->number);
   pack_body (&packer, message);
+  if (message->n_named > 0)
+    pack_named (&packer, message);
 }
 
 /* Entries of older versions don't send eras. */
@@ -360,6 +371,20 @@
   info->store_era = read_era (&reader);
 }
 
+/* Entries of older versions name none. */
+static void
+read_named (anvil_message_reader_t *reader, anvil_relay_message_t *message)
+{
+  anvil_message_reader_t named;
+
+  if (!anvil_message_has_more (reader))
+    return;
+  named = anvil_message_read_array (reader, "named entries");
+  message->n_named = anvil_message_array_length (&named, "named entries", ANVIL_MAX_NAMED_MEMBERS);
+  for (guint i = 0; i < message->n_named; i++)
+    message->named[i] = anvil_message_read_number (&named, "named entry", G_MAXUINT64);
+}
+
 static void
 read_task (anvil_message_reader_t *outer, anvil_task_t *task)
 {
@@ -632,6 +657,7 @@
     case ANVIL_RELAY_PING:
     case ANVIL_RELAY_PONG:
       read_info (reader, &message->info);
+      read_named (reader, message);
       return;
     case ANVIL_RELAY_REQUEST_SLOT:
       read_task (reader, &message->task);
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -73,6 +73,8 @@
  *   on the holder's clock; for the configuration, its version in force at the sender
  * @era: updates, request for updates: era of the store that @number is of
  * @info: ping, pong: the sender
+ * @named: ping, pong: other entries that the sender reaches
+ * @n_named: ping, pong: length of @named
  * @task: request slot, adopt: the task; @task.target and @task.deadline are the remaining times,
  *   microseconds, since clocks differ between processes
  * @upstream: adopt: key of the upstream that runs the task
@@ -119,6 +121,8 @@
   guint64 number;
   guint64 era;
   anvil_member_info_t info;
+  anvil_node_t named[ANVIL_MAX_NAMED_MEMBERS];
+  guint n_named;
   anvil_task_t task;
   guint64 upstream;
   anvil_slot_grant_t grant;
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -652,6 +652,8 @@
   anvil_metrics_set_gauge (
       relay->metrics, "anvil_knows_peers", "",
       anvil_members_self (anvil_slot_broker_members (relay->slot_broker))->knows_peers);
+  anvil_metrics_set_gauge (relay->metrics, "anvil_reachable_entries", "",
+                           anvil_slot_broker_count_reachable (relay->slot_broker));
   anvil_metrics_set_gauge (relay->metrics, "anvil_routes_version", "",
                            routes != NULL ? (gdouble) anvil_routes_version (routes) : 0);
   anvil_metrics_set_gauge (relay->metrics, "anvil_newest_routes_version", "",
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -19,6 +19,13 @@
     anvil_dispatcher_adopt (broker->dispatcher, now, &task, message->upstream);
 }
 
+static void
+add_named (anvil_slot_broker_t *broker, const anvil_relay_message_t *message)
+{
+  for (guint i = 0; i < message->n_named; i++)
+    anvil_members_add (broker->members, anvil_clock_now (), message->named[i]);
+}
+
 static void
 report_pong (anvil_slot_broker_t *broker, anvil_node_t from, const anvil_relay_message_t *message)
 {
@@ -37,6 +44,7 @@
 {
   anvil_time_t now = anvil_clock_now ();
 
+  add_named (broker, message);
   report_pong (broker, from, message);
   if (!anvil_members_ping_answered (broker->members, now, from, &message->info,
                                     (anvil_time_t) message->number))
@@ -51,14 +59,18 @@
 static void
 handle_ping (anvil_slot_broker_t *broker, anvil_node_t from, const anvil_relay_message_t *message)
 {
-  const anvil_relay_message_t pong = { .kind = ANVIL_RELAY_PONG,
-                                       .number = message->number,
-                                       .info = broker_describe_self (broker) };
+  anvil_relay_message_t pong = { .kind = ANVIL_RELAY_PONG,
+                                 .number = message->number,
+                                 .info = broker_describe_self (broker) };
 
   anvil_time_t now = anvil_clock_now ();
   const anvil_peer_t *peer;
 
+  add_named (broker, message);
   anvil_members_update_info (broker->members, now, from, &message->info);
+  /* One that has just started may hold services as soon as it knows the others. */
+  pong.n_named = anvil_members_pick (broker->members, now, from, pong.named,
+                                     message->info.knows_peers ? 1 : ANVIL_MAX_NAMED_MEMBERS);
   peer = anvil_members_lookup (broker->members, from);
   /* It can be reached again, or for the first time. */
   if (peer != NULL && !anvil_members_reachable (broker->members, now, peer))
--- a/source/relay/slot-broker-peers.c
+++ b/source/relay/slot-broker-peers.c
@@ -33,6 +33,7 @@
   peer->pinged_at = now;
   anvil_peer_add_ping (peer, ping.number, anvil_clock_boot ());
   ping.info = broker_describe_self (broker);
+  ping.n_named = anvil_members_pick (broker->members, now, peer->node, ping.named, 1);
   broker_send (broker, peer->node, &ping);
 }
 
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -447,6 +447,12 @@
   return peer != NULL && anvil_members_reachable (broker->members, anvil_clock_now (), peer);
 }
 
+guint
+anvil_slot_broker_count_reachable (const anvil_slot_broker_t *broker)
+{
+  return g_hash_table_size (broker->reachable_nodes) + 1;
+}
+
 gboolean
 anvil_slot_broker_has_ended (const anvil_slot_broker_t *broker, anvil_node_t node)
 {
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -184,6 +184,9 @@
 /** anvil_slot_broker_reachable - whether a peer answers */
 gboolean anvil_slot_broker_reachable (const anvil_slot_broker_t *broker, anvil_node_t node);
 
+/** anvil_slot_broker_count_reachable - entries that answer, with this one */
+guint anvil_slot_broker_count_reachable (const anvil_slot_broker_t *broker);
+
 /** anvil_slot_broker_has_ended - whether a peer's VM says that its process has ended */
 gboolean anvil_slot_broker_has_ended (const anvil_slot_broker_t *broker, anvil_node_t node);
 
--- a/source/steer/members.c
+++ b/source/steer/members.c
@@ -39,6 +39,8 @@
   gboolean list_read;
   anvil_time_t revoke_time;
   guint n_pinged_often;
+  /* Peer that is named next. */
+  guint next_picked;
   GHashTable *by_node;
 };
 
@@ -129,6 +131,27 @@
   peer->address_seen_at = now;
 }
 
+guint
+anvil_members_pick (anvil_members_t *members,
+                    anvil_time_t now,
+                    anvil_node_t except,
+                    anvil_node_t *nodes,
+                    guint max_nodes)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < members->peers->len && n < max_nodes; i++)
+    {
+      const anvil_peer_t *peer
+          = members->peers->pdata[members->next_picked++ % members->peers->len];
+
+      if (peer->node != except && !peer->info.leaving
+          && anvil_members_reachable (members, now, peer))
+        nodes[n++] = peer->node;
+    }
+  return n;
+}
+
 void
 anvil_members_list_read (anvil_members_t *members)
 {
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -490,6 +490,34 @@
 }
 END_TEST
 
+/* Guards against entries that are named though they can't be used, and against some that never are.
+ */
+START_TEST (test_reachable_entries_are_picked_in_turn)
+{
+  const anvil_member_info_t leaving = { .name = anvil_str ("vm"),
+                                        .zone = anvil_str ("west-a"),
+                                        .incarnation = 1,
+                                        .ready = TRUE,
+                                        .leaving = TRUE };
+  anvil_node_t nodes[4];
+  guint n_named[6] = { 0 };
+
+  for (anvil_node_t node = 2; node <= 4; node++)
+    answer_ping (node, "west-a", 1);
+  anvil_members_ping_answered (members, now, 4, &leaving, now);
+  anvil_members_add (members, now, 5);
+  for (guint i = 0; i < 4; i++)
+    {
+      ck_assert_uint_eq (anvil_members_pick (members, now, 9, nodes, 1), 1);
+      n_named[nodes[0]]++;
+    }
+  ck_assert_uint_eq (n_named[2], 2);
+  ck_assert_uint_eq (n_named[3], 2);
+  ck_assert_uint_eq (anvil_members_pick (members, now, 3, nodes, 4), 1);
+  ck_assert_uint_eq (nodes[0], 2);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -526,6 +554,7 @@
   tcase_add_test (tests,
                   test_with_a_revoke_time_callers_get_entries_with_fresh_proofs_if_there_are_any);
   tcase_add_test (tests, test_a_new_process_has_not_ended);
+  tcase_add_test (tests, test_reachable_entries_are_picked_in_turn);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/tests/test-relay-entries.c
+++ b/tests/test-relay-entries.c
@@ -101,6 +101,40 @@
 }
 END_TEST
 
+/* Takes all addresses but that of the first entry out of the list. */
+static void
+lose_addresses (const fleet_entry_t *third)
+{
+  fleet_put_row (&fleet, "entries", second->name, NULL);
+  fleet_put_row (&fleet, "entries", third->name, NULL);
+}
+
+static gboolean
+know_each_other (const fleet_entry_t *third)
+{
+  return fleet_read_metric (second, "anvil_reachable_entries") == 3
+         && fleet_read_metric (third, "anvil_reachable_entries") == 3;
+}
+
+/* Guards against two entries that both hold all services, since neither finds the other in the
+ * list: an entry that both reach tells them. */
+START_TEST (test_entries_learn_of_each_other_from_a_third)
+{
+  const anvil_time_t until = anvil_clock_now () + FLEET_TIMEOUT_S * ANVIL_SECOND;
+  fleet_entry_t *third;
+
+  wait_for_address (second, TRUE);
+  fleet_put_row (&fleet, "entries", second->name, NULL);
+  third = fleet_add_entry (&fleet, "third", "east-a");
+  while (!know_each_other (third) && anvil_clock_now () < until)
+    {
+      lose_addresses (third);
+      g_usleep (POLL_US);
+    }
+  ck_assert (know_each_other (third));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -114,6 +148,7 @@
   tcase_add_test (tests, test_a_planned_stop_removes_the_address);
   tcase_add_test (tests, test_a_late_removal_leaves_the_address_of_the_next_process);
   tcase_add_test (tests, test_a_lost_address_is_written_again);
+  tcase_add_test (tests, test_entries_learn_of_each_other_from_a_third);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
