Judge no keys by a store that has lost the newest configuration

Cause: a read of the store proved that the configuration was the newest; the copy lacked the newer one. The peers, restarted since, had no changes from the version before, and the whole was asked for only while the store didn't answer.

Change: while a peer is known to have a newer configuration, neither reads nor pongs prove anything; within 10 s of a restore or of the start, the proof from before is dropped too. Keys are judged only once the peers are known. The whole configuration is also asked for if the store was read since and lacks it.

--- a/source/relay/config-feed.c
+++ b/source/relay/config-feed.c
@@ -60,6 +60,7 @@
 {
   gint64 in_force = anvil_relay_watch_config_version (feed->watch);
 
+  anvil_relay_watch_hear_config_version (feed->watch, version);
   if (version <= MAX (in_force, feed->heard_version))
     return;
   if (feed->heard_version == 0)
@@ -88,14 +89,24 @@
   feed->heard_version = 0;
 }
 
+/* Whether only a peer has the newest configuration: the store doesn't answer, or was read since
+ * that was heard of and has lost it. */
+static gboolean
+store_lacks_newest (const anvil_config_feed_t *feed)
+{
+  return anvil_relay_watch_operators_lost (feed->watch)
+         || (feed->heard_version > 0
+             && anvil_relay_watch_operators_read_at (feed->watch) > feed->heard_at);
+}
+
 static void
 request_changes (anvil_config_feed_t *feed, anvil_time_t now, anvil_node_t peer)
 {
   const anvil_relay_message_t message
       = { .kind = ANVIL_RELAY_REQUEST_CONFIG,
           .number = (guint64) anvil_relay_watch_config_version (feed->watch),
-          .whole = anvil_relay_watch_operators_lost (feed->watch)
-                   && now - feed->whole_requested_at >= WHOLE_REQUEST_DELAY };
+          .whole
+          = store_lacks_newest (feed) && now - feed->whole_requested_at >= WHOLE_REQUEST_DELAY };
 
   feed->requested_at = now;
   if (message.whole)
--- a/source/relay/config-freshness.c
+++ b/source/relay/config-freshness.c
@@ -21,9 +21,11 @@
 gboolean
 anvil_config_freshness_allows_keys (const anvil_config_freshness_t *freshness)
 {
+  /* The store may have lost a newer configuration, which a peer would tell of. */
   return !is_strict (freshness)
-         || anvil_config_proof_allows_keys (anvil_config_freshness_age (freshness),
-                                            freshness->settings->revoke_time);
+         || (anvil_members_self (freshness->members)->knows_peers
+             && anvil_config_proof_allows_keys (anvil_config_freshness_age (freshness),
+                                                freshness->settings->revoke_time));
 }
 
 gboolean
--- a/source/relay/relay-watch.c
+++ b/source/relay/relay-watch.c
@@ -56,6 +56,9 @@
   anvil_time_t revoke_time;
   /* That the configuration in force is the newest. */
   anvil_config_proof_t proof;
+  /* Newest version of the configuration that a peer named; 0 for none. */
+  gint64 heard_config_version;
+  anvil_time_t opened_at;
   /* Version of the store up to which the evacuated zones are known, from the store or a peer. */
   anvil_store_position_t operators_version;
   evacuated_zones_t *evacuated_zones;
@@ -263,6 +266,14 @@
   watch->callbacks.upstreams_read (watch->context);
 }
 
+/* Whether a configuration exists that is newer than the one in force. A read that doesn't find it
+ * proves nothing: the store has come back from a copy that lacks it. */
+static gboolean
+lacks_known_config (const anvil_relay_watch_t *watch)
+{
+  return watch->heard_config_version > anvil_relay_watch_config_version (watch);
+}
+
 static void
 on_operator_read_up_to (void *context, anvil_store_position_t version)
 {
@@ -272,7 +283,7 @@
       |= watch->operators_version.version > 0 && version.era > watch->operators_version.era;
   watch->operators_version = anvil_store_position_latest (watch->operators_version, version);
   evacuated_zones_settle (watch->evacuated_zones, anvil_clock_now ());
-  if (anvil_config_in_force_exists (watch->config))
+  if (anvil_config_in_force_exists (watch->config) && !lacks_known_config (watch))
     anvil_config_proof_add_read (&watch->proof,
                                  anvil_table_follower_current_at (watch->operator_follower));
   if (watch->config_read)
@@ -432,8 +443,28 @@
                               anvil_time_t pinged_at,
                               anvil_time_t peer_age)
 {
-  anvil_config_proof_add_pong (&watch->proof, anvil_relay_watch_config_version (watch),
-                               peer_version, pinged_at, peer_age);
+  if (!lacks_known_config (watch))
+    anvil_config_proof_add_pong (&watch->proof, anvil_relay_watch_config_version (watch),
+                                 peer_version, pinged_at, peer_age);
+}
+
+/* Whether the store may have lost a configuration that it had when it was read. An entry that has
+ * just started doesn't know how long ago the store came back. */
+static gboolean
+may_lack_config (const anvil_relay_watch_t *watch, anvil_time_t now)
+{
+  return store_era_returning (&watch->era, now)
+         || (watch->era.era > 0 && now - watch->opened_at < ANVIL_STORE_RETURN_TIME);
+}
+
+void
+anvil_relay_watch_hear_config_version (anvil_relay_watch_t *watch, gint64 version)
+{
+  if (version <= watch->heard_config_version)
+    return;
+  watch->heard_config_version = version;
+  if (lacks_known_config (watch) && may_lack_config (watch, anvil_clock_now ()))
+    watch->proof = (anvil_config_proof_t){ 0 };
 }
 
 anvil_time_t
@@ -484,6 +515,7 @@
 {
   anvil_relay_watch_t *watch = g_new0 (anvil_relay_watch_t, 1);
 
+  watch->opened_at = anvil_clock_now ();
   watch->adapter = adapter;
   watch->registry = registry;
   watch->callbacks = *callbacks;
--- a/source/relay/relay-watch.h
+++ b/source/relay/relay-watch.h
@@ -173,6 +173,12 @@
  * configuration is often proven to be the newest; microseconds, 0 for no such rule */
 void anvil_relay_watch_set_revoke_time (anvil_relay_watch_t *watch, anvil_time_t revoke_time);
 
+/** anvil_relay_watch_hear_config_version - a peer has this version of the configuration in force.
+ * If the store may have come back from a copy that lacks it, what was read of the store proves
+ * nothing
+ */
+void anvil_relay_watch_hear_config_version (anvil_relay_watch_t *watch, gint64 version);
+
 /** anvil_relay_watch_hear_proof - a peer answered a ping; see anvil_config_proof_add_pong() */
 void anvil_relay_watch_hear_proof (anvil_relay_watch_t *watch,
                                    gint64 peer_version,
--- a/tests/test-relay-revocation.c
+++ b/tests/test-relay-revocation.c
@@ -25,6 +25,10 @@
 #define TOO_MANY_BYTES (1400u << 10)
 #define RECOVERY_TIME (10 * ANVIL_SECOND)
 #define POLL_US 20000
+/* A drill, and when the store has again what it has lost. */
+#define COPY_MARGIN_US 50000ul
+#define AWAY_MS 300
+#define REWRITE_MS 8000
 
 static fleet_t fleet;
 /* One upstream entry of the store, and one that gets there by a proxy. */
@@ -299,6 +303,63 @@
 }
 END_TEST
 
+/* Requests with a key that was taken away, for a while; an entry that starts refuses connections at
+ * first. */
+static void
+assert_never_served (const char *key, anvil_time_t duration)
+{
+  const anvil_time_t until = anvil_clock_now () + duration;
+
+  while (anvil_clock_now () < until)
+    {
+      int fd = fleet_connect (entry->caller_port);
+
+      if (fd >= 0)
+        {
+          send_request (fd, "/view/1", key);
+          ck_assert_uint_ne (read_status (fd), 200);
+          close (fd);
+        }
+      g_usleep (POLL_US);
+    }
+}
+
+/* Guards against a key that works again at an entry which starts after a drill: the store has lost
+ * the configuration without it, and the peers, which have restarted since, keep no changes of it.
+ */
+START_TEST (test_a_key_that_was_taken_away_stays_so_after_a_drill)
+{
+  anvil_time_t copied_at;
+
+  fleet_open_at_era (&fleet, 3);
+  fleet.more_bounds = STRICT;
+  fleet_add_upstream (&fleet, "west", "photos", NULL);
+  fleet_configure (&fleet, BOTH);
+  peer = fleet_add_entry (&fleet, "e0", "west-a");
+  proxy = fleet_add_store_proxy (&fleet, 0);
+  entry = fleet_add_entry (&fleet, "e1", "west-b");
+  fleet_wait_ready (peer);
+  fleet_wait_ready (entry);
+  wait_for_status (KEY_A, 200, RECOVERY_TIME);
+  copied_at = anvil_clock_now ();
+  g_usleep (COPY_MARGIN_US);
+  fleet_configure (&fleet, ONLY_B);
+  wait_for_status (KEY_A, 401, REVOKE_TIME);
+  fleet_kill_entry (peer, SIGKILL);
+  fleet_start_entry (&fleet, peer);
+  fleet_wait_ready (peer);
+  g_usleep (REVOKE_TIME);
+  fleet_kill_entry (entry, SIGKILL);
+  fleet_start_drill (&fleet, AWAY_MS, (guint) ((anvil_clock_now () - copied_at) / ANVIL_MS),
+                     REWRITE_MS);
+  g_usleep (2 * AWAY_MS * 1000ul);
+  fleet_start_entry (&fleet, entry);
+  assert_never_served (KEY_A, RECOVERY_TIME / 2);
+  ck_assert_int_eq (fleet_read_metric (entry, "anvil_routes_version"), 2);
+  wait_for_status (KEY_B, 200, RECOVERY_TIME);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -318,6 +379,7 @@
                   test_an_entry_that_has_restarted_beside_a_silent_store_refuses_keys_with_503);
   tcase_add_test (tests, test_a_request_that_waits_for_a_slot_is_not_sent_once_the_proof_is_old);
   tcase_add_test (tests, test_look_ups_leave_out_entries_with_old_proofs_unless_all_are);
+  tcase_add_test (tests, test_a_key_that_was_taken_away_stays_so_after_a_drill);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
