Ignore what a restored copy has of upstreams that are known to have left

Cause: the row of a process that has left is ignored unless its sequence is above the last known one. An entry that is told of upstreams by its reader isn't sent reports that change nothing, so it knows a lower sequence than the copy has.

Change: until the copy's rows are read, or the reader has told what is missing, rows of a process that has left are ignored whatever their sequence, and the highest one is kept for later reads of the same row.

In "an upstream that left does not come back with an old row" the later report now comes after the copy was read, as a later one in the copy is no report of a live process; the oracle of test-drill-model follows the new rule.

--- a/source/steer/registry-internal.h
+++ b/source/steer/registry-internal.h
@@ -47,6 +47,8 @@
    * departure. */
   gboolean has_returned;
   anvil_time_t return_ends;
+  /* The rows of the copy were not all read yet. */
+  gboolean reading_copy;
   /* That time was not over at the last tick. */
   gboolean returning;
   gboolean store_lost;
--- a/source/steer/registry-removal.c
+++ b/source/steer/registry-removal.c
@@ -88,6 +88,7 @@
 
   registry->has_returned = TRUE;
   registry->returning = TRUE;
+  registry->reading_copy = TRUE;
   registry->return_ends = now + ANVIL_STORE_RETURN_TIME;
   g_hash_table_iter_init (&iter, registry->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -126,6 +127,7 @@
   GHashTableIter iter;
   gpointer value;
 
+  registry->reading_copy = FALSE;
   g_hash_table_iter_init (&iter, registry->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -224,6 +226,7 @@
   for (guint i = 0; i < missing->len; i++)
     remove_or_defer (registry, now, missing->pdata[i]);
   g_ptr_array_unref (missing);
+  registry->reading_copy = FALSE;
 }
 
 void
--- a/source/steer/registry.c
+++ b/source/steer/registry.c
@@ -152,17 +152,20 @@
          && report->started_at == upstream->started_at && report->sequence <= upstream->sequence;
 }
 
-/* Whether a report is of a process that has left. */
+/* Whether a report is of a process that has left. The sequence of its last report may not be known
+ * here, so what the copy has of it is never newer than its removal. */
 static gboolean
 has_left (const anvil_registry_t *registry,
           anvil_time_t now,
           guint64 key,
           const anvil_upstream_report_t *report)
 {
-  const removed_process_t *removed = g_hash_table_lookup (registry->removed_keys, &key);
+  removed_process_t *removed = g_hash_table_lookup (registry->removed_keys, &key);
 
   if (removed == NULL || now >= registry->return_ends)
     return FALSE;
+  if (registry->reading_copy && report->started_at == removed->started_at)
+    removed->sequence = MAX (removed->sequence, report->sequence);
   return is_older (registry, now, removed->started_at, removed->sequence, report)
          || (report->started_at == removed->started_at && report->sequence == removed->sequence);
 }
--- a/tests/test-drill-model.c
+++ b/tests/test-drill-model.c
@@ -72,6 +72,8 @@
   evacuated_zones_t *zones;
   gboolean has_read;
   gboolean needs_full_read;
+  /* The rows of the copy were not all read since the return. */
+  gboolean reading_copy;
   anvil_store_position_t zones_position;
   oracle_t oracle[N_UPSTREAMS];
   /* Zones that must be evacuated: known at the return, and not seen since. */
@@ -179,6 +181,13 @@
   oracle->listed = TRUE;
   oracle->pending = FALSE;
   oracle->gone_at = 0;
+  /* What the copy has of a process that has left is never newer than its removal. */
+  if (oracle->known && !oracle->newest.exists && entry->reading_copy && is_returning (entry)
+      && row->born == oracle->newest.born)
+    {
+      oracle->newest.sequence = MAX (oracle->newest.sequence, row->sequence);
+      return;
+    }
   if (!oracle->known || is_later (row, &oracle->newest)
       || (!oracle->newest.exists && !is_returning (entry)))
     {
@@ -261,6 +270,7 @@
   anvil_registry_begin_era (entry->registry, now);
   evacuated_zones_begin_era (entry->zones, now);
   entry->needs_full_read = TRUE;
+  entry->reading_copy = TRUE;
   for (guint i = 0; i < N_UPSTREAMS; i++)
     {
       entry->oracle[i].fresh = FALSE;
@@ -316,6 +326,7 @@
     anvil_update_log_reset (entry->log, position);
   entry->has_read = TRUE;
   entry->needs_full_read = FALSE;
+  entry->reading_copy = FALSE;
 }
 
 static void
@@ -376,6 +387,7 @@
 confirm_rows (entry_t *entry)
 {
   anvil_registry_confirm_rows (entry->registry);
+  entry->reading_copy = FALSE;
   for (guint i = 0; i < N_UPSTREAMS; i++)
     entry->oracle[i].listed |= !entry->oracle[i].pending;
 }
--- a/tests/test-registry-drill.c
+++ b/tests/test-registry-drill.c
@@ -224,11 +224,35 @@
   apply (T0 + 1, BORN, 4, FALSE);
   apply (T0 + 1, BORN - 1, 9, FALSE);
   ck_assert_ptr_null (lookup ());
+  /* The copy was read. */
+  anvil_registry_confirm_rows (registry);
   apply (T0 + 1, BORN, 6, FALSE);
   ck_assert (is_usable ());
 }
 END_TEST
 
+/* Guards against an upstream that has left and is used again: an entry that isn't sent the reports
+ * that change nothing knows a lower sequence than the copy has. */
+START_TEST (test_an_upstream_that_left_does_not_come_back_with_an_unknown_report)
+{
+  apply (T0, BORN, 1, FALSE);
+  anvil_registry_remove (registry, T0, anvil_str ("a"));
+  anvil_registry_begin_era (registry, T0);
+  anvil_registry_begin_snapshot (registry);
+  apply (T0 + 1, BORN, 5, FALSE);
+  anvil_registry_end_snapshot (registry, T0 + 1);
+  ck_assert_ptr_null (lookup ());
+  /* Nor with the same row in a later read. */
+  anvil_registry_begin_snapshot (registry);
+  apply (T0 + 2, BORN, 5, FALSE);
+  anvil_registry_end_snapshot (registry, T0 + 2);
+  ck_assert_ptr_null (lookup ());
+  /* One that it writes after the return shows that it lives. */
+  apply (T0 + 3, BORN, 6, FALSE);
+  ck_assert (is_usable ());
+}
+END_TEST
+
 START_TEST (test_a_second_return_starts_anew)
 {
   apply (T0, BORN, 5, FALSE);
@@ -330,6 +354,7 @@
   tcase_add_test (tests, test_a_new_process_ends_the_drain_of_the_old_one);
   tcase_add_test (tests, test_an_older_row_does_not_end_the_leaving_of_a_process);
   tcase_add_test (tests, test_an_upstream_that_left_does_not_come_back_with_an_old_row);
+  tcase_add_test (tests, test_an_upstream_that_left_does_not_come_back_with_an_unknown_report);
   tcase_add_test (tests, test_a_second_return_starts_anew);
   tcase_add_test (tests, test_a_subscriber_that_is_told_what_is_missing_knows_what_its_reader_does);
   tcase_add_test (tests, test_grants_are_judged_by_era);
