--- a/tests/test-relay-revocation.c
+++ b/tests/test-relay-revocation.c
@@ -28,6 +28,7 @@
 /* A drill, and when the store has again what it has lost. */
 #define COPY_MARGIN_US 50000ul
 #define AWAY_MS 300
+#define AWAY_US (AWAY_MS * 1000ul)
 #define REWRITE_MS 8000
 
 static fleet_t fleet;
@@ -352,7 +353,7 @@
   fleet_kill_entry (entry, SIGKILL);
   fleet_start_drill (&fleet, AWAY_MS, (guint) ((anvil_clock_now () - copied_at) / ANVIL_MS),
                      REWRITE_MS);
-  g_usleep (2 * AWAY_MS * 1000ul);
+  g_usleep (2 * AWAY_US);
   fleet_start_entry (&fleet, entry);
   assert_never_served (KEY_A, RECOVERY_TIME / 2);
   ck_assert_int_eq (fleet_read_metric (entry, "anvil_routes_version"), 2);
