--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,7 +6,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), '..'))
-from harness3 import Entry, Fleet, Record, Server, http, reset  # noqa: E402
+from harness3 import Entry, Fleet, Server, http, reset, run_case  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 UPLOADS = 6
@@ -80,18 +80,4 @@
     return 1 if broken else 0
 
 
-def main():
-    record = Record('record.txt')
-    fleet = Fleet(record)
-    try:
-        status = asyncio.run(asyncio.wait_for(play(fleet, record), 100))
-    except Exception as error:  # pylint: disable=broad-except
-        record('could not run: %r' % error)
-        status = 2
-    finally:
-        fleet.close()
-    record('exit %d' % status)
-    sys.exit(status)
-
-
-main()
+run_case(play)
--- a/review/harness3.py
+++ b/review/harness3.py
@@ -1,4 +1,4 @@
-"""Stand-ins of a small deployment for the scripts of review cases: servers, clients, a store and
+"""Stand-ins of a small deployment for the scripts of cases 11 to 14: servers, clients, a store and
 entries as processes, all on loopback addresses. Standard library only."""
 
 import asyncio
@@ -11,12 +11,14 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), '..'))
 BIN = os.environ.get('REVIEW_BIN', os.path.join(ROOT, 'target/bin'))
 HOST = 'shop.example'
+CASE_TIMEOUT_S = 100
 
 
 def free_port(address):
@@ -393,3 +395,23 @@
             print(self.directory)
         else:
             shutil.rmtree(self.directory, ignore_errors=True)
+
+
+def run_case(play, bounds=None):
+    """Runs a case in the working directory and exits with its status: 1 broken, 0 held, 2 not run."""
+    async def run():
+        # Connections that are still open at the end are closed without a report of each.
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        return await asyncio.wait_for(play(fleet, record), CASE_TIMEOUT_S)
+
+    record = Record('record.txt')
+    fleet = Fleet(record, bounds=bounds)
+    try:
+        status = asyncio.run(run())
+    except Exception as error:  # pylint: disable=broad-except
+        record('could not run: %r' % error)
+        status = 2
+    finally:
+        fleet.close()
+    record('exit %d' % status)
+    sys.exit(status)
