Log which calls learnt of the end of an upstream's connection

One line now names what the calls on the socket reported (end read, read failed, write failed), with the bytes of the body and of the request that weren't sent.

--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -245,6 +245,25 @@
                   "upstream closed the connection before the end of its response");
 }
 
+/* Logs which calls on the socket learnt of the end of a connection: a response without a length is
+ * whole or not by that. */
+static void
+log_end (const anvil_relay_attempt_t *attempt, short events)
+{
+  const upstream_connection_t *connection = attempt->connection;
+
+  anvil_log (ANVIL_LOG_INFO, "upstream",
+             "connection ended before the response upstream=%s request=%s reused=%d end_read=%d "
+             "read_failed=%d write_failed=%d in_body=%d body_bytes=%zu unsent_bytes=%zu",
+             attempt->upstream_id, attempt->request_id != NULL ? attempt->request_id : "-",
+             connection->reused, (events & BEV_EVENT_EOF) != 0,
+             (events & BEV_EVENT_ERROR) != 0 && (events & BEV_EVENT_READING) != 0
+                 && (events & BEV_EVENT_EOF) == 0,
+             (events & BEV_EVENT_ERROR) != 0 && (events & BEV_EVENT_WRITING) != 0, attempt->in_body,
+             attempt->body_bytes,
+             evbuffer_get_length (bufferevent_get_output (connection->stream)));
+}
+
 static void
 set_socket_options (evutil_socket_t fd)
 {
@@ -273,8 +292,10 @@
     {
       pool_remove_idle (connection);
       upstream_connection_close (connection);
+      return;
     }
-  else if (!is_request_sent (connection->attempt))
+  log_end (connection->attempt, events);
+  if (!is_request_sent (connection->attempt))
     attempt_fail (connection->attempt, ANVIL_RUN_CONNECT_FAILED,
                   (events & BEV_EVENT_TIMEOUT) != 0
                       ? "connect timed out"
