Take a body for whole only if no call on its connection has failed

The same decision in the client of the store took a part of a response to a long transaction for a complete one.

Cause: the kernel hands out the error of a reset once. If the write comes first it takes ECONNRESET, and the read after it returns 0, as at the end of a stream; both arrive in one event, ERROR with EOF. on_event() looked at EOF first, and anvil_http_end_is_orderly() asked the socket for an error that was no longer there. On a new connection the read is the first of the two, as libevent handles the event that was added last first; on one that was idle it is the write. Ruled out by the log line of: an end that the kernel reports before the reset (write_failed is 1 and the request unsent), and a body that the parser ends too early (in_body is 1).

Change: net/stream-end.c decides for both clients how a connection has ended. It remembers that a call has failed, in the same event or an earlier one; an end that is read after that is none. The check for an error that is still pending moved there. What no call has reported and the socket doesn't either when the end is read came in order, on a new connection and on a used one.

--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -12,6 +12,7 @@
 #include "net/http-framing.h"
 #include "net/http-kept-header.h"
 #include "net/http-response-head.h"
+#include "net/stream-end.h"
 
 #define MAX_CONNECTIONS 4
 #define MAX_QUEUED_CALLS 1024
@@ -26,6 +27,7 @@
 /**
  * connection_t - a connection of the pool
  * @stream: NULL until the first call and after a failure
+ * @end: how @stream has ended
  * @call: call in progress, or NULL
  * @parser: parser of the response to @call
  * @response_complete: the parser has reached the end of a response
@@ -37,6 +39,7 @@
 {
   anvil_http_pool_t *pool;
   struct bufferevent *stream;
+  anvil_stream_end_t end;
   call_t *call;
   http_parser parser;
   anvil_http_head_t head;
@@ -360,12 +363,10 @@
 
 /* The end of the stream may be the end of a response without a length. */
 static void
-on_eof (connection_t *connection)
+on_end (connection_t *connection)
 {
-  const gboolean orderly = anvil_http_end_is_orderly (bufferevent_getfd (connection->stream));
-
   http_parser_execute (&connection->parser, &parser_settings, NULL, 0);
-  if (orderly && connection->response_complete && connection->parser.status_code >= 200)
+  if (connection->response_complete && connection->parser.status_code >= 200)
     complete_call (connection);
   else
     fail_call (connection, "connection closed before the end of the response");
@@ -376,12 +377,14 @@
 {
   connection_t *connection = data;
 
-  if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
+  const anvil_stream_state_t state = anvil_stream_end_update (&connection->end, stream, events);
+
+  if (state == ANVIL_STREAM_OPEN)
     return;
   if (connection->call == NULL)
     connection_close (connection);
-  else if ((events & BEV_EVENT_EOF) != 0)
-    on_eof (connection);
+  else if (state == ANVIL_STREAM_ENDED)
+    on_end (connection);
   else
     fail_call (connection, "connection failed");
 }
@@ -391,6 +394,7 @@
 {
   anvil_http_pool_t *pool = connection->pool;
 
+  connection->end = (anvil_stream_end_t){ 0 };
   connection->stream
       = bufferevent_socket_new (pool->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb (connection->stream, on_read, NULL, on_event, connection);
--- a/source/net/http-response-head.c
+++ b/source/net/http-response-head.c
@@ -1,7 +1,6 @@
 #include "net/http-response-head.h"
 
 #include <string.h>
-#include <sys/socket.h>
 
 #define MIN_FINAL_STATUS 200
 #define MAX_FINAL_STATUS 599
@@ -266,14 +265,3 @@
     }
   return head->problem != NULL ? ANVIL_HTTP_HEAD_INVALID : ANVIL_HTTP_HEAD_PARTIAL;
 }
-
-gboolean
-anvil_http_end_is_orderly (evutil_socket_t fd)
-{
-  int error = 0;
-  socklen_t size = sizeof error;
-  char byte;
-
-  return fd >= 0 && getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0
-         && recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
--- a/source/net/http-response-head.h
+++ b/source/net/http-response-head.h
@@ -2,8 +2,6 @@
 
 #include <glib.h>
 
-#include <event2/util.h>
-
 /*
  * Checks the heads of HTTP/1 responses.
  *
@@ -64,10 +62,3 @@
 
 /** anvil_http_status_is_final - whether a status ends a response: 200 to 599 */
 gboolean anvil_http_status_is_final (guint status);
-
-/**
- * anvil_http_end_is_orderly - whether a connection whose end was read has had no error
- *
- * A body without a length is whole only then: a reset may follow the end of the stream at once.
- */
-gboolean anvil_http_end_is_orderly (evutil_socket_t fd);
--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 
 #include "net/http-response-head.h"
+#include "net/stream-end.h"
 #include "relay/relay-upstream.h"
 
 /* relay-upstream.c connects and sends requests, relay-upstream-pool.c keeps idle connections,
@@ -33,6 +34,7 @@
 
 /**
  * upstream_connection - one connection to an upstream
+ * @end: how it has ended
  * @attempt: attempt that uses it, or NULL while it is idle
  * @id_hashes: hashes of the ids of the requests that it has carried; of an empty text for one
  * without an id
@@ -49,6 +51,7 @@
   guint32 address;
   guint16 port;
   struct bufferevent *stream;
+  anvil_stream_end_t end;
   anvil_relay_attempt_t *attempt;
   gboolean reused;
   guint64 id_hashes[MAX_CONNECTION_REQUESTS];
@@ -143,9 +146,6 @@
 /* Why what has arrived is no response, or NULL. */
 const char *attempt_problem (const anvil_relay_attempt_t *attempt);
 
-/* Whether the body of the current response ends with its connection. */
-gboolean attempt_response_has_no_length (const anvil_relay_attempt_t *attempt);
-
 /* Empties the body and takes its bytes off the pool's sum. */
 void attempt_clear_body (anvil_relay_attempt_t *attempt);
 
--- a/source/relay/relay-upstream-response.c
+++ b/source/relay/relay-upstream-response.c
@@ -271,8 +271,9 @@
   return 0;
 }
 
-gboolean
-attempt_response_has_no_length (const anvil_relay_attempt_t *attempt)
+/* Whether the body of the current response ends with its connection. */
+static gboolean
+has_no_length (const anvil_relay_attempt_t *attempt)
 {
   const http_parser *parser = &attempt->parser;
 
@@ -311,8 +312,7 @@
   attempt->in_body = TRUE;
   announce (attempt);
   /* The response to this request can't follow it. */
-  if (!attempt->is_head && attempt_response_has_no_length (attempt)
-      && !attempt_response_matches (attempt))
+  if (!attempt->is_head && has_no_length (attempt) && !attempt_response_matches (attempt))
     return -1;
   /* 1 tells the parser that the response to a HEAD request has no body. */
   return attempt->is_head ? 1 : 0;
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -229,16 +229,14 @@
   enforce_buffer_limit (pool);
 }
 
-/* The upstream closed its side, which may mark the end of a response without a length. */
+/* The upstream ended its side, which may mark the end of a response without a length. */
 static void
-on_eof (upstream_connection_t *connection)
+on_end (upstream_connection_t *connection)
 {
   anvil_relay_attempt_t *attempt = connection->attempt;
-  const gboolean cut_off = attempt->in_body && attempt_response_has_no_length (attempt)
-                           && !anvil_http_end_is_orderly (bufferevent_getfd (connection->stream));
 
   attempt_parse (attempt, NULL, 0);
-  if (!cut_off && attempt->response_complete && attempt_response_matches (attempt))
+  if (attempt->response_complete && attempt_response_matches (attempt))
     attempt_complete (attempt, FALSE);
   else
     attempt_fail (attempt, ANVIL_RUN_INTERRUPTED,
@@ -282,12 +280,12 @@
 on_event (struct bufferevent *stream, short events, void *data)
 {
   upstream_connection_t *connection = data;
+  const anvil_stream_state_t state = anvil_stream_end_update (&connection->end, stream, events);
 
   if ((events & BEV_EVENT_CONNECTED) != 0)
-    {
-      bufferevent_set_timeouts (stream, NULL, NULL);
-      return;
-    }
+    bufferevent_set_timeouts (stream, NULL, NULL);
+  if (state == ANVIL_STREAM_OPEN)
+    return;
   if (connection->attempt == NULL)
     {
       pool_remove_idle (connection);
@@ -300,8 +298,8 @@
                   (events & BEV_EVENT_TIMEOUT) != 0
                       ? "connect timed out"
                       : "connection failed before the request was sent");
-  else if ((events & BEV_EVENT_EOF) != 0)
-    on_eof (connection);
+  else if (state == ANVIL_STREAM_ENDED)
+    on_end (connection);
   else
     attempt_fail (connection->attempt, ANVIL_RUN_INTERRUPTED,
                   "connection failed after the request was sent");
--- a/tests/test-http-pool.c
+++ b/tests/test-http-pool.c
@@ -1,4 +1,5 @@
-/* Time-outs of calls whose response arrives in parts. */
+/* Time-outs of calls whose response arrives in parts, and responses that break off or belong to
+ * another call. */
 
 #include <check.h>
 #include <stdlib.h>
@@ -319,6 +320,76 @@
 }
 END_TEST
 
+/* More than the buffers of a connection hold, so that the call is still being written. */
+#define LONG_CALL_BYTES ((gsize) 16 << 20)
+#define EARLY "HTTP/1.1 200 OK\r\n\r\npart of the body"
+
+/* Starts a long call, on a connection that has carried another one before if @reuse. Returns the
+ * server's end of the connection. */
+static int
+start_long_call (anvil_http_pool_t *own, int listener, gboolean reuse)
+{
+  struct evbuffer *body = evbuffer_new ();
+  char *filler = g_strnfill (LONG_CALL_BYTES, 'x');
+  char bytes[4096];
+  int fd = -1;
+
+  if (reuse)
+    {
+      anvil_http_pool_call (own, EVHTTP_REQ_GET, "/a", NULL, on_result, NULL);
+      fd = accept_call (listener);
+      answer (fd, FIRST);
+      ck_assert_int_eq (status, 200);
+      status = -1;
+    }
+  evbuffer_add (body, filler, LONG_CALL_BYTES);
+  anvil_http_pool_call (own, EVHTTP_REQ_POST, "/b", body, on_result, NULL);
+  if (reuse)
+    {
+      ck_assert (wait_for_input (fd, END_TIMEOUT));
+      ck_assert_int_gt (recv (fd, bytes, sizeof bytes, 0), 0);
+    }
+  else
+    fd = accept_call (listener);
+  g_free (filler);
+  evbuffer_free (body);
+  return fd;
+}
+
+/* Guards against a part of an early response that is taken for the whole, since the write of the
+ * call takes the error of the connection and the read after it sees an end. */
+START_TEST (test_an_early_response_without_length_is_whole_only_at_an_orderly_end)
+{
+  const gboolean reuse = _i % 2 == 1;
+  const gboolean orderly = _i / 2 == 1;
+  const struct linger linger = { .l_onoff = 1 };
+  guint16 port;
+  int listener = listen_for_calls (&port);
+  anvil_http_pool_t *own = anvil_http_pool_open (base, INADDR_LOOPBACK, port, END_TIMEOUT);
+  int fd = start_long_call (own, listener, reuse);
+
+  ck_assert_int_eq (send (fd, EARLY, strlen (EARLY), MSG_NOSIGNAL), (ssize_t) strlen (EARLY));
+  for (guint i = 0; i < 20; i++)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_int_eq (status, -1);
+  if (orderly)
+    shutdown (fd, SHUT_WR);
+  else
+    {
+      ck_assert_int_eq (setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger), 0);
+      close (fd);
+    }
+  for (anvil_time_t until = anvil_clock_now () + END_TIMEOUT;
+       status < 0 && anvil_clock_now () < until;)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_int_eq (status, orderly ? 200 : 0);
+  if (orderly)
+    close (fd);
+  anvil_http_pool_close (own);
+  close (listener);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -337,6 +408,8 @@
                   test_the_response_to_a_call_that_was_given_up_is_not_taken_for_the_next_one);
   tcase_add_test (tests,
                   test_a_response_that_arrived_before_a_call_was_sent_is_not_taken_for_its_own);
+  tcase_add_loop_test (tests, test_an_early_response_without_length_is_whole_only_at_an_orderly_end,
+                       0, 4);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test-relay-answers.c
+++ b/tests/test-relay-answers.c
@@ -76,11 +76,22 @@
   close (listener);
 }
 
-/* Starts a request and returns the upstream's end of its connection, with its head received. */
+/* Runs the event loop until @fd is readable. */
+static void
+wait_readable (int fd)
+{
+  struct pollfd readable = { .fd = fd, .events = POLLIN };
+
+  while (poll (&readable, 1, 1) == 0)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+}
+
+/* Starts a request with the id @id on the idle connection @idle, or on a new one if that is -1.
+ * Returns the upstream's end of the connection, with the head received. */
 static int
-start (gsize body_bytes)
+start_on (int idle, const char *id, gsize body_bytes)
 {
-  GString *headers = g_string_new ("Request-Id: one\r\n");
+  GString *headers = g_string_new (NULL);
   struct evbuffer *body = evbuffer_new ();
   char *filler = g_strnfill (body_bytes, 'x');
   const anvil_relay_upstream_request_t request = { .upstream_key = 1,
@@ -91,21 +102,21 @@
                                                    .target = "/a",
                                                    .headers = headers,
                                                    .body = body,
-                                                   .id = "one",
+                                                   .id = id,
                                                    .timeout = ATTEMPT_TIMEOUT };
-  struct pollfd connecting = { .fd = listener, .events = POLLIN };
   char bytes[1024];
-  int fd;
+  int fd = idle;
 
+  g_string_printf (headers, "Request-Id: %s\r\n", id);
   evbuffer_add (body, filler, body_bytes);
   is_done = FALSE;
   anvil_relay_attempt_start (pool, &request, on_done, NULL);
-  while (poll (&connecting, 1, 1) == 0)
-    event_base_loop (base, EVLOOP_NONBLOCK);
-  fd = accept (listener, NULL, NULL);
-  connecting.fd = fd;
-  while (poll (&connecting, 1, 1) == 0)
-    event_base_loop (base, EVLOOP_NONBLOCK);
+  if (idle < 0)
+    {
+      wait_readable (listener);
+      fd = accept (listener, NULL, NULL);
+    }
+  wait_readable (fd);
   ck_assert_int_gt (recv (fd, bytes, sizeof bytes, 0), 0);
   g_free (filler);
   evbuffer_free (body);
@@ -113,6 +124,12 @@
   return fd;
 }
 
+static int
+start (gsize body_bytes)
+{
+  return start_on (-1, "one", body_bytes);
+}
+
 static void
 send_text (int fd, const char *text)
 {
@@ -205,17 +222,100 @@
 }
 END_TEST
 
-/* Guards against a refusal of answers that come early but are whole. */
+/* Starts an upload on a connection that was idle before, where the event loop writes before it
+ * reads, or on a new one, where it reads before it writes. */
+static int
+start_upload (gboolean reuse)
+{
+  int idle = -1;
+
+  if (reuse)
+    {
+      idle = start (0);
+      send_text (idle, "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 2\r\n\r\nok");
+      wait_until_done ("the first request of a connection");
+      ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
+    }
+  return start_on (idle, reuse ? "two" : "one", UPLOAD_BYTES);
+}
+
+static void
+send_head_without_length (int fd, gboolean reuse)
+{
+  send_text (fd, reuse ? "HTTP/1.1 200 OK\r\nRequest-Id: two\r\nServer-Stamp: s\r\n\r\n"
+                       : "HTTP/1.1 200 OK\r\n" OWN "\r\n");
+}
+
+static void
+run_loop_for (anvil_time_t time)
+{
+  for (anvil_time_t until = anvil_clock_now () + time; anvil_clock_now () < until;)
+    {
+      event_base_loop (base, EVLOOP_NONBLOCK);
+      g_usleep (1000);
+    }
+}
+
+/* Ways in which an upstream breaks off a body. */
+enum
+{
+  RESETS,
+  /* The kernel resets a connection that is closed with unread bytes. */
+  CLOSES_WITH_UNREAD_BYTES,
+  SENDS_MORE_AND_RESETS,
+  N_WAYS
+};
+static const anvil_time_t pauses[] = { 0, 5 * ANVIL_MS, 100 * ANVIL_MS };
+static const gsize part_lengths[] = { 0, 1, 4999 };
+#define N_CUTS (2 * N_WAYS * (int) G_N_ELEMENTS (pauses) * (int) G_N_ELEMENTS (part_lengths))
+
+/* Guards against a part of an early body that is taken for the whole, since the write of the upload
+ * takes the error of the connection and the read after it sees an end. */
+START_TEST (test_an_early_body_that_is_cut_off_is_never_whole)
+{
+  const gboolean reuse = _i % 2 == 1;
+  const int way = _i / 2 % N_WAYS;
+  const anvil_time_t pause = pauses[_i / 2 / N_WAYS % (int) G_N_ELEMENTS (pauses)];
+  const gsize length = part_lengths[_i / 2 / N_WAYS / (int) G_N_ELEMENTS (pauses)];
+  char *part = g_strnfill (length, 'p');
+  int fd = start_upload (reuse);
+
+  send_head_without_length (fd, reuse);
+  send_text (fd, part);
+  run_loop_for (pause);
+  if (way == SENDS_MORE_AND_RESETS)
+    send_text (fd, part);
+  if (way == CLOSES_WITH_UNREAD_BYTES)
+    close (fd);
+  else
+    reset (fd);
+  wait_until_done ("cut off");
+  ck_assert_msg (result == ANVIL_RUN_INTERRUPTED, "reuse=%d way=%d pause=%d ms length=%zu: %d",
+                 reuse, way, (int) (pause / ANVIL_MS), length, (int) result);
+  g_free (part);
+}
+END_TEST
+
+/* Guards against a refusal of answers that come early but are whole: the end of the stream has been
+ * read before the reset arrives. */
 START_TEST (test_an_early_body_that_ends_in_order_is_whole)
 {
-  int fd = start (UPLOAD_BYTES);
+  const gboolean reuse = _i % 2 == 1;
+  int fd = start_upload (reuse);
 
-  send_text (fd, "HTTP/1.1 200 OK\r\n" OWN "\r\nthe whole body");
+  send_head_without_length (fd, reuse);
+  send_text (fd, "the whole body");
   shutdown (fd, SHUT_WR);
+  if (_i / 2 == 1)
+    {
+      run_loop_for (100 * ANVIL_MS);
+      reset (fd);
+    }
   wait_until_done ("orderly end");
   ck_assert_int_eq (result, ANVIL_RUN_ANSWERED);
   ck_assert_uint_eq (body_length, strlen ("the whole body"));
-  close (fd);
+  if (_i / 2 == 0)
+    close (fd);
 }
 END_TEST
 
@@ -233,7 +333,8 @@
   tcase_add_test (tests, test_interim_responses_without_end_end_the_attempt);
   tcase_add_test (tests, test_a_few_interim_responses_are_skipped);
   tcase_add_test (tests, test_a_body_without_a_length_is_whole_only_at_an_orderly_end);
-  tcase_add_test (tests, test_an_early_body_that_ends_in_order_is_whole);
+  tcase_add_loop_test (tests, test_an_early_body_that_is_cut_off_is_never_whole, 0, N_CUTS);
+  tcase_add_loop_test (tests, test_an_early_body_that_ends_in_order_is_whole, 0, 4);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
