Read what has arrived after a write to an upstream failed

A caller got 502 for an upload that its upstream had answered: the response, with a length or in chunks, had arrived whole, and the connection was reset behind it while the upload was still being written. The event loop takes 4 KB at a time, so everything beyond that was thrown away, on new connections too. The client of the store did the same: a transaction that the store had answered counted as unknown.

Change: after a failed write net/stream-end.c leaves the connection open until its bytes and its end were read. That end is never orderly, so a response without a length stays a failure. A request of which nothing was sent still counts as that, one turn of the loop later.

--- a/source/net/stream-end.c
+++ b/source/net/stream-end.c
@@ -17,10 +17,15 @@
 anvil_stream_state_t
 anvil_stream_end_update (anvil_stream_end_t *end, struct bufferevent *stream, short events)
 {
-  end->failed |= (events & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0;
-  if (end->failed)
+  if (events == (BEV_EVENT_WRITING | BEV_EVENT_ERROR))
+    {
+      end->write_failed = TRUE;
+      return ANVIL_STREAM_OPEN;
+    }
+  if ((events & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
     return ANVIL_STREAM_BROKEN;
   if ((events & BEV_EVENT_EOF) == 0)
     return ANVIL_STREAM_OPEN;
-  return has_no_error (bufferevent_getfd (stream)) ? ANVIL_STREAM_ENDED : ANVIL_STREAM_BROKEN;
+  return !end->write_failed && has_no_error (bufferevent_getfd (stream)) ? ANVIL_STREAM_ENDED
+                                                                         : ANVIL_STREAM_BROKEN;
 }
--- a/source/net/stream-end.h
+++ b/source/net/stream-end.h
@@ -11,6 +11,9 @@
  * that is a write, the read that follows returns 0, as it does when the peer has ended its side. So
  * an end that was read is the peer's own only if no call has failed before it and no error is left
  * to be reported.
+ *
+ * A write that fails says that no more can be sent. What the peer had sent before is still to be
+ * read, and may complete a response.
  */
 
 /**
@@ -28,11 +31,11 @@
 
 /**
  * anvil_stream_end_t - what is known of the end of a connection; zero-initialised for a new one
- * @failed: a call on the socket has failed or timed out
+ * @write_failed: a write has failed
  */
 typedef struct
 {
-  gboolean failed;
+  gboolean write_failed;
 } anvil_stream_end_t;
 
 /**
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -257,8 +257,9 @@
              connection->reused, (events & BEV_EVENT_EOF) != 0,
              (events & BEV_EVENT_ERROR) != 0 && (events & BEV_EVENT_READING) != 0
                  && (events & BEV_EVENT_EOF) == 0,
-             (events & BEV_EVENT_ERROR) != 0 && (events & BEV_EVENT_WRITING) != 0, attempt->in_body,
-             attempt->body_bytes,
+             connection->end.write_failed
+                 || ((events & BEV_EVENT_ERROR) != 0 && (events & BEV_EVENT_WRITING) != 0),
+             attempt->in_body, attempt->body_bytes,
              evbuffer_get_length (bufferevent_get_output (connection->stream)));
 }
 
--- a/tests/test-http-pool.c
+++ b/tests/test-http-pool.c
@@ -10,9 +10,12 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <linux/sockios.h>
+
 #include "net/http-pool.h"
 #include "standins/endless.h"
 
@@ -390,6 +393,44 @@
 }
 END_TEST
 
+/* More than one read of the event loop takes, and less than the window of a new connection. */
+#define LONG_BODY_BYTES 40000
+
+/* Guards against the loss of an early response of which only a part was read when the write of the
+ * call fails: the rest has arrived and is still to be read. */
+START_TEST (test_an_early_response_that_is_whole_before_a_reset_is_received)
+{
+  const struct linger linger = { .l_onoff = 1 };
+  guint16 port;
+  int listener = listen_for_calls (&port);
+  anvil_http_pool_t *own = anvil_http_pool_open (base, INADDR_LOOPBACK, port, END_TIMEOUT);
+  int fd = start_long_call (own, listener, _i == 1);
+  char *body = g_strnfill (LONG_BODY_BYTES, 'b');
+  char *response
+      = g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", LONG_BODY_BYTES, body);
+  int unacknowledged = 1;
+
+  ck_assert_int_eq (send (fd, response, strlen (response), MSG_NOSIGNAL),
+                    (ssize_t) strlen (response));
+  while (unacknowledged > 0)
+    {
+      g_usleep (1000);
+      ck_assert_int_eq (ioctl (fd, SIOCOUTQ, &unacknowledged), 0);
+    }
+  ck_assert_int_eq (setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger), 0);
+  close (fd);
+  for (anvil_time_t until = anvil_clock_now () + END_TIMEOUT;
+       status < 0 && anvil_clock_now () < until;)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_int_eq (status, 200);
+  ck_assert_uint_eq (body_bytes, LONG_BODY_BYTES);
+  g_free (response);
+  g_free (body);
+  anvil_http_pool_close (own);
+  close (listener);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -410,6 +451,8 @@
                   test_a_response_that_arrived_before_a_call_was_sent_is_not_taken_for_its_own);
   tcase_add_loop_test (tests, test_an_early_response_without_length_is_whole_only_at_an_orderly_end,
                        0, 4);
+  tcase_add_loop_test (tests, test_an_early_response_that_is_whole_before_a_reset_is_received, 0,
+                       2);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test-relay-answers.c
+++ b/tests/test-relay-answers.c
@@ -9,9 +9,12 @@
 
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <linux/sockios.h>
+
 #include "relay/relay-upstream.h"
 
 /* Longest wait for an expected event. The attempt's own time-out is longer, so that an attempt that
@@ -319,6 +322,51 @@
 }
 END_TEST
 
+/* More than one read of the event loop takes, and less than the window of a new connection. */
+#define LONG_BODY_BYTES 40000
+
+static void
+wait_acknowledged (int fd)
+{
+  int unacknowledged;
+
+  do
+    {
+      g_usleep (1000);
+      ck_assert_int_eq (ioctl (fd, SIOCOUTQ, &unacknowledged), 0);
+  } while (unacknowledged > 0);
+}
+
+/* Guards against the loss of an early response of which only a part was read when the write of the
+ * upload fails: the rest has arrived and is still to be read. */
+START_TEST (test_an_early_response_that_is_whole_before_a_reset_is_passed_on)
+{
+  const gboolean reuse = _i % 2 == 1;
+  const gboolean chunked = _i / 2 % 2 == 1;
+  const gboolean cut_off = _i / 4 == 1;
+  char *body = g_strnfill (LONG_BODY_BYTES - (cut_off ? 1 : 0), 'b');
+  char *head = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n%s\r\n", reuse ? "two" : "one",
+      chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: 40000\r\n");
+  char *start = chunked ? g_strdup_printf ("%x\r\n", LONG_BODY_BYTES) : g_strdup ("");
+  char *response
+      = g_strconcat (head, start, body, chunked && !cut_off ? "\r\n0\r\n\r\n" : "", NULL);
+  int fd = start_upload (reuse);
+
+  run_loop_for (5 * ANVIL_MS);
+  send_text (fd, response);
+  wait_acknowledged (fd);
+  reset (fd);
+  wait_until_done ("whole before a reset");
+  ck_assert_int_eq (result, cut_off ? ANVIL_RUN_INTERRUPTED : ANVIL_RUN_ANSWERED);
+  ck_assert_uint_eq (body_length, cut_off ? 0 : LONG_BODY_BYTES);
+  g_free (response);
+  g_free (start);
+  g_free (head);
+  g_free (body);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -335,6 +383,8 @@
   tcase_add_test (tests, test_a_body_without_a_length_is_whole_only_at_an_orderly_end);
   tcase_add_loop_test (tests, test_an_early_body_that_is_cut_off_is_never_whole, 0, N_CUTS);
   tcase_add_loop_test (tests, test_an_early_body_that_ends_in_order_is_whole, 0, 4);
+  tcase_add_loop_test (tests, test_an_early_response_that_is_whole_before_a_reset_is_passed_on, 0,
+                       8);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test-stream-end.c
+++ b/tests/test-stream-end.c
@@ -147,6 +147,8 @@
   reset_peer ();
   bufferevent_enable (stream, EV_WRITE);
   run_loop_until (has_failed_write);
+  if (earlier)
+    ck_assert_int_eq (state, ANVIL_STREAM_OPEN);
   bufferevent_enable (stream, EV_READ);
   run_loop_until (has_read_part);
   ck_assert (write_failed);
