--- a/tests/test-relay-caller.c
+++ b/tests/test-relay-caller.c
@@ -61,14 +61,14 @@
                                                        .address = INADDR_LOOPBACK,
                                                        .header_names = &header_names,
                                                        .max_connections = MAX_CONNECTIONS,
-                                                       .max_buffered_bytes = 1 << 20,
-                                                       .max_unsent_bytes = MAX_UNSENT_BYTES };
+                                                       .max_buffered_bytes = 1 << 20 };
 
 static void
-set_up (void)
+set_up_with (gsize max_unsent_bytes)
 {
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  anvil_relay_callers_options_t own_options = options;
 
   limits = (anvil_routes_limits_t){ .max_header_bytes = 4096,
                                     .max_body_bytes = 4096,
@@ -78,7 +78,8 @@
   requests = g_ptr_array_new ();
   received = g_string_new (NULL);
   n_disconnected = 0;
-  callers = anvil_relay_callers_open (base, &options, &callbacks, NULL, NULL);
+  own_options.max_unsent_bytes = max_unsent_bytes;
+  callers = anvil_relay_callers_open (base, &own_options, &callbacks, NULL, NULL);
   ck_assert_ptr_nonnull (callers);
   address.sin_port = htons (anvil_relay_callers_port (callers));
   caller = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -86,6 +87,18 @@
   ck_assert_int_eq (fcntl (caller, F_SETFL, O_NONBLOCK), 0);
 }
 
+static void
+set_up (void)
+{
+  set_up_with (MAX_UNSENT_BYTES);
+}
+
+static void
+set_up_without_unsent_limit (void)
+{
+  set_up_with (G_MAXSIZE);
+}
+
 static void
 tear_down (void)
 {
@@ -364,6 +377,43 @@
 }
 END_TEST
 
+/* More than the sockets of a connection hold. */
+#define LONG_RESPONSE_BYTES ((gsize) 16 << 20)
+
+/* Guards against a part of an upload that is handed over as a request when its caller resets the
+ * connection, also if it is the write of an earlier response that learns of the reset. */
+START_TEST (test_a_caller_that_resets_during_its_upload_is_gone)
+{
+  const gboolean writing = _i == 1;
+  const struct linger linger = { .l_onoff = 1 };
+  char *text = g_strnfill (LONG_RESPONSE_BYTES, 'x');
+  struct evbuffer *body = evbuffer_new ();
+  anvil_time_t deadline = anvil_clock_now () + WAIT_TIMEOUT;
+
+  limits.idle_timeout = WAIT_TIMEOUT;
+  evbuffer_add (body, text, writing ? LONG_RESPONSE_BYTES : 0);
+  send_text (FIRST_REQUEST SECOND_REQUEST);
+  wait_for_requests (2);
+  anvil_relay_respond (g_ptr_array_steal_index (requests, 0), 200, (anvil_str_t){ 0 }, body);
+  send_text ("POST /c HTTP/1.1\r\nHost: h\r\nRequest-Id: three\r\nContent-Length: 4\r\n\r\nbod");
+  for (guint i = 0; i < 20; i++)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_uint_eq (anvil_relay_callers_count_connections (callers), 1);
+  ck_assert_int_eq (anvil_relay_callers_unsent_bytes (callers) > 0, writing);
+  ck_assert_int_eq (setsockopt (caller, SOL_SOCKET, SO_LINGER, &linger, sizeof linger), 0);
+  close (caller);
+  while (anvil_relay_callers_count_connections (callers) > 0 && anvil_clock_now () < deadline)
+    event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_uint_eq (anvil_relay_callers_count_connections (callers), 0);
+  ck_assert_uint_eq (anvil_relay_callers_buffered_bytes (callers), 0);
+  ck_assert_uint_eq (n_disconnected, 1);
+  ck_assert_uint_eq (requests->len, 1);
+  caller = -1;
+  evbuffer_free (body);
+  g_free (text);
+}
+END_TEST
+
 #define OFFERS                                                                                     \
   "Upgrade: h2c\r\nConnection: Upgrade, HTTP2-Settings\r\nHTTP2-Settings: AAMAAABk\r\n"            \
   "Expect: 100-continue\r\nTE: trailers\r\n"
@@ -491,6 +541,7 @@
 {
   Suite *suite = suite_create ("relay-caller");
   TCase *tests = tcase_create ("relay-caller");
+  TCase *long_responses = tcase_create ("long responses");
   SRunner *runner;
   int failed;
 
@@ -510,6 +561,10 @@
   tcase_add_test (tests, test_offers_of_other_protocols_are_not_taken_up);
   tcase_add_test (tests, test_input_without_end_is_refused);
   suite_add_tcase (suite, tests);
+  tcase_add_checked_fixture (long_responses, set_up_without_unsent_limit, tear_down);
+  tcase_set_timeout (long_responses, 60);
+  tcase_add_loop_test (long_responses, test_a_caller_that_resets_during_its_upload_is_gone, 0, 2);
+  suite_add_tcase (suite, long_responses);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
