--- a/source/net/http-pool.c
+++ b/source/net/http-pool.c
@@ -376,7 +376,6 @@
 on_event (struct bufferevent *stream, short events, void *data)
 {
   connection_t *connection = data;
-
   const anvil_stream_state_t state = anvil_stream_end_update (&connection->end, stream, events);
 
   if (state == ANVIL_STREAM_OPEN)
--- a/source/net/stream-end.c
+++ b/source/net/stream-end.c
@@ -2,7 +2,7 @@
 
 #include <sys/socket.h>
 
-/* Whether no error is left to be reported, and nothing to be read. */
+/* Whether a socket whose end was read has no error left to report. */
 static gboolean
 has_no_error (evutil_socket_t fd)
 {
@@ -17,11 +17,11 @@
 anvil_stream_state_t
 anvil_stream_end_update (anvil_stream_end_t *end, struct bufferevent *stream, short events)
 {
-  if (events == (BEV_EVENT_WRITING | BEV_EVENT_ERROR))
-    {
-      end->write_failed = TRUE;
-      return ANVIL_STREAM_OPEN;
-    }
+  const short failed_write = BEV_EVENT_WRITING | BEV_EVENT_ERROR;
+
+  end->write_failed |= (events & failed_write) == failed_write;
+  if (events == failed_write)
+    return ANVIL_STREAM_OPEN;
   if ((events & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
     return ANVIL_STREAM_BROKEN;
   if ((events & BEV_EVENT_EOF) == 0)
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -249,16 +249,15 @@
 log_end (const anvil_relay_attempt_t *attempt, short events)
 {
   const upstream_connection_t *connection = attempt->connection;
+  const gboolean end_read = (events & BEV_EVENT_EOF) != 0;
+  const gboolean read_failed
+      = !end_read && (events & BEV_EVENT_READING) != 0 && (events & BEV_EVENT_ERROR) != 0;
 
   anvil_log (ANVIL_LOG_INFO, "upstream",
              "connection ended before the response upstream=%s request=%s reused=%d end_read=%d "
              "read_failed=%d write_failed=%d in_body=%d body_bytes=%zu unsent_bytes=%zu",
              attempt->upstream_id, attempt->request_id != NULL ? attempt->request_id : "-",
-             connection->reused, (events & BEV_EVENT_EOF) != 0,
-             (events & BEV_EVENT_ERROR) != 0 && (events & BEV_EVENT_READING) != 0
-                 && (events & BEV_EVENT_EOF) == 0,
-             connection->end.write_failed
-                 || ((events & BEV_EVENT_ERROR) != 0 && (events & BEV_EVENT_WRITING) != 0),
+             connection->reused, end_read, read_failed, connection->end.write_failed,
              attempt->in_body, attempt->body_bytes,
              evbuffer_get_length (bufferevent_get_output (connection->stream)));
 }
