Pass a reset on as one through the fault proxy of the tests

If it was writing to the target at that moment, the client saw an orderly end: a test, or the soak, would have taken a part of a response without a length for what the upstream had sent. It decides by net/stream-end.c now.

--- a/tests/helper-fault-proxy.c
+++ b/tests/helper-fault-proxy.c
@@ -8,6 +8,7 @@
 #include <event2/listener.h>
 
 #include "anvil/clock.h"
+#include "net/stream-end.h"
 
 /* A slow link passes its bytes in this many portions a second. */
 #define PORTIONS_PER_SECOND 50
@@ -15,12 +16,14 @@
 /**
  * pair_t - a proxied connection
  * @ends: sockets to the client (0) and to the target (1)
+ * @states: how each of them has ended
  * @timers: forward delayed data, by the side that sent it
  */
 typedef struct
 {
   fault_proxy_t *proxy;
   struct bufferevent *ends[2];
+  anvil_stream_end_t states[2];
   struct event *timers[2];
 } pair_t;
 
@@ -118,13 +121,14 @@
 {
   pair_t *pair = data;
   guint side = side_index (pair, end);
+  anvil_stream_state_t state = anvil_stream_end_update (&pair->states[side], end, what);
 
-  if ((what & BEV_EVENT_CONNECTED) != 0)
+  if (state == ANVIL_STREAM_OPEN)
     return;
   /* A partition hides the end of a connection too. */
-  if ((what & BEV_EVENT_EOF) != 0 && !forwards (pair->proxy, side))
+  if (state == ANVIL_STREAM_ENDED && !forwards (pair->proxy, side))
     return;
-  if ((what & BEV_EVENT_EOF) == 0)
+  if (state == ANVIL_STREAM_BROKEN)
     {
       pair_free (pair, TRUE);
       return;
