Let the soak run its deferred callbacks before it frees the event loop

Cause: the loop can stop behind the read of a bufferevent of the fault proxy and before its deferred callback. The pending callback holds the bufferevent, and freeing the loop drops the callback and not what it holds.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -710,6 +710,8 @@
   soak->n_upstreams = (guint) items[3].integer;
   status = run (soak, (guint) items[1].integer, (gdouble) items[4].integer, items[5].integer != 0,
                 items[7].integer != 0, items[6].integer != 0);
+  /* Callbacks that libevent has deferred hold what was closed. */
+  event_base_loop (soak->base, EVLOOP_NONBLOCK);
   event_base_free (soak->base);
   g_rand_free (soak->random);
   g_rand_free (soak->limit_random);
