Check the end that the tests of stream ends and of the fault proxy name

Reading the change again: test-stream-end could look at the state before the event that sets it, as it waited for the part alone, and the proxy's test of an orderly end never looked for that end. The first waits for the state now; the second expects the end, and the upload is sent only in the test of a reset, which needs it. Both check more than before; no source of the daemon changes.

--- a/tests/test-fault-proxy.c
+++ b/tests/test-fault-proxy.c
@@ -95,7 +95,6 @@
   ck_assert_int_eq (receive (target, &byte, 1), 1);
   upload = g_strnfill (UPLOAD_BYTES, 'u');
   n_uploaded = 0;
-  send_upload ();
 }
 
 static void
@@ -115,6 +114,7 @@
   char bytes[16];
   ssize_t n;
 
+  send_upload ();
   ck_assert_int_eq (send (target, "part", 4, MSG_NOSIGNAL), 4);
   ck_assert_int_eq (receive (client, bytes, sizeof bytes), 4);
   ck_assert_int_eq (setsockopt (target, SOL_SOCKET, SO_LINGER, &linger, sizeof linger), 0);
@@ -131,6 +131,7 @@
   ck_assert_int_eq (send (target, "whole", 5, MSG_NOSIGNAL), 5);
   shutdown (target, SHUT_WR);
   ck_assert_int_eq (receive (client, bytes, sizeof bytes), 5);
+  ck_assert_int_eq (receive (client, bytes, sizeof bytes), 0);
   close (target);
 }
 END_TEST
--- a/tests/test-stream-end.c
+++ b/tests/test-stream-end.c
@@ -151,6 +151,7 @@
     ck_assert_int_eq (state, ANVIL_STREAM_OPEN);
   bufferevent_enable (stream, EV_READ);
   run_loop_until (has_read_part);
+  run_loop_until (has_state);
   ck_assert (write_failed);
   ck_assert_int_eq (state, ANVIL_STREAM_BROKEN);
   ck_assert_uint_eq (received_bytes, 4);
