Share the wait for a result among the tests of the store's client

Three tests and answer() repeated the loop that waits for a call's result, and two of them the reset of a connection.

--- a/tests/test-http-pool.c
+++ b/tests/test-http-pool.c
@@ -251,15 +251,30 @@
 }
 
 static void
-answer (int fd, const char *text)
+wait_for_result (void)
 {
   const anvil_time_t until = anvil_clock_now () + END_TIMEOUT;
 
-  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t) strlen (text));
   while (status < 0 && anvil_clock_now () < until)
     event_base_loop (base, EVLOOP_NONBLOCK);
 }
 
+static void
+answer (int fd, const char *text)
+{
+  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t) strlen (text));
+  wait_for_result ();
+}
+
+static void
+reset (int fd)
+{
+  const struct linger linger = { .l_onoff = 1 };
+
+  ck_assert_int_eq (setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger), 0);
+  close (fd);
+}
+
 #define FIRST "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
 #define NEXT "HTTP/1.1 412 No\r\nContent-Length: 2\r\n\r\nno"
 
@@ -273,9 +288,7 @@
 
   anvil_http_pool_call (own, EVHTTP_REQ_GET, "/a", NULL, on_result, NULL);
   late = accept_call (listener);
-  for (anvil_time_t until = anvil_clock_now () + END_TIMEOUT;
-       status < 0 && anvil_clock_now () < until;)
-    event_base_loop (base, EVLOOP_NONBLOCK);
+  wait_for_result ();
   ck_assert_int_eq (status, 0);
   status = -1;
   anvil_http_pool_call (own, EVHTTP_REQ_GET, "/b", NULL, on_result, NULL);
@@ -365,7 +378,6 @@
 {
   const gboolean reuse = _i % 2 == 1;
   const gboolean orderly = _i / 2 == 1;
-  const struct linger linger = { .l_onoff = 1 };
   guint16 port;
   int listener = listen_for_calls (&port);
   anvil_http_pool_t *own = anvil_http_pool_open (base, INADDR_LOOPBACK, port, END_TIMEOUT);
@@ -378,13 +390,8 @@
   if (orderly)
     shutdown (fd, SHUT_WR);
   else
-    {
-      ck_assert_int_eq (setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger), 0);
-      close (fd);
-    }
-  for (anvil_time_t until = anvil_clock_now () + END_TIMEOUT;
-       status < 0 && anvil_clock_now () < until;)
-    event_base_loop (base, EVLOOP_NONBLOCK);
+    reset (fd);
+  wait_for_result ();
   ck_assert_int_eq (status, orderly ? 200 : 0);
   if (orderly)
     close (fd);
@@ -400,7 +407,6 @@
  * call fails: the rest has arrived and is still to be read. */
 START_TEST (test_an_early_response_that_is_whole_before_a_reset_is_received)
 {
-  const struct linger linger = { .l_onoff = 1 };
   guint16 port;
   int listener = listen_for_calls (&port);
   anvil_http_pool_t *own = anvil_http_pool_open (base, INADDR_LOOPBACK, port, END_TIMEOUT);
@@ -417,11 +423,8 @@
       g_usleep (1000);
       ck_assert_int_eq (ioctl (fd, SIOCOUTQ, &unacknowledged), 0);
     }
-  ck_assert_int_eq (setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger), 0);
-  close (fd);
-  for (anvil_time_t until = anvil_clock_now () + END_TIMEOUT;
-       status < 0 && anvil_clock_now () < until;)
-    event_base_loop (base, EVLOOP_NONBLOCK);
+  reset (fd);
+  wait_for_result ();
   ck_assert_int_eq (status, 200);
   ck_assert_uint_eq (body_bytes, LONG_BODY_BYTES);
   g_free (response);
