Log what a late event loop was busy with, and count slot requests

Cause: the log of a late holder doesn't tell whether decisions, messages or requests that went along use up its processor time, nor whether requesters ask again for what is still waiting.

Change: a late period is followed by a line of the broker with the messages, slot requests, repeated slot requests, ends of runs, and the pairs of a queued task and an upstream that the dispatcher compared since the last such line. A request's last line has the number of its slot requests.

--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -391,6 +391,24 @@
                                             anvil_str_t service,
                                             const anvil_retry_counts_t *counts);
 
+/**
+ * anvil_dispatcher_work_t - what the dispatcher has done since its start
+ * @n_submitted: tasks submitted
+ * @n_repeated: tasks submitted again by requesters that got no answer
+ * @n_finished: ends of runs reported
+ * @n_examined: pairs of a queued task and an upstream with a free slot that were compared
+ */
+typedef struct
+{
+  guint64 n_submitted;
+  guint64 n_repeated;
+  guint64 n_finished;
+  guint64 n_examined;
+} anvil_dispatcher_work_t;
+
+/** anvil_dispatcher_work - borrowed */
+const anvil_dispatcher_work_t *anvil_dispatcher_work (const anvil_dispatcher_t *dispatcher);
+
 /** anvil_dispatcher_has_task - whether a task is queued or running */
 gboolean anvil_dispatcher_has_task (const anvil_dispatcher_t *dispatcher, anvil_task_id_t id);
 
--- a/source/relay/process-usage.c
+++ b/source/relay/process-usage.c
@@ -13,7 +13,8 @@
 #define DECLINE_STEP 600u
 #define ACCEPT_STEP 20u
 
-static void
+/* FALSE if the period wasn't late. */
+static gboolean
 adjust_declined_share (anvil_process_usage_t *usage, anvil_time_t average)
 {
   const guint accepted = ANVIL_FULL_DECLINED_SHARE - usage->declined_share;
@@ -21,29 +22,32 @@
   if (average <= MAX_AVERAGE_DELAY)
     {
       usage->declined_share -= MIN (usage->declined_share, ACCEPT_STEP);
-      return;
+      return FALSE;
     }
   usage->declined_share += accepted * DECLINE_STEP / ANVIL_FULL_DECLINED_SHARE;
   anvil_log (ANVIL_LOG_NOTICE, "usage",
              "event loop is late average_delay_us=%" G_GINT64_FORMAT " declined_share=%u", average,
              usage->declined_share);
+  return TRUE;
 }
 
-void
+gboolean
 anvil_process_usage_tick (anvil_process_usage_t *usage, anvil_time_t now, anvil_time_t interval)
 {
   const anvil_time_t delay = usage->last_tick > 0 ? now - usage->last_tick - interval : 0;
+  gboolean was_late;
 
   usage->last_tick = now;
   usage->max_loop_delay = MAX (usage->max_loop_delay, delay);
   usage->period_delay += MAX (delay, 0);
   usage->n_ticks++;
   if (now - usage->period_started_at < DELAY_PERIOD)
-    return;
-  adjust_declined_share (usage, usage->period_delay / usage->n_ticks);
+    return FALSE;
+  was_late = adjust_declined_share (usage, usage->period_delay / usage->n_ticks);
   usage->period_started_at = now;
   usage->period_delay = 0;
   usage->n_ticks = 0;
+  return was_late;
 }
 
 /* Resident set in bytes, or -1 if it can't be read. */
--- a/source/relay/process-usage.h
+++ b/source/relay/process-usage.h
@@ -29,8 +29,10 @@
  *
  * Adjusts @declined_share: it rises fast while ticks are late on average, as the processor time of
  * the VM is used up, and falls slowly otherwise.
+ *
+ * Return: whether this tick ended a period in which ticks were late on average
  */
-void
+gboolean
 anvil_process_usage_tick (anvil_process_usage_t *usage, anvil_time_t now, anvil_time_t interval);
 
 /** anvil_process_usage_update_metrics - sets the gauges of resident set, descriptors and loop */
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -83,6 +83,7 @@
  * @has_no_region: no region is allowed by both the route and the tenant
  * @holder: entry that the slot was requested from
  * @slot_requested_at: when the slot was requested last
+ * @n_slot_requests: slot requests sent, repeated ones too
  * @upstream: key of the upstream that the request was sent to last
  * @upstream_id: its id
  * @upstream_started_at: start of its process, as far as this entry or the holder knows
@@ -116,6 +117,7 @@
   guint max_attempts;
   anvil_node_t holder;
   anvil_time_t slot_requested_at;
+  guint n_slot_requests;
   guint64 upstream;
   char *upstream_id;
   gint64 upstream_started_at;
--- a/source/relay/relay-job-response.c
+++ b/source/relay/relay-job-response.c
@@ -47,12 +47,13 @@
     observe_repeat (job, took);
   g_free (labels);
   anvil_log (ANVIL_LOG_INFO, "request",
-             "%s request=%s route=%s status=%u reason=%s upstream=%s attempts=%u "
+             "%s request=%s route=%s status=%u reason=%s upstream=%s attempts=%u slot_requests=%u "
              "took_ms=%" G_GINT64_FORMAT " routes=%" G_GINT64_FORMAT
              " tenant=%s proof_age_ms=%" G_GINT64_FORMAT,
              outcome, text_or_dash (request->id), job != NULL ? job->route : "-", status, reason,
              job != NULL ? text_or_dash (job->upstream_id) : "-", job != NULL ? job->n_attempts : 0,
-             took / ANVIL_MS, jobs->routes != NULL ? anvil_routes_version (jobs->routes) : 0,
+             job != NULL ? job->n_slot_requests : 0, took / ANVIL_MS,
+             jobs->routes != NULL ? anvil_routes_version (jobs->routes) : 0,
              job != NULL ? text_or_dash (job->tenant) : "-", jobs_proof_age_ms (jobs));
 }
 
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -155,6 +155,7 @@
       return;
     }
   job->slot_requested_at = anvil_clock_now ();
+  job->n_slot_requests++;
   anvil_slot_broker_request_slot (job->jobs->options.slot_broker, job->holder, &job->task);
 }
 
@@ -181,6 +182,7 @@
       return;
     }
   job->slot_requested_at = anvil_clock_now ();
+  job->n_slot_requests++;
   job_forward (job);
 }
 
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -528,7 +528,8 @@
   anvil_time_t now = anvil_clock_now ();
 
   detect_suspension (relay, now);
-  anvil_process_usage_tick (&relay->process_usage, now, TICK_INTERVAL);
+  if (anvil_process_usage_tick (&relay->process_usage, now, TICK_INTERVAL))
+    anvil_slot_broker_log_work (relay->slot_broker);
   anvil_members_self (anvil_slot_broker_members (relay->slot_broker))->declined_share
       = relay->process_usage.declined_share;
   update_link_usage (relay, now);
--- a/source/relay/slot-broker-internal.h
+++ b/source/relay/slot-broker-internal.h
@@ -88,6 +88,9 @@
   anvil_time_t quota_logged_at;
   guint quota_ticks;
   anvil_time_t quota_ticked_at;
+  /* What was done at the last anvil_slot_broker_log_work(). */
+  anvil_dispatcher_work_t logged_work;
+  guint64 logged_frames;
 };
 
 /* Callbacks of the links to peers, in slot-broker-messages.c. */
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -588,6 +588,24 @@
   return (anvil_byte_counts_t){ .in = counters->bytes_in, .out = counters->bytes_out };
 }
 
+void
+anvil_slot_broker_log_work (anvil_slot_broker_t *broker)
+{
+  const anvil_dispatcher_work_t *work = anvil_dispatcher_work (broker->dispatcher);
+  const anvil_dispatcher_work_t *logged = &broker->logged_work;
+  const guint64 frames = anvil_peers_counters (broker->peers)->frames_in;
+
+  anvil_log (ANVIL_LOG_INFO, "broker",
+             "work since the last such line messages=%" G_GUINT64_FORMAT
+             " slot_requests=%" G_GUINT64_FORMAT " repeated=%" G_GUINT64_FORMAT
+             " finished=%" G_GUINT64_FORMAT " examined=%" G_GUINT64_FORMAT " forwarded=%u",
+             frames - broker->logged_frames, work->n_submitted - logged->n_submitted,
+             work->n_repeated - logged->n_repeated, work->n_finished - logged->n_finished,
+             work->n_examined - logged->n_examined, g_hash_table_size (broker->forwarded));
+  broker->logged_work = *work;
+  broker->logged_frames = frames;
+}
+
 anvil_members_t *
 anvil_slot_broker_members (anvil_slot_broker_t *broker)
 {
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -236,6 +236,10 @@
 /** anvil_slot_broker_peer_bytes - bytes of the frames received from and sent to peers so far */
 anvil_byte_counts_t anvil_slot_broker_peer_bytes (const anvil_slot_broker_t *broker);
 
+/** anvil_slot_broker_log_work - logs what was done for all entries since the last call, which tells
+ * what a late event loop was busy with */
+void anvil_slot_broker_log_work (anvil_slot_broker_t *broker);
+
 anvil_members_t *anvil_slot_broker_members (anvil_slot_broker_t *broker);
 const anvil_dispatcher_t *anvil_slot_broker_dispatcher (const anvil_slot_broker_t *broker);
 anvil_node_t anvil_slot_broker_self (const anvil_slot_broker_t *broker);
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -348,6 +348,7 @@
   /* Ids of regions and zones by name. */
   GHashTable *name_ids;
   anvil_time_t loads_updated_at;
+  anvil_dispatcher_work_t work;
 };
 
 /* Id of a region or zone, 1 or more; compared instead of the name. */
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -279,6 +279,7 @@
 {
   rank_t candidate;
 
+  choice->upstream->service->dispatcher->work.n_examined++;
   if (!get_rank (choice->upstream, task, choice->now, warm, &candidate))
     return FALSE;
   if (choice->best == NULL || comes_before (&candidate, &choice->rank))
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -346,11 +346,13 @@
   task = g_hash_table_lookup (dispatcher->tasks, &request->id);
   if (task != NULL)
     {
+      dispatcher->work.n_repeated++;
       /* Requested again: the grant may have been lost. */
       if (task->upstream != NULL)
         notify_grant (dispatcher, task);
       return;
     }
+  dispatcher->work.n_submitted++;
   task = task_new (dispatcher, now, request);
   /* Nothing is sent, so this takes no retry from the budget. */
   if (refusing_lacks_upstream (task))
@@ -403,6 +405,12 @@
   assign_slot (dispatcher, now, task, upstream, TRUE);
 }
 
+const anvil_dispatcher_work_t *
+anvil_dispatcher_work (const anvil_dispatcher_t *dispatcher)
+{
+  return &dispatcher->work;
+}
+
 gboolean
 anvil_dispatcher_has_task (const anvil_dispatcher_t *dispatcher, anvil_task_id_t id)
 {
@@ -443,6 +451,7 @@
 
   if (upstream == NULL)
     return;
+  dispatcher->work.n_finished++;
   dispatch_repeat_record_end (task, now, report);
   if (upstream->registered)
     {
