--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,7 @@
 
 # It uses the simulation of the dispatcher's tests.
 $(BUILD)/bench/bench-uneven: $(BUILD)/tests/helper-dispatch.o
+$(BUILD)/bench/bench-holder: $(BUILD)/tests/helper-holder.o
 
 $(BUILD)/fuzz/fuzz-steer: $(BUILD)/tests/fuzz/fuzz-steer.o $(FAKE_OBJECTS) $(WORLD_OBJECTS) $(LIBRARY)
 	@mkdir -p $(@D)
@@ -130,6 +131,7 @@
 	@$(BUILD)/bench/bench-repeats
 	@$(BUILD)/bench/bench-uneven
 	@$(BUILD)/bench/bench-quota
+	@$(BUILD)/bench/bench-holder
 
 # make soak SEED=1 SECONDS=30; SOAK_ARGS="--entries 12 --upstreams 60 --rate 400" for a larger one.
 soak: packages
