Keep the requests to a holder within what it has time to read

What callers saw: beyond the load that a holder can grant, nearly nothing was served, and requests were held to their deadline; it stayed so after the load had fallen.

Cause: an unbounded queue before one process. Slot requests wait unread in sockets; a requester repeated each one every 300 ms, which adds to the queue; the remaining time in a request didn't count the wait, so slots were granted to requests whose callers had been answered; and nothing told requesters that more requests are of no use.

Change: messages whose times count from when they were sent tell that time, and the receiver takes the time in queues into account (transit-time): a slot request past its deadline is dropped, and updates of upstreams are as old as they are. Repeats double their interval, from three round trips to the holder. A holder whose requests wait for more than 60 ms on average tells its peers which part of the new ones to refuse at once, 503 with a Retry-After of 1 to 2 s (holder-pressure): reason holder-busy, "slot requests wait to be read", anvil_refused_share.

--- a/Makefile
+++ b/Makefile
@@ -79,13 +79,12 @@
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/common-*.c) tests/helper-quota.c) $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(filter-out %/anvil-relay.o,$(RELAY_OBJECTS)) $(FAKE_OBJECTS) $(LIBRARY)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/common-*.c) tests/helper-quota.c tests/helper-holder.c) $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(filter-out %/anvil-relay.o,$(RELAY_OBJECTS)) $(FAKE_OBJECTS) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS)
 
 # It uses the simulation of the dispatcher's tests.
 $(BUILD)/bench/bench-uneven: $(BUILD)/tests/helper-dispatch.o
-$(BUILD)/bench/bench-holder: $(BUILD)/tests/helper-holder.o
 
 $(BUILD)/fuzz/fuzz-steer: $(BUILD)/tests/fuzz/fuzz-steer.o $(FAKE_OBJECTS) $(WORLD_OBJECTS) $(LIBRARY)
 	@mkdir -p $(@D)
--- a/include/anvil/members.h
+++ b/include/anvil/members.h
@@ -37,6 +37,8 @@
  * @store_era: latest era of the store that it knows; 0 if the store names none
  * @declined_share: part of the requests of other entries that it doesn't send to upstreams for
  * them, as its processor time is used up, thousandths
+ * @refused_share: part of the new requests that others shouldn't request slots for from it, as it
+ *   has no time for more, thousandths
  */
 typedef struct
 {
@@ -56,6 +58,7 @@
   anvil_time_t config_proof_age;
   guint64 store_era;
   guint declined_share;
+  guint refused_share;
 } anvil_member_info_t;
 
 /* Value of @declined_share of an entry that sends none. */
--- a/source/relay/relay-job-forward.c
+++ b/source/relay/relay-job-forward.c
@@ -59,7 +59,11 @@
   const anvil_time_t now = anvil_clock_now ();
 
   if (!job->withdrawing)
-    job->holder_seen_at = now;
+    {
+      job->holder_seen_at = now;
+      job->n_unanswered = 0;
+    }
+  job->n_unanswered++;
   job->withdrawing = TRUE;
   job->slot_requested_at = now;
   anvil_slot_broker_withdraw (job->jobs->options.slot_broker, job->holder, job->task.id.number);
--- a/source/relay/relay-job-holder.c
+++ b/source/relay/relay-job-holder.c
@@ -2,9 +2,8 @@
 
 #include <string.h>
 
-/* A slot request without an answer is repeated after this time, since a link that was reset loses
- * messages. It is longer than a round trip between distant regions. */
-#define SLOT_REQUEST_TIMEOUT (300 * ANVIL_MS)
+#include "steer/holder-pressure.h"
+
 /* A former holder that runs a request is given up after it has been unreachable for this time: one
  * that has just started, or is busy, may answer pings late. */
 #define HOLDER_SILENCE_TIME (1 * ANVIL_SECOND)
@@ -157,6 +156,17 @@
          || anvil_slot_broker_has_ended (broker, job->holder);
 }
 
+/* Whether the last request to the holder, or its answer, may have been lost. */
+static gboolean
+is_overdue (const job_t *job, anvil_time_t now)
+{
+  const anvil_time_t round_trip
+      = anvil_slot_broker_round_trip (job->jobs->options.slot_broker, job->holder);
+
+  return now - job->slot_requested_at
+         >= anvil_slot_request_interval (job->n_unanswered, round_trip);
+}
+
 /* Asks again for what may have been lost, or a new holder if the former one, which may have run the
  * request, is gone. */
 static void
@@ -164,7 +174,7 @@
 {
   if (holder_is_gone (job, now))
     job_request_slot_from_new_holder (job);
-  else if (now - job->slot_requested_at >= SLOT_REQUEST_TIMEOUT)
+  else if (is_overdue (job, now))
     job_withdraw (job);
 }
 
@@ -178,9 +188,9 @@
       repeat_withdrawal (job, *now);
       return;
     }
-  if (job->state == JOB_WAITING_FOR_SLOT && *now - job->slot_requested_at >= SLOT_REQUEST_TIMEOUT)
+  if (job->state == JOB_WAITING_FOR_SLOT && is_overdue (job, *now))
     job_repeat_slot_request (job);
-  job_repeat_request_again (job, *now, SLOT_REQUEST_TIMEOUT);
+  job_repeat_request_again (job, *now);
 }
 
 void
--- a/source/relay/relay-job-internal.h
+++ b/source/relay/relay-job-internal.h
@@ -51,6 +51,7 @@
  * @begun: a second attempt was sent
  * @won: its answer went to the caller
  * @task: what the slot is requested for; its texts are those of the job's task
+ * @n_unanswered: how often the present request for a slot was sent
  */
 typedef struct
 {
@@ -64,6 +65,7 @@
   anvil_task_t task;
   anvil_node_t holder;
   anvil_time_t requested_at;
+  guint n_unanswered;
   anvil_time_t sent_at;
   guint64 upstream;
   char *upstream_id;
@@ -84,6 +86,7 @@
  * @holder: entry that the slot was requested from
  * @slot_requested_at: when the slot was requested last
  * @n_slot_requests: slot requests sent, repeated ones too
+ * @n_unanswered: how often the present one was sent, or its withdrawal
  * @upstream: key of the upstream that the request was sent to last
  * @upstream_id: its id
  * @upstream_started_at: start of its process, as far as this entry or the holder knows
@@ -118,6 +121,7 @@
   anvil_node_t holder;
   anvil_time_t slot_requested_at;
   guint n_slot_requests;
+  guint n_unanswered;
   guint64 upstream;
   char *upstream_id;
   gint64 upstream_started_at;
@@ -295,8 +299,8 @@
                              const anvil_task_refusal_info_t *refused);
 /* Tells a new holder of the second attempt. */
 void job_repeat_adopt (job_t *job, anvil_node_t holder);
-/* Repeats a request for a slot that got no answer within @timeout. */
-void job_repeat_request_again (job_t *job, anvil_time_t now, anvil_time_t timeout);
+/* Repeats a request for a slot whose answer is overdue. */
+void job_repeat_request_again (job_t *job, anvil_time_t now);
 void job_repeat_drop (job_t *job);
 
 typedef void (*job_visit_t) (job_t *job, gconstpointer data);
--- a/source/relay/relay-job-repeat.c
+++ b/source/relay/relay-job-repeat.c
@@ -8,6 +8,7 @@
 #include "relay/relay-job-internal.h"
 
 #include "anvil/log.h"
+#include "steer/holder-pressure.h"
 
 static anvil_metrics_t *
 metrics_of (const job_t *job)
@@ -80,6 +81,7 @@
   task_exclude_upstream (&repeat->task, job->upstream);
   repeat->state = JOB_REPEAT_REQUESTED;
   repeat->requested_at = anvil_clock_now ();
+  repeat->n_unanswered = 1;
   repeat->holder = anvil_slot_broker_holder (broker, job->service);
   g_hash_table_insert (job->jobs->repeats, &repeat->task.id.number, job);
   anvil_slot_broker_request_slot (broker, repeat->holder, &repeat->task);
@@ -376,12 +378,16 @@
 }
 
 void
-job_repeat_request_again (job_t *job, anvil_time_t now, anvil_time_t timeout)
+job_repeat_request_again (job_t *job, anvil_time_t now)
 {
   job_repeat_t *repeat = &job->repeat;
+  anvil_slot_broker_t *broker = job->jobs->options.slot_broker;
 
-  if (repeat->state != JOB_REPEAT_REQUESTED || now - repeat->requested_at < timeout)
+  if (repeat->state != JOB_REPEAT_REQUESTED
+      || now - repeat->requested_at < anvil_slot_request_interval (
+             repeat->n_unanswered, anvil_slot_broker_round_trip (broker, repeat->holder)))
     return;
   repeat->requested_at = now;
-  anvil_slot_broker_request_slot (job->jobs->options.slot_broker, repeat->holder, &repeat->task);
+  repeat->n_unanswered++;
+  anvil_slot_broker_request_slot (broker, repeat->holder, &repeat->task);
 }
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -4,6 +4,7 @@
 
 #include "anvil/log.h"
 #include "relay/relay-watch.h"
+#include "steer/holder-pressure.h"
 
 /* Attempts per request that may fail before anything was sent; these don't count as attempts of the
  * route. */
@@ -156,6 +157,7 @@
     }
   job->slot_requested_at = anvil_clock_now ();
   job->n_slot_requests++;
+  job->n_unanswered++;
   anvil_slot_broker_request_slot (job->jobs->options.slot_broker, job->holder, &job->task);
 }
 
@@ -169,6 +171,7 @@
   job->state = JOB_WAITING_FOR_SLOT;
   job->forwarded = FALSE;
   job->withdrawing = FALSE;
+  job->n_unanswered = 0;
   job->holder = anvil_slot_broker_holder (job->jobs->options.slot_broker, job->service);
   if (!job_may_be_sent (job) || !job_may_be_forwarded (job))
     {
@@ -183,6 +186,7 @@
     }
   job->slot_requested_at = anvil_clock_now ();
   job->n_slot_requests++;
+  job->n_unanswered++;
   job_forward (job);
 }
 
@@ -695,6 +699,8 @@
 {
   if (job->has_no_region)
     job_fail (job, STATUS_UNAVAILABLE, "no-allowed-region", NOT_READY_RETRY_AFTER);
+  else if (anvil_slot_broker_refuses (job->jobs->options.slot_broker, job->service))
+    job_refuse (job, STATUS_UNAVAILABLE, "holder-busy", anvil_holder_retry_after ());
   else
     job_request_slot (job);
 }
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -6,6 +6,7 @@
 #include "anvil/error.h"
 #include "net/message-check.h"
 #include "relay/message-reader.h"
+#include "steer/holder-pressure.h"
 
 /* Memory for the msgpack objects of one message. */
 #define ZONE_CHUNK_BYTES 2048
@@ -306,31 +307,49 @@
   g_assert_not_reached ();
 }
 
-/* Items behind the body of a ping or pong, where entries of older versions don't look. */
+/* Whether the message has times that count from when it was sent. */
+static gboolean
+is_dated (const anvil_relay_message_t *message)
+{
+  return message->kind == ANVIL_RELAY_REQUEST_SLOT || message->kind == ANVIL_RELAY_ADOPT
+         || message->kind == ANVIL_RELAY_FORWARD || message->kind == ANVIL_RELAY_UPDATES;
+}
+
+/* Items behind the body, where entries of older versions don't look. */
 static guint
 count_more (const anvil_relay_message_t *message)
 {
+  if (is_dated (message))
+    return 1;
+  if (message->info.refused_share > 0)
+    return 3;
   if (message->info.declined_share > 0)
     return 2;
   return message->n_named > 0 ? 1 : 0;
 }
 
 static void
-pack_more (msgpack_packer *packer, const anvil_relay_message_t *message)
+pack_more (msgpack_packer *packer, const anvil_relay_message_t *message, anvil_time_t sent_at)
 {
   const guint n = count_more (message);
 
-  if (n == 0)
+  if (is_dated (message))
+    msgpack_pack_int64 (packer, sent_at);
+  if (n == 0 || is_dated (message))
     return;
   msgpack_pack_array (packer, message->n_named);
   for (guint i = 0; i < message->n_named; i++)
     msgpack_pack_uint64 (packer, message->named[i]);
   if (n > 1)
     msgpack_pack_uint64 (packer, message->info.declined_share);
+  if (n > 2)
+    msgpack_pack_uint64 (packer, message->info.refused_share);
 }
 
 void
-anvil_relay_message_pack (const anvil_relay_message_t *message, GByteArray *out)
+anvil_relay_message_pack (const anvil_relay_message_t *message,
+                          anvil_time_t sent_at,
+                          GByteArray *out)
 {
   msgpack_packer packer;
 
@@ -339,7 +358,7 @@
   msgpack_pack_uint64 (&packer, message->kind);
   msgpack_pack_uint64 (&packer, message->number);
   pack_body (&packer, message);
-  pack_more (&packer, message);
+  pack_more (&packer, message, sent_at);
 }
 
 /* Entries of older versions don't send eras. */
@@ -399,6 +418,9 @@
   if (anvil_message_has_more (reader))
     message->info.declined_share
         = (guint) anvil_message_read_number (reader, "declined share", ANVIL_FULL_DECLINED_SHARE);
+  if (anvil_message_has_more (reader))
+    message->info.refused_share
+        = (guint) anvil_message_read_number (reader, "refused share", ANVIL_FULL_REFUSED_SHARE);
 }
 
 static void
@@ -773,6 +795,9 @@
       message->number = anvil_message_read_number (&reader, "number", G_MAXUINT64);
       if (bad_field == NULL)
         read_body (&reader, message);
+      /* Entries of older versions don't send it. */
+      if (bad_field == NULL && is_dated (message) && anvil_message_has_more (&reader))
+        message->sent_at = anvil_message_read_time (&reader, "time of sending");
     }
   msgpack_zone_destroy (&zone);
   if (bad_field != NULL)
--- a/source/relay/relay-message.h
+++ b/source/relay/relay-message.h
@@ -109,6 +109,8 @@
  * @operators_age: updates: time since the sender itself read the operators' table, microseconds
  * @evacuated: updates, configuration: the zones that are evacuated at that version
  * @n_evacuated: updates, configuration: length of @evacuated
+ * @sent_at: kinds with times that count from when it was sent (request slot, adopt, forward,
+ *   updates): when it was, CLOCK_BOOTTIME of the sender's VM, microseconds; 0 if it doesn't tell
  * @waited: withdrawn: the task was known, and its request was not sent; otherwise it may have run
  * @whole: request of the configuration: it may be sent whole, as the store doesn't answer the
  *   sender
@@ -152,12 +154,16 @@
   anvil_str_t evacuated[ANVIL_MAX_MESSAGE_ZONES];
   guint n_evacuated;
   anvil_store_position_t read_version;
+  anvil_time_t sent_at;
   gboolean waited;
   gboolean whole;
 } anvil_relay_message_t;
 
-/** anvil_relay_message_pack - appends a message in msgpack to @out */
-void anvil_relay_message_pack (const anvil_relay_message_t *message, GByteArray *out);
+/** anvil_relay_message_pack - appends a message in msgpack to @out; @sent_at is that of the
+ * message, for kinds that tell it */
+void anvil_relay_message_pack (const anvil_relay_message_t *message,
+                               anvil_time_t sent_at,
+                               GByteArray *out);
 
 /**
  * anvil_relay_message_unpack - parses one message
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -17,6 +17,7 @@
 #include "relay/relay-watch.h"
 #include "relay/slot-broker.h"
 #include "relay/warm-object-backup.h"
+#include "steer/holder-pressure.h"
 
 #define TICK_INTERVAL (50 * ANVIL_MS)
 /* Requests are accepted for this long after a shutdown has begun: peers learn of it by pings,
@@ -655,6 +656,10 @@
   anvil_metrics_set_gauge (
       relay->metrics, "anvil_knows_peers", "",
       anvil_members_self (anvil_slot_broker_members (relay->slot_broker))->knows_peers);
+  anvil_metrics_set_gauge (
+      relay->metrics, "anvil_refused_share", "",
+      (gdouble) anvil_members_self (anvil_slot_broker_members (relay->slot_broker))->refused_share
+          / ANVIL_FULL_REFUSED_SHARE);
   anvil_metrics_set_gauge (relay->metrics, "anvil_reachable_entries", "",
                            anvil_slot_broker_count_reachable (relay->slot_broker));
   anvil_metrics_set_gauge (relay->metrics, "anvil_routes_version", "",
--- a/source/relay/slot-broker-internal.h
+++ b/source/relay/slot-broker-internal.h
@@ -2,8 +2,10 @@
 
 #include "anvil/peers.h"
 #include "relay/slot-broker.h"
+#include "steer/holder-pressure.h"
 #include "steer/quota-counter.h"
 #include "steer/quota-loan.h"
+#include "steer/transit-time.h"
 
 /* slot-broker.c requests and grants slots, slot-broker-messages.c handles messages of peers,
  * slot-broker-peers.c tracks which peers are reachable and chooses holders, slot-broker-handover.c
@@ -91,6 +93,9 @@
   /* What was done at the last anvil_slot_broker_log_work(). */
   anvil_dispatcher_work_t logged_work;
   guint64 logged_frames;
+  /* anvil_transit_t by node. */
+  GHashTable *transits;
+  anvil_holder_pressure_t pressure;
 };
 
 /* Callbacks of the links to peers, in slot-broker-messages.c. */
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -2,15 +2,49 @@
 
 #include "anvil/log.h"
 
+/* The time that a message spent in queues before it was read, microseconds. */
+static anvil_time_t
+queued_time (anvil_slot_broker_t *broker, anvil_node_t from, const anvil_relay_message_t *message)
+{
+  anvil_transit_t *transit = g_hash_table_lookup (broker->transits, &from);
+
+  if (message->sent_at <= 0)
+    return 0;
+  if (transit == NULL)
+    {
+      transit = g_new0 (anvil_transit_t, 1);
+      g_hash_table_insert (broker->transits, g_memdup2 (&from, sizeof from), transit);
+    }
+  return anvil_transit_add (transit, anvil_clock_boot (), message->sent_at);
+}
+
+/* Clocks of another process, maybe of another VM, begin with it. */
+static void
+forget_transit_of_former (anvil_slot_broker_t *broker,
+                          anvil_node_t from,
+                          const anvil_member_info_t *info)
+{
+  const anvil_peer_t *peer = anvil_members_lookup (broker->members, from);
+
+  if (peer != NULL && peer->info.incarnation != info->incarnation)
+    g_hash_table_remove (broker->transits, &from);
+}
+
 static void
 handle_task (anvil_slot_broker_t *broker, anvil_node_t from, const anvil_relay_message_t *message)
 {
-  anvil_time_t now = anvil_clock_now ();
+  const anvil_time_t now = anvil_clock_now ();
+  const anvil_time_t queued = queued_time (broker, from, message);
   anvil_task_t task = message->task;
 
   task.id = (anvil_task_id_t){ .requester = from, .number = message->number };
-  task.target += now;
-  task.deadline += now;
+  task.target += now - queued;
+  task.deadline += now - queued;
+  if (message->kind != ANVIL_RELAY_ADOPT)
+    anvil_holder_pressure_add (&broker->pressure, queued);
+  /* Its requester has given up; a slot would be granted in vain. */
+  if (message->kind != ANVIL_RELAY_ADOPT && task.deadline <= now)
+    return;
   if (message->kind == ANVIL_RELAY_FORWARD)
     broker_add_forwarded (broker, task.id, task.deadline, message->rows);
   if (message->kind != ANVIL_RELAY_ADOPT)
@@ -19,6 +53,18 @@
     anvil_dispatcher_adopt (broker->dispatcher, now, &task, message->upstream);
 }
 
+/* Ages of what is known count from when the sender knew it. */
+static void
+add_queued_time (anvil_slot_broker_t *broker, anvil_node_t from, anvil_relay_message_t *message)
+{
+  const anvil_time_t queued = queued_time (broker, from, message);
+
+  message->age += queued;
+  message->store_ok_for += message->store_ok_for > 0 ? queued : 0;
+  message->operators_age += queued;
+  message->grace_remaining = MAX (message->grace_remaining - queued, 0);
+}
+
 static void
 add_named (anvil_slot_broker_t *broker, const anvil_relay_message_t *message)
 {
@@ -45,6 +91,7 @@
   anvil_time_t now = anvil_clock_now ();
 
   add_named (broker, message);
+  forget_transit_of_former (broker, from, &message->info);
   report_pong (broker, from, message);
   if (!anvil_members_ping_answered (broker->members, now, from, &message->info,
                                     (anvil_time_t) message->number))
@@ -67,6 +114,7 @@
   const anvil_peer_t *peer;
 
   add_named (broker, message);
+  forget_transit_of_former (broker, from, &message->info);
   anvil_members_update_info (broker->members, now, from, &message->info);
   /* One that has just started may hold services as soon as it knows the others. */
   pong.n_named = anvil_members_pick (broker->members, now, from, pong.named,
@@ -177,6 +225,7 @@
           (anvil_store_position_t){ .era = message.era, .version = message.number });
       return;
     case ANVIL_RELAY_UPDATES:
+      add_queued_time (broker, from, &message);
       broker->callbacks.updates_received (broker->context, from, &message);
       return;
     case ANVIL_RELAY_REQUEST_CONFIG:
--- a/source/relay/slot-broker-peers.c
+++ b/source/relay/slot-broker-peers.c
@@ -72,6 +72,7 @@
              peer->info.name.data != NULL ? peer->info.name.data : "-");
   anvil_peers_close_link (broker->peers, node);
   anvil_members_remove (broker->members, node);
+  g_hash_table_remove (broker->transits, &node);
 }
 
 /* Stands for all services; no service has an empty name. */
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -23,7 +23,7 @@
 {
   GByteArray *bytes = g_byte_array_new ();
 
-  anvil_relay_message_pack (message, bytes);
+  anvil_relay_message_pack (message, anvil_clock_boot (), bytes);
   anvil_peers_send_relay_message (
       broker->peers, to, (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len });
   g_byte_array_unref (bytes);
@@ -119,6 +119,20 @@
 static const anvil_dispatcher_callbacks_t dispatcher_callbacks
     = { .grant = on_grant, .refuse = on_refuse };
 
+/* Tells requesters which part of their requests to refuse. */
+static void
+update_pressure (anvil_slot_broker_t *broker, anvil_time_t now)
+{
+  anvil_holder_pressure_t *pressure = &broker->pressure;
+
+  if (anvil_holder_pressure_tick (pressure, now))
+    anvil_log (ANVIL_LOG_NOTICE, "broker",
+               "slot requests wait to be read average_delay_us=%" G_GINT64_FORMAT
+               " refused_share=%u",
+               pressure->average_delay, pressure->refused_share);
+  anvil_members_self (broker->members)->refused_share = pressure->refused_share;
+}
+
 static void
 on_tick (evutil_socket_t unused_fd, short unused_what, void *data)
 {
@@ -144,6 +158,7 @@
   anvil_dispatcher_set_divided (broker->dispatcher,
                                 anvil_members_may_be_divided (broker->members, now));
   broker_quota_tick (broker, now);
+  update_pressure (broker, now);
   anvil_dispatcher_tick (broker->dispatcher, now);
 }
 
@@ -207,6 +222,7 @@
   broker->reachable_nodes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   g_queue_init (&broker->local_decisions);
   broker->forwarded = broker_forwarded_table_new ();
+  broker->transits = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   broker->deliver = event_new (base, -1, 0, on_deliver, broker);
   broker->tick = event_new (base, -1, EV_PERSIST, on_tick, broker);
   event_add (broker->tick, &period);
@@ -231,6 +247,7 @@
   g_hash_table_unref (broker->services);
   g_hash_table_unref (broker->reachable_nodes);
   g_hash_table_unref (broker->forwarded);
+  g_hash_table_unref (broker->transits);
   g_free (broker);
 }
 
@@ -453,6 +470,28 @@
   return g_hash_table_size (broker->reachable_nodes) + 1;
 }
 
+anvil_time_t
+anvil_slot_broker_round_trip (const anvil_slot_broker_t *broker, anvil_node_t node)
+{
+  const anvil_peer_t *peer = anvil_members_lookup (broker->members, node);
+
+  return peer != NULL ? peer->rtt : 0;
+}
+
+gboolean
+anvil_slot_broker_refuses (const anvil_slot_broker_t *broker, const char *service_name)
+{
+  const service_t *service = g_hash_table_lookup (broker->services, service_name);
+  const anvil_peer_t *peer;
+
+  if (service == NULL)
+    return FALSE;
+  if (service->holder == broker->self)
+    return anvil_holder_refuses (broker->pressure.refused_share);
+  peer = anvil_members_lookup (broker->members, service->holder);
+  return peer != NULL && anvil_holder_refuses (peer->info.refused_share);
+}
+
 gboolean
 anvil_slot_broker_has_ended (const anvil_slot_broker_t *broker, anvil_node_t node)
 {
--- a/source/relay/slot-broker.h
+++ b/source/relay/slot-broker.h
@@ -187,6 +187,14 @@
 /** anvil_slot_broker_count_reachable - entries that answer, with this one */
 guint anvil_slot_broker_count_reachable (const anvil_slot_broker_t *broker);
 
+/** anvil_slot_broker_round_trip - to a peer and back, as pings took lately, microseconds; 0 if it
+ * is unknown, or for this entry */
+anvil_time_t anvil_slot_broker_round_trip (const anvil_slot_broker_t *broker, anvil_node_t node);
+
+/** anvil_slot_broker_refuses - whether a new request is among those for which no slot should be
+ * requested, as the holder of the service has no time for more; see steer/holder-pressure.h */
+gboolean anvil_slot_broker_refuses (const anvil_slot_broker_t *broker, const char *service);
+
 /** anvil_slot_broker_has_ended - whether a peer's VM says that its process has ended */
 gboolean anvil_slot_broker_has_ended (const anvil_slot_broker_t *broker, anvil_node_t node);
 
--- a/tests/helper-holder.c
+++ b/tests/helper-holder.c
@@ -2,6 +2,9 @@
 
 #include <time.h>
 
+#include "steer/holder-pressure.h"
+#include "steer/transit-time.h"
+
 #define N_ZONES 9
 #define N_REGIONS 3
 /* Objects that an upstream is warm for. */
@@ -11,6 +14,8 @@
 #define STEP (1 * ANVIL_MS)
 /* One way between entries. */
 #define DELAY (1 * ANVIL_MS)
+/* Interval of the pings by which requesters learn of the holder. */
+#define PING_INTERVAL (250 * ANVIL_MS)
 /* Objects with these numbers are spread over the range of hashes. */
 #define HASH_FACTOR G_GUINT64_CONSTANT (0x9E3779B97F4A7C15)
 
@@ -88,6 +93,12 @@
   /* Processor time that the holder has, microseconds; below 0 while it works. */
   gdouble processor_us;
   anvil_time_t ticked_at;
+  anvil_holder_pressure_t pressure;
+  anvil_transit_t transits[HOLDER_SIM_REQUESTERS];
+  /* What requesters have learnt of the holder, and when. */
+  guint refused_share;
+  anvil_time_t round_trip;
+  anvil_time_t pinged_at;
   /* Times until refusals. */
   GArray *refusals;
   guint n_served;
@@ -265,6 +276,12 @@
   request->requester = (guint) g_rand_int_range (sim->random, 0, HOLDER_SIM_REQUESTERS);
   request->object = (guint) g_rand_int_range (sim->random, 1, HOLDER_SIM_OBJECTS + 1);
   request->arrived_at = sim->now;
+  if (anvil_holder_refuses (sim->refused_share))
+    {
+      refuse (sim, request);
+      g_free (request);
+      return;
+    }
   g_hash_table_insert (sim->requests, &request->number, request);
   request_slot (sim, request);
 }
@@ -296,7 +313,9 @@
       send (sim, request->ends_at > 0 ? MESSAGE_FINISHED : MESSAGE_CANCEL, request, 0);
       return TRUE;
     }
-  if (request->ends_at == 0 && sim->now - request->asked_at >= 300 * ANVIL_MS)
+  if (request->ends_at == 0
+      && sim->now - request->asked_at
+             >= anvil_slot_request_interval (request->n_asked, sim->round_trip))
     request_slot (sim, request);
   return FALSE;
 }
@@ -348,12 +367,18 @@
   const anvil_run_report_t report
       = { .result = message->duration > 0 ? ANVIL_RUN_ANSWERED : ANVIL_RUN_UNUSED,
           .duration = message->duration };
+  anvil_time_t delay;
 
   switch (message->kind)
     {
     case MESSAGE_REQUEST_SLOT:
-      message->task.target += sim->now;
-      message->task.deadline += sim->now;
+      delay = anvil_transit_add (&sim->transits[message->task.id.requester - 1], sim->now,
+                                 message->sent_at);
+      anvil_holder_pressure_add (&sim->pressure, delay);
+      message->task.target += sim->now - delay;
+      message->task.deadline += sim->now - delay;
+      if (message->task.deadline <= sim->now)
+        return;
       anvil_dispatcher_submit (sim->dispatcher, sim->now, &message->task);
       sim->result.submit_ns += processor_ns () - start;
       return;
@@ -374,6 +399,7 @@
   guint64 spent;
 
   sim->ticked_at = sim->now;
+  anvil_holder_pressure_tick (&sim->pressure, sim->now);
   anvil_dispatcher_tick (sim->dispatcher, sim->now);
   spent = processor_ns () - start;
   sim->result.tick_ns += spent;
@@ -421,6 +447,19 @@
     }
 }
 
+/* A ping's answer tells the share, and takes as long as the messages before it. */
+static void
+ping (holder_sim_t *sim)
+{
+  const message_t *oldest = g_queue_peek_head (&sim->inbox);
+
+  if (sim->now - sim->pinged_at < PING_INTERVAL)
+    return;
+  sim->pinged_at = sim->now;
+  sim->refused_share = sim->pressure.refused_share;
+  sim->round_trip = 2 * DELAY + (oldest != NULL ? sim->now - oldest->sent_at : 0);
+}
+
 static gint
 compare_times (gconstpointer a, gconstpointer b)
 {
@@ -465,6 +504,7 @@
       deliver_decisions (sim);
       g_hash_table_foreach_remove (sim->requests, update_request, sim);
       work (sim);
+      ping (sim);
     }
   return take_result (sim);
 }
--- a/tests/test-relay-job-forward.c
+++ b/tests/test-relay-job-forward.c
@@ -14,6 +14,7 @@
 #include "anvil/peers.h"
 #include "helper-ports.h"
 #include "relay/forward-codec.h"
+#include "steer/holder-pressure.h"
 
 #define WAIT_TIMEOUT (20 * ANVIL_SECOND)
 /* More than the interval of ticks and pings, less than the time for which a silent holder is kept.
@@ -37,6 +38,7 @@
   gboolean leaving;
   gboolean silent;
   guint declined_share;
+  guint refused_share;
   GArray *received;
   guint64 number;
 } holder_t;
@@ -48,7 +50,7 @@
 {
   GByteArray *bytes = g_byte_array_new ();
 
-  anvil_relay_message_pack (message, bytes);
+  anvil_relay_message_pack (message, message->sent_at, bytes);
   anvil_peers_send_relay_message (
       holder.peers, anvil_slot_broker_self (job_fixture.broker),
       (anvil_str_t){ .data = (const char *) bytes->data, .length = bytes->len });
@@ -69,6 +71,7 @@
                                       .ready = TRUE,
                                       .leaving = holder.leaving,
                                       .declined_share = holder.declined_share,
+                                      .refused_share = holder.refused_share,
                                       .knows_peers = TRUE,
                                       .caller_share = ANVIL_FULL_CALLER_SHARE };
   send_message (pong);
@@ -91,6 +94,7 @@
     case ANVIL_RELAY_REQUEST_SLOT:
     case ANVIL_RELAY_CANCEL:
     case ANVIL_RELAY_WITHDRAW:
+    case ANVIL_RELAY_GRANT:
       g_array_append_val (holder.received, message->kind);
       if (message->kind == ANVIL_RELAY_FORWARD)
         holder.number = message->number;
@@ -114,6 +118,16 @@
   return FALSE;
 }
 
+static guint
+count_received (anvil_relay_message_kind_t kind)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < holder.received->len; i++)
+    n += g_array_index (holder.received, anvil_relay_message_kind_t, i) == kind;
+  return n;
+}
+
 /* Runs the event loop and the ticks of the jobs for a time. */
 static void
 run_ticks (anvil_time_t time)
@@ -325,6 +339,66 @@
 }
 END_TEST
 
+START_TEST (test_a_waiting_request_is_repeated_ever_more_rarely)
+{
+  forward_request ("safe");
+  run_ticks (2 * ANVIL_SECOND);
+  ck_assert_uint_ge (count_received (ANVIL_RELAY_REQUEST_SLOT), 1);
+  ck_assert_uint_le (count_received (ANVIL_RELAY_REQUEST_SLOT), 3);
+}
+END_TEST
+
+START_TEST (test_a_new_request_is_refused_at_once_while_its_holder_is_busy)
+{
+  const anvil_time_t until = anvil_clock_now () + WAIT_TIMEOUT;
+  const anvil_peer_t *peer
+      = anvil_members_lookup (anvil_slot_broker_members (job_fixture.broker), holder.node);
+  anvil_time_t sent_at;
+
+  holder.refused_share = ANVIL_FULL_REFUSED_SHARE;
+  while (peer->info.refused_share == 0 && anvil_clock_now () < until)
+    job_run_for (0);
+  sent_at = anvil_clock_now ();
+  job_send_text (job_fixture.caller, "GET /safe/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                                     "Request-Id: one\r\n\r\n");
+  check_status ("HTTP/1.1 503");
+  ck_assert_int_lt (anvil_clock_now () - sent_at, ANVIL_SECOND);
+  ck_assert (!has_received (ANVIL_RELAY_FORWARD) && !has_received (ANVIL_RELAY_REQUEST_SLOT));
+}
+END_TEST
+
+/* Sends a request for a slot that has the task's whole time left, as of @queued ago. */
+static void
+request_slot_sent_before (guint64 number, anvil_time_t queued)
+{
+  anvil_relay_message_t *message = g_new0 (anvil_relay_message_t, 1);
+
+  message->kind = ANVIL_RELAY_REQUEST_SLOT;
+  message->number = number;
+  message->sent_at = anvil_clock_boot () - queued;
+  message->task = (anvil_task_t){ .service = anvil_str ("photos"),
+                                  .region = anvil_str ("west"),
+                                  .zone = anvil_str ("west-a"),
+                                  .attempt = 1,
+                                  .target = ANVIL_SECOND,
+                                  .deadline = 2 * ANVIL_SECOND };
+  send_message (message);
+  g_free (message);
+}
+
+START_TEST (test_a_slot_request_read_after_its_deadline_gets_no_slot)
+{
+  request_slot_sent_before (1, 0);
+  wait_for_message (ANVIL_RELAY_GRANT);
+  g_array_set_size (holder.received, 0);
+  request_slot_sent_before (2, 3 * ANVIL_SECOND);
+  run_ticks (QUIET_TIME);
+  ck_assert (!has_received (ANVIL_RELAY_GRANT));
+  request_slot_sent_before (3, ANVIL_SECOND);
+  wait_for_message (ANVIL_RELAY_GRANT);
+}
+END_TEST
+
 START_TEST (test_a_silent_holder_is_given_up)
 {
   forward_request ("safe");
@@ -385,6 +459,9 @@
   tcase_add_test (tests, test_a_request_that_the_holder_does_not_know_may_have_run);
   tcase_add_test (tests, test_a_run_of_a_restarted_holder_goes_on);
   tcase_add_test (tests, test_a_run_goes_on_while_its_holder_is_silent_for_a_moment);
+  tcase_add_test (tests, test_a_waiting_request_is_repeated_ever_more_rarely);
+  tcase_add_test (tests, test_a_new_request_is_refused_at_once_while_its_holder_is_busy);
+  tcase_add_test (tests, test_a_slot_request_read_after_its_deadline_gets_no_slot);
   tcase_add_test (tests, test_a_silent_holder_is_given_up);
   tcase_add_test (tests, test_a_refusal_of_a_former_holder_does_not_count);
   tcase_add_test (tests, test_requests_do_not_go_along_to_a_holder_that_declines_them);
--- a/tests/test-relay-message.c
+++ b/tests/test-relay-message.c
@@ -97,7 +97,11 @@
   { .kind = ANVIL_RELAY_FORWARD,
     .number = 14,
     .task = { .service = { "photos", 6 }, .deadline = 5 },
-    .rows = { "request", 7 } },
+    .rows = { "request", 7 },
+    .sent_at = 123456789 },
+  { .kind = ANVIL_RELAY_PONG,
+    .number = 15,
+    .info = { .config_proof_age = -1, .declined_share = 600, .refused_share = 950 } },
   { .kind = ANVIL_RELAY_RESPONSE, .number = 14, .rows = { "response", 8 } },
   { .kind = ANVIL_RELAY_WARM_OBJECTS,
     .service = { "photos", 6 },
@@ -136,7 +140,7 @@
 {
   GByteArray *bytes = g_byte_array_new ();
 
-  anvil_relay_message_pack (message, bytes);
+  anvil_relay_message_pack (message, message->sent_at, bytes);
   return bytes;
 }
 
