Ask again whether a request may be sent once its connection is open

Cause: whether an upstream may be used was decided when a slot was granted, and the request was queued in front of a connection that was still to be opened. Opening takes up to 0.4 s, more with a late event loop; what the entry learnt meanwhile didn't count.

Change: a request goes into the output of a new connection only once that is established, and after the entry was asked whether the upstream still may be used: first and second attempts and requests of other entries alike, as all pass through the pool.

--- a/include/anvil/registry.h
+++ b/include/anvil/registry.h
@@ -258,6 +258,18 @@
  */
 guint64 anvil_registry_digest (const anvil_registry_t *registry);
 
+/**
+ * anvil_registry_reason_to_withhold - whether a request that was on its way to an upstream must not
+ *   be sent any more, by what is known of the upstream now
+ * @key: the upstream
+ * @started_at: start of its process as far as it is known; 0 if not
+ *
+ * Return: why it must not, for logs; NULL if it may be sent, also if the upstream was never known.
+ */
+const char *anvil_registry_reason_to_withhold (const anvil_registry_t *registry,
+                                               guint64 key,
+                                               gint64 started_at);
+
 /**
  * anvil_registry_reason_not_to_use - whether an upstream that another entry granted may be used
  * @key: the granted upstream
--- a/source/relay/relay-forward.c
+++ b/source/relay/relay-forward.c
@@ -223,7 +223,7 @@
 on_attempt_done (void *context, const anvil_relay_attempt_outcome_t *outcome)
 {
   run_t *run = context;
-  const anvil_run_report_t report = { .result = outcome->result,
+  const anvil_run_report_t report = { .result = anvil_relay_outcome_result (outcome),
                                       .duration = outcome->duration,
                                       .request_limit = outcome->request_limit,
                                       .speed = outcome->speed };
@@ -316,6 +316,7 @@
                                          .upstream_id = run->upstream_id,
                                          .address = grant->address,
                                          .port = grant->port,
+                                         .started_at = run->started_at,
                                          .method = run->method,
                                          .target = run->target,
                                          .headers = run->headers,
--- a/source/relay/relay-job-repeat.c
+++ b/source/relay/relay-job-repeat.c
@@ -228,7 +228,7 @@
   if (outcome->result == ANVIL_RUN_FAILED || outcome->result == ANVIL_RUN_INTERRUPTED)
     job->may_have_run = TRUE;
   repeat->attempt = NULL;
-  report (job, &(anvil_run_report_t){ .result = outcome->result,
+  report (job, &(anvil_run_report_t){ .result = anvil_relay_outcome_result (outcome),
                                       .duration = outcome->duration,
                                       .request_limit = outcome->request_limit,
                                       .speed = outcome->speed });
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -371,7 +371,7 @@
   job->attempt = NULL;
   anvil_request_limit_table_record (job->jobs->request_limits, anvil_clock_now (), job->service,
                                     job->upstream, job->upstream_id, &outcome->request_limit);
-  job_report_run (job, &(anvil_run_report_t){ .result = outcome->result,
+  job_report_run (job, &(anvil_run_report_t){ .result = anvil_relay_outcome_result (outcome),
                                               .duration = outcome->duration,
                                               .request_limit = outcome->request_limit,
                                               .speed = outcome->speed });
@@ -476,6 +476,7 @@
                                         .upstream_id = upstream_id,
                                         .address = grant->address,
                                         .port = grant->port,
+                                        .started_at = job_newest_start (job->jobs, grant),
                                         .method = request->method,
                                         .target = request->target,
                                         .headers = request->headers,
@@ -559,6 +560,18 @@
                                            options->store_ok_for (options->context));
 }
 
+const char *
+anvil_relay_jobs_reason_to_withhold (const anvil_relay_jobs_t *jobs,
+                                     guint64 upstream,
+                                     gint64 started_at)
+{
+  if (!jobs_registry_is_fresh (jobs))
+    return "registry-too-old";
+  if (anvil_pause_table_remaining (jobs->pauses, anvil_clock_now (), upstream, started_at) > 0)
+    return "paused";
+  return anvil_registry_reason_to_withhold (jobs->options.registry, upstream, started_at);
+}
+
 void
 anvil_relay_jobs_granted (anvil_relay_jobs_t *jobs,
                           guint64 number,
--- a/source/relay/relay-job.h
+++ b/source/relay/relay-job.h
@@ -93,6 +93,12 @@
 void anvil_relay_jobs_caller_disconnected (anvil_relay_jobs_t *jobs,
                                            anvil_relay_request_t *request);
 
+/** anvil_relay_jobs_reason_to_withhold - why a request that was on its way to a process of an
+ * upstream must not be sent any more, or NULL; @started_at is 0 if its start isn't known */
+const char *anvil_relay_jobs_reason_to_withhold (const anvil_relay_jobs_t *jobs,
+                                                 guint64 upstream,
+                                                 gint64 started_at);
+
 /** anvil_relay_jobs_reason_not_to_use - why this entry must not send a request on a granted slot,
  * for logs; NULL if it may */
 const char *anvil_relay_jobs_reason_not_to_use (const anvil_relay_jobs_t *jobs,
--- a/source/relay/relay-upstream-internal.h
+++ b/source/relay/relay-upstream-internal.h
@@ -30,6 +30,8 @@
   gsize buffered_bytes;
   struct event *sweep_timer;
   anvil_relay_upstream_pool_counters_t counters;
+  anvil_relay_withhold_cb_t withhold;
+  void *withhold_context;
 };
 
 /**
@@ -65,6 +67,8 @@
 /**
  * anvil_relay_attempt - one request and its response
  * @request_bytes: size of the request on the wire
+ * @unsent: the request, until a new connection has been established; otherwise NULL
+ * @upstream_started_at: start of the upstream's process as far as it is known
  * @peer_timer: checks whether the upstream still acknowledges a long request, or NULL
  * @head: check of the responses' heads
  * @in_body: the head of the response has ended; later fields are trailers
@@ -92,6 +96,8 @@
   char *upstream_id;
   gboolean is_head;
   gsize request_bytes;
+  struct evbuffer *unsent;
+  gint64 upstream_started_at;
   struct event *peer_timer;
   anvil_time_t started_at;
   http_parser parser;
--- a/source/relay/relay-upstream-pool.c
+++ b/source/relay/relay-upstream-pool.c
@@ -174,6 +174,15 @@
   g_free (pool);
 }
 
+void
+anvil_relay_upstream_pool_set_withhold (anvil_relay_upstream_pool_t *pool,
+                                        anvil_relay_withhold_cb_t withhold,
+                                        void *context)
+{
+  pool->withhold = withhold;
+  pool->withhold_context = context;
+}
+
 const anvil_relay_upstream_pool_counters_t *
 anvil_relay_upstream_pool_counters (const anvil_relay_upstream_pool_t *pool)
 {
--- a/source/relay/relay-upstream.c
+++ b/source/relay/relay-upstream.c
@@ -70,6 +70,8 @@
 {
   if (attempt->peer_timer != NULL)
     event_free (attempt->peer_timer);
+  if (attempt->unsent != NULL)
+    evbuffer_free (attempt->unsent);
   g_free (attempt->request_id);
   g_free (attempt->upstream_id);
   g_string_free (attempt->field_name, TRUE);
@@ -94,21 +96,27 @@
 static gboolean
 is_request_sent (const anvil_relay_attempt_t *attempt)
 {
-  return evbuffer_get_length (bufferevent_get_output (attempt->connection->stream))
-         < attempt->request_bytes;
+  return attempt->unsent == NULL
+         && evbuffer_get_length (bufferevent_get_output (attempt->connection->stream))
+                < attempt->request_bytes;
 }
 
-/* Ends an attempt for which no usable response can arrive any more. */
 static void
-attempt_fail (anvil_relay_attempt_t *attempt, anvil_run_result_t result, const char *reason)
+attempt_abort (anvil_relay_attempt_t *attempt, const anvil_relay_attempt_outcome_t *outcome)
 {
-  const anvil_relay_attempt_outcome_t outcome = {
-    .result = result, .reason = reason, .duration = anvil_clock_now () - attempt->started_at
-  };
-
   leave_pool (attempt);
   connection_reset (attempt->connection);
-  attempt_finish (attempt, &outcome);
+  attempt_finish (attempt, outcome);
+}
+
+/* Ends an attempt for which no usable response can arrive any more. */
+static void
+attempt_fail (anvil_relay_attempt_t *attempt, anvil_run_result_t result, const char *reason)
+{
+  attempt_abort (attempt, &(anvil_relay_attempt_outcome_t){ .result = result,
+                                                            .reason = reason,
+                                                            .duration = anvil_clock_now ()
+                                                                        - attempt->started_at });
 }
 
 /* Ends an attempt with its complete response, and keeps the connection if it can be reused. */
@@ -276,6 +284,34 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
 }
 
+/* Sends the request on a connection that has just been established. Opening it takes up to
+ * CONNECT_TIMEOUT, and longer if the event loop is late; the upstream may have left meanwhile. */
+static void
+send_unsent (anvil_relay_attempt_t *attempt)
+{
+  upstream_connection_t *connection = attempt->connection;
+  anvil_relay_upstream_pool_t *pool = connection->pool;
+  const char *reason = pool->withhold != NULL
+                           ? pool->withhold (pool->withhold_context, connection->upstream_key,
+                                             attempt->upstream_started_at)
+                           : NULL;
+
+  if (reason != NULL)
+    {
+      anvil_log (ANVIL_LOG_INFO, "upstream",
+                 "request withheld after its connection was opened upstream=%s request=%s "
+                 "reason=%s took_ms=%" G_GINT64_FORMAT,
+                 attempt->upstream_id, attempt->request_id != NULL ? attempt->request_id : "-",
+                 reason, (anvil_clock_now () - attempt->started_at) / ANVIL_MS);
+      attempt_abort (attempt, &(anvil_relay_attempt_outcome_t){ .result = ANVIL_RUN_CONNECT_FAILED,
+                                                                .reason = "request withheld",
+                                                                .withheld = TRUE });
+      return;
+    }
+  evbuffer_add_buffer (bufferevent_get_output (connection->stream), attempt->unsent);
+  evbuffer_free (g_steal_pointer (&attempt->unsent));
+}
+
 static void
 on_event (struct bufferevent *stream, short events, void *data)
 {
@@ -285,7 +321,11 @@
   if ((events & BEV_EVENT_CONNECTED) != 0)
     bufferevent_set_timeouts (stream, NULL, NULL);
   if (state == ANVIL_STREAM_OPEN)
-    return;
+    {
+      if (connection->attempt != NULL && connection->attempt->unsent != NULL)
+        send_unsent (connection->attempt);
+      return;
+    }
   if (connection->attempt == NULL)
     {
       pool_remove_idle (connection);
@@ -371,7 +411,7 @@
   struct bufferevent *stream = attempt->connection->stream;
   int unacknowledged;
 
-  return evbuffer_get_length (bufferevent_get_output (stream)) == 0
+  return attempt->unsent == NULL && evbuffer_get_length (bufferevent_get_output (stream)) == 0
          && ioctl (bufferevent_getfd (stream), SIOCOUTQ, &unacknowledged) == 0
          && unacknowledged == 0;
 }
@@ -415,10 +455,11 @@
 }
 
 static void
-write_request (anvil_relay_attempt_t *attempt, const anvil_relay_upstream_request_t *request)
+write_request (anvil_relay_attempt_t *attempt,
+               const anvil_relay_upstream_request_t *request,
+               struct evbuffer *out)
 {
   const anvil_header_names_t *header_names = attempt->connection->pool->header_names;
-  struct evbuffer *out = bufferevent_get_output (attempt->connection->stream);
   gsize length = evbuffer_get_length (request->body);
   gboolean body_expected = length > 0 || strcmp (request->method, "POST") == 0
                            || strcmp (request->method, "PUT") == 0
@@ -458,17 +499,29 @@
   attempt->body = evbuffer_new ();
   http_parser_init (&attempt->parser, HTTP_RESPONSE);
   attempt->parser.data = attempt;
+  attempt->upstream_started_at = request->started_at;
   attempt->connection = pool_take_idle (pool, request);
   if (attempt->connection == NULL)
-    attempt->connection = connection_open (pool, request);
+    {
+      attempt->connection = connection_open (pool, request);
+      attempt->unsent = evbuffer_new ();
+    }
   attempt->connection->attempt = attempt;
   upstream_connection_add_request (attempt->connection, request->id);
   g_hash_table_add (pool->attempts, attempt);
-  write_request (attempt, request);
+  write_request (attempt, request,
+                 attempt->unsent != NULL ? attempt->unsent
+                                         : bufferevent_get_output (attempt->connection->stream));
   detect_silent_peer (attempt, request->timeout);
   return attempt;
 }
 
+anvil_run_result_t
+anvil_relay_outcome_result (const anvil_relay_attempt_outcome_t *outcome)
+{
+  return outcome->withheld ? ANVIL_RUN_UNUSED : outcome->result;
+}
+
 gboolean
 anvil_relay_attempt_cancel (anvil_relay_attempt_t *attempt)
 {
--- a/source/relay/relay-upstream.h
+++ b/source/relay/relay-upstream.h
@@ -27,12 +27,19 @@
 typedef void (*anvil_relay_announced_cb_t) (void *context,
                                             const anvil_announcement_t *announcement);
 
+/* Why a request must not be sent to a process of an upstream any more, or NULL. Asked when a new
+ * connection has been established, before the first byte is sent. */
+typedef const char *(*anvil_relay_withhold_cb_t) (void *context,
+                                                  guint64 upstream_key,
+                                                  gint64 started_at);
+
 /**
  * anvil_relay_upstream_request_t - a request for an upstream; everything is borrowed
  * @upstream_key: key of the upstream; idle connections are found by it
  * @upstream_id: id of the upstream, sent along so that no other upstream runs the request
  * @address: IPv4 in host order
  * @port: TCP port
+ * @started_at: start of its process as far as it is known, see anvil_upstream_report_t; 0 if not
  * @method: HTTP method
  * @target: path and query
  * @headers: "Name: value\r\n" each, as the caller sent them
@@ -49,6 +56,7 @@
   const char *upstream_id;
   guint32 address;
   guint16 port;
+  gint64 started_at;
   const char *method;
   const char *target;
   const GString *headers;
@@ -82,6 +90,7 @@
  * anvil_relay_attempt_outcome_t - how an attempt ended; borrowed
  * @result: never ANVIL_RUN_UNUSED
  * @reason: for logs, why there is no usable response; or NULL
+ * @withheld: connect failed: the upstream could be reached, but wanted no more requests by then
  * @misdirected: another upstream has the address; @result is ANVIL_RUN_CONNECT_FAILED
  * @status: status of the response, 0 without one
  * @headers: headers to forward, "Name: value\r\n" each
@@ -104,6 +113,7 @@
   anvil_request_limit_t request_limit;
   guint speed;
   anvil_relay_response_t response;
+  gboolean withheld;
 } anvil_relay_attempt_outcome_t;
 
 typedef void (*anvil_relay_attempt_cb_t) (void *context,
@@ -145,6 +155,16 @@
 /** anvil_relay_upstream_pool_close - every attempt must have ended */
 void anvil_relay_upstream_pool_close (anvil_relay_upstream_pool_t *pool);
 
+/** anvil_relay_outcome_result - what is reported to the holder: a request that was withheld says
+ * nothing about the upstream */
+anvil_run_result_t anvil_relay_outcome_result (const anvil_relay_attempt_outcome_t *outcome);
+
+/** anvil_relay_upstream_pool_set_withhold - sets what is asked before requests are sent; without it
+ * all are */
+void anvil_relay_upstream_pool_set_withhold (anvil_relay_upstream_pool_t *pool,
+                                             anvil_relay_withhold_cb_t withhold,
+                                             void *context);
+
 /** anvil_relay_attempt_start - sends a request; @done is called once, never before this returns */
 anvil_relay_attempt_t *anvil_relay_attempt_start (anvil_relay_upstream_pool_t *pool,
                                                   const anvil_relay_upstream_request_t *request,
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -718,6 +718,12 @@
   anvil_slot_broker_foreach_held_service (relay->slot_broker, update_service_gauges, relay);
 }
 
+static const char *
+reason_to_withhold (void *context, guint64 upstream, gint64 started_at)
+{
+  return anvil_relay_jobs_reason_to_withhold (context, upstream, started_at);
+}
+
 static gboolean
 open_modules (anvil_relay_t *relay, GError **error)
 {
@@ -762,6 +768,7 @@
   job_options.slot_broker = relay->slot_broker;
   job_options.upstream_pool = relay->upstream_pool;
   relay->jobs = anvil_relay_jobs_new (&job_options);
+  anvil_relay_upstream_pool_set_withhold (relay->upstream_pool, reason_to_withhold, relay->jobs);
   relay->forwards = anvil_relay_forwards_new (relay->base, relay->slot_broker, relay->upstream_pool,
                                               relay->jobs, relay->registry, relay->metrics);
   relay->callers
--- a/source/steer/registry.c
+++ b/source/steer/registry.c
@@ -367,6 +367,21 @@
   return evacuated;
 }
 
+const char *
+anvil_registry_reason_to_withhold (const anvil_registry_t *registry, guint64 key, gint64 started_at)
+{
+  const anvil_registered_upstream_t *upstream = anvil_registry_lookup (registry, key);
+
+  if (upstream != NULL && upstream->draining)
+    return "draining";
+  if (leaving_set_contains (registry->leaving, key,
+                            upstream != NULL ? MAX (upstream->started_at, started_at) : started_at))
+    return "leaving";
+  if (upstream != NULL && upstream->evacuated)
+    return "evacuated";
+  return upstream == NULL && anvil_registry_recently_removed (registry, key) ? "left" : NULL;
+}
+
 const char *
 anvil_registry_reason_not_to_use (const anvil_registry_t *registry,
                                   guint64 key,
--- a/tests/helper-job.c
+++ b/tests/helper-job.c
@@ -127,6 +127,12 @@
   return FALSE;
 }
 
+static const char *
+reason_to_withhold (void *context, guint64 upstream, gint64 started_at)
+{
+  return anvil_relay_jobs_reason_to_withhold (context, upstream, started_at);
+}
+
 static void
 on_request (void *context, anvil_relay_request_t *request)
 {
@@ -328,6 +334,7 @@
   options.upstream_pool = job_fixture.pool;
   options.metrics = job_fixture.metrics;
   job_fixture.jobs = anvil_relay_jobs_new (&options);
+  anvil_relay_upstream_pool_set_withhold (job_fixture.pool, reason_to_withhold, job_fixture.jobs);
   set_routes ();
   for (guint i = 0; i < JOB_N_UPSTREAMS; i++)
     add_upstream (i);
