Bound the times that peers send, and keep the simulated holder with the benchmarks

Cause: a peer may send any age or time of sending; sums of them could overflow. A slot request under a new number went on with the long interval of the last one.

Change: ages saturate, times of sending are limited, and the interval of repeats begins anew with each number. The simulation of a holder is the benchmark's, and test-holder-load uses it.

--- a/Makefile
+++ b/Makefile
@@ -75,11 +75,11 @@
 $(foreach name,$(STANDIN_NAMES),$(eval $(call link_rule,$(name),$(call standin_objects,$(name)))))
 
 # A test may reach the daemons' tasks, but not their mains.
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(filter-out %/anvil-relay.o,$(RELAY_OBJECTS)) $(HELPER_OBJECTS) $(BUILD)/standins/endless.o $(FAKE_OBJECTS) $(WORLD_OBJECTS) $(TOOL_LIBRARY) $(LIBRARY)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(filter-out %/anvil-relay.o,$(RELAY_OBJECTS)) $(HELPER_OBJECTS) $(BUILD)/bench/common-holder.o $(BUILD)/standins/endless.o $(FAKE_OBJECTS) $(WORLD_OBJECTS) $(TOOL_LIBRARY) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs check)
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/common-*.c) tests/helper-quota.c tests/helper-holder.c) $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(filter-out %/anvil-relay.o,$(RELAY_OBJECTS)) $(FAKE_OBJECTS) $(LIBRARY)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/common-*.c) tests/helper-quota.c) $(filter-out %/anvil-entry.o,$(ENTRY_OBJECTS)) $(filter-out %/anvil-relay.o,$(RELAY_OBJECTS)) $(FAKE_OBJECTS) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(LDFLAGS_MODE) -o $@ $^ $(LDLIBS)
 
--- a/bench/bench-holder.c
+++ b/bench/bench-holder.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "helper-holder.h"
+#include "common-holder.h"
 
 /* Requests a second to the largest service of a grown deployment. */
 #define USUAL_RATE 1540
--- a/tests/helper-holder.c
+++ b/bench/common-holder.c
@@ -1,4 +1,4 @@
-#include "helper-holder.h"
+#include "common-holder.h"
 
 #include <time.h>
 
--- a/source/relay/relay-job.c
+++ b/source/relay/relay-job.c
@@ -145,6 +145,7 @@
 renew_number (job_t *job)
 {
   job_set_number (job, anvil_relay_jobs_new_number (job->jobs));
+  job->n_unanswered = 0;
 }
 
 void
@@ -171,7 +172,6 @@
   job->state = JOB_WAITING_FOR_SLOT;
   job->forwarded = FALSE;
   job->withdrawing = FALSE;
-  job->n_unanswered = 0;
   job->holder = anvil_slot_broker_holder (job->jobs->options.slot_broker, job->service);
   if (!job_may_be_sent (job) || !job_may_be_forwarded (job))
     {
--- a/source/relay/relay-message.c
+++ b/source/relay/relay-message.c
@@ -14,6 +14,8 @@
 #define NO_PROOF (-1)
 /* More than a holder has tasks or uses in a window; sums of two don't overflow. */
 #define MAX_QUOTA_TOKENS (1u << 30)
+/* Differences of two such times don't overflow. */
+#define MAX_SENT_AT (G_MAXINT64 / 4)
 /* Larger than any count of a second, and small enough that sums don't overflow. */
 #define MAX_RETRY_COUNT (1u << 24)
 
@@ -797,7 +799,8 @@
         read_body (&reader, message);
       /* Entries of older versions don't send it. */
       if (bad_field == NULL && is_dated (message) && anvil_message_has_more (&reader))
-        message->sent_at = anvil_message_read_time (&reader, "time of sending");
+        message->sent_at
+            = (anvil_time_t) anvil_message_read_number (&reader, "time of sending", MAX_SENT_AT);
     }
   msgpack_zone_destroy (&zone);
   if (bad_field != NULL)
--- a/source/relay/slot-broker-messages.c
+++ b/source/relay/slot-broker-messages.c
@@ -53,16 +53,24 @@
     anvil_dispatcher_adopt (broker->dispatcher, now, &task, message->upstream);
 }
 
+/* Peers may send any age. */
+static anvil_time_t
+add_to_age (anvil_time_t age, anvil_time_t queued)
+{
+  return age > G_MAXINT64 - queued ? G_MAXINT64 : age + queued;
+}
+
 /* Ages of what is known count from when the sender knew it. */
 static void
 add_queued_time (anvil_slot_broker_t *broker, anvil_node_t from, anvil_relay_message_t *message)
 {
   const anvil_time_t queued = queued_time (broker, from, message);
 
-  message->age += queued;
-  message->store_ok_for += message->store_ok_for > 0 ? queued : 0;
-  message->operators_age += queued;
-  message->grace_remaining = MAX (message->grace_remaining - queued, 0);
+  message->age = add_to_age (message->age, queued);
+  if (message->store_ok_for > 0)
+    message->store_ok_for = add_to_age (message->store_ok_for, queued);
+  message->operators_age = add_to_age (message->operators_age, queued);
+  message->grace_remaining = MAX (message->grace_remaining, queued) - queued;
 }
 
 static void
--- a/tests/test-holder-load.c
+++ b/tests/test-holder-load.c
@@ -3,7 +3,7 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "helper-holder.h"
+#include "bench/common-holder.h"
 
 #define RATE 1540.0
 /* The least VM has 0.23 of a core. A third of that may go to comparisons at twice the usual rate,
