--- a/bench/bench-holder.c
+++ b/bench/bench-holder.c
@@ -7,11 +7,11 @@
 #include "common-holder.h"
 
 /* Requests a second to the largest service of a grown deployment. */
-#define USUAL_RATE 1540
+#define USUAL_RATE 1540u
 #define START_TIME (8 * ANVIL_SECOND)
 #define LENGTH (12 * ANVIL_SECOND)
 /* A message with its answer, and one comparison, as taken on one core. */
-#define MESSAGE_US 20
+#define MESSAGE_US 20u
 #define COMPARE_US 0.2
 
 static void
--- a/bench/common-holder.h
+++ b/bench/common-holder.h
@@ -11,10 +11,10 @@
  * asking.
  */
 
-#define HOLDER_SIM_UPSTREAMS 327
-#define HOLDER_SIM_SLOTS 5
-#define HOLDER_SIM_OBJECTS 321
-#define HOLDER_SIM_REQUESTERS 28
+#define HOLDER_SIM_UPSTREAMS 327u
+#define HOLDER_SIM_SLOTS 5u
+#define HOLDER_SIM_OBJECTS 321u
+#define HOLDER_SIM_REQUESTERS 28u
 /* Time of a request from its arrival to its target, and to its deadline. */
 #define HOLDER_SIM_TARGET (600 * ANVIL_MS)
 #define HOLDER_SIM_TIMEOUT (1500 * ANVIL_MS)
