--- a/bench/common-holder.c
+++ b/bench/common-holder.c
@@ -410,7 +410,7 @@
 static guint64
 charge (holder_sim_t *sim, guint64 before, guint n_messages)
 {
-  const guint64 n = anvil_dispatcher_work (sim->dispatcher)->n_examined - before;
+  const guint64 n = anvil_dispatcher_work (sim->dispatcher)->n_compared - before;
 
   sim->result.n_compared += n;
   if (sim->options.processor_share > 0)
@@ -424,7 +424,7 @@
 work (holder_sim_t *sim)
 {
   const gboolean is_limited = sim->options.processor_share > 0;
-  guint64 before = anvil_dispatcher_work (sim->dispatcher)->n_examined;
+  guint64 before = anvil_dispatcher_work (sim->dispatcher)->n_compared;
 
   sim->processor_us = MIN (sim->processor_us + sim->options.processor_share * (gdouble) STEP,
                            sim->options.processor_share * (gdouble) STEP);
@@ -440,7 +440,7 @@
     {
       message_t *message = g_queue_pop_head (&sim->inbox);
 
-      before = anvil_dispatcher_work (sim->dispatcher)->n_examined;
+      before = anvil_dispatcher_work (sim->dispatcher)->n_compared;
       handle (sim, message);
       charge (sim, before, 1);
       g_free (message);
--- a/include/anvil/dispatcher.h
+++ b/include/anvil/dispatcher.h
@@ -396,14 +396,14 @@
  * @n_submitted: tasks submitted
  * @n_repeated: tasks submitted again by requesters that got no answer
  * @n_finished: ends of runs reported
- * @n_examined: pairs of a queued task and an upstream with a free slot that were compared
+ * @n_compared: pairs of a queued task and an upstream with a free slot that were compared
  */
 typedef struct
 {
   guint64 n_submitted;
   guint64 n_repeated;
   guint64 n_finished;
-  guint64 n_examined;
+  guint64 n_compared;
 } anvil_dispatcher_work_t;
 
 /** anvil_dispatcher_work - borrowed */
--- a/source/relay/slot-broker.c
+++ b/source/relay/slot-broker.c
@@ -637,10 +637,10 @@
   anvil_log (ANVIL_LOG_INFO, "broker",
              "work since the last such line messages=%" G_GUINT64_FORMAT
              " slot_requests=%" G_GUINT64_FORMAT " repeated=%" G_GUINT64_FORMAT
-             " finished=%" G_GUINT64_FORMAT " examined=%" G_GUINT64_FORMAT " forwarded=%u",
+             " finished=%" G_GUINT64_FORMAT " compared=%" G_GUINT64_FORMAT " forwarded=%u",
              frames - broker->logged_frames, work->n_submitted - logged->n_submitted,
              work->n_repeated - logged->n_repeated, work->n_finished - logged->n_finished,
-             work->n_examined - logged->n_examined, g_hash_table_size (broker->forwarded));
+             work->n_compared - logged->n_compared, g_hash_table_size (broker->forwarded));
   broker->logged_work = *work;
   broker->logged_frames = frames;
 }
--- a/source/steer/dispatch-internal.h
+++ b/source/steer/dispatch-internal.h
@@ -9,7 +9,8 @@
 /*
  * Modules of the dispatcher: dispatcher.c submits and ends tasks, dispatch-placing.c selects an
  * upstream for a task, dispatch-waiting.c a queued task for a free slot, dispatch-refusing.c the
- * tasks to refuse. dispatch-shift.c bounds how fast work moves to other regions, dispatch-limit.c
+ * tasks to refuse. dispatch-cold-queues.c collects the tasks that may run on an upstream that isn't
+ * warm for them. dispatch-shift.c bounds how fast work moves to other regions, dispatch-limit.c
  * how many requests an upstream gets that named a limit, dispatch-pause.c from whom it wants none
  * for a time. dispatch-fairness.c shares slots among tenants, dispatch-repeat.c decides on second
  * runs for late first runs. dispatch-warmth.c tracks which upstreams are warm for which objects,
@@ -278,7 +279,7 @@
  * @waiting_queues: set of object_queue_t with queued tasks
  * @plain_queues: those of them without an object, for which every upstream is as good as warm
  * @cold_queues: those of the others whose tasks may be worth a cold run; see
- *   waiting_update_cold_queues()
+ *   cold_queues_update()
  * @n_waiting: queued tasks
  * @n_running: running tasks
  * @n_slots: slots of the upstreams that accept requests; see dispatch_update_slot_count()
@@ -526,10 +527,6 @@
  * stop being so while tasks are queued. */
 void waiting_update_backlog (service_t *service);
 
-/* Collects the queues whose tasks may be worth a cold run on some upstream. Most tasks wait for a
- * warm upstream whichever other slot is free, and needn't be compared with each free slot. */
-void waiting_update_cold_queues (service_t *service, anvil_time_t now);
-
 /* Run time of the tasks queued for the upstream that go before a new one, microseconds. */
 gdouble waiting_backlog_us (const upstream_t *upstream, const task_t *task);
 /* The same of all tasks queued for the service; late ones too, or not. */
@@ -540,6 +537,19 @@
 /* Moves tasks that can no longer finish within their target to the late ones. */
 void waiting_move_late (object_queue_t *queue, anvil_time_t now);
 
+/* dispatch-cold-queues.c */
+
+/* Collects the queues whose tasks may be worth a cold run on some upstream. */
+void cold_queues_update (service_t *service, anvil_time_t now);
+void cold_queues_add (service_t *service, object_queue_t *queue);
+void cold_queues_remove (service_t *service, object_queue_t *queue);
+/* A cold run of its tasks was rejected on an upstream. A queue that was rejected on several isn't
+ * compared with more before the next tick. */
+void cold_queues_reject (service_t *service, object_queue_t *queue);
+/* Whether a task waits for a warm upstream instead of a cold run at @placement: the warm run would
+ * end on time, or cost no more. */
+gboolean cold_run_is_worse (task_t *task, const placement_t *placement, anvil_time_t now);
+
 /* dispatch-fairness.c */
 
 void fairness_open (service_t *service);
--- a/source/steer/dispatch-waiting.c
+++ b/source/steer/dispatch-waiting.c
@@ -7,9 +7,8 @@
  * late, newest first keeps the late responses few.
  *
  * A free slot of an upstream is compared with the tasks for the objects that the
- * upstream is warm for, and with those for which a cold run may be worth while. A
- * service has as many objects as upstreams, so comparing each free slot with the
- * tasks for all objects would take longer than the interval between two ticks.
+ * upstream is warm for, and with those for which a cold run may be worth while; see
+ * dispatch-cold-queues.c.
  */
 
 #include "steer/dispatch-internal.h"
@@ -54,12 +53,6 @@
 
 /* Tasks examined on time and late in each queue, since the first ones may exclude the upstream. */
 #define MAX_EXAMINED_TASKS 4
-/* A queue isn't compared with further upstreams before the next tick once a cold run of its tasks
- * was rejected on so many. */
-#define MAX_REJECTIONS 8
-/* The best warm upstream of a task is derived again after this time: it is needed for each free
- * slot that the task is compared with. */
-#define BEST_WARM_INTERVAL (10 * ANVIL_MS)
 /* Tenants of which a task is examined in each queue of an object, and tasks that are passed over to
  * find them. */
 #define MAX_EXAMINED_FLOWS 16
@@ -170,29 +163,6 @@
   return sum;
 }
 
-static void
-add_cold_queue (service_t *service, object_queue_t *queue)
-{
-  if (queue->cold_position > 0)
-    return;
-  g_ptr_array_add (service->cold_queues, queue);
-  queue->cold_position = service->cold_queues->len;
-  queue->n_rejected = 0;
-}
-
-static void
-remove_cold_queue (service_t *service, object_queue_t *queue)
-{
-  const guint position = queue->cold_position;
-
-  if (position == 0)
-    return;
-  g_ptr_array_remove_index_fast (service->cold_queues, position - 1);
-  queue->cold_position = 0;
-  if (position <= service->cold_queues->len)
-    ((object_queue_t *) service->cold_queues->pdata[position - 1])->cold_position = position;
-}
-
 static void
 add_waiting_queue (service_t *service, object_queue_t *queue)
 {
@@ -205,7 +175,7 @@
 {
   g_hash_table_remove (service->waiting_queues, queue);
   g_hash_table_remove (service->plain_queues, queue);
-  remove_cold_queue (service, queue);
+  cold_queues_remove (service, queue);
 }
 
 void
@@ -217,7 +187,7 @@
   g_queue_push_tail_link (&task->queue->on_time, &task->queue_link);
   add_waiting_queue (service, task->queue);
   if (!task->object->no_affinity && placing_cold_run_allowed (task, now))
-    add_cold_queue (service, task->queue);
+    cold_queues_add (service, task->queue);
   task->object->n_waiting++;
   service->n_waiting++;
   task->class->n_waiting++;
@@ -265,79 +235,6 @@
     }
 }
 
-static void
-update_best_warm (task_t *task, anvil_time_t now)
-{
-  placement_t warm;
-
-  if (task->warm_at > 0 && now - task->warm_at < BEST_WARM_INTERVAL)
-    return;
-  warm = placing_best_warm (task, now);
-  task->warm_at = now;
-  task->warm_finish = warm.upstream != NULL ? warm.finish : G_MAXINT64;
-  task->warm_cost = warm.upstream != NULL ? warm.cost : G_MAXINT64;
-}
-
-/* Whether a task waits for a warm upstream instead of any cold run, as it would end on time there.
- */
-static gboolean
-on_time_on_warm_upstream (task_t *task, anvil_time_t now)
-{
-  update_best_warm (task, now);
-  return task->warm_finish <= task->request.target;
-}
-
-/* Whether a task waits for a warm upstream instead of a cold run at @placement: the warm run would
- * end on time, or cost no more. */
-static gboolean
-better_on_warm_upstream (task_t *task, const placement_t *placement, anvil_time_t now)
-{
-  return on_time_on_warm_upstream (task, now) || task->warm_cost <= placement->cost;
-}
-
-/* Whether a cold run may be worth while for one of the first tasks of a list. Those behind the
- * first differ from it if they exclude upstreams. */
-static gboolean
-may_run_cold (const GList *link, gboolean forward, anvil_time_t now)
-{
-  gboolean is_first = TRUE;
-
-  for (guint n = 0; link != NULL && n < MAX_EXAMINED_TASKS;
-       link = forward ? link->next : link->prev, n++)
-    {
-      task_t *task = link->data;
-
-      if ((is_first || task->request.n_excluded > 0) && placing_cold_run_allowed (task, now)
-          && !on_time_on_warm_upstream (task, now))
-        return TRUE;
-      is_first = FALSE;
-    }
-  return FALSE;
-}
-
-void
-waiting_update_cold_queues (service_t *service, anvil_time_t now)
-{
-  GHashTableIter iter;
-  gpointer key;
-
-  for (guint i = 0; i < service->cold_queues->len; i++)
-    ((object_queue_t *) service->cold_queues->pdata[i])->cold_position = 0;
-  g_ptr_array_set_size (service->cold_queues, 0);
-  g_hash_table_iter_init (&iter, service->waiting_queues);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      object_queue_t *queue = key;
-
-      if (queue->object->no_affinity)
-        continue;
-      waiting_move_late (queue, now);
-      if (may_run_cold (queue->on_time.head, TRUE, now)
-          || may_run_cold (queue->late.tail, FALSE, now))
-        add_cold_queue (service, queue);
-    }
-}
-
 /* Computes the rank of a task on an upstream; FALSE if it must not run there. */
 static gboolean
 get_rank (upstream_t *upstream, task_t *task, anvil_time_t now, gboolean warm, rank_t *result)
@@ -349,7 +246,7 @@
     return FALSE;
   placement = placing_estimate (upstream, task, now, warm);
   if (placement.finish > task->request.deadline
-      || (!warm && better_on_warm_upstream (task, &placement, now)))
+      || (!warm && cold_run_is_worse (task, &placement, now)))
     return FALSE;
   on_time = placement.finish <= task->request.target;
   result->tenant_priority = task->request.tenant_priority;
@@ -397,7 +294,7 @@
 {
   rank_t candidate;
 
-  choice->upstream->service->dispatcher->work.n_examined++;
+  choice->upstream->service->dispatcher->work.n_compared++;
   if (!get_rank (choice->upstream, task, choice->now, warm, &candidate))
     return FALSE;
   choice->n_accepted++;
@@ -511,8 +408,8 @@
       if (warmth_find (choice->upstream, queue->object) != NULL)
         continue;
       consider_queue (choice, queue, FALSE);
-      if (choice->n_accepted == n_accepted && ++queue->n_rejected >= MAX_REJECTIONS)
-        remove_cold_queue (service, queue);
+      if (choice->n_accepted == n_accepted)
+        cold_queues_reject (service, queue);
     }
 }
 
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -576,7 +576,7 @@
 
       dispatch_update_speeds (service, now);
       waiting_update_backlog (service);
-      waiting_update_cold_queues (service, now);
+      cold_queues_update (service, now);
       fairness_remove_idle (service, now);
       for (guint i = 0; service->n_waiting > 0 && i < service->upstreams->len; i++)
         grant_free_slots (dispatcher, now, service->upstreams->pdata[i]);
